--- /dev/null
+++ b/bundle/src/content.rs
@@ -0,0 +1,321 @@
+//! What a bundle states, read from its TOML text and checked.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error;
+
+/// Largest text of a bundle, bytes: the platform's values hold a megabyte,
+/// and the signatures and the JSON form need the rest.
+pub const MAX_SIZE: usize = 900 * 1024;
+
+/// Whole content of a bundle.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Content {
+    /// Deployment that the bundle is for.
+    pub deployment: Arc<str>,
+    /// How far expert placement may move.
+    #[serde(default)]
+    pub placement: Placement,
+    /// Models, each served by groups of ranks.
+    #[serde(default, rename = "model")]
+    pub models: Vec<Model>,
+    /// Plain services.
+    #[serde(default, rename = "service")]
+    pub services: Vec<Service>,
+    /// Request classes.
+    #[serde(default, rename = "class")]
+    pub classes: Vec<Class>,
+    /// Teams, the callers' side.
+    #[serde(default, rename = "team")]
+    pub teams: Vec<Team>,
+    /// Backend server hosts that are to take no new work.
+    #[serde(default)]
+    pub leaving: Vec<Arc<str>>,
+}
+
+/// How far expert placement may move, and what the users weigh.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Placement {
+    /// Time between two decisions, seconds.
+    pub interval_s: u32,
+    /// Expert loads that one decision may order for a group.
+    pub moves: u32,
+    /// Copies of one expert at the most.
+    pub replicas: u32,
+    /// Expert slots on each rank and layer beyond an even share.
+    pub spare_slots: u32,
+    /// Weight of step-time skew.
+    pub skew_weight: f64,
+    /// Weight of the cost of rebalancing.
+    pub cost_weight: f64,
+}
+
+impl Default for Placement {
+    fn default() -> Placement {
+        Placement {
+            interval_s: 60,
+            moves: 64,
+            replicas: 4,
+            spare_slots: 1,
+            skew_weight: 1.0,
+            cost_weight: 1.0,
+        }
+    }
+}
+
+/// A model, its version and adapters, and the shape of its groups.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Name that callers give.
+    pub name: Arc<str>,
+    /// Version of the weights.
+    pub version: Arc<str>,
+    /// Adapters, which callers may name in place of the model.
+    #[serde(default)]
+    pub adapters: Vec<Arc<str>>,
+    /// Rank groups that serve it.
+    pub groups: Vec<Arc<str>>,
+    /// Layers with experts.
+    pub layers: u32,
+    /// Experts of each layer.
+    pub experts: u32,
+    /// Class of a request that names none.
+    pub class: Arc<str>,
+}
+
+/// A plain service beside the model engines.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name in the path and in the host list.
+    pub name: Arc<str>,
+    /// Class of a request that names none.
+    pub class: Arc<str>,
+}
+
+/// A request class.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Name that callers give.
+    pub name: Arc<str>,
+    /// Rank among the classes; 0 goes first.
+    pub precedence: u32,
+    /// Whether a request may run more than once.
+    pub repeatable: bool,
+    /// Deadline of a request that names none, milliseconds.
+    pub deadline_ms: u32,
+}
+
+/// A team, with its share and its limit.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Team {
+    /// Name of the team.
+    pub name: Arc<str>,
+    /// SHA-256 of the team's bearer token, hexadecimal.
+    pub token_sha256: String,
+    /// Share of the capacity relative to the other teams.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+    /// Requests that one entry host lets the team have in flight and waiting.
+    #[serde(default = "default_limit")]
+    pub limit: u32,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+fn default_limit() -> u32 {
+    256
+}
+
+/// Greatest number of layers, experts, replicas and the like.
+const MAX_COUNT: f64 = 4096.0;
+/// Longest deadline, milliseconds.
+const MAX_DEADLINE_MS: f64 = 3_600_000.0;
+
+impl Content {
+    /// Reads and checks a bundle's text.
+    ///
+    /// # Errors
+    ///
+    /// The first rule that the text breaks, with its line where one is known.
+    pub fn parse(text: &str) -> Result<Content, error::Error> {
+        if text.len() > MAX_SIZE {
+            return Err(error::Error::Size { size: text.len(), limit: MAX_SIZE });
+        }
+        let content: Content = toml::from_str(text).map_err(|error| {
+            let start = error.span().map_or(0, |span| span.start);
+            let line = 1 + text.as_bytes()[..start].iter().filter(|b| **b == b'\n').count();
+            error::Error::Syntax { line, reason: error.message().to_owned() }
+        })?;
+        content.check()?;
+        Ok(content)
+    }
+
+    /// Holds the rules that the syntax cannot: unique names, declared
+    /// targets, numbers in range.
+    fn check(&self) -> Result<(), error::Error> {
+        unique("class", self.classes.iter().map(|class| &class.name))?;
+        unique("team", self.teams.iter().map(|team| &team.name))?;
+        let models = self.models.iter().flat_map(|m| std::iter::once(&m.name).chain(&m.adapters));
+        unique("model", models.chain(self.services.iter().map(|service| &service.name)))?;
+        unique("group", self.models.iter().flat_map(|model| &model.groups))?;
+        self.check_placement()?;
+        for model in &self.models {
+            self.declared_class("model", &model.name, &model.class)?;
+            range("model", &model.name, "layers", model.layers, 1.0, MAX_COUNT)?;
+            range("model", &model.name, "experts", model.experts, 1.0, MAX_COUNT)?;
+        }
+        for service in &self.services {
+            self.declared_class("service", &service.name, &service.class)?;
+        }
+        for class in &self.classes {
+            range("class", &class.name, "deadline_ms", class.deadline_ms, 1.0, MAX_DEADLINE_MS)?;
+        }
+        self.teams.iter().try_for_each(check_team)
+    }
+
+    fn check_placement(&self) -> Result<(), error::Error> {
+        let name: Arc<str> = "placement".into();
+        let rules = &self.placement;
+        range("section", &name, "interval_s", rules.interval_s, 1.0, 86_400.0)?;
+        range("section", &name, "moves", rules.moves, 0.0, 1e6)?;
+        range("section", &name, "replicas", rules.replicas, 1.0, MAX_COUNT)?;
+        range("section", &name, "spare_slots", rules.spare_slots, 0.0, MAX_COUNT)?;
+        range("section", &name, "skew_weight", rules.skew_weight, 0.0, 1e6)?;
+        range("section", &name, "cost_weight", rules.cost_weight, 0.0, 1e6)
+    }
+
+    fn declared_class(
+        &self,
+        kind: &'static str,
+        name: &Arc<str>,
+        class: &Arc<str>,
+    ) -> Result<(), error::Error> {
+        if self.classes.iter().any(|known| known.name == *class) {
+            return Ok(());
+        }
+        Err(error::Error::Dangling { kind, name: name.clone(), target: class.clone() })
+    }
+
+    /// The model that a caller's name means: a model, an adapter, or
+    /// `model@version` for the version in force.
+    pub fn model(&self, name: &str) -> Option<&Model> {
+        let (base, version) = name.split_once('@').map_or((name, None), |(b, v)| (b, Some(v)));
+        self.models
+            .iter()
+            .find(|model| *model.name == *base || model.adapters.iter().any(|a| **a == *base))
+            .filter(|model| version.is_none_or(|version| *model.version == *version))
+    }
+
+    /// The service of that name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|service| *service.name == *name)
+    }
+
+    /// The class of that name.
+    pub fn class(&self, name: &str) -> Option<&Class> {
+        self.classes.iter().find(|class| *class.name == *name)
+    }
+
+    /// The model whose group this is.
+    pub fn model_of_group(&self, group: &str) -> Option<&Model> {
+        self.models.iter().find(|model| model.groups.iter().any(|known| **known == *group))
+    }
+}
+
+fn check_team(team: &Team) -> Result<(), error::Error> {
+    range("team", &team.name, "weight", team.weight, 1.0, 1e6)?;
+    range("team", &team.name, "limit", team.limit, 1.0, 1e6)?;
+    let digits = team.token_sha256.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if team.token_sha256.len() == 64 && digits {
+        return Ok(());
+    }
+    Err(error::Error::Token { name: team.name.clone() })
+}
+
+fn unique<'a>(
+    kind: &'static str,
+    names: impl Iterator<Item = &'a Arc<str>>,
+) -> Result<(), error::Error> {
+    let mut seen = BTreeSet::new();
+    for name in names {
+        if !seen.insert(name) {
+            return Err(error::Error::Twice { kind, name: name.clone() });
+        }
+    }
+    Ok(())
+}
+
+fn range(
+    kind: &'static str,
+    name: &Arc<str>,
+    key: &'static str,
+    value: impl Into<f64>,
+    low: f64,
+    high: f64,
+) -> Result<(), error::Error> {
+    let value = value.into();
+    if (low..=high).contains(&value) {
+        return Ok(());
+    }
+    Err(error::Error::Range { kind, name: name.clone(), key, value, low, high })
+}
+
+impl fmt::Display for Content {
+    /// One line an entry, in the order of the text; `bundle diff` compares these.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "deployment {}", self.deployment)?;
+        let p = &self.placement;
+        writeln!(
+            f,
+            "placement interval_s={} moves={} replicas={} spare_slots={} skew_weight={} cost_weight={}",
+            p.interval_s, p.moves, p.replicas, p.spare_slots, p.skew_weight, p.cost_weight
+        )?;
+        for m in &self.models {
+            writeln!(
+                f,
+                "model {} version={} adapters={} groups={} layers={} experts={} class={}",
+                m.name,
+                m.version,
+                m.adapters.join(","),
+                m.groups.join(","),
+                m.layers,
+                m.experts,
+                m.class
+            )?;
+        }
+        for s in &self.services {
+            writeln!(f, "service {} class={}", s.name, s.class)?;
+        }
+        for c in &self.classes {
+            writeln!(
+                f,
+                "class {} precedence={} repeatable={} deadline_ms={}",
+                c.name, c.precedence, c.repeatable, c.deadline_ms
+            )?;
+        }
+        for t in &self.teams {
+            let token = &t.token_sha256[..8];
+            writeln!(
+                f,
+                "team {} weight={} limit={} token_sha256={token}..",
+                t.name, t.weight, t.limit
+            )?;
+        }
+        for host in &self.leaving {
+            writeln!(f, "leaving {host}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/daemon/src/admin.rs
@@ -0,0 +1,65 @@
+//! Health and metrics over HTTP, for whoever watches the process.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use loftcove_decision::lifecycle;
+use tokio::net::TcpListener;
+
+use crate::{metrics, process};
+
+/// Paths that are answered here.
+pub fn is_path(path: &str) -> bool {
+    matches!(path, "/healthz" | "/readyz" | "/metrics")
+}
+
+/// Answers one of the paths.
+pub fn answer(process: &process::Process, path: &str) -> http::Response<Full<Bytes>> {
+    let (status, text) = match path {
+        "/healthz" => (http::StatusCode::OK, "ok\n".to_owned()),
+        "/readyz" if process.life.phase() == lifecycle::Phase::Serving => {
+            (http::StatusCode::OK, "ready\n".to_owned())
+        }
+        "/readyz" => (http::StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        "/metrics" => (http::StatusCode::OK, encode(process)),
+        _ => (http::StatusCode::NOT_FOUND, "no such path\n".to_owned()),
+    };
+    let mut response = http::Response::new(Full::from(text));
+    *response.status_mut() = status;
+    response
+}
+
+fn encode(process: &process::Process) -> String {
+    let calls = process.platform.calls();
+    let kinds = [("read", &calls.reads), ("watch", &calls.watches), ("write", &calls.writes)];
+    for (kind, count) in kinds {
+        let gauge = process.metrics.platform.get_or_create(&metrics::Call { kind });
+        gauge.set(count.load(Ordering::Relaxed) as i64);
+    }
+    process.metrics.in_flight.set(process.life.in_flight() as i64);
+    process.metrics.encode()
+}
+
+/// Serves the paths on an address of their own until the process ends.
+pub async fn serve(process: Arc<process::Process>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let process = process.clone();
+        tokio::spawn(async move {
+            let service = hyper::service::service_fn(move |request: http::Request<_>| {
+                let _: &hyper::body::Incoming = request.body();
+                let response = answer(&process, request.uri().path());
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let builder = auto::Builder::new(TokioExecutor::new());
+            if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+                log::debug!("admin connection ended error=\"{error}\"");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/daemon/src/agent/keeper.rs
@@ -0,0 +1,190 @@
+//! The agent's part as a home of idempotency keys, and as a witness.
+
+use std::sync::{Arc, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use loftcove_decision::home;
+use loftcove_platform::store::Store as _;
+use loftcove_platform::{key, store};
+use loftcove_wire as wire;
+
+use crate::agent::Agent;
+use crate::{clock, homes};
+
+/// Looks at the platform in one lease: two may fail before it ends.
+const LOOKS_PER_LEASE: u32 = 3;
+/// Tries to hand slots over on a planned stop.
+const RETIRE_TRIES: u32 = 5;
+
+/// The keeper.
+pub fn lock(agent: &Agent) -> MutexGuard<'_, home::keeper::Keeper> {
+    agent.keeper.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Weighs a claim.
+pub fn claim(agent: &Agent, claim: home::keeper::Claim) -> wire::Standing {
+    let (now, wall) = (agent.process.clock.now(), agent.process.clock.wall());
+    let mut keeper = lock(agent);
+    let standing = keeper.claim(claim, now, wall);
+    debug_assert_eq!(keeper.verify(), Ok(()));
+    drop(keeper);
+    let text = format!("key={} choice={standing:?}", claim.key);
+    agent.process.trail.record(&claim.key.to_string(), text);
+    match standing {
+        home::keeper::Standing::Granted => wire::Standing::Granted,
+        home::keeper::Standing::Claimed => wire::Standing::Claimed,
+        home::keeper::Standing::Ran => wire::Standing::Ran,
+        home::keeper::Standing::Unknown => wire::Standing::Unknown,
+        home::keeper::Standing::NotHome => wire::Standing::NotHome,
+        home::keeper::Standing::Full => wire::Standing::Full,
+        home::keeper::Standing::Mismatch => wire::Standing::Mismatch,
+        home::keeper::Standing::Future => wire::Standing::Future,
+    }
+}
+
+/// Confirms, renews and takes over for ever, while the table names this host.
+pub async fn run(agent: Arc<Agent>) {
+    let lease = Duration::from_millis(agent.process.settings.homes.lease_ms);
+    let pause = lease / LOOKS_PER_LEASE;
+    let mut changed = agent.process.gossip.subscribe();
+    loop {
+        if concerned(&agent) {
+            look(&agent).await;
+            if change(&agent).await {
+                look(&agent).await;
+            }
+            renew(&agent).await;
+        }
+        let named = async {
+            // A table that newly names this host is read at once.
+            while changed.changed().await.is_ok() {
+                if concerned(&agent) && !lock(&agent).listed() {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            _ = tokio::time::sleep(clock::jitter(pause, 0.8..1.0)) => {}
+            _ = named => {}
+        }
+    }
+}
+
+/// Whether the table names this host, as far as this process has heard.
+fn concerned(agent: &Agent) -> bool {
+    let own = &agent.process.settings.process.host;
+    let heard = agent.process.gossip.homes();
+    let named = heard
+        .slots
+        .iter()
+        .any(|entry| entry.home.host == *own || entry.witness.as_ref() == Some(own));
+    named || lock(agent).listed()
+}
+
+/// Reads the table from the platform; the read confirms this host's slots.
+async fn look(agent: &Agent) {
+    let name = key::homes(&agent.process.settings.process.deployment);
+    let began = agent.process.clock.now();
+    let entry = match agent.process.platform.get(&name).await {
+        Ok(Some(entry)) => entry,
+        Ok(None) => return,
+        Err(error) => {
+            log::warn!("homes not confirmed error=\"{error}\"");
+            return;
+        }
+    };
+    let Ok(table) = serde_json::from_slice(&entry.value) else {
+        log::error!("homes not readable revision={}", entry.revision);
+        return;
+    };
+    lock(agent).confirm(entry.revision, table, began, agent.process.clock.wall());
+    spread(agent, entry);
+}
+
+fn spread(agent: &Agent, entry: store::Entry) {
+    let kind = wire::Kind::Homes.into();
+    agent.process.take(wire::Record { kind, revision: entry.revision, value: entry.value });
+}
+
+/// Agents that may be homes.
+fn elected(agent: &Agent) -> Vec<home::table::Candidate> {
+    homes::elect(&agent.process.gossip.hosts(), agent.process.settings.homes.per_zone)
+}
+
+/// Writes the change that is due, if one is; returns whether one was tried.
+async fn change(agent: &Agent) -> bool {
+    let Some((revision, mut next, cause)) = due(agent) else { return false };
+    next.nonce = format!("{:032x}", rand::random::<u128>());
+    let name = key::homes(&agent.process.settings.process.deployment);
+    let value: Bytes = serde_json::to_vec(&next).unwrap_or_default().into();
+    let result = agent.process.platform.swap(&name, revision, value).await;
+    agent.process.trail.record("homes", format!("choice={cause} result={result:?}"));
+    true
+}
+
+fn due(agent: &Agent) -> Option<(u64, home::table::Table, &'static str)> {
+    let elected = elected(agent);
+    let now = agent.process.clock.now();
+    let wall = agent.process.clock.wall();
+    let list = agent.process.gossip.hosts();
+    let gone = |host: &str| !list.hosts.iter().any(|listed| *listed.id == *host && !listed.leaving);
+    let mut keeper = lock(agent);
+    let revision = keeper.table().0;
+    if revision == 0 {
+        return None;
+    }
+    if let Some(next) = keeper.retake(&elected) {
+        return Some((revision, next, "retake"));
+    }
+    if let Some(home) = keeper.silent(now).into_iter().next() {
+        let next = keeper.take_over(&home, &elected);
+        return Some((revision, next, "take-over"));
+    }
+    if let Some(next) = keeper.mend_witnesses(gone, &elected) {
+        return Some((revision, next, "mend-witnesses"));
+    }
+    keeper.settle_slots(wall).map(|next| (revision, next, "settle"))
+}
+
+/// Asks the witnesses of this home's slots for promises.
+async fn renew(agent: &Agent) {
+    let limit = Duration::from_millis(agent.process.settings.homes.lease_ms) / LOOKS_PER_LEASE;
+    let witnesses = lock(agent).witnesses();
+    let calls = witnesses.into_iter().map(|witness| async move {
+        let Some(host) = agent.process.host(&witness) else { return };
+        let mut client = agent.process.links.get(host.address).agent.clone();
+        let renewal = wire::Renewal {
+            home: agent.process.settings.process.host.to_string(),
+            incarnation: agent.process.incarnation,
+            revision: lock(agent).table().0,
+        };
+        let asked = agent.process.clock.now();
+        let answer = tokio::time::timeout(limit, client.renew(renewal)).await;
+        if let Ok(Ok(promise)) = answer {
+            let hold = Duration::from_millis(u64::from(promise.into_inner().hold_ms));
+            lock(agent).promised(&witness, hold, asked);
+        }
+    });
+    futures_util::future::join_all(calls).await;
+}
+
+/// Stops granting and hands the slots to their witnesses, on a planned stop.
+pub async fn retire(agent: &Agent) {
+    for _ in 0..RETIRE_TRIES {
+        let elected = elected(agent);
+        let (revision, next) = {
+            let mut keeper = lock(agent);
+            (keeper.table().0, keeper.retire(&elected))
+        };
+        let Some(mut next) = next else { return };
+        next.nonce = format!("{:032x}", rand::random::<u128>());
+        let name = key::homes(&agent.process.settings.process.deployment);
+        let value: Bytes = serde_json::to_vec(&next).unwrap_or_default().into();
+        let written = agent.process.platform.swap(&name, revision, value).await;
+        agent.process.trail.record("homes", format!("choice=hand-over result={written:?}"));
+        // Reading back settles a lost answer and passes the news on.
+        look(agent).await;
+    }
+    log::warn!("homes not handed over");
+}
--- /dev/null
+++ b/daemon/src/agent/orders.rs
@@ -0,0 +1,161 @@
+//! The agent's gate for orders about the expert map.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use loftcove_decision::map::{gate, record};
+use loftcove_platform::key;
+use loftcove_platform::store::Store as _;
+use loftcove_wire as wire;
+use serde::Serialize;
+use tokio::sync::Mutex;
+
+use crate::agent::Agent;
+
+/// Longest wait for the backend server to prepare a map: it loads weights.
+const PREPARE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Longest wait for the backend server to go over to a prepared map.
+const ACTIVATE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause between two tries to learn the fence.
+const LEARN_PAUSE: Duration = Duration::from_millis(250);
+/// Longest wait for another rank's agent.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The gate. It is held while an order is carried out, so that a stale one
+/// cannot pass between the weighing and the carrying out of a newer one.
+#[derive(Debug, Default)]
+pub struct Orders {
+    gate: Mutex<gate::Gate>,
+}
+
+/// What the backend server takes to prepare a map.
+#[derive(Serialize)]
+struct Prepare<'a> {
+    epoch: u64,
+    layers: &'a Vec<Vec<Vec<u32>>>,
+}
+
+#[derive(Serialize)]
+struct Activate {
+    epoch: u64,
+}
+
+/// Carries an order out, if the gate lets it through.
+pub async fn carry_out(agent: &Agent, message: wire::Order) -> wire::Verdict {
+    let mut gate = agent.orders.gate.lock().await;
+    if message.action() == wire::Action::Query {
+        let ruling = if gate.ready() { wire::Ruling::Done } else { wire::Ruling::Unready };
+        return verdict(ruling, &gate);
+    }
+    let order = gate::Order {
+        action: match message.action() {
+            wire::Action::Activate => gate::Action::Activate,
+            _ => gate::Action::Prepare,
+        },
+        epoch: record::Epoch(message.epoch),
+        fence: gate::Fence(message.fence),
+        digest: message.digest,
+    };
+    let ruling = match gate.weigh(&order) {
+        Ok(()) => obey(agent, &mut gate, &order, &message.map).await,
+        Err(gate::Refusal::Unready) => wire::Ruling::Unready,
+        Err(gate::Refusal::Stale(_)) => wire::Ruling::Stale,
+        Err(gate::Refusal::Digest(_) | gate::Refusal::Unprepared(_)) => wire::Ruling::Failed,
+    };
+    agent.process.trail.record(
+        &message.group,
+        format!(
+            "order={:?} epoch={} fence={} seen={} choice={}",
+            order.action,
+            order.epoch,
+            order.fence,
+            gate.fence(),
+            ruling.as_str_name()
+        ),
+    );
+    verdict(ruling, &gate)
+}
+
+fn verdict(ruling: wire::Ruling, gate: &gate::Gate) -> wire::Verdict {
+    wire::Verdict { ruling: ruling.into(), fence: gate.fence().0 }
+}
+
+async fn obey(
+    agent: &Agent,
+    gate: &mut gate::Gate,
+    order: &gate::Order,
+    map: &Bytes,
+) -> wire::Ruling {
+    let done = match order.action {
+        gate::Action::Prepare => prepare(agent, order, map).await,
+        gate::Action::Activate => {
+            let body = serde_json::to_vec(&Activate { epoch: order.epoch.0 }).unwrap_or_default();
+            let sent = agent.server.order("/control/activate", body.into(), ACTIVATE_TIMEOUT);
+            sent.await.is_ok()
+        }
+    };
+    if !done {
+        return wire::Ruling::Failed;
+    }
+    if order.action == gate::Action::Prepare {
+        gate.prepared(order);
+    }
+    wire::Ruling::Done
+}
+
+/// Has the backend server prepare a map, if it is the one that the order names.
+async fn prepare(agent: &Agent, order: &gate::Order, map: &Bytes) -> bool {
+    let Ok(map) = serde_json::from_slice::<record::Map>(map) else { return false };
+    let named = map.epoch == order.epoch && map.layout.digest() == order.digest;
+    if !named || map.layout.verify().is_err() {
+        return false;
+    }
+    let body = Prepare { epoch: map.epoch.0, layers: &map.layout.layers };
+    let body = serde_json::to_vec(&body).unwrap_or_default();
+    agent.server.order("/control/prepare", body.into(), PREPARE_TIMEOUT).await.is_ok()
+}
+
+/// Learns the group's fence after the start.
+pub async fn run(agent: Arc<Agent>) {
+    if agent.settings.rank.is_none() {
+        return;
+    }
+    loop {
+        if let Some(fence) = learn(&agent).await {
+            agent.orders.gate.lock().await.learn(fence);
+            log::info!("fence learnt group={} fence={fence}", agent.settings.backend);
+            return;
+        }
+        tokio::time::sleep(LEARN_PAUSE).await;
+    }
+}
+
+/// The fence, from the platform or, while that is not to be reached, from
+/// another rank's agent: every map in force has passed all of them.
+async fn learn(agent: &Agent) -> Option<gate::Fence> {
+    let own = &agent.process.settings.process;
+    let name = key::map(&own.deployment, &agent.settings.backend);
+    if let Ok(entry) = agent.process.platform.get(&name).await {
+        return Some(gate::Fence(entry.map_or(0, |entry| entry.revision)));
+    }
+    let list = agent.process.gossip.hosts();
+    let others = list.hosts.iter().filter(|host| {
+        host.backend == agent.settings.backend && host.rank.is_some() && host.id != own.host
+    });
+    let calls = others.map(|host| ask(agent, host.address));
+    let answers = futures_util::future::join_all(calls).await;
+    answers.into_iter().flatten().max()
+}
+
+async fn ask(agent: &Agent, address: std::net::SocketAddr) -> Option<gate::Fence> {
+    let mut client = agent.process.links.get(address).agent.clone();
+    let order = wire::Order {
+        group: agent.settings.backend.to_string(),
+        action: wire::Action::Query.into(),
+        ..wire::Order::default()
+    };
+    let answer = tokio::time::timeout(ASK_TIMEOUT, client.command(order)).await;
+    let verdict = answer.ok()?.ok()?.into_inner();
+    (verdict.ruling() == wire::Ruling::Done).then_some(gate::Fence(verdict.fence))
+}
--- /dev/null
+++ b/daemon/src/agent/run.rs
@@ -0,0 +1,220 @@
+//! Carries one attempt out on the backend server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use loftcove_decision::{attempt, clock};
+use loftcove_wire as wire;
+use tokio::sync::mpsc;
+
+use crate::agent::{Agent, poll, server};
+use crate::life;
+
+/// Header with the request's id, which model engines echo.
+const REQUEST_ID: &str = "x-request-id";
+/// Header with the precedence, which model engines honour.
+const PRIORITY: &str = "x-priority";
+/// Frames that may wait for a slow caller before the backend server is held up.
+const BACKLOG: usize = 32;
+/// When a refused entry host may try again, milliseconds.
+const RETRY_AFTER_MS: u32 = 50;
+
+/// Frames of one attempt.
+pub type Frames = mpsc::Receiver<Result<wire::Frame, tonic::Status>>;
+
+/// Reads the id of an attempt.
+pub fn read_id(id: &wire::AttemptId) -> Option<attempt::Id> {
+    let request = uuid::Uuid::from_slice(&id.request).ok()?;
+    Some(attempt::Id { request, number: id.number, incarnation: id.incarnation })
+}
+
+/// Starts an attempt; its frames say what comes of it.
+pub fn start(agent: &Arc<Agent>, message: wire::Attempt) -> Result<Frames, tonic::Status> {
+    let wire_id = message.id.clone().unwrap_or_default();
+    let id = read_id(&wire_id).ok_or(tonic::Status::invalid_argument("attempt without an id"))?;
+    let (sender, receiver) = mpsc::channel(BACKLOG);
+    let trail = &agent.process.trail;
+    let subject = id.request.to_string();
+    match admit(agent, &message, id) {
+        Ok((slot, flight)) => {
+            trail.record(&subject, format!("attempt={} choice=run", id.number));
+            let guard = Guard { agent: agent.clone(), id, _slot: slot, _flight: flight };
+            let run = Run { agent: agent.clone(), id: wire_id, sender, guard };
+            tokio::spawn(run.carry_out(message));
+        }
+        Err(reason) => {
+            let word = reason.as_str_name();
+            trail.record(&subject, format!("attempt={} choice=refuse reason={word}", id.number));
+            let refused = wire::Refused { reason: reason.into(), retry_after_ms: RETRY_AFTER_MS };
+            let kind = Some(wire::frame::Kind::Refused(refused));
+            let frame = wire::Frame { id: Some(wire_id), kind };
+            // A fresh channel has room.
+            sender.try_send(Ok(frame)).unwrap_or_default();
+        }
+    }
+    Ok(receiver)
+}
+
+/// Takes a slot and records the start: from here on the attempt may run.
+fn admit(
+    agent: &Arc<Agent>,
+    message: &wire::Attempt,
+    id: attempt::Id,
+) -> Result<(poll::Slot, life::Flight), wire::Refusal> {
+    if *message.backend != *agent.settings.backend {
+        return Err(wire::Refusal::Backend);
+    }
+    if !agent.takes_work() {
+        return Err(wire::Refusal::Leaving);
+    }
+    if message.budget_ms == 0 {
+        return Err(wire::Refusal::Deadline);
+    }
+    let flight = agent.process.life.enter().ok_or(wire::Refusal::Leaving)?;
+    let slot = poll::Load::enter(agent).ok_or(wire::Refusal::Full)?;
+    let expiry = clock::Wall::from_millis(message.expiry_ms);
+    let now = agent.process.clock.wall();
+    let started = lock(agent).start(id, expiry, now);
+    started.map_err(|refusal| match refusal {
+        attempt::Refusal::Incarnation => wire::Refusal::Incarnation,
+        attempt::Refusal::Revoked => wire::Refusal::Revoked,
+        attempt::Refusal::Expired => wire::Refusal::Deadline,
+        attempt::Refusal::Full => wire::Refusal::Full,
+    })?;
+    Ok((slot, flight))
+}
+
+/// The table of attempts.
+pub fn lock(agent: &Agent) -> std::sync::MutexGuard<'_, attempt::Table> {
+    agent.attempts.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// A running attempt; dropping it records its end.
+struct Guard {
+    agent: Arc<Agent>,
+    id: attempt::Id,
+    _slot: poll::Slot,
+    _flight: life::Flight,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        lock(&self.agent).end(self.id);
+    }
+}
+
+struct Run {
+    agent: Arc<Agent>,
+    id: wire::AttemptId,
+    sender: mpsc::Sender<Result<wire::Frame, tonic::Status>>,
+    guard: Guard,
+}
+
+impl Run {
+    async fn carry_out(self, message: wire::Attempt) {
+        self.agent.process.metrics.attempts.inc();
+        let budget = Duration::from_millis(u64::from(message.budget_ms));
+        let caller = self.sender.clone();
+        // Dropping the call closes its connection, which cancels it at the
+        // backend server and frees its slot there.
+        tokio::select! {
+            _ = tokio::time::timeout(budget, self.relay(message)) => {}
+            _ = caller.closed() => {}
+        }
+    }
+
+    async fn relay(&self, message: wire::Attempt) {
+        let Some(request) = self.request(message) else {
+            lock(&self.agent).withdraw(self.guard.id);
+            self.refuse(wire::Refusal::Backend).await;
+            return;
+        };
+        match self.agent.server.send(request).await {
+            Ok(response) => self.pass_on(response).await,
+            Err(server::Error::Connect) => {
+                lock(&self.agent).withdraw(self.guard.id);
+                self.refuse(wire::Refusal::Unreachable).await;
+            }
+            Err(error) => self.break_off(&error.to_string()).await,
+        }
+    }
+
+    fn request(&self, message: wire::Attempt) -> Option<http::Request<Full<Bytes>>> {
+        let id = uuid::Uuid::from_slice(&self.id.request).ok()?;
+        let mut request = http::Request::new(Full::new(message.body));
+        *request.method_mut() = http::Method::from_bytes(message.method.as_bytes()).ok()?;
+        *request.uri_mut() = self.agent.server.uri(&message.path)?;
+        let headers = request.headers_mut();
+        for header in message.headers {
+            let name = http::HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+            headers.append(name, http::HeaderValue::from_bytes(&header.value).ok()?);
+        }
+        headers.insert(REQUEST_ID, http::HeaderValue::from_str(&id.to_string()).ok()?);
+        headers.insert(PRIORITY, message.precedence.into());
+        Some(request)
+    }
+
+    async fn pass_on(&self, response: http::Response<Incoming>) {
+        if !self.echoes(&response) {
+            self.break_off("the backend server answered another request").await;
+            return;
+        }
+        let header = |(name, value): (&http::HeaderName, &http::HeaderValue)| wire::Header {
+            name: name.as_str().to_owned(),
+            value: value.as_bytes().to_vec().into(),
+        };
+        let kept = response.headers().iter().filter(|(name, _)| !is_hop(name));
+        let head = wire::Head {
+            status: u32::from(response.status().as_u16()),
+            headers: kept.map(header).collect(),
+        };
+        self.send(wire::frame::Kind::Head(head)).await;
+        let mut body = response.into_body();
+        while let Some(frame) = body.frame().await {
+            match frame.map(hyper::body::Frame::into_data) {
+                Ok(Ok(data)) if !data.is_empty() => {
+                    self.send(wire::frame::Kind::Data(data)).await;
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    self.break_off(&error.to_string()).await;
+                    return;
+                }
+            }
+        }
+        let end = wire::End { report: Some(self.agent.load.report()) };
+        self.send(wire::frame::Kind::End(end)).await;
+    }
+
+    /// Whether the answer is to this request: whoever echoes an id must echo this one.
+    fn echoes(&self, response: &http::Response<Incoming>) -> bool {
+        let Some(echo) = response.headers().get(REQUEST_ID) else { return true };
+        let own = uuid::Uuid::from_slice(&self.id.request).map(|id| id.to_string());
+        own.is_ok_and(|own| echo.as_bytes() == own.as_bytes())
+    }
+
+    async fn refuse(&self, reason: wire::Refusal) {
+        let refused = wire::Refused { reason: reason.into(), retry_after_ms: RETRY_AFTER_MS };
+        self.send(wire::frame::Kind::Refused(refused)).await;
+    }
+
+    async fn break_off(&self, reason: &str) {
+        let broken = wire::Broken { reason: reason.to_owned() };
+        self.send(wire::frame::Kind::Broken(broken)).await;
+    }
+
+    async fn send(&self, kind: wire::frame::Kind) {
+        let frame = wire::Frame { id: Some(self.id.clone()), kind: Some(kind) };
+        // A caller that left closes the channel, which ends the whole run.
+        self.sender.send(Ok(frame)).await.unwrap_or_default();
+    }
+}
+
+/// Headers that belong to one connection.
+fn is_hop(name: &http::HeaderName) -> bool {
+    const HOP: [&str; 5] = ["connection", "keep-alive", "te", "transfer-encoding", "upgrade"];
+    HOP.contains(&name.as_str())
+}
--- /dev/null
+++ b/daemon/src/entry/desk.rs
@@ -0,0 +1,310 @@
+//! The entry host's decisions behind one lock, and the requests that wait for them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use loftcove_bundle::content;
+use loftcove_decision::routing::{policy, server};
+use loftcove_decision::{admission, balancer, entity, name};
+use loftcove_platform::hosts;
+use loftcove_settings::file;
+use rand_chacha::rand_core::SeedableRng as _;
+use tokio::sync::mpsc;
+
+use crate::{clock, status};
+
+/// Candidates looked at by one choice; see `docs/design/routing.md`.
+const SAMPLE: usize = 3;
+/// How much more load the prefix cache's backend server may have.
+const AFFINITY_SLACK: f64 = 0.25;
+/// Time between two looks for requests that are late.
+const TICK: Duration = Duration::from_millis(20);
+
+/// A backend server as the entry host reaches it.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Id of its host.
+    pub host: Arc<str>,
+    /// Availability zone.
+    pub zone: Arc<str>,
+    /// Address of its agent.
+    pub address: SocketAddr,
+    /// Service or rank group.
+    pub backend: Arc<str>,
+    /// Rank in the group.
+    pub rank: Option<u32>,
+}
+
+/// The desk.
+pub struct Desk {
+    clock: clock::Clock,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    balancer: balancer::Balancer<policy::Blend>,
+    pools: name::Table<entity::Pool>,
+    teams: name::Table<entity::Team>,
+    limits: BTreeMap<entity::Team, u32>,
+    targets: BTreeMap<entity::Server, Target>,
+    epochs: BTreeMap<entity::Server, u64>,
+    seats: BTreeMap<entity::Ticket, mpsc::UnboundedSender<balancer::Action>>,
+}
+
+/// What arrives at the desk.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Model or service.
+    pub pool: Arc<str>,
+    /// Team.
+    pub team: Arc<str>,
+    /// Precedence of the class.
+    pub precedence: u32,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Time that is left.
+    pub budget: Duration,
+    /// Hash of the prompt's beginning.
+    pub prefix: u64,
+}
+
+impl Desk {
+    /// A desk without backend servers.
+    pub fn new(settings: &file::Entry, clock: clock::Clock) -> Desk {
+        let rng = rand_chacha::ChaCha8Rng::seed_from_u64(rand::random());
+        let policy = policy::Blend { rng, sample: SAMPLE, affinity_slack: AFFINITY_SLACK };
+        let balancer = balancer::Balancer::new(policy, settings.max_waiting, settings.retry_ratio);
+        let inner = Inner {
+            balancer,
+            pools: name::Table::default(),
+            teams: name::Table::default(),
+            limits: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            epochs: BTreeMap::new(),
+            seats: BTreeMap::new(),
+        };
+        Desk { clock, inner: Mutex::new(inner) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Takes the bundle in force and the host list.
+    pub fn refresh(&self, content: &content::Content, list: &hosts::Snapshot, zone: &str) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        for team in &content.teams {
+            let id = inner.teams.intern(&team.name);
+            let share = admission::Share { weight: team.weight, limit: team.limit };
+            inner.balancer.set_share(id, share);
+            inner.limits.insert(id, team.limit);
+        }
+        let agents = list.hosts.iter().filter(|host| host.role == hosts::Role::Agent);
+        let mut listings = Vec::new();
+        let mut targets = Vec::new();
+        for host in agents {
+            let model = content.model_of_group(&host.backend).map(|model| &model.name);
+            let service = content.service(&host.backend).map(|service| &service.name);
+            let Some(pool) = model.or(service) else { continue };
+            listings.push(server::Listing {
+                host: host.id.clone(),
+                pool: inner.pools.intern(pool),
+                local: *host.zone == *zone,
+                leaving: host.leaving || content.leaving.contains(&host.id),
+            });
+            targets.push(Target {
+                host: host.id.clone(),
+                zone: host.zone.clone(),
+                address: host.address,
+                backend: host.backend.clone(),
+                rank: host.rank,
+            });
+        }
+        let actions = inner.balancer.list(listings, now);
+        for target in targets {
+            if let Some(server) = inner.balancer.servers().find(&target.host) {
+                inner.targets.insert(server, target);
+            }
+        }
+        inner.route(actions);
+    }
+
+    /// Backend servers that the host list has.
+    pub fn listed(&self) -> Vec<(entity::Server, Target)> {
+        let inner = self.lock();
+        let listed = inner.balancer.servers().iter().filter(|(_, record)| record.listed);
+        listed.filter_map(|(id, _)| Some((id, inner.targets.get(&id)?.clone()))).collect()
+    }
+
+    /// The ranks of a group that report, with their servers and last reported epochs.
+    pub fn ranks(&self, group: &str) -> Vec<(Target, u64)> {
+        let inner = self.lock();
+        let member = |id: &entity::Server, target: &Target| {
+            let record = &inner.balancer.servers()[*id];
+            record.listed && *target.backend == *group && target.rank.is_some()
+        };
+        let members = inner.targets.iter().filter(|(id, target)| member(id, target));
+        let epoch = |id| inner.epochs.get(id).copied().unwrap_or(0);
+        members.map(|(id, target)| (target.clone(), epoch(id))).collect()
+    }
+
+    /// An agent reported.
+    pub fn report(&self, server: entity::Server, report: server::Report, epoch: u64) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.epochs.insert(server, epoch);
+        let actions = inner.balancer.report(server, report, now);
+        inner.route(actions);
+    }
+
+    /// An agent's report stream opened or closed.
+    pub fn connect(&self, server: entity::Server, up: bool) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let actions = inner.balancer.connect(server, up, now);
+        inner.route(actions);
+    }
+
+    /// A request arrives; the seat tells what to do with it.
+    pub fn arrive(self: &Arc<Desk>, arrival: &Arrival) -> Seat {
+        let now = self.clock.now();
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let mut inner = self.lock();
+        let arrival = balancer::Arrival {
+            pool: inner.pools.intern(&arrival.pool),
+            team: inner.teams.intern(&arrival.team),
+            precedence: arrival.precedence,
+            repeatable: arrival.repeatable,
+            deadline: now + arrival.budget,
+            prefix: arrival.prefix,
+        };
+        let (ticket, actions) = inner.balancer.arrive(arrival, now);
+        inner.seats.insert(ticket, sender);
+        inner.route(actions);
+        drop(inner);
+        Seat { desk: self.clone(), ticket, receiver, open: true }
+    }
+
+    /// Where a backend server is reached, and the run of its agent.
+    pub fn target(&self, server: entity::Server) -> Option<(Target, u64)> {
+        let inner = self.lock();
+        let target = inner.targets.get(&server)?.clone();
+        let incarnation = inner.balancer.servers()[server].report.incarnation;
+        Some((target, incarnation))
+    }
+
+    /// Backend servers as the status shows them.
+    pub fn servers(&self) -> Vec<status::Server> {
+        let now = self.clock.now();
+        let inner = self.lock();
+        let listed = inner.balancer.servers().iter().filter(|(_, record)| record.listed);
+        listed
+            .map(|(_, record)| status::Server {
+                host: record.listing.host.to_string(),
+                state: state(record, now),
+                in_flight: record.in_flight,
+                window: record.window.size(),
+            })
+            .collect()
+    }
+
+    /// Teams as the status shows them.
+    pub fn teams(&self) -> Vec<status::Team> {
+        let inner = self.lock();
+        let held = |team: &entity::Team| inner.balancer.queue().held(*team);
+        let busy = inner.limits.iter().filter(|(team, _)| held(team) > 0);
+        busy.map(|(team, limit)| status::Team {
+            name: inner.teams.name(*team).to_string(),
+            held: held(team),
+            limit: *limit,
+        })
+        .collect()
+    }
+
+    fn tick(&self) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let actions = inner.balancer.tick(now);
+        inner.route(actions);
+        debug_assert_eq!(inner.balancer.verify(), Ok(()));
+    }
+}
+
+fn state(record: &server::Record, now: loftcove_decision::clock::Instant) -> &'static str {
+    match () {
+        _ if record.listing.leaving || record.report.leaving => "leaving",
+        _ if !record.usable() => "down",
+        _ if record.health.ejected(now) => "ejected",
+        _ => "usable",
+    }
+}
+
+impl Inner {
+    /// Hands each action to the request that it is about.
+    fn route(&mut self, actions: Vec<balancer::Action>) {
+        for action in actions {
+            let ticket = match &action {
+                balancer::Action::Send(dispatch) => dispatch.ticket,
+                balancer::Action::Refuse(refusal) => refusal.ticket,
+            };
+            // A seat that was given up has left word with the balancer itself.
+            if let Some(seat) = self.seats.get(&ticket) {
+                seat.send(action).unwrap_or_default();
+            }
+        }
+    }
+}
+
+/// A request's place at the desk; dropping it means that the caller left.
+pub struct Seat {
+    desk: Arc<Desk>,
+    ticket: entity::Ticket,
+    receiver: mpsc::UnboundedReceiver<balancer::Action>,
+    open: bool,
+}
+
+impl Seat {
+    /// What to do next with the request.
+    pub async fn next(&mut self) -> Option<balancer::Action> {
+        self.receiver.recv().await
+    }
+
+    /// The first part of the attempt's answer came after that time.
+    pub fn begin(&self, after: Duration) {
+        let now = self.desk.clock.now();
+        self.desk.lock().balancer.begin(self.ticket, after, now);
+    }
+
+    /// The attempt ended; unless it was answered, [`Seat::next`] tells what follows.
+    pub fn end(&mut self, end: balancer::End) {
+        if matches!(end, balancer::End::Answered | balancer::End::Abandoned) {
+            self.open = false;
+        }
+        let now = self.desk.clock.now();
+        let mut inner = self.desk.lock();
+        let actions = inner.balancer.end(self.ticket, end, now);
+        inner.route(actions);
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        if self.open {
+            self.end(balancer::End::Abandoned);
+        }
+        self.desk.lock().seats.remove(&self.ticket);
+    }
+}
+
+/// Looks for late requests for ever.
+pub async fn tick(desk: Arc<Desk>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        desk.tick();
+    }
+}
--- /dev/null
+++ b/daemon/src/entry/dispatch.rs
@@ -0,0 +1,143 @@
+//! One attempt: sent to an agent, with its fate told apart when it fails.
+
+use std::time::Duration;
+
+use loftcove_decision::{balancer, clock};
+use loftcove_wire as wire;
+use tonic::Streaming;
+
+use crate::entry::{call, desk};
+use crate::{link, process};
+
+/// Longest wait for an agent's word on what became of an attempt.
+const REVOKE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How often the agent is asked.
+const REVOKE_TRIES: u32 = 2;
+
+/// An attempt whose answer has begun.
+pub struct Begun {
+    /// Status and headers.
+    pub head: wire::Head,
+    /// The rest.
+    pub frames: Streaming<wire::Frame>,
+    /// The attempt, which every frame must echo.
+    pub id: wire::AttemptId,
+}
+
+/// What an attempt came to.
+pub enum Sent {
+    /// Its answer has begun.
+    Begun(Box<Begun>),
+    /// It ended without one.
+    Ended(balancer::End, String),
+}
+
+/// An attempt about to be sent.
+pub struct Attempt<'a> {
+    /// What is asked.
+    pub call: &'a call::Call,
+    /// Number of the attempt.
+    pub number: u32,
+    /// Where it goes.
+    pub target: &'a desk::Target,
+    /// The run of the agent that it is meant for.
+    pub incarnation: u64,
+    /// Time that is left.
+    pub left: Duration,
+    /// When it may not start any more.
+    pub expiry: clock::Wall,
+    /// Generation in force.
+    pub generation: u64,
+}
+
+impl Attempt<'_> {
+    fn id(&self) -> wire::AttemptId {
+        wire::AttemptId {
+            request: self.call.id.as_bytes().to_vec().into(),
+            number: self.number,
+            incarnation: self.incarnation,
+        }
+    }
+
+    fn message(&self) -> wire::Attempt {
+        let call = self.call;
+        let header = |(name, value): (&http::HeaderName, &http::HeaderValue)| wire::Header {
+            name: name.as_str().to_owned(),
+            value: value.as_bytes().to_vec().into(),
+        };
+        wire::Attempt {
+            id: Some(self.id()),
+            method: call.method.as_str().to_owned(),
+            path: call.path.clone(),
+            headers: call.headers.iter().map(header).collect(),
+            body: call.body.clone(),
+            budget_ms: self.left.as_millis() as u32,
+            precedence: call.class.precedence,
+            backend: self.target.backend.to_string(),
+            generation: self.generation,
+            expiry_ms: self.expiry.millis(),
+        }
+    }
+}
+
+/// Sends the attempt and waits for its first frame.
+pub async fn send(process: &process::Process, attempt: &Attempt<'_>) -> Sent {
+    process.metrics.attempts.inc();
+    let mut agent = process.links.get(attempt.target.address).agent.clone();
+    let first = async {
+        let mut frames = agent.dispatch(attempt.message()).await?.into_inner();
+        let frame = frames.message().await?;
+        Ok::<_, tonic::Status>((frame, frames))
+    };
+    let (frame, frames) = match tokio::time::timeout(attempt.left, first).await {
+        Ok(Ok((Some(frame), frames))) => (frame, frames),
+        Ok(Ok((None, _))) => return settle(process, attempt, "stream ended").await,
+        Ok(Err(status)) if link::never_sent(&status) => {
+            return Sent::Ended(balancer::End::NeverRan, "not connected".to_owned());
+        }
+        Ok(Err(status)) => return settle(process, attempt, status.message()).await,
+        Err(_) => return settle(process, attempt, "deadline").await,
+    };
+    if frame.id.as_ref() != Some(&attempt.id()) {
+        process.metrics.dropped_frames.inc();
+        return settle(process, attempt, "frame of another attempt").await;
+    }
+    match frame.kind {
+        Some(wire::frame::Kind::Head(head)) => {
+            Sent::Begun(Box::new(Begun { head, frames, id: attempt.id() }))
+        }
+        Some(wire::frame::Kind::Refused(refused)) => refusal(refused.reason()),
+        Some(wire::frame::Kind::Broken(broken)) => {
+            Sent::Ended(balancer::End::MayHaveRun { answer_begun: false }, broken.reason)
+        }
+        _ => settle(process, attempt, "answer without a head").await,
+    }
+}
+
+fn refusal(reason: wire::Refusal) -> Sent {
+    let end = match reason {
+        wire::Refusal::Full => balancer::End::Full,
+        _ => balancer::End::NeverRan,
+    };
+    Sent::Ended(end, reason.as_str_name().to_lowercase())
+}
+
+/// Asks the agent what became of the attempt, and forbids it to start.
+async fn settle(process: &process::Process, attempt: &Attempt<'_>, cause: &str) -> Sent {
+    let mut phase = wire::Phase::Unknown;
+    for _ in 0..REVOKE_TRIES {
+        let mut agent = process.links.get(attempt.target.address).agent.clone();
+        let revocation =
+            wire::Revocation { id: Some(attempt.id()), expiry_ms: attempt.expiry.millis() };
+        let answer = tokio::time::timeout(REVOKE_TIMEOUT, agent.revoke(revocation)).await;
+        if let Ok(Ok(fate)) = answer {
+            phase = fate.into_inner().phase();
+            break;
+        }
+    }
+    let end = match phase {
+        wire::Phase::Never => balancer::End::NeverRan,
+        _ => balancer::End::MayHaveRun { answer_begun: false },
+    };
+    Sent::Ended(end, format!("{cause}; {}", phase.as_str_name().to_lowercase()))
+}
--- /dev/null
+++ b/daemon/src/entry/drive.rs
@@ -0,0 +1,338 @@
+//! Drives the expert maps of the groups in this availability zone.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use loftcove_bundle::content;
+use loftcove_decision::entity;
+use loftcove_decision::map::{change, gate, record};
+use loftcove_decision::placement::policy::Policy as _;
+use loftcove_decision::placement::{cost, layout, load, policy};
+use loftcove_platform::key;
+use loftcove_platform::store::{self, Store as _};
+use loftcove_wire as wire;
+
+use crate::entry::{Entry, desk};
+use crate::{clock, leader, status};
+
+/// Time between two looks at the groups.
+const PAUSE: Duration = Duration::from_secs(1);
+/// Longest wait for a rank to prepare; its agent gives up a little before.
+const PREPARE_TIMEOUT: Duration = Duration::from_secs(22);
+/// Longest wait for a rank's counts or for rank 0 to go over.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The groups that this process drives.
+#[derive(Default)]
+pub struct Groups {
+    inner: Mutex<BTreeMap<Arc<str>, Group>>,
+}
+
+/// What is kept about a group between two looks.
+struct Group {
+    policy: policy::Incremental,
+    decided: Option<Instant>,
+    /// The record and its revision as last read or written.
+    record: Option<(store::Revision, record::Record)>,
+    skew: Option<f64>,
+}
+
+impl Default for Group {
+    fn default() -> Group {
+        let policy = policy::Incremental::new(policy::Rules::default());
+        Group { policy, decided: None, record: None, skew: None }
+    }
+}
+
+impl Groups {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, Group>> {
+        self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Groups as the status shows them.
+    pub fn status(&self) -> Vec<status::Group> {
+        let groups = self.lock();
+        let epoch = |group: &Group| group.record.as_ref().map_or(0, |r| r.1.active_epoch().0);
+        groups
+            .iter()
+            .map(|(name, group)| status::Group {
+                name: name.to_string(),
+                epoch: epoch(group),
+                skew: group.skew,
+            })
+            .collect()
+    }
+}
+
+/// Looks for ever.
+pub async fn run(entry: Arc<Entry>) {
+    loop {
+        tokio::time::sleep(clock::jitter(PAUSE, 0.9..1.1)).await;
+        let Some(bundle) = entry.process.gossip.force.bundle() else { continue };
+        for model in &bundle.content.models {
+            for name in &model.groups {
+                look(&entry, &bundle.content, model, name).await;
+            }
+        }
+    }
+}
+
+/// One group at one look.
+struct Scene<'a> {
+    entry: &'a Arc<Entry>,
+    rules: &'a content::Placement,
+    name: &'a Arc<str>,
+    shape: layout::Shape,
+    /// Agents by rank.
+    ranks: Vec<desk::Target>,
+}
+
+async fn look(
+    entry: &Arc<Entry>,
+    content: &content::Content,
+    model: &content::Model,
+    name: &Arc<str>,
+) {
+    let mut members = entry.desk.ranks(name);
+    members.sort_by_key(|(target, _)| target.rank);
+    let complete =
+        members.iter().map(|(target, _)| target.rank).eq((0..members.len() as u32).map(Some));
+    let Some((first, _)) = members.first().filter(|_| complete) else { return };
+    let zone = first.zone.clone();
+    if zone != entry.process.settings.process.zone {
+        return;
+    }
+    let task = format!("map/{name}");
+    if !leader::is_me(&entry.process, &task, |host| host.zone == zone).await {
+        entry.groups.lock().remove(name);
+        return;
+    }
+    let ranks = members.len() as u32;
+    let slots = model.experts.div_ceil(ranks) + content.placement.spare_slots;
+    let shape = layout::Shape { layers: model.layers, experts: model.experts, ranks, slots };
+    let epochs: Vec<u64> = members.iter().map(|(_, epoch)| *epoch).collect();
+    let ranks = members.into_iter().map(|(target, _)| target).collect();
+    let scene = Scene { entry, rules: &content.placement, name, shape, ranks };
+    scene.tend(&epochs).await;
+}
+
+impl Scene<'_> {
+    async fn tend(&self, epochs: &[u64]) {
+        let (due, known) = {
+            let mut groups = self.entry.groups.lock();
+            let group = groups.entry(self.name.clone()).or_default();
+            let due = group.decided.is_none_or(|at| at.elapsed() >= self.interval());
+            (due, group.record.clone())
+        };
+        let active = known.as_ref().map_or(0, |(_, record)| record.active_epoch().0);
+        // Reading costs the platform a call, so it is done only when needed.
+        if !due && known.is_some() && epochs.iter().all(|epoch| *epoch == active) {
+            return;
+        }
+        let Some((revision, record)) = self.read().await else { return };
+        self.with_group(|group| group.record = Some((revision, record.clone())));
+        self.reconcile(&record, revision, epochs).await;
+        if due {
+            self.with_group(|group| group.decided = Some(Instant::now()));
+            self.decide(record, revision).await;
+        }
+    }
+
+    fn interval(&self) -> Duration {
+        let own = self.entry.process.settings.entry.as_ref().map_or(0, |own| own.rebalance_s);
+        let bundle = u64::from(self.rules.interval_s);
+        Duration::from_secs(if own == 0 { bundle } else { own.min(bundle) })
+    }
+
+    fn with_group<R>(&self, change: impl FnOnce(&mut Group) -> R) -> R {
+        let mut groups = self.entry.groups.lock();
+        change(groups.entry(self.name.clone()).or_default())
+    }
+
+    fn key(&self) -> String {
+        key::map(&self.entry.process.settings.process.deployment, self.name)
+    }
+
+    async fn read(&self) -> Option<(store::Revision, record::Record)> {
+        let entry = self.entry.process.platform.get(&self.key()).await.ok()?;
+        let Some(entry) = entry else { return Some((0, record::Record::default())) };
+        let record = serde_json::from_slice(&entry.value).ok()?;
+        Some((entry.revision, record))
+    }
+
+    /// Brings ranks that step on another map, as after a restart, to the one in force.
+    async fn reconcile(&self, record: &record::Record, revision: store::Revision, epochs: &[u64]) {
+        let Some(map) = &record.active else { return };
+        if map.layout.shape != self.shape {
+            return;
+        }
+        let fence = gate::Fence(revision);
+        for (rank, epoch) in epochs.iter().enumerate() {
+            if *epoch != map.epoch.0 {
+                self.order(rank, wire::Action::Prepare, map, fence).await;
+            }
+        }
+        if epochs.first() != Some(&map.epoch.0) {
+            self.order(0, wire::Action::Activate, map, fence).await;
+        }
+    }
+
+    async fn decide(&self, record: record::Record, revision: store::Revision) {
+        let usable = record.active.as_ref().filter(|map| map.layout.shape == self.shape);
+        let Some(current) = usable.map(|map| map.layout.clone()) else {
+            self.note("reason=first-map");
+            self.change(record, revision, layout::Layout::even(self.shape)).await;
+            return;
+        };
+        let Some(load) = self.collect().await else {
+            self.note("choice=stay reason=counts-missing");
+            return;
+        };
+        let health = cost::Health::sound(self.shape.ranks);
+        let skew = cost::skew(&current, &load, &health);
+        let rules = policy::Rules {
+            skew_weight: self.rules.skew_weight,
+            cost_weight: self.rules.cost_weight,
+            moves: self.rules.moves,
+            replicas: self.rules.replicas,
+            ..policy::Rules::default()
+        };
+        let next = self.with_group(|group| {
+            group.skew = Some(skew);
+            group.policy.set_rules(rules);
+            let seen = policy::Observation { load: &load, health: &health };
+            group.policy.decide(seen, &current)
+        });
+        let Some(next) = next else {
+            self.note(&format!("skew={skew:.3} choice=stay reason=nothing-pays"));
+            return;
+        };
+        let after = cost::skew(&next, &load, &health);
+        let loads = next.loads_from(&current);
+        self.note(&format!("skew={skew:.3} predicted={after:.3} loads={loads} choice=move"));
+        self.change(record, revision, next).await;
+    }
+
+    fn note(&self, text: &str) {
+        self.entry.process.trail.record(self.name, text.to_owned());
+    }
+
+    /// The tokens of all experts, from all ranks; none unless all answered.
+    async fn collect(&self) -> Option<load::Load> {
+        let calls = self.ranks.iter().map(|target| async {
+            let mut agent = self.entry.process.links.get(target.address).agent.clone();
+            let call = tokio::time::timeout(SHORT_TIMEOUT, agent.popularity(wire::Ask {})).await;
+            Some(call.ok()?.ok()?.into_inner())
+        });
+        let answers = futures_util::future::join_all(calls).await;
+        let mut load = load::Load::new(self.shape.layers as usize, self.shape.experts as usize);
+        for counts in answers {
+            add(&mut load, &counts?, self.shape);
+        }
+        Some(load)
+    }
+
+    /// Takes the group to another map.
+    async fn change(
+        &self,
+        record: record::Record,
+        revision: store::Revision,
+        next: layout::Layout,
+    ) {
+        let nonce = || format!("{:032x}", rand::random::<u128>());
+        let (mut driver, first) = change::Driver::begin(&record, next, [nonce(), nonce()]);
+        let mut commands = vec![first];
+        let mut revision = revision;
+        while let Some(command) = commands.pop() {
+            let events = self.execute(command, &mut revision).await;
+            for event in events {
+                commands.extend(driver.step(&event));
+            }
+        }
+        let end = driver.ended();
+        if matches!(end, Some(change::End::Done | change::End::Unconfirmed)) {
+            self.entry.process.metrics.map_changes.inc();
+        }
+        self.note(&format!("change={end:?} revision={revision}"));
+    }
+
+    async fn execute(
+        &self,
+        command: change::Command,
+        revision: &mut store::Revision,
+    ) -> Vec<change::Event> {
+        match command {
+            change::Command::Write(record) => vec![self.write(record, revision).await],
+            change::Command::Prepare(map, fence) => {
+                let orders = (0..self.ranks.len()).map(|rank| {
+                    let map = &map;
+                    async move { (rank, self.order(rank, wire::Action::Prepare, map, fence).await) }
+                });
+                let done = futures_util::future::join_all(orders).await;
+                let event = |(rank, done): (usize, bool)| match done {
+                    true => change::Event::Prepared(rank as u32),
+                    false => change::Event::Failed(rank as u32),
+                };
+                done.into_iter().map(event).collect()
+            }
+            change::Command::Activate(map, fence) => {
+                match self.order(0, wire::Action::Activate, &map, fence).await {
+                    true => vec![change::Event::Activated],
+                    false => vec![change::Event::Failed(0)],
+                }
+            }
+        }
+    }
+
+    async fn write(&self, record: record::Record, revision: &mut store::Revision) -> change::Event {
+        let value: Bytes = serde_json::to_vec(&record).unwrap_or_default().into();
+        let platform = &self.entry.process.platform;
+        match store::swap_settled(platform, &self.key(), *revision, value).await {
+            Ok(store::Fate::Won(won)) => {
+                *revision = won;
+                self.with_group(|group| group.record = Some((won, record)));
+                change::Event::Written(gate::Fence(won))
+            }
+            Ok(store::Fate::Conflict(_)) | Err(_) => change::Event::NotWritten,
+        }
+    }
+
+    /// Sends an order to a rank; returns whether it was carried out.
+    async fn order(
+        &self,
+        rank: usize,
+        action: wire::Action,
+        map: &record::Map,
+        fence: gate::Fence,
+    ) -> bool {
+        let with_map = action == wire::Action::Prepare;
+        let text = if with_map { serde_json::to_vec(map).unwrap_or_default() } else { Vec::new() };
+        let order = wire::Order {
+            group: self.name.to_string(),
+            action: action.into(),
+            epoch: map.epoch.0,
+            fence: fence.0,
+            digest: map.layout.digest(),
+            map: text.into(),
+        };
+        let limit = if with_map { PREPARE_TIMEOUT } else { SHORT_TIMEOUT };
+        let mut agent = self.entry.process.links.get(self.ranks[rank].address).agent.clone();
+        let answer = tokio::time::timeout(limit, agent.command(order)).await;
+        let verdict = answer.ok().and_then(Result::ok).map(|answer| answer.into_inner().ruling());
+        verdict == Some(wire::Ruling::Done)
+    }
+}
+
+/// Adds one rank's counts; what names an unknown layer or expert is left out.
+fn add(load: &mut load::Load, counts: &wire::Counts, shape: layout::Shape) {
+    for (layer, row) in counts.layers.iter().enumerate().take(shape.layers as usize) {
+        let tokens = load.layer_mut(entity::Layer::from_u32(layer as u32));
+        for (expert, count) in row.experts.iter().zip(&row.tokens) {
+            if let Some(sum) = tokens.get_mut(*expert as usize) {
+                *sum += f64::from(*count);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/entry/flow.rs
@@ -0,0 +1,221 @@
+//! A request's way through the entry host.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper::body::Incoming;
+use loftcove_decision::balancer;
+
+use crate::entry::refusal::{Outcome, Refusal};
+use crate::entry::{Entry, call, claim, desk, dispatch, relay};
+use crate::{admin, force, life};
+
+/// Answers one request. Whatever happens, the caller gets a final answer at once.
+pub async fn handle(
+    entry: Arc<Entry>,
+    request: http::Request<Incoming>,
+) -> Result<http::Response<relay::Body>, Infallible> {
+    let path = request.uri().path();
+    if admin::is_path(path) {
+        return Ok(admin::answer(&entry.process, path).map(relay::Body::whole));
+    }
+    let id = uuid::Uuid::now_v7();
+    let answer = match serve(&entry, id, request).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            let outcome = refusal.outcome().word();
+            entry.process.trail.record(
+                &id.to_string(),
+                format!("choice=refuse outcome={outcome} reason=\"{refusal}\""),
+            );
+            entry.process.metrics.count(outcome, "refused".to_owned());
+            refusal.response(&id.to_string()).map(relay::Body::whole)
+        }
+    };
+    Ok(answer)
+}
+
+async fn serve(
+    entry: &Arc<Entry>,
+    id: uuid::Uuid,
+    request: http::Request<Incoming>,
+) -> Result<http::Response<relay::Body>, Refusal> {
+    let process = &entry.process;
+    let flight = process.life.enter().ok_or(Refusal::NotServing)?;
+    let bundle = process.gossip.force.bundle().ok_or(Refusal::NotServing)?;
+    if request.uri().path() == MODELS_PATH {
+        return models(&request, &bundle);
+    }
+    let max_body = process.settings.entry.as_ref().map_or(usize::MAX, |own| own.max_body);
+    let call = call::read(id, request, &bundle, max_body).await?;
+    // The deadline runs while the key is claimed, too.
+    let began = Instant::now();
+    let claim = match call.key {
+        Some(key) if !call.class.repeatable => Some(claim::make(process, &call, key).await?),
+        _ => None,
+    };
+    let budget = call.budget.checked_sub(began.elapsed()).ok_or(Refusal::Deadline)?;
+    let journey =
+        Journey { entry: entry.clone(), call, bundle, claim, flight, due: Instant::now() + budget };
+    journey.run(budget).await
+}
+
+/// Path that lists the models.
+const MODELS_PATH: &str = "/v1/models";
+
+fn models(
+    request: &http::Request<Incoming>,
+    bundle: &force::Bundle,
+) -> Result<http::Response<relay::Body>, Refusal> {
+    call::team(request.headers(), &bundle.content)?;
+    let names = bundle.content.models.iter();
+    let names = names.flat_map(|model| std::iter::once(&model.name).chain(&model.adapters));
+    let entry = |name| serde_json::json!({ "id": name, "object": "model", "owned_by": "loftcove" });
+    let list: Vec<serde_json::Value> = names.map(entry).collect();
+    let text = serde_json::json!({ "object": "list", "data": list }).to_string();
+    let mut response = http::Response::new(relay::Body::whole(text.into()));
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    let answered = http::HeaderValue::from_static(Outcome::Answered.word());
+    response.headers_mut().insert(call::OUTCOME_HEADER, answered);
+    Ok(response)
+}
+
+/// A request that was read and may be sent.
+struct Journey {
+    entry: Arc<Entry>,
+    call: call::Call,
+    bundle: Arc<force::Bundle>,
+    claim: Option<claim::Claim>,
+    flight: life::Flight,
+    due: Instant,
+}
+
+impl Journey {
+    async fn run(mut self, budget: Duration) -> Result<http::Response<relay::Body>, Refusal> {
+        let mut seat = self.entry.desk.arrive(&desk::Arrival {
+            pool: self.call.pool.clone(),
+            team: self.call.team.clone(),
+            precedence: self.call.class.precedence,
+            repeatable: self.call.class.repeatable,
+            budget,
+            prefix: self.call.prefix,
+        });
+        loop {
+            // The desk outlives its seats and always says what follows.
+            let action = seat.next().await.ok_or(Refusal::NotServing)?;
+            match action {
+                balancer::Action::Refuse(refusal) => return Err(self.give_up(refusal)),
+                balancer::Action::Send(next) => {
+                    if let Some(begun) = self.attempt(&mut seat, &next).await {
+                        return Ok(self.hand_on(seat, *begun).await);
+                    }
+                }
+            }
+        }
+    }
+
+    fn give_up(&mut self, refusal: balancer::Refusal) -> Refusal {
+        let outcome = match refusal.outcome {
+            balancer::Outcome::NotRun => Outcome::NotRun,
+            balancer::Outcome::Unknown => Outcome::Unknown,
+        };
+        if let Some(claim) = self.claim.take() {
+            claim.settle(outcome);
+        }
+        Refusal::Balancer(refusal)
+    }
+
+    /// Sends one attempt; returns its answer if one has begun.
+    async fn attempt(
+        &mut self,
+        seat: &mut desk::Seat,
+        next: &balancer::Dispatch,
+    ) -> Option<Box<dispatch::Begun>> {
+        let Some((target, incarnation)) = self.entry.desk.target(next.choice.server) else {
+            seat.end(balancer::End::NeverRan);
+            return None;
+        };
+        self.note(next, &target);
+        let left = self.due.saturating_duration_since(Instant::now());
+        let process = self.entry.process.clone();
+        let attempt = dispatch::Attempt {
+            call: &self.call,
+            number: next.attempt,
+            target: &target,
+            incarnation,
+            left,
+            expiry: process.clock.wall() + left,
+            generation: self.bundle.generation.0,
+        };
+        if let Some(claim) = &mut self.claim {
+            claim.attempt();
+        }
+        let sent_at = Instant::now();
+        match dispatch::send(&process, &attempt).await {
+            dispatch::Sent::Begun(begun) => {
+                seat.begin(sent_at.elapsed());
+                Some(begun)
+            }
+            dispatch::Sent::Ended(end, cause) => {
+                self.note_end(next.attempt, end, &cause);
+                let never_ran = matches!(end, balancer::End::Full | balancer::End::NeverRan);
+                if let (Some(claim), true) = (&mut self.claim, never_ran) {
+                    claim.never_ran();
+                }
+                seat.end(end);
+                None
+            }
+        }
+    }
+
+    /// Logs a routing decision.
+    fn note(&self, next: &balancer::Dispatch, target: &desk::Target) {
+        let weighed: Vec<String> = next
+            .considered
+            .iter()
+            .filter_map(|candidate| {
+                let (target, _) = self.entry.desk.target(candidate.server)?;
+                Some(format!("{}:{:.2}", target.host, candidate.score))
+            })
+            .collect();
+        self.entry.process.trail.record(
+            &self.call.id.to_string(),
+            format!(
+                "team={} class={} pool={} attempt={} generation={} candidates={} choice={} reason={}",
+                self.call.team,
+                self.call.class.name,
+                self.call.pool,
+                next.attempt,
+                self.bundle.generation,
+                weighed.join(","),
+                target.host,
+                next.choice.reason
+            ),
+        );
+    }
+
+    fn note_end(&self, attempt: u32, end: balancer::End, cause: &str) {
+        self.entry.process.trail.record(
+            &self.call.id.to_string(),
+            format!("attempt={attempt} ended={end:?} cause=\"{cause}\""),
+        );
+    }
+
+    /// Hands the answer on to the caller.
+    async fn hand_on(
+        self,
+        seat: desk::Seat,
+        begun: dispatch::Begun,
+    ) -> http::Response<relay::Body> {
+        let finish = relay::Finish {
+            process: self.entry.process.clone(),
+            request: self.call.id.to_string(),
+            seat: Some(seat),
+            claim: self.claim,
+            _flight: self.flight,
+        };
+        relay::respond(begun, finish, self.due).await
+    }
+}
--- /dev/null
+++ b/daemon/src/entry/refusal.rs
@@ -0,0 +1,217 @@
+//! Answers to callers that are not a backend server's, each with its type.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use http_body_util::Full;
+use loftcove_decision::{balancer, home};
+use serde::Serialize;
+
+use crate::entry::call;
+
+/// Why a caller gets no backend server's answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// The process takes no work: it starts or drains.
+    #[error("this entry host is not serving")]
+    NotServing,
+    /// There is no bearer token, or no team has it.
+    #[error("the bearer token is missing or belongs to no team")]
+    Token,
+    /// No model has that name.
+    #[error("no model `{0}`")]
+    Model(String),
+    /// No service has that name.
+    #[error("no service `{0}`")]
+    Service(String),
+    /// No class has that name.
+    #[error("no request class `{0}`")]
+    Class(String),
+    /// The path is not one that is served.
+    #[error("no such path")]
+    Path,
+    /// The method is not one that the path takes.
+    #[error("the path does not take this method")]
+    Method,
+    /// The body is not the JSON that it must be.
+    #[error("the body is not a chat request: {0}")]
+    Json(String),
+    /// The body is over the limit.
+    #[error("the body is over {0} bytes")]
+    TooLarge(usize),
+    /// The body ended before it was whole.
+    #[error("the body did not come whole")]
+    Truncated,
+    /// The headers are over the limit.
+    #[error("the headers are over {0} bytes")]
+    Headers(usize),
+    /// A header cannot be read.
+    #[error("the header {0} cannot be read")]
+    Header(&'static str),
+    /// The deadline has passed.
+    #[error("the deadline has passed")]
+    Deadline,
+    /// The idempotency key is not a UUIDv7.
+    #[error(transparent)]
+    Key(#[from] home::key::Error),
+    /// The key's standing does not let the request run.
+    #[error("idempotency key: {0:?}")]
+    Claim(home::keeper::Standing),
+    /// The key's home was not reached.
+    #[error("the home of the idempotency key was not reached")]
+    Home,
+    /// The balancer gave the request up.
+    #[error("given up: {}", .0.reason)]
+    Balancer(balancer::Refusal),
+    /// An attempt may have run and gave no whole answer.
+    #[error("the answer was lost; the request may have run")]
+    Lost,
+}
+
+/// What a caller is told of a request's fate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered whole.
+    Answered,
+    /// It truly did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// The word for it in headers and bodies.
+    pub fn word(self) -> &'static str {
+        match self {
+            Outcome::Answered => "answered",
+            Outcome::NotRun => "not-run",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+/// When to come back after a refusal that has no better estimate.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// When to come back while another ask under the same key is running.
+const RETRY_CLAIMED: Duration = Duration::from_secs(5);
+
+#[derive(Serialize)]
+struct Body<'a> {
+    error: Error<'a>,
+}
+
+#[derive(Serialize)]
+struct Error<'a> {
+    r#type: &'a str,
+    message: String,
+    outcome: &'a str,
+    request_id: &'a str,
+}
+
+impl Refusal {
+    /// HTTP status, and the type in the body.
+    fn class(&self) -> (StatusCode, &'static str) {
+        match self {
+            Refusal::NotServing => (StatusCode::SERVICE_UNAVAILABLE, "not-serving"),
+            Refusal::Token => (StatusCode::UNAUTHORIZED, "unknown-team"),
+            Refusal::Model(_) => (StatusCode::NOT_FOUND, "unknown-model"),
+            Refusal::Service(_) => (StatusCode::NOT_FOUND, "unknown-service"),
+            Refusal::Class(_) => (StatusCode::BAD_REQUEST, "unknown-class"),
+            Refusal::Path => (StatusCode::NOT_FOUND, "unknown-path"),
+            Refusal::Method => (StatusCode::METHOD_NOT_ALLOWED, "method"),
+            Refusal::Json(_) => (StatusCode::BAD_REQUEST, "malformed-body"),
+            Refusal::TooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+            Refusal::Truncated => (StatusCode::BAD_REQUEST, "body-truncated"),
+            Refusal::Headers(_) => {
+                (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "headers-too-large")
+            }
+            Refusal::Header(_) => (StatusCode::BAD_REQUEST, "malformed-header"),
+            Refusal::Deadline => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
+            Refusal::Key(_) => (StatusCode::BAD_REQUEST, "malformed-key"),
+            Refusal::Claim(standing) => claim_class(*standing),
+            Refusal::Home => (StatusCode::SERVICE_UNAVAILABLE, "home-unreachable"),
+            Refusal::Balancer(refusal) => balancer_class(refusal),
+            Refusal::Lost => (StatusCode::BAD_GATEWAY, "answer-lost"),
+        }
+    }
+
+    /// What the caller is told of the request's fate.
+    pub fn outcome(&self) -> Outcome {
+        use home::keeper::Standing;
+        match self {
+            Refusal::Lost => Outcome::Unknown,
+            Refusal::Balancer(refusal) if refusal.outcome == balancer::Outcome::Unknown => {
+                Outcome::Unknown
+            }
+            // The key's request ran and was answered, when it was first asked.
+            Refusal::Claim(Standing::Ran) => Outcome::Answered,
+            Refusal::Claim(Standing::Claimed | Standing::Unknown) => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        use home::keeper::Standing;
+        match self {
+            Refusal::Balancer(refusal) => Some(refusal.retry_after),
+            Refusal::NotServing | Refusal::Home | Refusal::Lost => Some(RETRY_AFTER),
+            Refusal::Claim(Standing::NotHome | Standing::Full) => Some(RETRY_AFTER),
+            Refusal::Claim(Standing::Claimed) => Some(RETRY_CLAIMED),
+            _ => None,
+        }
+    }
+
+    /// The whole answer.
+    pub fn response(&self, request_id: &str) -> http::Response<Full<Bytes>> {
+        let (status, kind) = self.class();
+        let outcome = self.outcome().word();
+        let error = Error { r#type: kind, message: self.to_string(), outcome, request_id };
+        let json = serde_json::to_vec(&Body { error }).unwrap_or_default();
+        let mut response = http::Response::new(Full::from(json));
+        *response.status_mut() = status;
+        let headers = response.headers_mut();
+        let json = http::HeaderValue::from_static("application/json");
+        headers.insert(http::header::CONTENT_TYPE, json);
+        headers.insert(call::OUTCOME_HEADER, http::HeaderValue::from_static(outcome));
+        if let Ok(id) = http::HeaderValue::from_str(request_id) {
+            headers.insert(call::REQUEST_ID_HEADER, id);
+        }
+        if let Some(after) = self.retry_after() {
+            let seconds = after.as_secs_f64().ceil() as u64;
+            headers.insert(http::header::RETRY_AFTER, seconds.into());
+        }
+        response
+    }
+}
+
+fn claim_class(standing: home::keeper::Standing) -> (StatusCode, &'static str) {
+    use home::keeper::Standing;
+    match standing {
+        Standing::Ran => (StatusCode::CONFLICT, "already-answered"),
+        Standing::Claimed => (StatusCode::CONFLICT, "in-progress"),
+        Standing::Unknown | Standing::Granted => (StatusCode::CONFLICT, "key-unknown"),
+        Standing::Mismatch => (StatusCode::UNPROCESSABLE_ENTITY, "key-reused"),
+        Standing::Future => (StatusCode::BAD_REQUEST, "key-from-future"),
+        Standing::NotHome => (StatusCode::SERVICE_UNAVAILABLE, "home-unconfirmed"),
+        Standing::Full => (StatusCode::SERVICE_UNAVAILABLE, "keys-full"),
+    }
+}
+
+fn balancer_class(refusal: &balancer::Refusal) -> (StatusCode, &'static str) {
+    use loftcove_decision::admission;
+    match refusal.reason {
+        balancer::Reason::Admission(admission::Refusal::TeamLimit) => {
+            (StatusCode::TOO_MANY_REQUESTS, "team-limit")
+        }
+        balancer::Reason::Admission(admission::Refusal::QueueFull) => {
+            (StatusCode::SERVICE_UNAVAILABLE, "overloaded")
+        }
+        balancer::Reason::Admission(admission::Refusal::Deadline) => {
+            (StatusCode::GATEWAY_TIMEOUT, "deadline")
+        }
+        balancer::Reason::NoBackend => (StatusCode::SERVICE_UNAVAILABLE, "no-backend"),
+        balancer::Reason::Attempts => (StatusCode::BAD_GATEWAY, "attempts"),
+        balancer::Reason::Budget => (StatusCode::SERVICE_UNAVAILABLE, "retry-budget"),
+    }
+}
--- /dev/null
+++ b/daemon/src/entry/relay.rs
@@ -0,0 +1,324 @@
+//! Hands a backend server's answer on to the caller.
+//!
+//! A short answer is held until its end mark has come, so that its header
+//! states the outcome. A stream goes on part by part; its outcome is in a
+//! trailer, and, for server-sent events, in a last comment. An answer without
+//! its end mark is never passed off as whole: the body ends with an error.
+
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body::Frame;
+use http_body_util::Full;
+use loftcove_decision::balancer;
+use loftcove_wire as wire;
+use tokio_stream::Stream as _;
+
+use crate::entry::refusal::{Outcome, Refusal};
+use crate::entry::{call, claim, desk, dispatch};
+use crate::{life, process};
+
+/// Longest answer that is held until its end, bytes.
+const HOLD_LIMIT: usize = 64 * 1024;
+/// Media type of server-sent events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
+/// What is to be done when an answer ends. Dropped before that, the caller left.
+pub struct Finish {
+    /// The process.
+    pub process: Arc<process::Process>,
+    /// Id of the request.
+    pub request: String,
+    /// Its place at the desk.
+    pub seat: Option<desk::Seat>,
+    /// Its claim.
+    pub claim: Option<claim::Claim>,
+    /// Its share in the requests in flight.
+    pub _flight: life::Flight,
+}
+
+impl Finish {
+    fn end(&mut self, end: balancer::End, outcome: Outcome, reason: &str) {
+        if let Some(mut seat) = self.seat.take() {
+            seat.end(end);
+        }
+        if let Some(claim) = self.claim.take() {
+            claim.settle(outcome);
+        }
+        self.process.metrics.count(outcome.word(), reason.to_owned());
+        self.process
+            .trail
+            .record(&self.request, format!("outcome={} reason={reason}", outcome.word()));
+    }
+
+    fn answered(&mut self) {
+        self.end(balancer::End::Answered, Outcome::Answered, "whole");
+    }
+
+    fn broken(&mut self, reason: &str) {
+        let end = balancer::End::MayHaveRun { answer_begun: true };
+        self.end(end, Outcome::Unknown, reason);
+    }
+}
+
+/// Why a body ended early.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The answer broke off.
+    #[error("the answer broke off")]
+    Broken,
+}
+
+/// A part of an attempt's answer.
+enum Part {
+    Data(Bytes),
+    End,
+    Broken(&'static str),
+}
+
+/// Reads a frame; one that does not echo the attempt is dropped and counted.
+fn part(
+    finish: &Finish,
+    id: &wire::AttemptId,
+    frame: Result<Option<wire::Frame>, tonic::Status>,
+) -> Option<Part> {
+    let frame = match frame {
+        Ok(Some(frame)) => frame,
+        Ok(None) => return Some(Part::Broken("no-end-mark")),
+        Err(_) => return Some(Part::Broken("agent-lost")),
+    };
+    if frame.id.as_ref() != Some(id) {
+        finish.process.metrics.dropped_frames.inc();
+        return None;
+    }
+    match frame.kind {
+        Some(wire::frame::Kind::Data(data)) => Some(Part::Data(data)),
+        Some(wire::frame::Kind::End(_)) => Some(Part::End),
+        Some(wire::frame::Kind::Broken(_)) => Some(Part::Broken("server-broke-off")),
+        _ => Some(Part::Broken("out-of-order")),
+    }
+}
+
+/// Builds the caller's answer.
+pub async fn respond(
+    mut begun: dispatch::Begun,
+    mut finish: Finish,
+    due: Instant,
+) -> http::Response<Body> {
+    let mut response = http::Response::new(());
+    *response.status_mut() = http::StatusCode::from_u16(begun.head.status as u16)
+        .unwrap_or(http::StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    for header in &begun.head.headers {
+        let name = http::HeaderName::from_bytes(header.name.as_bytes());
+        let value = http::HeaderValue::from_bytes(&header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    if let Ok(id) = http::HeaderValue::from_str(&finish.request) {
+        headers.insert(call::REQUEST_ID_HEADER, id);
+    }
+    let kind = headers.get(http::header::CONTENT_TYPE);
+    let events = kind.is_some_and(|kind| kind.as_bytes().starts_with(EVENT_STREAM));
+    let mut held = VecDeque::new();
+    if !events {
+        match hold(&mut begun, &finish, &mut held, due).await {
+            Held::Whole => {
+                finish.answered();
+                let outcome = http::HeaderValue::from_static(Outcome::Answered.word());
+                response.headers_mut().insert(call::OUTCOME_HEADER, outcome);
+                return response.map(|()| Body::whole(concat(held).into()));
+            }
+            Held::Broken(reason) => {
+                finish.broken(reason);
+                return Refusal::Lost.response(&finish.request).map(Body::whole);
+            }
+            Held::Long => {}
+        }
+    }
+    let trailer = http::HeaderValue::from_static(call::OUTCOME_HEADER);
+    response.headers_mut().insert(http::header::TRAILER, trailer);
+    let sleep = Box::pin(tokio::time::sleep_until(due.into()));
+    let stream = Stream { begun, finish, events, held, deadline: sleep, state: State::Open };
+    response.map(|()| Body { inner: Inner::Stream(Box::new(stream)) })
+}
+
+/// What came of holding an answer.
+enum Held {
+    Whole,
+    Long,
+    Broken(&'static str),
+}
+
+async fn hold(
+    begun: &mut dispatch::Begun,
+    finish: &Finish,
+    held: &mut VecDeque<Bytes>,
+    due: Instant,
+) -> Held {
+    let mut size = 0;
+    while size <= HOLD_LIMIT {
+        let next = tokio::time::timeout_at(due.into(), begun.frames.message()).await;
+        let Ok(frame) = next else { return Held::Broken("deadline") };
+        match part(finish, &begun.id, frame) {
+            Some(Part::Data(data)) => {
+                size += data.len();
+                held.push_back(data);
+            }
+            Some(Part::End) => return Held::Whole,
+            Some(Part::Broken(reason)) => return Held::Broken(reason),
+            None => {}
+        }
+    }
+    Held::Long
+}
+
+fn concat(parts: VecDeque<Bytes>) -> Vec<u8> {
+    parts.iter().flat_map(|part| part.iter().copied()).collect()
+}
+
+/// Body of an answer to a caller.
+pub struct Body {
+    inner: Inner,
+}
+
+enum Inner {
+    Whole(Full<Bytes>),
+    Stream(Box<Stream>),
+}
+
+impl Body {
+    /// A body that is there.
+    pub fn whole(body: Full<Bytes>) -> Body {
+        Body { inner: Inner::Whole(body) }
+    }
+}
+
+/// An answer on its way.
+struct Stream {
+    begun: dispatch::Begun,
+    finish: Finish,
+    events: bool,
+    held: VecDeque<Bytes>,
+    deadline: Pin<Box<tokio::time::Sleep>>,
+    state: State,
+}
+
+/// How far a stream has come.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    Open,
+    /// The last comment was sent; the trailers follow.
+    Trailers,
+    /// The last event told of the break; the error follows.
+    Error,
+    Done,
+}
+
+impl Stream {
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        loop {
+            match self.state {
+                State::Done => return Poll::Ready(None),
+                State::Trailers => {
+                    self.state = State::Done;
+                    return Poll::Ready(Some(Ok(trailers(Outcome::Answered))));
+                }
+                State::Error => {
+                    self.state = State::Done;
+                    return Poll::Ready(Some(Err(Error::Broken)));
+                }
+                State::Open => {}
+            }
+            if let Some(data) = self.held.pop_front() {
+                return Poll::Ready(Some(Ok(Frame::data(data))));
+            }
+            if self.deadline.as_mut().poll(context).is_ready() {
+                return Poll::Ready(self.break_off("deadline"));
+            }
+            let frame = match Pin::new(&mut self.begun.frames).poll_next(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(frame) => frame.transpose(),
+            };
+            match part(&self.finish, &self.begun.id, frame) {
+                Some(Part::Data(data)) => return Poll::Ready(Some(Ok(Frame::data(data)))),
+                Some(Part::End) => {
+                    self.finish.answered();
+                    self.state = State::Trailers;
+                    if self.events {
+                        return Poll::Ready(Some(Ok(Frame::data(last_comment()))));
+                    }
+                }
+                Some(Part::Broken(reason)) => return Poll::Ready(self.break_off(reason)),
+                None => {}
+            }
+        }
+    }
+
+    /// Tells an event stream's reader that the answer is not whole, then ends
+    /// the body with an error.
+    fn break_off(&mut self, reason: &'static str) -> Option<Result<Frame<Bytes>, Error>> {
+        self.finish.broken(reason);
+        if !self.events {
+            self.state = State::Done;
+            return Some(Err(Error::Broken));
+        }
+        self.state = State::Error;
+        let error = serde_json::json!({
+            "error": {
+                "type": "answer-lost",
+                "message": Refusal::Lost.to_string(),
+                "outcome": Outcome::Unknown.word(),
+                "request_id": self.finish.request,
+            }
+        });
+        Some(Ok(Frame::data(format!("event: error\ndata: {error}\n\n").into())))
+    }
+}
+
+/// A comment, which readers of server-sent events pass over.
+fn last_comment() -> Bytes {
+    format!(": {} {}\n\n", call::OUTCOME_HEADER, Outcome::Answered.word()).into()
+}
+
+fn trailers(outcome: Outcome) -> Frame<Bytes> {
+    let mut trailers = http::HeaderMap::new();
+    trailers.insert(call::OUTCOME_HEADER, http::HeaderValue::from_static(outcome.word()));
+    Frame::trailers(trailers)
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        match &mut self.inner {
+            Inner::Whole(body) => {
+                Pin::new(body).poll_frame(context).map_err(|never| match never {})
+            }
+            Inner::Stream(stream) => stream.poll(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.inner {
+            Inner::Whole(body) => body.is_end_stream(),
+            Inner::Stream(stream) => stream.state == State::Done,
+        }
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        match &self.inner {
+            Inner::Whole(body) => body.size_hint(),
+            Inner::Stream(_) => http_body::SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/exchange.rs
@@ -0,0 +1,73 @@
+//! The loop that exchanges records with peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use loftcove_platform::hosts;
+use loftcove_wire as wire;
+use rand::Rng as _;
+use rand::seq::IndexedRandom as _;
+
+use crate::{clock, process};
+
+/// One exchange in this many goes outside of the usual circle: to another
+/// zone, or to an agent, so that what one side of a healed cut has reaches
+/// the other, and an entry host finds what only agents still hold.
+const FAR: u32 = 4;
+/// Longest time for one exchange.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Exchanges for ever.
+pub async fn run(process: Arc<process::Process>) {
+    let pause = Duration::from_millis(process.settings.process.exchange_ms);
+    loop {
+        if let Some(address) = pick(&process)
+            && let Err(status) = exchange(&process, address).await
+        {
+            log::debug!("exchange failed peer={address} status={}", status.code());
+        }
+        // Jitter keeps the fleet from moving in step.
+        tokio::time::sleep(clock::jitter(pause, 0.8..1.2)).await;
+    }
+}
+
+/// A peer by lot: mostly an entry host of the own zone.
+fn pick(process: &process::Process) -> Option<SocketAddr> {
+    let own = &process.settings.process;
+    let list = process.gossip.hosts();
+    let others = || list.hosts.iter().filter(|host| host.id != own.host);
+    let near = others()
+        .filter(|host| host.zone == own.zone && host.role == hosts::Role::Entry)
+        .map(|host| host.address);
+    let mut circle: Vec<SocketAddr> = near.collect();
+    let far = circle.is_empty() || rand::rng().random_ratio(1, FAR);
+    if far {
+        let seeds = own.seeds.iter().copied().filter(|seed| *seed != own.peer_address);
+        circle = others().map(|host| host.address).chain(seeds).collect();
+    }
+    circle.choose(&mut rand::rng()).copied()
+}
+
+async fn exchange(process: &process::Process, address: SocketAddr) -> Result<(), tonic::Status> {
+    let mut peer = process.links.get(address).peer.clone();
+    let offer = wire::Offer {
+        host: process.settings.process.host.to_string(),
+        versions: process.gossip.versions(),
+    };
+    let call = tokio::time::timeout(TIMEOUT, peer.exchange(offer));
+    let update =
+        call.await.map_err(|_| tonic::Status::deadline_exceeded("exchange"))??.into_inner();
+    let wanted: Vec<wire::Kind> = update.wanted().collect();
+    for record in update.records {
+        process.take(record);
+    }
+    if !wanted.is_empty() {
+        let records = process.gossip.records(wanted.into_iter());
+        let push = peer.push(wire::Update { records, wanted: Vec::new() });
+        tokio::time::timeout(TIMEOUT, push)
+            .await
+            .map_err(|_| tonic::Status::deadline_exceeded("push"))??;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/daemon/src/life.rs
@@ -0,0 +1,89 @@
+//! The process's life, shared by its tasks.
+
+use std::sync::{Arc, Mutex};
+
+use loftcove_decision::lifecycle;
+use statig::blocking::StateMachine;
+use tokio::sync::watch;
+
+/// The machine, the count of requests in flight, and who waits for a change.
+pub struct Life {
+    inner: Mutex<Inner>,
+    phase: watch::Sender<lifecycle::Phase>,
+}
+
+struct Inner {
+    machine: StateMachine<lifecycle::Life>,
+    in_flight: usize,
+}
+
+impl Default for Life {
+    fn default() -> Life {
+        let machine = lifecycle::Life::machine();
+        Life {
+            inner: Mutex::new(Inner { machine, in_flight: 0 }),
+            phase: watch::Sender::new(lifecycle::Phase::Starting),
+        }
+    }
+}
+
+impl Life {
+    /// Hands the machine an event.
+    pub fn handle(&self, event: lifecycle::Event) {
+        let mut inner = self.lock();
+        inner.machine.handle(&event);
+        self.publish(&inner);
+    }
+
+    /// What the process may do.
+    pub fn phase(&self) -> lifecycle::Phase {
+        *self.phase.borrow()
+    }
+
+    /// Follows the phase.
+    pub fn subscribe(&self) -> watch::Receiver<lifecycle::Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.lock().in_flight
+    }
+
+    /// Counts a request until the guard is dropped. `None` where the process
+    /// takes no new work: the check and the count are one step.
+    pub fn enter(self: &Arc<Life>) -> Option<Flight> {
+        let mut inner = self.lock();
+        if self.phase() != lifecycle::Phase::Serving {
+            return None;
+        }
+        inner.in_flight += 1;
+        let count = inner.in_flight;
+        inner.machine.handle(&lifecycle::Event::InFlight(count));
+        Some(Flight { life: self.clone() })
+    }
+
+    fn publish(&self, inner: &Inner) {
+        let phase = inner.machine.inner().phase();
+        self.phase.send_if_modified(|known| std::mem::replace(known, phase) != phase);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+/// A request in flight; dropping it ends it.
+pub struct Flight {
+    life: Arc<Life>,
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let mut inner = self.life.lock();
+        inner.in_flight -= 1;
+        let count = inner.in_flight;
+        inner.machine.handle(&lifecycle::Event::InFlight(count));
+        self.life.publish(&inner);
+    }
+}
--- /dev/null
+++ b/daemon/src/peer.rs
@@ -0,0 +1,54 @@
+//! The service that every process offers its peers and the tool.
+
+use std::sync::Arc;
+
+use loftcove_wire as wire;
+use tonic::{Request, Response, Status};
+
+use crate::{process, status};
+
+/// The service.
+pub struct Peer<S> {
+    process: Arc<process::Process>,
+    source: S,
+}
+
+impl<S: status::Source> Peer<S> {
+    /// Serves for the process; the role's part of the status comes from `source`.
+    pub fn new(process: Arc<process::Process>, source: S) -> Peer<S> {
+        Peer { process, source }
+    }
+}
+
+#[tonic::async_trait]
+impl<S: status::Source> wire::peer_server::Peer for Peer<S> {
+    async fn exchange(
+        &self,
+        request: Request<wire::Offer>,
+    ) -> Result<Response<wire::Update>, Status> {
+        let offer = request.into_inner();
+        Ok(Response::new(self.process.gossip.answer(&offer.versions)))
+    }
+
+    async fn push(&self, request: Request<wire::Update>) -> Result<Response<wire::Ask>, Status> {
+        for record in request.into_inner().records {
+            self.process.take(record);
+        }
+        Ok(Response::new(wire::Ask {}))
+    }
+
+    async fn status(&self, _: Request<wire::Ask>) -> Result<Response<wire::Snapshot>, Status> {
+        let value = status::snapshot(&self.process, &self.source);
+        let json =
+            serde_json::to_vec(&value).map_err(|error| Status::internal(error.to_string()))?;
+        Ok(Response::new(wire::Snapshot { json: json.into() }))
+    }
+
+    async fn explain(
+        &self,
+        request: Request<wire::Subject>,
+    ) -> Result<Response<wire::Explanation>, Status> {
+        let lines = self.process.trail.about(&request.into_inner().request);
+        Ok(Response::new(wire::Explanation { lines }))
+    }
+}
--- /dev/null
+++ b/daemon/src/source.rs
@@ -0,0 +1,145 @@
+//! Watches of the platform: few processes hold them, the others hear from peers.
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use loftcove_decision::rendezvous;
+use loftcove_platform::hosts::List as _;
+use loftcove_platform::store::Store as _;
+use loftcove_platform::{error, hosts, key};
+use loftcove_settings::file;
+use loftcove_wire as wire;
+
+use crate::{clock, process};
+
+/// Shortest and longest pause after a failed call; the pause doubles and is
+/// drawn by lot, so that the fleet does not return in step after an outage.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(15));
+/// Pause of a process that does not watch, until it looks again whether it should.
+const IDLE: Duration = Duration::from_secs(2);
+/// How long a process that knows nothing waits for its peers before it asks the platform.
+const PEERS_FIRST: Duration = Duration::from_millis(300);
+
+/// A watch of one kind of record.
+trait Watch: Send + Sync + 'static {
+    /// Waits for the next value after `cursor`. Returns the next cursor and a record.
+    fn next(
+        process: &process::Process,
+        cursor: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<(u64, Option<wire::Record>), error::Error>> + Send;
+}
+
+struct Bundle;
+struct Hosts;
+struct Homes;
+
+impl Watch for Bundle {
+    async fn next(
+        process: &process::Process,
+        cursor: u64,
+        wait: Duration,
+    ) -> Result<(u64, Option<wire::Record>), error::Error> {
+        let name = key::force(&process.settings.process.deployment);
+        let change = process.platform.watch(&name, cursor, wait).await?;
+        let record = change.entry.and_then(|entry| bundle_record(entry.value));
+        Ok((change.cursor, record))
+    }
+}
+
+/// The generation inside the envelope is the record's revision.
+fn bundle_record(value: Bytes) -> Option<wire::Record> {
+    let envelope = loftcove_bundle::envelope::Envelope::parse(&value).ok()?;
+    let revision = envelope.roll.generation;
+    Some(wire::Record { kind: wire::Kind::Bundle.into(), revision, value })
+}
+
+impl Watch for Hosts {
+    async fn next(
+        process: &process::Process,
+        cursor: u64,
+        wait: Duration,
+    ) -> Result<(u64, Option<wire::Record>), error::Error> {
+        let list = process.platform.hosts(cursor, wait).await?;
+        let value = serde_json::to_vec(&list).unwrap_or_default().into();
+        let kind = wire::Kind::Hosts.into();
+        let record = wire::Record { kind, revision: list.revision, value };
+        Ok((list.revision, Some(record)))
+    }
+}
+
+impl Watch for Homes {
+    async fn next(
+        process: &process::Process,
+        cursor: u64,
+        wait: Duration,
+    ) -> Result<(u64, Option<wire::Record>), error::Error> {
+        let name = key::homes(&process.settings.process.deployment);
+        let change = process.platform.watch(&name, cursor, wait).await?;
+        let kind = wire::Kind::Homes.into();
+        let record = change.entry.map(|entry| wire::Record {
+            kind,
+            revision: entry.revision,
+            value: entry.value,
+        });
+        Ok((change.cursor, record))
+    }
+}
+
+/// Starts the watches.
+pub fn spawn(process: &Arc<process::Process>) {
+    tokio::spawn(run::<Bundle>(process.clone()));
+    tokio::spawn(run::<Hosts>(process.clone()));
+    tokio::spawn(run::<Homes>(process.clone()));
+}
+
+async fn run<W: Watch>(process: Arc<process::Process>) {
+    let wait = Duration::from_millis(process.settings.platform.watch_ms);
+    let mut cursor = 0;
+    let mut backoff = BACKOFF.0;
+    tokio::time::sleep(PEERS_FIRST).await;
+    loop {
+        if !should_watch(&process) {
+            cursor = 0;
+            tokio::time::sleep(IDLE).await;
+            continue;
+        }
+        match W::next(&process, cursor, wait).await {
+            Ok((next, record)) => {
+                // Consul's guide: an index that falls back starts anew.
+                cursor = if next < cursor { 0 } else { next };
+                backoff = BACKOFF.0;
+                if let Some(record) = record {
+                    process.take(record);
+                }
+            }
+            Err(error) => {
+                log::warn!("platform watch failed error=\"{error}\"");
+                tokio::time::sleep(clock::jitter(backoff, 0.5..1.5)).await;
+                backoff = (backoff * 2).min(BACKOFF.1);
+            }
+        }
+    }
+}
+
+/// Whether this process is one of its zone's watchers. One that knows no
+/// bundle or no host list asks the platform itself.
+fn should_watch(process: &process::Process) -> bool {
+    let own = &process.settings.process;
+    let list = process.gossip.hosts();
+    if list.hosts.is_empty() || process.gossip.force.bundle().is_none() {
+        return true;
+    }
+    if own.role != file::Role::Entry {
+        return false;
+    }
+    let entries = list
+        .hosts
+        .iter()
+        .filter(|host| host.zone == own.zone && host.role == hosts::Role::Entry && !host.leaving);
+    let order = rendezvous::order(&own.zone, entries.map(|host| &*host.id));
+    let mut watchers = order.into_iter().take(process.settings.platform.watchers);
+    watchers.any(|id| *id == *own.host)
+}
--- /dev/null
+++ b/daemon/src/stop.rs
@@ -0,0 +1,67 @@
+//! Planned stops: the first signal drains, the second ends at once.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use loftcove_decision::lifecycle;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::{Error, process};
+
+/// The signals that ask for a stop.
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    /// Begins to receive them.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Signal`].
+    pub fn new() -> Result<Signals, Error> {
+        let terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
+        let interrupt = signal(SignalKind::interrupt()).map_err(Error::Signal)?;
+        Ok(Signals { terminate, interrupt })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// Waits for a stop, calls `begin` when the drain begins, and returns when the
+/// process may exit.
+pub async fn wait<F: Future<Output = ()>>(
+    process: &Arc<process::Process>,
+    mut signals: Signals,
+    begin: impl FnOnce() -> F,
+) {
+    signals.next().await;
+    let drain = process.settings.drain();
+    log::info!("drain in_flight={} limit_ms={}", process.life.in_flight(), drain.as_millis());
+    process.life.handle(lifecycle::Event::Stop);
+    let mut phase = process.life.subscribe();
+    let finished = async {
+        begin().await;
+        // The sender lives as long as the process.
+        phase.wait_for(|phase| *phase == lifecycle::Phase::Stopped).await.ok();
+    };
+    tokio::select! {
+        _ = finished => {}
+        _ = tokio::time::sleep(drain) => {
+            process.life.handle(lifecycle::Event::Expired);
+            log::warn!("drain expired in_flight={}", process.life.in_flight());
+        }
+        _ = signals.next() => log::warn!("second signal in_flight={}", process.life.in_flight()),
+    }
+    // Answers that have just ended are still on their way out.
+    tokio::time::sleep(FLUSH).await;
+}
+
+/// Time for the last bytes to leave.
+const FLUSH: Duration = Duration::from_millis(50);
--- /dev/null
+++ b/decision/src/admission.rs
@@ -0,0 +1,380 @@
+//! Who goes first while requests wait for a backend server.
+//!
+//! Each pool has a queue for each precedence. Between precedences the most
+//! urgent goes first, save that every [`PATIENCE`]th choice goes to the one
+//! that has waited longest among the others, so that none starves. Within a precedence,
+//! teams share by weight: start-time fair queueing, after Goyal, Vin and
+//! Cheng, 1996, with one request as the unit of cost. A request that cannot
+//! make its deadline at the present rate is refused at once.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use cranelift_entity::SecondaryMap;
+
+use crate::{clock, entity};
+
+/// One choice in this many goes past the most urgent precedence.
+pub const PATIENCE: u32 = 8;
+/// Weight of the newest sample in the mean time between departures.
+const RATE_GAIN: f64 = 0.1;
+/// Shortest and longest time that a refused caller is told to stay away.
+const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
+
+/// Why a request was refused before any attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
+pub enum Refusal {
+    /// The team has as many requests here as its limit allows.
+    #[error("team-limit")]
+    TeamLimit,
+    /// The queue is full and the team holds its share of it.
+    #[error("queue-full")]
+    QueueFull,
+    /// The request cannot make its deadline.
+    #[error("deadline")]
+    Deadline,
+}
+
+/// A request that waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Waiter {
+    /// Id of the request.
+    pub ticket: entity::Ticket,
+    /// Pool that it waits for.
+    pub pool: entity::Pool,
+    /// Team that sent it.
+    pub team: entity::Team,
+    /// Precedence of its class; 0 goes first.
+    pub precedence: u32,
+    /// When its answer is due.
+    pub deadline: clock::Instant,
+    /// When it began to wait.
+    pub since: clock::Instant,
+}
+
+/// What one team may do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Share {
+    /// Share relative to the other teams.
+    pub weight: u32,
+    /// Requests in flight and waiting at the most.
+    pub limit: u32,
+}
+
+impl Default for Share {
+    fn default() -> Share {
+        Share { weight: 1, limit: u32::MAX }
+    }
+}
+
+/// The queues of all pools.
+#[derive(Debug)]
+pub struct Queue {
+    capacity: usize,
+    waiting: usize,
+    shares: SecondaryMap<entity::Team, Share>,
+    held: SecondaryMap<entity::Team, u32>,
+    pools: BTreeMap<entity::Pool, Line>,
+}
+
+/// The queue of one pool.
+#[derive(Debug, Default)]
+struct Line {
+    bands: BTreeMap<u32, Band>,
+    /// Choices of the most urgent precedence since another had its turn.
+    streak: u32,
+    /// Mean time between departures, seconds; none before the second one.
+    spacing: Option<f64>,
+    departed: Option<clock::Instant>,
+}
+
+/// The waiters of one precedence.
+#[derive(Debug, Default)]
+struct Band {
+    virtual_time: f64,
+    finish: BTreeMap<entity::Team, f64>,
+    teams: BTreeMap<entity::Team, VecDeque<Waiter>>,
+    len: usize,
+}
+
+impl Queue {
+    /// An empty queue that holds at most `capacity` waiters.
+    pub fn new(capacity: usize) -> Queue {
+        Queue {
+            capacity,
+            waiting: 0,
+            shares: SecondaryMap::new(),
+            held: SecondaryMap::new(),
+            pools: BTreeMap::new(),
+        }
+    }
+
+    /// Sets what a team may do.
+    pub fn set_share(&mut self, team: entity::Team, share: Share) {
+        self.shares[team] = share;
+    }
+
+    /// Number of waiters.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Requests of a team in flight and waiting.
+    pub fn held(&self, team: entity::Team) -> u32 {
+        self.held[team]
+    }
+
+    /// Counts a request against its team's limit until [`Queue::release`].
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::TeamLimit`].
+    pub fn hold(&mut self, team: entity::Team) -> Result<(), Refusal> {
+        if self.held[team] >= self.shares[team].limit {
+            return Err(Refusal::TeamLimit);
+        }
+        self.held[team] += 1;
+        Ok(())
+    }
+
+    /// A request that was held has its final answer.
+    pub fn release(&mut self, team: entity::Team) {
+        debug_assert!(self.held[team] > 0, "{team} released more than it held");
+        self.held[team] = self.held[team].saturating_sub(1);
+    }
+
+    /// Lets a held request wait. Returns the waiter that had to give way, if
+    /// the queue was full: the last one of the team that holds most for its
+    /// weight, so that a greedy team displaces itself.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal::Deadline`] where it would wait in vain, and
+    /// [`Refusal::QueueFull`] where it would itself have to give way.
+    pub fn push(&mut self, waiter: Waiter, now: clock::Instant) -> Result<Option<Waiter>, Refusal> {
+        if now + self.expected_wait(waiter.pool, waiter.precedence) >= waiter.deadline {
+            return Err(Refusal::Deadline);
+        }
+        let mut displaced = None;
+        if self.waiting >= self.capacity {
+            displaced = Some(self.displace(&waiter).ok_or(Refusal::QueueFull)?);
+        }
+        self.insert(waiter, End::Back);
+        Ok(displaced)
+    }
+
+    /// Puts a waiter that was sent and came back, not run, before the others of its team.
+    pub fn push_front(&mut self, waiter: Waiter) {
+        self.insert(waiter, End::Front);
+    }
+
+    fn insert(&mut self, waiter: Waiter, end: End) {
+        let line = self.pools.entry(waiter.pool).or_default();
+        line.bands.entry(waiter.precedence).or_default().insert(waiter, end);
+        self.waiting += 1;
+        debug_assert_eq!(self.verify(), Ok(()));
+    }
+
+    /// Takes the waiter whose turn it is.
+    pub fn pop(&mut self, pool: entity::Pool) -> Option<Waiter> {
+        let line = self.pools.get_mut(&pool)?;
+        let waiter = line.pop(&self.shares)?;
+        self.waiting -= 1;
+        Some(waiter)
+    }
+
+    /// Takes out a waiter whose caller left.
+    pub fn remove(&mut self, waiter: &Waiter) -> bool {
+        let line = self.pools.get_mut(&waiter.pool);
+        let band = line.and_then(|line| line.bands.get_mut(&waiter.precedence));
+        let removed = band.is_some_and(|band| band.remove(waiter.team, waiter.ticket).is_some());
+        self.waiting -= usize::from(removed);
+        removed
+    }
+
+    /// Takes out all waiters that can no longer make their deadline.
+    pub fn sweep(&mut self, now: clock::Instant) -> Vec<Waiter> {
+        let mut late = Vec::new();
+        for line in self.pools.values_mut() {
+            for band in line.bands.values_mut() {
+                band.sweep(now, &mut late);
+            }
+        }
+        self.waiting -= late.len();
+        late
+    }
+
+    /// A request of the pool got a backend server; the rate is learnt from this.
+    pub fn depart(&mut self, pool: entity::Pool, now: clock::Instant) {
+        let line = self.pools.entry(pool).or_default();
+        if let Some(before) = line.departed {
+            let sample = now.since(before).as_secs_f64();
+            let mean = line.spacing.unwrap_or(sample);
+            line.spacing = Some(mean + RATE_GAIN * (sample - mean));
+        }
+        line.departed = Some(now);
+    }
+
+    /// How long a request of that precedence would wait at the present rate.
+    pub fn expected_wait(&self, pool: entity::Pool, precedence: u32) -> Duration {
+        let Some(line) = self.pools.get(&pool) else { return Duration::ZERO };
+        let ahead: usize = line.bands.range(..=precedence).map(|(_, band)| band.len).sum();
+        Duration::from_secs_f64(ahead as f64 * line.spacing.unwrap_or(0.0))
+    }
+
+    /// When a refused caller should come back: after the present queue is gone.
+    pub fn retry_after(&self, pool: entity::Pool) -> Duration {
+        self.expected_wait(pool, u32::MAX).clamp(RETRY_AFTER.0, RETRY_AFTER.1)
+    }
+
+    /// Makes room for a newcomer, if a team holds more for its weight than
+    /// the newcomer's team would.
+    fn displace(&mut self, newcomer: &Waiter) -> Option<Waiter> {
+        let mut counts: BTreeMap<entity::Team, (u32, u32)> = BTreeMap::new();
+        for band in self.pools.values().flat_map(|line| &line.bands) {
+            for (team, waiters) in &band.1.teams {
+                let count = counts.entry(*team).or_default();
+                count.0 += waiters.len() as u32;
+                count.1 = count.1.max(*band.0);
+            }
+        }
+        let load =
+            |team: entity::Team, count: u32| f64::from(count) / f64::from(self.shares[team].weight);
+        let own = counts.get(&newcomer.team).map_or(0, |count| count.0);
+        let (team, (count, precedence)) =
+            counts.into_iter().max_by(|a, b| load(a.0, a.1.0).total_cmp(&load(b.0, b.1.0)))?;
+        let more_urgent = newcomer.precedence < precedence;
+        let more_loaded = load(team, count) > load(newcomer.team, own + 1);
+        if !more_urgent && !more_loaded {
+            return None;
+        }
+        let bands = self.pools.values_mut().filter_map(|line| line.bands.get_mut(&precedence));
+        let displaced = bands.filter_map(|band| band.pop_last(team)).next()?;
+        self.waiting -= 1;
+        Some(displaced)
+    }
+
+    /// Checks the queue's invariants.
+    ///
+    /// # Errors
+    ///
+    /// The first [`Fault`] found.
+    pub fn verify(&self) -> Result<(), Fault> {
+        let bands = || self.pools.values().flat_map(|line| line.bands.values());
+        if bands().any(|band| band.len != band.teams.values().map(VecDeque::len).sum()) {
+            return Err(Fault::Band);
+        }
+        if bands().map(|band| band.len).sum::<usize>() != self.waiting {
+            return Err(Fault::Total);
+        }
+        if bands().flat_map(|band| band.teams.values()).any(VecDeque::is_empty) {
+            return Err(Fault::Empty);
+        }
+        Ok(())
+    }
+}
+
+/// End of a team's waiters at which one joins.
+#[derive(Clone, Copy)]
+enum End {
+    Front,
+    Back,
+}
+
+/// A broken invariant of the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// A band's length is that of its teams' waiters.
+    #[error("a band's length is off")]
+    Band,
+    /// The total is the sum over the bands.
+    #[error("the total is off")]
+    Total,
+    /// A team without waiters is not listed.
+    #[error("a team without waiters is listed")]
+    Empty,
+}
+
+impl Line {
+    fn pop(&mut self, shares: &SecondaryMap<entity::Team, Share>) -> Option<Waiter> {
+        let urgent = *self.bands.iter().find(|(_, band)| band.len > 0)?.0;
+        let patient = self
+            .bands
+            .iter()
+            .filter(|(precedence, band)| **precedence > urgent && band.len > 0)
+            .min_by_key(|(_, band)| band.oldest())
+            .map(|(precedence, _)| *precedence);
+        let chosen = match patient {
+            Some(other) if self.streak + 1 >= PATIENCE => other,
+            _ => urgent,
+        };
+        self.streak = if chosen == urgent && patient.is_some() { self.streak + 1 } else { 0 };
+        self.bands.get_mut(&chosen)?.pop(shares)
+    }
+}
+
+impl Band {
+    fn insert(&mut self, waiter: Waiter, end: End) {
+        let line = self.teams.entry(waiter.team).or_default();
+        match end {
+            End::Front => line.push_front(waiter),
+            End::Back => line.push_back(waiter),
+        }
+        self.len += 1;
+    }
+
+    fn oldest(&self) -> Option<clock::Instant> {
+        self.teams.values().filter_map(|line| line.front()).map(|waiter| waiter.since).min()
+    }
+
+    fn pop(&mut self, shares: &SecondaryMap<entity::Team, Share>) -> Option<Waiter> {
+        let start = |team: &entity::Team| {
+            self.finish.get(team).copied().unwrap_or(0.0).max(self.virtual_time)
+        };
+        let (team, begin) = self
+            .teams
+            .keys()
+            .map(|team| (*team, start(team)))
+            .min_by(|a, b| a.1.total_cmp(&b.1))?;
+        self.virtual_time = begin;
+        self.finish.insert(team, begin + 1.0 / f64::from(shares[team].weight));
+        // A team whose finish lies behind the virtual time starts afresh anyway.
+        let now = self.virtual_time;
+        self.finish.retain(|_, finish| *finish > now);
+        let waiter = self.teams.get_mut(&team)?.pop_front();
+        self.shrink(team);
+        waiter
+    }
+
+    fn pop_last(&mut self, team: entity::Team) -> Option<Waiter> {
+        let waiter = self.teams.get_mut(&team)?.pop_back();
+        self.shrink(team);
+        waiter
+    }
+
+    fn remove(&mut self, team: entity::Team, ticket: entity::Ticket) -> Option<Waiter> {
+        let line = self.teams.get_mut(&team)?;
+        let index = line.iter().position(|waiter| waiter.ticket == ticket)?;
+        let waiter = line.remove(index);
+        self.shrink(team);
+        waiter
+    }
+
+    /// Accounts for one waiter less of the team.
+    fn shrink(&mut self, team: entity::Team) {
+        self.len -= 1;
+        if self.teams.get(&team).is_some_and(VecDeque::is_empty) {
+            self.teams.remove(&team);
+        }
+    }
+
+    fn sweep(&mut self, now: clock::Instant, late: &mut Vec<Waiter>) {
+        let before = late.len();
+        for line in self.teams.values_mut() {
+            late.extend(line.iter().filter(|waiter| waiter.deadline <= now));
+            line.retain(|waiter| waiter.deadline > now);
+        }
+        self.teams.retain(|_, line| !line.is_empty());
+        self.len -= late.len() - before;
+    }
+}
--- /dev/null
+++ b/decision/src/balancer.rs
@@ -0,0 +1,604 @@
+//! One entry host's decisions about its requests.
+//!
+//! Joins admission, routing, windows and retries: a request arrives, waits if
+//! no backend server is open, is sent, and ends; each event returns the
+//! actions that follow from it. The machine is owned by one lock in the daemon
+//! and takes microseconds a call.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use crate::routing::{eject, policy, server};
+use crate::{admission, clock, entity, retry};
+
+/// Score from which an open backend server of the own availability zone
+/// counts as loaded, so that others are looked at.
+const SPILL_SCORE: f64 = 0.9;
+/// How much less loaded another zone's backend server must be to be chosen.
+const SPILL_MARGIN: f64 = 0.25;
+/// When a caller should come back where a pool has no backend server.
+const NO_BACKEND_RETRY: Duration = Duration::from_secs(2);
+
+/// A request as it arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Arrival {
+    /// Pool that can answer it.
+    pub pool: entity::Pool,
+    /// Team that sent it.
+    pub team: entity::Team,
+    /// Precedence of its class; 0 goes first.
+    pub precedence: u32,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// When its answer is due.
+    pub deadline: clock::Instant,
+    /// Hash of the prompt's beginning; zero where there is none.
+    pub prefix: u64,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The answer was whole.
+    Answered,
+    /// The agent refused it for want of a slot: never ran.
+    Full,
+    /// It surely never ran, for another cause.
+    NeverRan,
+    /// It ran, or may have, and there is no whole answer.
+    MayHaveRun {
+        /// Whether the caller has seen a part of the answer.
+        answer_begun: bool,
+    },
+    /// The caller left; there is nobody to answer.
+    Abandoned,
+}
+
+/// Final outcome of a request without a whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Outcome {
+    /// It truly did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// Why a request was given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    /// Admission refused it.
+    Admission(admission::Refusal),
+    /// The pool has no usable backend server.
+    NoBackend,
+    /// Its attempts are used up, or another would not be safe.
+    Attempts,
+    /// The retry budget is used up.
+    Budget,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Reason::Admission(refusal) => refusal.fmt(f),
+            Reason::NoBackend => f.write_str("no-backend"),
+            Reason::Attempts => f.write_str("attempts"),
+            Reason::Budget => f.write_str("retry-budget"),
+        }
+    }
+}
+
+/// A backend server that was weighed, with its score at that time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// The backend server.
+    pub server: entity::Server,
+    /// Its score; lower is less loaded.
+    pub score: f64,
+}
+
+/// A request to be sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Dispatch {
+    /// The request.
+    pub ticket: entity::Ticket,
+    /// Which attempt this is, from 1.
+    pub attempt: u32,
+    /// The choice and its reason.
+    pub choice: policy::Choice,
+    /// Those that were open and weighed.
+    pub considered: Vec<Candidate>,
+}
+
+/// A request to be given its final answer now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// The request.
+    pub ticket: entity::Ticket,
+    /// What it may be told.
+    pub outcome: Outcome,
+    /// Why.
+    pub reason: Reason,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+/// What the daemon is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send an attempt.
+    Send(Dispatch),
+    /// Give a final answer.
+    Refuse(Refusal),
+}
+
+/// A request between arrival and final answer.
+#[derive(Debug, Clone)]
+struct Pending {
+    arrival: Arrival,
+    since: clock::Instant,
+    attempts: u32,
+    place: Place,
+    tried: Vec<entity::Server>,
+    begun: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    Waiting,
+    Sent(entity::Server),
+}
+
+/// Counts of what was done, for metrics and benches.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// First attempts sent.
+    pub first: u64,
+    /// Later attempts sent.
+    pub again: u64,
+    /// Requests refused, or given up, as not run.
+    pub not_run: u64,
+    /// Requests given up as unknown.
+    pub unknown: u64,
+    /// Requests answered whole.
+    pub answered: u64,
+}
+
+/// The machine.
+#[derive(Debug)]
+pub struct Balancer<P> {
+    servers: server::Table,
+    queue: admission::Queue,
+    budget: retry::Budget,
+    policy: P,
+    pending: BTreeMap<entity::Ticket, Pending>,
+    next: u32,
+    tally: Tally,
+}
+
+impl<P: policy::Policy> Balancer<P> {
+    /// A machine without backend servers.
+    pub fn new(policy: P, capacity: usize, retry_ratio: f64) -> Balancer<P> {
+        Balancer {
+            servers: server::Table::default(),
+            queue: admission::Queue::new(capacity),
+            budget: retry::Budget::new(retry_ratio),
+            policy,
+            pending: BTreeMap::new(),
+            next: 0,
+            tally: Tally::default(),
+        }
+    }
+
+    /// The backend servers.
+    pub fn servers(&self) -> &server::Table {
+        &self.servers
+    }
+
+    /// The waiting requests.
+    pub fn queue(&self) -> &admission::Queue {
+        &self.queue
+    }
+
+    /// Counts so far.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// Sets what a team may do.
+    pub fn set_share(&mut self, team: entity::Team, share: admission::Share) {
+        self.queue.set_share(team, share);
+    }
+
+    /// Takes a new host list.
+    pub fn list(&mut self, listings: Vec<server::Listing>, now: clock::Instant) -> Vec<Action> {
+        self.servers.list(listings);
+        self.pump_all(now)
+    }
+
+    /// An agent's report stream opened or closed.
+    pub fn connect(
+        &mut self,
+        server: entity::Server,
+        up: bool,
+        now: clock::Instant,
+    ) -> Vec<Action> {
+        self.servers[server].connected = up;
+        self.pump_all(now)
+    }
+
+    /// An agent reported.
+    pub fn report(
+        &mut self,
+        server: entity::Server,
+        report: server::Report,
+        now: clock::Instant,
+    ) -> Vec<Action> {
+        if !self.servers[server].take(report, now) {
+            return Vec::new();
+        }
+        let mut actions = Vec::new();
+        self.pump(self.servers[server].listing.pool, now, &mut actions);
+        actions
+    }
+
+    /// A request arrived. Returns its ticket, and the actions that follow,
+    /// which may concern other requests too.
+    pub fn arrive(
+        &mut self,
+        arrival: Arrival,
+        now: clock::Instant,
+    ) -> (entity::Ticket, Vec<Action>) {
+        let ticket = entity::Ticket::from_u32(self.next);
+        self.next = self.next.wrapping_add(1) & (u32::MAX >> 1);
+        let mut actions = Vec::new();
+        if let Err(refusal) = self.queue.hold(arrival.team) {
+            self.refuse_new(ticket, &arrival, Reason::Admission(refusal), &mut actions);
+            return (ticket, actions);
+        }
+        if let Err(reason) = self.admit(ticket, arrival, now, &mut actions) {
+            self.queue.release(arrival.team);
+            self.refuse_new(ticket, &arrival, reason, &mut actions);
+            return (ticket, actions);
+        }
+        self.pump(arrival.pool, now, &mut actions);
+        (ticket, actions)
+    }
+
+    fn admit(
+        &mut self,
+        ticket: entity::Ticket,
+        arrival: Arrival,
+        now: clock::Instant,
+        actions: &mut Vec<Action>,
+    ) -> Result<(), Reason> {
+        if self.servers.usable(arrival.pool).next().is_none() {
+            return Err(Reason::NoBackend);
+        }
+        let displaced =
+            self.queue.push(waiter(ticket, &arrival, now), now).map_err(Reason::Admission)?;
+        let pending = Pending {
+            arrival,
+            since: now,
+            attempts: 0,
+            place: Place::Waiting,
+            tried: Vec::new(),
+            begun: false,
+        };
+        self.pending.insert(ticket, pending);
+        if let Some(loser) = displaced {
+            let reason = Reason::Admission(admission::Refusal::QueueFull);
+            self.give_up(loser.ticket, Outcome::NotRun, reason, actions);
+        }
+        Ok(())
+    }
+
+    /// The first part of an attempt's answer came.
+    pub fn begin(&mut self, ticket: entity::Ticket, after: Duration, now: clock::Instant) {
+        let Some(pending) = self.pending.get_mut(&ticket) else { return };
+        pending.begun = true;
+        let Place::Sent(server) = pending.place else { return };
+        self.servers[server].health.answered(after);
+        if self.slow(server) {
+            self.try_eject(server, now);
+        }
+    }
+
+    /// An attempt ended.
+    pub fn end(&mut self, ticket: entity::Ticket, end: End, now: clock::Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let Some(pending) = self.pending.get(&ticket) else { return actions };
+        let pool = pending.arrival.pool;
+        match pending.place {
+            Place::Sent(server) => self.leave(server, end, now),
+            Place::Waiting => {
+                let waiter = waiter(ticket, &pending.arrival, pending.since);
+                self.queue.remove(&waiter);
+            }
+        }
+        match end {
+            End::Answered => {
+                self.tally.answered += 1;
+                self.finish(ticket);
+            }
+            End::Abandoned => {
+                self.finish(ticket);
+            }
+            End::Full | End::NeverRan => {
+                self.follow(ticket, retry::Knowledge::NeverRan, false, now, &mut actions);
+            }
+            End::MayHaveRun { answer_begun } => {
+                self.follow(ticket, retry::Knowledge::MayHaveRun, answer_begun, now, &mut actions);
+            }
+        }
+        self.pump(pool, now, &mut actions);
+        actions
+    }
+
+    /// Time passed: requests that can no longer make their deadline get their answer.
+    pub fn tick(&mut self, now: clock::Instant) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for late in self.queue.sweep(now) {
+            let reason = Reason::Admission(admission::Refusal::Deadline);
+            self.give_up(late.ticket, Outcome::NotRun, reason, &mut actions);
+        }
+        actions.extend(self.pump_all(now));
+        actions
+    }
+
+    /// Accounts for an attempt that left a backend server.
+    fn leave(&mut self, server: entity::Server, end: End, now: clock::Instant) {
+        let record = &mut self.servers[server];
+        match end {
+            End::Answered => record.window.grow(record.in_flight),
+            End::Full => record.window.shrink(now),
+            End::NeverRan | End::MayHaveRun { .. } => {
+                if record.health.failed() {
+                    self.try_eject(server, now);
+                }
+            }
+            End::Abandoned => {}
+        }
+        let record = &mut self.servers[server];
+        debug_assert!(record.in_flight > 0, "{server} has no request in flight");
+        record.in_flight = record.in_flight.saturating_sub(1);
+    }
+
+    /// Sends a failed request again, or gives it up.
+    fn follow(
+        &mut self,
+        ticket: entity::Ticket,
+        knowledge: retry::Knowledge,
+        answer_begun: bool,
+        now: clock::Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&ticket) else { return };
+        let case = retry::Case {
+            knowledge,
+            repeatable: pending.arrival.repeatable,
+            answer_begun,
+            attempts: pending.attempts,
+        };
+        let outcome = match knowledge {
+            retry::Knowledge::NeverRan => Outcome::NotRun,
+            retry::Knowledge::MayHaveRun => Outcome::Unknown,
+        };
+        let reason = if !retry::safe(&case) {
+            Reason::Attempts
+        } else if pending.arrival.deadline <= now {
+            Reason::Admission(admission::Refusal::Deadline)
+        } else if !self.budget.withdraw() {
+            Reason::Budget
+        } else {
+            pending.place = Place::Waiting;
+            let waiter = waiter(ticket, &pending.arrival, pending.since);
+            self.queue.push_front(waiter);
+            return;
+        };
+        self.give_up(ticket, outcome, reason, actions);
+    }
+
+    fn give_up(
+        &mut self,
+        ticket: entity::Ticket,
+        outcome: Outcome,
+        reason: Reason,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.finish(ticket) else { return };
+        self.refuse(ticket, pending.arrival.pool, outcome, reason, actions);
+    }
+
+    fn refuse_new(
+        &mut self,
+        ticket: entity::Ticket,
+        arrival: &Arrival,
+        reason: Reason,
+        actions: &mut Vec<Action>,
+    ) {
+        self.refuse(ticket, arrival.pool, Outcome::NotRun, reason, actions);
+    }
+
+    fn refuse(
+        &mut self,
+        ticket: entity::Ticket,
+        pool: entity::Pool,
+        outcome: Outcome,
+        reason: Reason,
+        actions: &mut Vec<Action>,
+    ) {
+        let retry_after = match reason {
+            Reason::NoBackend => NO_BACKEND_RETRY,
+            _ => self.queue.retry_after(pool),
+        };
+        match outcome {
+            Outcome::NotRun => self.tally.not_run += 1,
+            Outcome::Unknown => self.tally.unknown += 1,
+        }
+        actions.push(Action::Refuse(Refusal { ticket, outcome, reason, retry_after }));
+    }
+
+    fn finish(&mut self, ticket: entity::Ticket) -> Option<Pending> {
+        let pending = self.pending.remove(&ticket)?;
+        self.queue.release(pending.arrival.team);
+        Some(pending)
+    }
+
+    fn pump_all(&mut self, now: clock::Instant) -> Vec<Action> {
+        let mut pools: Vec<entity::Pool> =
+            self.servers.iter().map(|(_, record)| record.listing.pool).collect();
+        pools.sort();
+        pools.dedup();
+        let mut actions = Vec::new();
+        for pool in pools {
+            self.pump(pool, now, &mut actions);
+        }
+        actions
+    }
+
+    /// Sends waiters while backend servers are open.
+    fn pump(&mut self, pool: entity::Pool, now: clock::Instant, actions: &mut Vec<Action>) {
+        loop {
+            let open = self.open(pool, now);
+            if open.is_empty() {
+                break;
+            }
+            let Some(next) = self.queue.pop(pool) else { break };
+            if next.deadline <= now {
+                let reason = Reason::Admission(admission::Refusal::Deadline);
+                self.give_up(next.ticket, Outcome::NotRun, reason, actions);
+                continue;
+            }
+            self.send(next.ticket, open, now, actions);
+        }
+        if self.servers.usable(pool).next().is_none() {
+            self.drain_hopeless(pool, actions);
+        }
+    }
+
+    /// A pool without a usable backend server keeps nobody waiting.
+    fn drain_hopeless(&mut self, pool: entity::Pool, actions: &mut Vec<Action>) {
+        while let Some(next) = self.queue.pop(pool) {
+            self.give_up(next.ticket, Outcome::NotRun, Reason::NoBackend, actions);
+        }
+    }
+
+    /// Open backend servers: those of the own zone, unless they are all
+    /// loaded and others are clearly less so.
+    fn open(&self, pool: entity::Pool, now: clock::Instant) -> Vec<Candidate> {
+        let open = self.servers.usable(pool).filter(|(_, record)| record.open(now));
+        let (local, remote): (Vec<_>, Vec<_>) = open.partition(|(_, record)| record.listing.local);
+        let weigh = |list: Vec<(entity::Server, &server::Record)>| -> Vec<Candidate> {
+            let weighed = list.into_iter();
+            weighed.map(|(server, record)| Candidate { server, score: record.score(now) }).collect()
+        };
+        let (local, remote) = (weigh(local), weigh(remote));
+        let least = |list: &[Candidate]| {
+            list.iter().map(|candidate| candidate.score).fold(f64::INFINITY, f64::min)
+        };
+        let (at_home, abroad) = (least(&local), least(&remote));
+        let spill = at_home >= SPILL_SCORE && abroad + SPILL_MARGIN < at_home;
+        if local.is_empty() || spill { remote } else { local }
+    }
+
+    fn send(
+        &mut self,
+        ticket: entity::Ticket,
+        considered: Vec<Candidate>,
+        now: clock::Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&ticket) else { return };
+        let all: Vec<entity::Server> = considered.iter().map(|c| c.server).collect();
+        let fresh: Vec<entity::Server> =
+            all.iter().copied().filter(|server| !pending.tried.contains(server)).collect();
+        // Where all were tried, any may be tried again.
+        let candidates = if fresh.is_empty() { all } else { fresh };
+        let request = policy::Request { prefix: pending.arrival.prefix };
+        let Some(choice) = self.policy.choose(&self.servers, &candidates, &request, now) else {
+            return;
+        };
+        pending.attempts += 1;
+        pending.place = Place::Sent(choice.server);
+        pending.tried.push(choice.server);
+        self.servers[choice.server].in_flight += 1;
+        if pending.attempts == 1 {
+            self.tally.first += 1;
+            self.budget.deposit();
+        } else {
+            self.tally.again += 1;
+        }
+        self.queue.depart(pending.arrival.pool, now);
+        let attempt = pending.attempts;
+        actions.push(Action::Send(Dispatch { ticket, attempt, choice, considered }));
+    }
+
+    fn slow(&self, server: entity::Server) -> bool {
+        let pool = self.servers[server].listing.pool;
+        let mut paces: Vec<f64> =
+            self.servers.usable(pool).filter_map(|(_, record)| record.health.pace()).collect();
+        paces.sort_by(f64::total_cmp);
+        let (Some(own), Some(median)) =
+            (self.servers[server].health.pace(), paces.get(paces.len() / 2))
+        else {
+            return false;
+        };
+        paces.len() >= 3 && own > median * eject::SLOW_FACTOR
+    }
+
+    fn try_eject(&mut self, server: entity::Server, now: clock::Instant) {
+        let pool = self.servers[server].listing.pool;
+        let usable: Vec<_> = self.servers.usable(pool).collect();
+        let out = usable.iter().filter(|(_, record)| record.health.ejected(now)).count();
+        if eject::floor_allows(usable.len(), out) {
+            self.servers[server].health.eject(now);
+        }
+    }
+
+    /// Checks the machine's invariants.
+    ///
+    /// # Errors
+    ///
+    /// The first [`Fault`] found.
+    pub fn verify(&self) -> Result<(), Fault> {
+        self.queue.verify().map_err(Fault::Queue)?;
+        let waiting = self.pending.values().filter(|p| p.place == Place::Waiting).count();
+        if waiting != self.queue.waiting() {
+            return Err(Fault::Waiting);
+        }
+        for (server, record) in self.servers.iter() {
+            let sent = Place::Sent(server);
+            let in_flight = self.pending.values().filter(|p| p.place == sent).count();
+            if in_flight != record.in_flight as usize {
+                return Err(Fault::InFlight(server));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn waiter(ticket: entity::Ticket, arrival: &Arrival, since: clock::Instant) -> admission::Waiter {
+    admission::Waiter {
+        ticket,
+        pool: arrival.pool,
+        team: arrival.team,
+        precedence: arrival.precedence,
+        deadline: arrival.deadline,
+        since,
+    }
+}
+
+/// A broken invariant of the machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// The queue's own.
+    #[error(transparent)]
+    Queue(admission::Fault),
+    /// Requests that wait are those in the queue.
+    #[error("requests that wait and the queue differ")]
+    Waiting,
+    /// Requests sent to a backend server are those it has in flight.
+    #[error("requests in flight at {0} are miscounted")]
+    InFlight(entity::Server),
+}
--- /dev/null
+++ b/decision/src/placement/layout.rs
@@ -0,0 +1,168 @@
+//! Which ranks hold which experts: an expert map without its epoch.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+use crate::entity;
+
+/// Shape of a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shape {
+    /// Layers with experts.
+    pub layers: u32,
+    /// Experts of each layer.
+    pub experts: u32,
+    /// Ranks of the group.
+    pub ranks: u32,
+    /// Experts that one rank holds of one layer at the most.
+    pub slots: u32,
+}
+
+impl Shape {
+    /// Ids of the layers.
+    pub fn layer_ids(&self) -> impl Iterator<Item = entity::Layer> + use<> {
+        (0..self.layers).map(entity::Layer::from_u32)
+    }
+
+    /// Ids of the ranks.
+    pub fn rank_ids(&self) -> impl Iterator<Item = entity::Rank> + use<> {
+        (0..self.ranks).map(entity::Rank::from_u32)
+    }
+
+    /// Ids of the experts of a layer.
+    pub fn expert_ids(&self) -> impl Iterator<Item = entity::Expert> + use<> {
+        (0..self.experts).map(entity::Expert::from_u32)
+    }
+}
+
+/// Ranks that hold an expert, in ascending order.
+pub type Copies = Vec<u32>;
+
+/// The layout. Invariants: see [`Layout::verify`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Layout {
+    /// Shape of the group.
+    pub shape: Shape,
+    /// By layer, by expert: the ranks that hold it.
+    pub layers: Vec<Vec<Copies>>,
+}
+
+impl Layout {
+    /// Each expert once, dealt round the ranks.
+    pub fn even(shape: Shape) -> Layout {
+        let layer: Vec<Copies> =
+            (0..shape.experts).map(|expert| vec![expert % shape.ranks]).collect();
+        Layout { shape, layers: vec![layer; shape.layers as usize] }
+    }
+
+    /// The ranks that hold an expert.
+    pub fn copies(&self, layer: entity::Layer, expert: entity::Expert) -> &Copies {
+        &self.layers[layer.as_u32() as usize][expert.as_u32() as usize]
+    }
+
+    /// Experts that a rank must load to go over from `from` to this layout, summed
+    /// over ranks and layers.
+    pub fn loads_from(&self, from: &Layout) -> u32 {
+        let pairs = self.layers.iter().flatten().zip(from.layers.iter().flatten());
+        let added = |(new, old): (&Copies, &Copies)| {
+            new.iter().filter(|rank| !old.contains(rank)).count() as u32
+        };
+        pairs.map(added).sum()
+    }
+
+    /// Hash of the layout.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = xxh3::Xxh3::new();
+        for copies in self.layers.iter().flatten() {
+            for rank in copies {
+                hasher.update(&rank.to_le_bytes());
+            }
+            // An end mark keeps neighbours apart.
+            hasher.update(&u32::MAX.to_le_bytes());
+        }
+        hasher.digest()
+    }
+
+    /// Checks the invariants: every expert is held, by known ranks, no rank
+    /// twice, and no rank holds more than its slots.
+    ///
+    /// # Errors
+    ///
+    /// The first [`Fault`] found.
+    pub fn verify(&self) -> Result<(), Fault> {
+        if self.layers.len() != self.shape.layers as usize {
+            return Err(Fault::Layers);
+        }
+        for (layer, experts) in self.layers.iter().enumerate() {
+            let layer = entity::Layer::from_u32(layer as u32);
+            self.verify_layer(layer, experts)?;
+        }
+        Ok(())
+    }
+
+    fn verify_layer(&self, layer: entity::Layer, experts: &[Copies]) -> Result<(), Fault> {
+        if experts.len() != self.shape.experts as usize {
+            return Err(Fault::Experts(layer));
+        }
+        let mut held = vec![0; self.shape.ranks as usize];
+        for (expert, copies) in experts.iter().enumerate() {
+            let expert = entity::Expert::from_u32(expert as u32);
+            if copies.is_empty() {
+                return Err(Fault::Homeless(layer, expert));
+            }
+            if !copies.is_sorted_by(|a, b| a < b) {
+                return Err(Fault::Order(layer, expert));
+            }
+            for rank in copies {
+                let Some(count) = held.get_mut(*rank as usize) else {
+                    return Err(Fault::Rank(layer, expert));
+                };
+                *count += 1;
+            }
+        }
+        match held.iter().position(|count| *count > self.shape.slots) {
+            Some(rank) => Err(Fault::Slots(layer, entity::Rank::from_u32(rank as u32))),
+            None => Ok(()),
+        }
+    }
+}
+
+/// A broken invariant of a layout.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// The number of layers is not the shape's.
+    #[error("number of layers")]
+    Layers,
+    /// The number of experts of a layer is not the shape's.
+    #[error("number of experts of {0}")]
+    Experts(entity::Layer),
+    /// No rank holds the expert.
+    #[error("no rank holds {1} of {0}")]
+    Homeless(entity::Layer, entity::Expert),
+    /// The expert's ranks are not ascending, or one is there twice.
+    #[error("ranks of {1} of {0} are not ascending")]
+    Order(entity::Layer, entity::Expert),
+    /// An unknown rank holds the expert.
+    #[error("unknown rank for {1} of {0}")]
+    Rank(entity::Layer, entity::Expert),
+    /// The rank holds more experts than it has slots.
+    #[error("{1} holds too many experts of {0}")]
+    Slots(entity::Layer, entity::Rank),
+}
+
+impl fmt::Display for Layout {
+    /// A line a layer: `layer0: expert0=0,3 expert1=1 ..`.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (layer, experts) in self.layers.iter().enumerate() {
+            write!(f, "layer{layer}:")?;
+            for (expert, copies) in experts.iter().enumerate() {
+                let ranks: Vec<String> = copies.iter().map(u32::to_string).collect();
+                write!(f, " expert{expert}={}", ranks.join(","))?;
+            }
+            writeln!(f)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/decision/src/retry.rs
@@ -0,0 +1,74 @@
+//! Whether an attempt that failed may be followed by another.
+//!
+//! Two things decide. Safety: an attempt that surely never started may always
+//! be followed, one that may have started only where the class may be
+//! repeated and the caller has seen nothing of the answer. Thrift: retries
+//! come out of a budget that first attempts pay into, so that an outage does
+//! not multiply the load that caused it.
+
+/// Most retries that may be saved up.
+const RESERVE: f64 = 10.0;
+
+/// Attempts of one request at the most.
+pub const MAX_ATTEMPTS: u32 = 4;
+
+/// The budget of a process.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    ratio: f64,
+    saved: f64,
+}
+
+impl Budget {
+    /// A full budget into which each first attempt pays `ratio` of a retry.
+    pub fn new(ratio: f64) -> Budget {
+        Budget { ratio, saved: RESERVE }
+    }
+
+    /// A first attempt was sent.
+    pub fn deposit(&mut self) {
+        self.saved = (self.saved + self.ratio).min(RESERVE);
+    }
+
+    /// Takes one retry out, if there is one.
+    pub fn withdraw(&mut self) -> bool {
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
+
+/// What is known of an attempt that failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Knowledge {
+    /// It never started and never will.
+    NeverRan,
+    /// It started, or may have.
+    MayHaveRun,
+}
+
+/// What the failed attempt's request is like.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Case {
+    /// What is known of the attempt.
+    pub knowledge: Knowledge,
+    /// Whether the class may be repeated.
+    pub repeatable: bool,
+    /// Whether the caller has seen a part of the answer.
+    pub answer_begun: bool,
+    /// Attempts made so far.
+    pub attempts: u32,
+}
+
+/// Whether another attempt would be safe, the budget aside.
+pub fn safe(case: &Case) -> bool {
+    if case.answer_begun || case.attempts >= MAX_ATTEMPTS {
+        return false;
+    }
+    match case.knowledge {
+        Knowledge::NeverRan => true,
+        Knowledge::MayHaveRun => case.repeatable,
+    }
+}
--- /dev/null
+++ b/decision/src/routing.rs
@@ -0,0 +1,9 @@
+//! Which backend server takes a request.
+//!
+//! [`server`] holds what one entry host knows of each backend server;
+//! [`policy`] has the ways to choose between them, weighed against each other
+//! in `docs/design/routing.md`; [`eject`] finds those that are alive and fail.
+
+pub mod eject;
+pub mod policy;
+pub mod server;
--- /dev/null
+++ b/decision/src/routing/server.rs
@@ -0,0 +1,215 @@
+//! What one entry host knows of the backend servers.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranelift_entity::PrimaryMap;
+use xxhash_rust::xxh3;
+
+use crate::routing::eject;
+use crate::{attempt, clock, entity, limit};
+
+/// Half-life of what a report says of other entry hosts' requests.
+pub const REPORT_HALF_LIFE: Duration = Duration::from_millis(1_000);
+
+/// A load report of an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Report {
+    /// The run of the agent that reports.
+    pub incarnation: attempt::Incarnation,
+    /// Counts the reports of that run.
+    pub sequence: u64,
+    /// Requests that run on the backend server.
+    pub running: u32,
+    /// Requests that wait inside the backend server.
+    pub queued: u32,
+    /// Requests that the agent lets in at a time.
+    pub slots: u32,
+    /// Whether the agent or its backend server is leaving.
+    pub leaving: bool,
+    /// Whether the backend server answered its last poll.
+    pub alive: bool,
+}
+
+/// What the host list says of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Listing {
+    /// Id of its host.
+    pub host: Arc<str>,
+    /// Pool that it belongs to.
+    pub pool: entity::Pool,
+    /// Whether it is in the entry host's own availability zone.
+    pub local: bool,
+    /// Whether the list or the bundle has it leaving.
+    pub leaving: bool,
+}
+
+/// One backend server.
+#[derive(Debug, Clone)]
+pub struct Record {
+    /// What the host list says.
+    pub listing: Listing,
+    /// Hash of the host's id, the same at every entry host.
+    pub hash: u64,
+    /// Whether the host list still has it.
+    pub listed: bool,
+    /// Whether the agent's report stream is open.
+    pub connected: bool,
+    /// The newest report.
+    pub report: Report,
+    /// When it came.
+    pub reported: clock::Instant,
+    /// Own requests in flight when it came.
+    own_at_report: u32,
+    /// Own requests in flight.
+    pub in_flight: u32,
+    /// Own requests that may be in flight.
+    pub window: limit::Window,
+    /// Record of its failures.
+    pub health: eject::Health,
+}
+
+impl Record {
+    fn new(listing: Listing) -> Record {
+        Record {
+            hash: xxh3::xxh3_64(listing.host.as_bytes()),
+            listing,
+            listed: true,
+            connected: false,
+            report: Report::default(),
+            reported: clock::Instant::ZERO,
+            own_at_report: 0,
+            in_flight: 0,
+            window: limit::Window::default(),
+            health: eject::Health::default(),
+        }
+    }
+
+    /// Whether it may be given new work at all.
+    pub fn usable(&self) -> bool {
+        self.listed
+            && self.connected
+            && !self.listing.leaving
+            && !self.report.leaving
+            && self.report.alive
+    }
+
+    /// Whether it may be given one more request now.
+    pub fn open(&self, now: clock::Instant) -> bool {
+        self.usable() && !self.health.ejected(now) && self.in_flight < self.window.size()
+    }
+
+    /// Requests of others on it, as the last report had them, fading with age:
+    /// an old report says little, and every entry host that trusted it alike
+    /// would send to the same backend server.
+    fn others(&self, now: clock::Instant) -> f64 {
+        let reported = self.report.running + self.report.queued;
+        let others = f64::from(reported.saturating_sub(self.own_at_report));
+        let age = now.since(self.reported).as_secs_f64();
+        others * 0.5_f64.powf(age / REPORT_HALF_LIFE.as_secs_f64())
+    }
+
+    /// Load in relation to the slots: own requests in flight are exact, those
+    /// of others are the faded report.
+    pub fn score(&self, now: clock::Instant) -> f64 {
+        let slots = f64::from(self.report.slots.max(1));
+        (f64::from(self.in_flight) + self.others(now)) / slots
+    }
+
+    /// Load in relation to the slots as the last report had it.
+    pub fn reported_score(&self) -> f64 {
+        let reported = f64::from(self.report.running + self.report.queued);
+        reported / f64::from(self.report.slots.max(1))
+    }
+
+    /// Takes a report; a late one is dropped.
+    pub fn take(&mut self, report: Report, now: clock::Instant) -> bool {
+        let newer =
+            (report.incarnation, report.sequence) > (self.report.incarnation, self.report.sequence);
+        if !newer {
+            return false;
+        }
+        self.report = report;
+        self.reported = now;
+        self.own_at_report = self.in_flight;
+        self.window.set_slots(report.slots);
+        true
+    }
+}
+
+impl fmt::Display for Record {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} {} listed={} connected={} leaving={} in_flight={} window={} running={} queued={} slots={}",
+            self.listing.host,
+            self.listing.pool,
+            self.listed,
+            self.connected,
+            self.listing.leaving || self.report.leaving,
+            self.in_flight,
+            self.window.size(),
+            self.report.running,
+            self.report.queued,
+            self.report.slots
+        )
+    }
+}
+
+/// All backend servers that the entry host has heard of.
+#[derive(Debug, Default)]
+pub struct Table {
+    records: PrimaryMap<entity::Server, Record>,
+}
+
+impl Table {
+    /// Replaces the listings. One that is gone stays known while its requests
+    /// are in flight, and gets no new work.
+    pub fn list(&mut self, listings: Vec<Listing>) {
+        for record in self.records.values_mut() {
+            record.listed = false;
+        }
+        for listing in listings {
+            match self.find(&listing.host) {
+                Some(server) => {
+                    let record = &mut self.records[server];
+                    record.listing = listing;
+                    record.listed = true;
+                }
+                None => {
+                    self.records.push(Record::new(listing));
+                }
+            }
+        }
+    }
+
+    /// The backend server on that host.
+    pub fn find(&self, host: &str) -> Option<entity::Server> {
+        self.records.iter().find(|(_, record)| *record.listing.host == *host).map(|(id, _)| id)
+    }
+
+    /// All backend servers, in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = (entity::Server, &Record)> {
+        self.records.iter()
+    }
+
+    /// Those of a pool that may be given new work, in the order of their ids.
+    pub fn usable(&self, pool: entity::Pool) -> impl Iterator<Item = (entity::Server, &Record)> {
+        self.iter().filter(move |(_, record)| record.listing.pool == pool && record.usable())
+    }
+}
+
+impl std::ops::Index<entity::Server> for Table {
+    type Output = Record;
+
+    fn index(&self, server: entity::Server) -> &Record {
+        &self.records[server]
+    }
+}
+
+impl std::ops::IndexMut<entity::Server> for Table {
+    fn index_mut(&mut self, server: entity::Server) -> &mut Record {
+        &mut self.records[server]
+    }
+}
--- /dev/null
+++ b/settings/src/file.rs
@@ -0,0 +1,279 @@
+//! The files of the daemon and of the tool.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::{error, reference};
+
+/// What a daemon process does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// Takes callers' requests behind the platform's balancer.
+    Entry,
+    /// Stands before one backend server on its host.
+    Agent,
+}
+
+section! {
+    /// Who the process is. A process learns its addresses and availability zone only from here.
+    Process as RawProcess ("RawProcess") in "process" {
+        /// Role of the process, `entry` or `agent`.
+        role: Role;
+        /// Id of the host, as the platform's host list has it.
+        host: Arc<str>;
+        /// Availability zone of the host.
+        zone: Arc<str>;
+        /// Deployment that the host belongs to.
+        deployment: Arc<str>;
+        /// Address for loftcove's own processes.
+        peer_address: SocketAddr;
+        /// Address that connections to others come from, on a host that has several.
+        source_address: Option<IpAddr> = None;
+        /// Addresses of processes to ask first, while the host list is not known.
+        seeds: Vec<SocketAddr> = Vec::new();
+        /// Shared key of the deployment; a process without it is not listened to.
+        key: Arc<str>;
+        /// Address for `/healthz`, `/readyz` and `/metrics` on a host without callers' address.
+        admin_address: Option<SocketAddr> = None;
+        /// Longest time that a planned stop waits for requests in flight, milliseconds.
+        drain_ms: u64 = 30_000;
+        /// Time between two exchanges of bundle, host list and home table with a peer, milliseconds.
+        exchange_ms: u64 = 1_000;
+        /// Least level of the log: error, warn, info, debug.
+        log_level: Level = Level::Info;
+    }
+}
+
+/// Level of the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// Faults only.
+    Error,
+    /// Faults and what may lead to one.
+    Warn,
+    /// A line for each decision as well.
+    Info,
+    /// Everything.
+    Debug,
+}
+
+section! {
+    /// The platform's key-value service and host list, by their HTTP protocol.
+    Platform as RawPlatform ("RawPlatform") in "platform" {
+        /// Address of the service.
+        address: SocketAddr;
+        /// Longest wait for an answer, milliseconds.
+        timeout_ms: u64 = 2_000;
+        /// Longest time that one watch waits, milliseconds.
+        watch_ms: u64 = 55_000;
+        /// Entry hosts of an availability zone that watch the platform; the others hear from them.
+        watchers: usize = 2;
+    }
+}
+
+section! {
+    /// An entry host.
+    Entry as RawEntry ("RawEntry") in "entry" {
+        /// Address for callers.
+        http_address: SocketAddr;
+        /// Largest request body, bytes.
+        max_body: usize = 1_048_576;
+        /// Requests that may wait for a backend server, over all teams.
+        max_waiting: usize = 1_024;
+        /// Agents whose load is followed; those of the own availability zone come first.
+        max_followed: usize = 256;
+        /// Retries granted for each first attempt.
+        retry_ratio: f64 = 0.1;
+        /// Longest time from one rebalancing decision of a driven group to the next, seconds; 0 takes the bundle's.
+        rebalance_s: u64 = 0;
+    }
+}
+
+section! {
+    /// An agent and the backend server that it stands before.
+    Agent as RawAgent ("RawAgent") in "agent" {
+        /// Name of the service or rank group that the backend server belongs to.
+        backend: Arc<str>;
+        /// Rank in the group; leave out for a plain service.
+        rank: Option<u32> = None;
+        /// Address of the backend server.
+        server_address: SocketAddr;
+        /// Requests that the backend server takes at a time.
+        slots: u32 = 32;
+        /// Time between two polls of the backend server's load, milliseconds.
+        poll_ms: u64 = 500;
+        /// Idempotency keys that are remembered as a home.
+        max_keys: usize = 200_000;
+    }
+}
+
+section! {
+    /// Homes of idempotency keys. All processes of a deployment must have the same values.
+    Homes as RawHomes ("RawHomes") in "homes" {
+        /// How long a home goes on without a confirmation from the platform or its witness, milliseconds.
+        lease_ms: u64 = 6_000;
+        /// How long a home goes on with its witness's promises alone, milliseconds.
+        grace_ms: u64 = 1_800_000;
+        /// Bound on the difference of two hosts' clocks, milliseconds.
+        skew_ms: u64 = 500;
+        /// How long a key is remembered; older keys are refused, milliseconds.
+        window_ms: u64 = 900_000;
+        /// Parts of the key space, each with one home.
+        slots: u32 = 64;
+        /// Homes in each availability zone.
+        per_zone: usize = 3;
+    }
+}
+
+/// The whole file of a daemon process.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Daemon {
+    /// Who the process is.
+    pub process: Process,
+    /// The platform.
+    pub platform: Platform,
+    /// Operators and their public keys, 64 hexadecimal digits each.
+    pub operators: BTreeMap<Arc<str>, String>,
+    /// Homes of idempotency keys.
+    #[serde(default = "default_homes")]
+    pub homes: Homes,
+    /// For the role `entry`.
+    pub entry: Option<Entry>,
+    /// For the role `agent`.
+    pub agent: Option<Agent>,
+}
+
+fn default_homes() -> Homes {
+    // Every key of this section has a default, so reading nothing cannot fail.
+    Homes::try_from(RawHomes::default()).expect("the section has defaults for all keys")
+}
+
+section! {
+    /// The command-line tool.
+    Tool as RawTool ("RawTool") in "" {
+        /// Deployment that the tool works on.
+        deployment: Arc<str>;
+        /// Address of the platform's service.
+        platform_address: SocketAddr;
+        /// Shared key of the deployment.
+        key: Arc<str>;
+        /// Name of the operator.
+        operator: Arc<str>;
+        /// File with the operator's secret key.
+        secret_file: PathBuf;
+        /// Operators and their public keys.
+        operators: BTreeMap<Arc<str>, String>;
+    }
+}
+
+/// All sections of the daemon's file, for the reference.
+pub const DAEMON_SECTIONS: [reference::Section; 5] =
+    [Process::REFERENCE, Platform::REFERENCE, Entry::REFERENCE, Agent::REFERENCE, Homes::REFERENCE];
+
+impl Daemon {
+    /// Reads and checks a daemon's file.
+    ///
+    /// # Errors
+    ///
+    /// One [`error::Error`] for the first fault.
+    pub fn read(file: &Path) -> Result<Daemon, error::Error> {
+        let text = load(file)?;
+        let daemon: Daemon = parse(file, &text)?;
+        daemon.check(file, &text)?;
+        Ok(daemon)
+    }
+
+    fn check(&self, file: &Path, text: &str) -> Result<(), error::Error> {
+        let fault = |key: &str, reason: &str| {
+            let line = line_of_key(text, key);
+            Err(error::Error::Key {
+                file: file.to_owned(),
+                line,
+                key: key.to_owned(),
+                reason: reason.to_owned(),
+            })
+        };
+        match self.process.role {
+            Role::Entry if self.entry.is_none() => {
+                return fault("role", "an entry needs the section [entry]");
+            }
+            Role::Agent if self.agent.is_none() => {
+                return fault("role", "an agent needs the section [agent]");
+            }
+            _ => {}
+        }
+        if self.process.key.len() < MIN_KEY {
+            return fault("key", "the deployment's key needs at least 16 characters");
+        }
+        if self.process.exchange_ms == 0 {
+            return fault("exchange_ms", "must be above 0");
+        }
+        if self.homes.slots == 0 {
+            return fault("slots", "must be above 0");
+        }
+        if self.homes.window_ms <= self.homes.lease_ms + 2 * self.homes.skew_ms {
+            return fault("window_ms", "must be above lease_ms and twice skew_ms");
+        }
+        Ok(())
+    }
+
+    /// Longest time that a planned stop waits.
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.process.drain_ms)
+    }
+}
+
+/// Least length of the deployment's key, characters.
+const MIN_KEY: usize = 16;
+
+impl Tool {
+    /// Reads the tool's file.
+    ///
+    /// # Errors
+    ///
+    /// One [`error::Error`] for the first fault.
+    pub fn read(file: &Path) -> Result<Tool, error::Error> {
+        let text = load(file)?;
+        parse(file, &text)
+    }
+}
+
+fn load(file: &Path) -> Result<String, error::Error> {
+    std::fs::read_to_string(file)
+        .map_err(|source| error::Error::Read { file: file.to_owned(), source })
+}
+
+fn parse<T: serde::de::DeserializeOwned>(file: &Path, text: &str) -> Result<T, error::Error> {
+    toml::from_str(text).map_err(|error| {
+        let start = error.span().map_or(0, |span| span.start);
+        let line = 1 + text.as_bytes()[..start].iter().filter(|byte| **byte == b'\n').count();
+        let reason = error.message().to_owned();
+        let key = quoted(&reason).unwrap_or_else(|| key_on_line(text, line));
+        error::Error::Key { file: file.to_owned(), line, key, reason }
+    })
+}
+
+/// The first name in backquotes, which is how the parser names a key.
+fn quoted(reason: &str) -> Option<String> {
+    let names_key = reason.starts_with("unknown field") || reason.starts_with("missing");
+    names_key.then(|| reason.split('`').nth(1).map(str::to_owned)).flatten()
+}
+
+fn key_on_line(text: &str, line: usize) -> String {
+    let line = text.lines().nth(line - 1).unwrap_or_default();
+    line.split('=').next().unwrap_or_default().trim().to_owned()
+}
+
+fn line_of_key(text: &str, key: &str) -> usize {
+    let found =
+        text.lines().position(|line| line.split('=').next().is_some_and(|name| name.trim() == key));
+    found.map_or(1, |index| index + 1)
+}
--- /dev/null
+++ b/standins/src/bin/fault-proxy.rs
@@ -0,0 +1,16 @@
+//! The fault-injecting proxy; see the module `proxy` for its lines.
+
+use loftcove_standins::proxy;
+use tokio::io::{AsyncBufReadExt as _, BufReader};
+
+#[tokio::main]
+async fn main() {
+    let proxy = proxy::Proxy::default();
+    let mut lines = BufReader::new(tokio::io::stdin()).lines();
+    while let Ok(Some(line)) = lines.next_line().await {
+        match proxy.obey(&line).await {
+            Ok(answer) => println!("{answer}"),
+            Err(reason) => println!("refused: {reason}"),
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,11 @@
+//! Stand-ins for what loftcove meets: the platform, model engines, a plain
+//! service, and a fault-injecting TCP proxy between any two processes.
+//!
+//! For tests and the demo only. Each is a program that prints
+//! `listening ADDRESS` once it serves, so that ports come from the system.
+
+pub mod consul;
+pub mod engine;
+pub mod proxy;
+pub mod server;
+pub mod service;
--- /dev/null
+++ b/standins/src/proxy.rs
@@ -0,0 +1,191 @@
+//! A fault-injecting TCP proxy between any two processes.
+//!
+//! Lines on standard input control it; each is confirmed by one line:
+//!
+//! - `source ZONE IP`: connections from that address come from the zone.
+//! - `target LABEL ZONE ADDRESS`: opens a port before the address; answers
+//!   `listening PORT-ADDRESS`.
+//! - `link FROM TO FAULT`: sets the [`Fault`] of connections from a zone (or
+//!   `*`) to a label or a zone (or `*`).
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::str::FromStr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream, tcp};
+use tokio::sync::watch;
+
+/// What the proxy does to traffic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Passes everything on.
+    None,
+    /// Delays each part by that time.
+    Delay(Duration),
+    /// Closes every connection and takes no new one.
+    Cut,
+    /// Passes requests on and drops answers: only the answer is lost.
+    LoseAnswers,
+    /// Holds everything, both ways, until another fault is set.
+    Freeze,
+}
+
+impl FromStr for Fault {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Fault, String> {
+        if let Some(ms) = text.strip_prefix("delay=") {
+            let ms = ms.parse().map_err(|_| format!("not a time: {ms}"))?;
+            return Ok(Fault::Delay(Duration::from_millis(ms)));
+        }
+        match text {
+            "none" => Ok(Fault::None),
+            "cut" => Ok(Fault::Cut),
+            "lose-answers" => Ok(Fault::LoseAnswers),
+            "freeze" => Ok(Fault::Freeze),
+            other => Err(format!("not a fault: {other}")),
+        }
+    }
+}
+
+/// Which way a part goes.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Request,
+    Answer,
+}
+
+type Rules = Vec<(String, String, Fault)>;
+
+/// The proxy.
+#[derive(Clone)]
+pub struct Proxy {
+    sources: Arc<Mutex<BTreeMap<IpAddr, String>>>,
+    rules: watch::Sender<Rules>,
+}
+
+impl Default for Proxy {
+    fn default() -> Proxy {
+        Proxy { sources: Arc::default(), rules: watch::Sender::new(Vec::new()) }
+    }
+}
+
+/// Where a connection goes.
+#[derive(Clone)]
+struct Target {
+    label: String,
+    zone: String,
+    address: SocketAddr,
+}
+
+/// One connection's view of the rules.
+#[derive(Clone)]
+struct Link {
+    from: String,
+    target: Target,
+    rules: watch::Receiver<Rules>,
+}
+
+impl Link {
+    /// The last rule that matches.
+    fn fault(&self, rules: &Rules) -> Fault {
+        let matches = |(from, to, _): &&(String, String, Fault)| {
+            let from_fits = *from == "*" || *from == self.from;
+            let to_fits = *to == "*" || *to == self.target.label || *to == self.target.zone;
+            from_fits && to_fits
+        };
+        rules.iter().rev().find(matches).map_or(Fault::None, |rule| rule.2)
+    }
+
+    fn present(&self) -> Fault {
+        let rules = self.rules.borrow();
+        self.fault(&rules)
+    }
+
+    async fn until(&mut self, wanted: impl Fn(Fault) -> bool) {
+        let link = self.clone();
+        self.rules.wait_for(|rules| wanted(link.fault(rules))).await.ok();
+    }
+}
+
+impl Proxy {
+    /// Obeys one line.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the line.
+    pub async fn obey(&self, line: &str) -> Result<String, String> {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words.as_slice() {
+            ["source", zone, ip] => {
+                let ip = ip.parse().map_err(|_| format!("not an address: {ip}"))?;
+                let mut sources = self.sources.lock().expect("no holder of the lock panics");
+                sources.insert(ip, (*zone).to_owned());
+                Ok("set".to_owned())
+            }
+            ["target", label, zone, address] => {
+                let address = address.parse().map_err(|_| format!("not an address: {address}"))?;
+                let target =
+                    Target { label: (*label).to_owned(), zone: (*zone).to_owned(), address };
+                let listener = TcpListener::bind(("127.0.0.1", 0)).await;
+                let listener = listener.map_err(|error| error.to_string())?;
+                let bound = listener.local_addr().map_err(|error| error.to_string())?;
+                tokio::spawn(self.clone().run(listener, target));
+                Ok(format!("listening {bound}"))
+            }
+            ["link", from, to, fault] => {
+                let fault = fault.parse()?;
+                self.rules.send_modify(|rules| {
+                    rules.push(((*from).to_owned(), (*to).to_owned(), fault));
+                });
+                Ok("set".to_owned())
+            }
+            _ => Err(format!("not a line: {line}")),
+        }
+    }
+
+    async fn run(self, listener: TcpListener, target: Target) {
+        loop {
+            let Ok((client, peer)) = listener.accept().await else { continue };
+            let sources = self.sources.lock().expect("no holder of the lock panics");
+            let from = sources.get(&peer.ip()).cloned().unwrap_or_default();
+            let link = Link { from, target: target.clone(), rules: self.rules.subscribe() };
+            if link.present() != Fault::Cut {
+                tokio::spawn(pass(client, link));
+            }
+        }
+    }
+}
+
+async fn pass(client: TcpStream, link: Link) {
+    let Ok(server) = TcpStream::connect(link.target.address).await else { return };
+    client.set_nodelay(true).ok();
+    server.set_nodelay(true).ok();
+    let (client_read, client_write) = client.into_split();
+    let (server_read, server_write) = server.into_split();
+    let mut cut = link.clone();
+    tokio::select! {
+        _ = cut.until(|fault| fault == Fault::Cut) => {}
+        _ = pump(client_read, server_write, Way::Request, link.clone()) => {}
+        _ = pump(server_read, client_write, Way::Answer, link) => {}
+    }
+}
+
+async fn pump(mut from: tcp::OwnedReadHalf, mut to: tcp::OwnedWriteHalf, way: Way, mut link: Link) {
+    let mut buffer = vec![0; 64 * 1024];
+    loop {
+        let Ok(count @ 1..) = from.read(&mut buffer).await else { return };
+        link.until(|fault| fault != Fault::Freeze).await;
+        match link.present() {
+            Fault::LoseAnswers if way == Way::Answer => continue,
+            Fault::Delay(time) => tokio::time::sleep(time).await,
+            _ => {}
+        }
+        if to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/service.rs
@@ -0,0 +1,58 @@
+//! A stand-in for a plain service whose calls may not be repeated.
+//!
+//! Every call is done and counted under its `idempotency-key`; `GET
+//! /standin/runs` tells the counts. `x-standin-delay-ms` makes a call slow.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+
+use crate::server;
+
+/// The stand-in.
+#[derive(Clone, Default)]
+pub struct Service {
+    runs: Arc<Mutex<BTreeMap<String, u64>>>,
+}
+
+/// Reads a header as text.
+pub fn header<'a>(headers: &'a http::HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
+
+impl Service {
+    /// Answers one call.
+    pub async fn handle(self, request: http::Request<Incoming>) -> http::Response<server::Body> {
+        match request.uri().path() {
+            "/standin/runs" => {
+                let runs = self.runs.lock().expect("no holder of the stand-in's lock panics");
+                return server::json(200, &serde_json::json!(*runs));
+            }
+            "/load" => {
+                let load = serde_json::json!({
+                    "running": 0, "queued": 0, "step_us": 0, "epoch": 0,
+                });
+                return server::json(200, &load);
+            }
+            _ => {}
+        }
+        let key = header(request.headers(), "idempotency-key").to_owned();
+        let id = header(request.headers(), "x-request-id").to_owned();
+        let delay = header(request.headers(), "x-standin-delay-ms").parse().unwrap_or(0);
+        // The call takes effect here; what follows can only lose its answer.
+        {
+            let mut runs = self.runs.lock().expect("no holder of the stand-in's lock panics");
+            *runs.entry(key.clone()).or_default() += 1;
+        }
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+        let body = server::read(request.into_body()).await;
+        let answer = serde_json::json!({ "delivered": key, "bytes": body.len() });
+        let mut response = server::json(200, &answer);
+        if let Ok(id) = id.parse() {
+            response.headers_mut().insert("x-request-id", id);
+        }
+        response
+    }
+}
