--- /dev/null
+++ b/tests/src/cluster.rs
@@ -0,0 +1,484 @@
+//! A deployment of real processes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use sha2::Digest as _;
+
+use crate::{caller, process, until};
+
+/// Token of every team.
+pub const TOKEN: &str = "token-of-the-clinic";
+/// Shared key of the deployment.
+pub const KEY: &str = "a-key-of-the-deployment";
+/// Service whose calls may not be repeated.
+pub const SERVICE: &str = "gateway-sms";
+/// Model, served by one group in each availability zone.
+pub const MODEL: &str = "modelo-loftcove";
+
+/// What is started.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Availability zones.
+    pub zones: Vec<&'static str>,
+    /// Entry hosts of each.
+    pub entries: usize,
+    /// Ranks of the group of each; 0 for no group.
+    pub ranks: u32,
+    /// Servers of the plain service of each.
+    pub services: usize,
+    /// Time between two steps of a group, microseconds.
+    pub step_us: u64,
+    /// Lines for the section `[homes]`.
+    pub homes: &'static str,
+    /// Slots of each backend server.
+    pub slots: u32,
+    /// Time between two placement decisions, seconds.
+    pub rebalance_s: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan {
+            zones: vec!["sala-braga", "sala-porto"],
+            entries: 2,
+            ranks: 2,
+            services: 1,
+            step_us: 2_000,
+            homes: "lease_ms = 1500\ngrace_ms = 60000\nskew_ms = 100\nwindow_ms = 60000",
+            slots: 32,
+            rebalance_s: 1,
+        }
+    }
+}
+
+/// One process of the system, with what it takes to start it again.
+pub struct Member {
+    /// Id of the host.
+    pub host: String,
+    /// Availability zone.
+    pub zone: String,
+    /// The process.
+    pub process: process::Process,
+    /// Its own address for peers.
+    pub peer: SocketAddr,
+    /// Its address in the host list, at the proxy.
+    pub listed: SocketAddr,
+    /// Address for callers, of an entry host.
+    pub http: Option<SocketAddr>,
+    /// Backend, rank and address of the backend server, of an agent.
+    pub server: Option<Server>,
+    settings: String,
+    leaving: bool,
+}
+
+/// A backend server.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// Service or group.
+    pub backend: String,
+    /// Rank in the group.
+    pub rank: Option<u32>,
+    /// Its own address.
+    pub address: SocketAddr,
+}
+
+/// The deployment.
+pub struct Cluster {
+    /// What was started.
+    pub plan: Plan,
+    /// The stand-in for the platform.
+    pub platform: process::Process,
+    /// Its own address, past the proxy.
+    pub platform_address: SocketAddr,
+    /// The fault-injecting proxy.
+    pub proxy: process::Process,
+    /// Entry hosts and agents, by host.
+    pub members: BTreeMap<String, Member>,
+    /// Backend servers, by name.
+    pub servers: BTreeMap<String, process::Process>,
+    /// Settings and keys.
+    pub folder: process::Folder,
+    platform_listed: SocketAddr,
+    operators: String,
+}
+
+/// Operators whose keys the settings hold.
+const OPERATORS: [&str; 3] = ["ana", "bruno", "carla"];
+
+/// Group of a zone.
+pub fn group(zone: &str) -> String {
+    format!("modelo-{zone}")
+}
+
+fn strings(arguments: &[&str]) -> Vec<String> {
+    arguments.iter().map(|text| (*text).to_owned()).collect()
+}
+
+impl Cluster {
+    /// Starts everything and puts the first bundle in force.
+    pub async fn start(plan: Plan) -> Cluster {
+        let mut cluster = Cluster::bare(plan).await;
+        cluster.start_members().await;
+        cluster.publish_hosts().await;
+        let digest = cluster.propose("ana", "bundle.toml", &cluster.bundle("")).await;
+        cluster.tool("bruno", &["bundle", "approve", &digest]).await;
+        let rolled = cluster.tool("ana", &["bundle", "roll-forward", &digest]).await;
+        assert!(rolled.success, "{rolled:?}");
+        cluster.ready().await;
+        cluster
+    }
+
+    async fn bare(plan: Plan) -> Cluster {
+        let mut platform = process::Process::start("standin-platform", &[]);
+        let platform_address = platform.address().await;
+        let mut proxy = process::Process::start("fault-proxy", &[]);
+        for (index, zone) in plan.zones.iter().enumerate() {
+            let source = source_address(index);
+            assert_eq!(proxy.tell(&format!("source {zone} {source}")).await, "set");
+        }
+        let folder = process::Folder::new();
+        let mut operators = String::new();
+        for name in OPERATORS {
+            let made = process::run("loftcove", &["key", "new", &folder.path(name)]).await;
+            operators.push_str(&format!("{name} = \"{}\"\n", made.stdout.trim()));
+        }
+        let listed = target(&mut proxy, "platform", "platform", platform_address).await;
+        let cluster = Cluster {
+            plan,
+            platform,
+            platform_address,
+            proxy,
+            members: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            folder,
+            platform_listed: listed,
+            operators,
+        };
+        for name in OPERATORS {
+            let text = format!(
+                "deployment = \"vale\"\nplatform_address = \"{}\"\nkey = \"{KEY}\"\n\
+                 operator = \"{name}\"\nsecret_file = \"{}\"\n[operators]\n{}",
+                cluster.platform_address,
+                cluster.folder.path(name),
+                cluster.operators
+            );
+            cluster.folder.write(&format!("{name}.toml"), &text);
+        }
+        cluster
+    }
+
+    async fn start_members(&mut self) {
+        let plan = self.plan.clone();
+        for zone in &plan.zones {
+            for rank in (0..plan.ranks).rev() {
+                self.start_rank(zone, rank).await;
+            }
+            for index in 0..plan.services {
+                let name = format!("sms-{zone}-{index}");
+                let mut server = process::Process::start("standin-service", &[]);
+                let address = server.address().await;
+                self.servers.insert(name.clone(), server);
+                let server = Server { backend: SERVICE.to_owned(), rank: None, address };
+                self.start_agent(zone, &format!("{name}-host"), server).await;
+            }
+            for index in 0..plan.entries {
+                self.start_entry(zone, &format!("entry-{zone}-{index}")).await;
+            }
+        }
+    }
+
+    async fn start_rank(&mut self, zone: &str, rank: u32) {
+        let name = format!("rank-{zone}-{rank}");
+        let mut arguments = vec!["--rank".to_owned(), rank.to_string()];
+        arguments.extend(["--step-us".to_owned(), self.plan.step_us.to_string()]);
+        if rank == 0 {
+            let followers = self.members.values().filter(|member| member.zone == zone);
+            let followers = followers.filter_map(|member| member.server.as_ref());
+            let followers: Vec<String> = followers
+                .filter(|server| server.rank.is_some())
+                .map(|server| server.address.to_string())
+                .collect();
+            arguments.extend(["--followers".to_owned(), followers.join(",")]);
+        }
+        let mut server = process::Process::start("standin-engine", &arguments);
+        let address = server.address().await;
+        self.servers.insert(name.clone(), server);
+        let server = Server { backend: group(zone), rank: Some(rank), address };
+        self.start_agent(zone, &format!("{name}-host"), server).await;
+    }
+
+    fn common(&self, role: &str, zone: &str, host: &str, peer: &str) -> String {
+        let index = self.plan.zones.iter().position(|known| *known == zone).unwrap_or(0);
+        let seeds: Vec<String> =
+            self.members.values().map(|member| format!("\"{}\"", member.listed)).collect();
+        format!(
+            "[process]\nrole = \"{role}\"\nhost = \"{host}\"\nzone = \"{zone}\"\n\
+             deployment = \"vale\"\npeer_address = \"{peer}\"\nkey = \"{KEY}\"\n\
+             source_address = \"{}\"\nexchange_ms = 200\ndrain_ms = 20000\nseeds = [{}]\n\
+             [platform]\naddress = \"{}\"\ntimeout_ms = 1000\nwatch_ms = 5000\n\
+             [operators]\n{}\n[homes]\n{}\n",
+            source_address(index),
+            seeds.join(", "),
+            self.platform_listed,
+            self.operators,
+            self.plan.homes
+        )
+    }
+
+    async fn start_agent(&mut self, zone: &str, host: &str, server: Server) {
+        let rank = server.rank.map(|rank| format!("rank = {rank}\n")).unwrap_or_default();
+        let section = format!(
+            "[agent]\nbackend = \"{}\"\n{rank}server_address = \"{}\"\nslots = {}\npoll_ms = 100\n",
+            server.backend, server.address, self.plan.slots
+        );
+        let settings = self.common("agent", zone, host, "127.0.0.1:0") + &section;
+        self.start_member(zone, host, settings, Some(server)).await;
+    }
+
+    async fn start_entry(&mut self, zone: &str, host: &str) {
+        let section = format!(
+            "[entry]\nhttp_address = \"127.0.0.1:0\"\nrebalance_s = {}\n",
+            self.plan.rebalance_s
+        );
+        let settings = self.common("entry", zone, host, "127.0.0.1:0") + &section;
+        self.start_member(zone, host, settings, None).await;
+    }
+
+    async fn start_member(
+        &mut self,
+        zone: &str,
+        host: &str,
+        settings: String,
+        server: Option<Server>,
+    ) {
+        let file = self.folder.write(&format!("{host}.toml"), &settings);
+        let mut process = process::Process::start("loftcoved", &strings(&["run", &file]));
+        let peer = process.address().await;
+        let entry = server.is_none();
+        let http = if entry { Some(process.address().await) } else { None };
+        let listed = target(&mut self.proxy, host, zone, peer).await;
+        let mut settings = settings
+            .replace("peer_address = \"127.0.0.1:0\"", &format!("peer_address = \"{peer}\""));
+        if let Some(http) = http {
+            settings = settings
+                .replace("http_address = \"127.0.0.1:0\"", &format!("http_address = \"{http}\""));
+        }
+        let member = Member {
+            host: host.to_owned(),
+            zone: zone.to_owned(),
+            process,
+            peer,
+            listed,
+            http,
+            server,
+            settings,
+            leaving: false,
+        };
+        self.members.insert(host.to_owned(), member);
+    }
+
+    /// Starts a member's process again, at the same addresses.
+    pub async fn restart(&mut self, host: &str) {
+        let member = self.members.get_mut(host).expect("the member exists");
+        let file = self.folder.write(&format!("{host}.toml"), &member.settings);
+        member.process = process::Process::start("loftcoved", &strings(&["run", &file]));
+        member.process.address().await;
+        if member.http.is_some() {
+            member.process.address().await;
+        }
+    }
+
+    /// Sets the platform's host list to the members.
+    pub async fn publish_hosts(&mut self) {
+        let hosts: Vec<serde_json::Value> = self.members.values().map(listing).collect();
+        let control = caller::Caller::new(self.platform_address, "");
+        let body = serde_json::Value::Array(hosts).to_string();
+        let answer = control.ask("PUT", "/standin/hosts", &[], &body).await;
+        assert_eq!(answer.status, 200);
+    }
+
+    /// Has the host list say that a host is leaving, or not.
+    pub async fn set_leaving(&mut self, host: &str, leaving: bool) {
+        self.members.get_mut(host).expect("the member exists").leaving = leaving;
+        self.publish_hosts().await;
+    }
+
+    /// Sets a fault of the platform's stand-in.
+    pub async fn platform_fault(&self, fault: &str) {
+        let control = caller::Caller::new(self.platform_address, "");
+        let answer = control.ask("PUT", &format!("/standin/fault/{fault}"), &[], "").await;
+        assert_eq!(answer.status, 200);
+    }
+
+    /// Calls that the platform has counted.
+    pub async fn platform_calls(&self) -> u64 {
+        let control = caller::Caller::new(self.platform_address, "");
+        control.ask("GET", "/standin/calls", &[], "").await.body.parse().unwrap_or(0)
+    }
+
+    /// Sets the fault of connections from a zone to a host or zone.
+    pub async fn link(&mut self, from: &str, to: &str, fault: &str) {
+        assert_eq!(self.proxy.tell(&format!("link {from} {to} {fault}")).await, "set");
+    }
+
+    /// Cuts a zone off from the other zones, both ways, or joins it again.
+    pub async fn isolate(&mut self, zone: &str, fault: &str) {
+        for other in self.plan.zones.clone() {
+            if other != zone {
+                self.link(zone, other, fault).await;
+                self.link(other, zone, fault).await;
+            }
+        }
+    }
+
+    /// Text of a bundle with some lines added.
+    pub fn bundle(&self, extra: &str) -> String {
+        let hash = hex::encode(sha2::Sha256::digest(TOKEN.as_bytes()));
+        let groups: Vec<String> =
+            self.plan.zones.iter().map(|zone| format!("\"{}\"", group(zone))).collect();
+        format!(
+            "deployment = \"vale\"\n{extra}\n\
+             [[model]]\nname = \"{MODEL}\"\nversion = \"1\"\nadapters = [\"lembretes\"]\n\
+             groups = [{}]\nlayers = 4\nexperts = 8\nclass = \"draft\"\n\
+             [[service]]\nname = \"{SERVICE}\"\nclass = \"urgent\"\n\
+             [[class]]\nname = \"urgent\"\nprecedence = 0\nrepeatable = false\ndeadline_ms = 60000\n\
+             [[class]]\nname = \"reminder\"\nprecedence = 1\nrepeatable = false\ndeadline_ms = 60000\n\
+             [[class]]\nname = \"draft\"\nprecedence = 2\nrepeatable = true\ndeadline_ms = 60000\n\
+             [[team]]\nname = \"clinica\"\ntoken_sha256 = \"{hash}\"\n",
+            groups.join(", ")
+        )
+    }
+
+    /// Runs the tool as an operator.
+    pub async fn tool(&self, operator: &str, arguments: &[&str]) -> process::Output {
+        let settings = self.folder.path(&format!("{operator}.toml"));
+        let mut all = vec!["--settings", &settings];
+        all.extend_from_slice(arguments);
+        process::run("loftcove", &all).await
+    }
+
+    /// Proposes a bundle's text and returns its digest.
+    pub async fn propose(&self, operator: &str, name: &str, text: &str) -> String {
+        let file = self.folder.write(name, text);
+        let proposed = self.tool(operator, &["bundle", "propose", &file]).await;
+        assert!(proposed.success, "{proposed:?}");
+        proposed.stdout.trim().to_owned()
+    }
+
+    /// A caller at an entry host.
+    pub fn caller(&self, host: &str) -> caller::Caller {
+        let http = self.members[host].http.expect("the member is an entry host");
+        caller::Caller::new(http, TOKEN)
+    }
+
+    /// A caller past the system at a backend server.
+    pub fn direct(&self, host: &str) -> caller::Caller {
+        let server = self.members[host].server.as_ref().expect("the member is an agent");
+        caller::Caller::new(server.address, "")
+    }
+
+    /// Entry hosts.
+    pub fn entries(&self) -> Vec<String> {
+        let entries = self.members.values().filter(|member| member.http.is_some());
+        entries.map(|member| member.host.clone()).collect()
+    }
+
+    /// Agents of a backend.
+    pub fn agents(&self, backend: &str) -> Vec<String> {
+        let of = |member: &&Member| {
+            member.server.as_ref().is_some_and(|server| server.backend == backend)
+        };
+        self.members.values().filter(of).map(|member| member.host.clone()).collect()
+    }
+
+    /// How often the plain service ran the call under a key, over all servers.
+    pub async fn runs(&self, key: &str) -> u64 {
+        let mut sum = 0;
+        for agent in self.agents(SERVICE) {
+            let runs = self.direct(&agent).read("/standin/runs").await;
+            sum += runs[key].as_u64().unwrap_or(0);
+        }
+        sum
+    }
+
+    /// Status of all processes, by host.
+    pub async fn status(&self) -> BTreeMap<String, serde_json::Value> {
+        let output = self.tool("ana", &["--json", "status"]).await;
+        let all: Vec<serde_json::Value> = serde_json::from_str(&output.stdout).unwrap_or_default();
+        all.into_iter()
+            .map(|one| (one["host"].as_str().unwrap_or_default().to_owned(), one))
+            .collect()
+    }
+
+    /// Waits until every process serves, every entry host may use every
+    /// server, and the homes of keys can be asked.
+    pub async fn ready(&self) {
+        until("all processes serve", || async {
+            let status = self.status().await;
+            status.len() == self.members.len() && status.values().all(is_serving)
+        })
+        .await;
+        for host in self.entries() {
+            self.keys_ready(&host).await;
+        }
+    }
+
+    /// Waits until an entry host answers calls under fresh keys.
+    pub async fn keys_ready(&self, host: &str) {
+        if self.plan.services == 0 {
+            return;
+        }
+        let caller = self.caller(host);
+        until("keys are granted", || async {
+            for _ in 0..8 {
+                let key = uuid::Uuid::now_v7().to_string();
+                if caller.deliver(SERVICE, &key, &[]).await.outcome() != "answered" {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+    }
+}
+
+fn is_serving(status: &serde_json::Value) -> bool {
+    let servers = status["servers"].as_array().cloned().unwrap_or_default();
+    let usable = servers.iter().all(|server| server["state"] == "usable");
+    status["phase"] == "serving" && !servers.is_empty() && usable
+}
+
+fn source_address(zone: usize) -> String {
+    format!("127.0.{}.1", zone + 10)
+}
+
+async fn target(
+    proxy: &mut process::Process,
+    label: &str,
+    zone: &str,
+    address: SocketAddr,
+) -> SocketAddr {
+    let answer = proxy.tell(&format!("target {label} {zone} {address}")).await;
+    let last = answer.split_whitespace().last().unwrap_or_default();
+    last.parse().unwrap_or_else(|_| panic!("the proxy said `{answer}`"))
+}
+
+fn listing(member: &Member) -> serde_json::Value {
+    let (role, backend, rank) = match &member.server {
+        None => ("entry", String::new(), String::new()),
+        Some(server) => {
+            let rank = server.rank.map(|rank| rank.to_string()).unwrap_or_default();
+            ("agent", server.backend.clone(), rank)
+        }
+    };
+    let state = if member.leaving { "leaving" } else { "live" };
+    serde_json::json!({ "Service": {
+        "ID": member.host,
+        "Address": member.listed.ip().to_string(),
+        "Port": member.listed.port(),
+        "Meta": {
+            "zone": member.zone, "role": role, "backend": backend, "rank": rank, "state": state,
+        },
+    }})
+}
--- /dev/null
+++ b/tests/src/lib.rs
@@ -0,0 +1,33 @@
+//! A whole deployment of real processes on loopback, for the end-to-end tests
+//! and the demo.
+//!
+//! [`process`] runs one program, [`cluster`] a deployment of them with the
+//! stand-ins and the fault-injecting proxy between any two, [`caller`] asks
+//! as a caller would. Nothing waits for a fixed time: [`until`] waits for a
+//! condition.
+
+pub mod caller;
+pub mod cluster;
+pub mod process;
+
+use std::future::Future;
+use std::time::Duration;
+
+/// Longest wait for any condition: far above what it takes, so that a slow
+/// machine does not change the verdict.
+pub const PATIENCE: Duration = Duration::from_secs(90);
+
+/// Waits until the condition holds.
+///
+/// # Panics
+///
+/// If it does not hold in the end; `what` says what was waited for.
+pub async fn until<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+    let held = async {
+        while !condition().await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let ended = tokio::time::timeout(PATIENCE, held).await;
+    assert!(ended.is_ok(), "waited in vain until {what}");
+}
--- /dev/null
+++ b/tests/src/process.rs
@@ -0,0 +1,156 @@
+//! One program under test.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::{Arc, Mutex};
+
+use tokio::io::{AsyncBufReadExt as _, AsyncWriteExt as _, BufReader, Lines};
+use tokio::process::{ChildStdin, ChildStdout, Command};
+
+/// A running program; it is killed when dropped.
+pub struct Process {
+    child: tokio::process::Child,
+    stdin: ChildStdin,
+    stdout: Lines<BufReader<ChildStdout>>,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+/// Path of a program of this workspace, beside the running test or program.
+pub fn program(name: &str) -> PathBuf {
+    let own = std::env::current_exe().expect("the running program has a path");
+    let folder = own.ancestors().find(|folder| folder.join(name).is_file());
+    folder.unwrap_or_else(|| panic!("{name} is not built: run scripts/test.sh")).join(name)
+}
+
+impl Process {
+    /// Starts a program and keeps what it logs.
+    pub fn start(name: &str, arguments: &[String]) -> Process {
+        let mut child = Command::new(program(name))
+            .args(arguments)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("the program starts");
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let stderr = child.stderr.take().expect("standard error is piped");
+        let kept = log.clone();
+        let name = name.to_owned();
+        tokio::spawn(async move {
+            let mut lines = BufReader::new(stderr).lines();
+            while let Ok(Some(line)) = lines.next_line().await {
+                if std::env::var_os("LOFTCOVE_LOG").is_some() {
+                    eprintln!("[{name}] {line}");
+                }
+                kept.lock().expect("no holder of the log panics").push(line);
+            }
+        });
+        let stdin = child.stdin.take().expect("standard input is piped");
+        let stdout = child.stdout.take().expect("standard output is piped");
+        Process { child, stdin, stdout: BufReader::new(stdout).lines(), log }
+    }
+
+    /// Reads the next line, `listening [WHAT] ADDRESS`.
+    pub async fn address(&mut self) -> SocketAddr {
+        let line = self.line().await;
+        let last = line.split_whitespace().last().unwrap_or_default();
+        last.parse().unwrap_or_else(|_| panic!("no address in `{line}`: {:?}", self.log()))
+    }
+
+    /// Reads the next line.
+    pub async fn line(&mut self) -> String {
+        let line = self.stdout.next_line().await.expect("standard output can be read");
+        line.unwrap_or_else(|| panic!("the program ended: {:?}", self.log()))
+    }
+
+    /// Sends a line and reads the answer.
+    pub async fn tell(&mut self, line: &str) -> String {
+        let text = format!("{line}\n");
+        self.stdin.write_all(text.as_bytes()).await.expect("the program reads its input");
+        self.line().await
+    }
+
+    /// What it has logged.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().expect("no holder of the log panics").clone()
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: i32) {
+        let Some(id) = self.child.id() else { return };
+        #[allow(unsafe_code, reason = "the system call has no safe form in the library")]
+        // SAFETY: the id is of a child that was started here and not waited for yet.
+        let sent = unsafe { libc::kill(id as i32, signal) };
+        assert_eq!(sent, 0, "the signal is sent");
+    }
+
+    /// Kills it and waits for its end.
+    pub async fn kill(&mut self) {
+        self.child.kill().await.expect("the program can be killed");
+    }
+
+    /// Waits for its end; returns whether it ended well.
+    pub async fn wait(&mut self) -> bool {
+        self.child.wait().await.expect("the program can be waited for").success()
+    }
+}
+
+/// What a program that ended said.
+#[derive(Debug)]
+pub struct Output {
+    /// Whether it ended well.
+    pub success: bool,
+    /// Its standard output.
+    pub stdout: String,
+    /// Its standard error.
+    pub stderr: String,
+}
+
+/// Runs a program to its end.
+pub async fn run(name: &str, arguments: &[&str]) -> Output {
+    let output = Command::new(program(name)).args(arguments).output().await;
+    let output = output.expect("the program starts");
+    Output {
+        success: output.status.success(),
+        stdout: String::from_utf8_lossy(&output.stdout).into_owned(),
+        stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
+    }
+}
+
+/// A folder for settings; removed when dropped.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    /// Makes a new one.
+    pub fn new() -> Folder {
+        let path = std::env::temp_dir().join(format!("loftcove-{}", uuid::Uuid::now_v7()));
+        std::fs::create_dir_all(&path).expect("a folder can be made");
+        Folder(path)
+    }
+
+    /// Writes a file in it and returns its path.
+    pub fn write(&self, name: &str, text: &str) -> String {
+        let path = self.path(name);
+        std::fs::write(&path, text).expect("a file can be written");
+        path
+    }
+
+    /// Path of a file in it.
+    pub fn path(&self, name: &str) -> String {
+        Path::new(&self.0).join(name).to_string_lossy().into_owned()
+    }
+}
+
+impl Default for Folder {
+    fn default() -> Folder {
+        Folder::new()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        std::fs::remove_dir_all(&self.0).ok();
+    }
+}
--- /dev/null
+++ b/tool/src/bundle.rs
@@ -0,0 +1,258 @@
+//! Commands about bundles.
+
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+use bytes::Bytes;
+use loftcove_bundle::{content, envelope, sign};
+use loftcove_platform::key;
+use loftcove_platform::store::{self, Store as _};
+
+use crate::{Context, error};
+
+/// Runs one of the commands. Those that need no platform need no settings.
+pub async fn run(
+    context: impl Fn() -> Result<Context, error::Error>,
+    arguments: &mut pico_args::Arguments,
+) -> Result<(), error::Error> {
+    match arguments.subcommand()?.as_deref() {
+        Some("check") => check(&arguments.free_from_str::<PathBuf>()?),
+        Some("propose") => propose(&context()?, &arguments.free_from_str::<PathBuf>()?).await,
+        Some("approve") => approve(&context()?, &arguments.free_from_str::<String>()?).await,
+        Some("roll-forward") => {
+            roll_forward(&context()?, &arguments.free_from_str::<String>()?).await
+        }
+        Some("withdraw") => withdraw(&context()?).await,
+        Some("status") => status(&context()?).await,
+        Some("history") => history(&context()?).await,
+        Some("diff") => {
+            let old = arguments.free_from_str::<PathBuf>()?;
+            diff(&old, &arguments.free_from_str::<PathBuf>()?)
+        }
+        other => Err(error::Error::Command(format!("bundle {}", other.unwrap_or_default()))),
+    }
+}
+
+fn read(file: &Path) -> Result<(String, content::Content), error::Error> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|source| error::Error::File { file: file.to_owned(), source })?;
+    let content = content::Content::parse(&text)?;
+    Ok((text, content))
+}
+
+fn check(file: &Path) -> Result<(), error::Error> {
+    let (text, _) = read(file)?;
+    println!("{}: ok, digest {}", file.display(), sign::Digest::of(&text));
+    Ok(())
+}
+
+fn diff(old: &Path, new: &Path) -> Result<(), error::Error> {
+    let lines = |content: &content::Content| -> Vec<String> {
+        content.to_string().lines().map(str::to_owned).collect()
+    };
+    let (old, new) = (lines(&read(old)?.1), lines(&read(new)?.1));
+    let (old_set, new_set): (BTreeSet<_>, BTreeSet<_>) =
+        (old.iter().collect(), new.iter().collect());
+    for line in old.iter().filter(|line| !new_set.contains(line)) {
+        println!("- {line}");
+    }
+    for line in new.iter().filter(|line| !old_set.contains(line)) {
+        println!("+ {line}");
+    }
+    Ok(())
+}
+
+/// Writes a value and tells whether it was this write that took effect.
+async fn write(
+    context: &Context,
+    name: &str,
+    expected: store::Revision,
+    value: Vec<u8>,
+) -> Result<store::Fate, error::Error> {
+    let value: Bytes = value.into();
+    store::swap_settled(&context.platform, name, expected, value)
+        .await
+        .map_err(error::Error::Unsettled)
+}
+
+async fn load<T: serde::de::DeserializeOwned>(
+    context: &Context,
+    name: &str,
+) -> Result<Option<(store::Revision, T)>, error::Error> {
+    let Some(entry) = context.platform.get(name).await? else { return Ok(None) };
+    let value = serde_json::from_slice(&entry.value)
+        .map_err(|source| error::Error::Stored { key: name.to_owned(), source })?;
+    Ok(Some((entry.revision, value)))
+}
+
+async fn propose(context: &Context, file: &Path) -> Result<(), error::Error> {
+    let (text, content) = read(file)?;
+    if content.deployment != context.settings.deployment {
+        return Err(error::Error::Deployment(content.deployment));
+    }
+    let digest = sign::Digest::of(&text);
+    let proposer = context.signer()?.sign(sign::Step::Proposal, digest);
+    let proposal = envelope::Proposal { text, proposer, approver: None };
+    let name = key::proposal(&context.settings.deployment, &digest.to_string());
+    // A text that was proposed before stays its first proposer's.
+    write(context, &name, 0, serde_json::to_vec(&proposal)?).await?;
+    println!("{digest}");
+    Ok(())
+}
+
+async fn proposal(
+    context: &Context,
+    digest: &str,
+) -> Result<(store::Revision, envelope::Proposal), error::Error> {
+    let name = key::proposal(&context.settings.deployment, digest);
+    load(context, &name).await?.ok_or_else(|| error::Error::NoProposal(digest.to_owned()))
+}
+
+async fn approve(context: &Context, digest: &str) -> Result<(), error::Error> {
+    let digest = sign::Digest::parse(digest)?;
+    let (revision, mut proposal) = proposal(context, &digest.to_string()).await?;
+    let found = sign::Digest::of(&proposal.text);
+    if found != digest {
+        return Err(loftcove_bundle::error::Error::Digest { found, signed: digest }.into());
+    }
+    context.keyring()?.verify(sign::Step::Proposal, digest, &proposal.proposer)?;
+    content::Content::parse(&proposal.text)?;
+    let signer = context.signer()?;
+    if proposal.proposer.operator == *signer.name() {
+        let operator = signer.name().clone();
+        return Err(loftcove_bundle::error::Error::SelfApproved { operator }.into());
+    }
+    if let Some(approver) = proposal.approver {
+        let operator = approver.operator;
+        return Err(error::Error::Approved { digest: digest.to_string(), operator });
+    }
+    proposal.approver = Some(signer.sign(sign::Step::Approval, digest));
+    let name = key::proposal(&context.settings.deployment, &digest.to_string());
+    match write(context, &name, revision, serde_json::to_vec(&proposal)?).await? {
+        store::Fate::Won(_) => {
+            println!("approved {digest}");
+            Ok(())
+        }
+        store::Fate::Conflict(_) => Err(error::Error::ProposalConflict),
+    }
+}
+
+async fn in_force(
+    context: &Context,
+) -> Result<Option<(store::Revision, envelope::Envelope)>, error::Error> {
+    load(context, &key::force(&context.settings.deployment)).await
+}
+
+async fn roll_forward(context: &Context, digest: &str) -> Result<(), error::Error> {
+    let (_, proposal) = proposal(context, digest).await?;
+    let approver = proposal.approver.ok_or_else(|| error::Error::NotApproved(digest.to_owned()))?;
+    let present = in_force(context).await?;
+    put_in_force(context, present, proposal.text, proposal.proposer, approver).await
+}
+
+async fn withdraw(context: &Context) -> Result<(), error::Error> {
+    let present = in_force(context).await?.ok_or(error::Error::NothingInForce)?;
+    let generation = present.1.roll.generation;
+    let before = generation.saturating_sub(1);
+    let name = key::past(&context.settings.deployment, before);
+    let past: Option<(store::Revision, envelope::Envelope)> = load(context, &name).await?;
+    let (_, past) = past.ok_or(error::Error::NoPast(generation))?;
+    put_in_force(context, Some(present), past.text, past.proposer, past.approver).await
+}
+
+/// Rolls a signed text as the next generation, over what was last read.
+async fn put_in_force(
+    context: &Context,
+    present: Option<(store::Revision, envelope::Envelope)>,
+    text: String,
+    proposer: sign::Mark,
+    approver: sign::Mark,
+) -> Result<(), error::Error> {
+    let (revision, generation) =
+        present.as_ref().map_or((0, 0), |(revision, past)| (*revision, past.roll.generation));
+    let digest = sign::Digest::of(&text);
+    let nonce = format!("{:032x}", rand::random::<u128>());
+    let roll = context.signer()?.roll(digest, generation + 1, nonce);
+    let envelope = envelope::Envelope { text, proposer, approver, roll };
+    envelope.open(&context.keyring()?)?;
+    if let Some((_, past)) = &present {
+        // Before it is replaced, the present one must be where `withdraw` looks.
+        archive(context, past).await?;
+    }
+    let name = key::force(&context.settings.deployment);
+    match write(context, &name, revision, serde_json::to_vec(&envelope)?).await? {
+        store::Fate::Won(_) => {
+            println!("generation {} in force, digest {digest}", generation + 1);
+            Ok(())
+        }
+        store::Fate::Conflict(_) => Err(conflict(context).await?),
+    }
+}
+
+async fn archive(context: &Context, past: &envelope::Envelope) -> Result<(), error::Error> {
+    let name = key::past(&context.settings.deployment, past.roll.generation);
+    // One that is there already is the same: a generation is won once.
+    write(context, &name, 0, serde_json::to_vec(past)?).await.map(drop)
+}
+
+async fn conflict(context: &Context) -> Result<error::Error, error::Error> {
+    let (_, winner) = in_force(context).await?.ok_or(error::Error::NothingInForce)?;
+    let operator = winner.roll.mark.operator.clone();
+    Ok(error::Error::Conflict { operator, generation: winner.roll.generation })
+}
+
+fn print_envelope(context: &Context, envelope: &envelope::Envelope) {
+    let digest = envelope.digest();
+    let roll = &envelope.roll;
+    if context.json {
+        let value = serde_json::json!({
+            "generation": roll.generation,
+            "digest": digest,
+            "proposer": envelope.proposer.operator,
+            "approver": envelope.approver.operator,
+            "rolled_by": roll.mark.operator,
+        });
+        println!("{value}");
+        return;
+    }
+    println!(
+        "generation={} digest={digest} proposer={} approver={} rolled_by={}",
+        roll.generation, envelope.proposer.operator, envelope.approver.operator, roll.mark.operator
+    );
+}
+
+async fn status(context: &Context) -> Result<(), error::Error> {
+    if let Some((_, envelope)) = in_force(context).await? {
+        print_envelope(context, &envelope);
+    }
+    for name in context.platform.list(&key::proposals(&context.settings.deployment)).await? {
+        let Some((_, proposal)) = load::<envelope::Proposal>(context, &name).await? else {
+            continue;
+        };
+        let digest = sign::Digest::of(&proposal.text);
+        let proposer = &proposal.proposer.operator;
+        let approver = proposal.approver.map(|mark| mark.operator);
+        if context.json {
+            let value = serde_json::json!({
+                "proposal": digest, "proposer": proposer, "approver": approver,
+            });
+            println!("{value}");
+        } else {
+            let approver = approver.as_deref().unwrap_or("none");
+            println!("proposal={digest} proposer={proposer} approver={approver}");
+        }
+    }
+    Ok(())
+}
+
+async fn history(context: &Context) -> Result<(), error::Error> {
+    for name in context.platform.list(&key::history(&context.settings.deployment)).await? {
+        if let Some((_, envelope)) = load::<envelope::Envelope>(context, &name).await? {
+            print_envelope(context, &envelope);
+        }
+    }
+    if let Some((_, envelope)) = in_force(context).await? {
+        print_envelope(context, &envelope);
+    }
+    Ok(())
+}
