Check the decisions under generated event orders, and mend what that found

Cause: the promises rest on small state machines, which had no tests of their own.

Found, cause first, each with the case that shows it: - attempts: a tombstone that was `end`ed turned into "ended": any record could change. Only a running one may now. - maps: bringing a restarted rank back to the map in force, while a change was being prepared, made its engine drop what it had prepared, and the group held after the commit. The change is now given up first, by compare-and-swap, so its driver cannot commit; and a change only begins once all ranks are on the map in force. - homes: "no promise once a take-over has begun" turned out not to be needed: the new home's floor counts from its learning, which is later than any promise. Removed, and the argument in `home::keeper` restated.

--- a/daemon/src/entry/drive.rs
+++ b/daemon/src/entry/drive.rs
@@ -134,7 +134,10 @@
         let Some((revision, record)) = self.read().await else { return };
         self.with_group(|group| group.record = Some((revision, record.clone())));
         self.reconcile(&record, revision, epochs).await;
-        if due {
+        // An engine keeps the active map and the newest: the next one is
+        // proposed only when no rank needs the one between.
+        let settled = epochs.iter().all(|epoch| *epoch == record.active_epoch().0);
+        if due && settled {
             self.with_group(|group| group.decided = Some(Instant::now()));
             self.decide(record, revision).await;
         }
@@ -162,21 +165,33 @@
         Some((entry.revision, record))
     }
 
-    /// Brings ranks that step on another map, as after a restart, to the one in force.
-    async fn reconcile(&self, record: &record::Record, revision: store::Revision, epochs: &[u64]) {
+    /// Brings ranks that step on another map, as after a restart, to the one in
+    /// force. A change that another driver has under way is given up first:
+    /// preparing the map in force again could displace what it prepared.
+    async fn reconcile(
+        &self,
+        record: &record::Record,
+        mut revision: store::Revision,
+        epochs: &[u64],
+    ) {
         let Some(map) = &record.active else { return };
-        if map.layout.shape != self.shape {
+        let lagging = epochs.iter().any(|epoch| *epoch != map.epoch.0);
+        if map.layout.shape != self.shape || !lagging {
             return;
         }
+        if record.next.is_some() {
+            let given_up = self.write(record.abandon(nonce()), &mut revision).await;
+            if !matches!(given_up, change::Event::Written(_)) {
+                return;
+            }
+        }
         let fence = gate::Fence(revision);
         for (rank, epoch) in epochs.iter().enumerate() {
             if *epoch != map.epoch.0 {
                 self.order(rank, wire::Action::Prepare, map, fence).await;
             }
         }
-        if epochs.first() != Some(&map.epoch.0) {
-            self.order(0, wire::Action::Activate, map, fence).await;
-        }
+        self.order(0, wire::Action::Activate, map, fence).await;
     }
 
     async fn decide(&self, record: record::Record, revision: store::Revision) {
@@ -241,7 +256,6 @@
         revision: store::Revision,
         next: layout::Layout,
     ) {
-        let nonce = || format!("{:032x}", rand::random::<u128>());
         let (mut driver, first) = change::Driver::begin(&record, next, [nonce(), nonce()]);
         let mut commands = vec![first];
         let mut revision = revision;
@@ -325,6 +339,11 @@
     }
 }
 
+/// Marks one write, so that it can be found again if its answer is lost.
+fn nonce() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
 /// Adds one rank's counts; what names an unknown layer or expert is left out.
 fn add(load: &mut load::Load, counts: &wire::Counts, shape: layout::Shape) {
     for (layer, row) in counts.layers.iter().enumerate().take(shape.layers as usize) {
--- a/decision/src/attempt.rs
+++ b/decision/src/attempt.rs
@@ -106,12 +106,12 @@
     /// Records that an attempt which was started has been taken back before
     /// anything of it was handed over; it never ran.
     pub fn withdraw(&mut self, id: Id) {
-        self.set(id, Phase::Never);
+        self.leave_running(id, Phase::Never);
     }
 
     /// Records that a started attempt has ended.
     pub fn end(&mut self, id: Id) {
-        self.set(id, Phase::Ended);
+        self.leave_running(id, Phase::Ended);
     }
 
     /// Tells what became of an attempt, and forbids one that has not started.
@@ -144,8 +144,10 @@
         self.records.is_empty()
     }
 
-    fn set(&mut self, id: Id, phase: Phase) {
-        if let Some(record) = self.records.get_mut(&id) {
+    /// Only a running attempt may change: a tombstone stays one.
+    fn leave_running(&mut self, id: Id, phase: Phase) {
+        let running = self.records.get_mut(&id).filter(|record| record.phase == Phase::Running);
+        if let Some(record) = running {
             record.phase = phase;
         }
     }
--- a/decision/src/home/keeper.rs
+++ b/decision/src/home/keeper.rs
@@ -2,16 +2,18 @@
 //!
 //! Why no key is granted twice. A home grants only while its lease holds. The
 //! lease comes from a read of the platform that showed it as the home, and
-//! runs out [`Rules::lease`] after that read began; or, during an outage of the platform, from
-//! its witness's promise not to take over, at most [`Rules::grace`] after that
-//! read. A new home learns of its slot only after the change was written, so the
-//! old one's last showing read is older, and the old lease ends at most
-//! [`Rules::lease`] after the learning where the witness took over (its promise
-//! had run out), and at most [`Rules::grace`] after it otherwise. A home grants
-//! only keys that are not made later than its clock plus the bound on skew; a
-//! new home grants only keys made after the old lease's last possible end plus
-//! twice that bound. So the keys that the two may grant are disjoint by their
-//! own times, however late any message or process wakes.
+//! runs out [`Rules::lease`] after that read began; or, during an outage of
+//! the platform, from its witness's promises, at most [`Rules::grace`] after
+//! that read. A new home learns of its slot only after the change was written,
+//! so the old one's last showing read is older than the learning. If the
+//! witness took over, it gave its last promise before it learnt, and a promise
+//! is as long as a lease: the old lease ends at most [`Rules::lease`] after
+//! the learning. If anybody else did, it ends at most [`Rules::grace`] after
+//! it. A home grants only keys that are not made later than its clock plus the
+//! bound on skew; a new home grants only keys made after the old lease's last
+//! possible end plus twice that bound. So the keys that the two may grant are
+//! disjoint by their own times, however late any message or process wakes.
+//! `decision/tests/homes.rs` runs this under generated orders of events.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -104,15 +106,14 @@
     table: table::Table,
     /// When the last read that confirmed the table began.
     confirmed: Option<clock::Instant>,
-    /// Set while a change of its own is in flight: old promises do not count.
+    /// Set while a change of its own witnesses is in flight: whom it relies on
+    /// is not known, so promises do not count.
     unsettled: bool,
     retired: bool,
     /// Promises of witnesses, by host, with their ends.
     promises: BTreeMap<Arc<str>, clock::Instant>,
     /// As a witness: when each home was last heard and how long it was promised.
     heard: BTreeMap<Arc<str>, clock::Instant>,
-    /// As a witness: homes that it has begun to take over.
-    taking: Vec<Arc<str>>,
     floors: BTreeMap<entity::Slot, Floor>,
     keys: BTreeMap<key::Key, Record>,
     horizon: clock::Wall,
@@ -139,7 +140,6 @@
             retired: false,
             promises: BTreeMap::new(),
             heard: BTreeMap::new(),
-            taking: Vec::new(),
             floors: BTreeMap::new(),
             keys: BTreeMap::new(),
             horizon: clock::Wall::default(),
@@ -184,7 +184,6 @@
         self.table = table;
         self.confirmed = Some(began);
         self.unsettled = false;
-        self.taking.clear();
         self.learn_floors(wall);
     }
 
@@ -292,21 +291,21 @@
             .slots
             .iter()
             .any(|entry| entry.home == *home && entry.witness.as_ref() == Some(&self.me.host));
-        if !mine || self.retired || self.taking.contains(&home.host) {
+        if !mine || self.retired {
             return Duration::ZERO;
         }
         self.heard.insert(home.host.clone(), now);
         self.rules.lease
     }
 
-    /// As a witness: homes whose last promise has run out, and that were
-    /// silent for as long again.
+    /// As a witness: homes that were silent for longer than a lost message or
+    /// two explain.
     pub fn silent(&self, now: clock::Instant) -> Vec<table::Holder> {
         let quiet = self.rules.lease * 2;
         let mut silent: Vec<table::Holder> = Vec::new();
         for entry in &self.table.slots {
             let mine = entry.witness.as_ref() == Some(&self.me.host);
-            // A promise of an earlier run of this witness has run out, too.
+            // A run that has just started gives every home time to speak.
             let since = self.heard.get(&entry.home.host).copied().unwrap_or(self.started);
             let known = silent.iter().any(|home| home.host == entry.home.host);
             if mine && !known && now.since(since.max(self.started)) > quiet {
@@ -316,15 +315,12 @@
         silent
     }
 
-    /// Begins to take a silent home's slots over: no promise is given from
-    /// here until the platform is read again.
+    /// The table with a silent home's slots taken over by this witness.
     pub fn take_over(
         &mut self,
         home: &table::Holder,
         elected: &[table::Candidate],
     ) -> table::Table {
-        self.taking.push(home.host.clone());
-        self.unsettled = true;
         let mut next = self.table.clone();
         let me = self.me.clone();
         next.reassign(
@@ -338,7 +334,7 @@
 
     /// The table with the slots of this host's earlier run taken by this run,
     /// if there are any.
-    pub fn retake(&mut self, elected: &[table::Candidate]) -> Option<table::Table> {
+    pub fn retake(&self, elected: &[table::Candidate]) -> Option<table::Table> {
         let mut next = self.table.clone();
         let me = self.me.clone();
         let changed = next.reassign(
@@ -347,7 +343,6 @@
             elected,
             table::Way::Retaken,
         );
-        self.unsettled |= changed;
         changed.then_some(next)
     }
 
--- a/decision/src/map/record.rs
+++ b/decision/src/map/record.rs
@@ -55,6 +55,12 @@
         Record { nonce, highest: self.highest, active, next: None }
     }
 
+    /// The record that gives up what is being prepared, so that whoever drives
+    /// that change can no longer commit it.
+    pub fn abandon(&self, nonce: String) -> Record {
+        Record { nonce, highest: self.highest, active: self.active.clone(), next: None }
+    }
+
     /// Epoch in force.
     pub fn active_epoch(&self) -> Epoch {
         self.active.as_ref().map_or(Epoch::default(), |map| map.epoch)
