--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,1 +1,17 @@
-//! x
+//! Measurements of the decisions, and of the path through real processes.
+//!
+//! [`fleet`] drives the entry hosts' real decision machines against fake
+//! backend servers, [`routing`] and [`overload`] ask it their questions.
+//! [`drift`] makes loads of experts that change, [`placement`] compares the
+//! policies over them. [`path`] measures real processes, [`capacity`] the slopes
+//! that `docs/CAPACITY.md` is worked out from. Everything but [`path`] and the
+//! times in [`capacity`] is counted work and the same in every run; the bounds
+//! in `bench/tests` hold it there.
+
+pub mod capacity;
+pub mod drift;
+pub mod fleet;
+pub mod overload;
+pub mod path;
+pub mod placement;
+pub mod routing;
--- /dev/null
+++ b/bench/src/path.rs
@@ -0,0 +1,116 @@
+//! The cost of the path: entry host and agent, against a direct call to the
+//! same backend server in the same run.
+
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use loftcove_tests::{caller, cluster, process};
+
+/// Calls of each kind.
+const CALLS: usize = 3_000;
+/// Streams at a time, and tokens of each.
+const STREAMS: usize = 8;
+/// See [`STREAMS`].
+const TOKENS: u64 = 2_000;
+/// Streams that are open while memory is measured.
+const OPEN: usize = 200;
+
+/// Prints the measurement.
+pub fn print() {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()
+        .expect("the runtime starts");
+    runtime.block_on(measure());
+}
+
+fn plan() -> cluster::Plan {
+    cluster::Plan {
+        zones: vec!["sala-braga"],
+        entries: 1,
+        ranks: 1,
+        step_us: 1_000,
+        slots: 256,
+        ..cluster::Plan::default()
+    }
+}
+
+async fn measure() {
+    let cluster = cluster::Cluster::start(plan()).await;
+    let host = cluster.entries().remove(0);
+    let through = cluster.caller(&host);
+    let sms = cluster.agents(cluster::SERVICE).remove(0);
+    let direct = cluster.direct(&sms);
+    let path = format!("/services/{}/send", cluster::SERVICE);
+    calls(&direct, "/send", 300).await;
+    calls(&through, &path, 300).await;
+    let alone = calls(&direct, "/send", CALLS).await;
+    let before = usage(&cluster, &[&host, &sms]);
+    let both = calls(&through, &path, CALLS).await;
+    let after = usage(&cluster, &[&host, &sms]);
+    let us = |histogram: &Histogram<u64>, quantile| histogram.value_at_quantile(quantile);
+    println!("direct  p50={}us p95={}us", us(&alone, 0.5), us(&alone, 0.95));
+    println!("through p50={}us p95={}us", us(&both, 0.5), us(&both, 0.95));
+    println!("added   p50={}us", us(&both, 0.5).saturating_sub(us(&alone, 0.5)));
+    for (name, index) in [("entry", 0), ("agent", 1)] {
+        let cpu = after[index].cpu - before[index].cpu;
+        println!("cpu per request {name}={}us", cpu.as_micros() / CALLS as u128);
+    }
+    tokens(&cluster, &host, &through).await;
+    memory(&cluster, &host, &through).await;
+}
+
+fn usage(cluster: &cluster::Cluster, hosts: &[&str]) -> Vec<process::Usage> {
+    hosts.iter().map(|host| cluster.members[*host].process.usage()).collect()
+}
+
+/// Calls one after the other; times in microseconds.
+async fn calls(caller: &caller::Caller, path: &str, count: usize) -> Histogram<u64> {
+    let mut times = Histogram::new(3).expect("three digits are allowed");
+    for _ in 0..count {
+        let began = Instant::now();
+        let answer = caller.ask("POST", path, &[], "{}").await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        times.record(began.elapsed().as_micros() as u64).unwrap_or_default();
+    }
+    times
+}
+
+async fn tokens(cluster: &cluster::Cluster, host: &str, through: &caller::Caller) {
+    let rank = cluster.agents(&cluster::group("sala-braga")).remove(0);
+    let before = usage(cluster, &[host, &rank]);
+    let began = Instant::now();
+    let streams = (0..STREAMS).map(|_| {
+        let caller = through.clone();
+        tokio::spawn(async move { caller.chat(cluster::MODEL, true, TOKENS).await.tokens() })
+    });
+    let mut sum = 0;
+    for stream in streams.collect::<Vec<_>>() {
+        sum += stream.await.expect("the stream ends");
+    }
+    let elapsed = began.elapsed();
+    let after = usage(cluster, &[host, &rank]);
+    assert_eq!(sum, STREAMS * TOKENS as usize);
+    println!("tokens={sum} rate={:.0}/s", sum as f64 / elapsed.as_secs_f64());
+    for (name, index) in [("entry", 0), ("agent", 1)] {
+        let cpu = (after[index].cpu - before[index].cpu).as_secs_f64() / sum as f64;
+        println!("cpu per token {name}={:.1}us, at 4500/s {:.3} cores", cpu * 1e6, cpu * 4_500.0);
+    }
+}
+
+async fn memory(cluster: &cluster::Cluster, host: &str, through: &caller::Caller) {
+    let prompt = caller::prompt(cluster::MODEL, true, 1_000_000);
+    let before = usage(cluster, &[host]).remove(0);
+    let mut open = Vec::new();
+    while open.len() < OPEN {
+        let headers = [("loftcove-deadline-ms", "60000")];
+        let answer = through.open("POST", "/v1/chat/completions", &headers, &prompt).await;
+        open.extend(answer.filter(|answer| answer.status() == 200));
+    }
+    // The streams' buffers fill while nobody reads.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let after = usage(cluster, &[host]).remove(0);
+    let each = (after.memory.saturating_sub(before.memory)) / OPEN as u64;
+    println!("memory idle={} per unread stream={each} bytes", before.memory);
+}
--- /dev/null
+++ b/tests/tests/bundles.rs
@@ -0,0 +1,138 @@
+//! An accepted bundle is in force everywhere and never reverts.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::time::Instant;
+
+use base64::Engine as _;
+use loftcove_tests::{caller, cluster, until};
+
+/// Proposes, approves and rolls a bundle with a comment that makes it new.
+async fn roll(cluster: &cluster::Cluster, mark: &str, extra: &str) -> bool {
+    let text = format!("# {mark}\n{}", cluster.bundle(extra));
+    let digest = cluster.propose("ana", "next.toml", &text).await;
+    cluster.tool("bruno", &["bundle", "approve", &digest]).await;
+    cluster.tool("ana", &["bundle", "roll-forward", &digest]).await.success
+}
+
+async fn generations(cluster: &cluster::Cluster) -> Vec<u64> {
+    let status = cluster.status().await;
+    status.values().filter_map(|one| one["generation"].as_u64()).collect()
+}
+
+async fn in_force_everywhere(cluster: &cluster::Cluster, generation: u64) {
+    until(&format!("generation {generation} is in force everywhere"), || async {
+        let all = generations(cluster).await;
+        assert!(all.iter().all(|one| *one <= generation), "{all:?}");
+        all.len() == cluster.members.len() && all.iter().all(|one| *one == generation)
+    })
+    .await;
+}
+
+async fn kv(cluster: &cluster::Cluster) -> (u64, Vec<u8>) {
+    let control = caller::Caller::new(cluster.platform_address, "");
+    let pairs = control.read("/v1/kv/loftcove/vale/force").await;
+    let value = pairs[0]["Value"].as_str().unwrap_or_default();
+    let value = base64::engine::general_purpose::STANDARD.decode(value).unwrap();
+    (pairs[0]["ModifyIndex"].as_u64().unwrap(), value)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bundle_spreads_and_never_reverts() {
+    let mut cluster = cluster::Cluster::start(cluster::Plan::default()).await;
+    let (_, first) = kv(&cluster).await;
+    let began = Instant::now();
+    assert!(roll(&cluster, "two", "").await);
+    in_force_everywhere(&cluster, 2).await;
+    println!("in force at {} processes after {:?}", cluster.members.len(), began.elapsed());
+    // The answer to the roll is lost after it took effect: the tool finds its mark.
+    let text = format!("# three\n{}", cluster.bundle(""));
+    let digest = cluster.propose("ana", "next.toml", &text).await;
+    cluster.tool("bruno", &["bundle", "approve", &digest]).await;
+    cluster.platform_fault("lose-write").await;
+    // The archive of the present one is written first, and loses its answer, too.
+    assert!(cluster.tool("ana", &["bundle", "roll-forward", &digest]).await.success);
+    in_force_everywhere(&cluster, 3).await;
+    // The platform comes back with an old value; no process falls back, a
+    // restarted one included.
+    let (index, third) = kv(&cluster).await;
+    let control = caller::Caller::new(cluster.platform_address, "");
+    let put = |index: u64, value: Vec<u8>| {
+        let (control, text) = (control.clone(), String::from_utf8(value).unwrap());
+        async move {
+            let path = format!("/v1/kv/loftcove/vale/force?cas={index}");
+            assert_eq!(control.ask("PUT", &path, &[], &text).await.body, "true");
+        }
+    };
+    put(index, first).await;
+    let entry = cluster.entries().remove(0);
+    cluster.members.get_mut(&entry).unwrap().process.kill().await;
+    cluster.restart(&entry).await;
+    in_force_everywhere(&cluster, 3).await;
+    // A value that nobody signed is refused by all.
+    let forged =
+        String::from_utf8(third.clone()).unwrap().replace("\"generation\":3", "\"generation\":9");
+    put(kv(&cluster).await.0, forged.into_bytes()).await;
+    let other = cluster.entries().remove(1);
+    cluster.members.get_mut(&other).unwrap().process.kill().await;
+    cluster.restart(&other).await;
+    in_force_everywhere(&cluster, 3).await;
+    put(kv(&cluster).await.0, third).await;
+    // Withdrawing is a new generation with the text before.
+    assert!(cluster.tool("carla", &["bundle", "withdraw"]).await.success);
+    in_force_everywhere(&cluster, 4).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_race_and_one_wins() {
+    let cluster = cluster::Cluster::start(cluster::Plan::default()).await;
+    let mut digests = Vec::new();
+    for (index, operator) in ["ana", "bruno", "carla"].into_iter().enumerate() {
+        let text = format!("# of {operator}\n{}", cluster.bundle(""));
+        let digest = cluster.propose(operator, &format!("{operator}-bundle.toml"), &text).await;
+        let own = cluster.tool(operator, &["bundle", "approve", &digest]).await;
+        assert!(!own.success && own.stderr.contains("may not approve"), "{own:?}");
+        let early = cluster.tool(operator, &["bundle", "roll-forward", &digest]).await;
+        assert!(early.stderr.contains("is not approved"), "{early:?}");
+        let other = ["bruno", "carla", "ana"][index];
+        assert!(cluster.tool(other, &["bundle", "approve", &digest]).await.success);
+        digests.push((operator, digest));
+    }
+    let rolls = digests.iter().map(|(operator, digest)| {
+        let cluster = &cluster;
+        async move { cluster.tool(operator, &["bundle", "roll-forward", digest]).await }
+    });
+    let ended = futures_util::future::join_all(rolls).await;
+    let won = ended.iter().filter(|one| one.success).count();
+    assert!(won >= 1, "{ended:?}");
+    for lost in ended.iter().filter(|one| !one.success) {
+        assert!(lost.stderr.contains("conflict: `"), "{lost:?}");
+    }
+    in_force_everywhere(&cluster, 1 + won as u64).await;
+    let history = cluster.tool("ana", &["bundle", "history"]).await.stdout;
+    assert_eq!(history.lines().count(), 1 + won, "{history}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_starts_in_a_cut_takes_what_its_zone_has() {
+    let mut cluster = cluster::Cluster::start(cluster::Plan::default()).await;
+    assert!(roll(&cluster, "two", "").await);
+    in_force_everywhere(&cluster, 2).await;
+    cluster.isolate("sala-porto", "cut").await;
+    cluster.link("sala-porto", "platform", "cut").await;
+    assert!(roll(&cluster, "three", "").await);
+    for host in ["entry-sala-porto-0", "entry-sala-porto-1"] {
+        cluster.members.get_mut(host).unwrap().process.kill().await;
+        cluster.restart(host).await;
+        let caller = cluster.caller(host);
+        until("the zone serves its own callers", || async {
+            caller.chat(cluster::MODEL, true, 3).await.outcome() == "answered"
+        })
+        .await;
+    }
+    let status = cluster.status().await;
+    assert_eq!(status["entry-sala-porto-0"]["generation"], 2);
+    cluster.isolate("sala-porto", "none").await;
+    // The platform stays cut: the other zone's peers bring the news.
+    in_force_everywhere(&cluster, 3).await;
+}
--- a/tests/tests/path.rs
+++ b/tests/tests/path.rs
@@ -1,5 +1,7 @@
 //! A request's whole way through real processes.
 
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
 use loftcove_tests::{cluster, until};
 
 #[tokio::test(flavor = "multi_thread")]
--- /dev/null
+++ b/tests/tests/stops.rs
@@ -0,0 +1,133 @@
+//! A planned stop cuts nothing off, and what leaves gets nothing new.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use loftcove_tests::{caller, cluster, until};
+
+#[derive(Default)]
+struct Counts {
+    whole: AtomicU64,
+    refused: AtomicU64,
+    cut: AtomicU64,
+}
+
+/// Chats through one entry host after the other; one that refuses or is not
+/// there is left for the next, as a balancer would.
+async fn chat_on(callers: Vec<caller::Caller>, counts: Arc<Counts>, stop: Arc<AtomicBool>) {
+    let mut turn = 0;
+    while !stop.load(Ordering::Relaxed) {
+        turn += 1;
+        let answer = callers[turn % callers.len()].chat(cluster::MODEL, true, 30).await;
+        let count = match answer.status {
+            200 if answer.complete && answer.tokens() == 30 => &counts.whole,
+            200 => &counts.cut,
+            _ => &counts.refused,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+        // A refusal is followed by another entry host at once.
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_restart_of_the_whole_fleet_cuts_nothing() {
+    let mut cluster = cluster::Cluster::start(cluster::Plan::default()).await;
+    let counts: Arc<Counts> = Arc::default();
+    let stop: Arc<AtomicBool> = Arc::default();
+    let callers: Vec<caller::Caller> =
+        cluster.entries().iter().map(|host| cluster.caller(host)).collect();
+    let tasks: Vec<_> = (0..8)
+        .map(|first| {
+            let mut callers = callers.clone();
+            let count = callers.len();
+            callers.rotate_left(first % count);
+            tokio::spawn(chat_on(callers, counts.clone(), stop.clone()))
+        })
+        .collect();
+    let hosts: Vec<String> = cluster.members.keys().cloned().collect();
+    for host in &hosts {
+        let before = counts.whole.load(Ordering::Relaxed);
+        until("answers flow", || async { counts.whole.load(Ordering::Relaxed) > before + 8 }).await;
+        let member = cluster.members.get_mut(host).unwrap();
+        member.process.signal(libc::SIGTERM);
+        assert!(member.process.wait().await, "{host}: {:?}", member.process.log());
+        cluster.restart(host).await;
+        until("the host serves again", || async {
+            cluster.status().await.get(host).is_some_and(|one| one["phase"] == "serving")
+        })
+        .await;
+    }
+    stop.store(true, Ordering::Relaxed);
+    for task in tasks {
+        task.await.unwrap();
+    }
+    let count = |count: &AtomicU64| count.load(Ordering::Relaxed);
+    let (whole, refused, cut) = (count(&counts.whole), count(&counts.refused), count(&counts.cut));
+    println!("restarted={} whole={whole} refused={refused} cut={cut}", hosts.len());
+    assert_eq!(cut, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_leaves_gets_nothing_new() {
+    let mut cluster = cluster::Cluster::start(cluster::Plan::default()).await;
+    let entry = cluster.entries().remove(0);
+    let caller = cluster.caller(&entry);
+    let agents = cluster.agents(cluster::SERVICE);
+    let ran = |cluster: &cluster::Cluster, agent: &str| {
+        let direct = cluster.direct(agent);
+        async move {
+            let runs = direct.read("/standin/runs").await;
+            runs.as_object().map_or(0, serde_json::Map::len)
+        }
+    };
+    // By the host list: once it has spread, the host gets nothing new.
+    cluster.set_leaving(&agents[0], true).await;
+    until("the entry host knows", || async {
+        state(&cluster, &entry, &agents[0]).await == "leaving"
+    })
+    .await;
+    let before = ran(&cluster, &agents[0]).await;
+    for _ in 0..20 {
+        let key = uuid::Uuid::now_v7().to_string();
+        caller.deliver(cluster::SERVICE, &key, &[]).await;
+    }
+    assert_eq!(ran(&cluster, &agents[0]).await, before);
+    cluster.set_leaving(&agents[0], false).await;
+    until("it is back", || async { state(&cluster, &entry, &agents[0]).await == "usable" }).await;
+    // By the bundle.
+    let text = cluster.bundle(&format!("leaving = [\"{}\"]", agents[0]));
+    let digest = cluster.propose("ana", "leaving.toml", &text).await;
+    cluster.tool("bruno", &["bundle", "approve", &digest]).await;
+    assert!(cluster.tool("ana", &["bundle", "roll-forward", &digest]).await.success);
+    until("the agent itself knows", || async {
+        state(&cluster, &agents[0], &agents[0]).await == "leaving"
+    })
+    .await;
+    // By the agent's own signal, with a call in flight that must end well.
+    let key = uuid::Uuid::now_v7().to_string();
+    let slow = {
+        let (caller, key) = (caller.clone(), key.clone());
+        tokio::spawn(async move {
+            caller.deliver(cluster::SERVICE, &key, &[("x-standin-delay-ms", "1500")]).await
+        })
+    };
+    until("the call runs", || async { cluster.runs(&key).await == 1 }).await;
+    cluster.members[&agents[1]].process.signal(libc::SIGTERM);
+    until("nothing is left to take calls", || async {
+        let key = uuid::Uuid::now_v7().to_string();
+        let answer = caller.deliver(cluster::SERVICE, &key, &[]).await;
+        answer.outcome() == "not-run" && cluster.runs(&key).await == 0
+    })
+    .await;
+    assert_eq!(slow.await.unwrap().outcome(), "answered");
+}
+
+async fn state(cluster: &cluster::Cluster, at: &str, host: &str) -> String {
+    let status = cluster.status().await;
+    let servers = status[at]["servers"].as_array().cloned().unwrap_or_default();
+    let found = servers.iter().find(|server| server["host"] == host);
+    found.and_then(|server| server["state"].as_str()).unwrap_or_default().to_owned()
+}
--- a/tool/src/report.rs
+++ b/tool/src/report.rs
@@ -28,6 +28,32 @@
     Ok(request)
 }
 
+/// The host list: from the platform or, in its outage, from a process.
+async fn hosts(context: &Context) -> Result<hosts::Snapshot, error::Error> {
+    let fault = match context.platform.hosts(0, Duration::ZERO).await {
+        Ok(list) => return Ok(list),
+        Err(fault) => fault,
+    };
+    for seed in &context.settings.seeds {
+        let versions = Vec::new();
+        let request = keyed(context, wire::Offer { host: "loftcove".to_owned(), versions })?;
+        if let Some(list) = hosts_of(*seed, request).await {
+            return Ok(list);
+        }
+    }
+    Err(fault.into())
+}
+
+async fn hosts_of(
+    seed: SocketAddr,
+    request: tonic::Request<wire::Offer>,
+) -> Option<hosts::Snapshot> {
+    let mut client = connect(seed).await?;
+    let update = client.exchange(request).await.ok()?.into_inner();
+    let record = update.records.into_iter().find(|record| record.kind() == wire::Kind::Hosts)?;
+    serde_json::from_slice(&record.value).ok()
+}
+
 async fn snapshot(
     context: &Context,
     host: &hosts::Host,
@@ -43,7 +69,7 @@
 
 /// `loftcove status`.
 pub async fn status(context: &Context) -> Result<(), error::Error> {
-    let list = context.platform.hosts(0, Duration::ZERO).await?;
+    let list = hosts(context).await?;
     let calls = list.hosts.iter().map(|host| snapshot(context, host));
     let answers = futures_util::future::join_all(calls).await;
     let mut all = Vec::new();
@@ -93,7 +119,7 @@
 
 /// `loftcove explain`.
 pub async fn explain(context: &Context, request: &str) -> Result<(), error::Error> {
-    let list = context.platform.hosts(0, Duration::ZERO).await?;
+    let list = hosts(context).await?;
     let calls = list.hosts.iter().map(|host| explanation(context, host, request));
     let answers = futures_util::future::join_all(calls).await;
     let mut known = false;
