Let a want of slots cost a wait, not a request

An agent's "full" was charged to the request's attempts and to the retry budget, although nothing had run.

Ruled out: windows that are too small (sent/offered was 1.10, and "full" 3,936); the choice of server (all ways refused alike).

--- a/daemon/src/agent/run.rs
+++ b/daemon/src/agent/run.rs
@@ -19,8 +19,6 @@
 const PRIORITY: &str = "x-priority";
 /// Frames that may wait for a slow caller before the backend server is held up.
 const BACKLOG: usize = 32;
-/// When a refused entry host may try again, milliseconds.
-const RETRY_AFTER_MS: u32 = 50;
 
 /// Frames of one attempt.
 pub type Frames = mpsc::Receiver<Result<wire::Frame, tonic::Status>>;
@@ -48,7 +46,8 @@
         Err(reason) => {
             let word = reason.as_str_name();
             trail.record(&subject, format!("attempt={} choice=refuse reason={word}", id.number));
-            let refused = wire::Refused { reason: reason.into(), retry_after_ms: RETRY_AFTER_MS };
+            let refused =
+                wire::Refused { reason: reason.into(), report: Some(agent.load.report()) };
             let kind = Some(wire::frame::Kind::Refused(refused));
             let frame = wire::Frame { id: Some(wire_id), kind };
             // A fresh channel has room.
@@ -197,7 +196,8 @@
     }
 
     async fn refuse(&self, reason: wire::Refusal) {
-        let refused = wire::Refused { reason: reason.into(), retry_after_ms: RETRY_AFTER_MS };
+        let refused =
+            wire::Refused { reason: reason.into(), report: Some(self.agent.load.report()) };
         self.send(wire::frame::Kind::Refused(refused)).await;
     }
 
--- a/daemon/src/entry/desk.rs
+++ b/daemon/src/entry/desk.rs
@@ -10,15 +10,16 @@
 use loftcove_decision::{admission, balancer, entity, name};
 use loftcove_platform::hosts;
 use loftcove_settings::file;
+use loftcove_wire as wire;
 use rand_chacha::rand_core::SeedableRng as _;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::{clock, status};
 
 /// Candidates looked at by one choice; see `docs/design/routing.md`.
-const SAMPLE: usize = 3;
+const SAMPLE: usize = 2;
 /// How much more load the prefix cache's backend server may have.
-const AFFINITY_SLACK: f64 = 0.25;
+const AFFINITY_SLACK: f64 = 0.5;
 /// Time between two looks for requests that are late.
 const TICK: Duration = Duration::from_millis(20);
 
@@ -40,6 +41,8 @@
 /// The desk.
 pub struct Desk {
     clock: clock::Clock,
+    /// Told when a request begins to wait.
+    waited: Notify,
     inner: Mutex<Inner>,
 }
 
@@ -49,7 +52,8 @@
     teams: name::Table<entity::Team>,
     limits: BTreeMap<entity::Team, u32>,
     targets: BTreeMap<entity::Server, Target>,
-    epochs: BTreeMap<entity::Server, u64>,
+    /// Epoch of the newest report of each, with the report's order.
+    epochs: BTreeMap<entity::Server, (u64, u64, u64)>,
     seats: BTreeMap<entity::Ticket, mpsc::UnboundedSender<balancer::Action>>,
 }
 
@@ -85,7 +89,7 @@
             epochs: BTreeMap::new(),
             seats: BTreeMap::new(),
         };
-        Desk { clock, inner: Mutex::new(inner) }
+        Desk { clock, waited: Notify::new(), inner: Mutex::new(inner) }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -147,16 +151,18 @@
             record.listed && *target.backend == *group && target.rank.is_some()
         };
         let members = inner.targets.iter().filter(|(id, target)| member(id, target));
-        let epoch = |id| inner.epochs.get(id).copied().unwrap_or(0);
+        let epoch = |id| inner.epochs.get(id).map_or(0, |newest| newest.2);
         members.map(|(id, target)| (target.clone(), epoch(id))).collect()
     }
 
-    /// An agent reported.
-    pub fn report(&self, server: entity::Server, report: server::Report, epoch: u64) {
+    /// An agent reported, on its own or with the end of an attempt.
+    pub fn report(&self, server: entity::Server, report: &wire::Report) {
         let now = self.clock.now();
         let mut inner = self.lock();
-        inner.epochs.insert(server, epoch);
-        let actions = inner.balancer.report(server, report, now);
+        let epoch = (report.incarnation, report.sequence, report.epoch);
+        let newest = inner.epochs.entry(server).or_default();
+        *newest = epoch.max(*newest);
+        let actions = inner.balancer.report(server, read(report), now);
         inner.route(actions);
     }
 
@@ -184,7 +190,11 @@
         let (ticket, actions) = inner.balancer.arrive(arrival, now);
         inner.seats.insert(ticket, sender);
         inner.route(actions);
+        let waiting = inner.balancer.queue().waiting() > 0;
         drop(inner);
+        if waiting {
+            self.waited.notify_one();
+        }
         Seat { desk: self.clone(), ticket, receiver, open: true }
     }
 
@@ -224,12 +234,27 @@
         .collect()
     }
 
-    fn tick(&self) {
+    /// Moves the machine on; returns how many wait.
+    fn tick(&self) -> usize {
         let now = self.clock.now();
         let mut inner = self.lock();
         let actions = inner.balancer.tick(now);
         inner.route(actions);
         debug_assert_eq!(inner.balancer.verify(), Ok(()));
+        inner.balancer.queue().waiting()
+    }
+}
+
+/// The wire's report as the decisions take it.
+fn read(report: &wire::Report) -> server::Report {
+    server::Report {
+        incarnation: report.incarnation,
+        sequence: report.sequence,
+        running: report.running,
+        queued: report.queued,
+        slots: report.slots,
+        leaving: report.leaving,
+        alive: report.alive,
     }
 }
 
@@ -287,6 +312,9 @@
         let mut inner = self.desk.lock();
         let actions = inner.balancer.end(self.ticket, end, now);
         inner.route(actions);
+        if inner.balancer.queue().waiting() > 0 {
+            self.desk.waited.notify_one();
+        }
     }
 }
 
@@ -299,12 +327,12 @@
     }
 }
 
-/// Looks for late requests for ever.
+/// Looks for late requests for ever; sleeps while nobody waits.
 pub async fn tick(desk: Arc<Desk>) {
-    let mut interval = tokio::time::interval(TICK);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        interval.tick().await;
-        desk.tick();
+        if desk.tick() == 0 {
+            desk.waited.notified().await;
+        }
+        tokio::time::sleep(TICK).await;
     }
 }
--- a/daemon/src/entry/dispatch.rs
+++ b/daemon/src/entry/dispatch.rs
@@ -29,7 +29,23 @@
     /// Its answer has begun.
     Begun(Box<Begun>),
     /// It ended without one.
-    Ended(balancer::End, String),
+    Ended(Ended),
+}
+
+/// The end of an attempt whose answer has not begun.
+pub struct Ended {
+    /// How it ended.
+    pub end: balancer::End,
+    /// Why, for the log.
+    pub cause: String,
+    /// Load of the backend server, if the agent told it.
+    pub report: Option<wire::Report>,
+}
+
+impl Sent {
+    fn ended(end: balancer::End, cause: String) -> Sent {
+        Sent::Ended(Ended { end, cause, report: None })
+    }
 }
 
 /// An attempt about to be sent.
@@ -93,7 +109,7 @@
         Ok(Ok((Some(frame), frames))) => (frame, frames),
         Ok(Ok((None, _))) => return settle(process, attempt, "stream ended").await,
         Ok(Err(status)) if link::never_sent(&status) => {
-            return Sent::Ended(balancer::End::NeverRan, "not connected".to_owned());
+            return Sent::ended(balancer::End::NeverRan, "not connected".to_owned());
         }
         Ok(Err(status)) => return settle(process, attempt, status.message()).await,
         Err(_) => return settle(process, attempt, "deadline").await,
@@ -106,20 +122,21 @@
         Some(wire::frame::Kind::Head(head)) => {
             Sent::Begun(Box::new(Begun { head, frames, id: attempt.id() }))
         }
-        Some(wire::frame::Kind::Refused(refused)) => refusal(refused.reason()),
+        Some(wire::frame::Kind::Refused(refused)) => refusal(refused),
         Some(wire::frame::Kind::Broken(broken)) => {
-            Sent::Ended(balancer::End::MayHaveRun { answer_begun: false }, broken.reason)
+            Sent::ended(balancer::End::MayHaveRun { answer_begun: false }, broken.reason)
         }
         _ => settle(process, attempt, "answer without a head").await,
     }
 }
 
-fn refusal(reason: wire::Refusal) -> Sent {
-    let end = match reason {
+fn refusal(refused: wire::Refused) -> Sent {
+    let end = match refused.reason() {
         wire::Refusal::Full => balancer::End::Full,
         _ => balancer::End::NeverRan,
     };
-    Sent::Ended(end, reason.as_str_name().to_lowercase())
+    let cause = refused.reason().as_str_name().to_lowercase();
+    Sent::Ended(Ended { end, cause, report: refused.report })
 }
 
 /// Asks the agent what became of the attempt, and forbids it to start.
@@ -139,5 +156,5 @@
         wire::Phase::Never => balancer::End::NeverRan,
         _ => balancer::End::MayHaveRun { answer_begun: false },
     };
-    Sent::Ended(end, format!("{cause}; {}", phase.as_str_name().to_lowercase()))
+    Sent::ended(end, format!("{cause}; {}", phase.as_str_name().to_lowercase()))
 }
--- a/daemon/src/entry/drive.rs
+++ b/daemon/src/entry/drive.rs
@@ -214,12 +214,7 @@
             replicas: self.rules.replicas,
             ..policy::Rules::default()
         };
-        let next = self.with_group(|group| {
-            group.skew = Some(skew);
-            group.policy.set_rules(rules);
-            let seen = policy::Observation { load: &load, health: &health };
-            group.policy.decide(seen, &current)
-        });
+        let next = self.choose(rules, load.clone(), current.clone(), skew).await;
         let Some(next) = next else {
             self.note(&format!("skew={skew:.3} choice=stay reason=nothing-pays"));
             return;
@@ -230,6 +225,29 @@
         self.change(record, revision, next).await;
     }
 
+    /// Asks the policy, on a thread of its own: at the size of the target it
+    /// takes longer than a token may wait.
+    async fn choose(
+        &self,
+        rules: policy::Rules,
+        load: load::Load,
+        current: layout::Layout,
+        skew: f64,
+    ) -> Option<layout::Layout> {
+        let (entry, name) = (self.entry.clone(), self.name.clone());
+        let decision = tokio::task::spawn_blocking(move || {
+            let health = cost::Health::sound(current.shape.ranks);
+            let mut groups = entry.groups.lock();
+            let group = groups.entry(name).or_default();
+            group.skew = Some(skew);
+            group.policy.set_rules(rules);
+            let seen = policy::Observation { load: &load, health: &health };
+            group.policy.decide(seen, &current)
+        });
+        // A decision that panicked is no decision.
+        decision.await.unwrap_or(None)
+    }
+
     fn note(&self, text: &str) {
         self.entry.process.trail.record(self.name, text.to_owned());
     }
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
-use loftcove_decision::balancer;
+use loftcove_decision::{balancer, entity};
 
 use crate::entry::refusal::{Outcome, Refusal};
 use crate::entry::{Entry, call, claim, desk, dispatch, relay};
@@ -109,7 +109,7 @@
                 balancer::Action::Refuse(refusal) => return Err(self.give_up(refusal)),
                 balancer::Action::Send(next) => {
                     if let Some(begun) = self.attempt(&mut seat, &next).await {
-                        return Ok(self.hand_on(seat, *begun).await);
+                        return Ok(self.hand_on(seat, next.choice.server, *begun).await);
                     }
                 }
             }
@@ -158,13 +158,16 @@
                 seat.begin(sent_at.elapsed());
                 Some(begun)
             }
-            dispatch::Sent::Ended(end, cause) => {
-                self.note_end(next.attempt, end, &cause);
-                let never_ran = matches!(end, balancer::End::Full | balancer::End::NeverRan);
+            dispatch::Sent::Ended(ended) => {
+                self.note_end(next.attempt, &ended);
+                if let Some(report) = ended.report {
+                    self.entry.desk.report(next.choice.server, &report);
+                }
+                let never_ran = matches!(ended.end, balancer::End::Full | balancer::End::NeverRan);
                 if let (Some(claim), true) = (&mut self.claim, never_ran) {
                     claim.never_ran();
                 }
-                seat.end(end);
+                seat.end(ended.end);
                 None
             }
         }
@@ -196,10 +199,10 @@
         );
     }
 
-    fn note_end(&self, attempt: u32, end: balancer::End, cause: &str) {
+    fn note_end(&self, attempt: u32, ended: &dispatch::Ended) {
         self.entry.process.trail.record(
             &self.call.id.to_string(),
-            format!("attempt={attempt} ended={end:?} cause=\"{cause}\""),
+            format!("attempt={attempt} ended={:?} cause=\"{}\"", ended.end, ended.cause),
         );
     }
 
@@ -207,10 +210,13 @@
     async fn hand_on(
         self,
         seat: desk::Seat,
+        server: entity::Server,
         begun: dispatch::Begun,
     ) -> http::Response<relay::Body> {
         let finish = relay::Finish {
             process: self.entry.process.clone(),
+            desk: self.entry.desk.clone(),
+            server,
             request: self.call.id.to_string(),
             seat: Some(seat),
             claim: self.claim,
--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use loftcove_decision::entity;
-use loftcove_decision::routing::server;
 use loftcove_wire as wire;
 
 use crate::clock;
@@ -81,7 +80,7 @@
     let mut stream = agent.watch(subscription).await?.into_inner();
     let mut any = false;
     while let Ok(Ok(Some(report))) = tokio::time::timeout(SILENCE, stream.message()).await {
-        entry.desk.report(server, read(&report), report.epoch);
+        entry.desk.report(server, &report);
         if !any {
             entry.desk.connect(server, true);
         }
@@ -89,16 +88,3 @@
     }
     Ok(any)
 }
-
-/// The wire's report as the decisions take it.
-pub fn read(report: &wire::Report) -> server::Report {
-    server::Report {
-        incarnation: report.incarnation,
-        sequence: report.sequence,
-        running: report.running,
-        queued: report.queued,
-        slots: report.slots,
-        leaving: report.leaving,
-        alive: report.alive,
-    }
-}
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use http_body::Frame;
 use http_body_util::Full;
-use loftcove_decision::balancer;
+use loftcove_decision::{balancer, entity};
 use loftcove_wire as wire;
 use tokio_stream::Stream as _;
 
@@ -31,6 +31,10 @@
 pub struct Finish {
     /// The process.
     pub process: Arc<process::Process>,
+    /// The desk, which learns the load that the end mark bears.
+    pub desk: Arc<desk::Desk>,
+    /// The backend server that answers.
+    pub server: entity::Server,
     /// Id of the request.
     pub request: String,
     /// Its place at the desk.
@@ -97,7 +101,12 @@
     }
     match frame.kind {
         Some(wire::frame::Kind::Data(data)) => Some(Part::Data(data)),
-        Some(wire::frame::Kind::End(_)) => Some(Part::End),
+        Some(wire::frame::Kind::End(end)) => {
+            if let Some(report) = end.report {
+                finish.desk.report(finish.server, &report);
+            }
+            Some(Part::End)
+        }
         Some(wire::frame::Kind::Broken(_)) => Some(Part::Broken("server-broke-off")),
         _ => Some(Part::Broken("out-of-order")),
     }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -116,7 +116,7 @@
     let settings = file::Daemon::read(path)?;
     log_to_stderr(settings.process.log_level);
     let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(WORKERS)
+        .worker_threads(settings.process.workers)
         .enable_all()
         .build()
         .map_err(Error::Runtime)?;
@@ -126,9 +126,6 @@
     Ok(())
 }
 
-/// Threads of the pool: the hosts are small.
-const WORKERS: usize = 2;
-
 async fn serve(process: Arc<process::Process>) -> Result<(), Error> {
     let own = &process.settings.process;
     log::info!(
--- a/decision/src/admission.rs
+++ b/decision/src/admission.rs
@@ -18,6 +18,8 @@
 pub const PATIENCE: u32 = 8;
 /// Weight of the newest sample in the mean time between departures.
 const RATE_GAIN: f64 = 0.1;
+/// Weight of the newest sample in the mean time of an answer.
+const SERVICE_GAIN: f64 = 0.05;
 /// Shortest and longest time that a refused caller is told to stay away.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
 
@@ -86,6 +88,8 @@
     /// Mean time between departures, seconds; none before the second one.
     spacing: Option<f64>,
     departed: Option<clock::Instant>,
+    /// Mean time from sending to the whole answer, seconds.
+    service: Option<f64>,
 }
 
 /// The waiters of one precedence.
@@ -119,6 +123,17 @@
         self.waiting
     }
 
+    /// Number of waiters for a pool.
+    pub fn waiting_for(&self, pool: entity::Pool) -> usize {
+        self.pools.get(&pool).map_or(0, Line::len)
+    }
+
+    /// Pools that somebody waits for, in the order of their ids.
+    pub fn waited_for(&self) -> Vec<entity::Pool> {
+        let waited = self.pools.iter().filter(|(_, line)| line.len() > 0);
+        waited.map(|(pool, _)| *pool).collect()
+    }
+
     /// Requests of a team in flight and waiting.
     pub fn held(&self, team: entity::Team) -> u32 {
         self.held[team]
@@ -152,7 +167,8 @@
     /// [`Refusal::Deadline`] where it would wait in vain, and
     /// [`Refusal::QueueFull`] where it would itself have to give way.
     pub fn push(&mut self, waiter: Waiter, now: clock::Instant) -> Result<Option<Waiter>, Refusal> {
-        if now + self.expected_wait(waiter.pool, waiter.precedence) >= waiter.deadline {
+        let wait = self.expected_wait(waiter.pool, waiter.precedence);
+        if self.too_late(&waiter, now + wait) {
             return Err(Refusal::Deadline);
         }
         let mut displaced = None;
@@ -192,12 +208,27 @@
         removed
     }
 
+    /// Whether a waiter that were sent at that time would miss its deadline.
+    pub fn too_late(&self, waiter: &Waiter, sent: clock::Instant) -> bool {
+        let service = self.pools.get(&waiter.pool).map_or(Duration::ZERO, Line::service);
+        sent + service >= waiter.deadline
+    }
+
+    /// A request of the pool was answered whole in that time.
+    pub fn served(&mut self, pool: entity::Pool, time: Duration) {
+        let line = self.pools.entry(pool).or_default();
+        let sample = time.as_secs_f64();
+        let mean = line.service.unwrap_or(sample);
+        line.service = Some(mean + SERVICE_GAIN * (sample - mean));
+    }
+
     /// Takes out all waiters that can no longer make their deadline.
     pub fn sweep(&mut self, now: clock::Instant) -> Vec<Waiter> {
         let mut late = Vec::new();
         for line in self.pools.values_mut() {
+            let sent = now + line.service();
             for band in line.bands.values_mut() {
-                band.sweep(now, &mut late);
+                band.sweep(sent, &mut late);
             }
         }
         self.waiting -= late.len();
@@ -296,6 +327,14 @@
 }
 
 impl Line {
+    fn service(&self) -> Duration {
+        Duration::from_secs_f64(self.service.unwrap_or(0.0))
+    }
+
+    fn len(&self) -> usize {
+        self.bands.values().map(|band| band.len).sum()
+    }
+
     fn pop(&mut self, shares: &SecondaryMap<entity::Team, Share>) -> Option<Waiter> {
         let urgent = *self.bands.iter().find(|(_, band)| band.len > 0)?.0;
         let patient = self
@@ -368,11 +407,11 @@
         }
     }
 
-    fn sweep(&mut self, now: clock::Instant, late: &mut Vec<Waiter>) {
+    fn sweep(&mut self, sent: clock::Instant, late: &mut Vec<Waiter>) {
         let before = late.len();
         for line in self.teams.values_mut() {
-            late.extend(line.iter().filter(|waiter| waiter.deadline <= now));
-            line.retain(|waiter| waiter.deadline > now);
+            late.extend(line.iter().filter(|waiter| waiter.deadline <= sent));
+            line.retain(|waiter| waiter.deadline > sent);
         }
         self.teams.retain(|_, line| !line.is_empty());
         self.len -= late.len() - before;
--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -138,7 +138,11 @@
     arrival: Arrival,
     since: clock::Instant,
     attempts: u32,
+    /// Attempts that failed for another cause than a want of slots.
+    failures: u32,
     place: Place,
+    /// When the present attempt was sent.
+    sent: Option<clock::Instant>,
     tried: Vec<entity::Server>,
     begun: bool,
 }
@@ -281,7 +285,9 @@
             arrival,
             since: now,
             attempts: 0,
+            failures: 0,
             place: Place::Waiting,
+            sent: None,
             tried: Vec::new(),
             begun: false,
         };
@@ -309,6 +315,7 @@
         let mut actions = Vec::new();
         let Some(pending) = self.pending.get(&ticket) else { return actions };
         let pool = pending.arrival.pool;
+        let sent = pending.sent;
         match pending.place {
             Place::Sent(server) => self.leave(server, end, now),
             Place::Waiting => {
@@ -319,12 +326,16 @@
         match end {
             End::Answered => {
                 self.tally.answered += 1;
+                if let Some(sent) = sent {
+                    self.queue.served(pool, now.since(sent));
+                }
                 self.finish(ticket);
             }
             End::Abandoned => {
                 self.finish(ticket);
             }
-            End::Full | End::NeverRan => {
+            End::Full => self.wait_again(ticket, now, &mut actions),
+            End::NeverRan => {
                 self.follow(ticket, retry::Knowledge::NeverRan, false, now, &mut actions);
             }
             End::MayHaveRun { answer_begun } => {
@@ -350,8 +361,14 @@
     fn leave(&mut self, server: entity::Server, end: End, now: clock::Instant) {
         let record = &mut self.servers[server];
         match end {
-            End::Answered => record.window.grow(record.in_flight),
-            End::Full => record.window.shrink(now),
+            End::Answered => {
+                record.window.grow(record.in_flight);
+                record.reopen();
+            }
+            End::Full => {
+                record.window.shrink(now);
+                record.shut(now);
+            }
             End::NeverRan | End::MayHaveRun { .. } => {
                 if record.health.failed() {
                     self.try_eject(server, now);
@@ -364,6 +381,25 @@
         record.in_flight = record.in_flight.saturating_sub(1);
     }
 
+    /// Lets a request wait again that an agent had no slot for. It never ran
+    /// and cost nothing, so neither its attempts nor the budget are charged:
+    /// the backend server is shut for a while instead.
+    fn wait_again(
+        &mut self,
+        ticket: entity::Ticket,
+        now: clock::Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&ticket) else { return };
+        if pending.arrival.deadline <= now {
+            let reason = Reason::Admission(admission::Refusal::Deadline);
+            return self.give_up(ticket, Outcome::NotRun, reason, actions);
+        }
+        pending.place = Place::Waiting;
+        pending.tried.clear();
+        self.queue.push_front(waiter(ticket, &pending.arrival, pending.since));
+    }
+
     /// Sends a failed request again, or gives it up.
     fn follow(
         &mut self,
@@ -374,11 +410,12 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
+        pending.failures += 1;
         let case = retry::Case {
             knowledge,
             repeatable: pending.arrival.repeatable,
             answer_begun,
-            attempts: pending.attempts,
+            attempts: pending.failures,
         };
         let outcome = match knowledge {
             retry::Knowledge::NeverRan => Outcome::NotRun,
@@ -446,12 +483,8 @@
     }
 
     fn pump_all(&mut self, now: clock::Instant) -> Vec<Action> {
-        let mut pools: Vec<entity::Pool> =
-            self.servers.iter().map(|(_, record)| record.listing.pool).collect();
-        pools.sort();
-        pools.dedup();
         let mut actions = Vec::new();
-        for pool in pools {
+        for pool in self.queue.waited_for() {
             self.pump(pool, now, &mut actions);
         }
         actions
@@ -459,20 +492,20 @@
 
     /// Sends waiters while backend servers are open.
     fn pump(&mut self, pool: entity::Pool, now: clock::Instant, actions: &mut Vec<Action>) {
-        loop {
+        while self.queue.waiting_for(pool) > 0 {
             let open = self.open(pool, now);
             if open.is_empty() {
                 break;
             }
             let Some(next) = self.queue.pop(pool) else { break };
-            if next.deadline <= now {
+            if self.queue.too_late(&next, now) {
                 let reason = Reason::Admission(admission::Refusal::Deadline);
                 self.give_up(next.ticket, Outcome::NotRun, reason, actions);
                 continue;
             }
             self.send(next.ticket, open, now, actions);
         }
-        if self.servers.usable(pool).next().is_none() {
+        if self.queue.waiting_for(pool) > 0 && self.servers.usable(pool).next().is_none() {
             self.drain_hopeless(pool, actions);
         }
     }
@@ -521,6 +554,7 @@
         };
         pending.attempts += 1;
         pending.place = Place::Sent(choice.server);
+        pending.sent = Some(now);
         pending.tried.push(choice.server);
         self.servers[choice.server].in_flight += 1;
         if pending.attempts == 1 {
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -13,6 +13,9 @@
 /// Half-life of what a report says of other entry hosts' requests.
 pub const REPORT_HALF_LIFE: Duration = Duration::from_millis(1_000);
 
+/// Shortest and longest time without new work after a want of slots.
+pub const SHUT: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(320));
+
 /// A load report of an agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Report {
@@ -66,6 +69,10 @@
     pub in_flight: u32,
     /// Own requests that may be in flight.
     pub window: limit::Window,
+    /// It had no slot a moment ago: until then it gets nothing more.
+    shut_until: clock::Instant,
+    /// Refusals for want of a slot since it last answered.
+    refusals: u32,
     /// Record of its failures.
     pub health: eject::Health,
 }
@@ -82,6 +89,8 @@
             own_at_report: 0,
             in_flight: 0,
             window: limit::Window::default(),
+            shut_until: clock::Instant::ZERO,
+            refusals: 0,
             health: eject::Health::default(),
         }
     }
@@ -97,7 +106,24 @@
 
     /// Whether it may be given one more request now.
     pub fn open(&self, now: clock::Instant) -> bool {
-        self.usable() && !self.health.ejected(now) && self.in_flight < self.window.size()
+        let shut = now < self.shut_until || self.health.ejected(now);
+        self.usable() && !shut && self.in_flight < self.window.size()
+    }
+
+    /// It had no slot: it gets nothing more for a while, which doubles with each
+    /// time. Hundreds of entry hosts before few slots would otherwise send
+    /// far more attempts than requests.
+    pub fn shut(&mut self, now: clock::Instant) {
+        let pause = SHUT.0.saturating_mul(1 << self.refusals.min(16)).min(SHUT.1);
+        // Entry hosts that were refused together come back apart.
+        let part = 50 + (self.hash ^ now.micros()) % 51;
+        self.shut_until = now + pause * part as u32 / 100;
+        self.refusals += 1;
+    }
+
+    /// It answered: slots come free.
+    pub fn reopen(&mut self) {
+        self.refusals /= 2;
     }
 
     /// Requests of others on it, as the last report had them, fading with age:
--- a/settings/src/file.rs
+++ b/settings/src/file.rs
@@ -45,6 +45,8 @@
         drain_ms: u64 = 30_000;
         /// Time between two exchanges of bundle, host list and home table with a peer, milliseconds.
         exchange_ms: u64 = 1_000;
+        /// Threads of the pool that serves.
+        workers: usize = 1;
         /// Least level of the log: error, warn, info, debug.
         log_level: Level = Level::Info;
     }
@@ -215,6 +217,9 @@
         if self.process.key.len() < MIN_KEY {
             return fault("key", "the deployment's key needs at least 16 characters");
         }
+        if self.process.workers == 0 {
+            return fault("workers", "must be above 0");
+        }
         if self.process.exchange_ms == 0 {
             return fault("exchange_ms", "must be above 0");
         }
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -80,8 +80,9 @@
 pub struct Refused {
     #[prost(enumeration = "Refusal", tag = "1")]
     pub reason: i32,
-    #[prost(uint32, tag = "2")]
-    pub retry_after_ms: u32,
+    /// Load of the backend server when it refused.
+    #[prost(message, optional, tag = "2")]
+    pub report: ::core::option::Option<Report>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Head {
