--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -103,8 +103,8 @@
     pub full: u64,
     /// Requests answered in time.
     pub good: u64,
-    /// Requests answered in time, by team: team 0 and the mean of the others.
-    pub good_by_team: (u64, f64),
+    /// Requests that arrived and were answered in time, of team 0 and of all others.
+    pub by_team: [(u64, u64); 2],
     /// Requests given up.
     pub refused: u64,
     /// Time from arrival to the start in a slot, microseconds, urgent and others.
@@ -193,7 +193,6 @@
     requests: BTreeMap<(usize, u32), Request>,
     samples: VecDeque<Vec<server::Report>>,
     spreads: Vec<f64>,
-    good_by_team: [u64; TEAMS],
     result: Result,
 }
 
@@ -210,7 +209,7 @@
         sent: 0,
         full: 0,
         good: 0,
-        good_by_team: (0, 0.0),
+        by_team: [(0, 0); 2],
         refused: 0,
         wait: [histogram(), histogram()],
         spread: 0.0,
@@ -232,7 +231,6 @@
         requests: BTreeMap::new(),
         samples: VecDeque::new(),
         spreads: Vec::new(),
-        good_by_team: [0; TEAMS],
         result,
     };
     fleet.start();
@@ -337,6 +335,7 @@
             prefix,
         };
         self.result.offered += 1;
+        self.result.by_team[usize::from(team > 0)].0 += 1;
         let (ticket, actions) = self.entries[entry].arrive(arrival, self.now);
         let request = Request { arrived: self.now, deadline, team, urgent, prefix };
         self.requests.insert((entry, ticket.as_u32()), request);
@@ -412,7 +411,7 @@
                 if let Some(request) = self.requests.remove(&key) {
                     let good = u64::from(self.now <= request.deadline);
                     self.result.good += good;
-                    self.good_by_team[request.team as usize] += good;
+                    self.result.by_team[usize::from(request.team > 0)].1 += good;
                 }
                 balancer::End::Answered
             }
@@ -449,8 +448,6 @@
     }
 
     fn finish(mut self) -> Result {
-        let others: u64 = self.good_by_team[1..].iter().sum();
-        self.result.good_by_team = (self.good_by_team[0], others as f64 / (TEAMS - 1) as f64);
         self.result.spread = self.spreads.iter().sum::<f64>() / self.spreads.len().max(1) as f64;
         self.result
     }
--- a/bench/src/overload.rs
+++ b/bench/src/overload.rs
@@ -6,7 +6,7 @@
 fn row(name: &str, plan: &Plan) {
     let result = fleet::run(plan, routing::chosen);
     println!(
-        "{name:<22} {:>8} {:>8.0} {:>6.2} {:>9.1} {:>9.1} {:>8} {:>8} {:>6.2}",
+        "{name:<24} {:>8} {:>8.0} {:>6.2} {:>9.1} {:>9.1} {:>8} {:>8} {:>6.0}%",
         result.offered,
         result.goodput(plan),
         result.sent as f64 / result.offered as f64,
@@ -14,15 +14,27 @@
         result.wait_ms(1, 0.95),
         result.full,
         result.refused,
-        result.good_by_team.0 as f64 / result.good_by_team.1.max(1.0)
+        others(&result) * 100.0
     );
 }
 
+/// Part of what the teams other than team 0 asked that was answered in time.
+fn others(result: &fleet::Result) -> f64 {
+    let (asked, good) = result.by_team[1];
+    good as f64 / asked.max(1) as f64
+}
+
+/// That part while team 0 asks `greed` times as much as any other, at a load.
+pub fn share_of_others(greed: f64, load: f64) -> f64 {
+    let plan = Plan { greed, ..Plan::default() }.at_load(load);
+    others(&fleet::run(&plan, routing::chosen))
+}
+
 /// Prints goodput and waits at growing load, with 7 and 400 entry hosts.
 pub fn print() {
     println!(
-        "{:<22} {:>8} {:>8} {:>6} {:>9} {:>9} {:>8} {:>8} {:>6}",
-        "case", "offered", "good/s", "sent", "urgent95", "other95", "full", "refused", "greedy"
+        "{:<24} {:>8} {:>8} {:>6} {:>9} {:>9} {:>8} {:>8} {:>7}",
+        "case", "offered", "good/s", "sent", "urgent95", "other95", "full", "refused", "others"
     );
     for (entries, servers) in [(7, 16), (13, 135), (400, 16)] {
         let base = Plan { entries, servers, ..Plan::default() };
--- a/bench/src/placement.rs
+++ b/bench/src/placement.rs
@@ -7,7 +7,7 @@
 /// Intervals of a run: a day of quarter hours.
 pub const INTERVALS: usize = 96;
 /// Copies of one expert at the most.
-const REPLICAS: u32 = 4;
+const REPLICAS: u32 = 8;
 
 /// Ranks as today: 16 in one group.
 pub const TODAY: layout::Shape = layout::Shape { layers: 8, experts: 64, ranks: 16, slots: 5 };
--- a/decision/src/placement/improve.rs
+++ b/decision/src/placement/improve.rs
@@ -1,18 +1,23 @@
-//! Betters a layout by single moves, those that pay most first.
+//! Betters a layout by short chains of moves, where a chain pays.
 //!
-//! A move takes load off the slowest rank of a layer: it copies or moves one
-//! of its experts to another rank, trades it for a lighter one, or gives a hot
-//! expert the slot of a copy that is hardly used. Each move's worth is what
-//! it saves of the step's time under two views of the load, a quick and a slow
-//! average, of which the smaller counts: noise shows in the quick one only
-//! and what is past in the slow one only.
-
-use std::cmp::Ordering;
-use std::collections::BinaryHeap;
+//! A layer takes as long as its slowest rank, so one move often gains nothing:
+//! the next slowest rank is almost as slow. A chain of moves is therefore
+//! followed, each taking load off whichever rank is then the slowest, and cut
+//! where what it has saved, less the price of its loads, is greatest. A move
+//! copies or moves an expert to another rank, trades it for a lighter one, or
+//! gives it the slot of a copy that is hardly used. What a chain saves is
+//! weighed under two views of the load, a quick and a slow average, of which
+//! the smaller counts: noise shows in the quick one only, and what is past in
+//! the slow one only.
 
 use crate::entity;
 use crate::placement::{cost, layout, load};
 
+/// Moves of one chain at the most.
+const CHAIN: usize = 48;
+/// Least loaded ranks that are tried as the receiver of an expert.
+const RECEIVERS: usize = 12;
+
 /// What a move does, in one layer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -21,43 +26,57 @@
     /// The expert goes from `from` to `to`.
     Move,
     /// The expert changes places with another, which goes to `from`.
-    Trade(entity::Expert),
+    Trade(usize),
     /// The expert gets the slot of a copy of another, which stays elsewhere.
-    Replace(entity::Expert),
+    Replace(usize),
 }
 
-/// A move of one expert.
+/// A move of one expert, by its number in the layer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Step {
-    /// Layer of the expert.
-    pub layer: entity::Layer,
     /// The expert that leaves the slowest rank, or is copied from it.
-    pub expert: entity::Expert,
+    pub expert: usize,
     /// The slowest rank of the layer.
     pub from: u32,
     /// The rank that takes it.
     pub to: u32,
     /// What is done.
     pub kind: Kind,
-    /// Time saved of each step, in the unit of the load.
+}
+
+impl Step {
+    /// Expert loads that it takes.
+    pub fn loads(&self) -> u32 {
+        if matches!(self.kind, Kind::Trade(_)) { 2 } else { 1 }
+    }
+}
+
+/// Moves of one layer that pay together.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Chain {
+    /// The layer.
+    pub layer: entity::Layer,
+    /// The moves, in their order.
+    pub steps: Vec<Step>,
+    /// Time saved of each step of the group, in the unit of the load.
     pub gain: f64,
     /// Expert loads that it takes.
     pub loads: u32,
 }
 
-impl Step {
+impl Chain {
     fn worth(&self) -> f64 {
         self.gain / f64::from(self.loads)
     }
 }
 
-/// What a move must bring, and how many there may be.
+/// What moves must bring, and how many there may be.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
     /// Expert loads at the most.
     pub loads: u32,
-    /// Time saved of each step for each expert load at the least, in the unit
-    /// of the load.
+    /// Price of an expert load: time that it must save of each step of the
+    /// group, in the unit of the load.
     pub least_worth: f64,
     /// Copies of one expert at the most.
     pub replicas: u32,
@@ -74,46 +93,27 @@
     pub health: &'a cost::Health,
 }
 
-/// Ordered by worth, so that the best move of all layers comes first.
-struct Ranked(Step);
-
-impl PartialEq for Ranked {
-    fn eq(&self, other: &Ranked) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Ranked {}
-
-impl PartialOrd for Ranked {
-    fn partial_cmp(&self, other: &Ranked) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Ranked {
-    fn cmp(&self, other: &Ranked) -> Ordering {
-        let worth = self.0.worth().total_cmp(&other.0.worth());
-        worth.then(other.0.layer.cmp(&self.0.layer))
-    }
-}
-
-/// Applies the moves that pay, best first. Returns them in their order.
-pub fn improve(layout: &mut layout::Layout, view: View<'_>, bounds: Bounds) -> Vec<Step> {
-    let mut done = Vec::new();
+/// Applies the chains that pay, best first. Returns them in their order.
+pub fn improve(layout: &mut layout::Layout, view: View<'_>, bounds: Bounds) -> Vec<Chain> {
+    let mut chains: Vec<Chain> = layout
+        .shape
+        .layer_ids()
+        .filter_map(|layer| Scene::new(layout, view, bounds, layer).chain(bounds.loads))
+        .collect();
+    chains.sort_by(|a, b| b.worth().total_cmp(&a.worth()).then(a.layer.cmp(&b.layer)));
     let mut left = bounds.loads;
-    let find = |layout: &layout::Layout, layer| best(layout, view, bounds, layer).map(Ranked);
-    let mut heap: BinaryHeap<Ranked> =
-        layout.shape.layer_ids().filter_map(|layer| find(layout, layer)).collect();
-    while let Some(Ranked(step)) = heap.pop() {
-        // A cheaper move of another layer may still fit.
-        if step.loads > left {
-            continue;
+    let mut done = Vec::new();
+    for mut chain in chains {
+        if chain.loads > left {
+            // The best part that still fits.
+            let part = Scene::new(layout, view, bounds, chain.layer).chain(left);
+            let Some(part) = part else { continue };
+            chain = part;
         }
-        apply(layout, &step);
-        left -= step.loads;
-        done.push(step);
-        heap.extend(find(layout, step.layer));
+        let experts = &mut layout.layers[chain.layer.as_u32() as usize];
+        chain.steps.iter().for_each(|step| apply(experts, step));
+        left -= chain.loads;
+        done.push(chain);
     }
     debug_assert_eq!(layout.verify(), Ok(()));
     done
@@ -124,190 +124,184 @@
     copies.sort_unstable();
 }
 
-fn apply(layout: &mut layout::Layout, step: &Step) {
-    let experts = &mut layout.layers[step.layer.as_u32() as usize];
-    let expert = step.expert.as_u32() as usize;
-    add(&mut experts[expert], step.to);
+fn apply(experts: &mut [layout::Copies], step: &Step) {
+    add(&mut experts[step.expert], step.to);
     match step.kind {
         Kind::Copy => {}
-        Kind::Move => experts[expert].retain(|rank| *rank != step.from),
+        Kind::Move => experts[step.expert].retain(|rank| *rank != step.from),
         Kind::Trade(other) => {
-            experts[expert].retain(|rank| *rank != step.from);
-            let other = &mut experts[other.as_u32() as usize];
-            other.retain(|rank| *rank != step.to);
-            add(other, step.from);
-        }
-        Kind::Replace(other) => {
-            experts[other.as_u32() as usize].retain(|rank| *rank != step.to);
+            experts[step.expert].retain(|rank| *rank != step.from);
+            experts[other].retain(|rank| *rank != step.to);
+            add(&mut experts[other], step.from);
         }
+        Kind::Replace(other) => experts[other].retain(|rank| *rank != step.to),
     }
 }
 
-/// One layer under one view of the load, prepared for weighing moves.
+/// One layer, as a chain changes it.
 struct Scene<'a> {
-    experts: &'a [layout::Copies],
-    tokens: &'a [f64],
-    slowness: &'a [f64],
+    layer: entity::Layer,
+    slots: usize,
+    bounds: Bounds,
+    health: &'a cost::Health,
+    quick: &'a [f64],
+    slow: &'a [f64],
+    experts: Vec<layout::Copies>,
+    /// Time of each rank under the quick view.
     times: Vec<f64>,
-    /// The three slowest ranks: a move changes two, so the third bounds the rest.
-    top: Vec<usize>,
+    /// Experts of each rank.
+    held: Vec<Vec<usize>>,
 }
 
 impl<'a> Scene<'a> {
     fn new(
-        layout: &'a layout::Layout,
-        load: &'a load::Load,
-        health: &'a cost::Health,
+        layout: &layout::Layout,
+        view: View<'a>,
+        bounds: Bounds,
         layer: entity::Layer,
     ) -> Scene<'a> {
-        let times = cost::rank_times(layout, load, health, layer);
-        let mut top: Vec<usize> = (0..times.len()).collect();
-        top.sort_by(|a, b| times[*b].total_cmp(&times[*a]).then(a.cmp(b)));
-        top.truncate(3);
-        Scene {
-            experts: &layout.layers[layer.as_u32() as usize],
-            tokens: load.layer(layer),
-            slowness: &health.slowness,
-            times,
-            top,
-        }
+        let mut scene = Scene {
+            layer,
+            slots: layout.shape.slots as usize,
+            bounds,
+            health: view.health,
+            quick: view.quick.layer(layer),
+            slow: view.slow.layer(layer),
+            experts: layout.layers[layer.as_u32() as usize].clone(),
+            times: Vec::new(),
+            held: Vec::new(),
+        };
+        scene.refresh();
+        scene
     }
 
-    fn max(&self) -> f64 {
-        self.times[self.top[0]]
+    fn refresh(&mut self) {
+        self.times = self.times_under(self.quick);
+        self.held = vec![Vec::new(); self.health.slowness.len()];
+        for (expert, copies) in self.experts.iter().enumerate() {
+            copies.iter().for_each(|rank| self.held[*rank as usize].push(expert));
+        }
     }
 
-    fn share(&self, expert: usize, copies: usize) -> f64 {
-        self.tokens[expert] / copies as f64
+    fn times_under(&self, tokens: &[f64]) -> Vec<f64> {
+        let mut times = vec![0.0; self.health.slowness.len()];
+        for (copies, tokens) in self.experts.iter().zip(tokens) {
+            let share = tokens / copies.len() as f64;
+            for rank in copies.iter().filter(|_| share > 0.0) {
+                times[*rank as usize] += share * self.health.slowness[*rank as usize];
+            }
+        }
+        times
     }
 
-    /// Time of the layer after changes of tokens on ranks, each rank named once or more.
-    fn max_after(&self, changes: &[(u32, f64)]) -> f64 {
-        let time = |rank: usize| {
-            let here = changes.iter().filter(|change| change.0 as usize == rank);
-            let tokens: f64 = here.map(|change| change.1).sum();
-            self.times[rank] + tokens * self.slowness[rank]
-        };
-        let changed = changes.iter().map(|change| time(change.0 as usize));
-        let same = |rank: &usize| !changes.iter().any(|change| change.0 as usize == *rank);
-        // Where changes touch all of the kept ranks, the true rest is no
-        // higher than the least of these, which keeps the estimate safe.
-        let rest = self.top.iter().copied().find(same).or(self.top.last().copied());
-        changed.chain(rest.map(|rank| self.times[rank])).fold(0.0, f64::max)
+    fn slowest(&self, tokens: &[f64]) -> f64 {
+        self.times_under(tokens).into_iter().fold(0.0, f64::max)
     }
 
-    fn gain(&self, from: u32, to: u32, expert: usize, kind: Kind) -> f64 {
-        let copies = &self.experts[expert];
-        let now = self.share(expert, copies.len());
-        let mut changes: Vec<(u32, f64)> = Vec::with_capacity(8);
-        match kind {
-            Kind::Move => changes.extend([(from, -now), (to, now)]),
-            Kind::Copy | Kind::Replace(_) => {
-                let after = self.share(expert, copies.len() + 1);
-                changes.extend(copies.iter().map(|rank| (*rank, after - now)));
-                changes.push((to, after));
+    /// The chain of moves that pays most within so many loads, if one pays.
+    fn chain(mut self, most: u32) -> Option<Chain> {
+        let before = (self.slowest(self.quick), self.slowest(self.slow));
+        let mut steps: Vec<Step> = Vec::new();
+        let mut loads = 0;
+        let mut best: Option<(f64, Chain)> = None;
+        while steps.len() < CHAIN {
+            let Some(step) = self.best_step() else { break };
+            loads += step.loads();
+            if loads > most {
+                break;
             }
-            Kind::Trade(other) => {
-                let other = other.as_u32() as usize;
-                let back = self.share(other, self.experts[other].len());
-                changes.extend([(from, back - now), (to, now - back)]);
+            apply(&mut self.experts, &step);
+            self.refresh();
+            steps.push(step);
+            let gain =
+                (before.0 - self.slowest(self.quick)).min(before.1 - self.slowest(self.slow));
+            let net = gain - self.bounds.least_worth * f64::from(loads);
+            if net > best.as_ref().map_or(0.0, |best| best.0) {
+                let steps = steps.clone();
+                best = Some((net, Chain { layer: self.layer, steps, gain, loads }));
             }
         }
-        if let Kind::Replace(other) = kind {
-            let other = other.as_u32() as usize;
-            let ranks = &self.experts[other];
-            let now = self.share(other, ranks.len());
-            let after = self.share(other, ranks.len() - 1);
-            let rest = ranks.iter().filter(|rank| **rank != to);
-            changes.extend(rest.map(|rank| (*rank, after - now)));
-            changes.push((to, -now));
-        }
-        self.max() - self.max_after(&changes)
+        best.map(|(_, chain)| chain)
     }
-}
 
-/// The best move of a layer, if one pays.
-fn best(
-    layout: &layout::Layout,
-    view: View<'_>,
-    bounds: Bounds,
-    layer: entity::Layer,
-) -> Option<Step> {
-    let quick = Scene::new(layout, view.quick, view.health, layer);
-    let slow = Scene::new(layout, view.slow, view.health, layer);
-    let from = quick.top[0] as u32;
-    let held = Held::new(layout, layer);
-    let mut best: Option<Step> = None;
-    for expert in held.of(from) {
-        for to in 0..layout.shape.ranks {
-            if view.health.lost(to) || quick.experts[*expert].contains(&to) {
-                continue;
-            }
-            for kind in kinds(layout.shape, &quick, &held, *expert, to, bounds) {
-                let gain = quick.gain(from, to, *expert, kind);
-                let loads = if matches!(kind, Kind::Trade(_)) { 2 } else { 1 };
-                // The second view is weighed only for what would be chosen.
-                let promising = gain / f64::from(loads) >= bounds.least_worth
-                    && best.is_none_or(|best| gain / f64::from(loads) > best.worth());
-                if !promising || gain <= 0.0 {
-                    continue;
-                }
-                let gain = gain.min(slow.gain(from, to, *expert, kind));
-                let expert = entity::Expert::from_u32(*expert as u32);
-                let step = Step { layer, expert, from, to, kind, gain, loads };
-                let pays = gain > 0.0 && step.worth() >= bounds.least_worth;
-                if pays && best.is_none_or(|best| step.worth() > best.worth()) {
-                    best = Some(step);
+    /// The move that takes most off the slowest rank for its loads, without
+    /// making another as slow.
+    fn best_step(&self) -> Option<Step> {
+        let ranks = 0..self.times.len() as u32;
+        let time = |rank: &u32| self.times[*rank as usize];
+        let from = ranks.clone().max_by(|a, b| time(a).total_cmp(&time(b)).then(b.cmp(a)))?;
+        let mut receivers: Vec<u32> =
+            ranks.filter(|rank| *rank != from && !self.health.lost(*rank)).collect();
+        receivers.sort_by(|a, b| time(a).total_cmp(&time(b)).then(a.cmp(b)));
+        receivers.truncate(RECEIVERS);
+        let mut best: Option<(f64, Step)> = None;
+        for expert in &self.held[from as usize] {
+            for to in receivers.iter().filter(|to| !self.experts[*expert].contains(to)) {
+                for kind in self.kinds(*expert, from, *to) {
+                    let step = Step { expert: *expert, from, to: *to, kind };
+                    let worth = self.relief(&step) / f64::from(step.loads());
+                    if worth > best.map_or(0.0, |best| best.0) {
+                        best = Some((worth, step));
+                    }
                 }
             }
         }
+        best.map(|(_, step)| step)
     }
-    best
-}
-
-/// Experts by rank, in one layer.
-struct Held {
-    ranks: Vec<Vec<usize>>,
-}
 
-impl Held {
-    fn new(layout: &layout::Layout, layer: entity::Layer) -> Held {
-        let mut ranks = vec![Vec::new(); layout.shape.ranks as usize];
-        for (expert, copies) in layout.layers[layer.as_u32() as usize].iter().enumerate() {
-            copies.iter().for_each(|rank| ranks[*rank as usize].push(expert));
+    /// Moves of an expert to a rank that the slots and the bounds allow.
+    fn kinds(&self, expert: usize, from: u32, to: u32) -> Vec<Kind> {
+        let may_copy = self.experts[expert].len() < self.bounds.replicas as usize;
+        let held = &self.held[to as usize];
+        if held.len() < self.slots {
+            return if may_copy { vec![Kind::Copy, Kind::Move] } else { vec![Kind::Move] };
         }
-        Held { ranks }
-    }
-
-    fn of(&self, rank: u32) -> &[usize] {
-        &self.ranks[rank as usize]
+        let mut kinds = Vec::new();
+        for other in held {
+            let copies = &self.experts[*other];
+            if may_copy && copies.len() > 1 {
+                kinds.push(Kind::Replace(*other));
+            }
+            if !copies.contains(&from) && self.quick[*other] < self.quick[expert] {
+                kinds.push(Kind::Trade(*other));
+            }
+        }
+        kinds
     }
-}
 
-/// Moves of an expert to a rank that the slots and the bounds allow.
-fn kinds(
-    shape: layout::Shape,
-    scene: &Scene<'_>,
-    held: &Held,
-    expert: usize,
-    to: u32,
-    bounds: Bounds,
-) -> Vec<Kind> {
-    let may_copy = scene.experts[expert].len() < bounds.replicas as usize;
-    if held.of(to).len() < shape.slots as usize {
-        return if may_copy { vec![Kind::Copy, Kind::Move] } else { vec![Kind::Move] };
-    }
-    let from = scene.top[0] as u32;
-    let mut kinds = Vec::new();
-    for other in held.of(to) {
-        let id = entity::Expert::from_u32(*other as u32);
-        let copies = &scene.experts[*other];
-        if may_copy && copies.len() > 1 {
-            kinds.push(Kind::Replace(id));
+    /// How much faster the slowest rank gets, measured to whichever of the
+    /// ranks that the move changes is the slowest afterwards.
+    fn relief(&self, step: &Step) -> f64 {
+        let mut changes: Vec<(u32, f64)> = Vec::with_capacity(8);
+        let share = |expert: usize, copies: usize| self.quick[expert] / copies as f64;
+        let copies = &self.experts[step.expert];
+        let now = share(step.expert, copies.len());
+        match step.kind {
+            Kind::Move => changes.extend([(step.from, -now), (step.to, now)]),
+            Kind::Copy | Kind::Replace(_) => {
+                let after = share(step.expert, copies.len() + 1);
+                changes.extend(copies.iter().map(|rank| (*rank, after - now)));
+                changes.push((step.to, after));
+            }
+            Kind::Trade(other) => {
+                let back = share(other, self.experts[other].len());
+                changes.extend([(step.from, back - now), (step.to, now - back)]);
+            }
         }
-        if !copies.contains(&from) && scene.tokens[*other] < scene.tokens[expert] {
-            kinds.push(Kind::Trade(id));
+        if let Kind::Replace(other) = step.kind {
+            let ranks = &self.experts[other];
+            let now = share(other, ranks.len());
+            let after = share(other, ranks.len() - 1);
+            let rest = ranks.iter().filter(|rank| **rank != step.to);
+            changes.extend(rest.map(|rank| (*rank, after - now)));
+            changes.push((step.to, -now));
         }
+        let after = |rank: u32| {
+            let here = changes.iter().filter(|change| change.0 == rank);
+            let tokens: f64 = here.map(|change| change.1).sum();
+            self.times[rank as usize] + tokens * self.health.slowness[rank as usize]
+        };
+        let slowest = changes.iter().map(|change| after(change.0)).fold(0.0, f64::max);
+        self.times[step.from as usize] - slowest
     }
-    kinds
 }
