Begin a server's window with all its slots

Eight streams of 2,000 tokens ran two at a time.

Ruled out: the agent (it had refused nothing), the engine.

Change: the first report sets the window to the slots; "full" shrinks it, and costs little since it is no longer charged to the request.

--- a/decision/src/limit.rs
+++ b/decision/src/limit.rs
@@ -1,8 +1,8 @@
 //! How many requests one entry host keeps in flight at one backend server.
 //!
 //! Entry hosts share no counter. Each keeps a window for each backend server,
-//! which grows while answers come and shrinks when the agent refuses for want
-//! of a slot: additive increase, multiplicative decrease, after Chiu and Jain,
+//! which begins with all slots, grows while answers come and shrinks when the
+//! agent refuses for want of a slot, which costs little: additive increase, multiplicative decrease, after Chiu and Jain,
 //! "Analysis of the increase and decrease algorithms for congestion
 //! avoidance", 1989. Windows of many entry hosts settle near an even share.
 
@@ -23,11 +23,13 @@
     size: f64,
     slots: f64,
     shrunk: Option<clock::Instant>,
+    /// Whether the agent has told its slots.
+    known: bool,
 }
 
 impl Default for Window {
     fn default() -> Window {
-        Window { size: FIRST_WINDOW, slots: FIRST_WINDOW, shrunk: None }
+        Window { size: FIRST_WINDOW, slots: FIRST_WINDOW, shrunk: None, known: false }
     }
 }
 
@@ -40,7 +42,10 @@
     /// Takes the number of slots that the agent reports.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = f64::from(slots.max(1));
-        self.size = self.size.min(self.slots);
+        // Answers of a model take long: a window that had to grow from little
+        // would keep requests waiting before free slots.
+        let known = std::mem::replace(&mut self.known, true);
+        self.size = if known { self.size.min(self.slots) } else { self.slots };
     }
 
     /// An answer came while `in_flight` requests, itself included, were out.
