--- /dev/null
+++ b/bundle/tests/bundles.rs
@@ -0,0 +1,116 @@
+//! What a bundle may say, and who must have signed it.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::Arc;
+
+use loftcove_bundle::{content, envelope, error, sign};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn shipped(deployment: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy").join(deployment);
+    std::fs::read_to_string(path.join("bundle.toml")).unwrap()
+}
+
+#[test]
+fn shipped_bundles_read_as_text() {
+    let texts = ["mensageira-vale", "cartamar"]
+        .map(|name| content::Content::parse(&shipped(name)).unwrap().to_string());
+    insta::assert_snapshot!(texts.join("\n"));
+}
+
+#[test]
+fn one_clear_fault_for_each_mistake() {
+    let good = shipped("cartamar");
+    let fault = |from: &str, to: &str| {
+        assert!(good.contains(from), "{from}");
+        content::Content::parse(&good.replacen(from, to, 1)).unwrap_err().to_string()
+    };
+    let faults = [
+        fault("layers = 8", "layres = 8"),
+        fault("layers = 8", "layers = 0"),
+        fault("class = \"draft\"", "class = \"none\""),
+        fault("avisos", "assistente-pratico"),
+        fault("token_sha256 = \"", "token_sha256 = \"x"),
+        fault("skew_weight = 4.0", "skew_weight = -1.0"),
+        content::Content::parse(&"#".repeat(content::MAX_SIZE + 1)).unwrap_err().to_string(),
+    ];
+    insta::assert_snapshot!(faults.join("\n"));
+}
+
+struct Operators {
+    ana: sign::Signer,
+    bruno: sign::Signer,
+    keyring: sign::Keyring,
+}
+
+fn operators() -> Operators {
+    let ana = sign::Signer::new("ana", &"1".repeat(64)).unwrap();
+    let bruno = sign::Signer::new("bruno", &"2".repeat(64)).unwrap();
+    let keys: BTreeMap<Arc<str>, String> =
+        [&ana, &bruno].map(|signer| (signer.name().clone(), signer.public())).into();
+    Operators { keyring: sign::Keyring::new(&keys).unwrap(), ana, bruno }
+}
+
+fn signed(by: &Operators) -> envelope::Envelope {
+    let text = shipped("cartamar");
+    let digest = sign::Digest::of(&text);
+    envelope::Envelope {
+        proposer: by.ana.sign(sign::Step::Proposal, digest),
+        approver: by.bruno.sign(sign::Step::Approval, digest),
+        roll: by.ana.roll(digest, 7, "nonce".to_owned()),
+        text,
+    }
+}
+
+#[test]
+fn only_what_two_operators_signed_opens() {
+    let by = operators();
+    let good = signed(&by);
+    let digest = good.digest();
+    assert!(good.open(&by.keyring).is_ok());
+    let change = |change: &dyn Fn(&mut envelope::Envelope)| {
+        let mut bad = signed(&by);
+        change(&mut bad);
+        bad.open(&by.keyring).unwrap_err()
+    };
+    assert!(matches!(change(&|bad| bad.text.push(' ')), error::Error::Signature { .. }));
+    assert!(matches!(change(&|bad| bad.roll.generation = 8), error::Error::Signature { .. }));
+    let own = change(&|bad| bad.approver = by.ana.sign(sign::Step::Approval, digest));
+    assert!(matches!(own, error::Error::SelfApproved { .. }));
+    let reused = change(&|bad| bad.approver = by.bruno.sign(sign::Step::Proposal, digest));
+    assert!(matches!(reused, error::Error::Signature { step: sign::Step::Approval, .. }));
+    let stranger = sign::Signer::new("carla", &"3".repeat(64)).unwrap();
+    let strange = change(&|bad| bad.approver = stranger.sign(sign::Step::Approval, digest));
+    assert!(matches!(strange, error::Error::Operator { .. }));
+    let renamed = change(&|bad| bad.approver.operator = "ana".into());
+    assert!(matches!(renamed, error::Error::Signature { .. }));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn arbitrary_texts_do_no_harm(
+        bytes in prop::collection::vec(any::<u8>(), 0..200),
+        at in any::<prop::sample::Index>(),
+    ) {
+        let noise = String::from_utf8_lossy(&bytes).into_owned();
+        content::Content::parse(&noise).ok();
+        envelope::Envelope::parse(&bytes).ok();
+        sign::Digest::parse(&noise).ok();
+        // A good text with noise in it, too.
+        let mut text = shipped("mensageira-vale");
+        let index = at.index(text.len());
+        text.insert_str(index, &noise);
+        content::Content::parse(&text).ok();
+    }
+}
