Tell an operator whose roll was overtaken that it took effect

Cause: under load two of three racing operators won one after the other, and the first was told "conflict" (tests/bundles.rs, operators_race: generation 3 with one success counted). The write's fate was read off the value alone: a write that took effect and was followed by another before it was read back looked like a lost one.

Ruled out: a second generation 2 (the generations were 1, 2, 3), the platform's compare-and-swap (it had answered "done").

Change: a write that was answered "done" has taken effect whatever stands there now (`store::Fate::Overtaken`); after a lost answer the tool looks for its own envelope in the history, where whoever rolls next puts it. Drivers of maps treat an overtaken write as not theirs: its fence is not known.

--- a/daemon/src/entry/drive.rs
+++ b/daemon/src/entry/drive.rs
@@ -327,7 +327,9 @@
                 self.with_group(|group| group.record = Some((won, record)));
                 change::Event::Written(gate::Fence(won))
             }
-            Ok(store::Fate::Conflict(_)) | Err(_) => change::Event::NotWritten,
+            Ok(store::Fate::Overtaken(_) | store::Fate::Conflict(_)) | Err(_) => {
+                change::Event::NotWritten
+            }
         }
     }
 
--- a/daemon/src/entry/steward.rs
+++ b/daemon/src/entry/steward.rs
@@ -81,8 +81,10 @@
     process.trail.record(TASK, format!("choice={cause} won={won}"));
     match fate {
         Ok(store::Fate::Won(revision)) => take(process, store::Entry { revision, value }),
-        Ok(store::Fate::Conflict(Some(entry))) => take(process, entry),
-        Ok(store::Fate::Conflict(None)) | Err(_) => {}
+        Ok(store::Fate::Overtaken(Some(entry)) | store::Fate::Conflict(Some(entry))) => {
+            take(process, entry);
+        }
+        Ok(store::Fate::Overtaken(None) | store::Fate::Conflict(None)) | Err(_) => {}
     }
 }
 
--- a/tool/src/bundle.rs
+++ b/tool/src/bundle.rs
@@ -129,7 +129,7 @@
     proposal.approver = Some(signer.sign(sign::Step::Approval, digest));
     let name = key::proposal(&context.settings.deployment, &digest.to_string());
     match write(context, &name, revision, serde_json::to_vec(&proposal)?).await? {
-        store::Fate::Won(_) => {
+        store::Fate::Won(_) | store::Fate::Overtaken(_) => {
             println!("approved {digest}");
             Ok(())
         }
@@ -180,13 +180,26 @@
         archive(context, past).await?;
     }
     let name = key::force(&context.settings.deployment);
-    match write(context, &name, revision, serde_json::to_vec(&envelope)?).await? {
-        store::Fate::Won(_) => {
-            println!("generation {} in force, digest {digest}", generation + 1);
-            Ok(())
-        }
-        store::Fate::Conflict(_) => Err(conflict(context).await?),
+    let won = match write(context, &name, revision, serde_json::to_vec(&envelope)?).await? {
+        store::Fate::Won(_) | store::Fate::Overtaken(_) => true,
+        store::Fate::Conflict(_) => was_in_force(context, &envelope).await?,
+    };
+    if !won {
+        return Err(conflict(context).await?);
     }
+    println!("generation {} in force, digest {digest}", generation + 1);
+    Ok(())
+}
+
+/// Whether the envelope was in force and has been followed by another already:
+/// whoever rolls archives what was in force before.
+async fn was_in_force(
+    context: &Context,
+    envelope: &envelope::Envelope,
+) -> Result<bool, error::Error> {
+    let name = key::past(&context.settings.deployment, envelope.roll.generation);
+    let past: Option<(store::Revision, envelope::Envelope)> = load(context, &name).await?;
+    Ok(past.is_some_and(|(_, past)| past == *envelope))
 }
 
 async fn archive(context: &Context, past: &envelope::Envelope) -> Result<(), error::Error> {
