Give each test deployment a key of its own

Cause: a run of the suite failed with "all processes serve", and 2 of 130 stress runs did.

Ruled out: lost wake-ups in the exchange and the watches (the host list was there, at the right revision, with other hosts in it); starved processors.

Change: each test deployment has a key of its own, so strangers are not listened to; a program's panic is printed; what is lacking is printed when a deployment does not come up. For operators it is the same: one key a deployment.

--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -10,8 +10,6 @@
 
 /// Token of every team.
 pub const TOKEN: &str = "token-of-the-clinic";
-/// Shared key of the deployment.
-pub const KEY: &str = "a-key-of-the-deployment";
 /// Service whose calls may not be repeated.
 pub const SERVICE: &str = "gateway-sms";
 /// Model, served by one group in each availability zone.
@@ -103,6 +101,10 @@
     pub servers: BTreeMap<String, process::Process>,
     /// Settings and keys.
     pub folder: process::Folder,
+    /// Shared key of the deployment. Each deployment has its own, so that the
+    /// processes of one that was left behind are not listened to by another
+    /// that got their ports.
+    pub key: String,
     platform_listed: SocketAddr,
     operators: String,
 }
@@ -156,14 +158,16 @@
             members: BTreeMap::new(),
             servers: BTreeMap::new(),
             folder,
+            key: format!("key-of-the-deployment-{}", uuid::Uuid::now_v7()),
             platform_listed: listed,
             operators,
         };
         for name in OPERATORS {
             let text = format!(
-                "deployment = \"vale\"\nplatform_address = \"{}\"\nkey = \"{KEY}\"\n\
+                "deployment = \"vale\"\nplatform_address = \"{}\"\nkey = \"{}\"\n\
                  operator = \"{name}\"\nsecret_file = \"{}\"\n[operators]\n{}",
                 cluster.platform_address,
+                cluster.key,
                 cluster.folder.path(name),
                 cluster.operators
             );
@@ -218,10 +222,11 @@
             self.members.values().map(|member| format!("\"{}\"", member.listed)).collect();
         format!(
             "[process]\nrole = \"{role}\"\nhost = \"{host}\"\nzone = \"{zone}\"\n\
-             deployment = \"vale\"\npeer_address = \"{peer}\"\nkey = \"{KEY}\"\n\
+             deployment = \"vale\"\npeer_address = \"{peer}\"\nkey = \"{}\"\n\
              source_address = \"{}\"\nexchange_ms = 200\ndrain_ms = 20000\nseeds = [{}]\nworkers = {}\n\
              [platform]\naddress = \"{}\"\ntimeout_ms = 1000\nwatch_ms = 5000\n\
              [operators]\n{}\n[homes]\n{}\n",
+            self.key,
             source_address(index),
             seeds.join(", "),
             self.plan.workers,
@@ -428,11 +433,24 @@
     /// Waits until every process serves, every entry host may use every
     /// server, and the homes of keys can be asked.
     pub async fn ready(&self) {
-        until("all processes serve", || async {
-            let status = self.status().await;
-            status.len() == self.members.len() && status.values().all(is_serving)
-        })
-        .await;
+        let lacking = std::sync::Mutex::new(String::new());
+        let serve = async {
+            loop {
+                let status = self.status().await;
+                let lack: Vec<String> = status
+                    .values()
+                    .filter(|one| !is_serving(one))
+                    .map(serde_json::Value::to_string)
+                    .collect();
+                if lack.is_empty() && status.len() == self.members.len() {
+                    break;
+                }
+                *lacking.lock().expect("no holder panics") = lack.join("\n");
+                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            }
+        };
+        let served = tokio::time::timeout(crate::PATIENCE, serve).await;
+        assert!(served.is_ok(), "not all processes serve: {lacking:?}");
         for host in self.entries() {
             self.keys_ready(&host).await;
         }
@@ -447,7 +465,11 @@
         until("keys are granted", || async {
             for _ in 0..8 {
                 let key = uuid::Uuid::now_v7().to_string();
-                if caller.deliver(SERVICE, &key, &[]).await.outcome() != "answered" {
+                let answer = caller.deliver(SERVICE, &key, &[]).await;
+                if answer.outcome() != "answered" {
+                    if std::env::var_os("LOFTCOVE_LOG").is_some() {
+                        eprintln!("[keys] {key} {}", answer.body);
+                    }
                     return false;
                 }
             }
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -55,7 +55,8 @@
         tokio::spawn(async move {
             let mut lines = BufReader::new(stderr).lines();
             while let Ok(Some(line)) = lines.next_line().await {
-                if std::env::var_os("LOFTCOVE_LOG").is_some() {
+                let panicked = line.contains("panicked at");
+                if panicked || std::env::var_os("LOFTCOVE_LOG").is_some() {
                     eprintln!("[{name}] {line}");
                 }
                 kept.lock().expect("no holder of the log panics").push(line);
--- a/tests/tests/keys.rs
+++ b/tests/tests/keys.rs
@@ -16,9 +16,9 @@
     let known = cluster.tool("ana", &["status"]).await.stdout;
     assert!(known.contains("phase=serving") && !known.contains("unreached"), "{known}");
     let own = std::fs::read_to_string(cluster.folder.path("ana.toml")).unwrap();
-    for wrong in ["", "a-key-of-the-deploymenX", "another-deployment-and-its-key"] {
+    for wrong in ["", "key-of-the-deployment-of-none", "another-deployment-and-its-key"] {
         let text =
-            own.replace(&format!("key = \"{}\"", cluster::KEY), &format!("key = \"{wrong}\""));
+            own.replace(&format!("key = \"{}\"", cluster.key), &format!("key = \"{wrong}\""));
         cluster.folder.write("stranger.toml", &text);
         let refused = cluster.tool("stranger", &["status"]).await.stdout;
         assert!(!refused.contains("phase=serving"), "{refused}");
@@ -28,7 +28,7 @@
     caller.chat(cluster::MODEL, false, 1).await;
     let logs: Vec<String> = cluster.members.values().flat_map(|m| m.process.log()).collect();
     assert!(!logs.is_empty());
-    for secret in [cluster::TOKEN, cluster::KEY] {
+    for secret in [cluster::TOKEN, &cluster.key] {
         assert!(!logs.iter().any(|line| line.contains(secret)), "a secret was logged");
     }
 }
