Bound what load reports and a returning zone cost

Cause: docs/CAPACITY.md: 135 agents that report every 100 ms while busy are 60 KB/s for an entry host, ten times its share; 4,600 processes that start at once ask the platform three times each, 13,800 reads in a second against 2,000.

Change: an entry host takes 25 reports a second over all agents, each agent's spacing following from their number; an agent reports only what has changed, and each second otherwise; a process that knows nothing asks its peers first, agents for 1.5 to 4.5 s by lot.

Ruled out: reports to a part of the entry hosts only: refusals and end marks would then be the only word for the others, and a frozen agent would not be noticed.

Figures worked out from the slopes: 25 x 45 B = 1.1 KB/s; 4,600 reads a second in the worst start, still over the limit and marked so.

--- a/daemon/src/agent/poll.rs
+++ b/daemon/src/agent/poll.rs
@@ -75,7 +75,8 @@
         self.lock().server = load;
     }
 
-    /// Makes a new report. Its number rises under the channel's lock.
+    /// Makes a new report if anything has changed. Its number rises under the
+    /// channel's lock.
     pub fn publish(&self, agent: &Agent) {
         let (running, slots, server) = {
             let inner = self.lock();
@@ -84,8 +85,8 @@
         let load = server.unwrap_or_default();
         let leaving = !agent.takes_work();
         let generation = agent.process.gossip.force.generation();
-        self.reports.send_modify(|report| {
-            *report = wire::Report {
+        self.reports.send_if_modified(|report| {
+            let next = wire::Report {
                 incarnation: report.incarnation,
                 // Callers may reach the backend server by other ways, too.
                 running: running.max(load.running),
@@ -95,9 +96,12 @@
                 leaving,
                 generation,
                 epoch: load.epoch,
-                sequence: report.sequence + 1,
+                sequence: report.sequence,
                 alive: server.is_some(),
             };
+            let changed = next != *report;
+            *report = wire::Report { sequence: next.sequence + u64::from(changed), ..next };
+            changed
         });
     }
 }
--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -10,10 +10,14 @@
 use crate::clock;
 use crate::entry::{Entry, desk};
 
+/// Reports a second from all agents together: the node's share of processor
+/// and network for control bounds them, see `docs/CAPACITY.md`. What attempts
+/// bear keeps the load of the servers in use fresher than that.
+const REPORTS_PER_SECOND: u64 = 25;
 /// Least time between two reports of one agent, milliseconds.
-const SPACING_MS: u32 = 100;
-/// An agent that is silent for that long counts as gone: agents report at
-/// least every second.
+const LEAST_SPACING_MS: u64 = 100;
+/// An agent that is silent for longer than that, and than two reports take,
+/// counts as gone.
 const SILENCE: Duration = Duration::from_secs(3);
 /// Shortest and longest pause before the next try.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
@@ -69,6 +73,11 @@
     lock(&followed).remove(&server);
 }
 
+/// Time between two reports of one agent out of so many.
+fn spacing_ms(followed: u64) -> u64 {
+    (followed * 1_000 / REPORTS_PER_SECOND).max(LEAST_SPACING_MS)
+}
+
 /// Takes reports until the stream ends; returns whether any came.
 async fn watch(
     entry: &Entry,
@@ -76,10 +85,12 @@
     target: &desk::Target,
 ) -> Result<bool, tonic::Status> {
     let mut agent = entry.process.links.get(target.address).agent.clone();
-    let subscription = wire::Subscription { spacing_ms: SPACING_MS };
+    let spacing_ms = spacing_ms(entry.desk.listed().len() as u64);
+    let subscription = wire::Subscription { spacing_ms: spacing_ms as u32 };
+    let silence = SILENCE + 2 * Duration::from_millis(spacing_ms);
     let mut stream = agent.watch(subscription).await?.into_inner();
     let mut any = false;
-    while let Ok(Ok(Some(report))) = tokio::time::timeout(SILENCE, stream.message()).await {
+    while let Ok(Ok(Some(report))) = tokio::time::timeout(silence, stream.message()).await {
         entry.desk.report(server, &report);
         if !any {
             entry.desk.connect(server, true);
--- a/daemon/src/source.rs
+++ b/daemon/src/source.rs
@@ -19,8 +19,10 @@
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(15));
 /// Pause of a process that does not watch, until it looks again whether it should.
 const IDLE: Duration = Duration::from_secs(2);
-/// How long a process that knows nothing waits for its peers before it asks the platform.
-const PEERS_FIRST: Duration = Duration::from_millis(300);
+/// How long a process that knows nothing waits for its peers before it asks
+/// the platform, an entry host and an agent. Drawn by lot around these, so that a
+/// zone that returns does not ask as one.
+const PEERS_FIRST: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(3));
 
 /// A watch of one kind of record.
 trait Watch: Send + Sync + 'static {
@@ -99,7 +101,7 @@
     let wait = Duration::from_millis(process.settings.platform.watch_ms);
     let mut cursor = 0;
     let mut backoff = BACKOFF.0;
-    tokio::time::sleep(PEERS_FIRST).await;
+    tokio::time::sleep(peers_first(&process)).await;
     loop {
         if !should_watch(&process) {
             cursor = 0;
@@ -124,6 +126,16 @@
     }
 }
 
+fn peers_first(process: &process::Process) -> Duration {
+    let own = &process.settings.process;
+    match own.role {
+        // Without seeds there is nobody else to ask.
+        _ if own.seeds.is_empty() => Duration::ZERO,
+        file::Role::Entry => clock::jitter(PEERS_FIRST.0, 0.5..1.5),
+        file::Role::Agent => clock::jitter(PEERS_FIRST.1, 0.5..1.5),
+    }
+}
+
 /// Whether this process is one of its zone's watchers. One that knows no
 /// bundle or no host list asks the platform itself.
 fn should_watch(process: &process::Process) -> bool {
