Do not lose a caller's next request after a body over the limit

The server closed the connection with the body unread, and the caller had sent its next request into it.

Ruled out: the refusal itself (it had come whole).

Change: such refusals say `connection: close`, and of a body over the limit up to eight times the limit is read and dropped, for a second at the most, so that the answer is not lost to a reset.

--- a/daemon/src/entry/call.rs
+++ b/daemon/src/entry/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use http_body_util::BodyExt as _;
 use loftcove_bundle::content;
 use loftcove_decision::home;
 use serde::Deserialize;
@@ -32,6 +32,11 @@
 const SERVICE_PREFIX: &str = "/services/";
 /// Headers of one request at the most, bytes.
 const MAX_HEADERS: usize = 16 * 1024;
+/// How much of a body over the limit is read and dropped before the answer, as
+/// a multiple of the limit, and for how long.
+const DISCARD_FACTOR: usize = 8;
+/// See [`DISCARD_FACTOR`].
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Bytes of a prompt that decide which prefix cache it suits.
 const PREFIX_BYTES: usize = 256;
 
@@ -145,11 +150,32 @@
     if size > MAX_HEADERS { Err(Refusal::Headers(MAX_HEADERS)) } else { Ok(()) }
 }
 
-async fn collect(body: hyper::body::Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, limit).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::TooLarge(limit)),
-        Err(_) => Err(Refusal::Truncated),
+async fn collect(mut body: hyper::body::Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    let mut whole = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Refusal::Truncated)?;
+        let Ok(data) = frame.into_data() else { continue };
+        if whole.len() + data.len() > limit {
+            let rest = discard(&mut body, limit * DISCARD_FACTOR);
+            // Whoever sends more, or slower, is answered all the same.
+            tokio::time::timeout(DISCARD_TIME, rest).await.unwrap_or_default();
+            return Err(Refusal::TooLarge(limit));
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.into())
+}
+
+/// Reads on and keeps nothing: a connection that is closed while the caller
+/// still sends can lose the answer on its way.
+async fn discard(body: &mut hyper::body::Incoming, most: usize) {
+    let mut left = most;
+    while let Some(Ok(frame)) = body.frame().await {
+        let size = frame.data_ref().map_or(0, Bytes::len);
+        left = left.saturating_sub(size);
+        if left == 0 {
+            return;
+        }
     }
 }
 
--- a/daemon/src/entry/refusal.rs
+++ b/daemon/src/entry/refusal.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// Whether the request's body may not have been read to its end.
+    fn leaves_body(&self) -> bool {
+        !matches!(self, Refusal::Balancer(_) | Refusal::Claim(_) | Refusal::Home | Refusal::Lost)
+    }
+
     /// The whole answer.
     pub fn response(&self, request_id: &str) -> http::Response<Full<Bytes>> {
         let (status, kind) = self.class();
@@ -177,6 +182,12 @@
         if let Ok(id) = http::HeaderValue::from_str(request_id) {
             headers.insert(call::REQUEST_ID_HEADER, id);
         }
+        if self.leaves_body() {
+            // The connection ends with the rest of the body unread: a caller
+            // that was not told could send its next request into it.
+            let close = http::HeaderValue::from_static("close");
+            headers.insert(http::header::CONNECTION, close);
+        }
         if let Some(after) = self.retry_after() {
             let seconds = after.as_secs_f64().ceil() as u64;
             headers.insert(http::header::RETRY_AFTER, seconds.into());
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -1,7 +1,8 @@
 //! A stand-in for a plain service whose calls may not be repeated.
 //!
 //! Every call is done and counted under its `idempotency-key`; `GET
-//! /standin/runs` tells the counts. `x-standin-delay-ms` makes a call slow.
+//! /standin/runs` tells the counts. `x-standin-delay-ms` makes a call slow, `x-standin-cross`
+//! has it answered with another request's id.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -41,6 +42,7 @@
         let key = header(request.headers(), "idempotency-key").to_owned();
         let id = header(request.headers(), "x-request-id").to_owned();
         let delay = header(request.headers(), "x-standin-delay-ms").parse().unwrap_or(0);
+        let crossing = request.headers().clone();
         // The call takes effect here; what follows can only lose its answer.
         {
             let mut runs = self.runs.lock().expect("no holder of the stand-in's lock panics");
@@ -50,7 +52,9 @@
         let body = server::read(request.into_body()).await;
         let answer = serde_json::json!({ "delivered": key, "bytes": body.len() });
         let mut response = server::json(200, &answer);
-        if let Ok(id) = id.parse() {
+        let crossed = !header(&crossing, "x-standin-cross").is_empty();
+        let echo = if crossed { "another-request".to_owned() } else { id };
+        if let Ok(id) = echo.parse() {
             response.headers_mut().insert("x-request-id", id);
         }
         response
--- a/tests/src/caller.rs
+++ b/tests/src/caller.rs
@@ -87,6 +87,12 @@
         Caller { http, address, token: token.to_owned() }
     }
 
+    /// The same caller over HTTP/2.
+    pub fn over_http2(&self) -> Caller {
+        let mut builder = legacy::Client::builder(TokioExecutor::new());
+        Caller { http: builder.http2_only(true).build_http(), ..self.clone() }
+    }
+
     /// Sends a request and returns the answer whose body is still to come.
     pub async fn open(
         &self,
--- a/tests/tests/once.rs
+++ b/tests/tests/once.rs
@@ -132,8 +132,13 @@
     nagging.answered_more("calls are answered", 20).await;
     // The platform is gone for several leases: witnesses keep the homes going.
     cluster.platform_fault("down").await;
-    let lease = std::time::Duration::from_millis(1_500);
-    tokio::time::sleep(lease * 3).await;
+    let home = &cluster.agents(cluster::SERVICE)[0];
+    // Three looks make a lease.
+    loftcove_tests::until("the platform was missed for several leases", || async {
+        let log = cluster.members[home].process.log();
+        log.iter().filter(|line| line.contains("homes not confirmed")).count() >= 10
+    })
+    .await;
     nagging.answered_more("calls are answered without the platform", 20).await;
     cluster.platform_fault("slow").await;
     nagging.answered_more("calls are answered with a slow platform", 20).await;
--- a/tests/tests/refusals.rs
+++ b/tests/tests/refusals.rs
@@ -65,6 +65,10 @@
         ask(header("idempotency-key", &key), path, "b".into()).await,
         told(422, "key-reused")
     );
+    let crossed = uuid::Uuid::now_v7().to_string();
+    let answer = caller.deliver(cluster::SERVICE, &crossed, &[("x-standin-cross", "1")]).await;
+    assert_eq!((answer.status, answer.outcome().as_str()), (502, "unknown"), "{answer:?}");
+    assert!(!answer.body.contains("delivered"), "another request's answer: {answer:?}");
     let answer = stranger.chat(cluster::MODEL, false, 1).await;
     assert_eq!((answer.status, answer.kind()), (401, "unknown-team".to_owned()));
     assert!(caller.chat(cluster::MODEL, true, 3).await.complete);
--- a/tests/tests/stops.rs
+++ b/tests/tests/stops.rs
@@ -123,6 +123,15 @@
     })
     .await;
     assert_eq!(slow.await.unwrap().outcome(), "answered");
+    // The second signal ends at once, whatever is in flight.
+    let endless = caller::prompt(cluster::MODEL, true, 1_000_000);
+    let open = caller.open("POST", "/v1/chat/completions", &[], &endless).await;
+    assert_eq!(open.as_ref().unwrap().status(), 200);
+    let process = &mut cluster.members.get_mut(&entry).unwrap().process;
+    process.signal(libc::SIGTERM);
+    until("it drains", || async { process.log().iter().any(|line| line.contains("drain")) }).await;
+    process.signal(libc::SIGTERM);
+    assert!(process.wait().await);
 }
 
 async fn state(cluster: &cluster::Cluster, at: &str, host: &str) -> String {
