Split the two largest files, and drop fields of messages that nobody reads

`balancer` (638 lines) and `home::keeper` (515) held their messages and their machine in one file; claims and grants bore epochs and pauses that no process looked at.

--- a/daemon/src/agent/keeper.rs
+++ b/daemon/src/agent/keeper.rs
@@ -14,6 +14,8 @@
 
 /// Looks at the platform in one lease: two may fail before it ends.
 const LOOKS_PER_LEASE: u32 = 3;
+/// Longest time for handing slots over on a planned stop.
+const RETIRE_LIMIT: Duration = Duration::from_secs(3);
 /// Tries to hand slots over on a planned stop.
 const RETIRE_TRIES: u32 = 5;
 
@@ -157,7 +159,6 @@
         let renewal = wire::Renewal {
             home: agent.process.settings.process.host.to_string(),
             incarnation: agent.process.incarnation,
-            revision: lock(agent).table().0,
         };
         let asked = agent.process.clock.now();
         let answer = tokio::time::timeout(limit, client.renew(renewal)).await;
@@ -169,8 +170,16 @@
     futures_util::future::join_all(calls).await;
 }
 
-/// Stops granting and hands the slots to their witnesses, on a planned stop.
+/// Stops granting and hands the slots to their witnesses, on a planned stop. A
+/// platform that is not to be reached holds the stop up for a moment only:
+/// the witnesses then take over by themselves.
 pub async fn retire(agent: &Agent) {
+    if tokio::time::timeout(RETIRE_LIMIT, hand_over(agent)).await.is_err() {
+        log::warn!("homes not handed over");
+    }
+}
+
+async fn hand_over(agent: &Agent) {
     for _ in 0..RETIRE_TRIES {
         let elected = elected(agent);
         let (revision, next) = {
@@ -186,5 +195,4 @@
         // Reading back settles a lost answer and passes the news on.
         look(agent).await;
     }
-    log::warn!("homes not handed over");
 }
--- a/daemon/src/agent/service.rs
+++ b/daemon/src/agent/service.rs
@@ -16,8 +16,6 @@
 const BEAT: Duration = Duration::from_secs(1);
 /// Longest wait for the backend server's counts.
 const COUNTS_TIMEOUT: Duration = Duration::from_secs(1);
-/// When a refused claimant may try again, milliseconds.
-const CLAIM_RETRY_MS: u32 = 500;
 
 /// The service.
 pub struct Service {
@@ -96,8 +94,7 @@
             token: read_token(&message.token)?,
         };
         let standing = keeper::claim(&self.agent, claim);
-        let retry_after_ms = CLAIM_RETRY_MS;
-        Ok(Response::new(wire::Grant { standing: standing.into(), epoch: 0, retry_after_ms }))
+        Ok(Response::new(wire::Grant { standing: standing.into() }))
     }
 
     async fn settle(
--- a/daemon/src/entry/claim.rs
+++ b/daemon/src/entry/claim.rs
@@ -49,7 +49,6 @@
         key: key.bytes().to_vec().into(),
         fingerprint: call.fingerprint(),
         token: token.to_be_bytes().to_vec().into(),
-        epoch: 0,
     };
     let mut last = Refusal::Home;
     for attempt in 0..CLAIM_TRIES {
--- a/daemon/src/entry/dispatch.rs
+++ b/daemon/src/entry/dispatch.rs
@@ -62,8 +62,6 @@
     pub left: Duration,
     /// When it may not start any more.
     pub expiry: clock::Wall,
-    /// Generation in force.
-    pub generation: u64,
 }
 
 impl Attempt<'_> {
@@ -90,7 +88,6 @@
             budget_ms: self.left.as_millis() as u32,
             precedence: call.class.precedence,
             backend: self.target.backend.to_string(),
-            generation: self.generation,
             expiry_ms: self.expiry.millis(),
         }
     }
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -147,7 +147,6 @@
             incarnation,
             left,
             expiry: process.clock.wall() + left,
-            generation: self.bundle.generation.0,
         };
         if let Some(claim) = &mut self.claim {
             claim.attempt();
--- /dev/null
+++ b/decision/src/balancer/message.rs
@@ -0,0 +1,119 @@
+//! What goes into the balancer and what comes out of it.
+
+use std::fmt;
+use std::time::Duration;
+
+use crate::routing::policy;
+use crate::{admission, clock, entity};
+
+/// A request as it arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Arrival {
+    /// Pool that can answer it.
+    pub pool: entity::Pool,
+    /// Team that sent it.
+    pub team: entity::Team,
+    /// Precedence of its class; 0 goes first.
+    pub precedence: u32,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// When its answer is due.
+    pub deadline: clock::Instant,
+    /// Hash of the prompt's beginning; zero where there is none.
+    pub prefix: u64,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The answer was whole.
+    Answered,
+    /// The agent refused it for want of a slot: never ran.
+    Full,
+    /// It surely never ran, for another cause.
+    NeverRan,
+    /// It ran, or may have, and there is no whole answer.
+    MayHaveRun {
+        /// Whether the caller has seen a part of the answer.
+        answer_begun: bool,
+    },
+    /// The caller left; there is nobody to answer.
+    Abandoned,
+}
+
+/// Final outcome of a request without a whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Outcome {
+    /// It truly did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// Why a request was given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    /// Admission refused it.
+    Admission(admission::Refusal),
+    /// The pool has no usable backend server.
+    NoBackend,
+    /// Its attempts are used up, or another would not be safe.
+    Attempts,
+    /// The retry budget is used up.
+    Budget,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Reason::Admission(refusal) => refusal.fmt(f),
+            Reason::NoBackend => f.write_str("no-backend"),
+            Reason::Attempts => f.write_str("attempts"),
+            Reason::Budget => f.write_str("retry-budget"),
+        }
+    }
+}
+
+/// A backend server that was weighed, with its score at that time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// The backend server.
+    pub server: entity::Server,
+    /// Its score; lower is less loaded.
+    pub score: f64,
+}
+
+/// A request to be sent.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Dispatch {
+    /// The request.
+    pub ticket: entity::Ticket,
+    /// Which attempt this is, from 1.
+    pub attempt: u32,
+    /// The choice and its reason.
+    pub choice: policy::Choice,
+    /// Those that were open and weighed.
+    pub considered: Vec<Candidate>,
+}
+
+/// A request to be given its final answer now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// The request.
+    pub ticket: entity::Ticket,
+    /// What it may be told.
+    pub outcome: Outcome,
+    /// Why.
+    pub reason: Reason,
+    /// When to come back.
+    pub retry_after: Duration,
+}
+
+/// What the daemon is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Action {
+    /// Send an attempt.
+    Send(Dispatch),
+    /// Give a final answer.
+    Refuse(Refusal),
+}
--- a/decision/src/home.rs
+++ b/decision/src/home.rs
@@ -8,6 +8,7 @@
 //! `docs/design/at-most-once.md` works the hand-over out in full and says what
 //! each choice costs.
 
+pub mod claim;
 pub mod keeper;
 pub mod key;
 pub mod table;
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -42,11 +42,8 @@
     /// Backend by the name that the bundle gives it.
     #[prost(string, tag = "8")]
     pub backend: ::prost::alloc::string::String,
-    /// Generation of the bundle that the decision was made under.
-    #[prost(uint64, tag = "9")]
-    pub generation: u64,
     /// After this time the attempt may not start, milliseconds since the Unix epoch.
-    #[prost(uint64, tag = "10")]
+    #[prost(uint64, tag = "9")]
     pub expiry_ms: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -160,18 +157,11 @@
     /// The claimant's attempt token: a claim repeated with it is granted again.
     #[prost(bytes = "bytes", tag = "3")]
     pub token: ::prost::bytes::Bytes,
-    /// Epoch of the slot in the claimant's table.
-    #[prost(uint64, tag = "4")]
-    pub epoch: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Grant {
     #[prost(enumeration = "Standing", tag = "1")]
     pub standing: i32,
-    #[prost(uint64, tag = "2")]
-    pub epoch: u64,
-    #[prost(uint32, tag = "3")]
-    pub retry_after_ms: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Settlement {
@@ -194,9 +184,6 @@
     pub home: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
-    /// Revision of the home table that the home acts on.
-    #[prost(uint64, tag = "3")]
-    pub revision: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Promise {
