--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -6,11 +6,13 @@
 //! and takes microseconds a call.
 
 mod message;
+mod verify;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 pub use message::{Action, Arrival, Candidate, Dispatch, End, Outcome, Reason, Refusal};
+pub use verify::Fault;
 
 use crate::routing::{eject, policy, server};
 use crate::{admission, clock, entity, retry};
@@ -480,27 +482,6 @@
             self.servers[server].health.eject(now);
         }
     }
-
-    /// Checks the machine's invariants.
-    ///
-    /// # Errors
-    ///
-    /// The first [`Fault`] found.
-    pub fn verify(&self) -> Result<(), Fault> {
-        self.queue.verify().map_err(Fault::Queue)?;
-        let waiting = self.pending.values().filter(|p| p.place == Place::Waiting).count();
-        if waiting != self.queue.waiting() {
-            return Err(Fault::Waiting);
-        }
-        for (server, record) in self.servers.iter() {
-            let sent = Place::Sent(server);
-            let in_flight = self.pending.values().filter(|p| p.place == sent).count();
-            if in_flight != record.in_flight as usize {
-                return Err(Fault::InFlight(server));
-            }
-        }
-        Ok(())
-    }
 }
 
 fn waiter(ticket: entity::Ticket, arrival: &Arrival, since: clock::Instant) -> admission::Waiter {
@@ -513,17 +494,3 @@
         since,
     }
 }
-
-/// A broken invariant of the machine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-pub enum Fault {
-    /// The queue's own.
-    #[error(transparent)]
-    Queue(admission::Fault),
-    /// Requests that wait are those in the queue.
-    #[error("requests that wait and the queue differ")]
-    Waiting,
-    /// Requests sent to a backend server are those it has in flight.
-    #[error("requests in flight at {0} are miscounted")]
-    InFlight(entity::Server),
-}
--- /dev/null
+++ b/decision/src/balancer/verify.rs
@@ -0,0 +1,41 @@
+//! The verifier of the balancer: its counts agree with each other.
+
+use crate::balancer::{Balancer, Place};
+use crate::{admission, entity};
+
+impl<P> Balancer<P> {
+    /// Checks the machine's invariants.
+    ///
+    /// # Errors
+    ///
+    /// The first [`Fault`] found.
+    pub fn verify(&self) -> Result<(), Fault> {
+        self.queue.verify().map_err(Fault::Queue)?;
+        let waiting = self.pending.values().filter(|p| p.place == Place::Waiting).count();
+        if waiting != self.queue.waiting() {
+            return Err(Fault::Waiting);
+        }
+        for (server, record) in self.servers.iter() {
+            let sent = Place::Sent(server);
+            let in_flight = self.pending.values().filter(|p| p.place == sent).count();
+            if in_flight != record.in_flight as usize {
+                return Err(Fault::InFlight(server));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A broken invariant of the machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// The queue's own.
+    #[error(transparent)]
+    Queue(admission::Fault),
+    /// Requests that wait are those in the queue.
+    #[error("requests that wait and the queue differ")]
+    Waiting,
+    /// Requests sent to a backend server are those it has in flight.
+    #[error("requests in flight at {0} are miscounted")]
+    InFlight(entity::Server),
+}
