Let one function wait for conditions in the end-to-end tests

Cause: `Cluster::ready` held a copy of `until` so that it could say what was lacking.

Change: `until_told` waits and tells; `until` and `ready` both use it. The wait, its bound and what is asserted stay as they were.

--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -6,7 +6,7 @@
 use base64::Engine as _;
 use sha2::Digest as _;
 
-use crate::{caller, process, until};
+use crate::{caller, process, until, until_told};
 
 /// Token of every team.
 pub const TOKEN: &str = "token-of-the-clinic";
@@ -433,24 +433,14 @@
     /// Waits until every process serves, every entry host may use every
     /// server, and the homes of keys can be asked.
     pub async fn ready(&self) {
-        let lacking = std::sync::Mutex::new(String::new());
-        let serve = async {
-            loop {
-                let status = self.status().await;
-                let lack: Vec<String> = status
-                    .values()
-                    .filter(|one| !is_serving(one))
-                    .map(serde_json::Value::to_string)
-                    .collect();
-                if lack.is_empty() && status.len() == self.members.len() {
-                    break;
-                }
-                *lacking.lock().expect("no holder panics") = lack.join("\n");
-                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-            }
-        };
-        let served = tokio::time::timeout(crate::PATIENCE, serve).await;
-        assert!(served.is_ok(), "not all processes serve: {lacking:?}");
+        until_told("all processes serve", || async {
+            let status = self.status().await;
+            let idle = status.values().filter(|one| !is_serving(one));
+            let lacking: Vec<String> = idle.map(serde_json::Value::to_string).collect();
+            let all = status.len() == self.members.len();
+            if all && lacking.is_empty() { Ok(()) } else { Err(lacking.join("\n")) }
+        })
+        .await;
         for host in self.entries() {
             self.keys_ready(&host).await;
         }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -23,11 +23,29 @@
 ///
 /// If it does not hold in the end; `what` says what was waited for.
 pub async fn until<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+    let mut holds = || {
+        let condition = condition();
+        async { if condition.await { Ok(()) } else { Err(String::new()) } }
+    };
+    until_told(what, &mut holds).await;
+}
+
+/// Waits until nothing is lacking any more.
+///
+/// # Panics
+///
+/// If something still is in the end; says what was waited for and what is lacking.
+pub async fn until_told<F: Future<Output = Result<(), String>>>(
+    what: &str,
+    mut check: impl FnMut() -> F,
+) {
+    let mut lacking = String::new();
     let held = async {
-        while !condition().await {
+        while let Err(lack) = check().await {
+            lacking = lack;
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     };
     let ended = tokio::time::timeout(PATIENCE, held).await;
-    assert!(ended.is_ok(), "waited in vain until {what}");
+    assert!(ended.is_ok(), "waited in vain until {what}; lacking: {lacking}");
 }
