--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -64,7 +64,7 @@
 
 fn machine(servers: u32) -> balancer::Balancer<loftcove_decision::routing::policy::Blend> {
     let rng = rand_chacha::ChaCha8Rng::seed_from_u64(1);
-    let mut machine = balancer::Balancer::new(routing::chosen(rng), 1_024, 0.1);
+    let mut machine = balancer::Balancer::new(routing::chosen(rng), &balancer::Options::default());
     let listing = |server: u32| server::Listing {
         host: format!("server{server:05}").into(),
         pool: entity::Pool::from_u32(0),
@@ -98,7 +98,10 @@
                 team: entity::Team::from_u32(round % 790),
                 precedence: round % 3,
                 repeatable: true,
+                resumable: false,
+                max_attempts: loftcove_decision::retry::MAX_ATTEMPTS,
                 deadline: now + Duration::from_secs(10),
+                expires: now + Duration::from_secs(10),
                 prefix: u64::from(round % 64) + 1,
             };
             let (ticket, _) = machine.arrive(arrival, now);
@@ -113,13 +116,14 @@
         let report = began.elapsed() / ROUNDS;
         println!("balancer servers={servers} request={request:?} report={report:?}");
     }
-    let mut queue = admission::Queue::new(1_024);
+    let mut queue = admission::Queue::new(1_024, Duration::from_secs(1));
     let waiter = |number: u32| admission::Waiter {
         ticket: entity::Ticket::from_u32(number),
         pool: entity::Pool::from_u32(0),
         team: entity::Team::from_u32(number % 790),
         precedence: number % 3,
         deadline: clock::Instant::from_millis(1_000_000),
+        expires: clock::Instant::from_millis(1_000_000),
         since: clock::Instant::ZERO,
     };
     let began = Instant::now();
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -11,7 +11,7 @@
 
 use hdrhistogram::Histogram;
 use loftcove_decision::routing::{policy, server};
-use loftcove_decision::{balancer, clock, entity};
+use loftcove_decision::{balancer, clock, entity, retry};
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng as _;
@@ -218,7 +218,9 @@
     };
     let entry = |index: usize| {
         let rng = ChaCha8Rng::seed_from_u64(1_000 + index as u64);
-        balancer::Balancer::new(policy(rng), plan.capacity, plan.retry_ratio)
+        let options =
+            balancer::Options::default().capacity(plan.capacity).retry_ratio(plan.retry_ratio);
+        balancer::Balancer::new(policy(rng), &options)
     };
     let mut fleet = Fleet {
         plan,
@@ -331,7 +333,10 @@
             team: entity::Team::from_u32(team),
             precedence: u32::from(!urgent),
             repeatable: true,
+            resumable: false,
+            max_attempts: retry::MAX_ATTEMPTS,
             deadline,
+            expires: deadline,
             prefix,
         };
         self.result.offered += 1;
--- a/daemon/src/entry/desk.rs
+++ b/daemon/src/entry/desk.rs
@@ -7,7 +7,7 @@
 
 use loftcove_bundle::content;
 use loftcove_decision::routing::{policy, server};
-use loftcove_decision::{admission, balancer, entity, name};
+use loftcove_decision::{admission, balancer, entity, name, retry};
 use loftcove_platform::hosts;
 use loftcove_settings::file;
 use loftcove_wire as wire;
@@ -79,7 +79,10 @@
     pub fn new(settings: &file::Entry, clock: clock::Clock) -> Desk {
         let rng = rand_chacha::ChaCha8Rng::seed_from_u64(rand::random());
         let policy = policy::Blend { rng, sample: SAMPLE, affinity_slack: AFFINITY_SLACK };
-        let balancer = balancer::Balancer::new(policy, settings.max_waiting, settings.retry_ratio);
+        let options = balancer::Options::default()
+            .capacity(settings.max_waiting)
+            .retry_ratio(settings.retry_ratio);
+        let balancer = balancer::Balancer::new(policy, &options);
         let inner = Inner {
             balancer,
             pools: name::Table::default(),
@@ -184,7 +187,10 @@
             team: inner.teams.intern(&arrival.team),
             precedence: arrival.precedence,
             repeatable: arrival.repeatable,
+            resumable: false,
+            max_attempts: retry::MAX_ATTEMPTS,
             deadline: now + arrival.budget,
+            expires: now + arrival.budget,
             prefix: arrival.prefix,
         };
         let (ticket, actions) = inner.balancer.arrive(arrival, now);
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,11 +1,12 @@
-//! The loftcove daemon: `loftcoved run FILE`, `loftcoved check FILE`,
-//! `loftcoved settings`.
+//! The loftcove daemon: `loftcoved run FILE`, `loftcoved gateway FILE`,
+//! `loftcoved sidecar FILE`, `loftcoved check FILE`, `loftcoved settings`.
 //!
 //! One program with two roles. As an `entry` ([`entry`]) it takes callers'
 //! requests and decides where each goes; as an `agent` ([`agent`]) it stands
 //! before one backend server and sees to it that no attempt starts twice and
 //! no stale order passes. What both share is in [`process`]; all decisions are
-//! made by the crate `loftcove-decision`, which this one feeds.
+//! made by the crate `loftcove-decision`, which this one feeds. The roles for
+//! the users' machines, gateway and sidecar, are crates of their own ([`system`]).
 
 mod admin;
 mod agent;
@@ -19,22 +20,27 @@
 mod leader;
 mod life;
 mod link;
+mod logging;
 mod metrics;
 mod peer;
 mod process;
+mod sink;
 mod source;
 mod status;
 mod stop;
+mod system;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use loftcove_settings::{error, file};
+use loftcove_settings::{error, file, gateway};
 
 /// What the command line asks for.
 enum Command {
     Run(PathBuf),
+    Gateway(PathBuf),
+    Sidecar(PathBuf),
     Check(PathBuf),
     Settings,
     Help,
@@ -49,6 +55,10 @@
     Settings(#[from] error::Error),
     #[error(transparent)]
     Process(#[from] process::Error),
+    #[error(transparent)]
+    Gateway(#[from] loftcove_gateway::Error),
+    #[error(transparent)]
+    Sidecar(#[from] loftcove_sidecar::Error),
     #[error("{address}: {source}")]
     Listen { address: std::net::SocketAddr, source: std::io::Error },
     #[error("the runtime could not start: {0}")]
@@ -62,6 +72,8 @@
 
 usage:
   loftcoved run FILE      run with the settings of FILE
+  loftcoved gateway FILE  run a gateway with the settings of FILE
+  loftcoved sidecar FILE  run a sidecar with the settings of FILE
   loftcoved check FILE    check the settings of FILE
   loftcoved settings      print the reference of all settings
 ";
@@ -84,6 +96,8 @@
     let path = |arguments: &mut pico_args::Arguments| arguments.free_from_str::<PathBuf>();
     match arguments.subcommand()?.as_deref() {
         Some("run") => Ok(Command::Run(path(&mut arguments)?)),
+        Some("gateway") => Ok(Command::Gateway(path(&mut arguments)?)),
+        Some("sidecar") => Ok(Command::Sidecar(path(&mut arguments)?)),
         Some("check") => Ok(Command::Check(path(&mut arguments)?)),
         Some("settings") => Ok(Command::Settings),
         _ => Ok(Command::Help),
@@ -93,6 +107,8 @@
 fn execute(command: Command) -> Result<(), Error> {
     match command {
         Command::Run(path) => run(&path),
+        Command::Gateway(path) => system::gateway(&path),
+        Command::Sidecar(path) => system::sidecar(&path),
         Command::Check(path) => {
             let settings = file::Daemon::read(&path)?;
             process::Process::new(settings)?;
@@ -100,7 +116,8 @@
             Ok(())
         }
         Command::Settings => {
-            for section in &file::DAEMON_SECTIONS {
+            let sections = file::DAEMON_SECTIONS.iter().chain(&gateway::SECTIONS);
+            for section in sections {
                 println!("{section}");
             }
             Ok(())
@@ -114,16 +131,22 @@
 
 fn run(path: &Path) -> Result<(), Error> {
     let settings = file::Daemon::read(path)?;
-    log_to_stderr(settings.process.log_level);
+    logging::to_stderr(settings.process.log_level);
+    let workers = settings.process.workers;
+    let process = Arc::new(process::Process::new(settings)?);
+    block_on(workers, serve(process))?
+}
+
+/// Runs a future on a runtime with so many threads; other tasks end with it.
+fn block_on<T>(workers: usize, future: impl Future<Output = T>) -> Result<T, Error> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.process.workers)
+        .worker_threads(workers)
         .enable_all()
         .build()
         .map_err(Error::Runtime)?;
-    let process = Arc::new(process::Process::new(settings)?);
-    runtime.block_on(serve(process))?;
+    let result = runtime.block_on(future);
     runtime.shutdown_background();
-    Ok(())
+    Ok(result)
 }
 
 async fn serve(process: Arc<process::Process>) -> Result<(), Error> {
@@ -161,22 +184,3 @@
     println!("listening {what} {bound}");
     Ok(listener)
 }
-
-fn log_to_stderr(level: file::Level) {
-    let level = match level {
-        file::Level::Error => simplelog::LevelFilter::Error,
-        file::Level::Warn => simplelog::LevelFilter::Warn,
-        file::Level::Info => simplelog::LevelFilter::Info,
-        file::Level::Debug => simplelog::LevelFilter::Debug,
-    };
-    let config = simplelog::ConfigBuilder::new()
-        .set_time_format_rfc3339()
-        .add_filter_allow_str("loftcoved")
-        .add_filter_allow_str("loftcove")
-        .add_filter_allow_str(explain::TARGET)
-        .set_target_level(simplelog::LevelFilter::Error)
-        .set_thread_level(simplelog::LevelFilter::Off)
-        .build();
-    // Only a second initialisation can fail, and there is none.
-    simplelog::WriteLogger::init(level, config, std::io::stderr()).unwrap_or_default();
-}
--- /dev/null
+++ b/daemon/src/sink.rs
@@ -0,0 +1,72 @@
+//! Where log lines go: a bounded buffer that a thread of its own writes out.
+//!
+//! Whoever logs only appends to the buffer and never waits for the reader of
+//! standard output. Lines that do not fit are dropped and counted, and the
+//! count is logged once there is room again.
+
+use std::io::Write;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+/// Bytes that may wait to be written.
+const CAPACITY: usize = 512 * 1024;
+/// Time between two writes: each wakes the thread once.
+const PERIOD: Duration = Duration::from_millis(200);
+
+#[derive(Default)]
+struct Buffer {
+    bytes: Vec<u8>,
+    dropped: u64,
+}
+
+/// The buffer's end that lines are written to.
+#[derive(Clone, Default)]
+pub struct Sink {
+    buffer: Arc<Mutex<Buffer>>,
+}
+
+impl Sink {
+    fn lock(&self) -> MutexGuard<'_, Buffer> {
+        self.buffer.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Writes out what waits.
+    pub fn flush_to(&self, out: &mut impl Write) {
+        let (mut bytes, dropped) = {
+            let mut buffer = self.lock();
+            (std::mem::take(&mut buffer.bytes), std::mem::take(&mut buffer.dropped))
+        };
+        if dropped > 0 {
+            bytes.extend_from_slice(format!("log lines dropped count={dropped}\n").as_bytes());
+        }
+        // Nobody can be told that standard output is gone.
+        out.write_all(&bytes).and_then(|()| out.flush()).unwrap_or_default();
+    }
+
+    /// Starts the thread that writes to standard output.
+    pub fn spawn(&self) {
+        let sink = self.clone();
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(PERIOD);
+                sink.flush_to(&mut std::io::stdout());
+            }
+        });
+    }
+}
+
+impl Write for Sink {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        let mut buffer = self.lock();
+        if buffer.bytes.len() + line.len() > CAPACITY {
+            buffer.dropped += u64::from(line.ends_with(b"\n"));
+        } else {
+            buffer.bytes.extend_from_slice(line);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/daemon/src/system.rs
@@ -0,0 +1,44 @@
+//! The roles that run on the users' machines: gateway and sidecar, with the
+//! platform's adapter.
+
+use std::path::Path;
+
+use loftcove_platform::{adapter, engine, kv};
+use loftcove_settings::{error, gateway as settings};
+
+use crate::{Error, logging, sink};
+
+/// Runs a gateway with the settings of a file.
+pub fn gateway(path: &Path) -> Result<(), Error> {
+    let settings = read(settings::Gateway::read(path))?;
+    let sink = logging::to_stdout(settings.host.log_level);
+    let store = kv::Client::new(settings.host.store_address);
+    let workers = settings.host.workers;
+    let run = loftcove_gateway::run::<adapter::Adapter, _>(path, settings, store);
+    let result = crate::block_on(workers, run)?.map_err(Error::from);
+    finish(&sink, result)
+}
+
+/// Runs a sidecar with the settings of a file.
+pub fn sidecar(path: &Path) -> Result<(), Error> {
+    let settings = read(settings::Sidecar::read(path))?;
+    let sink = logging::to_stdout(settings.host.log_level);
+    let store = kv::Client::new(settings.host.store_address);
+    let engine = engine::Client::new(settings.engine.address);
+    let workers = settings.host.workers;
+    let run = loftcove_sidecar::run::<adapter::Adapter, _, _>(path, settings, store, engine);
+    let result = crate::block_on(workers, run)?.map_err(Error::from);
+    finish(&sink, result)
+}
+
+fn read<T>(settings: Result<T, error::Error>) -> Result<T, Error> {
+    settings.map_err(Error::from)
+}
+
+fn finish(sink: &sink::Sink, result: Result<(), Error>) -> Result<(), Error> {
+    if let Err(error) = &result {
+        log::error!("failed error=\"{error}\"");
+    }
+    sink.flush_to(&mut std::io::stdout());
+    result
+}
--- a/decision/src/admission.rs
+++ b/decision/src/admission.rs
@@ -20,8 +20,8 @@
 const RATE_GAIN: f64 = 0.1;
 /// Weight of the newest sample in the mean time of an answer.
 const SERVICE_GAIN: f64 = 0.05;
-/// Shortest and longest time that a refused caller is told to stay away.
-const RETRY_AFTER: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(30));
+/// Longest time that a refused caller is told to stay away.
+const LONGEST_RETURN: Duration = Duration::from_secs(30);
 
 /// Why a request was refused before any attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
@@ -50,6 +50,8 @@
     pub precedence: u32,
     /// When its answer is due.
     pub deadline: clock::Instant,
+    /// Until when it may wait; no later than the deadline.
+    pub expires: clock::Instant,
     /// When it began to wait.
     pub since: clock::Instant,
 }
@@ -73,6 +75,7 @@
 #[derive(Debug)]
 pub struct Queue {
     capacity: usize,
+    shortest_return: Duration,
     waiting: usize,
     shares: SecondaryMap<entity::Team, Share>,
     held: SecondaryMap<entity::Team, u32>,
@@ -102,10 +105,12 @@
 }
 
 impl Queue {
-    /// An empty queue that holds at most `capacity` waiters.
-    pub fn new(capacity: usize) -> Queue {
+    /// An empty queue that holds at most `capacity` waiters; whoever is refused
+    /// is told to stay away for `shortest_return` at the least.
+    pub fn new(capacity: usize, shortest_return: Duration) -> Queue {
         Queue {
             capacity,
+            shortest_return,
             waiting: 0,
             shares: SecondaryMap::new(),
             held: SecondaryMap::new(),
@@ -228,7 +233,7 @@
         for line in self.pools.values_mut() {
             let sent = now + line.service();
             for band in line.bands.values_mut() {
-                band.sweep(sent, &mut late);
+                band.sweep(now, sent, &mut late);
             }
         }
         self.waiting -= late.len();
@@ -255,7 +260,7 @@
 
     /// When a refused caller should come back: after the present queue is gone.
     pub fn retry_after(&self, pool: entity::Pool) -> Duration {
-        self.expected_wait(pool, u32::MAX).clamp(RETRY_AFTER.0, RETRY_AFTER.1)
+        self.expected_wait(pool, u32::MAX).clamp(self.shortest_return, LONGEST_RETURN)
     }
 
     /// Makes room for a newcomer, if a team holds more for its weight than
@@ -407,11 +412,14 @@
         }
     }
 
-    fn sweep(&mut self, sent: clock::Instant, late: &mut Vec<Waiter>) {
+    /// Takes out those that may not wait beyond `now`, or whose answer would be
+    /// late if they were sent and answered by `sent`.
+    fn sweep(&mut self, now: clock::Instant, sent: clock::Instant, late: &mut Vec<Waiter>) {
         let before = late.len();
+        let over = |waiter: &Waiter| waiter.deadline <= sent || waiter.expires <= now;
         for line in self.teams.values_mut() {
-            late.extend(line.iter().filter(|waiter| waiter.deadline <= sent));
-            line.retain(|waiter| waiter.deadline > sent);
+            late.extend(line.iter().filter(|waiter| over(waiter)));
+            line.retain(|waiter| !over(waiter));
         }
         self.teams.retain(|_, line| !line.is_empty());
         self.len -= late.len() - before;
--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-pub use message::{Action, Arrival, Candidate, Dispatch, End, Outcome, Reason, Refusal};
+pub use message::{Action, Arrival, Candidate, Dispatch, End, Options, Outcome, Reason, Refusal};
 pub use verify::Fault;
 
 use crate::routing::{eject, policy, server};
@@ -33,6 +33,8 @@
     attempts: u32,
     /// Attempts that failed for another cause than a want of slots.
     failures: u32,
+    /// Of these, those that ran or may have.
+    runs: u32,
     place: Place,
     /// When the present attempt was sent.
     sent: Option<clock::Instant>,
@@ -67,6 +69,7 @@
     servers: server::Table,
     queue: admission::Queue,
     budget: retry::Budget,
+    charge_full: bool,
     policy: P,
     pending: BTreeMap<entity::Ticket, Pending>,
     next: u32,
@@ -75,11 +78,12 @@
 
 impl<P: policy::Policy> Balancer<P> {
     /// A machine without backend servers.
-    pub fn new(policy: P, capacity: usize, retry_ratio: f64) -> Balancer<P> {
+    pub fn new(policy: P, options: &Options) -> Balancer<P> {
         Balancer {
             servers: server::Table::default(),
-            queue: admission::Queue::new(capacity),
-            budget: retry::Budget::new(retry_ratio),
+            queue: admission::Queue::new(options.capacity, options.shortest_return),
+            budget: retry::Budget::new(options.retry_ratio, options.retry_reserve),
+            charge_full: options.charge_full,
             policy,
             pending: BTreeMap::new(),
             next: 0,
@@ -102,6 +106,11 @@
         self.tally
     }
 
+    /// Sets how many retries may be saved up.
+    pub fn set_reserve(&mut self, reserve: f64) {
+        self.budget.set_reserve(reserve);
+    }
+
     /// Sets what a team may do.
     pub fn set_share(&mut self, team: entity::Team, share: admission::Share) {
         self.queue.set_share(team, share);
@@ -179,6 +188,7 @@
             since: now,
             attempts: 0,
             failures: 0,
+            runs: 0,
             place: Place::Waiting,
             sent: None,
             tried: Vec::new(),
@@ -274,8 +284,8 @@
         record.in_flight = record.in_flight.saturating_sub(1);
     }
 
-    /// Lets a request wait again that an agent had no slot for. It never ran
-    /// and cost nothing, so neither its attempts nor the budget are charged:
+    /// Lets a request wait again that found no slot. It never ran, so its
+    /// attempts are not charged, and the budget only where the options say so:
     /// the backend server is shut for a while instead.
     fn wait_again(
         &mut self,
@@ -288,6 +298,9 @@
             let reason = Reason::Admission(admission::Refusal::Deadline);
             return self.give_up(ticket, Outcome::NotRun, reason, actions);
         }
+        if self.charge_full && !self.budget.withdraw() {
+            return self.give_up(ticket, Outcome::NotRun, Reason::Budget, actions);
+        }
         pending.place = Place::Waiting;
         pending.tried.clear();
         self.queue.push_front(waiter(ticket, &pending.arrival, pending.since));
@@ -304,16 +317,17 @@
     ) {
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
         pending.failures += 1;
+        pending.runs += u32::from(knowledge == retry::Knowledge::MayHaveRun);
         let case = retry::Case {
             knowledge,
             repeatable: pending.arrival.repeatable,
             answer_begun,
-            attempts: pending.failures,
-        };
-        let outcome = match knowledge {
-            retry::Knowledge::NeverRan => Outcome::NotRun,
-            retry::Knowledge::MayHaveRun => Outcome::Unknown,
+            resumable: pending.arrival.resumable,
+            runs: pending.runs,
+            max_runs: pending.arrival.max_attempts,
+            failures: pending.failures,
         };
+        let outcome = outcome(pending.runs);
         let reason = if !retry::safe(&case) {
             Reason::Attempts
         } else if pending.arrival.deadline <= now {
@@ -337,6 +351,8 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(pending) = self.finish(ticket) else { return };
+        // An earlier attempt may have run, though the last one did not.
+        let outcome = outcome.max(self::outcome(pending.runs));
         self.refuse(ticket, pending.arrival.pool, outcome, reason, actions);
     }
 
@@ -484,6 +500,11 @@
     }
 }
 
+/// What may be told of a request of which so many attempts may have run.
+fn outcome(runs: u32) -> Outcome {
+    if runs == 0 { Outcome::NotRun } else { Outcome::Unknown }
+}
+
 fn waiter(ticket: entity::Ticket, arrival: &Arrival, since: clock::Instant) -> admission::Waiter {
     admission::Waiter {
         ticket,
@@ -491,6 +512,7 @@
         team: arrival.team,
         precedence: arrival.precedence,
         deadline: arrival.deadline,
+        expires: arrival.expires,
         since,
     }
 }
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -17,12 +17,75 @@
     pub precedence: u32,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// Whether another backend server can go on with a begun answer.
+    pub resumable: bool,
+    /// Attempts that may run at the most.
+    pub max_attempts: u32,
     /// When its answer is due.
     pub deadline: clock::Instant,
+    /// Until when it may wait for a backend server.
+    pub expires: clock::Instant,
     /// Hash of the prompt's beginning; zero where there is none.
     pub prefix: u64,
 }
 
+/// Settings of the machine. [`Default`] gives what most callers take; the
+/// setters change one each.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Options {
+    pub(super) capacity: usize,
+    pub(super) retry_ratio: f64,
+    pub(super) retry_reserve: f64,
+    pub(super) charge_full: bool,
+    pub(super) shortest_return: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options {
+            capacity: 1_024,
+            retry_ratio: 0.1,
+            retry_reserve: crate::retry::RESERVE,
+            charge_full: false,
+            shortest_return: Duration::from_secs(1),
+        }
+    }
+}
+
+impl Options {
+    /// Requests that may wait.
+    pub fn capacity(mut self, capacity: usize) -> Options {
+        self.capacity = capacity;
+        self
+    }
+
+    /// Retries granted for each first attempt.
+    pub fn retry_ratio(mut self, ratio: f64) -> Options {
+        self.retry_ratio = ratio;
+        self
+    }
+
+    /// Retries that may be saved up.
+    pub fn retry_reserve(mut self, reserve: f64) -> Options {
+        self.retry_reserve = reserve;
+        self
+    }
+
+    /// Whether an attempt after one that found no slot is a retry by the
+    /// budget. It is where backend servers are asked directly, so that a
+    /// refused attempt costs them something.
+    pub fn charge_full(mut self, charge: bool) -> Options {
+        self.charge_full = charge;
+        self
+    }
+
+    /// Shortest time after which a refused caller is told to come back.
+    pub fn shortest_return(mut self, time: Duration) -> Options {
+        self.shortest_return = time;
+        self
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
--- a/decision/src/retry.rs
+++ b/decision/src/retry.rs
@@ -6,28 +6,36 @@
 //! come out of a budget that first attempts pay into, so that an outage does
 //! not multiply the load that caused it.
 
-/// Most retries that may be saved up.
-const RESERVE: f64 = 10.0;
+/// Most retries that may be saved up, where nothing else is set.
+pub const RESERVE: f64 = 10.0;
 
-/// Attempts of one request at the most.
+/// Attempts of one request at the most, where nothing else is set.
 pub const MAX_ATTEMPTS: u32 = 4;
 
 /// The budget of a process.
 #[derive(Debug, Clone)]
 pub struct Budget {
     ratio: f64,
+    reserve: f64,
     saved: f64,
 }
 
 impl Budget {
-    /// A full budget into which each first attempt pays `ratio` of a retry.
-    pub fn new(ratio: f64) -> Budget {
-        Budget { ratio, saved: RESERVE }
+    /// A full budget of `reserve` retries, into which each first attempt pays
+    /// `ratio` of a retry.
+    pub fn new(ratio: f64, reserve: f64) -> Budget {
+        Budget { ratio, reserve, saved: reserve }
+    }
+
+    /// Sets how many retries may be saved up.
+    pub fn set_reserve(&mut self, reserve: f64) {
+        self.reserve = reserve;
+        self.saved = self.saved.min(reserve);
     }
 
     /// A first attempt was sent.
     pub fn deposit(&mut self) {
-        self.saved = (self.saved + self.ratio).min(RESERVE);
+        self.saved = (self.saved + self.ratio).min(self.reserve);
     }
 
     /// Takes one retry out, if there is one.
@@ -58,13 +66,20 @@
     pub repeatable: bool,
     /// Whether the caller has seen a part of the answer.
     pub answer_begun: bool,
-    /// Attempts made so far.
-    pub attempts: u32,
+    /// Whether another backend server can go on with a begun answer.
+    pub resumable: bool,
+    /// Attempts that ran, or may have.
+    pub runs: u32,
+    /// Attempts that may run at the most.
+    pub max_runs: u32,
+    /// Attempts that failed, whether they ran or not.
+    pub failures: u32,
 }
 
 /// Whether another attempt would be safe, the budget aside.
 pub fn safe(case: &Case) -> bool {
-    if case.answer_begun || case.attempts >= MAX_ATTEMPTS {
+    let resumed = case.resumable || !case.answer_begun;
+    if !resumed || case.runs >= case.max_runs || case.failures >= MAX_ATTEMPTS {
         return false;
     }
     match case.knowledge {
--- a/decision/tests/balancer.rs
+++ b/decision/tests/balancer.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use loftcove_decision::routing::{policy, server};
-use loftcove_decision::{admission, balancer, clock, entity};
+use loftcove_decision::{admission, balancer, clock, entity, retry};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand_chacha::ChaCha8Rng;
@@ -17,9 +17,12 @@
 fn new(capacity: usize) -> Balancer {
     let rng = ChaCha8Rng::seed_from_u64(7);
     let policy = policy::Blend { rng, sample: 3, affinity_slack: 0.25 };
-    balancer::Balancer::new(policy, capacity, 0.1)
+    balancer::Balancer::new(policy, &balancer::Options::default().capacity(capacity))
 }
 
+/// Shortest time after which a refused caller comes back.
+const RETURN: Duration = Duration::from_secs(1);
+
 fn pool() -> entity::Pool {
     entity::Pool::from_u32(0)
 }
@@ -55,7 +58,17 @@
     deadline: clock::Instant,
 ) -> balancer::Arrival {
     let team = entity::Team::from_u32(team);
-    balancer::Arrival { pool: pool(), team, precedence, repeatable, deadline, prefix: 0 }
+    balancer::Arrival {
+        pool: pool(),
+        team,
+        precedence,
+        repeatable,
+        resumable: false,
+        max_attempts: retry::MAX_ATTEMPTS,
+        deadline,
+        expires: deadline,
+        prefix: 0,
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -192,13 +205,14 @@
         team: entity::Team::from_u32(team),
         precedence,
         deadline: clock::Instant::from_millis(u64::MAX / 2_000),
+        expires: clock::Instant::from_millis(u64::MAX / 2_000),
         since: clock::Instant::from_micros(u64::from(number)),
     }
 }
 
 #[test]
 fn urgent_goes_first_and_nobody_starves() {
-    let mut queue = admission::Queue::new(100);
+    let mut queue = admission::Queue::new(100, RETURN);
     for number in 0..40 {
         queue.push(waiter(number, 0, u32::from(number % 2 == 1)), clock::Instant::ZERO).unwrap();
     }
@@ -209,7 +223,7 @@
 
 #[test]
 fn teams_share_by_weight() {
-    let mut queue = admission::Queue::new(100);
+    let mut queue = admission::Queue::new(100, RETURN);
     let heavy = entity::Team::from_u32(0);
     queue.set_share(heavy, admission::Share { weight: 3, limit: 100 });
     for number in 0..60 {
@@ -221,7 +235,7 @@
 
 #[test]
 fn a_greedy_team_gives_way_when_the_queue_is_full() {
-    let mut queue = admission::Queue::new(10);
+    let mut queue = admission::Queue::new(10, RETURN);
     for number in 0..10 {
         assert_eq!(queue.push(waiter(number, 0, 1), clock::Instant::ZERO), Ok(None));
     }
--- /dev/null
+++ b/dispatch/src/lib.rs
@@ -0,0 +1,329 @@
+//! The balancer behind a lock, and the requests that wait for it.
+//!
+//! A [`Dispatcher`] takes requests and gives each a [`Permit`], which tells
+//! what to do next with the request: send an attempt to a backend server, or
+//! give the final answer. All decisions are those of `loftcove-decision`; this
+//! crate adds the lock, the clock and the waking of whoever waits.
+
+mod permit;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use loftcove_decision::routing::{policy, server};
+use loftcove_decision::{admission, balancer, clock, entity, name};
+use rand_chacha::rand_core::SeedableRng as _;
+use tokio::sync::{Notify, mpsc};
+
+pub use permit::Permit;
+
+/// Candidates looked at by one choice; see `docs/design/routing.md`.
+const SAMPLE: usize = 2;
+/// How much more load the backend server with the prompt's beginning in its
+/// cache may have.
+const AFFINITY_SLACK: f64 = 0.5;
+/// Time between two looks for requests that have waited too long.
+const TICK: Duration = Duration::from_millis(10);
+
+/// A backend server to be listed, with what the caller needs to reach it.
+#[derive(Debug, Clone)]
+pub struct Listing<T> {
+    /// Id of the backend server.
+    pub id: Arc<str>,
+    /// Pool that it belongs to.
+    pub pool: Arc<str>,
+    /// Whether it is in this host's availability zone.
+    pub local: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Requests that it takes at a time from everybody together.
+    pub slots: u32,
+    /// What the caller needs to reach it.
+    pub target: T,
+}
+
+/// A request that arrives.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// Pool that can answer it.
+    pub pool: Arc<str>,
+    /// Team that sent it.
+    pub team: Arc<str>,
+    /// Urgency; 0 goes first.
+    pub precedence: u32,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Whether another backend server may go on with a begun answer.
+    pub resumable: bool,
+    /// Backend servers that may run it at the most.
+    pub max_attempts: u32,
+    /// When its answer is due.
+    pub due: Instant,
+    /// Until when it may wait for a backend server.
+    pub expires: Instant,
+    /// Hash of the prompt's beginning; zero where there is none.
+    pub prefix: u64,
+}
+
+/// Load that a backend server told with an answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that may run at a time.
+    pub slots: u32,
+}
+
+/// What to do next with a request.
+#[derive(Debug, Clone)]
+pub enum Next<T> {
+    /// Send an attempt.
+    Send(Attempt<T>),
+    /// Give the final answer.
+    Refuse(balancer::Refusal),
+}
+
+/// An attempt to be sent.
+#[derive(Debug, Clone)]
+pub struct Attempt<T> {
+    /// Its number, from 1.
+    pub number: u32,
+    /// Where it goes.
+    pub server: entity::Server,
+    /// What the caller needs to reach it.
+    pub target: T,
+    /// Why the choice fell on it.
+    pub reason: policy::Reason,
+    /// Backend servers that were open.
+    pub open: usize,
+    /// Load of the chosen one, relative to its slots.
+    pub score: f64,
+}
+
+/// The balancer behind a lock.
+pub struct Dispatcher<T> {
+    origin: Instant,
+    waited: Notify,
+    inner: Mutex<Inner<T>>,
+}
+
+struct Inner<T> {
+    balancer: balancer::Balancer<policy::Blend>,
+    pools: name::Table<entity::Pool>,
+    teams: name::Table<entity::Team>,
+    targets: BTreeMap<entity::Server, T>,
+    waiting: BTreeMap<entity::Ticket, mpsc::UnboundedSender<Next<T>>>,
+    sequence: u64,
+}
+
+impl<T: Clone + Send> Dispatcher<T> {
+    /// A dispatcher without backend servers.
+    pub fn new(options: &balancer::Options) -> Dispatcher<T> {
+        let rng = rand_chacha::ChaCha8Rng::seed_from_u64(rand::random());
+        let policy = policy::Blend { rng, sample: SAMPLE, affinity_slack: AFFINITY_SLACK };
+        let inner = Inner {
+            balancer: balancer::Balancer::new(policy, options),
+            pools: name::Table::default(),
+            teams: name::Table::default(),
+            targets: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            sequence: 0,
+        };
+        Dispatcher { origin: Instant::now(), waited: Notify::new(), inner: Mutex::new(inner) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner<T>> {
+        // A panic elsewhere is a fault of its own; the tables stay whole.
+        self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn at(&self, instant: Instant) -> clock::Instant {
+        let micros = instant.saturating_duration_since(self.origin).as_micros();
+        clock::Instant::from_micros(micros as u64)
+    }
+
+    fn now(&self) -> clock::Instant {
+        self.at(Instant::now())
+    }
+
+    /// Replaces the list of backend servers.
+    pub fn list(&self, listings: Vec<Listing<T>>) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let rows = listings.iter().map(|listing| server::Listing {
+            host: listing.id.clone(),
+            pool: inner.pools.intern(&listing.pool),
+            local: listing.local,
+            leaving: listing.leaving,
+        });
+        let rows: Vec<server::Listing> = rows.collect();
+        let mut actions = inner.balancer.list(rows, now);
+        for listing in listings {
+            let Some(id) = inner.balancer.servers().find(&listing.id) else { continue };
+            if inner.targets.insert(id, listing.target).is_some() {
+                continue;
+            }
+            let load = Load { running: 0, waiting: 0, slots: listing.slots };
+            actions.extend(inner.balancer.connect(id, true, now));
+            actions.extend(inner.report(id, load, now));
+        }
+        inner.route(actions);
+    }
+
+    /// Sets the retries that may be saved up.
+    pub fn set_reserve(&self, reserve: f64) {
+        self.lock().balancer.set_reserve(reserve);
+    }
+
+    /// A backend server told its load.
+    pub fn report(&self, server: entity::Server, load: Load) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let actions = inner.report(server, load, now);
+        inner.route(actions);
+    }
+
+    /// A backend server turned out to be another run than the listed one:
+    /// nothing is sent there until the list has it again.
+    pub fn unlist(&self, server: entity::Server) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let actions = inner.balancer.connect(server, false, now);
+        inner.route(actions);
+    }
+
+    /// A request arrives; the permit tells what to do with it.
+    pub fn arrive(self: &Arc<Dispatcher<T>>, arrival: &Arrival) -> Permit<T> {
+        let now = self.now();
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let mut inner = self.lock();
+        let arrival = balancer::Arrival {
+            pool: inner.pools.intern(&arrival.pool),
+            team: inner.teams.intern(&arrival.team),
+            precedence: arrival.precedence,
+            repeatable: arrival.repeatable,
+            resumable: arrival.resumable,
+            max_attempts: arrival.max_attempts,
+            deadline: self.at(arrival.due),
+            expires: self.at(arrival.expires),
+            prefix: arrival.prefix,
+        };
+        let (ticket, actions) = inner.balancer.arrive(arrival, now);
+        inner.waiting.insert(ticket, sender);
+        inner.route(actions);
+        let waiting = inner.balancer.queue().waiting() > 0;
+        drop(inner);
+        if waiting {
+            self.waited.notify_one();
+        }
+        Permit::new(self.clone(), ticket, receiver)
+    }
+
+    fn end(&self, ticket: entity::Ticket, end: balancer::End) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let actions = inner.balancer.end(ticket, end, now);
+        inner.route(actions);
+        let waiting = inner.balancer.queue().waiting() > 0;
+        drop(inner);
+        if waiting {
+            self.waited.notify_one();
+        }
+    }
+
+    fn begin(&self, ticket: entity::Ticket, after: Duration) {
+        let now = self.now();
+        self.lock().balancer.begin(ticket, after, now);
+    }
+
+    fn forget(&self, ticket: entity::Ticket) {
+        self.lock().waiting.remove(&ticket);
+    }
+
+    /// Requests that wait for a backend server.
+    pub fn waiting(&self) -> usize {
+        self.lock().balancer.queue().waiting()
+    }
+
+    /// Counts so far.
+    pub fn tally(&self) -> balancer::Tally {
+        self.lock().balancer.tally()
+    }
+
+    /// Answers requests that have waited too long; sleeps while nobody waits.
+    pub async fn run(&self) {
+        loop {
+            if self.tick() == 0 {
+                self.waited.notified().await;
+            }
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    fn tick(&self) -> usize {
+        let now = self.now();
+        let mut inner = self.lock();
+        let actions = inner.balancer.tick(now);
+        inner.route(actions);
+        debug_assert_eq!(inner.balancer.verify(), Ok(()));
+        inner.balancer.queue().waiting()
+    }
+
+    /// Sets what a team may do.
+    pub fn set_share(&self, team: &Arc<str>, share: admission::Share) {
+        let mut inner = self.lock();
+        let id = inner.teams.intern(team);
+        inner.balancer.set_share(id, share);
+    }
+}
+
+impl<T: Clone> Inner<T> {
+    fn report(
+        &mut self,
+        server: entity::Server,
+        load: Load,
+        now: clock::Instant,
+    ) -> Vec<balancer::Action> {
+        self.sequence += 1;
+        let report = server::Report {
+            incarnation: 1,
+            sequence: self.sequence,
+            running: load.running,
+            queued: load.waiting,
+            slots: load.slots,
+            leaving: false,
+            alive: true,
+        };
+        self.balancer.report(server, report, now)
+    }
+
+    /// Hands each action to the request that it is about.
+    fn route(&mut self, actions: Vec<balancer::Action>) {
+        for action in actions {
+            let (ticket, next) = match action {
+                balancer::Action::Send(dispatch) => {
+                    let server = dispatch.choice.server;
+                    let Some(target) = self.targets.get(&server).cloned() else { continue };
+                    let chosen = dispatch.considered.iter().find(|c| c.server == server);
+                    let attempt = Attempt {
+                        number: dispatch.attempt,
+                        server,
+                        target,
+                        reason: dispatch.choice.reason,
+                        open: dispatch.considered.len(),
+                        score: chosen.map_or(0.0, |candidate| candidate.score),
+                    };
+                    (dispatch.ticket, Next::Send(attempt))
+                }
+                balancer::Action::Refuse(refusal) => (refusal.ticket, Next::Refuse(refusal)),
+            };
+            // A permit that was dropped has told the balancer itself.
+            if let Some(sender) = self.waiting.get(&ticket) {
+                sender.send(next).unwrap_or_default();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/body.rs
@@ -0,0 +1,69 @@
+//! Body of an answer to a client.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::Frame;
+use http_body_util::Full;
+use tokio::sync::mpsc;
+
+/// The answer ended early; the client must not take it to be whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the answer broke off")]
+pub struct Broken;
+
+/// Part of a streamed answer.
+pub type Part = Result<Bytes, Broken>;
+
+/// The body.
+pub enum Body {
+    /// All of it is there.
+    Whole(Full<Bytes>),
+    /// It comes part by part. The channel's end is the end of the answer.
+    Stream(mpsc::Receiver<Part>),
+}
+
+impl Body {
+    /// A body that is there.
+    pub fn whole(bytes: Bytes) -> Body {
+        Body::Whole(Full::new(bytes))
+    }
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            Body::Whole(full) => {
+                let frame = Pin::new(full).poll_frame(context);
+                frame.map(|frame| {
+                    frame.map(|result| result.map_err(|never: Infallible| match never {}))
+                })
+            }
+            Body::Stream(receiver) => {
+                receiver.poll_recv(context).map(|part| part.map(|part| part.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Body::Whole(full) => full.is_end_stream(),
+            Body::Stream(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        match self {
+            Body::Whole(full) => full.size_hint(),
+            Body::Stream(_) => http_body::SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/drain.rs
@@ -0,0 +1,231 @@
+//! A gateway's life, and its planned stop.
+//!
+//! After the signal the gateway calls itself not ready, so that the platform
+//! sends no new connections, and goes on serving what comes over kept ones,
+//! each answer telling the client to close. Once the platform has noticed and
+//! nothing is in flight, idle connections are closed and the process ends. From
+//! [`LAST_REQUEST`] on, a request that still comes is refused as not run, so
+//! that all answers are out before the process is killed.
+
+use std::path::Path;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use loftcove_decision::lifecycle;
+use loftcove_interface::protocol::Protocol;
+use loftcove_mirror::follow;
+use loftcove_settings::gateway as settings;
+use statig::blocking::StateMachine;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::state;
+
+/// The platform asks each second and takes a gateway out after two misses.
+const NOTICE_TIME: Duration = Duration::from_millis(2_300);
+/// Time after the signal from which requests are refused.
+const LAST_REQUEST: Duration = Duration::from_millis(3_100);
+/// What is left of the grace when the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(250);
+/// Time for the last bytes to leave.
+const FLUSH: Duration = Duration::from_millis(50);
+
+/// The life, shared by all connections.
+pub struct Life {
+    inner: Mutex<Inner>,
+    phase: watch::Sender<lifecycle::Phase>,
+}
+
+struct Inner {
+    machine: StateMachine<lifecycle::Life>,
+    in_flight: usize,
+    connections: usize,
+    stop: Option<Instant>,
+}
+
+impl Default for Life {
+    fn default() -> Life {
+        let inner =
+            Inner { machine: lifecycle::Life::machine(), in_flight: 0, connections: 0, stop: None };
+        Life { inner: Mutex::new(inner), phase: watch::Sender::new(lifecycle::Phase::Starting) }
+    }
+}
+
+/// How a request is to be taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Entry {
+    /// As always.
+    Open,
+    /// Served, and the client is told to close.
+    Closing,
+    /// Refused: the process is about to end.
+    Shut,
+}
+
+impl Life {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Hands the machine an event.
+    pub fn handle(&self, event: lifecycle::Event) {
+        let mut inner = self.lock();
+        inner.machine.handle(&event);
+        let phase = inner.machine.inner().phase();
+        self.phase.send_if_modified(|known| std::mem::replace(known, phase) != phase);
+    }
+
+    /// Whether new connections are wanted.
+    pub fn ready(&self) -> bool {
+        *self.phase.borrow() == lifecycle::Phase::Serving
+    }
+
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.lock().in_flight
+    }
+
+    fn connections(&self) -> usize {
+        self.lock().connections
+    }
+
+    /// How a request that comes now is to be taken.
+    pub fn entry(&self) -> Entry {
+        match self.lock().stop {
+            None => Entry::Open,
+            Some(stop) if stop.elapsed() < LAST_REQUEST => Entry::Closing,
+            Some(_) => Entry::Shut,
+        }
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn enter<P>(gateway: &Arc<state::Gateway<P>>) -> Flight<P> {
+        gateway.life.lock().in_flight += 1;
+        Flight { gateway: gateway.clone() }
+    }
+
+    /// Counts a connection until the guard is dropped.
+    pub fn connected(&self) -> Open<'_> {
+        self.lock().connections += 1;
+        Open { life: self }
+    }
+
+    /// Follows the phase.
+    pub fn closing(&self) -> Closing {
+        Closing { phase: self.phase.subscribe() }
+    }
+}
+
+/// Waits for a phase.
+pub struct Closing {
+    phase: watch::Receiver<lifecycle::Phase>,
+}
+
+impl Closing {
+    /// Waits until the life has reached a phase.
+    pub async fn wait(&mut self, wanted: lifecycle::Phase) {
+        // The sender lives as long as the process.
+        self.phase.wait_for(|phase| *phase == wanted).await.map(drop).unwrap_or_default();
+    }
+}
+
+/// A request in flight.
+pub struct Flight<P> {
+    gateway: Arc<state::Gateway<P>>,
+}
+
+impl<P> Drop for Flight<P> {
+    fn drop(&mut self) {
+        self.gateway.life.lock().in_flight -= 1;
+    }
+}
+
+/// An open connection.
+pub struct Open<'a> {
+    life: &'a Life,
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.life.lock().connections -= 1;
+    }
+}
+
+/// The signals that a gateway takes.
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Begins to receive them.
+    ///
+    /// # Errors
+    ///
+    /// What the system said.
+    pub fn new() -> std::io::Result<Signals> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for a signal to stop, reading the settings anew at each hangup.
+    async fn stop(&mut self, peers: &follow::Peers, file: &Path) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => reload(peers, file),
+            }
+        }
+    }
+}
+
+/// Reads the settings anew. Addresses that are listened on stay as they are.
+fn reload(peers: &follow::Peers, file: &Path) {
+    match settings::Gateway::read(file) {
+        Ok(settings) => {
+            log::info!("reloaded file={} seeds={}", file.display(), settings.host.seeds.len());
+            peers.set_seeds(settings.host.seeds);
+        }
+        Err(error) => log::error!("reload failed error=\"{error}\" next=keep"),
+    }
+}
+
+/// Waits for a stop and returns when the process may end.
+pub async fn wait<P: Protocol>(
+    gateway: &Arc<state::Gateway<P>>,
+    peers: &follow::Peers,
+    file: &Path,
+    mut signals: Signals,
+) {
+    signals.stop(peers, file).await;
+    let life = &gateway.life;
+    let grace = Duration::from_secs_f64(gateway.settings.serving.grace_s);
+    log::info!("stopping in_flight={} grace_ms={}", life.in_flight(), grace.as_millis());
+    let begun = Instant::now();
+    life.lock().stop = Some(begun);
+    life.handle(lifecycle::Event::InFlight(1));
+    life.handle(lifecycle::Event::Stop);
+    let end = begun + grace.saturating_sub(END_MARGIN);
+    while Instant::now() < end {
+        let noticed = begun.elapsed() >= NOTICE_TIME;
+        if life.connections() == 0 && noticed || life.in_flight() == 0 && noticed {
+            break;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(FLUSH) => {}
+            () = signals.stop(peers, file) => {
+                log::warn!("second signal in_flight={}", life.in_flight());
+                break;
+            }
+        }
+    }
+    log::info!("closing in_flight={} connections={}", life.in_flight(), life.connections());
+    life.handle(lifecycle::Event::Expired);
+    // Answers that have just ended are still on their way out.
+    tokio::time::sleep(FLUSH).await;
+}
--- /dev/null
+++ b/gateway/src/flow.rs
@@ -0,0 +1,356 @@
+//! Takes a request from attempt to attempt until it has its final answer.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http_body_util::Full;
+use hyper::body::Incoming;
+use loftcove_decision::{balancer, route};
+use loftcove_dispatch as dispatch;
+use loftcove_interface::protocol::{Answer, Forward, NotRun, Protocol, Verdict};
+
+use crate::answer::{self, Response};
+use crate::body::Body;
+use crate::request::{Refusal, Request};
+use crate::state::{Gateway, Target};
+use crate::{drain, request, stream, upstream};
+
+/// Part of the route's objective that a request may wait for a backend server
+/// before it is refused: a refusal within a quarter of it leaves the client
+/// time to be served elsewhere.
+const WAIT_PART: f64 = 0.22;
+/// Precedences that backend servers tell apart.
+const PRIORITIES: u32 = 9;
+
+/// Answers one request.
+pub async fn handle<P: Protocol>(
+    gateway: Arc<Gateway<P>>,
+    request: http::Request<Incoming>,
+) -> Result<Response, Infallible> {
+    let came = Instant::now();
+    let (head, body) = request.into_parts();
+    let entry = gateway.life.entry();
+    let mut response = match begin(&gateway, head, body, entry).await {
+        Ok(flow) => flow.run().await,
+        Err((refusal, id)) => {
+            let (status, retry_after) = refusal.answer();
+            let id = id.as_deref();
+            log::info!("refused request={} reason={refusal} status={status}", id.unwrap_or("-"));
+            gateway.metrics.ended("refused", came.elapsed());
+            answer::own::<P>(status, id, retry_after)
+        }
+    };
+    if entry != drain::Entry::Open {
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    Ok(response)
+}
+
+type Refused = (Refusal, Option<Arc<str>>);
+
+async fn begin<P: Protocol>(
+    gateway: &Arc<Gateway<P>>,
+    head: http::request::Parts,
+    body: Incoming,
+    entry: drain::Entry,
+) -> Result<Flow<P>, Refused> {
+    let meta = P::request(&head).map_err(|_| (Refusal::Header, None))?;
+    let id = meta.id.clone();
+    let refused = |refusal| (refusal, Some(id.clone()));
+    if entry == drain::Entry::Shut {
+        return Err(refused(Refusal::Stopping));
+    }
+    let flight = drain::Life::enter(gateway);
+    let routes = gateway.routes.load_full().ok_or_else(|| refused(Refusal::NoConfig))?;
+    let request = request::read::<P>(head, body, meta, &routes).await.map_err(refused)?;
+    Ok(Flow { gateway: gateway.clone(), request: Arc::new(request), flight })
+}
+
+/// A request on its way.
+struct Flow<P> {
+    gateway: Arc<Gateway<P>>,
+    request: Arc<Request>,
+    flight: drain::Flight<P>,
+}
+
+/// What an attempt came to.
+enum Sent {
+    /// An answer to hand on; the attempt is over.
+    Whole(answer::Whole),
+    /// The head of a stream's answer.
+    Stream(Box<Begun>),
+    /// It failed; the balancer says what follows. A failure that a backend
+    /// server answered itself is kept, in case nothing follows.
+    Failed(balancer::End, Option<answer::Whole>, String),
+}
+
+/// A stream's answer whose head has come.
+pub struct Begun {
+    /// Its head.
+    pub head: http::response::Parts,
+    /// Its events.
+    pub body: Incoming,
+    /// What the head says.
+    pub answer: Answer,
+    /// The connection that it comes over.
+    pub connection: upstream::Connection,
+    /// Where it comes from.
+    pub target: Target,
+}
+
+impl<P: Protocol> Flow<P> {
+    async fn run(self) -> Response {
+        let request = self.request.clone();
+        let mut permit = self.gateway.dispatcher.arrive(&arrival(&request));
+        let mut kept: Option<answer::Whole> = None;
+        loop {
+            let next = tokio::time::timeout_at(request.due.into(), permit.next()).await;
+            let next = match next {
+                Ok(Some(next)) => next,
+                // The balancer gives up a request at its deadline itself, so
+                // this is only reached where the two clocks cross.
+                Ok(None) | Err(_) => return self.late(),
+            };
+            let attempt = match next {
+                dispatch::Next::Send(attempt) => attempt,
+                dispatch::Next::Refuse(refusal) => return self.refuse(&refusal, kept),
+            };
+            let sent = self.gateway.send(&request, &attempt, None).await;
+            match sent {
+                Sent::Whole(whole) => {
+                    permit.end(balancer::End::Answered);
+                    return self.answered(whole);
+                }
+                Sent::Stream(begun) => {
+                    permit.begin(request.came.elapsed());
+                    return self.stream(*begun, permit);
+                }
+                Sent::Failed(end, answer, cause) => {
+                    self.gateway.note(&request, &attempt, &cause);
+                    kept = answer.or(kept);
+                    permit.end(end);
+                }
+            }
+        }
+    }
+
+    fn answered(self, whole: answer::Whole) -> Response {
+        self.done("answered", whole.head.status.as_str());
+        answer::relay::<P>(&whole.head, Body::whole(whole.body))
+    }
+
+    /// The final answer of a request that is given up: a failure that a
+    /// backend server answered goes before one of our own.
+    fn refuse(self, refusal: &balancer::Refusal, kept: Option<answer::Whole>) -> Response {
+        if let Some(whole) = kept {
+            return self.answered(whole);
+        }
+        let outcome = match refusal.outcome {
+            balancer::Outcome::NotRun => "not-run",
+            balancer::Outcome::Unknown => "unknown",
+        };
+        self.done(outcome, &refusal.reason.to_string());
+        answer::refusal::<P>(refusal, &self.request.meta.id)
+    }
+
+    fn late(self) -> Response {
+        self.done("unknown", "deadline");
+        let id = &*self.request.meta.id;
+        answer::own::<P>(http::StatusCode::GATEWAY_TIMEOUT, Some(id), None)
+    }
+
+    fn stream(self, begun: Begun, permit: dispatch::Permit<Target>) -> Response {
+        let (sender, receiver) = tokio::sync::mpsc::channel(stream::QUEUE);
+        let response = answer::relay::<P>(&begun.head, Body::Stream(receiver));
+        let relay = stream::Relay {
+            gateway: self.gateway,
+            request: self.request,
+            permit,
+            sender,
+            _flight: self.flight,
+        };
+        tokio::spawn(relay.run(begun));
+        response
+    }
+
+    fn done(&self, outcome: &'static str, reason: &str) {
+        self.gateway.done(&self.request, outcome, reason);
+    }
+}
+
+fn arrival(request: &Request) -> dispatch::Arrival {
+    let route = &request.grant.route;
+    let team = request.grant.team.as_ref().map(|team| team.name.clone());
+    let wait = route.objective.mul_f64(WAIT_PART);
+    dispatch::Arrival {
+        pool: request.service.clone(),
+        team: team.unwrap_or_default(),
+        precedence: request.grant.precedence(),
+        repeatable: route.kind.repeatable(),
+        resumable: route.kind == route::Kind::Streaming { resumable: true },
+        max_attempts: route.max_attempts,
+        due: request.due,
+        expires: request.due.min(request.came + wait),
+        prefix: request.meta.prefix,
+    }
+}
+
+impl<P: Protocol> Gateway<P> {
+    /// Logs and counts a request's outcome.
+    pub(crate) fn done(&self, request: &Request, outcome: &'static str, reason: &str) {
+        let time = request.came.elapsed();
+        self.metrics.ended(outcome, time);
+        log::info!(
+            "outcome request={} outcome={outcome} reason={reason} ms={}",
+            request.meta.id,
+            time.as_millis()
+        );
+    }
+
+    /// Logs why an attempt failed.
+    pub(crate) fn note(&self, request: &Request, attempt: &dispatch::Attempt<Target>, cause: &str) {
+        log::info!(
+            "attempt failed request={} attempt={} server={} cause=\"{cause}\" ms={}",
+            request.meta.id,
+            attempt.number,
+            attempt.target.id,
+            request.came.elapsed().as_millis()
+        );
+    }
+
+    /// Sends an attempt and waits for its answer, or for the head of a stream.
+    async fn send(
+        &self,
+        request: &Request,
+        attempt: &dispatch::Attempt<Target>,
+        resume_after: Option<Arc<str>>,
+    ) -> Sent {
+        let left = request.due.saturating_duration_since(Instant::now());
+        log::info!(
+            "attempt request={} number={} server={} reason={} score={:.2} open={} config={} left_ms={}",
+            request.meta.id,
+            attempt.number,
+            attempt.target.id,
+            attempt.reason,
+            attempt.score,
+            attempt.open,
+            request.version,
+            left.as_millis()
+        );
+        self.metrics.attempts.inc();
+        let message = message::<P>(request, &attempt.target, left, resume_after);
+        let fresh = !request.grant.route.kind.repeatable();
+        let reply = self.upstream.send(&attempt.target, message, fresh);
+        let reply = match tokio::time::timeout_at(request.due.into(), reply).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(upstream::Error::NotSent(cause))) => {
+                return Sent::Failed(balancer::End::NeverRan, None, cause);
+            }
+            Ok(Err(upstream::Error::NoAnswer(cause))) => return may_have_run(cause),
+            Err(_) => return may_have_run("deadline".to_owned()),
+        };
+        self.read(request, attempt, reply).await
+    }
+
+    async fn read(
+        &self,
+        request: &Request,
+        attempt: &dispatch::Attempt<Target>,
+        reply: upstream::Reply,
+    ) -> Sent {
+        let (head, body) = reply.response.into_parts();
+        let answer = P::answer(&head, &request.meta.id);
+        if let Some(load) = answer.load {
+            let (running, waiting) = (load.running, load.waiting);
+            let load = dispatch::Load { running, waiting, slots: load.slots };
+            self.dispatcher.report(attempt.server, load);
+        }
+        match answer.verdict {
+            Verdict::Answered => {}
+            Verdict::Foreign => return may_have_run("answer of another request".to_owned()),
+            Verdict::NotRun(NotRun::OtherInstance) => {
+                self.dispatcher.unlist(attempt.server);
+                return Sent::Failed(balancer::End::NeverRan, None, "other instance".to_owned());
+            }
+            Verdict::NotRun(NotRun::Rejected) => {
+                let cause = format!("rejected with status {}", head.status);
+                return Sent::Failed(balancer::End::NeverRan, None, cause);
+            }
+            Verdict::NotRun(NotRun::Unavailable | NotRun::Throttled) => {
+                let cause = format!("no room, status {}", head.status);
+                return Sent::Failed(balancer::End::Full, None, cause);
+            }
+        }
+        let target = attempt.target.clone();
+        if request.grant.route.kind.streaming() && head.status.is_success() {
+            let connection = reply.connection;
+            return Sent::Stream(Box::new(Begun { head, body, answer, connection, target }));
+        }
+        match answer::read(body, request.due).await {
+            Ok(answer::Read::Whole(body)) => {
+                if !answer.close {
+                    self.upstream.put(&target, reply.connection, answer.keep_alive);
+                }
+                let whole = answer::Whole { head, body };
+                // Another backend server may do better.
+                if whole.head.status.is_server_error() && request.grant.route.kind.repeatable() {
+                    let cause = format!("status {}", whole.head.status);
+                    return Sent::Failed(FAILED, Some(whole), cause);
+                }
+                Sent::Whole(whole)
+            }
+            Ok(answer::Read::Long(..)) => may_have_run("answer too long to hold".to_owned()),
+            Err(fault) => may_have_run(fault.to_string()),
+        }
+    }
+
+    /// Sends an attempt that goes on with a stream behind an event.
+    pub(crate) async fn resume(
+        &self,
+        request: &Request,
+        attempt: &dispatch::Attempt<Target>,
+        after: Option<Arc<str>>,
+    ) -> Result<Begun, (balancer::End, String)> {
+        match self.send(request, attempt, after).await {
+            Sent::Stream(begun) => Ok(*begun),
+            Sent::Whole(whole) => Err((FAILED, format!("status {}", whole.head.status))),
+            Sent::Failed(end, _, cause) => Err((end, cause)),
+        }
+    }
+}
+
+/// End of an attempt that may have run, of whose answer the client saw nothing.
+const FAILED: balancer::End = balancer::End::MayHaveRun { answer_begun: false };
+
+fn may_have_run(cause: String) -> Sent {
+    Sent::Failed(FAILED, None, cause)
+}
+
+fn message<P: Protocol>(
+    request: &Request,
+    target: &Target,
+    left: Duration,
+    resume_after: Option<Arc<str>>,
+) -> http::Request<Full<bytes::Bytes>> {
+    let forward = Forward {
+        instance: target.id.clone(),
+        team: request.grant.team.as_ref().map(|team| team.name.clone()),
+        left: Some(left),
+        priority: Some(request.grant.precedence().min(PRIORITIES) as u8),
+        resume_after,
+    };
+    let mut message = http::Request::new(Full::new(request.body.clone()));
+    *message.method_mut() = request.head.method.clone();
+    *message.uri_mut() = origin_form(&request.head.uri);
+    *message.headers_mut() = P::forward(&request.head, &forward);
+    message
+}
+
+/// Path and query alone, as a request to a server has them.
+fn origin_form(uri: &http::Uri) -> http::Uri {
+    let mut parts = http::uri::Parts::default();
+    parts.path_and_query = uri.path_and_query().cloned();
+    http::Uri::from_parts(parts).unwrap_or_default()
+}
--- /dev/null
+++ b/gateway/src/metrics.rs
@@ -0,0 +1,81 @@
+//! Counters and histograms of a gateway.
+
+use std::time::Duration;
+
+use loftcove_interface::protocol::Protocol;
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use crate::state;
+
+/// Label with the outcome of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Outcome {
+    /// What became of it.
+    pub outcome: &'static str,
+}
+
+/// All metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Requests by their outcome.
+    pub requests: Family<Outcome, Counter>,
+    /// Attempts that were sent.
+    pub attempts: Counter,
+    /// Streams that another backend server went on with.
+    pub resumed: Counter,
+    /// Time to the head of an answer, seconds.
+    pub first_byte: Histogram,
+    /// Time to the end of an answer, seconds.
+    pub whole: Histogram,
+    /// Version of the configuration.
+    pub config_version: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        // From 4 ms to 16 s, doubling.
+        let histogram = || Histogram::new(exponential_buckets(0.004, 2.0, 13));
+        Metrics {
+            requests: Family::default(),
+            attempts: Counter::default(),
+            resumed: Counter::default(),
+            first_byte: histogram(),
+            whole: histogram(),
+            config_version: Gauge::default(),
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts a request's outcome.
+    pub fn ended(&self, outcome: &'static str, after: Duration) {
+        self.requests.get_or_create(&Outcome { outcome }).inc();
+        self.whole.observe(after.as_secs_f64());
+    }
+
+    /// The text form of all metrics.
+    pub fn encode<P: Protocol>(&self, gateway: &state::Gateway<P>) -> String {
+        let waiting: Gauge = Gauge::default();
+        waiting.set(gateway.dispatcher.waiting() as i64);
+        let flights: Gauge = Gauge::default();
+        flights.set(gateway.life.in_flight() as i64);
+        let mut registry = Registry::with_prefix("loftcove");
+        registry.register("requests", "Requests by outcome", self.requests.clone());
+        registry.register("attempts", "Attempts sent", self.attempts.clone());
+        registry.register("resumed", "Streams resumed", self.resumed.clone());
+        registry.register("first_byte_seconds", "Time to the head", self.first_byte.clone());
+        registry.register("whole_seconds", "Time to the end", self.whole.clone());
+        registry.register("config_version", "Configuration", self.config_version.clone());
+        registry.register("waiting", "Requests that wait", waiting);
+        registry.register("in_flight", "Requests in flight", flights);
+        let mut out = String::new();
+        // Writing to a string cannot fail.
+        text::encode(&mut out, &registry).unwrap_or_default();
+        out
+    }
+}
--- /dev/null
+++ b/gateway/src/request.rs
@@ -0,0 +1,111 @@
+//! Reads a client's request and finds its route.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use loftcove_decision::route;
+use loftcove_interface::protocol::{self, Protocol};
+
+/// Longest time that a request is worked on where neither the client nor the
+/// route says.
+const LONGEST: Duration = Duration::from_secs(60);
+/// Taken off the time that the client and the route give, so that a last
+/// answer arrives in time.
+const MARGIN: Duration = Duration::from_millis(20);
+
+/// Why a request is answered without any attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// No configuration is known yet.
+    #[error("no-configuration")]
+    NoConfig,
+    /// The process is about to stop.
+    #[error("stopping")]
+    Stopping,
+    /// It has no route, or may not use it.
+    #[error("{0}")]
+    Route(#[from] route::Refusal),
+    /// A header that must be there is missing.
+    #[error("malformed-header")]
+    Header,
+    /// Its body is larger than the limit.
+    #[error("body-too-large")]
+    TooLarge,
+    /// Its body broke off.
+    #[error("body-broken-off")]
+    Truncated,
+}
+
+impl Refusal {
+    /// Status and, where coming back helps, when.
+    pub fn answer(self) -> (http::StatusCode, Option<Duration>) {
+        /// A gateway knows a configuration within this time of its start.
+        const START_TIME: Duration = Duration::from_millis(500);
+        match self {
+            Refusal::NoConfig => (http::StatusCode::SERVICE_UNAVAILABLE, Some(START_TIME)),
+            // Other gateways serve.
+            Refusal::Stopping => (http::StatusCode::SERVICE_UNAVAILABLE, Some(Duration::ZERO)),
+            Refusal::Route(route::Refusal::NoRoute) => (http::StatusCode::NOT_FOUND, None),
+            Refusal::Route(route::Refusal::UnknownKey) => (http::StatusCode::UNAUTHORIZED, None),
+            Refusal::Header | Refusal::Truncated => (http::StatusCode::BAD_REQUEST, None),
+            Refusal::TooLarge => (http::StatusCode::PAYLOAD_TOO_LARGE, None),
+        }
+    }
+}
+
+/// A request that may be sent to a backend server.
+pub struct Request {
+    /// Its head as it came.
+    pub head: http::request::Parts,
+    /// Its body, whole.
+    pub body: Bytes,
+    /// What the head says.
+    pub meta: protocol::Request,
+    /// Its route and team.
+    pub grant: route::Grant,
+    /// Service that is to answer it.
+    pub service: Arc<str>,
+    /// When it came.
+    pub came: Instant,
+    /// When the final answer is due.
+    pub due: Instant,
+    /// Version of the configuration that decided.
+    pub version: u64,
+}
+
+/// Reads a request whole and finds its route.
+///
+/// # Errors
+///
+/// A [`Refusal`]; nothing was sent anywhere.
+pub async fn read<P: Protocol>(
+    head: http::request::Parts,
+    body: Incoming,
+    meta: protocol::Request,
+    routes: &route::Table,
+) -> Result<Request, Refusal> {
+    let came = Instant::now();
+    let grant = routes.find(&meta.host, head.uri.path(), meta.key.as_deref())?;
+    let patience = meta.patience.unwrap_or(LONGEST).min(grant.route.timeout);
+    let due = came + patience.saturating_sub(MARGIN);
+    let body = tokio::time::timeout_at(due.into(), collect(body, routes.limits.body_bytes));
+    let body = body.await.map_err(|_| Refusal::Truncated)??;
+    let service = grant.route.target(rand::random()).clone();
+    Ok(Request { head, body, meta, grant, service, came, due, version: routes.version })
+}
+
+async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Refusal::Truncated)?;
+        let Ok(data) = frame.into_data() else { continue };
+        if whole.len() + data.len() > limit {
+            return Err(Refusal::TooLarge);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/gateway/src/state.rs
@@ -0,0 +1,150 @@
+//! What all requests of a gateway share.
+
+use std::collections::BTreeMap;
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use loftcove_decision::{balancer, fleet, lifecycle, route};
+use loftcove_dispatch as dispatch;
+use loftcove_interface::protocol::{Place, Protocol, Record};
+use loftcove_mirror::{self as mirror, register};
+use loftcove_settings::gateway as settings;
+
+use crate::{drain, metrics, upstream};
+
+/// Part of the retries allowed by the settings that is used: the rest is for
+/// clients whose requests cross, and for counts that differ by timing.
+const RETRY_MARGIN: f64 = 0.75;
+/// Requests that may wait for a backend server.
+const MAX_WAITING: usize = 512;
+/// Shortest time after which a refused client is told to come back.
+const SHORTEST_RETURN: std::time::Duration = std::time::Duration::from_millis(300);
+
+/// Where a backend server takes requests.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Id of its run.
+    pub id: Arc<str>,
+    /// Address.
+    pub address: SocketAddr,
+    /// Connections that this gateway may keep to it.
+    pub max_connections: usize,
+}
+
+/// The gateway. Lock order, where more than one is held: the dispatcher, then
+/// the mirror; the pool of connections is taken alone.
+pub struct Gateway<P> {
+    /// Its settings.
+    pub settings: settings::Gateway,
+    /// Routes of the newest configuration; none before the first one.
+    pub routes: ArcSwapOption<route::Table>,
+    /// What is known of the store.
+    pub mirror: Arc<mirror::Mirror>,
+    /// Decisions, and the requests that wait for them.
+    pub dispatcher: Arc<dispatch::Dispatcher<Target>>,
+    /// Connections to backend servers.
+    pub upstream: upstream::Pool,
+    /// Whether it serves, drains or stops.
+    pub life: drain::Life,
+    /// Counters.
+    pub metrics: metrics::Metrics,
+    protocol: PhantomData<P>,
+}
+
+impl<P: Protocol> Gateway<P> {
+    /// A gateway that knows nothing yet.
+    pub fn new(settings: settings::Gateway) -> Gateway<P> {
+        let ratio = settings.serving.retry_ratio * RETRY_MARGIN;
+        let options = balancer::Options::default()
+            .capacity(MAX_WAITING)
+            .retry_ratio(ratio)
+            .retry_reserve(0.0)
+            .charge_full(true)
+            .shortest_return(SHORTEST_RETURN);
+        Gateway {
+            settings,
+            routes: ArcSwapOption::empty(),
+            mirror: Arc::default(),
+            dispatcher: Arc::new(dispatch::Dispatcher::new(&options)),
+            upstream: upstream::Pool::default(),
+            life: drain::Life::default(),
+            metrics: metrics::Metrics::default(),
+            protocol: PhantomData,
+        }
+    }
+
+    /// Takes a configuration if it is newer than the present one.
+    fn take_config(&self, config: route::Config) {
+        let present = self.routes.load().as_ref().map(|table| table.version);
+        if present.is_some_and(|version| version >= config.version) {
+            return;
+        }
+        let version = config.version;
+        self.routes.store(Some(Arc::new(route::Table::new(config))));
+        self.life.handle(lifecycle::Event::Ready);
+        self.metrics.config_version.set(version as i64);
+        log::info!("configuration version={version} before={}", present.unwrap_or(0));
+    }
+
+    /// Brings routes and backend servers up to the mirror.
+    fn refresh(&self) {
+        let mut servers: BTreeMap<Arc<str>, fleet::Server> = BTreeMap::new();
+        for prefix in P::PREFIXES {
+            for record in self.mirror.below(prefix) {
+                if P::place(&record.key) == Place::Other {
+                    continue;
+                }
+                match P::record(&record.key, &record.value.unwrap_or_default()) {
+                    Ok(Record::Config(config)) => self.take_config(*config),
+                    Ok(Record::Server(server)) => {
+                        servers.insert(server.id.clone(), server);
+                    }
+                    Ok(Record::Other) => {}
+                    Err(error) => log::error!("record not readable error=\"{error}\""),
+                }
+            }
+        }
+        let gateways = register::entries(&self.mirror).len().max(1);
+        let serving = &self.settings.serving;
+        self.dispatcher.set_reserve(serving.retry_slack * RETRY_MARGIN / gateways as f64);
+        self.list(servers, gateways);
+    }
+
+    fn list(&self, servers: BTreeMap<Arc<str>, fleet::Server>, gateways: usize) {
+        let routes = self.routes.load();
+        let connections = |service: &str| {
+            let service = routes.as_ref().and_then(|table| table.service(service).cloned());
+            let most = service.map_or(u32::MAX, |service| service.max_connections) as usize;
+            (most / gateways).max(1)
+        };
+        let listing = |server: &fleet::Server| dispatch::Listing {
+            id: server.id.clone(),
+            pool: server.service.clone(),
+            local: *server.zone == *self.settings.host.zone,
+            leaving: server.draining,
+            slots: server.slots,
+            target: Target {
+                id: server.id.clone(),
+                address: server.address,
+                max_connections: connections(&server.service),
+            },
+        };
+        self.dispatcher.list(servers.values().map(listing).collect());
+        self.upstream.keep(|id| servers.contains_key(id));
+    }
+}
+
+/// Brings the gateway up to the mirror whenever it changes, until the process
+/// ends.
+pub async fn follow<P: Protocol>(gateway: Arc<Gateway<P>>) {
+    let mut changes = gateway.mirror.subscribe();
+    loop {
+        changes.borrow_and_update();
+        gateway.refresh();
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/stream.rs
@@ -0,0 +1,163 @@
+//! Hands a stream of events on to the client.
+//!
+//! Only whole events are handed on. If the backend server breaks off, and the
+//! route allows it, another one goes on behind the last event within the same
+//! answer. A stream that cannot be ended is broken off towards the client as
+//! well, so that it does not look whole.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use loftcove_decision::balancer;
+use loftcove_dispatch as dispatch;
+use loftcove_interface::protocol::Protocol;
+use tokio::sync::mpsc;
+
+use crate::body::{Broken, Part};
+use crate::drain;
+use crate::event::Splitter;
+use crate::flow::Begun;
+use crate::request::Request;
+use crate::state::{Gateway, Target};
+
+/// Parts of an answer that may wait for a slow client.
+pub const QUEUE: usize = 8;
+
+/// A stream on its way.
+pub struct Relay<P> {
+    /// The gateway.
+    pub gateway: Arc<Gateway<P>>,
+    /// The request.
+    pub request: Arc<Request>,
+    /// Its place at the dispatcher.
+    pub permit: dispatch::Permit<Target>,
+    /// Towards the client.
+    pub sender: mpsc::Sender<Part>,
+    /// Its share in the requests in flight.
+    pub _flight: drain::Flight<P>,
+}
+
+/// How one backend server's part of a stream ended.
+enum End {
+    /// The stream is whole.
+    Whole,
+    /// The backend server broke off.
+    Broken,
+    /// The client left.
+    Left,
+    /// Time is up.
+    Late,
+}
+
+impl<P: Protocol> Relay<P> {
+    /// Hands the stream on until it ends.
+    pub async fn run(mut self, begun: Begun) {
+        let mut splitter = Splitter::default();
+        let mut begun = Some(begun);
+        while let Some(part) = begun.take() {
+            match self.pass(part, &mut splitter).await {
+                End::Whole => {
+                    self.permit.end(balancer::End::Answered);
+                    return self.gateway.done(&self.request, "answered", "whole");
+                }
+                End::Left => {
+                    self.permit.end(balancer::End::Abandoned);
+                    return self.gateway.done(&self.request, "client-left", "client-left");
+                }
+                End::Late => return self.break_off("deadline").await,
+                End::Broken => begun = self.resume(&mut splitter).await,
+            }
+        }
+        self.break_off("backend-server-broke-off").await;
+    }
+
+    /// Hands one backend server's part of the stream on.
+    async fn pass(&self, begun: Begun, splitter: &mut Splitter) -> End {
+        let Begun { mut body, answer, connection, target, .. } = begun;
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = self.sender.closed() => return End::Left,
+                frame = tokio::time::timeout_at(self.request.due.into(), body.frame()) => frame,
+            };
+            let data = match frame {
+                Err(_) => return End::Late,
+                Ok(None) => break,
+                Ok(Some(Err(_))) => return End::Broken,
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            };
+            if let Some(events) = splitter.push(&data) {
+                if let Some(end) = self.hand_on(events).await {
+                    return end;
+                }
+            }
+        }
+        if let Some(rest) = splitter.finish() {
+            if let Some(end) = self.hand_on(rest).await {
+                return end;
+            }
+        }
+        if !answer.close {
+            self.gateway.upstream.put(&target, connection, answer.keep_alive);
+        }
+        End::Whole
+    }
+
+    /// Hands bytes to the client; returns an end if that ends the stream.
+    async fn hand_on(&self, bytes: Bytes) -> Option<End> {
+        let sent = tokio::time::timeout_at(self.request.due.into(), self.sender.send(Ok(bytes)));
+        match sent.await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(End::Left),
+            Err(_) => Some(End::Late),
+        }
+    }
+
+    /// Finds another backend server that goes on behind the last event.
+    async fn resume(&mut self, splitter: &mut Splitter) -> Option<Begun> {
+        splitter.discard();
+        let after = splitter.last_id().cloned();
+        let mut end = balancer::End::MayHaveRun { answer_begun: after.is_some() };
+        loop {
+            self.permit.end(end);
+            let next = tokio::select! {
+                () = self.sender.closed() => return None,
+                next = self.permit.next() => next?,
+            };
+            let attempt = match next {
+                dispatch::Next::Send(attempt) => attempt,
+                dispatch::Next::Refuse(refusal) => {
+                    log::info!(
+                        "not resumed request={} after={} reason={}",
+                        self.request.meta.id,
+                        after.as_deref().unwrap_or("-"),
+                        refusal.reason
+                    );
+                    return None;
+                }
+            };
+            let sent = tokio::select! {
+                () = self.sender.closed() => return None,
+                sent = self.gateway.resume(&self.request, &attempt, after.clone()) => sent,
+            };
+            match sent {
+                Ok(begun) => {
+                    self.gateway.metrics.resumed.inc();
+                    return Some(begun);
+                }
+                Err((failed, cause)) => {
+                    self.gateway.note(&self.request, &attempt, &cause);
+                    end = failed;
+                }
+            }
+        }
+    }
+
+    /// Breaks the answer off, so that the client does not take it to be whole.
+    async fn break_off(self, reason: &'static str) {
+        self.gateway.done(&self.request, "broken-off", reason);
+        // The client may have left meanwhile.
+        self.sender.send(Err(Broken)).await.unwrap_or_default();
+    }
+}
--- /dev/null
+++ b/gateway/src/upstream.rs
@@ -0,0 +1,162 @@
+//! Connections to backend servers.
+//!
+//! One request at a time goes over a connection. A connection is kept only
+//! after a whole answer; one on which anything else arrives is closed by the
+//! HTTP library. Where a request must not run twice, it goes over a connection
+//! of its own: on a kept one, a late answer could take its place, or the
+//! backend server might just be closing it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::state::Target;
+
+/// Longest wait for a connection: a backend server within a region accepts
+/// within milliseconds, and a packet that is lost is sent again after about a
+/// second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest time that sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
+/// How long an idle connection is kept where the backend server says nothing.
+const IDLE_TIME: Duration = Duration::from_secs(3);
+/// What is taken off the time that a backend server keeps idle connections, so
+/// that it does not close one while a request is on its way.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// Why an attempt got no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// Nothing was sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The request was sent, at least in part, and no answer came.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+}
+
+/// An answer whose head has come.
+pub struct Reply {
+    /// Its head, and the body that is still to come.
+    pub response: http::Response<Incoming>,
+    /// The connection that it comes over.
+    pub connection: Connection,
+}
+
+/// A connection that is in use; dropping it closes it.
+pub struct Connection {
+    sender: Sender,
+    id: Arc<str>,
+}
+
+/// Kept connections, by the id of the backend server's run.
+#[derive(Default)]
+pub struct Pool {
+    idle: Mutex<HashMap<Arc<str>, Vec<Idle>>>,
+}
+
+struct Idle {
+    sender: Sender,
+    until: Instant,
+}
+
+impl Pool {
+    fn lock(&self) -> MutexGuard<'_, HashMap<Arc<str>, Vec<Idle>>> {
+        // A holder that panicked leaves at worst one connection less.
+        self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Sends a request and waits for the head of the answer. With `fresh`, it
+    /// goes over a new connection.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] that tells whether the request may have arrived.
+    pub async fn send(
+        &self,
+        target: &Target,
+        mut request: http::Request<Full<Bytes>>,
+        fresh: bool,
+    ) -> Result<Reply, Error> {
+        while let Some(mut sender) = self.take(&target.id).filter(|_| !fresh) {
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok(reply(response, sender, target)),
+                Err(mut error) => match error.take_message() {
+                    // The connection had ended before.
+                    Some(unsent) => request = unsent,
+                    None => return Err(Error::NoAnswer(error.into_error().to_string())),
+                },
+            }
+        }
+        let mut sender = connect(target.address).await?;
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok(reply(response, sender, target)),
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let reason = error.into_error().to_string();
+                Err(if unsent { Error::NotSent(reason) } else { Error::NoAnswer(reason) })
+            }
+        }
+    }
+
+    fn take(&self, id: &str) -> Option<Sender> {
+        let mut idle = self.lock();
+        let kept = idle.get_mut(id)?;
+        while let Some(idle) = kept.pop() {
+            if idle.sender.is_ready() && Instant::now() < idle.until {
+                return Some(idle.sender);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was whole, for as long as the backend
+    /// server keeps it.
+    pub fn put(&self, target: &Target, connection: Connection, keep_alive: Option<Duration>) {
+        let time = keep_alive.map_or(IDLE_TIME, |time| time.saturating_sub(IDLE_MARGIN));
+        let mut idle = self.lock();
+        let kept = idle.entry(connection.id.clone()).or_default();
+        let now = Instant::now();
+        kept.retain(|idle| now < idle.until && !idle.sender.is_closed());
+        if kept.len() < target.max_connections {
+            kept.push(Idle { sender: connection.sender, until: now + time });
+        }
+    }
+
+    /// Closes the kept connections to backend servers that are not wanted.
+    pub fn keep(&self, wanted: impl Fn(&str) -> bool) {
+        self.lock().retain(|id, _| wanted(id));
+    }
+}
+
+fn reply(response: http::Response<Incoming>, sender: Sender, target: &Target) -> Reply {
+    Reply { response, connection: Connection { sender, id: target.id.clone() } }
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender, Error> {
+    let fault = |error: &dyn std::error::Error| Error::NotSent(error.to_string());
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = stream.map_err(|error| fault(&error))?.map_err(|error| fault(&error))?;
+    stream.set_nodelay(true).map_err(|error| fault(&error))?;
+    socket2::SockRef::from(&stream)
+        .set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+        .map_err(|error| fault(&error))?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|error| fault(&error))?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection to backend server ended error=\"{error}\"");
+        }
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/mirror/src/follow.rs
@@ -0,0 +1,137 @@
+//! Follows peers and fills the copy with what they hand on.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use loftcove_decision::mirror::Record;
+use loftcove_wire as wire;
+use rand::seq::IndexedRandom as _;
+
+use crate::{Mirror, Source, register};
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
+/// How often a silent connection is probed, and how long the probe may take: a
+/// peer that is cut off is noticed well within the bound for configuration.
+const KEEP_ALIVE: (Duration, Duration) = (Duration::from_millis(1_500), Duration::from_secs(1));
+/// How long a peer that failed is passed over while there are others.
+const PENALTY: Duration = Duration::from_secs(2);
+/// Pause between two tries.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Who follows.
+#[derive(Debug, Clone)]
+pub struct Own {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Its own address for peers, if it has followers itself.
+    pub address: Option<SocketAddr>,
+}
+
+/// The peers of a host, and which of them it follows.
+pub struct Peers {
+    own: Own,
+    seeds: Mutex<Vec<SocketAddr>>,
+    /// Peers that are followed, by the number of the follower.
+    used: Mutex<BTreeMap<usize, SocketAddr>>,
+    failed: Mutex<BTreeMap<SocketAddr, Instant>>,
+}
+
+impl Peers {
+    /// Peers known from the settings.
+    pub fn new(own: Own, seeds: Vec<SocketAddr>) -> Peers {
+        Peers { own, seeds: Mutex::new(seeds), used: Mutex::default(), failed: Mutex::default() }
+    }
+
+    /// Takes other seeds.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *lock(&self.seeds) = seeds;
+    }
+
+    /// A peer for a follower: the first follower prefers the own zone, the
+    /// others prefer other zones, so that neither side of a cut is forgotten.
+    fn choose(&self, mirror: &Mirror, follower: usize) -> Option<SocketAddr> {
+        let used: Vec<SocketAddr> = lock(&self.used).values().copied().collect();
+        let failed = lock(&self.failed).clone();
+        let mut candidates: BTreeMap<SocketAddr, Option<Arc<str>>> =
+            lock(&self.seeds).iter().map(|seed| (*seed, None)).collect();
+        for (_, entry) in register::entries(mirror) {
+            candidates.insert(entry.address, Some(entry.zone));
+        }
+        candidates.retain(|peer, _| Some(*peer) != self.own.address && !used.contains(peer));
+        let sound = |peer: &SocketAddr| failed.get(peer).is_none_or(|at| at.elapsed() > PENALTY);
+        let fits = |zone: &Option<Arc<str>>| {
+            zone.as_ref().is_none_or(|zone| (*zone == self.own.zone) == (follower == 0))
+        };
+        let tiers: [Vec<SocketAddr>; 3] = [
+            pick(&candidates, |peer, zone| sound(peer) && fits(zone)),
+            pick(&candidates, |peer, _| sound(peer)),
+            pick(&candidates, |_, _| true),
+        ];
+        let tier = tiers.iter().find(|tier| !tier.is_empty())?;
+        tier.choose(&mut rand::rng()).copied()
+    }
+}
+
+fn pick(
+    candidates: &BTreeMap<SocketAddr, Option<Arc<str>>>,
+    wanted: impl Fn(&SocketAddr, &Option<Arc<str>>) -> bool,
+) -> Vec<SocketAddr> {
+    candidates.iter().filter(|(peer, zone)| wanted(peer, zone)).map(|(peer, _)| *peer).collect()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Follows one peer after the other until the process ends.
+pub async fn run(mirror: Arc<Mirror>, peers: Arc<Peers>, follower: usize) {
+    loop {
+        if let Some(peer) = peers.choose(&mirror, follower) {
+            lock(&peers.used).insert(follower, peer);
+            let status = follow(&mirror, &peers.own, peer).await;
+            lock(&peers.used).remove(&follower);
+            lock(&peers.failed).insert(peer, Instant::now());
+            log::info!("dependency lost name=peer address={peer} error=\"{status}\"");
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn follow(mirror: &Mirror, own: &Own, peer: SocketAddr) -> tonic::Status {
+    match stream(mirror, own, peer).await {
+        Ok(()) => tonic::Status::unavailable("the peer ended the stream"),
+        Err(status) => status,
+    }
+}
+
+async fn stream(mirror: &Mirror, own: &Own, peer: SocketAddr) -> Result<(), tonic::Status> {
+    let unreachable = |error: &dyn std::error::Error| tonic::Status::unavailable(error.to_string());
+    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{peer}"))
+        .map_err(|error| unreachable(&error))?
+        .connect_timeout(CONNECT_TIMEOUT)
+        .http2_keep_alive_interval(KEEP_ALIVE.0)
+        .keep_alive_timeout(KEEP_ALIVE.1)
+        .keep_alive_while_idle(true)
+        .tcp_nodelay(true);
+    let channel = endpoint.connect().await.map_err(|error| unreachable(&error))?;
+    let mut client = wire::mirror_client::MirrorClient::new(channel);
+    let request = wire::Follower { host: own.name.to_string() };
+    let mut batches = client.follow(request).await?.into_inner();
+    log::info!("dependency regained name=peer address={peer}");
+    let source = peer.to_string();
+    while let Some(batch) = batches.message().await? {
+        let records = batch.items.into_iter().map(record).collect();
+        mirror.apply(records, Source::Peer(&source));
+    }
+    Ok(())
+}
+
+fn record(item: wire::Item) -> Record {
+    let value = (!item.removed).then_some(item.value);
+    Record { key: item.key.into(), revision: item.revision, value }
+}
--- /dev/null
+++ b/mirror/src/lib.rs
@@ -0,0 +1,150 @@
+//! A copy of a part of the store, kept by watches and by peers.
+//!
+//! A gateway watches the store ([`watch`]) and follows a few peers
+//! ([`follow`]); a sidecar only follows. Whatever one of them learns it hands
+//! on to those who follow it ([`serve`]), so that a host that the store does
+//! not answer hears of changes from others, one hop later. Merging is that of
+//! [`loftcove_decision::mirror`].
+
+pub mod follow;
+mod health;
+pub mod register;
+pub mod serve;
+pub mod watch;
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
+
+use bytes::Bytes;
+use loftcove_decision::{clock, mirror};
+use tokio::sync::{broadcast, watch as channel};
+
+pub use health::Health;
+
+/// Prefix of what loftcove itself keeps in the store.
+pub const OWN_PREFIX: &str = "loftcove/";
+/// Records that a follower may be behind before it is sent everything anew.
+const BACKLOG: usize = 1_024;
+
+/// The copy, shared by whoever fills and reads it.
+pub struct Mirror {
+    origin: Instant,
+    state: Mutex<mirror::Mirror>,
+    news: broadcast::Sender<mirror::Record>,
+    changes: channel::Sender<u64>,
+    /// Whether the store answers this host.
+    pub health: Health,
+}
+
+/// Where a record was heard of, for the log.
+#[derive(Debug, Clone, Copy)]
+pub enum Source<'a> {
+    /// The store itself.
+    Store,
+    /// A peer.
+    Peer(&'a str),
+}
+
+impl std::fmt::Display for Source<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Source::Store => f.write_str("store"),
+            Source::Peer(name) => write!(f, "peer:{name}"),
+        }
+    }
+}
+
+impl Default for Mirror {
+    fn default() -> Mirror {
+        Mirror {
+            origin: Instant::now(),
+            state: Mutex::default(),
+            news: broadcast::Sender::new(BACKLOG),
+            changes: channel::Sender::new(0),
+            health: Health::default(),
+        }
+    }
+}
+
+impl Mirror {
+    fn lock(&self) -> MutexGuard<'_, mirror::Mirror> {
+        // Each change is one insertion; a panic cannot leave half of one.
+        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn now(&self) -> clock::Instant {
+        clock::Instant::from_micros(self.origin.elapsed().as_micros() as u64)
+    }
+
+    /// Takes records; those that are news are handed on.
+    pub fn apply(&self, records: Vec<mirror::Record>, source: Source<'_>) {
+        let now = self.now();
+        let mut state = self.lock();
+        let mut count = 0;
+        for record in records {
+            if !state.apply(&record, now) {
+                continue;
+            }
+            count += 1;
+            log::info!(
+                "learnt key={} revision={} removed={} from={source}",
+                record.key,
+                record.revision,
+                record.value.is_none()
+            );
+            // Nobody may be following at present.
+            self.news.send(record).unwrap_or_default();
+        }
+        drop(state);
+        if count > 0 {
+            self.changes.send_modify(|version| *version += count);
+        }
+    }
+
+    /// Follows the number of changes so far.
+    pub fn subscribe(&self) -> channel::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// All records and, from then on, each new one.
+    pub fn follow(&self) -> (Vec<mirror::Record>, broadcast::Receiver<mirror::Record>) {
+        let state = self.lock();
+        (state.records().collect(), self.news.subscribe())
+    }
+
+    /// The value of a key.
+    pub fn get(&self, key: &str) -> Option<Bytes> {
+        self.lock().get(key).cloned()
+    }
+
+    /// Keys below a prefix with their values and revisions.
+    pub fn below(&self, prefix: &str) -> Vec<mirror::Record> {
+        self.lock().below(prefix).collect()
+    }
+
+    /// Lets removals take effect that were suspected for long enough; runs
+    /// until the process ends.
+    pub async fn expire(self: Arc<Mirror>) {
+        let mut changes = self.subscribe();
+        loop {
+            let now = self.now();
+            let removed = self.lock().expire(now);
+            for record in &removed {
+                log::info!("removal held back is over key={}", record.key);
+                self.news.send(record.clone()).unwrap_or_default();
+            }
+            if !removed.is_empty() {
+                self.changes.send_modify(|version| *version += removed.len() as u64);
+            }
+            let next = self.lock().next_expiry();
+            let wait = next.map(|due| due.since(now)).unwrap_or(IDLE_WAIT).min(IDLE_WAIT);
+            tokio::select! {
+                () = tokio::time::sleep(wait) => {}
+                _ = changes.changed() => {}
+            }
+        }
+    }
+}
+
+/// Longest time between two looks for removals that are due.
+const IDLE_WAIT: std::time::Duration = std::time::Duration::from_secs(10);
--- a/settings/src/file.rs
+++ b/settings/src/file.rs
@@ -253,12 +253,15 @@
     }
 }
 
-fn load(file: &Path) -> Result<String, error::Error> {
+pub(crate) fn load(file: &Path) -> Result<String, error::Error> {
     std::fs::read_to_string(file)
         .map_err(|source| error::Error::Read { file: file.to_owned(), source })
 }
 
-fn parse<T: serde::de::DeserializeOwned>(file: &Path, text: &str) -> Result<T, error::Error> {
+pub(crate) fn parse<T: serde::de::DeserializeOwned>(
+    file: &Path,
+    text: &str,
+) -> Result<T, error::Error> {
     toml::from_str(text).map_err(|error| {
         let start = error.span().map_or(0, |span| span.start);
         let line = 1 + text.as_bytes()[..start].iter().filter(|byte| **byte == b'\n').count();
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -11,4 +11,5 @@
 
 pub mod error;
 pub mod file;
+pub mod gateway;
 pub mod reference;
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -281,6 +281,117 @@
     #[prost(string, repeated, tag = "1")]
     pub lines: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
+/// Who follows.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Follower {
+    /// Host that follows, by name.
+    #[prost(string, tag = "1")]
+    pub host: ::prost::alloc::string::String,
+}
+/// Records of the store, in the order of their keys or as they were learnt.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Batch {
+    #[prost(message, repeated, tag = "1")]
+    pub items: ::prost::alloc::vec::Vec<Item>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Item {
+    #[prost(string, tag = "1")]
+    pub key: ::prost::alloc::string::String,
+    /// Revision of the store at which the key was written or removed.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub value: ::prost::bytes::Bytes,
+    /// Whether the key was removed; it has no value then.
+    #[prost(bool, tag = "4")]
+    pub removed: bool,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Inspection {
+    /// Term of the driver that asks; 0 asks without claiming to drive.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// Whether the counts are wanted.
+    #[prost(bool, tag = "2")]
+    pub counts: bool,
+    /// Whether the experts that the rank holds are wanted.
+    #[prost(bool, tag = "3")]
+    pub experts: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Condition {
+    /// Highest term that the sidecar has seen.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    #[prost(string, tag = "2")]
+    pub group: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub epoch: u64,
+    #[prost(uint32, tag = "4")]
+    pub rank: u32,
+    #[prost(uint32, tag = "5")]
+    pub size: u32,
+    #[prost(bool, tag = "6")]
+    pub open: bool,
+    /// Last pass that has begun.
+    #[prost(uint64, tag = "7")]
+    pub pass: u64,
+    /// Version of the map in use.
+    #[prost(uint64, tag = "8")]
+    pub map: u64,
+    /// Version of the prepared map; 0 where there is none.
+    #[prost(uint64, tag = "9")]
+    pub prepared: u64,
+    /// Version and pass of the armed switch; 0 where there is none.
+    #[prost(uint64, tag = "10")]
+    pub armed_version: u64,
+    #[prost(uint64, tag = "11")]
+    pub armed_pass: u64,
+    /// Pass that is held, if `holds`.
+    #[prost(bool, tag = "12")]
+    pub holds: bool,
+    #[prost(uint64, tag = "13")]
+    pub held_pass: u64,
+    /// Requests that run and that wait.
+    #[prost(uint32, tag = "14")]
+    pub active: u32,
+    #[prost(uint32, tag = "15")]
+    pub queued: u32,
+    /// Set by set, how often each expert was chosen since the engine's start.
+    #[prost(uint64, repeated, tag = "16")]
+    pub counts: ::prost::alloc::vec::Vec<u64>,
+    /// Experts in use: a set after the other, each with its length before it.
+    #[prost(uint32, repeated, tag = "17")]
+    pub experts: ::prost::alloc::vec::Vec<u32>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Step {
+    /// Term of the driver; a sidecar that has seen a higher one refuses.
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// Epoch of the group that the step is for.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    #[prost(enumeration = "Operation", tag = "3")]
+    pub operation: i32,
+    #[prost(uint64, tag = "4")]
+    pub version: u64,
+    #[prost(uint64, tag = "5")]
+    pub pass: u64,
+    /// For a preparation, the map: set by set and rank by rank the experts, each
+    /// list with its length before it.
+    #[prost(uint32, repeated, tag = "6")]
+    pub map: ::prost::alloc::vec::Vec<u32>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Result {
+    #[prost(enumeration = "Effect", tag = "1")]
+    pub effect: i32,
+    /// State of the engine after it.
+    #[prost(message, optional, tag = "2")]
+    pub condition: ::core::option::Option<Condition>,
+}
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
 pub enum Refusal {
@@ -566,6 +677,84 @@
         }
     }
 }
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Operation {
+    Unspecified = 0,
+    Prepare = 1,
+    Arm = 2,
+    Disarm = 3,
+    Hold = 4,
+    Release = 5,
+}
+impl Operation {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "OPERATION_UNSPECIFIED",
+            Self::Prepare => "OPERATION_PREPARE",
+            Self::Arm => "OPERATION_ARM",
+            Self::Disarm => "OPERATION_DISARM",
+            Self::Hold => "OPERATION_HOLD",
+            Self::Release => "OPERATION_RELEASE",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "OPERATION_UNSPECIFIED" => Some(Self::Unspecified),
+            "OPERATION_PREPARE" => Some(Self::Prepare),
+            "OPERATION_ARM" => Some(Self::Arm),
+            "OPERATION_DISARM" => Some(Self::Disarm),
+            "OPERATION_HOLD" => Some(Self::Hold),
+            "OPERATION_RELEASE" => Some(Self::Release),
+            _ => None,
+        }
+    }
+}
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum Effect {
+    Unspecified = 0,
+    /// The engine's own report shows it.
+    Confirmed = 1,
+    /// It can no longer be had: the epoch or the pass is over, or the engine
+    /// refuses it in its present state.
+    Refused = 2,
+    /// A higher term has been seen.
+    Superseded = 3,
+    /// The engine has not answered yet; whether it has effect is not known.
+    Unknown = 4,
+}
+impl Effect {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "EFFECT_UNSPECIFIED",
+            Self::Confirmed => "EFFECT_CONFIRMED",
+            Self::Refused => "EFFECT_REFUSED",
+            Self::Superseded => "EFFECT_SUPERSEDED",
+            Self::Unknown => "EFFECT_UNKNOWN",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "EFFECT_UNSPECIFIED" => Some(Self::Unspecified),
+            "EFFECT_CONFIRMED" => Some(Self::Confirmed),
+            "EFFECT_REFUSED" => Some(Self::Refused),
+            "EFFECT_SUPERSEDED" => Some(Self::Superseded),
+            "EFFECT_UNKNOWN" => Some(Self::Unknown),
+            _ => None,
+        }
+    }
+}
 /// Generated client implementations.
 pub mod peer_client {
     #![allow(
@@ -1852,3 +2041,668 @@
         const NAME: &'static str = SERVICE_NAME;
     }
 }
+/// Generated client implementations.
+pub mod mirror_client {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    use tonic::codegen::http::Uri;
+    /// Served by gateways: hands on what is known of the store.
+    #[derive(Debug, Clone)]
+    pub struct MirrorClient<T> {
+        inner: tonic::client::Grpc<T>,
+    }
+    impl MirrorClient<tonic::transport::Channel> {
+        /// Attempt to create a new client by connecting to a given endpoint.
+        pub async fn connect<D>(dst: D) -> Result<Self, tonic::transport::Error>
+        where
+            D: TryInto<tonic::transport::Endpoint>,
+            D::Error: Into<StdError>,
+        {
+            let conn = tonic::transport::Endpoint::new(dst)?.connect().await?;
+            Ok(Self::new(conn))
+        }
+    }
+    impl<T> MirrorClient<T>
+    where
+        T: tonic::client::GrpcService<tonic::body::Body>,
+        T::Error: Into<StdError>,
+        T::ResponseBody: Body<Data = Bytes> + std::marker::Send + 'static,
+        <T::ResponseBody as Body>::Error: Into<StdError> + std::marker::Send,
+    {
+        pub fn new(inner: T) -> Self {
+            let inner = tonic::client::Grpc::new(inner);
+            Self { inner }
+        }
+        pub fn with_origin(inner: T, origin: Uri) -> Self {
+            let inner = tonic::client::Grpc::with_origin(inner, origin);
+            Self { inner }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> MirrorClient<InterceptedService<T, F>>
+        where
+            F: tonic::service::Interceptor,
+            T::ResponseBody: Default,
+            T: tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+                Response = http::Response<
+                    <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                >,
+            >,
+            <T as tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+            >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
+        {
+            MirrorClient::new(InterceptedService::new(inner, interceptor))
+        }
+        /// Compress requests with the given encoding.
+        ///
+        /// This requires the server to support it otherwise it might respond with an
+        /// error.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.send_compressed(encoding);
+            self
+        }
+        /// Enable decompressing responses.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.accept_compressed(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_decoding_message_size(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_encoding_message_size(limit);
+            self
+        }
+        /// All records, and then each new one as it is learnt.
+        pub async fn follow(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Follower>,
+        ) -> std::result::Result<
+            tonic::Response<tonic::codec::Streaming<super::Batch>>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/loftcove.v1.Mirror/Follow",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("loftcove.v1.Mirror", "Follow"));
+            self.inner.server_streaming(req, path, codec).await
+        }
+    }
+}
+/// Generated server implementations.
+pub mod mirror_server {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    /// Generated trait containing gRPC methods that should be implemented for use with MirrorServer.
+    #[async_trait]
+    pub trait Mirror: std::marker::Send + std::marker::Sync + 'static {
+        /// Server streaming response type for the Follow method.
+        type FollowStream: tonic::codegen::tokio_stream::Stream<
+                Item = std::result::Result<super::Batch, tonic::Status>,
+            >
+            + std::marker::Send
+            + 'static;
+        /// All records, and then each new one as it is learnt.
+        async fn follow(
+            &self,
+            request: tonic::Request<super::Follower>,
+        ) -> std::result::Result<tonic::Response<Self::FollowStream>, tonic::Status>;
+    }
+    /// Served by gateways: hands on what is known of the store.
+    #[derive(Debug)]
+    pub struct MirrorServer<T> {
+        inner: Arc<T>,
+        accept_compression_encodings: EnabledCompressionEncodings,
+        send_compression_encodings: EnabledCompressionEncodings,
+        max_decoding_message_size: Option<usize>,
+        max_encoding_message_size: Option<usize>,
+    }
+    impl<T> MirrorServer<T> {
+        pub fn new(inner: T) -> Self {
+            Self::from_arc(Arc::new(inner))
+        }
+        pub fn from_arc(inner: Arc<T>) -> Self {
+            Self {
+                inner,
+                accept_compression_encodings: Default::default(),
+                send_compression_encodings: Default::default(),
+                max_decoding_message_size: None,
+                max_encoding_message_size: None,
+            }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> InterceptedService<Self, F>
+        where
+            F: tonic::service::Interceptor,
+        {
+            InterceptedService::new(Self::new(inner), interceptor)
+        }
+        /// Enable decompressing requests with the given encoding.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.accept_compression_encodings.enable(encoding);
+            self
+        }
+        /// Compress responses with the given encoding, if the client supports it.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.send_compression_encodings.enable(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.max_decoding_message_size = Some(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.max_encoding_message_size = Some(limit);
+            self
+        }
+    }
+    impl<T, B> tonic::codegen::Service<http::Request<B>> for MirrorServer<T>
+    where
+        T: Mirror,
+        B: Body + std::marker::Send + 'static,
+        B::Error: Into<StdError> + std::marker::Send + 'static,
+    {
+        type Response = http::Response<tonic::body::Body>;
+        type Error = std::convert::Infallible;
+        type Future = BoxFuture<Self::Response, Self::Error>;
+        fn poll_ready(
+            &mut self,
+            _cx: &mut Context<'_>,
+        ) -> Poll<std::result::Result<(), Self::Error>> {
+            Poll::Ready(Ok(()))
+        }
+        fn call(&mut self, req: http::Request<B>) -> Self::Future {
+            match req.uri().path() {
+                "/loftcove.v1.Mirror/Follow" => {
+                    #[allow(non_camel_case_types)]
+                    struct FollowSvc<T: Mirror>(pub Arc<T>);
+                    impl<
+                        T: Mirror,
+                    > tonic::server::ServerStreamingService<super::Follower>
+                    for FollowSvc<T> {
+                        type Response = super::Batch;
+                        type ResponseStream = T::FollowStream;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::ResponseStream>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Follower>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Mirror>::follow(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = FollowSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.server_streaming(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                _ => {
+                    Box::pin(async move {
+                        let mut response = http::Response::new(
+                            tonic::body::Body::default(),
+                        );
+                        let headers = response.headers_mut();
+                        headers
+                            .insert(
+                                tonic::Status::GRPC_STATUS,
+                                (tonic::Code::Unimplemented as i32).into(),
+                            );
+                        headers
+                            .insert(
+                                http::header::CONTENT_TYPE,
+                                tonic::metadata::GRPC_CONTENT_TYPE,
+                            );
+                        Ok(response)
+                    })
+                }
+            }
+        }
+    }
+    impl<T> Clone for MirrorServer<T> {
+        fn clone(&self) -> Self {
+            let inner = self.inner.clone();
+            Self {
+                inner,
+                accept_compression_encodings: self.accept_compression_encodings,
+                send_compression_encodings: self.send_compression_encodings,
+                max_decoding_message_size: self.max_decoding_message_size,
+                max_encoding_message_size: self.max_encoding_message_size,
+            }
+        }
+    }
+    /// Generated gRPC service name
+    pub const SERVICE_NAME: &str = "loftcove.v1.Mirror";
+    impl<T> tonic::server::NamedService for MirrorServer<T> {
+        const NAME: &'static str = SERVICE_NAME;
+    }
+}
+/// Generated client implementations.
+pub mod rank_client {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    use tonic::codegen::http::Uri;
+    /// Served by sidecars: the engine beside them, one rank of a group.
+    #[derive(Debug, Clone)]
+    pub struct RankClient<T> {
+        inner: tonic::client::Grpc<T>,
+    }
+    impl RankClient<tonic::transport::Channel> {
+        /// Attempt to create a new client by connecting to a given endpoint.
+        pub async fn connect<D>(dst: D) -> Result<Self, tonic::transport::Error>
+        where
+            D: TryInto<tonic::transport::Endpoint>,
+            D::Error: Into<StdError>,
+        {
+            let conn = tonic::transport::Endpoint::new(dst)?.connect().await?;
+            Ok(Self::new(conn))
+        }
+    }
+    impl<T> RankClient<T>
+    where
+        T: tonic::client::GrpcService<tonic::body::Body>,
+        T::Error: Into<StdError>,
+        T::ResponseBody: Body<Data = Bytes> + std::marker::Send + 'static,
+        <T::ResponseBody as Body>::Error: Into<StdError> + std::marker::Send,
+    {
+        pub fn new(inner: T) -> Self {
+            let inner = tonic::client::Grpc::new(inner);
+            Self { inner }
+        }
+        pub fn with_origin(inner: T, origin: Uri) -> Self {
+            let inner = tonic::client::Grpc::with_origin(inner, origin);
+            Self { inner }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> RankClient<InterceptedService<T, F>>
+        where
+            F: tonic::service::Interceptor,
+            T::ResponseBody: Default,
+            T: tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+                Response = http::Response<
+                    <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                >,
+            >,
+            <T as tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+            >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
+        {
+            RankClient::new(InterceptedService::new(inner, interceptor))
+        }
+        /// Compress requests with the given encoding.
+        ///
+        /// This requires the server to support it otherwise it might respond with an
+        /// error.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.send_compressed(encoding);
+            self
+        }
+        /// Enable decompressing responses.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.accept_compressed(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_decoding_message_size(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_encoding_message_size(limit);
+            self
+        }
+        /// State of the engine, and its counts where they are asked for.
+        pub async fn inspect(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Inspection>,
+        ) -> std::result::Result<tonic::Response<super::Condition>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/loftcove.v1.Rank/Inspect");
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("loftcove.v1.Rank", "Inspect"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Carries out a step of a change of the group's map.
+        pub async fn carry(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Step>,
+        ) -> std::result::Result<tonic::Response<super::Result>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/loftcove.v1.Rank/Carry");
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("loftcove.v1.Rank", "Carry"));
+            self.inner.unary(req, path, codec).await
+        }
+    }
+}
+/// Generated server implementations.
+pub mod rank_server {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    /// Generated trait containing gRPC methods that should be implemented for use with RankServer.
+    #[async_trait]
+    pub trait Rank: std::marker::Send + std::marker::Sync + 'static {
+        /// State of the engine, and its counts where they are asked for.
+        async fn inspect(
+            &self,
+            request: tonic::Request<super::Inspection>,
+        ) -> std::result::Result<tonic::Response<super::Condition>, tonic::Status>;
+        /// Carries out a step of a change of the group's map.
+        async fn carry(
+            &self,
+            request: tonic::Request<super::Step>,
+        ) -> std::result::Result<tonic::Response<super::Result>, tonic::Status>;
+    }
+    /// Served by sidecars: the engine beside them, one rank of a group.
+    #[derive(Debug)]
+    pub struct RankServer<T> {
+        inner: Arc<T>,
+        accept_compression_encodings: EnabledCompressionEncodings,
+        send_compression_encodings: EnabledCompressionEncodings,
+        max_decoding_message_size: Option<usize>,
+        max_encoding_message_size: Option<usize>,
+    }
+    impl<T> RankServer<T> {
+        pub fn new(inner: T) -> Self {
+            Self::from_arc(Arc::new(inner))
+        }
+        pub fn from_arc(inner: Arc<T>) -> Self {
+            Self {
+                inner,
+                accept_compression_encodings: Default::default(),
+                send_compression_encodings: Default::default(),
+                max_decoding_message_size: None,
+                max_encoding_message_size: None,
+            }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> InterceptedService<Self, F>
+        where
+            F: tonic::service::Interceptor,
+        {
+            InterceptedService::new(Self::new(inner), interceptor)
+        }
+        /// Enable decompressing requests with the given encoding.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.accept_compression_encodings.enable(encoding);
+            self
+        }
+        /// Compress responses with the given encoding, if the client supports it.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.send_compression_encodings.enable(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.max_decoding_message_size = Some(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.max_encoding_message_size = Some(limit);
+            self
+        }
+    }
+    impl<T, B> tonic::codegen::Service<http::Request<B>> for RankServer<T>
+    where
+        T: Rank,
+        B: Body + std::marker::Send + 'static,
+        B::Error: Into<StdError> + std::marker::Send + 'static,
+    {
+        type Response = http::Response<tonic::body::Body>;
+        type Error = std::convert::Infallible;
+        type Future = BoxFuture<Self::Response, Self::Error>;
+        fn poll_ready(
+            &mut self,
+            _cx: &mut Context<'_>,
+        ) -> Poll<std::result::Result<(), Self::Error>> {
+            Poll::Ready(Ok(()))
+        }
+        fn call(&mut self, req: http::Request<B>) -> Self::Future {
+            match req.uri().path() {
+                "/loftcove.v1.Rank/Inspect" => {
+                    #[allow(non_camel_case_types)]
+                    struct InspectSvc<T: Rank>(pub Arc<T>);
+                    impl<T: Rank> tonic::server::UnaryService<super::Inspection>
+                    for InspectSvc<T> {
+                        type Response = super::Condition;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Inspection>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Rank>::inspect(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = InspectSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/loftcove.v1.Rank/Carry" => {
+                    #[allow(non_camel_case_types)]
+                    struct CarrySvc<T: Rank>(pub Arc<T>);
+                    impl<T: Rank> tonic::server::UnaryService<super::Step>
+                    for CarrySvc<T> {
+                        type Response = super::Result;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Step>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Rank>::carry(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = CarrySvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                _ => {
+                    Box::pin(async move {
+                        let mut response = http::Response::new(
+                            tonic::body::Body::default(),
+                        );
+                        let headers = response.headers_mut();
+                        headers
+                            .insert(
+                                tonic::Status::GRPC_STATUS,
+                                (tonic::Code::Unimplemented as i32).into(),
+                            );
+                        headers
+                            .insert(
+                                http::header::CONTENT_TYPE,
+                                tonic::metadata::GRPC_CONTENT_TYPE,
+                            );
+                        Ok(response)
+                    })
+                }
+            }
+        }
+    }
+    impl<T> Clone for RankServer<T> {
+        fn clone(&self) -> Self {
+            let inner = self.inner.clone();
+            Self {
+                inner,
+                accept_compression_encodings: self.accept_compression_encodings,
+                send_compression_encodings: self.send_compression_encodings,
+                max_decoding_message_size: self.max_decoding_message_size,
+                max_encoding_message_size: self.max_encoding_message_size,
+            }
+        }
+    }
+    /// Generated gRPC service name
+    pub const SERVICE_NAME: &str = "loftcove.v1.Rank";
+    impl<T> tonic::server::NamedService for RankServer<T> {
+        const NAME: &'static str = SERVICE_NAME;
+    }
+}
