--- a/daemon/src/system.rs
+++ b/daemon/src/system.rs
@@ -24,9 +24,9 @@
     let settings = read(settings::Sidecar::read(path))?;
     let sink = logging::to_stdout(settings.host.log_level);
     let store = kv::Client::new(settings.host.store_address);
-    let engine = engine::Client::new(settings.engine.address);
     let workers = settings.host.workers;
-    let run = loftcove_sidecar::run::<adapter::Adapter, _, _>(path, settings, store, engine);
+    let run =
+        loftcove_sidecar::run::<adapter::Adapter, _, _>(path, settings, store, engine::Client::new);
     let result = crate::block_on(workers, run)?.map_err(Error::from);
     finish(&sink, result)
 }
--- /dev/null
+++ b/decision/src/map/switch.rs
@@ -0,0 +1,265 @@
+//! Takes a group from one map to the next at one pass, on all ranks.
+//!
+//! Every rank prepares the map; then one rank, the holder, is told to keep the
+//! group from beginning a pass; then every rank is armed to switch as that
+//! pass begins; then the holder lets it begin. From the first arming on there
+//! is one way only: the pass begins once all ranks are confirmed armed, or
+//! once all that may be armed are confirmed disarmed. An order without an
+//! answer is given again until its effect is known. When the group breaks, its
+//! engines forget all of it, and so does this machine.
+//!
+//! Whoever takes over from a driver that died finds out with [`Switch::resume`]
+//! what is left to do.
+
+use std::collections::BTreeSet;
+
+/// State of a rank's engine, as its sidecar reports it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Condition {
+    /// Version of the map in use.
+    pub map: u64,
+    /// Version of the map that is prepared.
+    pub prepared: Option<u64>,
+    /// Version and pass of the armed switch.
+    pub armed: Option<(u64, u64)>,
+    /// Pass that the rank keeps the group from beginning.
+    pub held: Option<u64>,
+}
+
+/// An order to one rank.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Order {
+    /// Prepare the map.
+    Prepare {
+        /// Its version.
+        version: u64,
+    },
+    /// Keep the group from beginning a pass.
+    Hold {
+        /// The pass.
+        pass: u64,
+    },
+    /// Switch to the map as a pass begins.
+    Arm {
+        /// Version of the map.
+        version: u64,
+        /// The pass.
+        pass: u64,
+    },
+    /// Take an armed switch back.
+    Disarm {
+        /// Version of the map.
+        version: u64,
+    },
+    /// Let the group begin the pass.
+    Release {
+        /// The pass.
+        pass: u64,
+    },
+}
+
+/// What came of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Effect {
+    /// The engine's state shows it.
+    Confirmed,
+    /// The engine refused it for good.
+    Refused,
+    /// Not known; it may still have effect.
+    Unknown,
+}
+
+/// How a change ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Outcome {
+    /// All ranks switch at the pass.
+    Switched,
+    /// No rank switches.
+    Abandoned,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    Preparing,
+    /// Waits for [`Switch::hold`].
+    Prepared,
+    Holding,
+    Arming,
+    Disarming,
+    Releasing(Outcome),
+    Done(Outcome),
+}
+
+/// The machine. Ranks are numbered from 0.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Switch {
+    version: u64,
+    pass: u64,
+    ranks: usize,
+    /// Ranks that keep the group from beginning the pass.
+    holders: BTreeSet<usize>,
+    phase: Phase,
+    /// Ranks whose effect in this phase is not confirmed.
+    pending: BTreeSet<usize>,
+}
+
+impl Switch {
+    /// Takes so many ranks to a map; `holder` is the rank that will hold the
+    /// group, best the nearest one.
+    pub fn new(ranks: usize, holder: usize, version: u64) -> Switch {
+        Switch {
+            version,
+            pass: 0,
+            ranks,
+            holders: BTreeSet::from([holder]),
+            phase: Phase::Preparing,
+            pending: (0..ranks).collect(),
+        }
+    }
+
+    /// What a driver that died has left to do, from the state of all ranks;
+    /// `None` where nothing is held or armed. The change is gone through with
+    /// where every rank is armed or still has the map prepared, and undone
+    /// otherwise.
+    pub fn resume(ranks: &[Condition]) -> Option<Switch> {
+        let armed = ranks.iter().find_map(|rank| rank.armed);
+        let held = ranks.iter().find_map(|rank| rank.held);
+        let (version, pass) = armed.or(held.map(|pass| (0, pass)))?;
+        let holders: BTreeSet<usize> =
+            (0..ranks.len()).filter(|rank| ranks[*rank].held == Some(pass)).collect();
+        let mut switch = Switch {
+            version,
+            pass,
+            ranks: ranks.len(),
+            holders,
+            phase: Phase::Arming,
+            pending: BTreeSet::new(),
+        };
+        let is_armed = |rank: &Condition| rank.armed == Some((version, pass));
+        let all =
+            armed.is_some() && ranks.iter().all(|r| is_armed(r) || r.prepared == Some(version));
+        let safe = all && !switch.holders.is_empty();
+        if armed.is_none() {
+            switch.release(Outcome::Abandoned);
+        } else if safe {
+            switch.pending = (0..ranks.len()).filter(|rank| !is_armed(&ranks[*rank])).collect();
+            switch.advance();
+        } else {
+            switch.undo();
+        }
+        Some(switch)
+    }
+
+    /// Version of the map.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Pass at which the ranks switch; zero before it is chosen.
+    pub fn pass(&self) -> u64 {
+        self.pass
+    }
+
+    /// How it ended, if it has.
+    pub fn outcome(&self) -> Option<Outcome> {
+        match self.phase {
+            Phase::Done(outcome) => Some(outcome),
+            _ => None,
+        }
+    }
+
+    /// Whether every rank is prepared and the pass may be chosen.
+    pub fn prepared(&self) -> bool {
+        self.phase == Phase::Prepared
+    }
+
+    /// Whether giving up now could leave ranks on different maps or a group
+    /// that stands still.
+    pub fn committed(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Holding | Phase::Arming | Phase::Disarming | Phase::Releasing(_)
+        )
+    }
+
+    /// Chooses the pass at which the ranks switch.
+    pub fn hold(&mut self, pass: u64) {
+        debug_assert!(self.prepared(), "the pass is chosen once all ranks are prepared");
+        self.pass = pass;
+        self.phase = Phase::Holding;
+        self.pending = self.holders.clone();
+    }
+
+    /// Orders that are to be given now, again where their effect is not known.
+    pub fn orders(&self) -> Vec<(usize, Order)> {
+        let (version, pass) = (self.version, self.pass);
+        let order = match self.phase {
+            Phase::Preparing => Order::Prepare { version },
+            Phase::Holding => Order::Hold { pass },
+            Phase::Arming => Order::Arm { version, pass },
+            Phase::Disarming => Order::Disarm { version },
+            Phase::Releasing(_) => Order::Release { pass },
+            Phase::Prepared | Phase::Done(_) => return Vec::new(),
+        };
+        self.pending.iter().map(|rank| (*rank, order)).collect()
+    }
+
+    /// Takes the effect of an order that [`Switch::orders`] gave; one of an
+    /// earlier phase is ignored.
+    pub fn effect(&mut self, rank: usize, order: Order, effect: Effect) {
+        if !self.orders().contains(&(rank, order)) {
+            return;
+        }
+        match (effect, order) {
+            (Effect::Unknown, _) => return,
+            (Effect::Refused, Order::Prepare { .. }) => {
+                self.phase = Phase::Done(Outcome::Abandoned);
+                self.pending.clear();
+                return;
+            }
+            // The pass has begun already: nothing is held.
+            (Effect::Refused, Order::Hold { .. }) => {
+                self.phase = Phase::Prepared;
+                self.pending.clear();
+                return;
+            }
+            (Effect::Refused, Order::Arm { .. }) => return self.undo(),
+            // An engine refuses to take back what is not armed, and to release
+            // what is not held.
+            (Effect::Refused, Order::Disarm { .. } | Order::Release { .. })
+            | (Effect::Confirmed, _) => {
+                self.pending.remove(&rank);
+            }
+        }
+        self.advance();
+    }
+
+    fn undo(&mut self) {
+        self.phase = Phase::Disarming;
+        self.pending = (0..self.ranks).collect();
+    }
+
+    fn release(&mut self, outcome: Outcome) {
+        self.phase = Phase::Releasing(outcome);
+        self.pending = self.holders.clone();
+        self.advance();
+    }
+
+    /// Goes on to the next phase if nothing is pending.
+    fn advance(&mut self) {
+        if !self.pending.is_empty() {
+            return;
+        }
+        match self.phase {
+            Phase::Preparing => self.phase = Phase::Prepared,
+            Phase::Holding => {
+                self.phase = Phase::Arming;
+                self.pending = (0..self.ranks).collect();
+            }
+            Phase::Arming => self.release(Outcome::Switched),
+            Phase::Disarming => self.release(Outcome::Abandoned),
+            Phase::Releasing(outcome) => self.phase = Phase::Done(outcome),
+            Phase::Prepared | Phase::Done(_) => {}
+        }
+    }
+}
--- a/decision/src/placement.rs
+++ b/decision/src/placement.rs
@@ -5,7 +5,8 @@
 //! [`layout`] which ranks hold it, [`cost`] what a step then takes. [`pack`]
 //! makes a layout from nothing, [`improve`] betters one by single moves, and
 //! [`policy`] decides when to do which. `docs/design/placement.md` compares
-//! the policies by measurement.
+//! the policies by measurement. [`spread`] is the search for groups whose ranks
+//! take in a few experts of each set at a time.
 
 pub mod cost;
 pub mod improve;
@@ -13,3 +14,4 @@
 pub mod load;
 pub mod pack;
 pub mod policy;
+pub mod spread;
--- /dev/null
+++ b/decision/src/placement/spread.rs
@@ -0,0 +1,255 @@
+//! Spreads the experts of one set over the ranks of a lock-step group.
+//!
+//! A pass waits for the most loaded rank of each set, so the search takes load
+//! off that rank, again and again, by the one change that leaves the ranks it
+//! touches least loaded: a copy of one of its experts goes to another rank, or
+//! it changes places with one there. It ends where nothing helps by more than
+//! a threshold, or where the ranks are even enough. The work of a round grows
+//! with the ranks and the experts that a rank holds, not with all experts.
+
+use std::cmp::Ordering;
+
+/// What a rank may hold and take in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Experts that a rank may hold.
+    pub placements: usize,
+    /// Experts that a rank may take in that it did not hold before.
+    pub spare: usize,
+}
+
+/// When the search ends.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Goal {
+    /// Load of the most loaded rank over the mean at which it is even enough.
+    pub even: f64,
+    /// Least gain of one change, as a part of the mean load.
+    pub least_gain: f64,
+}
+
+/// Experts of a set by rank.
+pub type Ranks = Vec<Vec<u16>>;
+
+/// Load of the most loaded rank over the mean; 1 is perfect. One where there
+/// is no load.
+pub fn peak(ranks: &Ranks, load: &[f64]) -> f64 {
+    let state = State::new(ranks, load, Bounds { placements: usize::MAX, spare: 0 });
+    state.peak()
+}
+
+/// Spreads the load. Experts that a rank does not hold in `before` count
+/// against its bound. Returns `None` where nothing is gained.
+pub fn spread(before: &Ranks, load: &[f64], bounds: Bounds, goal: Goal) -> Option<Ranks> {
+    let mut state = State::new(before, load, bounds);
+    let mut changed = false;
+    // Each round takes load off one rank; so many rounds end any search.
+    let most = before.len() * bounds.placements.min(load.len()) * 2;
+    for _ in 0..most {
+        if state.peak() <= goal.even {
+            break;
+        }
+        let Some(change) = state.best(goal.least_gain) else { break };
+        state.apply(&change);
+        changed = true;
+    }
+    changed.then_some(state.ranks)
+}
+
+/// A change of one or two ranks.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Change {
+    /// The expert gets one more holder, in the place of `instead` if given,
+    /// which other ranks hold too.
+    Copy { expert: u16, to: usize, instead: Option<u16> },
+    /// The expert leaves the rank for another one.
+    Move { expert: u16, from: usize, to: usize },
+    /// Two experts change places.
+    Swap { expert: u16, from: usize, other: u16, to: usize },
+}
+
+struct State<'a> {
+    before: &'a Ranks,
+    load: &'a [f64],
+    bounds: Bounds,
+    ranks: Ranks,
+    holders: Vec<Vec<usize>>,
+    /// Load of each rank.
+    sums: Vec<f64>,
+    mean: f64,
+}
+
+impl<'a> State<'a> {
+    fn new(before: &'a Ranks, load: &'a [f64], bounds: Bounds) -> State<'a> {
+        let mut holders = vec![Vec::new(); load.len()];
+        for (rank, experts) in before.iter().enumerate() {
+            experts.iter().for_each(|expert| holders[usize::from(*expert)].push(rank));
+        }
+        let mut state = State {
+            before,
+            load,
+            bounds,
+            ranks: before.clone(),
+            holders,
+            sums: vec![0.0; before.len()],
+            mean: load.iter().sum::<f64>() / before.len().max(1) as f64,
+        };
+        for expert in 0..load.len() {
+            let share = state.share(expert as u16, 0);
+            for rank in &state.holders[expert] {
+                state.sums[*rank] += share;
+            }
+        }
+        state
+    }
+
+    /// Load of an expert on each of its holders, if there were so many more.
+    fn share(&self, expert: u16, more: isize) -> f64 {
+        let holders = self.holders[usize::from(expert)].len() as isize + more;
+        if holders <= 0 { 0.0 } else { self.load[usize::from(expert)] / holders as f64 }
+    }
+
+    fn slowest(&self) -> usize {
+        let by_load = |a: &usize, b: &usize| self.sums[*a].total_cmp(&self.sums[*b]);
+        (0..self.sums.len()).max_by(by_load).unwrap_or(0)
+    }
+
+    fn peak(&self) -> f64 {
+        if self.mean <= 0.0 {
+            return 1.0;
+        }
+        self.sums[self.slowest()] / self.mean
+    }
+
+    /// Whether a rank may take an expert in, with `leaving` gone from it.
+    fn may_take(&self, rank: usize, expert: u16, leaving: Option<u16>) -> bool {
+        let held = &self.ranks[rank];
+        if held.contains(&expert) {
+            return false;
+        }
+        if held.len() + 1 - usize::from(leaving.is_some()) > self.bounds.placements {
+            return false;
+        }
+        let old = &self.before[rank];
+        if old.contains(&expert) {
+            return true;
+        }
+        let kept = held.iter().filter(|held| Some(**held) != leaving);
+        let new = kept.filter(|held| !old.contains(held)).count();
+        new < self.bounds.spare
+    }
+
+    /// The change that leaves the ranks it touches least loaded, if it takes
+    /// enough off the slowest rank.
+    fn best(&self, least_gain: f64) -> Option<Change> {
+        let from = self.slowest();
+        let limit = self.sums[from] - least_gain * self.mean;
+        let mut best: Option<(f64, Change)> = None;
+        let mut offer = |worst: f64, change: Change| {
+            let better = best.is_none_or(|(least, _)| worst.total_cmp(&least) == Ordering::Less);
+            if worst < limit && better {
+                best = Some((worst, change));
+            }
+        };
+        for expert in &self.ranks[from] {
+            for to in (0..self.ranks.len()).filter(|to| *to != from) {
+                // A rank that is as loaded cannot help.
+                if self.sums[to] >= limit {
+                    continue;
+                }
+                self.offers(*expert, from, to, &mut offer);
+            }
+        }
+        best.map(|(_, change)| change)
+    }
+
+    fn offers(&self, expert: u16, from: usize, to: usize, offer: &mut impl FnMut(f64, Change)) {
+        let share = self.share(expert, 0);
+        if share <= 0.0 {
+            return;
+        }
+        let after_copy = self.share(expert, 1);
+        let relieved = self.sums[from] - share + after_copy;
+        if self.may_take(to, expert, None) {
+            let change = Change::Copy { expert, to, instead: None };
+            offer(relieved.max(self.sums[to] + after_copy), change);
+            let change = Change::Move { expert, from, to };
+            offer((self.sums[from] - share).max(self.sums[to] + share), change);
+        }
+        for other in &self.ranks[to] {
+            let other_share = self.share(*other, 0);
+            if self.may_take(to, expert, Some(*other)) {
+                self.offer_instead(expert, to, *other, relieved, offer);
+                let gives = share - other_share;
+                if gives > 0.0 && self.may_take(from, *other, Some(expert)) {
+                    let worst = (self.sums[from] - gives).max(self.sums[to] + gives);
+                    offer(worst, Change::Swap { expert, from, other: *other, to });
+                }
+            }
+        }
+    }
+
+    /// A copy in the place of one of an expert that others hold too: these
+    /// take over its part.
+    fn offer_instead(
+        &self,
+        expert: u16,
+        to: usize,
+        other: u16,
+        relieved: f64,
+        offer: &mut impl FnMut(f64, Change),
+    ) {
+        let holders = &self.holders[usize::from(other)];
+        if holders.len() < 2 {
+            return;
+        }
+        let more = self.share(other, -1) - self.share(other, 0);
+        let others = holders.iter().filter(|rank| **rank != to);
+        let heaviest = others.map(|rank| self.sums[*rank] + more).fold(0.0, f64::max);
+        let here = self.sums[to] - self.share(other, 0) + self.share(expert, 1);
+        let change = Change::Copy { expert, to, instead: Some(other) };
+        offer(relieved.max(here).max(heaviest), change);
+    }
+
+    fn apply(&mut self, change: &Change) {
+        match *change {
+            Change::Copy { expert, to, instead } => {
+                if let Some(other) = instead {
+                    self.drop_from(other, to);
+                }
+                self.add_to(expert, to);
+            }
+            Change::Move { expert, from, to } => {
+                self.add_to(expert, to);
+                self.drop_from(expert, from);
+            }
+            Change::Swap { expert, from, other, to } => {
+                self.drop_from(expert, from);
+                self.drop_from(other, to);
+                self.add_to(expert, to);
+                self.add_to(other, from);
+            }
+        }
+    }
+
+    fn add_to(&mut self, expert: u16, rank: usize) {
+        let (now, after) = (self.share(expert, 0), self.share(expert, 1));
+        let holders = &mut self.holders[usize::from(expert)];
+        for holder in holders.iter() {
+            self.sums[*holder] += after - now;
+        }
+        holders.push(rank);
+        self.sums[rank] += after;
+        self.ranks[rank].push(expert);
+    }
+
+    fn drop_from(&mut self, expert: u16, rank: usize) {
+        let (now, after) = (self.share(expert, 0), self.share(expert, -1));
+        let holders = &mut self.holders[usize::from(expert)];
+        holders.retain(|holder| *holder != rank);
+        for holder in holders.iter() {
+            self.sums[*holder] += after - now;
+        }
+        self.sums[rank] -= now;
+        self.ranks[rank].retain(|held| *held != expert);
+    }
+}
--- /dev/null
+++ b/sidecar/src/codec.rs
@@ -0,0 +1,41 @@
+//! Lists of numbers as our messages carry them: each list with its length
+//! before it.
+
+use loftcove_interface::engine::Map;
+
+/// Puts lists into one row of numbers.
+pub fn flatten<'a>(lists: impl IntoIterator<Item = &'a Vec<u16>>) -> Vec<u32> {
+    let mut row = Vec::new();
+    for list in lists {
+        row.push(list.len() as u32);
+        row.extend(list.iter().map(|number| u32::from(*number)));
+    }
+    row
+}
+
+/// Takes a row apart into lists; `None` where it is not well formed.
+pub fn lists(row: &[u32]) -> Option<Vec<Vec<u16>>> {
+    let mut lists = Vec::new();
+    let mut rest = row;
+    while let Some((length, tail)) = rest.split_first() {
+        let (list, tail) = tail.split_at_checked(*length as usize)?;
+        lists
+            .push(list.iter().map(|number| u16::try_from(*number)).collect::<Result<_, _>>().ok()?);
+        rest = tail;
+    }
+    Some(lists)
+}
+
+/// Puts a map into one row of numbers.
+pub fn flatten_map(map: &Map) -> Vec<u32> {
+    flatten(map.iter().flatten())
+}
+
+/// Takes a row apart into a map of so many ranks.
+pub fn map(row: &[u32], ranks: usize) -> Option<Map> {
+    let lists = lists(row)?;
+    if ranks == 0 || lists.len() % ranks != 0 {
+        return None;
+    }
+    Some(lists.chunks(ranks).map(<[Vec<u16>]>::to_vec).collect())
+}
--- /dev/null
+++ b/sidecar/src/drive.rs
@@ -0,0 +1,505 @@
+//! Drives a group: decides where its experts should be, and takes it there.
+
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::stream::{FuturesUnordered, StreamExt as _};
+use loftcove_decision::map::switch::{self, Switch};
+use loftcove_decision::placement::spread;
+use loftcove_decision::{fleet, route};
+use loftcove_interface::engine::{self, Engine, Map};
+use loftcove_interface::protocol::{Place, Protocol, Record};
+use loftcove_interface::store::Store;
+use loftcove_mirror::Mirror;
+use loftcove_settings::gateway as settings;
+use loftcove_wire as wire;
+use tokio::sync::watch;
+
+use crate::demand::Demand;
+use crate::election::{self, Term};
+use crate::group::{self, Connect, Group, View};
+use crate::metrics::Metrics;
+use crate::rank::{Rank, Step};
+
+/// Time between two looks at the counts.
+const INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two looks whether the group has opened, or has a driver.
+const IDLE_INTERVAL: Duration = Duration::from_millis(100);
+/// Ranks whose counts are read: requests spread evenly, so that these stand
+/// for all.
+const SAMPLE: usize = 16;
+/// Passes from the present one to the one at which the ranks switch. A pass
+/// takes some 50 ms, and arming all ranks less.
+const AHEAD: u64 = 2;
+/// Times that the pass is chosen anew because it began before it was held.
+const MAX_HOLDS: u32 = 8;
+/// Longest time for all ranks to prepare. Copying takes less than a second.
+const PREPARE_TIME: Duration = Duration::from_secs(4);
+/// Versions of one term; the term's number is above them, so that no two
+/// drivers ever use the same.
+const VERSIONS: u64 = 1 << 12;
+/// Choices that a set's demand must rest on, for each expert.
+const LEAST_CHOICES: f64 = 12.0;
+/// Least gain of a change, as a part of the ideal time of the experts' work,
+/// while the engines are idle and while they are full. Copying has a price, and
+/// a shorter pass brings more the more requests wait for it; by measured days
+/// of the two deployments.
+const LEAST_GAIN: (f64, f64) = (0.30, 0.10);
+/// Peak at which the search for a set ends, while the engines are idle and
+/// while they are full.
+const EVEN: (f64, f64) = (1.15, 1.06);
+/// Least gain of one move of the search.
+const LEAST_MOVE: f64 = 0.02;
+/// How much higher the peak must be by the last interval than by the demand
+/// before for the demand to count as shifted.
+const SHIFT: f64 = 0.25;
+/// Time between two looks whether the switch has taken place, and their number.
+const SETTLE_POLL: Duration = Duration::from_millis(20);
+/// See [`SETTLE_POLL`].
+const SETTLE_POLLS: u32 = 25;
+/// Time that a rank lets each lower one go first at an election.
+const PAUSE_BY_RANK: Duration = Duration::from_millis(40);
+
+/// What a driver works with.
+pub struct Parts<S, E> {
+    /// The engine beside it.
+    pub rank: Arc<Rank<E>>,
+    /// What is known of the store.
+    pub mirror: Arc<Mirror>,
+    /// The store.
+    pub store: Arc<S>,
+    /// Settings.
+    pub settings: settings::Sidecar,
+    /// Makes a client of an engine.
+    pub connect: Connect<E>,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+}
+
+/// The driver.
+pub struct Driver<P, S, E> {
+    rank: Arc<Rank<E>>,
+    mirror: Arc<Mirror>,
+    store: Arc<S>,
+    settings: settings::Sidecar,
+    metrics: Arc<Metrics>,
+    group: Group<E>,
+    name: String,
+    protocol: PhantomData<P>,
+}
+
+/// Why a change was left as it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+enum Stopped {
+    /// The group has broken, or has formed anew.
+    #[error("epoch is over")]
+    Epoch,
+    /// Another driver has a higher term.
+    #[error("superseded")]
+    Superseded,
+}
+
+/// What a term has learnt of the group.
+#[derive(Default)]
+struct Known {
+    view: View,
+    map: Map,
+    demand: Demand,
+    /// Requests on the engines, as a part of their slots.
+    fill: f64,
+    versions: u64,
+}
+
+impl<P: Protocol, S: Store, E: Engine> Driver<P, S, E> {
+    /// A driver that is not elected.
+    pub fn new(parts: Parts<S, E>) -> Driver<P, S, E> {
+        let settings = parts.settings;
+        let port = settings.peering.peer_address.port();
+        let group = Group::new(settings.engine.address, port, parts.connect);
+        Driver {
+            rank: parts.rank,
+            mirror: parts.mirror,
+            store: parts.store,
+            metrics: parts.metrics,
+            group,
+            name: format!("{}#{:08x}", settings.host.name, rand::random::<u32>()),
+            settings,
+            protocol: PhantomData,
+        }
+    }
+
+    /// Stands for election and drives, again and again, until it is stopped.
+    pub async fn run(mut self, mut stop: watch::Receiver<bool>) {
+        while !*stop.borrow_and_update() {
+            let Some((group, term)) = self.elect().await else {
+                tokio::select! {
+                    () = tokio::time::sleep(IDLE_INTERVAL) => {}
+                    _ = stop.changed() => {}
+                }
+                continue;
+            };
+            log::info!("driver elected group={group} term={}", term.number);
+            self.metrics.driving.set(1);
+            self.drive(&group, term, &stop).await;
+            self.metrics.driving.set(0);
+            log::info!("driver resigned group={group} term={}", term.number);
+            if let Err(error) = self.store.end(term.lease).await {
+                log::warn!("lease not ended error=\"{error}\" next=lapse");
+            }
+        }
+    }
+
+    /// Stands for election if the group has no driver.
+    async fn elect(&self) -> Option<(Arc<str>, Term)> {
+        let report = self.rank.engine.report().await.ok()?;
+        let place = report.group.filter(|place| place.open)?;
+        let vacant = || self.mirror.get(&election::key(&place.name)).is_none();
+        if !vacant() || self.engines().is_empty() {
+            return None;
+        }
+        // The lowest rank goes first, so that few stand at once.
+        let part = 1.0 + rand::random::<f64>();
+        tokio::time::sleep(PAUSE_BY_RANK.mul_f64(f64::from(place.rank) * part)).await;
+        if !vacant() {
+            return None;
+        }
+        match election::stand(&*self.store, &self.mirror, &place.name, &self.name).await {
+            Ok(term) => term.map(|term| (place.name, term)),
+            Err(error) => {
+                log::warn!("election failed group={} error=\"{error}\"", place.name);
+                None
+            }
+        }
+    }
+
+    /// Addresses of the engines of this sidecar's service.
+    fn engines(&self) -> Vec<SocketAddr> {
+        let service = &*self.settings.engine.service;
+        let servers = self.servers().into_iter().filter(|server| *server.service == *service);
+        let mut addresses: Vec<SocketAddr> = servers.map(|server| server.address).collect();
+        addresses.sort();
+        addresses.dedup();
+        addresses
+    }
+
+    fn servers(&self) -> Vec<fleet::Server> {
+        let records = P::PREFIXES.iter().flat_map(|prefix| self.mirror.below(prefix));
+        let servers = records.filter(|record| matches!(P::place(&record.key), Place::Server(_)));
+        let read = |record: loftcove_decision::mirror::Record| match P::record(
+            &record.key,
+            &record.value.unwrap_or_default(),
+        ) {
+            Ok(Record::Server(server)) => Some(server),
+            Ok(_) => None,
+            Err(error) => {
+                log::error!("record not readable error=\"{error}\"");
+                None
+            }
+        };
+        servers.filter_map(read).collect()
+    }
+
+    /// Slots of an engine, and what the configuration says of the experts.
+    fn experts(&self) -> Option<(u32, route::Experts)> {
+        let records = P::PREFIXES.iter().flat_map(|prefix| self.mirror.below(prefix));
+        let config = records
+            .filter(|record| P::place(&record.key) == Place::Config)
+            .find_map(|record| P::record(&record.key, &record.value?).ok());
+        let Some(Record::Config(config)) = config else { return None };
+        let service = &self.settings.engine.service;
+        let service = config.services.into_iter().find(|other| other.name == *service)?;
+        let engine = service.engine?;
+        Some((engine.slots, engine.experts?))
+    }
+
+    /// Drives until the term is over or the process is to stop.
+    async fn drive(&mut self, group: &str, term: Term, stop: &watch::Receiver<bool>) {
+        let (mirror, store) = (self.mirror.clone(), self.store.clone());
+        let name: Arc<str> = group.into();
+        let kept = tokio::spawn(async move {
+            election::keep(&*store, &mirror, &name, term).await;
+        });
+        let mut known = Known::default();
+        while !kept.is_finished() && !*stop.borrow() {
+            let begun = Instant::now();
+            if let Err(stopped) = self.round(term.number, &mut known).await {
+                log::info!("round stopped term={} reason=\"{stopped}\"", term.number);
+                if stopped == Stopped::Superseded {
+                    break;
+                }
+                known = Known { versions: known.versions, ..Known::default() };
+            }
+            tokio::time::sleep(INTERVAL.saturating_sub(begun.elapsed())).await;
+        }
+        kept.abort();
+    }
+
+    /// One round: learn, decide, change.
+    async fn round(&mut self, term: u64, known: &mut Known) -> Result<(), Stopped> {
+        let Ok(report) = self.rank.engine.report().await else { return Ok(()) };
+        let Some(place) = report.group.filter(|place| place.open) else {
+            known.view.ranks.clear();
+            return Ok(());
+        };
+        let Some((slots, experts)) = self.experts() else { return Ok(()) };
+        if known.view.epoch != place.epoch || known.view.ranks.is_empty() {
+            *known = Known { versions: known.versions, ..Known::default() };
+            if !self.learn(term, &place, known).await? {
+                return Ok(());
+            }
+        }
+        self.count(term, slots, known).await;
+        notice_shift(known, &experts);
+        let Some(map) = decide(known, &experts) else { return Ok(()) };
+        known.versions += 1;
+        let version = term * VERSIONS + known.versions;
+        let holder = place.rank as usize;
+        let switch = Switch::new(known.view.ranks.len(), holder, version);
+        let map = Arc::new(map);
+        if self.change(term, known, switch, &map).await? == switch::Outcome::Switched {
+            known.map = Arc::unwrap_or_clone(map);
+            self.settle(version).await;
+        }
+        Ok(())
+    }
+
+    /// Waits until the switch has taken place: an engine refuses to prepare
+    /// another map before. A group without requests begins no pass.
+    async fn settle(&self, version: u64) {
+        for _ in 0..SETTLE_POLLS {
+            match self.rank.engine.report().await {
+                Ok(report) if report.map == version => return,
+                _ => tokio::time::sleep(SETTLE_POLL).await,
+            }
+        }
+    }
+
+    /// Learns which engine is which rank and what they hold, and ends what
+    /// another driver has begun. Returns whether the whole group is known.
+    async fn learn(
+        &mut self,
+        term: u64,
+        place: &engine::Group,
+        known: &mut Known,
+    ) -> Result<bool, Stopped> {
+        let engines = self.engines();
+        self.group.set(&engines);
+        let inspection = wire::Inspection { term, counts: false, experts: true };
+        let answers = self.group.inspect(&self.rank, &engines, inspection).await;
+        if answers.iter().any(|(_, condition)| condition.term > term) {
+            return Err(Stopped::Superseded);
+        }
+        let mut ranks: Vec<Option<(SocketAddr, wire::Condition)>> = vec![None; place.size as usize];
+        for (address, condition) in answers {
+            let same = condition.group == *place.name && condition.epoch == place.epoch;
+            if let Some(slot) = ranks.get_mut(condition.rank as usize).filter(|_| same) {
+                *slot = Some((address, condition));
+            }
+        }
+        let missing = ranks.iter().filter(|rank| rank.is_none()).count();
+        let Some(ranks) = ranks.into_iter().collect::<Option<Vec<_>>>() else {
+            log::info!("group not known whole epoch={} missing={missing}", place.epoch);
+            return Ok(false);
+        };
+        let (addresses, conditions): (Vec<_>, Vec<_>) = ranks.into_iter().unzip();
+        known.view = View { epoch: place.epoch, ranks: addresses, conditions };
+        let states: Vec<switch::Condition> =
+            known.view.conditions.iter().map(group::condition).collect();
+        if let Some(switch) = Switch::resume(&states) {
+            log::warn!("change of an earlier driver found version={}", switch.version());
+            let map = Arc::default();
+            self.change(term, known, switch, &map).await?;
+            known.view.ranks.clear();
+            return Ok(false);
+        }
+        Ok(take_map(known))
+    }
+
+    /// Reads the counts of a sample of the ranks.
+    async fn count(&self, term: u64, slots: u32, known: &mut Known) {
+        let ranks = &known.view.ranks;
+        let stride = ranks.len().div_ceil(SAMPLE).max(1);
+        let sample: Vec<SocketAddr> = ranks.iter().copied().step_by(stride).collect();
+        let inspection = wire::Inspection { term, counts: true, experts: false };
+        let answers = self.group.inspect(&self.rank, &sample, inspection).await;
+        let epoch = known.view.epoch;
+        let same: Vec<wire::Condition> =
+            answers.into_iter().map(|(_, c)| c).filter(|c| c.epoch == epoch).collect();
+        let requests: u32 = same.iter().map(|condition| condition.active + condition.queued).sum();
+        let slots = slots * same.len() as u32;
+        known.fill = f64::from(requests) / f64::from(slots.max(1));
+        known.demand.take(same.into_iter().map(|c| (c.rank, c.counts)).collect());
+    }
+
+    /// Takes a change to its end.
+    async fn change(
+        &self,
+        term: u64,
+        known: &Known,
+        mut switch: Switch,
+        map: &Arc<Map>,
+    ) -> Result<switch::Outcome, Stopped> {
+        let begun = Instant::now();
+        let mut holds = 0;
+        let outcome = loop {
+            if let Some(outcome) = switch.outcome() {
+                break outcome;
+            }
+            if switch.prepared() {
+                holds += 1;
+                let Ok(report) = self.rank.engine.report().await else { continue };
+                if holds > MAX_HOLDS {
+                    break switch::Outcome::Abandoned;
+                }
+                switch.hold(report.pass + AHEAD);
+            }
+            self.phase(term, known, &mut switch, map).await?;
+            if !switch.committed() && begun.elapsed() > PREPARE_TIME {
+                break switch::Outcome::Abandoned;
+            }
+        };
+        let time = begun.elapsed();
+        log::info!(
+            "map change outcome={outcome:?} term={term} epoch={} version={} pass={} holds={holds} ms={}",
+            known.view.epoch,
+            switch.version(),
+            switch.pass(),
+            time.as_millis()
+        );
+        self.metrics.change.observe(time.as_secs_f64());
+        match outcome {
+            switch::Outcome::Switched => self.metrics.switched.inc(),
+            switch::Outcome::Abandoned => self.metrics.abandoned.inc(),
+        };
+        Ok(outcome)
+    }
+
+    /// Gives the orders of the present phase and takes their effects.
+    async fn phase(
+        &self,
+        term: u64,
+        known: &Known,
+        switch: &mut Switch,
+        map: &Arc<Map>,
+    ) -> Result<(), Stopped> {
+        let epoch = known.view.epoch;
+        let carry = async |rank: usize, order: switch::Order| {
+            let step = Step { term, epoch, order: group::order(order, map) };
+            let address = known.view.ranks[rank];
+            (rank, order, self.group.carry(&self.rank, address, &step).await)
+        };
+        let orders = switch.orders();
+        let mut running: FuturesUnordered<_> =
+            orders.into_iter().map(|(rank, order)| carry(rank, order)).collect();
+        while let Some((rank, order, carried)) = running.next().await {
+            if carried.condition.is_some_and(|condition| condition.epoch != epoch) {
+                return Err(Stopped::Epoch);
+            }
+            let effect = match carried.effect {
+                wire::Effect::Confirmed => switch::Effect::Confirmed,
+                wire::Effect::Refused => switch::Effect::Refused,
+                wire::Effect::Superseded => return Err(Stopped::Superseded),
+                wire::Effect::Unknown | wire::Effect::Unspecified => switch::Effect::Unknown,
+            };
+            if effect != switch::Effect::Confirmed {
+                log::info!("order rank={rank} order={order:?} effect={effect:?}");
+            }
+            switch.effect(rank, order, effect);
+        }
+        Ok(())
+    }
+}
+
+/// Takes the map in use from the ranks' lists; `false` where they do not fit
+/// together, as in the middle of a switch.
+fn take_map(known: &mut Known) -> bool {
+    let conditions = &known.view.conditions;
+    let versions_differ = conditions.windows(2).any(|pair| pair[0].map != pair[1].map);
+    let lists: Option<Vec<Vec<Vec<u16>>>> =
+        conditions.iter().map(|condition| crate::codec::lists(&condition.experts)).collect();
+    let Some(lists) = lists.filter(|_| !versions_differ) else {
+        known.view.ranks.clear();
+        return false;
+    };
+    let sets = lists.first().map_or(0, Vec::len);
+    if sets == 0 || lists.iter().any(|rank| rank.len() != sets) {
+        known.view.ranks.clear();
+        return false;
+    }
+    known.map = (0..sets).map(|set| lists.iter().map(|rank| rank[set].clone()).collect()).collect();
+    true
+}
+
+/// A value between that of idle and that of full engines.
+fn by_fill(fill: f64, (idle, full): (f64, f64)) -> f64 {
+    /// Fill up to which the engines count as idle.
+    const IDLE: f64 = 0.5;
+    let part = ((fill - IDLE) / (1.0 - IDLE)).clamp(0.0, 1.0);
+    idle + (full - idle) * part
+}
+
+/// Forgets the demand from before a shift, so that the next map is made for
+/// what is in demand now and not for a mixture.
+fn notice_shift(known: &mut Known, experts: &route::Experts) {
+    if known.map.len() != experts.sets {
+        return;
+    }
+    let sets = known.map.iter().enumerate();
+    let rise = sets.map(|(set, ranks)| {
+        let newest = known.demand.newest(set, experts.count);
+        let before = known.demand.set(set, experts.count);
+        if newest.is_empty() {
+            0.0
+        } else {
+            spread::peak(ranks, newest) - spread::peak(ranks, before)
+        }
+    });
+    let rise = rise.sum::<f64>() / experts.sets as f64;
+    if rise > SHIFT {
+        log::info!("demand shifted epoch={} rise={rise:.2}", known.view.epoch);
+        known.demand.restart();
+    }
+}
+
+/// The map to go over to, or `None` to stay.
+fn decide(known: &Known, experts: &route::Experts) -> Option<Map> {
+    let least = LEAST_CHOICES * (experts.count * experts.sets) as f64;
+    if known.demand.total() < least || known.map.len() != experts.sets {
+        return None;
+    }
+    let bounds = spread::Bounds { placements: experts.placements, spare: experts.spare };
+    let goal = spread::Goal { even: by_fill(known.fill, EVEN), least_gain: LEAST_MOVE };
+    let least_gain = by_fill(known.fill, LEAST_GAIN);
+    let mut map = known.map.clone();
+    let (mut before, mut after) = (0.0, 0.0);
+    for (set, ranks) in map.iter_mut().enumerate() {
+        let load = known.demand.set(set, experts.count);
+        if load.is_empty() {
+            return None;
+        }
+        let peak = spread::peak(ranks, load);
+        before += peak;
+        after += match spread::spread(ranks, load, bounds, goal) {
+            Some(better) => {
+                let peak = spread::peak(&better, load);
+                *ranks = better;
+                peak
+            }
+            None => peak,
+        };
+    }
+    let sets = experts.sets as f64;
+    let gain = (before - after) / sets;
+    log::info!(
+        "placement epoch={} choices={:.0} fill={:.2} peak={:.3} reachable={:.3} change={}",
+        known.view.epoch,
+        known.demand.total(),
+        known.fill,
+        before / sets,
+        after / sets,
+        gain >= least_gain
+    );
+    (gain >= least_gain).then_some(map)
+}
--- /dev/null
+++ b/sidecar/src/election.rs
@@ -0,0 +1,97 @@
+//! Which sidecar drives a group: whoever holds the group's key in the store.
+//!
+//! The key goes with a lease, and its revision is the driver's term, which
+//! only rises. A driver that has lost the key without knowing it does no harm:
+//! sidecars refuse orders of a lower term than they have seen.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use loftcove_interface::store::{self, Store};
+use loftcove_mirror::{Mirror, OWN_PREFIX};
+
+/// How long the key outlasts a driver that died. No map changes meanwhile.
+const TTL: Duration = Duration::from_millis(2_500);
+/// Time between two renewals.
+const RENEWAL: Duration = Duration::from_millis(800);
+
+/// The key of a group's driver.
+pub fn key(group: &str) -> Arc<str> {
+    format!("{OWN_PREFIX}drivers/{group}").into()
+}
+
+/// A term as driver.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Term {
+    /// Its number.
+    pub number: u64,
+    /// Lease of its key.
+    pub lease: store::Lease,
+}
+
+/// Tries to become driver, once. `name` tells this run of this host from all
+/// others.
+pub async fn stand<S: Store>(
+    store: &S,
+    mirror: &Mirror,
+    group: &str,
+    name: &str,
+) -> Result<Option<Term>, store::Error> {
+    let lease = store.grant(TTL).await?;
+    let write = store::Write {
+        key: key(group),
+        value: Some(name.to_owned().into()),
+        expected: Some(0),
+        lease: Some(lease),
+    };
+    match store.write(&write).await {
+        Ok(store::Outcome::Done(number)) => return Ok(Some(Term { number, lease })),
+        Ok(_) => {}
+        // The write may have been done: the copy of the store will show it.
+        Err(store::Error::Lost(reason)) => {
+            log::warn!("election unsettled group={group} reason=\"{reason}\" next=read-back");
+            tokio::time::sleep(RENEWAL).await;
+            let own = mirror
+                .below(&key(group))
+                .into_iter()
+                .find(|record| record.value.as_ref().is_some_and(|value| value == name.as_bytes()));
+            if let Some(record) = own {
+                return Ok(Some(Term { number: record.revision, lease }));
+            }
+        }
+        Err(error) => return Err(error),
+    }
+    store.end(lease).await?;
+    Ok(None)
+}
+
+/// Renews a term; returns when it is over. Where the store does not answer,
+/// the term goes on: nobody else can have begun one without the store, and if
+/// somebody has, sidecars refuse this one's orders.
+pub async fn keep<S: Store>(store: &S, mirror: &Mirror, group: &str, term: Term) {
+    let mut changes = mirror.subscribe();
+    let mut away = false;
+    loop {
+        let own = mirror.below(&key(group)).into_iter().next();
+        if own.is_some_and(|record| record.revision > term.number) {
+            return;
+        }
+        match store.keep(term.lease).await {
+            Ok(true) => {
+                if std::mem::take(&mut away) {
+                    log::info!("dependency regained name=store");
+                }
+            }
+            Ok(false) => return,
+            Err(error) => {
+                if !std::mem::replace(&mut away, true) {
+                    log::warn!("dependency lost name=store error=\"{error}\"");
+                }
+            }
+        }
+        tokio::select! {
+            () = tokio::time::sleep(RENEWAL) => {}
+            _ = changes.changed() => {}
+        }
+    }
+}
--- /dev/null
+++ b/sidecar/src/metrics.rs
@@ -0,0 +1,76 @@
+//! Counters of a sidecar, and their address.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use tokio::net::TcpListener;
+
+/// All metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Whether this sidecar drives its group.
+    pub driving: Gauge,
+    /// Maps that the group was taken to.
+    pub switched: Counter,
+    /// Changes that were given up.
+    pub abandoned: Counter,
+    /// Time of a change, from the decision to its end, seconds.
+    pub change: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        Metrics {
+            driving: Gauge::default(),
+            switched: Counter::default(),
+            abandoned: Counter::default(),
+            // From 20 ms to 10 s, doubling.
+            change: Histogram::new(exponential_buckets(0.02, 2.0, 10)),
+        }
+    }
+}
+
+impl Metrics {
+    fn encode(&self) -> String {
+        let mut registry = Registry::with_prefix("loftcove");
+        registry.register("driving", "Whether this sidecar drives", self.driving.clone());
+        registry.register("map_switched", "Maps gone over to", self.switched.clone());
+        registry.register("map_abandoned", "Changes given up", self.abandoned.clone());
+        registry.register("map_change_seconds", "Time of a change", self.change.clone());
+        let mut out = String::new();
+        // Writing to a string cannot fail.
+        text::encode(&mut out, &registry).unwrap_or_default();
+        out
+    }
+}
+
+/// Answers every path with the metrics until the process ends.
+pub async fn serve(metrics: Arc<Metrics>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            continue;
+        };
+        let metrics = metrics.clone();
+        tokio::spawn(async move {
+            let service = hyper::service::service_fn(move |request: http::Request<_>| {
+                let _: &hyper::body::Incoming = request.body();
+                let text = Full::<Bytes>::from(metrics.encode());
+                async move { Ok::<_, Infallible>(http::Response::new(text)) }
+            });
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                log::debug!("connection ended error=\"{error}\"");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/sidecar/src/rank.rs
@@ -0,0 +1,315 @@
+//! Answers for the engine beside this sidecar, and carries out orders for it.
+//!
+//! An order is given again until the engine's own report shows its effect, or
+//! shows that it can no longer be had. Each is valid only as the next one after
+//! those that the engine has taken, so that one which is carried out late, and
+//! after another, is refused by the engine. Orders of a driver that has been
+//! replaced are refused here.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use loftcove_interface::engine::{Counts, Engine, Error, Order, Report, Verdict};
+use loftcove_wire as wire;
+use tonic::{Request, Response, Status};
+
+use crate::codec;
+
+/// Longest time for an order until the driver is told that its effect is not
+/// known. It asks again.
+const ORDER_TIME: Duration = Duration::from_millis(1_200);
+/// Time between two looks whether a map has been copied.
+const COPY_POLL: Duration = Duration::from_millis(40);
+/// Time after which an order that was accepted and shows no effect is given
+/// again. Copying takes less.
+const REPEAT_TIME: Duration = Duration::from_millis(500);
+/// Pause after an order that the engine did not answer or refused.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+
+/// The engine and the highest term that was seen.
+pub struct Rank<E> {
+    /// The engine.
+    pub engine: E,
+    term: AtomicU64,
+    /// Whether the engine's reports are fresh, as they are on its own machine.
+    fresh: bool,
+}
+
+/// An order of a driver.
+#[derive(Debug, Clone)]
+pub struct Step {
+    /// Term of the driver.
+    pub term: u64,
+    /// Epoch of the group.
+    pub epoch: u64,
+    /// The order.
+    pub order: Order,
+}
+
+impl<E: Engine> Rank<E> {
+    /// A sidecar that has seen no term.
+    pub fn new(engine: E) -> Rank<E> {
+        Rank { engine, term: AtomicU64::new(0), fresh: true }
+    }
+
+    /// An engine on another machine, whose reports are old: orders do not
+    /// count on the number of orders that they tell.
+    pub fn afar(engine: E) -> Rank<E> {
+        Rank { engine, term: AtomicU64::new(0), fresh: false }
+    }
+
+    /// Takes a term; returns the highest one seen.
+    pub fn see(&self, term: u64) -> u64 {
+        let before = self.term.fetch_max(term, Ordering::Relaxed);
+        if term > before && before > 0 {
+            log::info!("driver changed term={term} before={before}");
+        }
+        before.max(term)
+    }
+
+    /// Carries an order out.
+    pub async fn carry(&self, step: &Step) -> (wire::Effect, Option<Report>) {
+        let end = Instant::now() + ORDER_TIME;
+        let mut seen = None;
+        let mut refusals = 0;
+        let mut accepted: Option<Instant> = None;
+        while Instant::now() < end {
+            if self.see(step.term) > step.term {
+                return (wire::Effect::Superseded, seen);
+            }
+            let report = match self.engine.report().await {
+                Ok(report) => report,
+                Err(error) => {
+                    log::warn!("report failed order={:?} error=\"{error}\"", kind(&step.order));
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                    continue;
+                }
+            };
+            seen = Some(report.clone());
+            match judge(step, &report) {
+                Standing::Shown => return (wire::Effect::Confirmed, seen),
+                Standing::Over => return (wire::Effect::Refused, seen),
+                Standing::Open if accepted.is_some_and(|at| at.elapsed() < REPEAT_TIME) => {
+                    tokio::time::sleep(COPY_POLL).await;
+                }
+                Standing::Open => {
+                    match self.give(step, &report).await {
+                        Ok(Verdict::Accepted) => accepted = Some(Instant::now()),
+                        Ok(Verdict::Conflict | Verdict::Refused(_)) => {
+                            refusals += 1;
+                            if refusals > MAX_REFUSALS {
+                                return (wire::Effect::Refused, seen);
+                            }
+                            tokio::time::sleep(RETRY_PAUSE).await;
+                        }
+                        // Not known: the next report tells.
+                        Err(Error::Silent(_) | Error::Protocol { .. }) => {}
+                    }
+                }
+            }
+        }
+        (wire::Effect::Unknown, seen)
+    }
+
+    /// Gives the order once.
+    async fn give(&self, step: &Step, report: &Report) -> Result<Verdict, Error> {
+        let after = self.fresh.then_some(report.orders);
+        let verdict = self.engine.order(&step.order, step.epoch, after).await;
+        log::info!(
+            "order kind={} term={} epoch={} pass={} orders={} outcome={verdict:?}",
+            kind(&step.order),
+            step.term,
+            step.epoch,
+            report.pass,
+            report.orders
+        );
+        verdict
+    }
+}
+
+/// Times that an engine may refuse an order, in a state in which it should
+/// take it, before the refusal is believed: another order may have come
+/// between the report and this one.
+const MAX_REFUSALS: u32 = 2;
+
+/// How an order stands by the engine's report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// The report shows its effect.
+    Shown,
+    /// It can no longer be had.
+    Over,
+    /// It is to be given.
+    Open,
+}
+
+fn judge(step: &Step, report: &Report) -> Standing {
+    let Some(group) = &report.group else { return Standing::Over };
+    if group.epoch != step.epoch {
+        return Standing::Over;
+    }
+    match &step.order {
+        Order::Prepare { version, .. } => match report.prepared {
+            Some(prepared) if prepared == *version => Standing::Shown,
+            Some(prepared) if prepared > *version => Standing::Over,
+            _ if report.map >= *version => Standing::Over,
+            _ => Standing::Open,
+        },
+        Order::Arm { version, pass } => match report.armed {
+            Some(armed) if armed == (*version, *pass) => Standing::Shown,
+            _ if report.map == *version => Standing::Shown,
+            _ if report.pass >= *pass => Standing::Over,
+            _ => Standing::Open,
+        },
+        Order::Disarm { version } => match report.armed {
+            Some((armed, _)) if armed == *version => Standing::Open,
+            _ => Standing::Shown,
+        },
+        Order::Hold { pass } => match report.held {
+            Some(held) if held == *pass => Standing::Shown,
+            _ if report.pass >= *pass => Standing::Over,
+            _ => Standing::Open,
+        },
+        Order::Release { pass } => match report.held {
+            Some(held) if held == *pass => Standing::Open,
+            _ => Standing::Shown,
+        },
+    }
+}
+
+fn kind(order: &Order) -> &'static str {
+    match order {
+        Order::Prepare { .. } => "prepare",
+        Order::Arm { .. } => "arm",
+        Order::Disarm { .. } => "disarm",
+        Order::Hold { .. } => "hold",
+        Order::Release { .. } => "release",
+    }
+}
+
+/// The service that other sidecars call.
+pub struct Service<E> {
+    rank: Arc<Rank<E>>,
+}
+
+impl<E: Engine> Service<E> {
+    /// A service for this engine.
+    pub fn new(rank: Arc<Rank<E>>) -> Service<E> {
+        Service { rank }
+    }
+}
+
+/// A report as a message.
+pub fn condition(term: u64, report: &Report) -> wire::Condition {
+    let group = report.group.as_ref();
+    let (armed_version, armed_pass) = report.armed.unwrap_or_default();
+    wire::Condition {
+        term,
+        group: group.map(|group| group.name.to_string()).unwrap_or_default(),
+        epoch: group.map_or(0, |group| group.epoch),
+        rank: group.map_or(0, |group| group.rank),
+        size: group.map_or(0, |group| group.size),
+        open: group.is_some_and(|group| group.open),
+        pass: report.pass,
+        map: report.map,
+        prepared: report.prepared.unwrap_or(0),
+        armed_version,
+        armed_pass,
+        holds: report.held.is_some(),
+        held_pass: report.held.unwrap_or(0),
+        active: report.active,
+        queued: report.queued,
+        counts: Vec::new(),
+        experts: Vec::new(),
+    }
+}
+
+/// State of an engine, with what else is asked for.
+pub async fn inspect<E: Engine>(
+    rank: &Rank<E>,
+    inspection: wire::Inspection,
+) -> Result<wire::Condition, Error> {
+    let term = rank.see(inspection.term);
+    let report = rank.engine.report().await?;
+    let mut condition = condition(term, &report);
+    if inspection.counts {
+        let Counts { counts, .. } = rank.engine.counts().await?;
+        condition.counts = counts;
+    }
+    if inspection.experts {
+        let (held, _) = rank.engine.lists().await?;
+        condition.experts = codec::flatten(&held.experts);
+    }
+    Ok(condition)
+}
+
+#[tonic::async_trait]
+impl<E: Engine> wire::rank_server::Rank for Service<E> {
+    async fn inspect(
+        &self,
+        request: Request<wire::Inspection>,
+    ) -> Result<Response<wire::Condition>, Status> {
+        let condition = inspect(&self.rank, request.into_inner()).await;
+        condition.map(Response::new).map_err(|error| Status::unavailable(error.to_string()))
+    }
+
+    async fn carry(&self, request: Request<wire::Step>) -> Result<Response<wire::Result>, Status> {
+        let message = request.into_inner();
+        let size = match self.rank.engine.report().await {
+            Ok(report) => report.group.map_or(0, |group| group.size),
+            Err(error) => return Err(Status::unavailable(error.to_string())),
+        };
+        let step = step(&message, size as usize).ok_or_else(|| {
+            Status::invalid_argument("the step has no operation or a malformed map")
+        })?;
+        let (effect, report) = self.rank.carry(&step).await;
+        let term = self.rank.see(0);
+        let condition = report.map(|report| condition(term, &report));
+        Ok(Response::new(wire::Result { effect: effect.into(), condition }))
+    }
+}
+
+fn step(message: &wire::Step, size: usize) -> Option<Step> {
+    let (version, pass) = (message.version, message.pass);
+    let order = match message.operation() {
+        wire::Operation::Unspecified => return None,
+        wire::Operation::Prepare => {
+            Order::Prepare { version, map: Arc::new(codec::map(&message.map, size)?) }
+        }
+        wire::Operation::Arm => Order::Arm { version, pass },
+        wire::Operation::Disarm => Order::Disarm { version },
+        wire::Operation::Hold => Order::Hold { pass },
+        wire::Operation::Release => Order::Release { pass },
+    };
+    Some(Step { term: message.term, epoch: message.epoch, order })
+}
+
+/// An order as a message.
+pub fn message(step: &Step) -> wire::Step {
+    let mut message = wire::Step { term: step.term, epoch: step.epoch, ..wire::Step::default() };
+    match &step.order {
+        Order::Prepare { version, map } => {
+            message.set_operation(wire::Operation::Prepare);
+            message.version = *version;
+            message.map = codec::flatten_map(map);
+        }
+        Order::Arm { version, pass } => {
+            message.set_operation(wire::Operation::Arm);
+            (message.version, message.pass) = (*version, *pass);
+        }
+        Order::Disarm { version } => {
+            message.set_operation(wire::Operation::Disarm);
+            message.version = *version;
+        }
+        Order::Hold { pass } => {
+            message.set_operation(wire::Operation::Hold);
+            message.pass = *pass;
+        }
+        Order::Release { pass } => {
+            message.set_operation(wire::Operation::Release);
+            message.pass = *pass;
+        }
+    }
+    message
+}
