Break the circuit of a broken group, bound streams by their pace, depose a stuck driver

Change: an answer that names the rank at fault opens a breaker for the pool, with probes; the streams in flight are bounded by the pauses seen; a backend server that takes no connection is out at once; a sidecar that sees no pass for 500 ms within a change takes the driver's key by its revision; silent sidecars are passed over.

Tests not run for this commit.

--- a/daemon/src/entry/refusal.rs
+++ b/daemon/src/entry/refusal.rs
@@ -222,6 +222,7 @@
             (StatusCode::GATEWAY_TIMEOUT, "deadline")
         }
         balancer::Reason::NoBackend => (StatusCode::SERVICE_UNAVAILABLE, "no-backend"),
+        balancer::Reason::GroupDown => (StatusCode::SERVICE_UNAVAILABLE, "group-down"),
         balancer::Reason::Attempts => (StatusCode::BAD_GATEWAY, "attempts"),
         balancer::Reason::Budget => (StatusCode::SERVICE_UNAVAILABLE, "retry-budget"),
     }
--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -11,11 +11,13 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-pub use message::{Action, Arrival, Candidate, Dispatch, End, Options, Outcome, Reason, Refusal};
+pub use message::{
+    Action, Arrival, Candidate, Dispatch, End, Note, Options, Outcome, Reason, Refusal,
+};
 pub use verify::Fault;
 
 use crate::routing::{eject, policy, server};
-use crate::{admission, clock, entity, retry};
+use crate::{admission, breaker, clock, entity, pace, retry};
 
 /// Score from which an open backend server of the own availability zone
 /// counts as loaded, so that others are looked at.
@@ -63,6 +65,13 @@
     pub answered: u64,
 }
 
+/// What is kept of a pool whose backend servers run in lock-step.
+#[derive(Debug, Default)]
+struct Group {
+    breaker: breaker::Breaker,
+    pace: pace::Pace,
+}
+
 /// The machine.
 #[derive(Debug)]
 pub struct Balancer<P> {
@@ -72,6 +81,9 @@
     charge_full: bool,
     policy: P,
     pending: BTreeMap<entity::Ticket, Pending>,
+    groups: BTreeMap<entity::Pool, Group>,
+    group_return: Duration,
+    notes: Vec<Note>,
     next: u32,
     tally: Tally,
 }
@@ -86,6 +98,9 @@
             charge_full: options.charge_full,
             policy,
             pending: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            group_return: options.group_return,
+            notes: Vec::new(),
             next: 0,
             tally: Tally::default(),
         }
@@ -111,6 +126,16 @@
         self.budget.set_reserve(reserve);
     }
 
+    /// Tells that the backend servers of a pool run in lock-step.
+    pub fn set_lockstep(&mut self, pool: entity::Pool) {
+        self.groups.entry(pool).or_default();
+    }
+
+    /// What has changed since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Sets what a team may do.
     pub fn set_share(&mut self, team: entity::Team, share: admission::Share) {
         self.queue.set_share(team, share);
@@ -181,6 +206,10 @@
         if self.servers.usable(arrival.pool).next().is_none() {
             return Err(Reason::NoBackend);
         }
+        let group = self.groups.get_mut(&arrival.pool);
+        if group.is_some_and(|group| !group.breaker.admit(now)) {
+            return Err(Reason::GroupDown);
+        }
         let displaced =
             self.queue.push(waiter(ticket, &arrival, now), now).map_err(Reason::Admission)?;
         let pending = Pending {
@@ -202,10 +231,38 @@
         Ok(())
     }
 
+    /// An event of a request's stream came after a pause, which is given
+    /// relative to the longest wanted one.
+    pub fn event(
+        &mut self,
+        ticket: entity::Ticket,
+        pause: f64,
+        now: clock::Instant,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let Some(pending) = self.pending.get(&ticket) else { return actions };
+        let pool = pending.arrival.pool;
+        let in_flight = self.in_flight(pool);
+        let slots: u32 = self.servers.usable(pool).map(|(_, record)| record.report.slots).sum();
+        let Some(group) = self.groups.get_mut(&pool) else { return actions };
+        group.pace.event(pause, in_flight, f64::from(slots), now);
+        self.pump(pool, now, &mut actions);
+        actions
+    }
+
+    /// Own requests in flight to a pool.
+    fn in_flight(&self, pool: entity::Pool) -> u32 {
+        let members = self.servers.iter().filter(|(_, record)| record.listing.pool == pool);
+        members.map(|(_, record)| record.in_flight).sum()
+    }
+
     /// The first part of an attempt's answer came.
     pub fn begin(&mut self, ticket: entity::Ticket, after: Duration, now: clock::Instant) {
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
         pending.begun = true;
+        let pool = pending.arrival.pool;
+        self.group_answers(pool, now);
+        let Some(pending) = self.pending.get(&ticket) else { return };
         let Place::Sent(server) = pending.place else { return };
         self.servers[server].health.answered(after);
         if self.slow(server) {
@@ -228,6 +285,7 @@
         }
         match end {
             End::Answered => {
+                self.group_answers(pool, now);
                 self.tally.answered += 1;
                 if let Some(sent) = sent {
                     self.queue.served(pool, now.since(sent));
@@ -238,9 +296,13 @@
                 self.finish(ticket);
             }
             End::Full => self.wait_again(ticket, now, &mut actions),
-            End::NeverRan => {
+            End::NeverRan | End::Unreachable => {
                 self.follow(ticket, retry::Knowledge::NeverRan, false, now, &mut actions);
             }
+            End::GroupDown => {
+                self.give_up(ticket, Outcome::NotRun, Reason::GroupDown, &mut actions);
+                self.group_refuses(pool, now, &mut actions);
+            }
             End::MayHaveRun { answer_begun } => {
                 self.follow(ticket, retry::Knowledge::MayHaveRun, answer_begun, now, &mut actions);
             }
@@ -260,6 +322,31 @@
         actions
     }
 
+    /// A rank of the pool's group answered.
+    fn group_answers(&mut self, pool: entity::Pool, now: clock::Instant) {
+        let Some(group) = self.groups.get_mut(&pool) else { return };
+        if let Some(time) = group.breaker.answered(now) {
+            self.notes.push(Note::GroupUp(pool, time));
+        }
+    }
+
+    /// A rank told that the pool's group is broken: whoever waits for it is
+    /// told when to come back.
+    fn group_refuses(
+        &mut self,
+        pool: entity::Pool,
+        now: clock::Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(group) = self.groups.get_mut(&pool) else { return };
+        if group.breaker.refused(now) {
+            self.notes.push(Note::GroupDown(pool));
+        }
+        while let Some(next) = self.queue.pop(pool) {
+            self.give_up(next.ticket, Outcome::NotRun, Reason::GroupDown, actions);
+        }
+    }
+
     /// Accounts for an attempt that left a backend server.
     fn leave(&mut self, server: entity::Server, end: End, now: clock::Instant) {
         let record = &mut self.servers[server];
@@ -277,7 +364,8 @@
                     self.try_eject(server, now);
                 }
             }
-            End::Abandoned => {}
+            End::Unreachable => self.try_eject(server, now),
+            End::Abandoned | End::GroupDown => {}
         }
         let record = &mut self.servers[server];
         debug_assert!(record.in_flight > 0, "{server} has no request in flight");
@@ -376,6 +464,7 @@
     ) {
         let retry_after = match reason {
             Reason::NoBackend => NO_BACKEND_RETRY,
+            Reason::GroupDown => self.group_return,
             _ => self.queue.retry_after(pool),
         };
         match outcome {
@@ -402,6 +491,9 @@
     /// Sends waiters while backend servers are open.
     fn pump(&mut self, pool: entity::Pool, now: clock::Instant, actions: &mut Vec<Action>) {
         while self.queue.waiting_for(pool) > 0 {
+            if !self.has_room(pool, now) {
+                break;
+            }
             let open = self.open(pool, now);
             if open.is_empty() {
                 break;
@@ -419,6 +511,13 @@
         }
     }
 
+    /// Whether the group that serves the pool, if it is one, can take one more.
+    fn has_room(&self, pool: entity::Pool, now: clock::Instant) -> bool {
+        let Some(group) = self.groups.get(&pool) else { return true };
+        let in_flight = self.in_flight(pool);
+        in_flight < group.pace.bound() && !group.pace.stalled(in_flight, now)
+    }
+
     /// A pool without a usable backend server keeps nobody waiting.
     fn drain_hopeless(&mut self, pool: entity::Pool, actions: &mut Vec<Action>) {
         while let Some(next) = self.queue.pop(pool) {
@@ -465,6 +564,12 @@
         pending.place = Place::Sent(choice.server);
         pending.sent = Some(now);
         pending.tried.push(choice.server);
+        let pool = pending.arrival.pool;
+        let before = self.in_flight(pool);
+        if let Some(group) = self.groups.get_mut(&pool) {
+            group.pace.sent(before, now);
+        }
+        let Some(pending) = self.pending.get_mut(&ticket) else { return };
         self.servers[choice.server].in_flight += 1;
         if pending.attempts == 1 {
             self.tally.first += 1;
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -38,6 +38,7 @@
     pub(super) retry_reserve: f64,
     pub(super) charge_full: bool,
     pub(super) shortest_return: Duration,
+    pub(super) group_return: Duration,
 }
 
 impl Default for Options {
@@ -48,6 +49,7 @@
             retry_reserve: crate::retry::RESERVE,
             charge_full: false,
             shortest_return: Duration::from_secs(1),
+            group_return: Duration::from_secs(2),
         }
     }
 }
@@ -84,6 +86,13 @@
         self.shortest_return = time;
         self
     }
+
+    /// Time after which a caller is told to come back whose pool's group is
+    /// broken.
+    pub fn group_return(mut self, time: Duration) -> Options {
+        self.group_return = time;
+        self
+    }
 }
 
 /// How an attempt ended.
@@ -95,6 +104,12 @@
     Full,
     /// It surely never ran, for another cause.
     NeverRan,
+    /// No connection to the backend server: it surely never ran, and others
+    /// would not get there either.
+    Unreachable,
+    /// The backend server's group is broken: it surely never ran, and no other
+    /// rank can run it.
+    GroupDown,
     /// It ran, or may have, and there is no whole answer.
     MayHaveRun {
         /// Whether the caller has seen a part of the answer.
@@ -124,6 +139,8 @@
     Attempts,
     /// The retry budget is used up.
     Budget,
+    /// The pool's group is broken.
+    GroupDown,
 }
 
 impl fmt::Display for Reason {
@@ -133,6 +150,7 @@
             Reason::NoBackend => f.write_str("no-backend"),
             Reason::Attempts => f.write_str("attempts"),
             Reason::Budget => f.write_str("retry-budget"),
+            Reason::GroupDown => f.write_str("group-down"),
         }
     }
 }
@@ -172,6 +190,15 @@
     pub retry_after: Duration,
 }
 
+/// A change of what is believed of a pool, for the log.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Note {
+    /// The pool's group is broken.
+    GroupDown(entity::Pool),
+    /// The pool's group serves again, after that time.
+    GroupUp(entity::Pool, Duration),
+}
+
 /// What the daemon is to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod balancer;
+pub mod breaker;
 pub mod clock;
 pub mod entity;
 pub mod fleet;
@@ -28,6 +29,7 @@
 pub mod map;
 pub mod mirror;
 pub mod name;
+pub mod pace;
 pub mod placement;
 pub mod rendezvous;
 pub mod retry;
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -234,9 +234,25 @@
         }
     }
 
+    fn event(&self, ticket: entity::Ticket, pause: f64) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let actions = inner.balancer.event(ticket, pause, now);
+        inner.route(actions);
+    }
+
+    /// Tells that the backend servers of a pool run in lock-step.
+    pub fn set_lockstep(&self, pool: &Arc<str>) {
+        let mut inner = self.lock();
+        let id = inner.pools.intern(pool);
+        inner.balancer.set_lockstep(id);
+    }
+
     fn begin(&self, ticket: entity::Ticket, after: Duration) {
         let now = self.now();
-        self.lock().balancer.begin(ticket, after, now);
+        let mut inner = self.lock();
+        inner.balancer.begin(ticket, after, now);
+        inner.route(Vec::new());
     }
 
     fn forget(&self, ticket: entity::Ticket) {
@@ -302,6 +318,17 @@
 
     /// Hands each action to the request that it is about.
     fn route(&mut self, actions: Vec<balancer::Action>) {
+        for note in self.balancer.take_notes() {
+            match note {
+                balancer::Note::GroupDown(pool) => {
+                    log::warn!("group down pool={}", self.pools.name(pool));
+                }
+                balancer::Note::GroupUp(pool, time) => {
+                    let name = self.pools.name(pool);
+                    log::info!("group up pool={name} down_ms={}", time.as_millis());
+                }
+            }
+        }
         for action in actions {
             let (ticket, next) = match action {
                 balancer::Action::Send(dispatch) => {
--- a/dispatch/src/permit.rs
+++ b/dispatch/src/permit.rs
@@ -41,6 +41,12 @@
         self.dispatcher.begin(self.ticket, after);
     }
 
+    /// An event of the request's stream came after a pause, which is given
+    /// relative to the longest wanted one.
+    pub fn event(&self, pause: f64) {
+        self.dispatcher.event(self.ticket, pause);
+    }
+
     /// The attempt ended; unless it was answered, [`Permit::next`] tells what follows.
     pub fn end(&mut self, end: balancer::End) {
         if matches!(end, balancer::End::Answered | balancer::End::Abandoned) {
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -246,7 +246,7 @@
         let reply = match tokio::time::timeout_at(request.due.into(), reply).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(upstream::Error::NotSent(cause))) => {
-                return Sent::Failed(balancer::End::NeverRan, None, cause);
+                return Sent::Failed(balancer::End::Unreachable, None, cause);
             }
             Ok(Err(upstream::Error::NoAnswer(cause))) => return may_have_run(cause),
             Err(_) => return may_have_run("deadline".to_owned()),
@@ -270,6 +270,9 @@
         match answer.verdict {
             Verdict::Answered => {}
             Verdict::Foreign => return may_have_run("answer of another request".to_owned()),
+            Verdict::NotRun(NotRun::GroupDown) => {
+                return Sent::Failed(balancer::End::GroupDown, None, "group down".to_owned());
+            }
             Verdict::NotRun(NotRun::OtherInstance) => {
                 self.dispatcher.unlist(attempt.server);
                 return Sent::Failed(balancer::End::NeverRan, None, "other instance".to_owned());
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -4,6 +4,7 @@
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use loftcove_decision::{balancer, fleet, lifecycle, route};
@@ -20,7 +21,11 @@
 /// Requests that may wait for a backend server.
 const MAX_WAITING: usize = 512;
 /// Shortest time after which a refused client is told to come back.
-const SHORTEST_RETURN: std::time::Duration = std::time::Duration::from_millis(300);
+const SHORTEST_RETURN: Duration = Duration::from_millis(300);
+/// Time after which a client is told to come back whose group is broken. Groups
+/// are down for seconds, and clients wait for a third of their time at most:
+/// sooner would mostly be too soon.
+const GROUP_RETURN: Duration = Duration::from_millis(2_600);
 
 /// Where a backend server takes requests.
 #[derive(Debug, Clone)]
@@ -62,7 +67,8 @@
             .retry_ratio(ratio)
             .retry_reserve(0.0)
             .charge_full(true)
-            .shortest_return(SHORTEST_RETURN);
+            .shortest_return(SHORTEST_RETURN)
+            .group_return(GROUP_RETURN);
         Gateway {
             settings,
             routes: ArcSwapOption::empty(),
@@ -131,6 +137,13 @@
                 max_connections: connections(&server.service),
             },
         };
+        if let Some(table) = routes.as_ref() {
+            for service in table.services() {
+                if service.engine.as_ref().is_some_and(|engine| engine.experts.is_some()) {
+                    self.dispatcher.set_lockstep(&service.name);
+                }
+            }
+        }
         self.dispatcher.list(servers.values().map(listing).collect());
         self.upstream.keep(|id| servers.contains_key(id));
     }
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -6,6 +6,7 @@
 //! well, so that it does not look whole.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -75,6 +76,8 @@
     /// Hands one backend server's part of the stream on.
     async fn pass(&self, begun: Begun, splitter: &mut Splitter) -> End {
         let Begun { mut body, answer, connection, target, .. } = begun;
+        // The first event's wait is no pause.
+        let mut last: Option<Instant> = None;
         loop {
             let frame = tokio::select! {
                 biased;
@@ -88,6 +91,8 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             if let Some(events) = splitter.push(&data) {
+                self.observe(last.map_or(Duration::ZERO, |last| last.elapsed()));
+                last = Some(Instant::now());
                 if let Some(end) = self.hand_on(events).await {
                     return end;
                 }
@@ -104,6 +109,15 @@
         End::Whole
     }
 
+    /// Tells the dispatcher how long the stream has paused, relative to the
+    /// longest wanted pause.
+    fn observe(&self, pause: Duration) {
+        let wanted = self.request.grant.route.pause;
+        if let Some(wanted) = wanted.filter(|wanted| !wanted.is_zero()) {
+            self.permit.event(pause.as_secs_f64() / wanted.as_secs_f64());
+        }
+    }
+
     /// Hands bytes to the client; returns an end if that ends the stream.
     async fn hand_on(&self, bytes: Bytes) -> Option<End> {
         let sent = tokio::time::timeout_at(self.request.due.into(), self.sender.send(Ok(bytes)));
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -20,10 +20,11 @@
 
 use crate::state::Target;
 
-/// Longest wait for a connection: a backend server within a region accepts
-/// within milliseconds, and a packet that is lost is sent again after about a
-/// second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest wait for a connection. A backend server within a region accepts
+/// within milliseconds, across regions within a tenth of a second; a packet
+/// that is lost would be sent again after about a second, which is later than
+/// another backend server answers.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time that sent bytes may stay unacknowledged.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
 /// How long an idle connection is kept where the backend server says nothing.
--- a/interface/src/protocol.rs
+++ b/interface/src/protocol.rs
@@ -56,6 +56,8 @@
 pub enum NotRun {
     /// It has no room, or cannot serve at present.
     Unavailable,
+    /// The group that it is a rank of is broken: no rank can serve.
+    GroupDown,
     /// It is another run than the one that was meant.
     OtherInstance,
     /// It is asked too often.
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -30,6 +30,9 @@
 /// Ranks whose counts are read: requests spread evenly, so that these stand
 /// for all.
 const SAMPLE: usize = 16;
+/// Time without a pass, within a change of the map, after which a driver is
+/// taken to be gone: several times what a change keeps a group waiting.
+const STALL_TIME: Duration = Duration::from_millis(500);
 /// Passes from the present one to the one at which the ranks switch. A pass
 /// takes some 50 ms, and arming all ranks less.
 const AHEAD: u64 = 2;
@@ -132,8 +135,9 @@
 
     /// Stands for election and drives, again and again, until it is stopped.
     pub async fn run(mut self, mut stop: watch::Receiver<bool>) {
+        let mut stall = Stall::default();
         while !*stop.borrow_and_update() {
-            let Some((group, term)) = self.elect().await else {
+            let Some((group, term)) = self.elect(&mut stall).await else {
                 tokio::select! {
                     () = tokio::time::sleep(IDLE_INTERVAL) => {}
                     _ = stop.changed() => {}
@@ -151,21 +155,28 @@
         }
     }
 
-    /// Stands for election if the group has no driver.
-    async fn elect(&self) -> Option<(Arc<str>, Term)> {
+    /// Stands for election if the group has no driver, or if its driver left
+    /// it standing still within a change of the map.
+    async fn elect(&self, stall: &mut Stall) -> Option<(Arc<str>, Term)> {
         let report = self.rank.engine.report().await.ok()?;
+        let stalled = stall.look(&report);
         let place = report.group.filter(|place| place.open)?;
-        let vacant = || self.mirror.get(&election::key(&place.name)).is_none();
-        if !vacant() || self.engines().is_empty() {
+        let key = election::key(&place.name);
+        let known = election::revision(&self.mirror, &key);
+        if (known != 0 && !stalled) || self.engines().is_empty() {
             return None;
         }
         // The lowest rank goes first, so that few stand at once.
         let part = 1.0 + rand::random::<f64>();
         tokio::time::sleep(PAUSE_BY_RANK.mul_f64(f64::from(place.rank) * part)).await;
-        if !vacant() {
+        if election::revision(&self.mirror, &key) != known {
             return None;
         }
-        match election::stand(&*self.store, &self.mirror, &place.name, &self.name).await {
+        if known != 0 {
+            log::warn!("driver deposed group={} term={known} pass={}", place.name, report.pass);
+        }
+        let stand = election::stand(&*self.store, &self.mirror, &place.name, &self.name, known);
+        match stand.await {
             Ok(term) => term.map(|term| (place.name, term)),
             Err(error) => {
                 log::warn!("election failed group={} error=\"{error}\"", place.name);
@@ -287,7 +298,14 @@
         let engines = self.engines();
         self.group.set(&engines);
         let inspection = wire::Inspection { term, counts: false, experts: true };
-        let answers = self.group.inspect(&self.rank, &engines, inspection).await;
+        let mut answers = self.group.inspect(&self.rank, &engines, inspection).await;
+        if answers.len() < engines.len() {
+            let answered =
+                |engine: &&SocketAddr| !answers.iter().any(|(known, _)| known == *engine);
+            let silent: Vec<SocketAddr> = engines.iter().filter(answered).copied().collect();
+            log::info!("sidecars silent count={} next=ask-engines", silent.len());
+            answers.extend(self.group.inspect_engines(&silent).await);
+        }
         if answers.iter().any(|(_, condition)| condition.term > term) {
             return Err(Stopped::Superseded);
         }
@@ -432,6 +450,27 @@
     true
 }
 
+/// Notices that the group stands still within a change of the map.
+#[derive(Debug, Default)]
+struct Stall {
+    pass: u64,
+    since: Option<Instant>,
+}
+
+impl Stall {
+    /// Takes a report; returns whether the group has requests and has begun no
+    /// pass for too long, while a change of the map is under way.
+    fn look(&mut self, report: &engine::Report) -> bool {
+        let changing = report.prepared.is_some() || report.armed.is_some() || report.held.is_some();
+        if report.pass != self.pass || !changing || report.active == 0 {
+            self.pass = report.pass;
+            self.since = None;
+        }
+        let since = *self.since.get_or_insert_with(Instant::now);
+        since.elapsed() >= STALL_TIME
+    }
+}
+
 /// A value between that of idle and that of full engines.
 fn by_fill(fill: f64, (idle, full): (f64, f64)) -> f64 {
     /// Fill up to which the engines count as idle.
--- a/sidecar/src/election.rs
+++ b/sidecar/src/election.rs
@@ -29,19 +29,26 @@
     pub lease: store::Lease,
 }
 
-/// Tries to become driver, once. `name` tells this run of this host from all
-/// others.
+/// Revision of a key, zero where it does not exist.
+pub fn revision(mirror: &Mirror, key: &str) -> u64 {
+    mirror.below(key).first().map_or(0, |record| record.revision)
+}
+
+/// Tries to become driver, once, in the place of the one whose key has the
+/// revision `known`; zero where there is none. `name` tells this run of this
+/// host from all others.
 pub async fn stand<S: Store>(
     store: &S,
     mirror: &Mirror,
     group: &str,
     name: &str,
+    known: u64,
 ) -> Result<Option<Term>, store::Error> {
     let lease = store.grant(TTL).await?;
     let write = store::Write {
         key: key(group),
         value: Some(name.to_owned().into()),
-        expected: Some(0),
+        expected: Some(known),
         lease: Some(lease),
     };
     match store.write(&write).await {
@@ -72,8 +79,7 @@
     let mut changes = mirror.subscribe();
     let mut away = false;
     loop {
-        let own = mirror.below(&key(group)).into_iter().next();
-        if own.is_some_and(|record| record.revision > term.number) {
+        if revision(mirror, &key(group)) > term.number {
             return;
         }
         match store.keep(term.lease).await {
--- a/sidecar/src/group.rs
+++ b/sidecar/src/group.rs
@@ -15,10 +15,14 @@
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Longest wait for a sidecar's state.
-const INSPECT_TIMEOUT: Duration = Duration::from_millis(600);
-/// Longest wait for an order; longer than a sidecar itself takes.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// Longest wait for a sidecar's state, which takes a few milliseconds.
+const INSPECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for a sidecar to have a map prepared; longer than it takes
+/// until it says that the effect is not known.
+const PREPARE_TIMEOUT: Duration = Duration::from_millis(1_600);
+/// Longest wait for a sidecar to carry out any other order, for which the
+/// group may be standing still; then the engine is asked directly.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// Makes a client of an engine.
 pub type Connect<E> = Box<dyn Fn(SocketAddr) -> E + Send + Sync>;
@@ -96,6 +100,26 @@
         answers.into_iter().flatten().collect()
     }
 
+    /// Asks some engines for their state, past their sidecars.
+    pub async fn inspect_engines(
+        &self,
+        addresses: &[SocketAddr],
+    ) -> Vec<(SocketAddr, wire::Condition)> {
+        let inspection = wire::Inspection { term: 0, counts: false, experts: true };
+        let ask = async |address: SocketAddr| {
+            let member = self.members.get(&address)?.clone();
+            match rank::inspect(&member.engine, inspection).await {
+                Ok(condition) => Some((address, condition)),
+                Err(error) => {
+                    log::info!("engine not inspected engine={address} error=\"{error}\"");
+                    None
+                }
+            }
+        };
+        let answers = future::join_all(addresses.iter().map(|address| ask(*address))).await;
+        answers.into_iter().flatten().collect()
+    }
+
     /// Carries an order out at a rank, past its sidecar if that does not answer.
     pub async fn carry(&self, local: &Rank<E>, address: SocketAddr, step: &Step) -> Carried {
         if address == self.own {
@@ -106,8 +130,12 @@
             return Carried::new(wire::Effect::Unknown, None);
         };
         let mut client = member.client.clone();
+        let limit = match step.order {
+            Order::Prepare { .. } => PREPARE_TIMEOUT,
+            _ => ORDER_TIMEOUT,
+        };
         let call = client.carry(rank::message(step));
-        match tokio::time::timeout(ORDER_TIMEOUT, call).await {
+        match tokio::time::timeout(limit, call).await {
             Ok(Ok(answer)) => {
                 let result = answer.into_inner();
                 Carried::new(result.effect(), result.condition)
