Give bounding of streams up for a while where it does not help

Cause: where engines are slowed down, pauses are too long with few streams as well, and the bound fell to its least.

--- a/decision/src/pace.rs
+++ b/decision/src/pace.rs
@@ -29,10 +29,21 @@
 /// Time without any event after which a pool with streams stands still.
 const STALL: Duration = Duration::from_millis(450);
 
+/// Part of the streams, and of the pause, that are left when a bound is judged:
+/// where fewer streams than this have not shortened the pause to less than
+/// that, it is not the streams that make the passes long.
+const JUDGED: (f64, f64) = (0.6, 0.8);
+/// Time for which the streams are not bounded after bounding did not help.
+const TRUCE: Duration = Duration::from_secs(4);
+
 /// The bound of one pool.
 #[derive(Debug, Clone)]
 pub struct Pace {
     bound: f64,
+    /// Streams and pause when the bound began to fall.
+    fall: Option<(f64, f64)>,
+    /// Until when the streams are not bounded.
+    truce: clock::Instant,
     /// Pauses of this interval, relative to the longest wanted one.
     pauses: Vec<f32>,
     changed: clock::Instant,
@@ -44,6 +55,8 @@
     fn default() -> Pace {
         Pace {
             bound: f64::INFINITY,
+            fall: None,
+            truce: clock::Instant::ZERO,
             pauses: Vec::new(),
             changed: clock::Instant::ZERO,
             progress: clock::Instant::ZERO,
@@ -70,11 +83,25 @@
         self.changed = now;
         let pause = self.high_pause();
         self.pauses.clear();
+        if now < self.truce {
+            return;
+        }
         if pause > HIGH {
-            self.bound = (f64::from(in_flight) * DECREASE).min(self.bound).max(LEAST);
+            self.decrease(pause, f64::from(in_flight), now);
         } else if pause < LOW && f64::from(in_flight) + INCREASE >= self.bound {
             self.bound = (self.bound + INCREASE).min(most.max(LEAST));
+            self.fall = None;
+        }
+    }
+
+    /// Lowers the bound, or gives bounding up for a while where it does not help.
+    fn decrease(&mut self, pause: f64, in_flight: f64, now: clock::Instant) {
+        let (streams, before) = *self.fall.get_or_insert((in_flight, pause));
+        if in_flight < streams * JUDGED.0 && pause > before * JUDGED.1 {
+            *self = Pace { truce: now + TRUCE, progress: now, changed: now, ..Pace::default() };
+            return;
         }
+        self.bound = (in_flight * DECREASE).min(self.bound).max(LEAST);
     }
 
     /// The longest pause, but for the outliers.
