--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -5,7 +5,7 @@
 
 use loftcove_bundle::sign;
 use loftcove_decision::attempt;
-use loftcove_platform::{consul, hosts};
+use loftcove_platform::{hosts, records};
 use loftcove_settings::file;
 use loftcove_wire as wire;
 
@@ -26,7 +26,7 @@
     /// Bundle, host list and home table.
     pub gossip: gossip::Gossip,
     /// The platform.
-    pub platform: consul::Client,
+    pub platform: records::Client,
     /// Connections to other processes.
     pub links: link::Table,
     /// Decisions.
@@ -62,7 +62,7 @@
             clock: clock::Clock::start(),
             life: Arc::default(),
             gossip: gossip::Gossip::new(force),
-            platform: consul::Client::new(
+            platform: records::Client::new(
                 settings.platform.address,
                 settings.process.source_address,
                 timeout,
--- a/daemon/src/source.rs
+++ b/daemon/src/source.rs
@@ -110,7 +110,7 @@
         }
         match W::next(&process, cursor, wait).await {
             Ok((next, record)) => {
-                // Consul's guide: an index that falls back starts anew.
+                // A store that was set up anew starts from a lower revision.
                 cursor = if next < cursor { 0 } else { next };
                 backoff = BACKOFF.0;
                 if let Some(record) = record {
--- a/daemon/src/system.rs
+++ b/daemon/src/system.rs
@@ -12,7 +12,8 @@
 pub fn gateway(path: &Path) -> Result<(), Error> {
     let settings = read(settings::Gateway::read(path))?;
     let sink = logging::to_stdout(settings.host.log_level);
-    let store = kv::Client::new(settings.host.store_address);
+    let store =
+        kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
     let workers = settings.host.workers;
     let run = loftcove_gateway::run::<adapter::Adapter, _>(path, settings, store);
     let result = crate::block_on(workers, run)?.map_err(Error::from);
@@ -23,7 +24,8 @@
 pub fn sidecar(path: &Path) -> Result<(), Error> {
     let settings = read(settings::Sidecar::read(path))?;
     let sink = logging::to_stdout(settings.host.log_level);
-    let store = kv::Client::new(settings.host.store_address);
+    let store =
+        kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
     let workers = settings.host.workers;
     let run =
         loftcove_sidecar::run::<adapter::Adapter, _, _>(path, settings, store, engine::Client::new);
--- a/decision/src/retry.rs
+++ b/decision/src/retry.rs
@@ -9,6 +9,10 @@
 /// Most retries that may be saved up, where nothing else is set.
 pub const RESERVE: f64 = 10.0;
 
+/// Part of the reserve that is there at once. Processes that are restarted one
+/// after the other must not bring a full reserve each.
+const FIRST_PART: f64 = 0.3;
+
 /// Attempts of one request at the most, where nothing else is set.
 pub const MAX_ATTEMPTS: u32 = 4;
 
@@ -21,14 +25,17 @@
 }
 
 impl Budget {
-    /// A full budget of `reserve` retries, into which each first attempt pays
-    /// `ratio` of a retry.
+    /// A budget of `reserve` retries, a part of which is there at once, and
+    /// into which each first attempt pays `ratio` of a retry.
     pub fn new(ratio: f64, reserve: f64) -> Budget {
-        Budget { ratio, reserve, saved: reserve }
+        Budget { ratio, reserve, saved: reserve * FIRST_PART }
     }
 
-    /// Sets how many retries may be saved up.
+    /// Sets how many retries may be saved up. A first reserve is there in part.
     pub fn set_reserve(&mut self, reserve: f64) {
+        if self.reserve == 0.0 {
+            self.saved = reserve * FIRST_PART;
+        }
         self.reserve = reserve;
         self.saved = self.saved.min(reserve);
     }
--- a/decision/src/route.rs
+++ b/decision/src/route.rs
@@ -5,7 +5,7 @@
 //! same laid out for look-ups. A table never changes: a new version makes a
 //! new one, and a process goes over to it only forwards.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -212,7 +212,7 @@
     /// By host, longest prefix first.
     hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
     keys: Option<HashMap<Arc<str>, Arc<Team>>>,
-    services: HashMap<Arc<str>, Arc<Service>>,
+    services: BTreeMap<Arc<str>, Arc<Service>>,
 }
 
 impl Table {
--- /dev/null
+++ b/decision/tests/mirror.rs
@@ -0,0 +1,74 @@
+//! The copy of the store goes forwards only, and holds removals back as it is told.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use loftcove_decision::clock::Instant;
+use loftcove_decision::mirror::{Mirror, Record};
+
+fn put(key: &str, revision: u64, value: &'static str) -> Record {
+    Record { key: key.into(), revision, value: Some(Bytes::from_static(value.as_bytes())) }
+}
+
+fn gone(key: &str, revision: u64) -> Record {
+    Record { key: key.into(), revision, value: None }
+}
+
+const NOW: Instant = Instant::from_millis(1_000);
+
+#[test]
+fn an_older_record_never_replaces_a_newer_one() {
+    let mut mirror = Mirror::default();
+    assert!(mirror.apply(&put("a", 5, "new"), NOW));
+    assert!(!mirror.apply(&put("a", 4, "old"), NOW));
+    assert!(!mirror.apply(&gone("a", 3), NOW));
+    assert_eq!(mirror.get("a").unwrap(), "new");
+    assert!(mirror.apply(&gone("a", 6), NOW));
+    assert!(!mirror.apply(&put("a", 5, "new"), NOW), "a peer that is behind");
+    assert_eq!(mirror.get("a"), None);
+}
+
+#[test]
+fn a_suspected_removal_takes_effect_only_if_the_key_stays_away() {
+    let mut mirror = Mirror::default();
+    mirror.apply(&put("servers/a", 1, "x"), NOW);
+    mirror.apply(&put("servers/b", 2, "x"), NOW);
+    let due = NOW + Duration::from_secs(2);
+    let keys: [Arc<str>; 2] = ["servers/a".into(), "servers/b".into()];
+    keys.iter().for_each(|key| mirror.suspect(key, 7, due));
+    assert!(mirror.expire(NOW + Duration::from_millis(1_999)).is_empty());
+    mirror.apply(&put("servers/b", 8, "back"), NOW);
+    assert_eq!(mirror.expire(due), [gone("servers/a", 7)]);
+    assert_eq!(mirror.get("servers/b").unwrap(), "back");
+}
+
+#[test]
+fn a_removal_that_a_peer_is_sure_of_goes_before_a_suspicion() {
+    let mut mirror = Mirror::default();
+    mirror.apply(&put("servers/a", 1, "x"), NOW);
+    mirror.suspect(&"servers/a".into(), 7, NOW + Duration::from_secs(2));
+    assert!(mirror.apply(&gone("servers/a", 7), NOW));
+    assert!(mirror.expire(NOW + Duration::from_secs(3)).is_empty());
+}
+
+#[test]
+fn what_a_listing_lacks_is_missing_unless_it_is_newer() {
+    let mut mirror = Mirror::default();
+    mirror.apply(&put("servers/a", 1, "x"), NOW);
+    mirror.apply(&put("servers/b", 9, "x"), NOW);
+    mirror.apply(&put("op/config", 2, "x"), NOW);
+    assert_eq!(mirror.missing("servers/", &[], 5), [Arc::from("servers/a")]);
+}
+
+#[test]
+fn old_removals_are_forgotten() {
+    let mut mirror = Mirror::default();
+    mirror.apply(&put("a", 1, "x"), NOW);
+    mirror.apply(&gone("a", 2), NOW);
+    assert_eq!(mirror.records().count(), 1);
+    mirror.expire(NOW + Duration::from_secs(121));
+    assert_eq!(mirror.records().count(), 0);
+}
--- /dev/null
+++ b/decision/tests/switch.rs
@@ -0,0 +1,290 @@
+//! No pass begins while two ranks of a group hold different maps, whatever
+//! orders are lost, late or doubled, and with two drivers.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use loftcove_decision::map::switch::{Condition, Effect, Order, Outcome, Switch};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const RANKS: usize = 4;
+/// Passes from the present one to the one that is held.
+const AHEAD: u64 = 2;
+
+/// An engine that keeps to the rules of its interface.
+#[derive(Debug, Clone, Copy, Default)]
+struct Engine {
+    condition: Condition,
+    highest: u64,
+}
+
+impl Engine {
+    /// Takes an order; returns whether it is accepted.
+    fn take(&mut self, order: Order, pass: u64) -> bool {
+        let state = &mut self.condition;
+        match order {
+            Order::Prepare { version } => {
+                if state.prepared == Some(version) {
+                    return true;
+                }
+                let fits = version > self.highest && state.armed.is_none();
+                if fits {
+                    self.highest = version;
+                    state.prepared = Some(version);
+                }
+                fits
+            }
+            Order::Hold { pass: held } => {
+                let fits = held > pass && state.held.is_none_or(|other| other == held);
+                if fits {
+                    state.held = Some(held);
+                }
+                fits
+            }
+            Order::Arm { version, pass: at } => {
+                let fits = state.prepared == Some(version) && at > pass;
+                if fits {
+                    state.armed = Some((version, at));
+                }
+                fits
+            }
+            Order::Disarm { version } => {
+                let fits = state.armed.is_some_and(|(armed, _)| armed == version);
+                if fits {
+                    state.armed = None;
+                }
+                fits
+            }
+            Order::Release { pass: held } => {
+                if state.held == Some(held) {
+                    state.held = None;
+                }
+                true
+            }
+        }
+    }
+
+    /// Whether the engine's state shows an order's effect.
+    fn shows(&self, order: Order) -> bool {
+        let state = &self.condition;
+        match order {
+            Order::Prepare { version } => state.prepared == Some(version),
+            Order::Hold { pass } => state.held == Some(pass),
+            Order::Arm { version, pass } => {
+                state.armed == Some((version, pass)) || state.map == version
+            }
+            Order::Disarm { version } => state.armed.is_none_or(|(armed, _)| armed != version),
+            Order::Release { pass } => state.held != Some(pass),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Group {
+    engines: [Engine; RANKS],
+    pass: u64,
+}
+
+impl Group {
+    fn new() -> Group {
+        Group { engines: [Engine::default(); RANKS], pass: 0 }
+    }
+
+    /// Begins the next pass unless it is held. Returns the maps of the ranks.
+    fn step(&mut self) -> Vec<u64> {
+        let next = self.pass + 1;
+        if self.engines.iter().all(|engine| engine.condition.held != Some(next)) {
+            self.pass = next;
+            for engine in &mut self.engines {
+                if let Some((version, _)) = engine.condition.armed.filter(|(_, at)| *at == next) {
+                    engine.condition.map = version;
+                    engine.condition.armed = None;
+                    engine.condition.prepared = None;
+                }
+            }
+        }
+        self.engines.iter().map(|engine| engine.condition.map).collect()
+    }
+
+    fn conditions(&self) -> Vec<Condition> {
+        self.engines.iter().map(|engine| engine.condition).collect()
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    /// The driver gives one of its orders, which is answered, lost on the way,
+    /// or carried out with its answer lost.
+    Give { which: prop::sample::Index, fate: Fate },
+    /// An order that got no answer is carried out now.
+    Late(prop::sample::Index),
+    /// The group begins a pass.
+    Step,
+    /// The driver dies, and another one takes over.
+    TakeOver,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Fate {
+    Answered,
+    Lost,
+    Silent,
+    Delayed,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let fate = prop_oneof![
+        6 => Just(Fate::Answered),
+        1 => Just(Fate::Lost),
+        1 => Just(Fate::Silent),
+        1 => Just(Fate::Delayed),
+    ];
+    prop_oneof![
+        12 => (any::<prop::sample::Index>(), fate).prop_map(|(which, fate)| Event::Give { which, fate }),
+        2 => any::<prop::sample::Index>().prop_map(Event::Late),
+        4 => Just(Event::Step),
+        1 => Just(Event::TakeOver),
+    ]
+}
+
+/// A driver as the sidecar runs it: it finds out an order's effect from the
+/// engine's state, and gives it again where it is not known.
+struct Driver {
+    switch: Option<Switch>,
+    versions: u64,
+}
+
+impl Driver {
+    fn orders(&mut self, group: &Group) -> Vec<(usize, Order)> {
+        let versions = &mut self.versions;
+        let switch = self.switch.get_or_insert_with(|| {
+            *versions += 1;
+            Switch::new(RANKS, 0, *versions)
+        });
+        if switch.prepared() {
+            switch.hold(group.pass + AHEAD);
+        }
+        switch.orders()
+    }
+
+    fn effect(&mut self, rank: usize, order: Order, effect: Effect) -> Option<Outcome> {
+        let switch = self.switch.as_mut()?;
+        switch.effect(rank, order, effect);
+        let outcome = switch.outcome()?;
+        self.switch = None;
+        Some(outcome)
+    }
+}
+
+/// Runs the events; returns how many changes were gone through with.
+fn run(events: Vec<Event>) -> Result<u32, TestCaseError> {
+    let mut group = Group::new();
+    let mut driver = Driver { switch: None, versions: 0 };
+    let mut delayed: Vec<(usize, Order)> = Vec::new();
+    let mut switched = 0;
+    for event in events {
+        match event {
+            Event::Give { which, fate } => {
+                let orders = driver.orders(&group);
+                if orders.is_empty() {
+                    continue;
+                }
+                let (rank, order) = orders[which.index(orders.len())];
+                let accepted = match fate {
+                    Fate::Answered | Fate::Silent => group.engines[rank].take(order, group.pass),
+                    Fate::Lost => false,
+                    Fate::Delayed => {
+                        delayed.push((rank, order));
+                        false
+                    }
+                };
+                let effect = match fate {
+                    _ if group.engines[rank].shows(order) => Effect::Confirmed,
+                    Fate::Answered if !accepted => Effect::Refused,
+                    _ => Effect::Unknown,
+                };
+                let outcome = driver.effect(rank, order, effect);
+                switched += u32::from(outcome == Some(Outcome::Switched));
+            }
+            Event::Late(which) if !delayed.is_empty() => {
+                let (rank, order) = delayed.swap_remove(which.index(delayed.len()));
+                group.engines[rank].take(order, group.pass);
+            }
+            Event::Late(_) => {}
+            Event::Step => {
+                let maps = group.step();
+                prop_assert!(maps.windows(2).all(|pair| pair[0] == pair[1]), "{maps:?}");
+            }
+            Event::TakeOver => {
+                driver.switch = Switch::resume(&group.conditions());
+                if driver.switch.as_ref().is_some_and(|switch| switch.outcome().is_some()) {
+                    driver.switch = None;
+                }
+                driver.versions += 1_000;
+            }
+        }
+    }
+    Ok(switched)
+}
+
+#[test]
+fn every_pass_has_one_map() {
+    let config = ProptestConfig {
+        cases: 20_000,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let mut switched = 0;
+    let mut runner = proptest::test_runner::TestRunner::new(config);
+    let counted = std::cell::Cell::new(0);
+    runner
+        .run(&prop::collection::vec(event(), 0..200), |events| {
+            counted.set(counted.get() + run(events)?);
+            Ok(())
+        })
+        .unwrap();
+    switched += counted.get();
+    // The generated orders do take groups over, or nothing is shown.
+    assert!(switched > 20_000, "{switched}");
+}
+
+fn armed(version: u64, pass: u64) -> Condition {
+    Condition { prepared: Some(version), armed: Some((version, pass)), ..Condition::default() }
+}
+
+#[test]
+fn a_change_whose_ranks_are_all_prepared_is_gone_through_with() {
+    let mut ranks = [armed(5, 9); RANKS];
+    ranks[0].held = Some(9);
+    ranks[2].armed = None;
+    let switch = Switch::resume(&ranks).unwrap();
+    assert_eq!(switch.orders(), [(2, Order::Arm { version: 5, pass: 9 })]);
+}
+
+#[test]
+fn a_change_that_a_rank_cannot_follow_is_undone() {
+    let mut ranks = [armed(5, 9); RANKS];
+    ranks[1].held = Some(9);
+    ranks[2] = Condition::default();
+    let mut switch = Switch::resume(&ranks).unwrap();
+    for rank in 0..RANKS {
+        switch.effect(rank, Order::Disarm { version: 5 }, Effect::Confirmed);
+    }
+    assert_eq!(switch.orders(), [(1, Order::Release { pass: 9 })]);
+    switch.effect(1, Order::Release { pass: 9 }, Effect::Confirmed);
+    assert_eq!(switch.outcome(), Some(Outcome::Abandoned));
+}
+
+#[test]
+fn a_hold_without_any_armed_rank_is_released() {
+    let mut ranks = [Condition::default(); RANKS];
+    ranks[3].held = Some(4);
+    let switch = Switch::resume(&ranks).unwrap();
+    assert_eq!(switch.orders(), [(3, Order::Release { pass: 4 })]);
+}
+
+#[test]
+fn nothing_is_left_to_do_in_a_quiet_group() {
+    assert_eq!(Switch::resume(&[Condition::default(); RANKS]), None);
+}
--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -213,7 +213,7 @@
     let end = begun + grace.saturating_sub(END_MARGIN);
     while Instant::now() < end {
         let noticed = begun.elapsed() >= NOTICE_TIME;
-        if life.connections() == 0 && noticed || life.in_flight() == 0 && noticed {
+        if noticed && life.in_flight() == 0 {
             break;
         }
         tokio::select! {
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -64,7 +64,7 @@
     }
     let flight = drain::Life::enter(gateway);
     let routes = gateway.routes.load_full().ok_or_else(|| refused(Refusal::NoConfig))?;
-    let request = request::read::<P>(head, body, meta, &routes).await.map_err(refused)?;
+    let request = request::read(head, body, meta, &routes).await.map_err(refused)?;
     Ok(Flow { gateway: gateway.clone(), request: Arc::new(request), flight })
 }
 
@@ -81,6 +81,8 @@
     Whole(answer::Whole),
     /// The head of a stream's answer.
     Stream(Box<Begun>),
+    /// An answer that is too long to be held: its beginning, and the rest.
+    Long(Box<Begun>, bytes::Bytes),
     /// It failed; the balancer says what follows. A failure that a backend
     /// server answered itself is kept, in case nothing follows.
     Failed(balancer::End, Option<answer::Whole>, String),
@@ -127,6 +129,7 @@
                     permit.begin(request.came.elapsed());
                     return self.stream(*begun, permit);
                 }
+                Sent::Long(begun, first) => return self.long(*begun, first, permit),
                 Sent::Failed(end, answer, cause) => {
                     self.gateway.note(&request, &attempt, &cause);
                     kept = answer.or(kept);
@@ -162,8 +165,24 @@
     }
 
     fn stream(self, begun: Begun, permit: dispatch::Permit<Target>) -> Response {
+        let (relay, response) = self.relay(&begun.head, permit);
+        tokio::spawn(relay.run(begun));
+        response
+    }
+
+    fn long(self, begun: Begun, first: bytes::Bytes, permit: dispatch::Permit<Target>) -> Response {
+        let (relay, response) = self.relay(&begun.head, permit);
+        tokio::spawn(relay.copy(begun, first));
+        response
+    }
+
+    fn relay(
+        self,
+        head: &http::response::Parts,
+        permit: dispatch::Permit<Target>,
+    ) -> (stream::Relay<P>, Response) {
         let (sender, receiver) = tokio::sync::mpsc::channel(stream::QUEUE);
-        let response = answer::relay::<P>(&begun.head, Body::Stream(receiver));
+        let response = answer::relay::<P>(head, Body::Stream(receiver));
         let relay = stream::Relay {
             gateway: self.gateway,
             request: self.request,
@@ -171,8 +190,7 @@
             sender,
             _flight: self.flight,
         };
-        tokio::spawn(relay.run(begun));
-        response
+        (relay, response)
     }
 
     fn done(&self, outcome: &'static str, reason: &str) {
@@ -304,7 +322,10 @@
                 }
                 Sent::Whole(whole)
             }
-            Ok(answer::Read::Long(..)) => may_have_run("answer too long to hold".to_owned()),
+            Ok(answer::Read::Long(first, body)) => {
+                let connection = reply.connection;
+                Sent::Long(Box::new(Begun { head, body, answer, connection, target }), first)
+            }
             Err(fault) => may_have_run(fault.to_string()),
         }
     }
@@ -319,6 +340,7 @@
         match self.send(request, attempt, after).await {
             Sent::Stream(begun) => Ok(*begun),
             Sent::Whole(whole) => Err((FAILED, format!("status {}", whole.head.status))),
+            Sent::Long(begun, _) => Err((FAILED, format!("status {}", begun.head.status))),
             Sent::Failed(end, _, cause) => Err((end, cause)),
         }
     }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use loftcove_decision::route;
-use loftcove_interface::protocol::{self, Protocol};
+use loftcove_interface::protocol;
 
 /// Longest time that a request is worked on where neither the client nor the
 /// route says.
@@ -81,7 +81,7 @@
 /// # Errors
 ///
 /// A [`Refusal`]; nothing was sent anywhere.
-pub async fn read<P: Protocol>(
+pub async fn read(
     head: http::request::Parts,
     body: Incoming,
     meta: protocol::Request,
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -73,6 +73,45 @@
         self.break_off("backend-server-broke-off").await;
     }
 
+    /// Hands an answer that is no stream of events on as it comes.
+    pub async fn copy(mut self, begun: Begun, first: Bytes) {
+        let end = match self.hand_on(first).await {
+            Some(end) => end,
+            None => self.copy_rest(begun).await,
+        };
+        match end {
+            End::Whole => {
+                self.permit.end(balancer::End::Answered);
+                self.gateway.done(&self.request, "answered", "whole");
+            }
+            End::Left => {
+                self.permit.end(balancer::End::Abandoned);
+                self.gateway.done(&self.request, "client-left", "client-left");
+            }
+            End::Late => self.break_off("deadline").await,
+            End::Broken => self.break_off("backend-server-broke-off").await,
+        }
+    }
+
+    async fn copy_rest(&self, mut begun: Begun) -> End {
+        loop {
+            let frame = tokio::select! {
+                biased;
+                () = self.sender.closed() => return End::Left,
+                frame = tokio::time::timeout_at(self.request.due.into(), begun.body.frame()) => frame,
+            };
+            let data = match frame {
+                Err(_) => return End::Late,
+                Ok(None) => return End::Whole,
+                Ok(Some(Err(_))) => return End::Broken,
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            };
+            if let Some(end) = self.hand_on(data).await {
+                return end;
+            }
+        }
+    }
+
     /// Hands one backend server's part of the stream on.
     async fn pass(&self, begun: Begun, splitter: &mut Splitter) -> End {
         let Begun { mut body, answer, connection, target, .. } = begun;
@@ -98,10 +137,10 @@
                 }
             }
         }
-        if let Some(rest) = splitter.finish() {
-            if let Some(end) = self.hand_on(rest).await {
-                return end;
-            }
+        if let Some(rest) = splitter.finish()
+            && let Some(end) = self.hand_on(rest).await
+        {
+            return end;
         }
         if !answer.close {
             self.gateway.upstream.put(&target, connection, answer.keep_alive);
--- a/mirror/src/health.rs
+++ b/mirror/src/health.rs
@@ -3,9 +3,10 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-/// An outage that is shorter does not make entries lapse: their owners renew
-/// them less often than this.
-const SHORT_OUTAGE: Duration = Duration::from_secs(1);
+/// An outage that seems shorter does not make entries lapse: they outlast three
+/// missed renewals of more than a second each, and we notice an outage within
+/// two seconds and a half.
+const SHORT_OUTAGE: Duration = Duration::from_millis(300);
 /// How long after an outage entries may take to come back: twice the interval
 /// at which backend servers renew theirs, and less than the two seconds after
 /// which users take a missing one to be gone.
--- a/settings/src/gateway.rs
+++ b/settings/src/gateway.rs
@@ -1,6 +1,6 @@
 //! The settings of a gateway.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::sync::Arc;
 
@@ -20,6 +20,8 @@
         seeds: Vec<SocketAddr> = Vec::new();
         /// Address of the platform's store.
         store_address: SocketAddr;
+        /// Address that connections to the store come from, on a host that has several.
+        source_address: Option<IpAddr> = None;
         /// Address for `/metrics`.
         metrics_address: SocketAddr;
         /// Threads of the pool that serves.
--- /dev/null
+++ b/standins/src/bin/standin-group.rs
@@ -0,0 +1,57 @@
+//! The stand-in for backend servers on the users' platform:
+//! `standin-group --servers ID=ADDRESS,.. [--lockstep]`.
+//!
+//! Prints `listening ADDRESS` for its control address once all servers listen.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+
+use hyper_util::rt::TokioIo;
+use loftcove_standins::group::Group;
+use loftcove_standins::worker::Worker;
+use loftcove_standins::{server, store};
+use tokio::net::TcpListener;
+
+#[tokio::main]
+async fn main() {
+    let mut arguments = pico_args::Arguments::from_env();
+    let lockstep = arguments.contains("--lockstep");
+    let servers: String =
+        arguments.value_from_str("--servers").expect("--servers takes ids with addresses");
+    let servers: Vec<(&str, SocketAddr)> = servers
+        .split(',')
+        .filter_map(|part| part.split_once('='))
+        .map(|(id, address)| (id, address.parse().expect("a server has an address")))
+        .collect();
+    let group = Group::new(servers.len());
+    for (rank, (id, address)) in servers.into_iter().enumerate() {
+        let listener = TcpListener::bind(address).await.expect("the server's address is free");
+        let address = address.to_string().into();
+        let worker = Worker { group: group.clone(), rank, id: id.into(), address, lockstep };
+        tokio::spawn(serve(listener, worker));
+    }
+    tokio::spawn(group.clone().run());
+    let control = server::listen(([127, 0, 0, 1], 0).into()).await;
+    server::serve(control, move |request| {
+        let query = store::query(request.uri().query().unwrap_or_default());
+        let answer = group.control(request.uri().path(), &query);
+        async move { server::json(200, &answer) }
+    })
+    .await;
+}
+
+async fn serve(listener: TcpListener, worker: Worker) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        stream.set_nodelay(true).ok();
+        let worker = worker.clone();
+        tokio::spawn(async move {
+            let service = hyper::service::service_fn(move |request| worker.clone().handle(request));
+            let http = hyper::server::conn::http1::Builder::new();
+            // A connection that the worker drops ends here.
+            let _: Result<(), hyper::Error> =
+                http.serve_connection(TokioIo::new(stream), service).await;
+            Ok::<_, Infallible>(())
+        });
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,8 +4,10 @@
 //! For tests and the demo only. Each is a program that prints
 //! `listening ADDRESS` once it serves, so that ports come from the system.
 
-pub mod consul;
 pub mod engine;
+pub mod group;
 pub mod proxy;
 pub mod server;
 pub mod service;
+pub mod store;
+pub mod worker;
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -53,12 +53,14 @@
     F: Future<Output = http::Response<Body>> + Send + 'static,
 {
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        let Ok((stream, caller)) = listener.accept().await else { continue };
         // Tokens are small and must not wait for one another.
         stream.set_nodelay(true).ok();
         let handler = handler.clone();
         tokio::spawn(async move {
-            let service = hyper::service::service_fn(move |request| {
+            let service = hyper::service::service_fn(move |mut request: http::Request<_>| {
+                // Some stand-ins tell their callers apart.
+                request.extensions_mut().insert(caller);
                 let answer = handler(request);
                 async move { Ok::<_, Infallible>(answer.await) }
             });
--- /dev/null
+++ b/standins/src/store.rs
@@ -0,0 +1,352 @@
+//! A stand-in for the platform's key-value store, with faults.
+//!
+//! Besides the protocol, for tests: `PUT /standin/put?key=K` and
+//! `DELETE /standin/put?key=K` write and remove a key as the platform itself
+//! would, `PUT /standin/hosts` sets the host list (a JSON list),
+//! `PUT /standin/fault/NAME` sets a [`Fault`], `PUT /standin/deny?from=IP`
+//! turns one caller away (`allow` takes it back), `PUT /standin/compact`
+//! forgets the history, and `GET /standin/calls` tells how many calls came.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use base64::Engine as _;
+use bytes::Bytes;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::server;
+
+/// Items of one page; small, so that tests meet several pages.
+const PAGE: usize = 20;
+/// Largest value, bytes.
+const MAX_VALUE: usize = 1_048_576;
+
+/// How the stand-in misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Fault {
+    /// Not at all.
+    #[default]
+    None,
+    /// Refuses every call and does nothing.
+    Down,
+    /// Waits for 1.5 s before each call.
+    Slow,
+    /// Does the next write and loses its answer.
+    LoseWrite,
+}
+
+struct Item {
+    value: Bytes,
+    revision: u64,
+    created: u64,
+    lease: u64,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    /// Changes by revision: the item as JSON.
+    history: BTreeMap<u64, (String, Value)>,
+    /// Revisions up to this one are no longer in the history.
+    compacted: u64,
+    leases: BTreeMap<u64, (Duration, Instant)>,
+    fault: Fault,
+    denied: BTreeSet<IpAddr>,
+    calls: u64,
+}
+
+/// The stand-in.
+#[derive(Clone)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for Store {
+    fn default() -> Store {
+        Store { state: Arc::default(), changed: watch::Sender::new(0) }
+    }
+}
+
+/// Names and values of a query.
+pub type Query = BTreeMap<String, String>;
+type Response = http::Response<server::Body>;
+
+impl Store {
+    /// Answers one call.
+    pub async fn handle(self, request: http::Request<Incoming>) -> Response {
+        let path = request.uri().path().to_owned();
+        let query = query(request.uri().query().unwrap_or_default());
+        let caller = request.extensions().get::<SocketAddr>().map(SocketAddr::ip);
+        let method = request.method().clone();
+        let body = server::read(request.into_body()).await;
+        if let Some(control) = path.strip_prefix("/standin/") {
+            let answer = self.lock().control(&method, control, &query, &body);
+            self.changed.send_modify(|count| *count += 1);
+            return answer;
+        }
+        match self.count(caller) {
+            Fault::Down => return server::text(503, "down"),
+            Fault::Slow => tokio::time::sleep(Duration::from_millis(1_500)).await,
+            Fault::None | Fault::LoseWrite => {}
+        }
+        self.lock().expire();
+        let tail = path.rsplit('/').next().unwrap_or_default().to_owned();
+        match path.as_str() {
+            "/v1/kv-key" => self.lock().key(&query),
+            "/v1/kv-range" => self.lock().range(&query),
+            "/v1/kv-watch" => self.watch(&query).await,
+            "/v1/kv-txn" => self.transact(&body),
+            "/v1/kv-lease" => self.lock().grant(&body),
+            _ if path.starts_with("/v1/kv-keep/") => self.lock().keep(&tail),
+            _ if path.starts_with("/v1/kv-lease-end/") => self.end(&tail),
+            _ => server::text(404, "no such path"),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the stand-in's lock panics")
+    }
+
+    fn count(&self, caller: Option<IpAddr>) -> Fault {
+        let mut state = self.lock();
+        state.calls += 1;
+        let denied = caller.is_some_and(|caller| state.denied.contains(&caller));
+        if denied { Fault::Down } else { state.fault }
+    }
+
+    async fn watch(&self, query: &Query) -> Response {
+        let prefix = query.get("path_prefix").cloned().unwrap_or_default();
+        let number = |name: &str| query.get(name).and_then(|text| text.parse::<u64>().ok());
+        let after = number("after_rev").unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
+        let mut changed = self.changed.subscribe();
+        loop {
+            let over = Instant::now() >= until;
+            {
+                let mut state = self.lock();
+                state.expire();
+                if state.fault == Fault::Down {
+                    return server::text(503, "down");
+                }
+                if after < state.compacted {
+                    return server::text(410, "history is gone");
+                }
+                let later = state.history.range(after + 1..);
+                let fitting = later.filter(|(_, (key, _))| key.starts_with(&prefix));
+                let events: Vec<Value> = fitting.map(|(_, (_, event))| event.clone()).collect();
+                if over || !events.is_empty() {
+                    let revision = state.revision;
+                    return server::json(
+                        200,
+                        &json!({ "events": events, "store_revision": revision }),
+                    );
+                }
+            }
+            // Leases lapse without anybody's call.
+            let soon = (Instant::now() + Duration::from_millis(50)).min(until);
+            tokio::time::timeout_at(soon, changed.changed()).await.ok();
+        }
+    }
+
+    fn transact(&self, body: &Bytes) -> Response {
+        let mut state = self.lock();
+        let answer = state.transact(body);
+        let lose = state.fault == Fault::LoseWrite && answer.status() == 200;
+        if lose {
+            state.fault = Fault::None;
+        }
+        drop(state);
+        self.changed.send_modify(|count| *count += 1);
+        if lose { server::text(500, "answer lost") } else { answer }
+    }
+
+    fn end(&self, id: &str) -> Response {
+        let mut state = self.lock();
+        let known = id.parse().ok().and_then(|id: u64| state.leases.remove(&id).map(|_| id));
+        if let Some(id) = known {
+            state.drop_lease(id);
+        }
+        drop(state);
+        self.changed.send_modify(|count| *count += 1);
+        server::text(if known.is_some() { 200 } else { 404 }, "")
+    }
+}
+
+impl State {
+    fn control(
+        &mut self,
+        method: &http::Method,
+        path: &str,
+        query: &Query,
+        body: &Bytes,
+    ) -> Response {
+        let address = || query.get("from").and_then(|text| text.parse().ok());
+        match path {
+            "calls" => return server::text(200, self.calls.to_string()),
+            "put" => {
+                let key = query.get("key").cloned().unwrap_or_default();
+                match *method {
+                    http::Method::DELETE => self.remove(&key),
+                    _ => self.put(key, body.clone(), 0),
+                }
+            }
+            "hosts" => self.set_hosts(body),
+            "compact" => {
+                self.compacted = self.revision;
+                self.history.clear();
+            }
+            "deny" => self.denied.extend::<Option<IpAddr>>(address()),
+            "allow" => self.denied.clear(),
+            "fault/none" => self.fault = Fault::None,
+            "fault/down" => self.fault = Fault::Down,
+            "fault/slow" => self.fault = Fault::Slow,
+            "fault/lose-write" => self.fault = Fault::LoseWrite,
+            _ => return server::text(404, "no such control"),
+        }
+        server::text(200, "")
+    }
+
+    fn set_hosts(&mut self, body: &Bytes) {
+        let hosts: Vec<Value> = serde_json::from_slice(body).expect("the test sends a JSON list");
+        let key = |host: &Value| format!("hosts/{}", host["id"].as_str().unwrap_or_default());
+        let wanted: BTreeSet<String> = hosts.iter().map(key).collect();
+        let known = self.items.keys().filter(|key| key.starts_with("hosts/"));
+        let gone: Vec<String> = known.filter(|key| !wanted.contains(*key)).cloned().collect();
+        gone.iter().for_each(|key| self.remove(key));
+        for host in &hosts {
+            self.put(key(host), host.to_string().into(), 0);
+        }
+    }
+
+    fn put(&mut self, key: String, value: Bytes, lease: u64) {
+        self.revision += 1;
+        let revision = self.revision;
+        let created = self.items.get(&key).map_or(revision, |item| item.created);
+        self.items.insert(key.clone(), Item { value, revision, created, lease });
+        let event = self.json(&key);
+        self.history.insert(revision, (key, event));
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_none() {
+            return;
+        }
+        self.revision += 1;
+        let revision = self.revision;
+        let event = json!({ "private_key": key, "revision": revision, "removed": true });
+        self.history.insert(revision, (key.to_owned(), event));
+    }
+
+    fn json(&self, key: &str) -> Value {
+        let item = &self.items[key];
+        json!({
+            "private_key": key,
+            "value": base64::engine::general_purpose::STANDARD.encode(&item.value),
+            "revision": item.revision,
+            "created": item.created,
+            "lease": item.lease,
+        })
+    }
+
+    fn key(&self, query: &Query) -> Response {
+        let key = query.get("private_key").map(String::as_str).unwrap_or_default();
+        if !self.items.contains_key(key) {
+            return server::text(404, "");
+        }
+        let mut item = self.json(key);
+        item["store_revision"] = self.revision.into();
+        server::json(200, &item)
+    }
+
+    fn range(&self, query: &Query) -> Response {
+        let prefix = query.get("path_prefix").cloned().unwrap_or_default();
+        let after = query.get("after_rev").cloned().unwrap_or_default();
+        let within = self.items.keys().filter(|key| key.starts_with(&prefix) && **key > after);
+        let mut keys: Vec<&String> = within.take(PAGE + 1).collect();
+        let more = keys.len() > PAGE;
+        keys.truncate(PAGE);
+        let items: Vec<Value> = keys.into_iter().map(|key| self.json(key)).collect();
+        let revision = self.revision;
+        server::json(200, &json!({ "items": items, "has_more": more, "store_revision": revision }))
+    }
+
+    fn transact(&mut self, body: &Bytes) -> Response {
+        let call: Value = serde_json::from_slice(body).unwrap_or_default();
+        let rows = |name: &str| call[name].as_array().cloned().unwrap_or_default();
+        let met = rows("expected_rev").iter().all(|row| {
+            let key = row["private_key"].as_str().unwrap_or_default();
+            let revision = self.items.get(key).map_or(0, |item| item.revision);
+            row["revision"] == revision
+        });
+        if !met {
+            return server::json(412, &json!({ "items": [] }));
+        }
+        let leases = rows("puts").iter().map(|put| put["lease"].as_u64().unwrap_or(0)).collect();
+        let leases: Vec<u64> = leases;
+        if leases.iter().any(|lease| *lease != 0 && !self.leases.contains_key(lease)) {
+            return server::text(404, "no such lease");
+        }
+        for put in rows("puts") {
+            let key = put["private_key"].as_str().unwrap_or_default().to_owned();
+            let text = put["value"].as_str().unwrap_or_default();
+            let value = base64::engine::general_purpose::STANDARD.decode(text).unwrap_or_default();
+            if value.len() > MAX_VALUE {
+                return server::text(413, "value over a megabyte");
+            }
+            self.put(key, value.into(), put["lease"].as_u64().unwrap_or(0));
+        }
+        for key in rows("remove") {
+            self.remove(key.as_str().unwrap_or_default());
+        }
+        server::json(200, &json!({ "revision": self.revision }))
+    }
+
+    fn grant(&mut self, body: &Bytes) -> Response {
+        let call: Value = serde_json::from_slice(body).unwrap_or_default();
+        let ttl = Duration::from_millis(call["ttl_ms"].as_u64().unwrap_or(1_000));
+        self.revision += 1;
+        let id = self.revision;
+        self.leases.insert(id, (ttl, Instant::now() + ttl));
+        server::json(200, &json!({ "lease": id, "ttl_ms": ttl.as_millis() as u64 }))
+    }
+
+    fn keep(&mut self, id: &str) -> Response {
+        let lease = id.parse().ok().and_then(|id: u64| self.leases.get_mut(&id));
+        let Some((ttl, due)) = lease else { return server::text(404, "no such lease") };
+        *due = Instant::now() + *ttl;
+        server::json(200, &json!({ "ttl_ms": ttl.as_millis() as u64 }))
+    }
+
+    /// Ends the leases whose time is over.
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let over: Vec<u64> =
+            self.leases.iter().filter(|(_, (_, due))| *due <= now).map(|(id, _)| *id).collect();
+        for id in over {
+            self.leases.remove(&id);
+            self.drop_lease(id);
+        }
+    }
+
+    fn drop_lease(&mut self, id: u64) {
+        let bound = self.items.iter().filter(|(_, item)| item.lease == id);
+        let keys: Vec<String> = bound.map(|(key, _)| key.clone()).collect();
+        keys.iter().for_each(|key| self.remove(key));
+    }
+}
+
+/// The pairs of a query.
+pub fn query(text: &str) -> Query {
+    let pairs = text.split('&').filter(|pair| !pair.is_empty());
+    pairs
+        .map(|pair| pair.split_once('=').unwrap_or((pair, "")))
+        .map(|(key, value)| (key.to_owned(), value.to_owned()))
+        .collect()
+}
--- /dev/null
+++ b/standins/src/worker.rs
@@ -0,0 +1,190 @@
+//! How one backend server of the stand-in group answers requests.
+//!
+//! Headers of a request say what is to happen to it: `x-standin-events: N`
+//! (answer with a stream of N events), `x-standin-break: N` (break off behind
+//! the Nth event, but not where the stream is resumed), `x-standin-lose`
+//! (end without an answer), `x-standin-status: N`, `x-standin-foreign` (an
+//! answer that names another request), `x-standin-delay-ms: N`.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, combinators};
+use hyper::body::Incoming;
+use serde_json::json;
+
+use crate::group::Group;
+use crate::server;
+
+/// One backend server.
+#[derive(Clone)]
+pub struct Worker {
+    /// Its group.
+    pub group: Group,
+    /// Its rank.
+    pub rank: usize,
+    /// Id of its run.
+    pub id: Arc<str>,
+    /// Its address.
+    pub address: Arc<str>,
+    /// Whether it is a rank of a lock-step group.
+    pub lockstep: bool,
+}
+
+type Body = combinators::BoxBody<Bytes, std::io::Error>;
+/// No answer: the connection is closed.
+type Dropped = std::io::Error;
+
+fn text<'a>(headers: &'a http::HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &http::HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
+
+fn dropped() -> Dropped {
+    std::io::Error::other("the stand-in gives no answer")
+}
+
+impl Worker {
+    /// Answers one request.
+    ///
+    /// # Errors
+    ///
+    /// Where it is to give no answer.
+    pub async fn handle(
+        self,
+        request: http::Request<Incoming>,
+    ) -> Result<http::Response<Body>, Dropped> {
+        let (head, body) = request.into_parts();
+        let body = server::read(body).await;
+        match head.uri.path() {
+            "/v1/report" => Ok(server::json(200, &self.group.report(self.rank))),
+            "/v1/picked" => {
+                let lists = head.uri.query().is_some_and(|query| query.contains("lists"));
+                Ok(server::json(200, &self.group.picked(self.rank, lists)))
+            }
+            "/v1/order" => {
+                let Ok(order) = serde_json::from_slice(&body) else {
+                    return Ok(server::text(400, "no such order"));
+                };
+                let status = self.group.order(self.rank, order).await.ok_or_else(dropped)?;
+                Ok(server::text(status, ""))
+            }
+            _ => self.serve(&head, body).await,
+        }
+    }
+
+    fn answer(&self, head: &http::request::Parts, status: u16) -> http::response::Builder {
+        let id = text(&head.headers, "x-attempt-id").unwrap_or_default();
+        let foreign = head.headers.contains_key("x-standin-foreign");
+        let echo = if foreign { "another-request" } else { id };
+        http::Response::builder()
+            .status(status)
+            .header("x-attempt-id", echo)
+            .header("x-server-stamp", format!("{}.{id}", self.id))
+            .header("x-server-load", "1,0,12")
+    }
+
+    fn not_run(
+        &self,
+        head: &http::request::Parts,
+        status: u16,
+    ) -> Result<http::Response<Body>, Dropped> {
+        let answer = self.answer(head, status).header("x-not-executed", "1");
+        let answer = if self.lockstep && status == 503 {
+            answer.header("at-server", &*self.address)
+        } else {
+            answer.header("x-instance-id", &*self.id)
+        };
+        answer.body(empty()).map_err(std::io::Error::other)
+    }
+
+    async fn serve(
+        &self,
+        head: &http::request::Parts,
+        body: Bytes,
+    ) -> Result<http::Response<Body>, Dropped> {
+        let headers = &head.headers;
+        let expected = text(headers, "x-expect-instance");
+        if expected.is_some_and(|id| *id != *self.id) {
+            return self.not_run(head, 421);
+        }
+        if self.lockstep && !self.group.open() {
+            return self.not_run(head, 503);
+        }
+        let kept: BTreeMap<&str, &str> = headers
+            .iter()
+            .filter_map(|(name, value)| Some((name.as_str(), value.to_str().ok()?)))
+            .collect();
+        self.group.note(json!({
+            "server": &*self.id,
+            "path": head.uri.path(),
+            "headers": kept,
+            "body": String::from_utf8_lossy(&body),
+        }));
+        if let Some(delay) = number(headers, "x-standin-delay-ms") {
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+        }
+        if headers.contains_key("x-standin-lose") {
+            return Err(dropped());
+        }
+        if let Some(events) = number(headers, "x-standin-events") {
+            return self.stream(head, events);
+        }
+        let status = number(headers, "x-standin-status").unwrap_or(200) as u16;
+        let answer = self.answer(head, status).body(whole(format!("answer of {}", self.id)));
+        answer.map_err(std::io::Error::other)
+    }
+
+    fn stream(
+        &self,
+        head: &http::request::Parts,
+        events: u64,
+    ) -> Result<http::Response<Body>, Dropped> {
+        let resumed = number(&head.headers, "last-event-id");
+        let first = resumed.map_or(1, |last| last + 1);
+        let end = number(&head.headers, "x-standin-break").filter(|_| resumed.is_none());
+        let (sender, body) = server::channel();
+        let worker = self.clone();
+        tokio::spawn(async move {
+            worker.group.count(worker.rank, 1);
+            let mut passes = worker.group.passes();
+            for event in first..=events {
+                // A plain server needs no pass.
+                if worker.lockstep {
+                    passes.changed().await.ok();
+                }
+                worker.group.choose(worker.rank);
+                let broken = end == Some(event);
+                let text = if broken {
+                    format!("id: {event}\ndata: half an ev")
+                } else {
+                    format!("id: {event}\ndata: piece {event}\n\n")
+                };
+                let mut gone = sender.send(Ok(text.into())).await.is_err();
+                if broken {
+                    sender.send(Err(std::io::Error::other("broken off"))).await.ok();
+                    gone = true;
+                }
+                if gone {
+                    break;
+                }
+            }
+            worker.group.count(worker.rank, -1);
+        });
+        let answer = self.answer(head, 200).header("content-type", "text/event-stream");
+        answer.body(body).map_err(std::io::Error::other)
+    }
+}
+
+fn whole(text: String) -> Body {
+    Full::new(Bytes::from(text)).map_err(|never| match never {}).boxed()
+}
+
+fn empty() -> Body {
+    whole(String::new())
+}
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -345,8 +345,8 @@
     /// The table of homes as the platform has it; empty where there is none.
     pub async fn platform_homes(&self) -> String {
         let control = caller::Caller::new(self.platform_address, "");
-        let pairs = control.read("/v1/kv/loftcove/vale/homes").await;
-        let value = pairs[0]["Value"].as_str().unwrap_or_default();
+        let page = control.read("/v1/kv-range?path_prefix=loftcove/vale/homes").await;
+        let value = page["items"][0]["value"].as_str().unwrap_or_default();
         let bytes = base64::engine::general_purpose::STANDARD.decode(value).unwrap_or_default();
         String::from_utf8_lossy(&bytes).into_owned()
     }
@@ -492,19 +492,16 @@
 
 fn listing(member: &Member) -> serde_json::Value {
     let (role, backend, rank) = match &member.server {
-        None => ("entry", String::new(), String::new()),
-        Some(server) => {
-            let rank = server.rank.map(|rank| rank.to_string()).unwrap_or_default();
-            ("agent", server.backend.clone(), rank)
-        }
+        None => ("entry", "", None),
+        Some(server) => ("agent", &*server.backend, server.rank),
     };
-    let state = if member.leaving { "leaving" } else { "live" };
-    serde_json::json!({ "Service": {
-        "ID": member.host,
-        "Address": member.listed.ip().to_string(),
-        "Port": member.listed.port(),
-        "Meta": {
-            "zone": member.zone, "role": role, "backend": backend, "rank": rank, "state": state,
-        },
-    }})
+    serde_json::json!({
+        "id": member.host,
+        "zone": member.zone,
+        "role": role,
+        "address": member.listed,
+        "backend": backend,
+        "rank": rank,
+        "leaving": member.leaving,
+    })
 }
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -26,7 +26,7 @@
 pub struct Process {
     child: tokio::process::Child,
     stdin: ChildStdin,
-    stdout: Lines<BufReader<ChildStdout>>,
+    stdout: Option<Lines<BufReader<ChildStdout>>>,
     log: Arc<Mutex<Vec<String>>>,
 }
 
@@ -64,7 +64,7 @@
         });
         let stdin = child.stdin.take().expect("standard input is piped");
         let stdout = child.stdout.take().expect("standard output is piped");
-        Process { child, stdin, stdout: BufReader::new(stdout).lines(), log }
+        Process { child, stdin, stdout: Some(BufReader::new(stdout).lines()), log }
     }
 
     /// Reads the next line, `listening [WHAT] ADDRESS`.
@@ -76,10 +76,30 @@
 
     /// Reads the next line.
     pub async fn line(&mut self) -> String {
-        let line = self.stdout.next_line().await.expect("standard output can be read");
+        let stdout = self.stdout.as_mut().expect("its output is read line by line");
+        let line = stdout.next_line().await.expect("standard output can be read");
         line.unwrap_or_else(|| panic!("the program ended: {:?}", self.log()))
     }
 
+    /// Keeps what it writes to its standard output from now on with its log.
+    pub fn keep_output(&mut self) {
+        let Some(mut lines) = self.stdout.take() else { return };
+        let kept = self.log.clone();
+        tokio::spawn(async move {
+            while let Ok(Some(line)) = lines.next_line().await {
+                if std::env::var_os("LOFTCOVE_LOG").is_some() {
+                    eprintln!("{line}");
+                }
+                kept.lock().expect("no holder of the log panics").push(line);
+            }
+        });
+    }
+
+    /// Its id in the system.
+    pub fn id(&self) -> u32 {
+        self.child.id().expect("the program runs")
+    }
+
     /// Sends a line and reads the answer.
     pub async fn tell(&mut self, line: &str) -> String {
         let text = format!("{line}\n");
--- /dev/null
+++ b/tests/src/system.rs
@@ -0,0 +1,439 @@
+//! Gateways, sidecars, backend servers and a store, as on the users' machines.
+//!
+//! Each system has loopback addresses of its own, so that all its hosts can
+//! listen on the same ports, as they do there.
+
+use std::net::Ipv4Addr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use http_body_util::{BodyExt as _, Full};
+use serde_json::{Value, json};
+
+use crate::{caller, process, until};
+
+/// Host of all routes.
+pub const HOST: &str = "vale.example";
+/// Key of the team `clinica`.
+pub const KEY: &str = "key-of-the-clinic";
+/// Service of the lock-step group.
+pub const MODEL: &str = "modelo";
+/// Plain service.
+pub const SMS: &str = "gateway-sms";
+
+const CLIENT_PORT: u16 = 8_000;
+const READY_PORT: u16 = 8_001;
+const PEER_PORT: u16 = 8_002;
+const METRICS_PORT: u16 = 9_464;
+const SERVER_PORT: u16 = 8_100;
+
+/// What is started.
+#[derive(Debug, Clone, Copy)]
+pub struct Plan {
+    /// Gateways.
+    pub gateways: u8,
+    /// Ranks of the group.
+    pub ranks: u8,
+    /// Plain servers.
+    pub plain: u8,
+    /// Whether each rank has a sidecar.
+    pub sidecars: bool,
+}
+
+/// The system.
+pub struct System {
+    /// What was started.
+    pub plan: Plan,
+    /// The store's stand-in.
+    pub store: process::Process,
+    /// Talks to the store's stand-in.
+    pub control: caller::Caller,
+    /// The group's stand-in, and who talks to it.
+    pub group: (process::Process, caller::Caller),
+    /// The plain servers' stand-in, and who talks to it.
+    pub plain: (process::Process, caller::Caller),
+    /// Gateways.
+    pub gateways: Vec<process::Process>,
+    /// Sidecars.
+    pub sidecars: Vec<process::Process>,
+    folder: process::Folder,
+    net: [u8; 2],
+    store_address: std::net::SocketAddr,
+    version: u64,
+}
+
+/// Addresses below 127.0.0.0/8 that no other system of this or of another test
+/// process has.
+fn net() -> [u8; 2] {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = std::process::id() * 4 + NEXT.fetch_add(1, Ordering::Relaxed);
+    [16 + (number / 256 % 200) as u8, (number % 256) as u8]
+}
+
+impl System {
+    /// Starts everything, with a first configuration.
+    pub async fn start(plan: Plan) -> System {
+        let mut store = process::Process::start("standin-platform", &[]);
+        let store_address = store.address().await;
+        let net = net();
+        let lockstep = servers(net, 100, plan.ranks, "rank");
+        let plain = servers(net, 50, plan.plain, "plain");
+        let mut system = System {
+            plan,
+            store,
+            control: caller::Caller::new(store_address, ""),
+            group: group(&lockstep, true).await,
+            plain: group(&plain, false).await,
+            gateways: Vec::new(),
+            sidecars: Vec::new(),
+            folder: process::Folder::new(),
+            net,
+            store_address,
+            version: 1,
+        };
+        system.configure(1, &[KEY]).await;
+        for (service, list) in [(MODEL, &lockstep), (SMS, &plain)] {
+            for (id, address) in list {
+                system.list(id, service, *address, "ready").await;
+            }
+        }
+        for index in 0..plan.gateways {
+            system.start_gateway(index);
+        }
+        if plan.sidecars {
+            for rank in 0..plan.ranks {
+                system.start_sidecar(rank);
+            }
+        }
+        for index in 0..plan.gateways {
+            system.ready(index).await;
+        }
+        system
+    }
+
+    /// Starts one more gateway beside a system, without peers; its number is 5.
+    pub async fn start_alone(system: &System) -> process::Process {
+        let ip = system.gateway_ip(5);
+        let text = format!(
+            "[host]\nname = \"lonely\"\nzone = \"norte\"\nstore_address = \"{}\"\n\
+             metrics_address = \"{ip}:{METRICS_PORT}\"\n\
+             [listen]\nclient_address = \"{ip}:{CLIENT_PORT}\"\n\
+             ready_address = \"{ip}:{READY_PORT}\"\npeer_address = \"{ip}:{PEER_PORT}\"\n[serving]\n",
+            system.store_address
+        );
+        let file = system.folder.write("lonely.toml", &text);
+        let mut gateway = process::Process::start("loftcoved", &["gateway".to_owned(), file]);
+        gateway.keep_output();
+        until("it listens", || async {
+            tokio::net::TcpStream::connect((ip, CLIENT_PORT)).await.is_ok()
+        })
+        .await;
+        gateway
+    }
+
+    /// Address of a gateway's host.
+    pub fn gateway_ip(&self, index: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net[0], self.net[1], 10 + index)
+    }
+
+    /// Id of a rank's backend server.
+    pub fn rank_id(&self, rank: u8) -> String {
+        format!("rank-{rank}")
+    }
+
+    /// Writes the entry of a backend server.
+    pub async fn list(&self, id: &str, service: &str, address: std::net::SocketAddr, state: &str) {
+        let entry = json!({
+            "service": service, "address": address, "zone": "norte", "version": "v1",
+            "slots": 12, "state": state, "cold_left_ms": 0, "seq": 1,
+        });
+        self.put(&format!("servers/{id}"), &entry).await;
+    }
+
+    /// Address of a plain server.
+    pub fn plain_address(&self, index: u8) -> std::net::SocketAddr {
+        (Ipv4Addr::new(127, self.net[0], self.net[1], 50 + index), SERVER_PORT).into()
+    }
+
+    /// Writes a key as the platform does.
+    pub async fn put(&self, key: &str, value: &Value) {
+        let path = format!("/standin/put?key={key}");
+        let answer = self.control.ask("PUT", &path, &[], &value.to_string()).await;
+        assert_eq!(answer.status, 200);
+    }
+
+    /// Removes a key as the platform does.
+    pub async fn remove(&self, key: &str) {
+        let path = format!("/standin/put?key={key}");
+        assert_eq!(self.control.ask("DELETE", &path, &[], "").await.status, 200);
+    }
+
+    /// Tells the store's stand-in something.
+    pub async fn store_control(&self, what: &str) {
+        let answer = self.control.ask("PUT", &format!("/standin/{what}"), &[], "").await;
+        assert_eq!(answer.status, 200);
+    }
+
+    /// Writes a configuration whose one team has the keys.
+    pub async fn configure(&mut self, version: u64, keys: &[&str]) {
+        self.version = version;
+        let route = |name: &str, kind: &str, service: &str| {
+            json!({
+                "name": name, "host": HOST, "path_prefix": format!("/{name}/"),
+                "route_kind": kind, "timeout_ms": 4_000, "goal_ms": 2_000, "priority": 1,
+                "service": service, "max_attempts": 2, "anonymous": name == "open",
+                "sticky": true, "resumable": true, "gap_target_ms": 1_000,
+            })
+        };
+        let (sets, experts, placements, spare) = loftcove_standins::group::SHAPE;
+        let config = json!({
+            "version": version,
+            "routes": [
+                route("draft", "streaming", MODEL),
+                route("receipt", "non_idempotent", SMS),
+                route("alert", "idempotent", SMS),
+                route("open", "idempotent", SMS),
+            ],
+            "services": [
+                { "name": MODEL, "health_path": "/healthz", "max_conns": 200, "engine": {
+                    "slots": 12, "kv_capacity": 100_000, "step_ms": 5.0, "read_per_s": 60_000.0,
+                    "form_ms": 100.0, "sets": sets, "experts": experts,
+                    "placements": placements, "spare": spare, "expert_mb": 1.0,
+                    "expert_share": 0.8,
+                } },
+                { "name": SMS, "health_path": "/healthz", "max_conns": 100 },
+            ],
+            "limits": {
+                "max_header_bytes": 16_384, "max_body_bytes": 65_536,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+            },
+            "tenants": [{ "name": "clinica", "api_keys": keys, "priority": 1 }],
+        });
+        self.put("op/config", &config).await;
+    }
+
+    fn host_section(&self, name: &str, ip: Ipv4Addr) -> String {
+        let seeds: Vec<String> = (0..self.plan.gateways.min(3))
+            .map(|index| format!("\"{}:{PEER_PORT}\"", self.gateway_ip(index)))
+            .collect();
+        format!(
+            "[host]\nname = \"{name}\"\nzone = \"norte\"\nseeds = [{}]\nstore_address = \"{}\"\n\
+             source_address = \"{ip}\"\nmetrics_address = \"{ip}:{METRICS_PORT}\"\n",
+            seeds.join(", "),
+            self.store_address
+        )
+    }
+
+    /// Starts a gateway, or starts it again.
+    pub fn start_gateway(&mut self, index: u8) {
+        let ip = self.gateway_ip(index);
+        let name = format!("gateway-{index}");
+        let text = format!(
+            "{}[listen]\nclient_address = \"{ip}:{CLIENT_PORT}\"\n\
+             ready_address = \"{ip}:{READY_PORT}\"\npeer_address = \"{ip}:{PEER_PORT}\"\n\
+             [serving]\ngrace_s = 8\nretry_ratio = 0.2\nretry_slack = 90\n",
+            self.host_section(&name, ip)
+        );
+        let file = self.folder.write(&format!("{name}.toml"), &text);
+        let arguments = ["gateway".to_owned(), file];
+        let mut gateway = process::Process::start("loftcoved", &arguments);
+        gateway.keep_output();
+        let index = usize::from(index);
+        if index < self.gateways.len() {
+            self.gateways[index] = gateway;
+        } else {
+            self.gateways.push(gateway);
+        }
+    }
+
+    /// Starts a rank's sidecar, or starts it again.
+    pub fn start_sidecar(&mut self, rank: u8) {
+        let ip = Ipv4Addr::new(127, self.net[0], self.net[1], 100 + rank);
+        let name = format!("sidecar-{rank}");
+        let text = format!(
+            "{}[peering]\npeer_address = \"{ip}:{PEER_PORT}\"\n\
+             [engine]\naddress = \"{ip}:{SERVER_PORT}\"\nservice = \"{MODEL}\"\n",
+            self.host_section(&name, ip)
+        );
+        let file = self.folder.write(&format!("{name}.toml"), &text);
+        let arguments = ["sidecar".to_owned(), file];
+        let mut sidecar = process::Process::start("loftcoved", &arguments);
+        sidecar.keep_output();
+        let rank = usize::from(rank);
+        if rank < self.sidecars.len() {
+            self.sidecars[rank] = sidecar;
+        } else {
+            self.sidecars.push(sidecar);
+        }
+    }
+
+    /// Whether a gateway calls itself ready.
+    pub async fn is_ready(&self, index: u8) -> bool {
+        let address = (self.gateway_ip(index), READY_PORT).into();
+        caller::Caller::new(address, "").ask("GET", "/v1/readyz", &[], "").await.status == 200
+    }
+
+    /// Waits until a gateway is ready and knows all backend servers.
+    pub async fn ready(&self, index: u8) {
+        let what = format!("gateway {index} serves");
+        until(&what, || async {
+            let request = Request::new("/alert/ready");
+            self.is_ready(index).await && self.ask(index, &request).await.status == 200
+        })
+        .await;
+    }
+
+    /// Metrics of a gateway.
+    pub async fn metrics(&self, index: u8) -> String {
+        let address = (self.gateway_ip(index), METRICS_PORT).into();
+        caller::Caller::new(address, "").ask("GET", "/metrics", &[], "").await.body
+    }
+
+    /// Sends a request through a gateway and reads the whole answer.
+    pub async fn ask(&self, gateway: u8, request: &Request) -> caller::Answer {
+        let address = (self.gateway_ip(gateway), CLIENT_PORT).into();
+        let headers: Vec<(&str, &str)> =
+            request.headers.iter().map(|(name, value)| (&**name, &**value)).collect();
+        caller::Caller::new(address, "")
+            .ask(request.method, &request.path, &headers, &request.body)
+            .await
+    }
+
+    /// Connects a client to a gateway that keeps its connection.
+    pub async fn client(&self, gateway: u8) -> Client {
+        let address = std::net::SocketAddr::from((self.gateway_ip(gateway), CLIENT_PORT));
+        let stream = tokio::net::TcpStream::connect(address).await.expect("the gateway listens");
+        let io = hyper_util::rt::TokioIo::new(stream);
+        let handshake = hyper::client::conn::http1::handshake(io).await;
+        let (sender, connection) = handshake.expect("the connection is fresh");
+        tokio::spawn(async move {
+            connection.await.ok();
+        });
+        Client { sender }
+    }
+
+    /// State of the lock-step group.
+    pub async fn group_state(&self) -> Value {
+        self.group.1.read("/state").await
+    }
+
+    /// Tells the lock-step group something.
+    pub async fn group_control(&self, what: &str) {
+        assert_eq!(self.group.1.ask("PUT", what, &[], "").await.status, 200);
+    }
+
+    /// Requests with that id that reached backend servers, over all of them.
+    pub async fn arrivals(&self, id: &str) -> Vec<Value> {
+        let mut all = Vec::new();
+        for (_, control) in [&self.group, &self.plain] {
+            let requests = control.read("/requests").await;
+            all.extend(requests.as_array().cloned().unwrap_or_default());
+        }
+        all.retain(|request| request["headers"]["x-attempt-id"] == id);
+        all
+    }
+}
+
+type Listed = Vec<(String, std::net::SocketAddr)>;
+
+fn servers(net: [u8; 2], first: u8, count: u8, name: &str) -> Listed {
+    let address = |index| (Ipv4Addr::new(127, net[0], net[1], first + index), SERVER_PORT).into();
+    (0..count).map(|index| (format!("{name}-{index}"), address(index))).collect()
+}
+
+async fn group(servers: &Listed, lockstep: bool) -> (process::Process, caller::Caller) {
+    let list: Vec<String> = servers.iter().map(|(id, address)| format!("{id}={address}")).collect();
+    let mut arguments = vec!["--servers".to_owned(), list.join(",")];
+    if lockstep {
+        arguments.push("--lockstep".to_owned());
+    }
+    let mut group = process::Process::start("standin-group", &arguments);
+    let control = group.address().await;
+    (group, caller::Caller::new(control, ""))
+}
+
+/// A request as a client of the platform sends it.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Its id.
+    pub id: String,
+    method: &'static str,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: String,
+}
+
+impl Request {
+    /// A request with the team's key and a deadline of 3 s.
+    pub fn new(path: &str) -> Request {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let id = format!("req{:08x}", NEXT.fetch_add(1, Ordering::Relaxed));
+        let request = Request {
+            id: id.clone(),
+            method: "POST",
+            path: path.to_owned(),
+            headers: Vec::new(),
+            body: "body".to_owned(),
+        };
+        request
+            .with("host", HOST)
+            .with("x-attempt-id", &id)
+            .with("x-api-key", KEY)
+            .with("x-deadline-ms", "3000")
+    }
+
+    /// Sets a header.
+    pub fn with(mut self, name: &str, value: &str) -> Request {
+        self.headers.retain(|(known, _)| known != name);
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Leaves a header out.
+    pub fn without(mut self, name: &str) -> Request {
+        self.headers.retain(|(known, _)| known != name);
+        self
+    }
+}
+
+/// A client that keeps its connection.
+pub struct Client {
+    sender: hyper::client::conn::http1::SendRequest<Full<bytes::Bytes>>,
+}
+
+impl Client {
+    /// Sends a request; returns the answer whose body is still to come, or
+    /// `None` where the connection ended.
+    pub async fn send(
+        &mut self,
+        request: &Request,
+    ) -> Option<http::Response<hyper::body::Incoming>> {
+        self.sender.ready().await.ok()?;
+        let mut builder = http::Request::builder().method(request.method).uri(&request.path);
+        for (name, value) in &request.headers {
+            builder = builder.header(name, value);
+        }
+        let message = builder.body(Full::from(request.body.clone()));
+        self.sender.send_request(message.expect("the request is well formed")).await.ok()
+    }
+}
+
+/// Reads a body to its end; the second is whether it was whole.
+pub async fn read(response: http::Response<hyper::body::Incoming>) -> (String, bool) {
+    let mut body = response.into_body();
+    let mut text = String::new();
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => {
+                let data = frame.into_data().unwrap_or_default();
+                text.push_str(&String::from_utf8_lossy(&data));
+            }
+            Err(_) => return (text, false),
+        }
+    }
+    (text, true)
+}
+
+/// Longest time that anything may take that the users bound by two seconds, on
+/// a machine that is busy with other things as well.
+pub const BOUND: Duration = Duration::from_secs(10);
--- /dev/null
+++ b/tests/tests/groups.rs
@@ -0,0 +1,128 @@
+//! A lock-step group is taken to better maps, and never runs a pass on two.
+
+use loftcove_tests::system::{Plan, Request, System};
+use loftcove_tests::until;
+
+const PLAN: Plan = Plan { gateways: 2, ranks: 4, plain: 1, sidecars: true };
+
+/// Keeps streams running until dropped.
+struct Load {
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Load {
+    async fn start(system: &System) -> Load {
+        let mut tasks = Vec::new();
+        for _ in 0..4 {
+            let mut client = system.client(0).await;
+            tasks.push(tokio::spawn(async move {
+                loop {
+                    let request = Request::new("/draft/").with("x-standin-events", "100");
+                    let Some(response) = client.send(&request).await else { return };
+                    loftcove_tests::system::read(response).await;
+                }
+            }));
+        }
+        Load { tasks }
+    }
+}
+
+impl Drop for Load {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(tokio::task::JoinHandle::abort);
+    }
+}
+
+async fn switches(system: &System) -> u64 {
+    system.group_state().await["switches"].as_u64().unwrap_or(0)
+}
+
+/// Waits until the group has gone over to another map since.
+async fn moved(system: &System, since: u64) {
+    until("the group has another map", || async {
+        switches(system).await > since && system.group_state().await["held"] == 0
+    })
+    .await;
+}
+
+async fn sound(system: &System) {
+    let state = system.group_state().await;
+    assert_eq!(state["violations"], 0, "{state}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_map_follows_the_demand() {
+    let system = System::start(PLAN).await;
+    let _load = Load::start(&system).await;
+    moved(&system, 0).await;
+    let before = switches(&system).await;
+    system.group_control("/popular?expert=9").await;
+    moved(&system, before).await;
+    sound(&system).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_and_late_orders_leave_one_map() {
+    let system = System::start(PLAN).await;
+    system.group_control("/orders?lost=3&late=5").await;
+    let _load = Load::start(&system).await;
+    let mut before = 0;
+    for expert in [1, 2, 3, 0] {
+        system.group_control(&format!("/popular?expert={expert}")).await;
+        moved(&system, before).await;
+        before = switches(&system).await;
+        sound(&system).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn another_sidecar_takes_over_from_a_driver_that_is_gone() {
+    let mut system = System::start(PLAN).await;
+    let _load = Load::start(&system).await;
+    moved(&system, 0).await;
+    for expert in [1, 2] {
+        let driver = driver(&system).await;
+        // Paused, it keeps its connections and its lease for a while.
+        system.sidecars[driver].signal(libc::SIGSTOP);
+        let before = switches(&system).await;
+        system.group_control(&format!("/popular?expert={expert}")).await;
+        form_anew(&system).await;
+        moved(&system, before).await;
+        system.sidecars[driver].signal(libc::SIGCONT);
+        sound(&system).await;
+    }
+    let driver = driver(&system).await;
+    system.sidecars[driver].kill().await;
+    system.start_sidecar(driver as u8);
+    let before = switches(&system).await;
+    form_anew(&system).await;
+    moved(&system, before).await;
+    sound(&system).await;
+}
+
+/// Has the group break and form anew, with the map that it opens with.
+async fn form_anew(system: &System) {
+    system.group_control("/break").await;
+    system.group_control("/mend").await;
+}
+
+/// The sidecar that was elected last and has not resigned.
+async fn driver(system: &System) -> usize {
+    let term = |index: usize| {
+        let log = system.sidecars[index].log();
+        let own = log.iter().filter(|line| line.contains("driver elected"));
+        own.filter_map(|line| line.rsplit("term=").next()?.trim().parse::<u64>().ok()).max()
+    };
+    (0..system.sidecars.len()).max_by_key(|index| term(*index)).expect("there are sidecars")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_that_formed_anew_gets_a_map_again() {
+    let system = System::start(PLAN).await;
+    let _load = Load::start(&system).await;
+    moved(&system, 0).await;
+    let before = switches(&system).await;
+    form_anew(&system).await;
+    moved(&system, before).await;
+    sound(&system).await;
+}
--- /dev/null
+++ b/tests/tests/stores.rs
@@ -0,0 +1,107 @@
+//! The store away for one host, for all, with its answers lost or its history gone.
+
+use loftcove_tests::system::{BOUND, KEY, Plan, Request, System};
+use loftcove_tests::until;
+
+const PLAN: Plan = Plan { gateways: 3, ranks: 2, plain: 2, sidecars: false };
+
+async fn refused(system: &System, gateway: u8, key: &str) -> bool {
+    system.ask(gateway, &Request::new("/alert/").with("x-api-key", key)).await.status == 401
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_that_the_store_turns_down_hears_from_its_peers() {
+    let mut system = System::start(PLAN).await;
+    let ip = system.gateway_ip(1);
+    system.store_control(&format!("deny?from={ip}")).await;
+    system.store_control("compact").await;
+    let began = std::time::Instant::now();
+    system.configure(2, &["new-key"]).await;
+    system.remove("servers/plain-0").await;
+    until("the old key is refused", || refused(&system, 1, KEY)).await;
+    until("the new key is taken", || async { !refused(&system, 1, "new-key").await }).await;
+    let heard = |line: &String| line.contains("learnt key=op/config") && line.contains("from=peer");
+    until("the log tells that a peer told it", || async {
+        system.gateways[1].log().iter().any(heard)
+    })
+    .await;
+    assert!(began.elapsed() < BOUND, "{:?}", began.elapsed());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn everybody_serves_while_the_store_is_down_and_follows_when_it_is_back() {
+    let mut system = System::start(PLAN).await;
+    system.store_control("fault/down").await;
+    until("all have noticed", || async {
+        let lost = |line: &String| line.contains("dependency lost name=store");
+        system.gateways.iter().all(|gateway| gateway.log().iter().any(lost))
+    })
+    .await;
+    for gateway in 0..PLAN.gateways {
+        assert_eq!(system.ask(gateway, &Request::new("/alert/")).await.status, 200);
+    }
+    system.configure(2, &["new-key"]).await;
+    system.store_control("fault/none").await;
+    for gateway in 0..PLAN.gateways {
+        until("the new key is taken", || async { !refused(&system, gateway, "new-key").await })
+            .await;
+    }
+    let back = |line: &String| line.contains("dependency regained name=store");
+    until("the log tells of it", || async { system.gateways[0].log().iter().any(back) }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn history_that_is_gone_is_listed_anew() {
+    let mut system = System::start(PLAN).await;
+    for version in 2..8 {
+        system.store_control("compact").await;
+        let key = format!("key-{version}");
+        system.configure(version, &[&key]).await;
+        for gateway in 0..PLAN.gateways {
+            until("the key is taken", || async { !refused(&system, gateway, &key).await }).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_that_lapse_in_an_outage_may_come_back() {
+    let system = System::start(PLAN).await;
+    let entry = |index: u8| (format!("plain-{index}"), system.plain_address(index));
+    system.store_control("fault/down").await;
+    let lost = |line: &String| line.contains("dependency lost name=store");
+    let mut since = None;
+    until("all have noticed, for longer than a short outage", || {
+        let all = system.gateways.iter().all(|gateway| gateway.log().iter().any(lost));
+        let now = std::time::Instant::now();
+        let since = if all { *since.get_or_insert(now) } else { now };
+        async move { now - since > std::time::Duration::from_millis(500) }
+    })
+    .await;
+    for index in 0..PLAN.plain {
+        system.remove(&format!("servers/{}", entry(index).0)).await;
+    }
+    system.store_control("fault/none").await;
+    until("the removals are known and held back", || async {
+        let held = |line: &String| line.contains("removal held back key=servers/plain-1");
+        system.gateways[0].log().iter().any(held)
+    })
+    .await;
+    // Nobody lost its backend servers meanwhile.
+    assert_eq!(system.ask(0, &Request::new("/alert/")).await.status, 200);
+    let (id, address) = entry(1);
+    system.list(&id, loftcove_tests::system::SMS, address, "ready").await;
+    until("the one that stayed away is gone", || async {
+        // Its own wait is over, or a peer's was first.
+        let over = |line: &String| {
+            line.contains("removal held back is over key=servers/plain-0")
+                || (line.contains("learnt key=servers/plain-0") && line.contains("removed=true"))
+        };
+        system.gateways[0].log().iter().any(over)
+    })
+    .await;
+    for _ in 0..10 {
+        let request = Request::new("/alert/");
+        assert_eq!(system.ask(0, &request).await.status, 200);
+        assert_eq!(system.arrivals(&request.id).await[0]["server"], "plain-1");
+    }
+}
--- a/tool/src/main.rs
+++ b/tool/src/main.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use loftcove_bundle::sign;
-use loftcove_platform::consul;
+use loftcove_platform::records;
 use loftcove_settings::file;
 
 const HELP: &str = "\
@@ -48,7 +48,7 @@
     /// The settings.
     pub settings: file::Tool,
     /// The platform.
-    pub platform: consul::Client,
+    pub platform: records::Client,
     /// Whether to print JSON.
     pub json: bool,
 }
@@ -98,7 +98,7 @@
     let settings = settings.unwrap_or_else(|| PathBuf::from("loftcove.toml"));
     let context = || {
         let settings = file::Tool::read(&settings)?;
-        let platform = consul::Client::new(settings.platform_address, None, PLATFORM_TIMEOUT);
+        let platform = records::Client::new(settings.platform_address, None, PLATFORM_TIMEOUT);
         Ok::<_, error::Error>(Context { settings, platform, json })
     };
     match arguments.subcommand()?.as_deref() {
