--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -494,8 +494,7 @@
             if !self.has_room(pool, now) {
                 break;
             }
-            let open = self.open(pool, now);
-            if open.is_empty() {
+            if !self.servers.usable(pool).any(|(_, record)| record.open(now)) {
                 break;
             }
             let Some(next) = self.queue.pop(pool) else { break };
@@ -504,7 +503,7 @@
                 self.give_up(next.ticket, Outcome::NotRun, reason, actions);
                 continue;
             }
-            self.send(next.ticket, open, now, actions);
+            self.send(next.ticket, now, actions);
         }
         if self.queue.waiting_for(pool) > 0 && self.servers.usable(pool).next().is_none() {
             self.drain_hopeless(pool, actions);
@@ -527,8 +526,18 @@
 
     /// Open backend servers: those of the own zone, unless they are all
     /// loaded and others are clearly less so.
-    fn open(&self, pool: entity::Pool, now: clock::Instant) -> Vec<Candidate> {
-        let open = self.servers.usable(pool).filter(|(_, record)| record.open(now));
+    ///
+    /// Those that have failed the request before are left out while there are
+    /// others, wherever these are.
+    fn open(
+        &self,
+        pool: entity::Pool,
+        tried: &[entity::Server],
+        now: clock::Instant,
+    ) -> Vec<Candidate> {
+        let open = || self.servers.usable(pool).filter(|(_, record)| record.open(now));
+        let fresh = open().any(|(server, _)| !tried.contains(&server));
+        let open = open().filter(|(server, _)| !fresh || !tried.contains(server));
         let (local, remote): (Vec<_>, Vec<_>) = open.partition(|(_, record)| record.listing.local);
         let weigh = |list: Vec<(entity::Server, &server::Record)>| -> Vec<Candidate> {
             let weighed = list.into_iter();
@@ -543,19 +552,11 @@
         if local.is_empty() || spill { remote } else { local }
     }
 
-    fn send(
-        &mut self,
-        ticket: entity::Ticket,
-        considered: Vec<Candidate>,
-        now: clock::Instant,
-        actions: &mut Vec<Action>,
-    ) {
+    fn send(&mut self, ticket: entity::Ticket, now: clock::Instant, actions: &mut Vec<Action>) {
+        let Some(pending) = self.pending.get(&ticket) else { return };
+        let considered = self.open(pending.arrival.pool, &pending.tried, now);
+        let candidates: Vec<entity::Server> = considered.iter().map(|c| c.server).collect();
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
-        let all: Vec<entity::Server> = considered.iter().map(|c| c.server).collect();
-        let fresh: Vec<entity::Server> =
-            all.iter().copied().filter(|server| !pending.tried.contains(server)).collect();
-        // Where all were tried, any may be tried again.
-        let candidates = if fresh.is_empty() { all } else { fresh };
         let request = policy::Request { prefix: pending.arrival.prefix };
         let Some(choice) = self.policy.choose(&self.servers, &candidates, &request, now) else {
             return;
