Hold a group less while orders get no answer, and keep the demand over a new epoch

A group that formed anew got its first map a second after it opened, since the demand was forgotten. Sidecars that were cut off stood for election again and again.

--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -89,7 +89,6 @@
         }
         let version = config.version;
         self.routes.store(Some(Arc::new(route::Table::new(config))));
-        self.life.handle(lifecycle::Event::Ready);
         self.metrics.config_version.set(version as i64);
         log::info!("configuration version={version} before={}", present.unwrap_or(0));
     }
@@ -115,7 +114,12 @@
         let gateways = register::entries(&self.mirror).len().max(1);
         let serving = &self.settings.serving;
         self.dispatcher.set_reserve(serving.retry_slack * RETRY_MARGIN / gateways as f64);
+        let usable = !servers.is_empty();
         self.list(servers, gateways);
+        // Without backend servers it could only refuse.
+        if usable && self.routes.load().is_some() {
+            self.life.handle(lifecycle::Event::Ready);
+        }
     }
 
     fn list(&self, servers: BTreeMap<Arc<str>, fleet::Server>, gateways: usize) {
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -33,9 +33,14 @@
 /// Time without a pass, within a change of the map, after which a driver is
 /// taken to be gone: several times what a change keeps a group waiting.
 const STALL_TIME: Duration = Duration::from_millis(500);
-/// Passes from the present one to the one at which the ranks switch. A pass
-/// takes some 50 ms, and arming all ranks less.
-const AHEAD: u64 = 2;
+/// Fewest and most passes from the present one to the one at which the ranks
+/// switch. A pass takes some 50 ms and arming all ranks less, unless orders get
+/// no answer; then it is better to switch later than to hold the group.
+const AHEAD: (u64, u64) = (2, 12);
+/// What is left, at each change, of the time that arming is expected to take.
+const ARM_TIME_KEPT: f64 = 0.8;
+/// Time that a sidecar stays out after it stood for election in vain.
+const ELECTION_PAUSE: Duration = Duration::from_millis(1_500);
 /// Times that the pass is chosen anew because it began before it was held.
 const MAX_HOLDS: u32 = 8;
 /// Longest time for all ranks to prepare. Copying takes less than a second.
@@ -90,6 +95,8 @@
     metrics: Arc<Metrics>,
     group: Group<E>,
     name: String,
+    /// When it stood for election in vain.
+    defeated: Option<Instant>,
     protocol: PhantomData<P>,
 }
 
@@ -112,9 +119,47 @@
     demand: Demand,
     /// Requests on the engines, as a part of their slots.
     fill: f64,
+    /// How long arming all ranks is expected to take.
+    arm_time: Duration,
+    /// Time of a pass.
+    pass_time: Duration,
+    /// Last pass that was seen, and when.
+    seen: Option<(u64, Instant)>,
     versions: u64,
 }
 
+impl Known {
+    /// What stays known when the group has formed anew.
+    fn next_epoch(&mut self) {
+        let before = std::mem::take(self);
+        *self = Known {
+            demand: before.demand,
+            arm_time: before.arm_time,
+            pass_time: before.pass_time,
+            versions: before.versions,
+            ..Known::default()
+        };
+    }
+
+    /// Takes the last pass that has begun, for the time of a pass.
+    fn see_pass(&mut self, pass: u64) {
+        let now = Instant::now();
+        if let Some((before, at)) = self.seen
+            && pass > before
+        {
+            self.pass_time = (now - at) / (pass - before) as u32;
+        }
+        self.seen = Some((pass, now));
+    }
+
+    /// Passes from the present one to the one at which the ranks switch.
+    fn ahead(&self) -> u64 {
+        let pass = self.pass_time.as_secs_f64().max(0.001);
+        let passes = (self.arm_time.as_secs_f64() / pass).ceil() as u64;
+        (AHEAD.0 + passes).min(AHEAD.1)
+    }
+}
+
 impl<P: Protocol, S: Store, E: Engine> Driver<P, S, E> {
     /// A driver that is not elected.
     pub fn new(parts: Parts<S, E>) -> Driver<P, S, E> {
@@ -129,6 +174,7 @@
             group,
             name: format!("{}#{:08x}", settings.host.name, rand::random::<u32>()),
             settings,
+            defeated: None,
             protocol: PhantomData,
         }
     }
@@ -157,13 +203,14 @@
 
     /// Stands for election if the group has no driver, or if its driver left
     /// it standing still within a change of the map.
-    async fn elect(&self, stall: &mut Stall) -> Option<(Arc<str>, Term)> {
+    async fn elect(&mut self, stall: &mut Stall) -> Option<(Arc<str>, Term)> {
         let report = self.rank.engine.report().await.ok()?;
         let stalled = stall.look(&report);
         let place = report.group.filter(|place| place.open)?;
         let key = election::key(&place.name);
         let known = election::revision(&self.mirror, &key);
-        if (known != 0 && !stalled) || self.engines().is_empty() {
+        let defeated = self.defeated.is_some_and(|at| at.elapsed() < ELECTION_PAUSE);
+        if (known != 0 && !stalled) || defeated || self.engines().is_empty() {
             return None;
         }
         // The lowest rank goes first, so that few stand at once.
@@ -176,13 +223,15 @@
             log::warn!("driver deposed group={} term={known} pass={}", place.name, report.pass);
         }
         let stand = election::stand(&*self.store, &self.mirror, &place.name, &self.name, known);
-        match stand.await {
-            Ok(term) => term.map(|term| (place.name, term)),
+        let term = match stand.await {
+            Ok(term) => term,
             Err(error) => {
                 log::warn!("election failed group={} error=\"{error}\"", place.name);
                 None
             }
-        }
+        };
+        self.defeated = term.is_none().then(Instant::now);
+        term.map(|term| (place.name, term))
     }
 
     /// Addresses of the engines of this sidecar's service.
@@ -240,7 +289,7 @@
                 if stopped == Stopped::Superseded {
                     break;
                 }
-                known = Known { versions: known.versions, ..Known::default() };
+                known.next_epoch();
             }
             tokio::time::sleep(INTERVAL.saturating_sub(begun.elapsed())).await;
         }
@@ -250,6 +299,7 @@
     /// One round: learn, decide, change.
     async fn round(&mut self, term: u64, known: &mut Known) -> Result<(), Stopped> {
         let Ok(report) = self.rank.engine.report().await else { return Ok(()) };
+        known.see_pass(report.pass);
         let Some(place) = report.group.filter(|place| place.open) else {
             known.view.ranks.clear();
             return Ok(());
@@ -258,7 +308,7 @@
         // A hold between two rounds is one of an earlier driver that came late.
         let stale_hold = report.held.is_some();
         if known.view.epoch != place.epoch || known.view.ranks.is_empty() || stale_hold {
-            *known = Known { versions: known.versions, ..Known::default() };
+            known.next_epoch();
             if !self.learn(term, &place, known).await? {
                 return Ok(());
             }
@@ -362,12 +412,13 @@
     async fn change(
         &self,
         term: u64,
-        known: &Known,
+        known: &mut Known,
         mut switch: Switch,
         map: &Arc<Map>,
     ) -> Result<switch::Outcome, Stopped> {
         let begun = Instant::now();
         let mut holds = 0;
+        let mut held = begun;
         let outcome = loop {
             if let Some(outcome) = switch.outcome() {
                 break outcome;
@@ -378,7 +429,8 @@
                 if holds > MAX_HOLDS {
                     break switch::Outcome::Abandoned;
                 }
-                switch.hold(report.pass + AHEAD);
+                switch.hold(report.pass + known.ahead());
+                held = Instant::now();
             }
             self.phase(term, known, &mut switch, map).await?;
             if !switch.committed() && begun.elapsed() > PREPARE_TIME {
@@ -386,6 +438,9 @@
             }
         };
         let time = begun.elapsed();
+        if holds > 0 {
+            known.arm_time = held.elapsed().max(known.arm_time.mul_f64(ARM_TIME_KEPT));
+        }
         log::info!(
             "map change outcome={outcome:?} term={term} epoch={} version={} pass={} holds={holds} ms={}",
             known.view.epoch,
