Let three gateways of a zone watch the store, and batch what they hear

Change: the first three gateways of a zone watch; the others follow three peers, and watch themselves while they follow fewer. Peers are probed every 0.8 s, so that one that is cut off is noticed within 1.5 s. A watch waits 150 ms after changes before it goes on.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -73,7 +73,9 @@
     let metrics = bind(host.metrics_address, SMALL_BACKLOG)?;
     let gateway = Arc::new(state::Gateway::<P>::new(settings));
     for prefix in [P::PREFIXES[0], P::PREFIXES[1], mirror::OWN_PREFIX] {
-        tokio::spawn(watch::run(gateway.mirror.clone(), store.clone(), prefix));
+        let (name, zone) = (host.name.clone(), host.zone.clone());
+        let wanted = move |mirror: &mirror::Mirror| register::watches(mirror, &name, &zone);
+        tokio::spawn(watch::run(gateway.mirror.clone(), store.clone(), prefix, wanted));
     }
     let own = follow::Own {
         name: host.name.clone(),
--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -15,7 +15,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
 /// How often a silent connection is probed, and how long the probe may take: a
 /// peer that is cut off is noticed well within the bound for configuration.
-const KEEP_ALIVE: (Duration, Duration) = (Duration::from_millis(1_500), Duration::from_secs(1));
+const KEEP_ALIVE: (Duration, Duration) = (Duration::from_millis(800), Duration::from_millis(700));
 /// How long a peer that failed is passed over while there are others.
 const PENALTY: Duration = Duration::from_secs(2);
 /// Pause between two tries.
@@ -123,6 +123,7 @@
     let request = wire::Follower { host: own.name.to_string() };
     let mut batches = client.follow(request).await?.into_inner();
     log::info!("dependency regained name=peer address={peer}");
+    let _followed = mirror.followed();
     let source = peer.to_string();
     while let Some(batch) = batches.message().await? {
         let records = batch.items.into_iter().map(record).collect();
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod serve;
 pub mod watch;
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
@@ -34,6 +35,8 @@
     changes: channel::Sender<u64>,
     /// Whether the store answers this host.
     pub health: Health,
+    /// Peers that are followed at present.
+    followed: AtomicUsize,
 }
 
 /// Where a record was heard of, for the log.
@@ -62,6 +65,7 @@
             news: broadcast::Sender::new(BACKLOG),
             changes: channel::Sender::new(0),
             health: Health::default(),
+            followed: AtomicUsize::new(0),
         }
     }
 }
@@ -101,6 +105,12 @@
         }
     }
 
+    /// Counts a peer that is followed until the guard is dropped.
+    fn followed(&self) -> Followed<'_> {
+        self.followed.fetch_add(1, Ordering::Relaxed);
+        Followed { mirror: self }
+    }
+
     /// Follows the number of changes so far.
     pub fn subscribe(&self) -> channel::Receiver<u64> {
         self.changes.subscribe()
@@ -146,5 +156,18 @@
     }
 }
 
+/// A peer that is followed.
+struct Followed<'a> {
+    mirror: &'a Mirror,
+}
+
+impl Drop for Followed<'_> {
+    fn drop(&mut self) {
+        self.mirror.followed.fetch_sub(1, Ordering::Relaxed);
+        // Whoever relied on peers may have to watch the store now.
+        self.mirror.changes.send_modify(|version| *version += 1);
+    }
+}
+
 /// Longest time between two looks for removals that are due.
 const IDLE_WAIT: std::time::Duration = std::time::Duration::from_secs(10);
--- a/mirror/src/register.rs
+++ b/mirror/src/register.rs
@@ -48,6 +48,24 @@
     records.filter_map(read).collect()
 }
 
+/// Gateways of an availability zone that watch the store. Each costs calls; with
+/// three, and others in the other zones, it takes all of a dozen hosts to be
+/// turned down by the store for a change not to be heard of at once.
+const WATCHERS: usize = 3;
+/// Peers that a gateway must follow to rely on them: two that are cut off
+/// together with it are not enough.
+const RELIED_ON: usize = 3;
+
+/// Whether a gateway is to watch the store itself: it is one of the first of
+/// its zone, or it has no configuration or too few peers.
+pub fn watches(mirror: &Mirror, own: &str, zone: &str) -> bool {
+    let entries = entries(mirror);
+    let zone = entries.iter().filter(|(_, entry)| *entry.zone == *zone);
+    let place = zone.map(|(name, _)| name).position(|name| **name == *own);
+    let relies = mirror.followed.load(std::sync::atomic::Ordering::Relaxed) >= RELIED_ON;
+    place.is_none_or(|place| place < WATCHERS) || !relies
+}
+
 /// Keeps the entry until the process ends.
 pub async fn run<S: Store>(mirror: Arc<Mirror>, store: Arc<S>, name: Arc<str>, entry: Entry) {
     let mut lease = None;
--- a/mirror/src/watch.rs
+++ b/mirror/src/watch.rs
@@ -12,21 +12,37 @@
 /// Longest time that one watch waits. Longer ones cost fewer calls; a watch
 /// that has died unnoticed is made good by peers meanwhile.
 const WAIT: Duration = Duration::from_secs(20);
+/// Pause after changes before the next watch, so that those that come one after
+/// the other, as when all hosts start, cost one call together. The first of
+/// them is never delayed, and the bounds for all are seconds.
+const BATCH: Duration = Duration::from_millis(150);
 /// Pause after a failed call, from the first to the longest. All hosts come
 /// back at once after an outage, so each waits a part of it by lot.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
-/// Watches a prefix until the process ends.
-pub async fn run<S: Store>(mirror: Arc<Mirror>, store: Arc<S>, prefix: &'static str) {
+/// Watches a prefix until the process ends, while `wanted` says so.
+pub async fn run<S: Store>(
+    mirror: Arc<Mirror>,
+    store: Arc<S>,
+    prefix: &'static str,
+    wanted: impl Fn(&Mirror) -> bool + Send + 'static,
+) {
     let mut pause = PAUSE.0;
+    let mut changed = mirror.subscribe();
     loop {
+        if !wanted(&mirror) {
+            if changed.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
         match store.list(prefix).await {
             Ok(listing) => {
                 mirror.health.answered();
                 pause = PAUSE.0;
                 let revision = listing.revision;
                 take(&mirror, prefix, listing);
-                changes(&mirror, &*store, prefix, revision).await;
+                changes(&mirror, &*store, prefix, revision, &wanted).await;
             }
             Err(error) => {
                 mirror.health.failed(&error);
@@ -70,21 +86,31 @@
     }
 }
 
-/// Follows the changes until the history is gone.
-async fn changes<S: Store>(mirror: &Mirror, store: &S, prefix: &str, mut after: u64) {
+/// Follows the changes until the history is gone, or this is not wanted any more.
+async fn changes<S: Store>(
+    mirror: &Mirror,
+    store: &S,
+    prefix: &str,
+    mut after: u64,
+    wanted: &(impl Fn(&Mirror) -> bool + Send),
+) {
     let mut pause = PAUSE.0;
-    loop {
+    while wanted(mirror) {
         match store.watch(prefix, after, WAIT).await {
             Ok(changes) => {
                 mirror.health.answered();
                 pause = PAUSE.0;
                 after = changes.revision;
+                let any = !changes.events.is_empty();
                 for event in changes.events {
                     match event {
                         store::Event::Put(item) => mirror.apply(vec![put(item)], Source::Store),
                         store::Event::Removed { key, revision } => remove(mirror, key, revision),
                     }
                 }
+                if any {
+                    tokio::time::sleep(BATCH).await;
+                }
             }
             Err(store::Error::HistoryGone) => {
                 log::warn!("watch lost its history prefix={prefix} after={after} next=list");
