--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -5,6 +5,7 @@
 //! actions that follow from it. The machine is owned by one lock in the daemon
 //! and takes microseconds a call.
 
+mod group;
 mod message;
 mod verify;
 
@@ -17,7 +18,7 @@
 pub use verify::Fault;
 
 use crate::routing::{eject, policy, server};
-use crate::{admission, breaker, clock, entity, pace, retry};
+use crate::{admission, clock, entity, retry};
 
 /// Score from which an open backend server of the own availability zone
 /// counts as loaded, so that others are looked at.
@@ -65,13 +66,6 @@
     pub answered: u64,
 }
 
-/// What is kept of a pool whose backend servers run in lock-step.
-#[derive(Debug, Default)]
-struct Group {
-    breaker: breaker::Breaker,
-    pace: pace::Pace,
-}
-
 /// The machine.
 #[derive(Debug)]
 pub struct Balancer<P> {
@@ -81,7 +75,7 @@
     charge_full: bool,
     policy: P,
     pending: BTreeMap<entity::Ticket, Pending>,
-    groups: BTreeMap<entity::Pool, Group>,
+    groups: BTreeMap<entity::Pool, group::Group>,
     group_return: Duration,
     notes: Vec<Note>,
     next: u32,
@@ -126,16 +120,6 @@
         self.budget.set_reserve(reserve);
     }
 
-    /// Tells that the backend servers of a pool run in lock-step.
-    pub fn set_lockstep(&mut self, pool: entity::Pool) {
-        self.groups.entry(pool).or_default();
-    }
-
-    /// What has changed since the last call.
-    pub fn take_notes(&mut self) -> Vec<Note> {
-        std::mem::take(&mut self.notes)
-    }
-
     /// Sets what a team may do.
     pub fn set_share(&mut self, team: entity::Team, share: admission::Share) {
         self.queue.set_share(team, share);
@@ -231,31 +215,6 @@
         Ok(())
     }
 
-    /// An event of a request's stream came after a pause, which is given
-    /// relative to the longest wanted one.
-    pub fn event(
-        &mut self,
-        ticket: entity::Ticket,
-        pause: f64,
-        now: clock::Instant,
-    ) -> Vec<Action> {
-        let mut actions = Vec::new();
-        let Some(pending) = self.pending.get(&ticket) else { return actions };
-        let pool = pending.arrival.pool;
-        let in_flight = self.in_flight(pool);
-        let slots: u32 = self.servers.usable(pool).map(|(_, record)| record.report.slots).sum();
-        let Some(group) = self.groups.get_mut(&pool) else { return actions };
-        group.pace.event(pause, in_flight, f64::from(slots), now);
-        self.pump(pool, now, &mut actions);
-        actions
-    }
-
-    /// Own requests in flight to a pool.
-    fn in_flight(&self, pool: entity::Pool) -> u32 {
-        let members = self.servers.iter().filter(|(_, record)| record.listing.pool == pool);
-        members.map(|(_, record)| record.in_flight).sum()
-    }
-
     /// The first part of an attempt's answer came.
     pub fn begin(&mut self, ticket: entity::Ticket, after: Duration, now: clock::Instant) {
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
@@ -322,31 +281,6 @@
         actions
     }
 
-    /// A rank of the pool's group answered.
-    fn group_answers(&mut self, pool: entity::Pool, now: clock::Instant) {
-        let Some(group) = self.groups.get_mut(&pool) else { return };
-        if let Some(time) = group.breaker.answered(now) {
-            self.notes.push(Note::GroupUp(pool, time));
-        }
-    }
-
-    /// A rank told that the pool's group is broken: whoever waits for it is
-    /// told when to come back.
-    fn group_refuses(
-        &mut self,
-        pool: entity::Pool,
-        now: clock::Instant,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(group) = self.groups.get_mut(&pool) else { return };
-        if group.breaker.refused(now) {
-            self.notes.push(Note::GroupDown(pool));
-        }
-        while let Some(next) = self.queue.pop(pool) {
-            self.give_up(next.ticket, Outcome::NotRun, Reason::GroupDown, actions);
-        }
-    }
-
     /// Accounts for an attempt that left a backend server.
     fn leave(&mut self, server: entity::Server, end: End, now: clock::Instant) {
         let record = &mut self.servers[server];
@@ -510,13 +444,6 @@
         }
     }
 
-    /// Whether the group that serves the pool, if it is one, can take one more.
-    fn has_room(&self, pool: entity::Pool, now: clock::Instant) -> bool {
-        let Some(group) = self.groups.get(&pool) else { return true };
-        let in_flight = self.in_flight(pool);
-        in_flight < group.pace.bound() && !group.pace.stalled(in_flight, now)
-    }
-
     /// A pool without a usable backend server keeps nobody waiting.
     fn drain_hopeless(&mut self, pool: entity::Pool, actions: &mut Vec<Action>) {
         while let Some(next) = self.queue.pop(pool) {
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -7,7 +7,6 @@
 
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use loftcove_decision::map::switch::{self, Switch};
-use loftcove_decision::placement::spread;
 use loftcove_decision::{fleet, route};
 use loftcove_interface::engine::{self, Engine, Map};
 use loftcove_interface::protocol::{Place, Protocol, Record};
@@ -17,10 +16,11 @@
 use loftcove_wire as wire;
 use tokio::sync::watch;
 
-use crate::demand::Demand;
 use crate::election::{self, Term};
 use crate::group::{self, Connect, Group, View};
+use crate::known::{self, Known, Stall};
 use crate::metrics::Metrics;
+use crate::plan;
 use crate::rank::{Rank, Step};
 
 /// Time between two looks at the counts.
@@ -30,15 +30,6 @@
 /// Ranks whose counts are read: requests spread evenly, so that these stand
 /// for all.
 const SAMPLE: usize = 16;
-/// Time without a pass, within a change of the map, after which a driver is
-/// taken to be gone: several times what a change keeps a group waiting.
-const STALL_TIME: Duration = Duration::from_millis(500);
-/// Fewest and most passes from the present one to the one at which the ranks
-/// switch. A pass takes some 50 ms and arming all ranks less, unless orders get
-/// no answer; then it is better to switch later than to hold the group.
-const AHEAD: (u64, u64) = (2, 12);
-/// What is left, at each change, of the time that arming is expected to take.
-const ARM_TIME_KEPT: f64 = 0.8;
 /// Time that a sidecar stays out after it stood for election in vain.
 const ELECTION_PAUSE: Duration = Duration::from_millis(1_500);
 /// Times that the pass is chosen anew because it began before it was held.
@@ -48,25 +39,6 @@
 /// Versions of one term; the term's number is above them, so that no two
 /// drivers ever use the same.
 const VERSIONS: u64 = 1 << 12;
-/// Choices that a set's demand must rest on, for each expert.
-const LEAST_CHOICES: f64 = 12.0;
-/// Least gain of a change, as a part of the ideal time of the experts' work,
-/// while the engines are idle and while they are full. Copying has a price, and
-/// a shorter pass brings more the more requests wait for it; by measured days
-/// of the two deployments.
-const LEAST_GAIN: (f64, f64) = (0.30, 0.10);
-/// Least gain of a change for one copied expert a rank and set, while the
-/// engines are idle and while they are full; set by the price of copies on days
-/// with 24 ranks, where many small changes cost a fifth of the worth.
-const COPY_GAIN: (f64, f64) = (0.75, 0.35);
-/// Peak at which the search for a set ends, while the engines are idle and
-/// while they are full.
-const EVEN: (f64, f64) = (1.15, 1.06);
-/// Least gain of one move of the search.
-const LEAST_MOVE: f64 = 0.02;
-/// How much higher the peak must be by the last interval than by the demand
-/// before for the demand to count as shifted.
-const SHIFT: f64 = 0.25;
 /// Time between two looks whether the switch has taken place, and their number.
 const SETTLE_POLL: Duration = Duration::from_millis(20);
 /// See [`SETTLE_POLL`].
@@ -115,55 +87,6 @@
     Superseded,
 }
 
-/// What a term has learnt of the group.
-#[derive(Default)]
-struct Known {
-    view: View,
-    map: Map,
-    demand: Demand,
-    /// Requests on the engines, as a part of their slots.
-    fill: f64,
-    /// How long arming all ranks is expected to take.
-    arm_time: Duration,
-    /// Time of a pass.
-    pass_time: Duration,
-    /// Last pass that was seen, and when.
-    seen: Option<(u64, Instant)>,
-    versions: u64,
-}
-
-impl Known {
-    /// What stays known when the group has formed anew.
-    fn next_epoch(&mut self) {
-        let before = std::mem::take(self);
-        *self = Known {
-            demand: before.demand,
-            arm_time: before.arm_time,
-            pass_time: before.pass_time,
-            versions: before.versions,
-            ..Known::default()
-        };
-    }
-
-    /// Takes the last pass that has begun, for the time of a pass.
-    fn see_pass(&mut self, pass: u64) {
-        let now = Instant::now();
-        if let Some((before, at)) = self.seen
-            && pass > before
-        {
-            self.pass_time = (now - at) / (pass - before) as u32;
-        }
-        self.seen = Some((pass, now));
-    }
-
-    /// Passes from the present one to the one at which the ranks switch.
-    fn ahead(&self) -> u64 {
-        let pass = self.pass_time.as_secs_f64().max(0.001);
-        let passes = (self.arm_time.as_secs_f64() / pass).ceil() as u64;
-        (AHEAD.0 + passes).min(AHEAD.1)
-    }
-}
-
 impl<P: Protocol, S: Store, E: Engine> Driver<P, S, E> {
     /// A driver that is not elected.
     pub fn new(parts: Parts<S, E>) -> Driver<P, S, E> {
@@ -318,8 +241,8 @@
             }
         }
         self.count(term, slots, known).await;
-        notice_shift(known, &experts);
-        let Some(map) = decide(known, &experts) else { return Ok(()) };
+        plan::notice_shift(known, &experts);
+        let Some(map) = plan::decide(known, &experts) else { return Ok(()) };
         known.versions += 1;
         let version = term * VERSIONS + known.versions;
         let holder = place.rank as usize;
@@ -393,7 +316,7 @@
             known.view.ranks.clear();
             return Ok(false);
         }
-        Ok(take_map(known))
+        Ok(known::take_map(known))
     }
 
     /// Reads the counts of a sample of the ranks.
@@ -443,7 +366,7 @@
         };
         let time = begun.elapsed();
         if holds > 0 {
-            known.arm_time = held.elapsed().max(known.arm_time.mul_f64(ARM_TIME_KEPT));
+            known.arm_time = held.elapsed().max(known.arm_time.mul_f64(known::ARM_TIME_KEPT));
         }
         log::info!(
             "map change outcome={outcome:?} term={term} epoch={} version={} pass={} holds={holds} ms={}",
@@ -495,126 +418,3 @@
         Ok(())
     }
 }
-
-/// Takes the map in use from the ranks' lists; `false` where they do not fit
-/// together, as in the middle of a switch.
-fn take_map(known: &mut Known) -> bool {
-    let conditions = &known.view.conditions;
-    let versions_differ = conditions.windows(2).any(|pair| pair[0].map != pair[1].map);
-    let lists: Option<Vec<Vec<Vec<u16>>>> =
-        conditions.iter().map(|condition| crate::codec::lists(&condition.experts)).collect();
-    let Some(lists) = lists.filter(|_| !versions_differ) else {
-        known.view.ranks.clear();
-        return false;
-    };
-    let sets = lists.first().map_or(0, Vec::len);
-    if sets == 0 || lists.iter().any(|rank| rank.len() != sets) {
-        known.view.ranks.clear();
-        return false;
-    }
-    known.map = (0..sets).map(|set| lists.iter().map(|rank| rank[set].clone()).collect()).collect();
-    true
-}
-
-/// Notices that the group stands still within a change of the map.
-#[derive(Debug, Default)]
-struct Stall {
-    pass: u64,
-    since: Option<Instant>,
-}
-
-impl Stall {
-    /// Takes a report; returns whether the group has requests and has begun no
-    /// pass for too long, while a change of the map is under way.
-    fn look(&mut self, report: &engine::Report) -> bool {
-        let changing = report.prepared.is_some() || report.armed.is_some() || report.held.is_some();
-        if report.pass != self.pass || !changing || report.active == 0 {
-            self.pass = report.pass;
-            self.since = None;
-        }
-        let since = *self.since.get_or_insert_with(Instant::now);
-        since.elapsed() >= STALL_TIME
-    }
-}
-
-/// A value between that of idle and that of full engines.
-fn by_fill(fill: f64, (idle, full): (f64, f64)) -> f64 {
-    /// Fill up to which the engines count as idle.
-    const IDLE: f64 = 0.5;
-    let part = ((fill - IDLE) / (1.0 - IDLE)).clamp(0.0, 1.0);
-    idle + (full - idle) * part
-}
-
-/// Forgets the demand from before a shift, so that the next map is made for
-/// what is in demand now and not for a mixture.
-fn notice_shift(known: &mut Known, experts: &route::Experts) {
-    if known.map.len() != experts.sets {
-        return;
-    }
-    let sets = known.map.iter().enumerate();
-    let rise = sets.map(|(set, ranks)| {
-        let newest = known.demand.newest(set, experts.count);
-        let before = known.demand.set(set, experts.count);
-        if newest.is_empty() {
-            0.0
-        } else {
-            spread::peak(ranks, newest) - spread::peak(ranks, before)
-        }
-    });
-    let rise = rise.sum::<f64>() / experts.sets as f64;
-    if rise > SHIFT {
-        log::info!("demand shifted epoch={} rise={rise:.2}", known.view.epoch);
-        known.demand.restart();
-    }
-}
-
-/// Experts that ranks hold in one placement of a set and not in the other.
-fn copied(before: &spread::Ranks, after: &spread::Ranks) -> usize {
-    let pairs = before.iter().zip(after);
-    pairs.map(|(old, new)| new.iter().filter(|expert| !old.contains(expert)).count()).sum()
-}
-
-/// The map to go over to, or `None` to stay.
-fn decide(known: &Known, experts: &route::Experts) -> Option<Map> {
-    let least = LEAST_CHOICES * (experts.count * experts.sets) as f64;
-    if known.demand.total() < least || known.map.len() != experts.sets {
-        return None;
-    }
-    let bounds = spread::Bounds { placements: experts.placements, spare: experts.spare };
-    let goal = spread::Goal { even: by_fill(known.fill, EVEN), least_gain: LEAST_MOVE };
-    let least_gain = by_fill(known.fill, LEAST_GAIN);
-    let mut map = known.map.clone();
-    let (mut before, mut after) = (0.0, 0.0);
-    let mut copies = 0;
-    for (set, ranks) in map.iter_mut().enumerate() {
-        let load = known.demand.set(set, experts.count);
-        if load.is_empty() {
-            return None;
-        }
-        let peak = spread::peak(ranks, load);
-        before += peak;
-        after += match spread::spread(ranks, load, bounds, goal) {
-            Some(better) => {
-                let peak = spread::peak(&better, load);
-                copies += copied(ranks, &better);
-                *ranks = better;
-                peak
-            }
-            None => peak,
-        };
-    }
-    let sets = experts.sets as f64;
-    let gain = (before - after) / sets;
-    let part = copies as f64 / (sets * known.view.ranks.len().max(1) as f64);
-    let least_gain = least_gain.max(part * by_fill(known.fill, COPY_GAIN));
-    log::info!(
-        "placement epoch={} choices={:.0} fill={:.2} peak={:.3} reachable={:.3} copies={copies} change={}",
-        known.view.epoch,
-        known.demand.total(),
-        known.fill,
-        before / sets,
-        after / sets,
-        gain >= least_gain
-    );
-    (gain >= least_gain).then_some(map)
-}
--- /dev/null
+++ b/sidecar/src/known.rs
@@ -0,0 +1,114 @@
+//! What a driver knows of its group.
+
+use std::time::{Duration, Instant};
+
+use loftcove_interface::engine::{self, Map};
+
+use crate::codec;
+use crate::demand::Demand;
+use crate::group::View;
+
+/// Fewest and most passes from the present one to the one at which the ranks
+/// switch. A pass takes some 50 ms and arming all ranks less, unless orders get
+/// no answer; then it is better to switch later than to hold the group.
+const AHEAD: (u64, u64) = (2, 12);
+/// What is left, at each change, of the time that arming is expected to take.
+pub const ARM_TIME_KEPT: f64 = 0.8;
+/// Time without a pass, within a change of the map, after which a driver is
+/// taken to be gone: several times what a change keeps a group waiting.
+const STALL_TIME: Duration = Duration::from_millis(500);
+
+/// What a term has learnt of the group.
+#[derive(Default)]
+pub struct Known {
+    /// Its ranks.
+    pub view: View,
+    /// The map in use.
+    pub map: Map,
+    /// What experts are in demand.
+    pub demand: Demand,
+    /// Requests on the engines, as a part of their slots.
+    pub fill: f64,
+    /// How long arming all ranks is expected to take, of which [`ARM_TIME_KEPT`]
+    /// is left at each change.
+    pub arm_time: Duration,
+    /// Time of a pass.
+    pass_time: Duration,
+    /// Last pass that was seen, and when.
+    seen: Option<(u64, Instant)>,
+    /// Versions used in this term.
+    pub versions: u64,
+}
+
+impl Known {
+    /// What stays known when the group has formed anew.
+    pub fn next_epoch(&mut self) {
+        let before = std::mem::take(self);
+        *self = Known {
+            demand: before.demand,
+            arm_time: before.arm_time,
+            pass_time: before.pass_time,
+            versions: before.versions,
+            ..Known::default()
+        };
+    }
+
+    /// Takes the last pass that has begun, for the time of a pass.
+    pub fn see_pass(&mut self, pass: u64) {
+        let now = Instant::now();
+        if let Some((before, at)) = self.seen
+            && pass > before
+        {
+            self.pass_time = (now - at) / (pass - before) as u32;
+        }
+        self.seen = Some((pass, now));
+    }
+
+    /// Passes from the present one to the one at which the ranks switch.
+    pub fn ahead(&self) -> u64 {
+        let pass = self.pass_time.as_secs_f64().max(0.001);
+        let passes = (self.arm_time.as_secs_f64() / pass).ceil() as u64;
+        (AHEAD.0 + passes).min(AHEAD.1)
+    }
+}
+
+/// Notices that the group stands still within a change of the map.
+#[derive(Debug, Default)]
+pub struct Stall {
+    pass: u64,
+    since: Option<Instant>,
+}
+
+impl Stall {
+    /// Takes a report; returns whether the group has requests and has begun no
+    /// pass for too long, while a change of the map is under way.
+    pub fn look(&mut self, report: &engine::Report) -> bool {
+        let changing = report.prepared.is_some() || report.armed.is_some() || report.held.is_some();
+        if report.pass != self.pass || !changing || report.active == 0 {
+            self.pass = report.pass;
+            self.since = None;
+        }
+        let since = *self.since.get_or_insert_with(Instant::now);
+        since.elapsed() >= STALL_TIME
+    }
+}
+
+/// Takes the map in use from the ranks' lists; `false` where they do not fit
+/// together, as in the middle of a switch.
+pub fn take_map(known: &mut Known) -> bool {
+    let conditions = &known.view.conditions;
+    let versions_differ = conditions.windows(2).any(|pair| pair[0].map != pair[1].map);
+    let lists: Option<Vec<Vec<Vec<u16>>>> =
+        conditions.iter().map(|condition| codec::lists(&condition.experts)).collect();
+    let Some(lists) = lists.filter(|_| !versions_differ) else {
+        known.view.ranks.clear();
+        return false;
+    };
+    let sets = lists.first().map_or(0, Vec::len);
+    if sets == 0 || lists.iter().any(|rank| rank.len() != sets) {
+        known.view.ranks.clear();
+        return false;
+    }
+    known.map = (0..sets).map(|set| lists.iter().map(|rank| rank[set].clone()).collect()).collect();
+    true
+}
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`rank`] answers for the engine and carries out orders for it. One sidecar
 //! of each group is its driver, by a lease in the store ([`election`]): it
 //! collects what experts were chosen ([`demand`]), decides where they should be
-//! and takes all ranks over to a new map ([`drive`]), through [`group`]. No
+//! ([`plan`], by what is [`known`]) and takes all ranks over to a new map
+//! ([`drive`]), through [`group`]. No
 //! request passes through a sidecar.
 
 mod codec;
@@ -12,7 +13,9 @@
 mod drive;
 mod election;
 mod group;
+mod known;
 mod metrics;
+mod plan;
 mod rank;
 
 use std::net::SocketAddr;
