Call the entry's parts by the field's names: dispatcher, permit, flow, search

Cause: desk, seat, journey, flight and scene cost a newcomer a look-up.

Change: renames alone, and some comments.

--- a/daemon/src/agent/keeper.rs
+++ b/daemon/src/agent/keeper.rs
@@ -45,7 +45,7 @@
     }
 }
 
-/// Confirms, renews and takes over for ever, while the table names this host.
+/// Confirms, renews and takes over, as long as the table names this host.
 pub async fn run(agent: Arc<Agent>) {
     let lease = Duration::from_millis(agent.process.settings.homes.lease_ms);
     let pause = lease / LOOKS_PER_LEASE;
--- a/daemon/src/agent/poll.rs
+++ b/daemon/src/agent/poll.rs
@@ -106,7 +106,7 @@
     }
 }
 
-/// Polls for ever.
+/// Polls until the process ends.
 pub async fn run(agent: Arc<Agent>) {
     let pause = Duration::from_millis(agent.settings.poll_ms);
     let mut changed = agent.process.gossip.subscribe();
--- a/daemon/src/agent/run.rs
+++ b/daemon/src/agent/run.rs
@@ -62,7 +62,7 @@
     agent: &Arc<Agent>,
     message: &wire::Attempt,
     id: attempt::Id,
-) -> Result<(poll::Slot, life::Flight), wire::Refusal> {
+) -> Result<(poll::Slot, life::InFlight), wire::Refusal> {
     if *message.backend != *agent.settings.backend {
         return Err(wire::Refusal::Backend);
     }
@@ -96,7 +96,7 @@
     agent: Arc<Agent>,
     id: attempt::Id,
     _slot: poll::Slot,
-    _flight: life::Flight,
+    _flight: life::InFlight,
 }
 
 impl Drop for Guard {
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -1,14 +1,14 @@
 //! The role `entry`: takes callers' requests and decides where each goes.
 //!
 //! [`server`] listens, [`call`] reads what a caller asks, [`flow`] takes it
-//! through [`claim`], [`desk`] and [`dispatch`], and [`relay`] hands the answer
+//! through [`claim`], [`dispatcher`] and [`dispatch`], and [`relay`] hands the answer
 //! on. [`follow`] keeps the load of the agents, [`steward`] looks after the
 //! homes of idempotency keys, [`drive`] after the expert maps.
 
 mod call;
 mod claim;
-mod desk;
 mod dispatch;
+mod dispatcher;
 mod drive;
 mod flow;
 mod follow;
@@ -31,7 +31,7 @@
     /// The process.
     pub process: Arc<process::Process>,
     /// Its decisions.
-    pub desk: Arc<desk::Desk>,
+    pub dispatcher: Arc<dispatcher::Dispatcher>,
     /// Groups that it drives.
     pub groups: drive::Groups,
 }
@@ -45,12 +45,12 @@
     let signals = stop::Signals::new()?;
     // The role was checked with the settings.
     let settings = process.settings.entry.clone().expect("an entry has its section");
-    let desk = Arc::new(desk::Desk::new(&settings, process.clock));
+    let dispatcher = Arc::new(dispatcher::Dispatcher::new(&settings, process.clock));
     let groups = drive::Groups::default();
-    let entry = Arc::new(Entry { process: process.clone(), desk, groups });
+    let entry = Arc::new(Entry { process: process.clone(), dispatcher, groups });
     let callers = listen(settings.http_address, "http").await?;
     tokio::spawn(follow::run(entry.clone()));
-    tokio::spawn(desk::tick(entry.desk.clone()));
+    tokio::spawn(dispatcher::tick(entry.dispatcher.clone()));
     tokio::spawn(steward::run(entry.clone()));
     tokio::spawn(drive::run(entry.clone()));
     tokio::spawn(server::run(entry.clone(), callers));
@@ -74,11 +74,11 @@
 
 impl crate::status::Source for Arc<Entry> {
     fn servers(&self) -> Vec<crate::status::Server> {
-        self.desk.servers()
+        self.dispatcher.servers()
     }
 
     fn teams(&self) -> Vec<crate::status::Team> {
-        self.desk.teams()
+        self.dispatcher.teams()
     }
 
     fn groups(&self) -> Vec<crate::status::Group> {
--- a/daemon/src/entry/dispatch.rs
+++ b/daemon/src/entry/dispatch.rs
@@ -6,7 +6,7 @@
 use loftcove_wire as wire;
 use tonic::Streaming;
 
-use crate::entry::{call, desk};
+use crate::entry::{call, dispatcher};
 use crate::{link, process};
 
 /// Longest wait for an agent's word on what became of an attempt.
@@ -55,7 +55,7 @@
     /// Number of the attempt.
     pub number: u32,
     /// Where it goes.
-    pub target: &'a desk::Target,
+    pub target: &'a dispatcher::Target,
     /// The run of the agent that it is meant for.
     pub incarnation: u64,
     /// Time that is left.
--- a/daemon/src/entry/desk.rs
+++ b/daemon/src/entry/dispatcher.rs
@@ -38,8 +38,8 @@
     pub rank: Option<u32>,
 }
 
-/// The desk.
-pub struct Desk {
+/// The dispatcher.
+pub struct Dispatcher {
     clock: clock::Clock,
     /// Told when a request begins to wait.
     waited: Notify,
@@ -54,10 +54,10 @@
     targets: BTreeMap<entity::Server, Target>,
     /// Epoch of the newest report of each, with the report's order.
     epochs: BTreeMap<entity::Server, (u64, u64, u64)>,
-    seats: BTreeMap<entity::Ticket, mpsc::UnboundedSender<balancer::Action>>,
+    permits: BTreeMap<entity::Ticket, mpsc::UnboundedSender<balancer::Action>>,
 }
 
-/// What arrives at the desk.
+/// What arrives at the dispatcher.
 #[derive(Debug, Clone)]
 pub struct Arrival {
     /// Model or service.
@@ -74,9 +74,9 @@
     pub prefix: u64,
 }
 
-impl Desk {
-    /// A desk without backend servers.
-    pub fn new(settings: &file::Entry, clock: clock::Clock) -> Desk {
+impl Dispatcher {
+    /// A dispatcher without backend servers.
+    pub fn new(settings: &file::Entry, clock: clock::Clock) -> Dispatcher {
         let rng = rand_chacha::ChaCha8Rng::seed_from_u64(rand::random());
         let policy = policy::Blend { rng, sample: SAMPLE, affinity_slack: AFFINITY_SLACK };
         let options = balancer::Options::default()
@@ -90,9 +90,9 @@
             limits: BTreeMap::new(),
             targets: BTreeMap::new(),
             epochs: BTreeMap::new(),
-            seats: BTreeMap::new(),
+            permits: BTreeMap::new(),
         };
-        Desk { clock, waited: Notify::new(), inner: Mutex::new(inner) }
+        Dispatcher { clock, waited: Notify::new(), inner: Mutex::new(inner) }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -177,8 +177,8 @@
         inner.route(actions);
     }
 
-    /// A request arrives; the seat tells what to do with it.
-    pub fn arrive(self: &Arc<Desk>, arrival: &Arrival) -> Seat {
+    /// A request arrives; the permit tells what to do with it.
+    pub fn arrive(self: &Arc<Dispatcher>, arrival: &Arrival) -> Permit {
         let now = self.clock.now();
         let (sender, receiver) = mpsc::unbounded_channel();
         let mut inner = self.lock();
@@ -194,14 +194,14 @@
             prefix: arrival.prefix,
         };
         let (ticket, actions) = inner.balancer.arrive(arrival, now);
-        inner.seats.insert(ticket, sender);
+        inner.permits.insert(ticket, sender);
         inner.route(actions);
         let waiting = inner.balancer.queue().waiting() > 0;
         drop(inner);
         if waiting {
             self.waited.notify_one();
         }
-        Seat { desk: self.clone(), ticket, receiver, open: true }
+        Permit { dispatcher: self.clone(), ticket, receiver, open: true }
     }
 
     /// Where a backend server is reached, and the run of its agent.
@@ -281,23 +281,23 @@
                 balancer::Action::Send(dispatch) => dispatch.ticket,
                 balancer::Action::Refuse(refusal) => refusal.ticket,
             };
-            // A seat that was given up has left word with the balancer itself.
-            if let Some(seat) = self.seats.get(&ticket) {
-                seat.send(action).unwrap_or_default();
+            // A permit that was given up has left word with the balancer itself.
+            if let Some(permit) = self.permits.get(&ticket) {
+                permit.send(action).unwrap_or_default();
             }
         }
     }
 }
 
-/// A request's place at the desk; dropping it means that the caller left.
-pub struct Seat {
-    desk: Arc<Desk>,
+/// A request's place at the dispatcher; dropping it means that the caller left.
+pub struct Permit {
+    dispatcher: Arc<Dispatcher>,
     ticket: entity::Ticket,
     receiver: mpsc::UnboundedReceiver<balancer::Action>,
     open: bool,
 }
 
-impl Seat {
+impl Permit {
     /// What to do next with the request.
     pub async fn next(&mut self) -> Option<balancer::Action> {
         self.receiver.recv().await
@@ -305,39 +305,39 @@
 
     /// The first part of the attempt's answer came after that time.
     pub fn begin(&self, after: Duration) {
-        let now = self.desk.clock.now();
-        self.desk.lock().balancer.begin(self.ticket, after, now);
+        let now = self.dispatcher.clock.now();
+        self.dispatcher.lock().balancer.begin(self.ticket, after, now);
     }
 
-    /// The attempt ended; unless it was answered, [`Seat::next`] tells what follows.
+    /// The attempt ended; unless it was answered, [`Permit::next`] tells what follows.
     pub fn end(&mut self, end: balancer::End) {
         if matches!(end, balancer::End::Answered | balancer::End::Abandoned) {
             self.open = false;
         }
-        let now = self.desk.clock.now();
-        let mut inner = self.desk.lock();
+        let now = self.dispatcher.clock.now();
+        let mut inner = self.dispatcher.lock();
         let actions = inner.balancer.end(self.ticket, end, now);
         inner.route(actions);
         if inner.balancer.queue().waiting() > 0 {
-            self.desk.waited.notify_one();
+            self.dispatcher.waited.notify_one();
         }
     }
 }
 
-impl Drop for Seat {
+impl Drop for Permit {
     fn drop(&mut self) {
         if self.open {
             self.end(balancer::End::Abandoned);
         }
-        self.desk.lock().seats.remove(&self.ticket);
+        self.dispatcher.lock().permits.remove(&self.ticket);
     }
 }
 
-/// Looks for late requests for ever; sleeps while nobody waits.
-pub async fn tick(desk: Arc<Desk>) {
+/// Answers requests that are late, until the process ends; sleeps while nobody waits.
+pub async fn tick(dispatcher: Arc<Dispatcher>) {
     loop {
-        if desk.tick() == 0 {
-            desk.waited.notified().await;
+        if dispatcher.tick() == 0 {
+            dispatcher.waited.notified().await;
         }
         tokio::time::sleep(TICK).await;
     }
--- a/daemon/src/entry/drive.rs
+++ b/daemon/src/entry/drive.rs
@@ -14,7 +14,7 @@
 use loftcove_platform::store::{self, Store as _};
 use loftcove_wire as wire;
 
-use crate::entry::{Entry, desk};
+use crate::entry::{Entry, dispatcher};
 use crate::{clock, leader, status};
 
 /// Time between two looks at the groups.
@@ -66,7 +66,7 @@
     }
 }
 
-/// Looks for ever.
+/// Runs until the process ends.
 pub async fn run(entry: Arc<Entry>) {
     loop {
         tokio::time::sleep(clock::jitter(PAUSE, 0.9..1.1)).await;
@@ -80,13 +80,13 @@
 }
 
 /// One group at one look.
-struct Scene<'a> {
+struct Context<'a> {
     entry: &'a Arc<Entry>,
     rules: &'a content::Placement,
     name: &'a Arc<str>,
     shape: layout::Shape,
     /// Agents by rank.
-    ranks: Vec<desk::Target>,
+    ranks: Vec<dispatcher::Target>,
 }
 
 async fn look(
@@ -95,7 +95,7 @@
     model: &content::Model,
     name: &Arc<str>,
 ) {
-    let mut members = entry.desk.ranks(name);
+    let mut members = entry.dispatcher.ranks(name);
     members.sort_by_key(|(target, _)| target.rank);
     let complete =
         members.iter().map(|(target, _)| target.rank).eq((0..members.len() as u32).map(Some));
@@ -114,11 +114,11 @@
     let shape = layout::Shape { layers: model.layers, experts: model.experts, ranks, slots };
     let epochs: Vec<u64> = members.iter().map(|(_, epoch)| *epoch).collect();
     let ranks = members.into_iter().map(|(target, _)| target).collect();
-    let scene = Scene { entry, rules: &content.placement, name, shape, ranks };
-    scene.tend(&epochs).await;
+    let context = Context { entry, rules: &content.placement, name, shape, ranks };
+    context.tend(&epochs).await;
 }
 
-impl Scene<'_> {
+impl Context<'_> {
     async fn tend(&self, epochs: &[u64]) {
         let (due, known) = {
             let mut groups = self.entry.groups.lock();
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -8,7 +8,7 @@
 use loftcove_decision::{balancer, entity};
 
 use crate::entry::refusal::{Outcome, Refusal};
-use crate::entry::{Entry, call, claim, desk, dispatch, relay};
+use crate::entry::{Entry, call, claim, dispatch, dispatcher, relay};
 use crate::{admin, force, life};
 
 /// Answers one request. Whatever happens, the caller gets a final answer at once.
@@ -56,9 +56,9 @@
         _ => None,
     };
     let budget = call.budget.checked_sub(began.elapsed()).ok_or(Refusal::Deadline)?;
-    let journey =
-        Journey { entry: entry.clone(), call, bundle, claim, flight, due: Instant::now() + budget };
-    journey.run(budget).await
+    let flow =
+        Flow { entry: entry.clone(), call, bundle, claim, flight, due: Instant::now() + budget };
+    flow.run(budget).await
 }
 
 /// Path that lists the models.
@@ -83,18 +83,18 @@
 }
 
 /// A request that was read and may be sent.
-struct Journey {
+struct Flow {
     entry: Arc<Entry>,
     call: call::Call,
     bundle: Arc<force::Bundle>,
     claim: Option<claim::Claim>,
-    flight: life::Flight,
+    flight: life::InFlight,
     due: Instant,
 }
 
-impl Journey {
+impl Flow {
     async fn run(mut self, budget: Duration) -> Result<http::Response<relay::Body>, Refusal> {
-        let mut seat = self.entry.desk.arrive(&desk::Arrival {
+        let mut permit = self.entry.dispatcher.arrive(&dispatcher::Arrival {
             pool: self.call.pool.clone(),
             team: self.call.team.clone(),
             precedence: self.call.class.precedence,
@@ -103,13 +103,13 @@
             prefix: self.call.prefix,
         });
         loop {
-            // The desk outlives its seats and always says what follows.
-            let action = seat.next().await.ok_or(Refusal::NotServing)?;
+            // The dispatcher outlives its permits and always says what follows.
+            let action = permit.next().await.ok_or(Refusal::NotServing)?;
             match action {
                 balancer::Action::Refuse(refusal) => return Err(self.give_up(refusal)),
                 balancer::Action::Send(next) => {
-                    if let Some(begun) = self.attempt(&mut seat, &next).await {
-                        return Ok(self.hand_on(seat, next.choice.server, *begun).await);
+                    if let Some(begun) = self.attempt(&mut permit, &next).await {
+                        return Ok(self.hand_on(permit, next.choice.server, *begun).await);
                     }
                 }
             }
@@ -130,11 +130,11 @@
     /// Sends one attempt; returns its answer if one has begun.
     async fn attempt(
         &mut self,
-        seat: &mut desk::Seat,
+        permit: &mut dispatcher::Permit,
         next: &balancer::Dispatch,
     ) -> Option<Box<dispatch::Begun>> {
-        let Some((target, incarnation)) = self.entry.desk.target(next.choice.server) else {
-            seat.end(balancer::End::NeverRan);
+        let Some((target, incarnation)) = self.entry.dispatcher.target(next.choice.server) else {
+            permit.end(balancer::End::NeverRan);
             return None;
         };
         self.note(next, &target);
@@ -154,31 +154,31 @@
         let sent_at = Instant::now();
         match dispatch::send(&process, &attempt).await {
             dispatch::Sent::Begun(begun) => {
-                seat.begin(sent_at.elapsed());
+                permit.begin(sent_at.elapsed());
                 Some(begun)
             }
             dispatch::Sent::Ended(ended) => {
                 self.note_end(next.attempt, &ended);
                 if let Some(report) = ended.report {
-                    self.entry.desk.report(next.choice.server, &report);
+                    self.entry.dispatcher.report(next.choice.server, &report);
                 }
                 let never_ran = matches!(ended.end, balancer::End::Full | balancer::End::NeverRan);
                 if let (Some(claim), true) = (&mut self.claim, never_ran) {
                     claim.never_ran();
                 }
-                seat.end(ended.end);
+                permit.end(ended.end);
                 None
             }
         }
     }
 
     /// Logs a routing decision.
-    fn note(&self, next: &balancer::Dispatch, target: &desk::Target) {
+    fn note(&self, next: &balancer::Dispatch, target: &dispatcher::Target) {
         let weighed: Vec<String> = next
             .considered
             .iter()
             .filter_map(|candidate| {
-                let (target, _) = self.entry.desk.target(candidate.server)?;
+                let (target, _) = self.entry.dispatcher.target(candidate.server)?;
                 Some(format!("{}:{:.2}", target.host, candidate.score))
             })
             .collect();
@@ -208,16 +208,16 @@
     /// Hands the answer on to the caller.
     async fn hand_on(
         self,
-        seat: desk::Seat,
+        permit: dispatcher::Permit,
         server: entity::Server,
         begun: dispatch::Begun,
     ) -> http::Response<relay::Body> {
         let finish = relay::Finish {
             process: self.entry.process.clone(),
-            desk: self.entry.desk.clone(),
+            dispatcher: self.entry.dispatcher.clone(),
             server,
             request: self.call.id.to_string(),
-            seat: Some(seat),
+            permit: Some(permit),
             claim: self.claim,
             _flight: self.flight,
         };
--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -8,7 +8,7 @@
 use loftcove_wire as wire;
 
 use crate::clock;
-use crate::entry::{Entry, desk};
+use crate::entry::{Entry, dispatcher};
 
 /// Reports a second from all agents together: the node's share of processor
 /// and network for control bounds them, see `docs/CAPACITY.md`. What attempts
@@ -24,7 +24,7 @@
 
 type Followed = Arc<Mutex<BTreeSet<entity::Server>>>;
 
-/// Keeps the desk's listings fresh and one follower for each agent.
+/// Keeps the dispatcher's listings fresh and one follower for each agent.
 pub async fn run(entry: Arc<Entry>) {
     let followed: Followed = Arc::default();
     let mut changed = entry.process.gossip.subscribe();
@@ -40,9 +40,9 @@
     let Some(bundle) = entry.process.gossip.force.bundle() else { return };
     let list = entry.process.gossip.hosts();
     let zone = &entry.process.settings.process.zone;
-    entry.desk.refresh(&bundle.content, &list, zone);
+    entry.dispatcher.refresh(&bundle.content, &list, zone);
     entry.process.links.keep(|address| list.hosts.iter().any(|host| host.address == address));
-    let mut listed = entry.desk.listed();
+    let mut listed = entry.dispatcher.listed();
     listed.sort_by_key(|(server, target)| (target.zone != *zone, *server));
     let most = entry.process.settings.entry.as_ref().map_or(usize::MAX, |own| own.max_followed);
     let mut followed_now = lock(followed);
@@ -61,12 +61,12 @@
 async fn follow(entry: Arc<Entry>, followed: Followed, server: entity::Server) {
     let mut backoff = BACKOFF.0;
     loop {
-        let target = entry.desk.listed().into_iter().find(|(id, _)| *id == server);
+        let target = entry.dispatcher.listed().into_iter().find(|(id, _)| *id == server);
         let Some((_, target)) = target else { break };
         if watch(&entry, server, &target).await.unwrap_or(false) {
             backoff = BACKOFF.0;
         }
-        entry.desk.connect(server, false);
+        entry.dispatcher.connect(server, false);
         tokio::time::sleep(clock::jitter(backoff, 0.5..1.0)).await;
         backoff = (backoff * 2).min(BACKOFF.1);
     }
@@ -82,18 +82,18 @@
 async fn watch(
     entry: &Entry,
     server: entity::Server,
-    target: &desk::Target,
+    target: &dispatcher::Target,
 ) -> Result<bool, tonic::Status> {
     let mut agent = entry.process.links.get(target.address).agent.clone();
-    let spacing_ms = spacing_ms(entry.desk.listed().len() as u64);
+    let spacing_ms = spacing_ms(entry.dispatcher.listed().len() as u64);
     let subscription = wire::Subscription { spacing_ms: spacing_ms as u32 };
     let silence = SILENCE + 2 * Duration::from_millis(spacing_ms);
     let mut stream = agent.watch(subscription).await?.into_inner();
     let mut any = false;
     while let Ok(Ok(Some(report))) = tokio::time::timeout(silence, stream.message()).await {
-        entry.desk.report(server, &report);
+        entry.dispatcher.report(server, &report);
         if !any {
-            entry.desk.connect(server, true);
+            entry.dispatcher.connect(server, true);
         }
         any = true;
     }
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -19,7 +19,7 @@
 use tokio_stream::Stream as _;
 
 use crate::entry::refusal::{Outcome, Refusal};
-use crate::entry::{call, claim, desk, dispatch};
+use crate::entry::{call, claim, dispatch, dispatcher};
 use crate::{life, process};
 
 /// Longest answer that is held until its end, bytes.
@@ -31,24 +31,24 @@
 pub struct Finish {
     /// The process.
     pub process: Arc<process::Process>,
-    /// The desk, which learns the load that the end mark bears.
-    pub desk: Arc<desk::Desk>,
+    /// The dispatcher, which learns the load that the end mark bears.
+    pub dispatcher: Arc<dispatcher::Dispatcher>,
     /// The backend server that answers.
     pub server: entity::Server,
     /// Id of the request.
     pub request: String,
-    /// Its place at the desk.
-    pub seat: Option<desk::Seat>,
+    /// Its place at the dispatcher.
+    pub permit: Option<dispatcher::Permit>,
     /// Its claim.
     pub claim: Option<claim::Claim>,
     /// Its share in the requests in flight.
-    pub _flight: life::Flight,
+    pub _flight: life::InFlight,
 }
 
 impl Finish {
     fn end(&mut self, end: balancer::End, outcome: Outcome, reason: &str) {
-        if let Some(mut seat) = self.seat.take() {
-            seat.end(end);
+        if let Some(mut permit) = self.permit.take() {
+            permit.end(end);
         }
         if let Some(claim) = self.claim.take() {
             claim.settle(outcome);
@@ -103,7 +103,7 @@
         Some(wire::frame::Kind::Data(data)) => Some(Part::Data(data)),
         Some(wire::frame::Kind::End(end)) => {
             if let Some(report) = end.report {
-                finish.desk.report(finish.server, &report);
+                finish.dispatcher.report(finish.server, &report);
             }
             Some(Part::End)
         }
--- a/daemon/src/entry/steward.rs
+++ b/daemon/src/entry/steward.rs
@@ -17,7 +17,7 @@
 /// Name of the task among those that one entry host should do.
 const TASK: &str = "homes";
 
-/// Looks for ever.
+/// Runs until the process ends.
 pub async fn run(entry: Arc<Entry>) {
     loop {
         tokio::time::sleep(clock::jitter(PAUSE, 0.5..1.5)).await;
--- a/daemon/src/exchange.rs
+++ b/daemon/src/exchange.rs
@@ -18,7 +18,7 @@
 /// Longest time for one exchange.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Exchanges for ever.
+/// Exchanges until the process ends.
 pub async fn run(process: Arc<process::Process>) {
     let pause = Duration::from_millis(process.settings.process.exchange_ms);
     loop {
--- a/daemon/src/life.rs
+++ b/daemon/src/life.rs
@@ -52,7 +52,7 @@
 
     /// Counts a request until the guard is dropped. `None` where the process
     /// takes no new work: the check and the count are one step.
-    pub fn enter(self: &Arc<Life>) -> Option<Flight> {
+    pub fn enter(self: &Arc<Life>) -> Option<InFlight> {
         let mut inner = self.lock();
         if self.phase() != lifecycle::Phase::Serving {
             return None;
@@ -60,7 +60,7 @@
         inner.in_flight += 1;
         let count = inner.in_flight;
         inner.machine.handle(&lifecycle::Event::InFlight(count));
-        Some(Flight { life: self.clone() })
+        Some(InFlight { life: self.clone() })
     }
 
     fn publish(&self, inner: &Inner) {
@@ -74,11 +74,11 @@
 }
 
 /// A request in flight; dropping it ends it.
-pub struct Flight {
+pub struct InFlight {
     life: Arc<Life>,
 }
 
-impl Drop for Flight {
+impl Drop for InFlight {
     fn drop(&mut self) {
         let mut inner = self.life.lock();
         inner.in_flight -= 1;
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -11,7 +11,7 @@
 
 use crate::{clock, explain, force, gossip, life, link, metrics};
 
-/// The process. Lock order, where more than one is held: the entry's desk or
+/// The process. Lock order, where more than one is held: the entry's dispatcher or
 /// the agent's tables, then the gossip's records, then the bundle's gate,
 /// then life, then the trail.
 pub struct Process {
--- a/decision/src/placement/improve.rs
+++ b/decision/src/placement/improve.rs
@@ -98,7 +98,7 @@
     let mut chains: Vec<Chain> = layout
         .shape
         .layer_ids()
-        .filter_map(|layer| Scene::new(layout, view, bounds, layer).chain(bounds.loads))
+        .filter_map(|layer| Search::new(layout, view, bounds, layer).chain(bounds.loads))
         .collect();
     chains.sort_by(|a, b| b.worth().total_cmp(&a.worth()).then(a.layer.cmp(&b.layer)));
     let mut left = bounds.loads;
@@ -106,7 +106,7 @@
     for mut chain in chains {
         if chain.loads > left {
             // The best part that still fits.
-            let part = Scene::new(layout, view, bounds, chain.layer).chain(left);
+            let part = Search::new(layout, view, bounds, chain.layer).chain(left);
             let Some(part) = part else { continue };
             chain = part;
         }
@@ -139,7 +139,7 @@
 }
 
 /// One layer, as a chain changes it.
-struct Scene<'a> {
+struct Search<'a> {
     layer: entity::Layer,
     slots: usize,
     bounds: Bounds,
@@ -153,14 +153,14 @@
     held: Vec<Vec<usize>>,
 }
 
-impl<'a> Scene<'a> {
+impl<'a> Search<'a> {
     fn new(
         layout: &layout::Layout,
         view: View<'a>,
         bounds: Bounds,
         layer: entity::Layer,
-    ) -> Scene<'a> {
-        let mut scene = Scene {
+    ) -> Search<'a> {
+        let mut search = Search {
             layer,
             slots: layout.shape.slots as usize,
             bounds,
@@ -171,8 +171,8 @@
             times: Vec::new(),
             held: Vec::new(),
         };
-        scene.refresh();
-        scene
+        search.refresh();
+        search
     }
 
     fn refresh(&mut self) {
--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -99,9 +99,9 @@
     }
 
     /// Counts a request until the guard is dropped.
-    pub fn enter<P>(gateway: &Arc<state::Gateway<P>>) -> Flight<P> {
+    pub fn enter<P>(gateway: &Arc<state::Gateway<P>>) -> InFlight<P> {
         gateway.life.lock().in_flight += 1;
-        Flight { gateway: gateway.clone() }
+        InFlight { gateway: gateway.clone() }
     }
 
     /// Counts a connection until the guard is dropped.
@@ -130,11 +130,11 @@
 }
 
 /// A request in flight.
-pub struct Flight<P> {
+pub struct InFlight<P> {
     gateway: Arc<state::Gateway<P>>,
 }
 
-impl<P> Drop for Flight<P> {
+impl<P> Drop for InFlight<P> {
     fn drop(&mut self) {
         self.gateway.life.lock().in_flight -= 1;
     }
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -72,7 +72,7 @@
 struct Flow<P> {
     gateway: Arc<Gateway<P>>,
     request: Arc<Request>,
-    flight: drain::Flight<P>,
+    flight: drain::InFlight<P>,
 }
 
 /// What an attempt came to.
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -36,7 +36,7 @@
     /// Towards the client.
     pub sender: mpsc::Sender<Part>,
     /// Its share in the requests in flight.
-    pub _flight: drain::Flight<P>,
+    pub _flight: drain::InFlight<P>,
 }
 
 /// How one backend server's part of a stream ended.
