Undo a change of the map without its driver's rank, and hold it elsewhere

The driver froze right after it had told its own engine to hold a pass. A frozen host takes its engine out of reach, so none of the eleven drivers that deposed each other meanwhile knew the whole group, and none could let it go on.

Ruled out: shorter terms (the successors were there within 0.9 s); taking the group to be broken (its engines run).

Change: the rank after the driver's holds the group, and the driver gives that order itself; its own rank is armed last; the version tells which rank that is. So a successor may undo a change that is not armed everywhere else without asking that rank. A new driver gets as long as the one before it until it is taken to be stuck, and passes that are long are no standstill. Sidecars and engines are asked side by side. A term ends before its versions run out.

--- a/decision/src/map.rs
+++ b/decision/src/map.rs
@@ -13,3 +13,4 @@
 pub mod gate;
 pub mod record;
 pub mod switch;
+pub mod version;
--- a/decision/src/map/switch.rs
+++ b/decision/src/map/switch.rs
@@ -8,11 +8,18 @@
 //! answer is given again until its effect is known. When the group breaks, its
 //! engines forget all of it, and so does this machine.
 //!
-//! Whoever takes over from a driver that died finds out with [`Switch::resume`]
-//! what is left to do.
+//! A host that freezes takes its engine out of everybody's reach. So the
+//! holder is not the driver's own rank, and the driver arms its own rank last:
+//! as long as another rank is not armed, its own is not either, and another
+//! driver may undo the change without having asked that rank.
+//!
+//! Whoever takes over from a driver that died finds out with [`Switch::resume`],
+//! or with [`Switch::resume_without`], what is left to do.
 
 use std::collections::BTreeSet;
 
+use crate::map::version;
+
 /// State of a rank's engine, as its sidecar reports it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Condition {
@@ -98,20 +105,25 @@
     ranks: usize,
     /// Ranks that keep the group from beginning the pass.
     holders: BTreeSet<usize>,
+    /// Rank that is armed after all others: that of the driver that made the
+    /// version, whoever arms it.
+    last: usize,
     phase: Phase,
     /// Ranks whose effect in this phase is not confirmed.
     pending: BTreeSet<usize>,
 }
 
 impl Switch {
-    /// Takes so many ranks to a map; `holder` is the rank that will hold the
-    /// group, best the nearest one.
-    pub fn new(ranks: usize, holder: usize, version: u64) -> Switch {
+    /// Takes so many ranks to a map, whose version tells the rank of the
+    /// driver's own engine. The rank after it will hold the group.
+    pub fn new(ranks: usize, version: u64) -> Switch {
+        let driver = version::driver(version, ranks);
         Switch {
             version,
             pass: 0,
             ranks,
-            holders: BTreeSet::from([holder]),
+            holders: BTreeSet::from([(driver + 1) % ranks.max(1)]),
+            last: driver,
             phase: Phase::Preparing,
             pending: (0..ranks).collect(),
         }
@@ -137,6 +149,7 @@
             pass: held,
             ranks: ranks.len(),
             holders,
+            last: version::driver(version, ranks.len()),
             phase: Phase::Arming,
             pending: (0..ranks.len()).filter(|rank| !is_armed(&ranks[*rank])).collect(),
         };
@@ -149,6 +162,37 @@
         Some(switch)
     }
 
+    /// What is left to do where one rank cannot be asked, which is `None` among
+    /// the ranks. If it is that of the driver that began the change, it was to
+    /// be armed after all others, so that it is not armed while one of them is
+    /// not: the change is undone. `None` where that rank may be armed, or where
+    /// the group does not wait for the pass after `pass`, the last one that has
+    /// begun: an order to arm that is carried out late must find its pass begun.
+    pub fn resume_without(ranks: &[Option<Condition>], pass: u64) -> Option<Switch> {
+        let known = || ranks.iter().flatten();
+        let held = known().find_map(|rank| rank.held).filter(|held| *held == pass + 1)?;
+        let version = known().find_map(|rank| rank.prepared)?;
+        let last = version::driver(version, ranks.len());
+        let others_known = (0..ranks.len()).all(|rank| ranks[rank].is_some() == (rank != last));
+        if !others_known || known().all(|rank| rank.armed.is_some()) {
+            return None;
+        }
+        let having = |state: fn(&Condition) -> bool| -> BTreeSet<usize> {
+            (0..ranks.len()).filter(|rank| ranks[*rank].as_ref().is_some_and(state)).collect()
+        };
+        let mut switch = Switch {
+            version,
+            pass: held,
+            ranks: ranks.len(),
+            holders: having(|rank| rank.held.is_some()),
+            last,
+            phase: Phase::Disarming,
+            pending: having(|rank| rank.armed.is_some()),
+        };
+        switch.advance();
+        Some(switch)
+    }
+
     /// Version of the map.
     pub fn version(&self) -> u64 {
         self.version
@@ -200,7 +244,13 @@
             Phase::Releasing(_) => Order::Release { pass },
             Phase::Prepared | Phase::Done(_) => return Vec::new(),
         };
-        self.pending.iter().map(|rank| (*rank, order)).collect()
+        let ready = self.pending.iter().filter(|rank| !self.waits_for_others(**rank));
+        ready.map(|rank| (*rank, order)).collect()
+    }
+
+    /// Whether a rank may be armed only after others that are not yet.
+    fn waits_for_others(&self, rank: usize) -> bool {
+        self.phase == Phase::Arming && self.last == rank && self.pending.len() > 1
     }
 
     /// Takes the effect of an order that [`Switch::orders`] gave; one of an
--- a/decision/tests/switch.rs
+++ b/decision/tests/switch.rs
@@ -4,10 +4,13 @@
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
 use loftcove_decision::map::switch::{Condition, Effect, Order, Outcome, Switch};
+use loftcove_decision::map::version;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
 const RANKS: usize = 4;
+/// Rank of the driver's own engine.
+const DRIVER: usize = 0;
 /// Passes from the present one to the one that is held.
 const AHEAD: u64 = 2;
 
@@ -122,6 +125,9 @@
     Step,
     /// The driver dies, and another one takes over.
     TakeOver,
+    /// The driver's host freezes with its engine, and another driver takes over
+    /// that cannot ask the engine.
+    TakeOverUnseen,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -144,6 +150,7 @@
         2 => any::<prop::sample::Index>().prop_map(Event::Late),
         4 => Just(Event::Step),
         1 => Just(Event::TakeOver),
+        1 => Just(Event::TakeOverUnseen),
     ]
 }
 
@@ -159,7 +166,7 @@
         let versions = &mut self.versions;
         let switch = self.switch.get_or_insert_with(|| {
             *versions += 1;
-            Switch::new(RANKS, 0, *versions)
+            Switch::new(RANKS, version::encode(0, *versions, DRIVER, RANKS))
         });
         if switch.prepared() {
             switch.hold(group.pass + AHEAD);
@@ -215,12 +222,31 @@
                 let maps = group.step();
                 prop_assert!(maps.windows(2).all(|pair| pair[0] == pair[1]), "{maps:?}");
             }
+            Event::TakeOverUnseen => {
+                let mut ranks: Vec<_> = group.conditions().into_iter().map(Some).collect();
+                ranks[DRIVER] = None;
+                let Some(mut switch) = Switch::resume_without(&ranks, group.pass) else {
+                    continue;
+                };
+                // Requests keep the group busy: the pass begins at once.
+                while switch.outcome().is_none() {
+                    for (rank, order) in switch.orders() {
+                        prop_assert!(rank != DRIVER, "it cannot be reached");
+                        group.engines[rank].take(order, group.pass);
+                        switch.effect(rank, order, Effect::Confirmed);
+                    }
+                }
+                let maps = group.step();
+                prop_assert!(maps.windows(2).all(|pair| pair[0] == pair[1]), "{maps:?}");
+                driver.switch = None;
+                driver.versions += 100;
+            }
             Event::TakeOver => {
                 driver.switch = Switch::resume(&group.conditions());
                 if driver.switch.as_ref().is_some_and(|switch| switch.outcome().is_some()) {
                     driver.switch = None;
                 }
-                driver.versions += 1_000;
+                driver.versions += 100;
             }
         }
     }
@@ -289,6 +315,64 @@
     assert_eq!(Switch::resume(&[armed(5, 9); RANKS]), None);
 }
 
+/// A version made by the driver beside rank 0.
+const VERSION: u64 = 5 * RANKS as u64;
+
+/// Takes a new change to the phase in which its ranks are armed.
+fn arming() -> Switch {
+    let mut switch = Switch::new(RANKS, VERSION);
+    for (rank, order) in switch.orders() {
+        switch.effect(rank, order, Effect::Confirmed);
+    }
+    switch.hold(9);
+    assert_eq!(switch.orders(), [(1, Order::Hold { pass: 9 })], "another rank than its own");
+    switch.effect(1, Order::Hold { pass: 9 }, Effect::Confirmed);
+    switch
+}
+
+#[test]
+fn a_driver_arms_its_own_rank_last() {
+    let mut switch = arming();
+    let arm = Order::Arm { version: VERSION, pass: 9 };
+    assert_eq!(switch.orders(), [(1, arm), (2, arm), (3, arm)]);
+    switch.effect(0, arm, Effect::Confirmed);
+    for rank in [3, 1] {
+        switch.effect(rank, arm, Effect::Confirmed);
+        assert!(!switch.orders().contains(&(0, arm)), "rank 2 is not armed yet");
+    }
+    switch.effect(2, arm, Effect::Confirmed);
+    assert_eq!(switch.orders(), [(0, arm)]);
+    switch.effect(0, arm, Effect::Confirmed);
+    assert_eq!(switch.orders(), [(1, Order::Release { pass: 9 })]);
+}
+
+#[test]
+fn a_change_is_undone_without_its_drivers_rank_while_another_is_not_armed() {
+    let prepared = Condition { prepared: Some(VERSION), ..Condition::default() };
+    let holding = Condition { held: Some(9), ..prepared };
+    let mut ranks = [Some(prepared); RANKS];
+    ranks[0] = None;
+    assert_eq!(Switch::resume_without(&ranks, 8), None, "nothing is held");
+    ranks[1] = Some(holding);
+    assert_eq!(Switch::resume_without(&ranks, 7), None, "a pass is left before the held one");
+    let switch = Switch::resume_without(&ranks, 8).unwrap();
+    assert_eq!(switch.orders(), [(1, Order::Release { pass: 9 })], "no rank is armed");
+
+    ranks[2] = Some(armed(VERSION, 9));
+    let mut switch = Switch::resume_without(&ranks, 8).unwrap();
+    assert_eq!(switch.orders(), [(2, Order::Disarm { version: VERSION })]);
+    switch.effect(2, Order::Disarm { version: VERSION }, Effect::Confirmed);
+    switch.effect(1, Order::Release { pass: 9 }, Effect::Confirmed);
+    assert_eq!(switch.outcome(), Some(Outcome::Abandoned));
+
+    ranks[1] = Some(Condition { held: Some(9), ..armed(VERSION, 9) });
+    ranks[3] = ranks[2];
+    assert_eq!(Switch::resume_without(&ranks, 8), None, "the driver's rank may be armed");
+    ranks[0] = Some(prepared);
+    ranks[3] = None;
+    assert_eq!(Switch::resume_without(&ranks, 8), None, "another rank is missing");
+}
+
 #[test]
 fn nothing_is_left_to_do_in_a_quiet_group() {
     assert_eq!(Switch::resume(&[Condition::default(); RANKS]), None);
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -7,6 +7,7 @@
 
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use loftcove_decision::map::switch::{self, Switch};
+use loftcove_decision::map::version;
 use loftcove_decision::{fleet, route};
 use loftcove_interface::engine::{self, Engine, Map};
 use loftcove_interface::protocol::{Place, Protocol, Record};
@@ -36,9 +37,6 @@
 const MAX_HOLDS: u32 = 8;
 /// Longest time for all ranks to prepare. Copying takes less than a second.
 const PREPARE_TIME: Duration = Duration::from_secs(4);
-/// Versions of one term; the term's number is above them, so that no two
-/// drivers ever use the same.
-const VERSIONS: u64 = 1 << 12;
 /// Time between two looks whether the switch has taken place, and their number.
 const SETTLE_POLL: Duration = Duration::from_millis(20);
 /// See [`SETTLE_POLL`].
@@ -85,6 +83,9 @@
     /// Another driver has a higher term.
     #[error("superseded")]
     Superseded,
+    /// The term has made as many maps as it may.
+    #[error("term is used up")]
+    Exhausted,
 }
 
 impl<P: Protocol, S: Store, E: Engine> Driver<P, S, E> {
@@ -132,10 +133,10 @@
     /// it standing still within a change of the map.
     async fn elect(&mut self, stall: &mut Stall) -> Option<(Arc<str>, Term)> {
         let report = self.rank.engine.report().await.ok()?;
-        let stalled = stall.look(&report);
-        let place = report.group.filter(|place| place.open)?;
+        let place = report.group.clone().filter(|place| place.open)?;
         let key = election::key(&place.name);
         let known = election::revision(&self.mirror, &key);
+        let stalled = stall.look(&report, known);
         let defeated = self.defeated.is_some_and(|at| at.elapsed() < ELECTION_PAUSE);
         if (known != 0 && !stalled) || defeated || self.engines().is_empty() {
             return None;
@@ -213,7 +214,7 @@
             let begun = Instant::now();
             if let Err(stopped) = self.round(term.number, &mut known).await {
                 log::info!("round stopped term={} reason=\"{stopped}\"", term.number);
-                if stopped == Stopped::Superseded {
+                if matches!(stopped, Stopped::Superseded | Stopped::Exhausted) {
                     break;
                 }
                 known.next_epoch();
@@ -244,9 +245,12 @@
         plan::notice_shift(known, &experts);
         let Some(map) = plan::decide(known, &experts) else { return Ok(()) };
         known.versions += 1;
-        let version = term * VERSIONS + known.versions;
-        let holder = place.rank as usize;
-        let switch = Switch::new(known.view.ranks.len(), holder, version);
+        if known.versions >= version::MAPS_OF_A_TERM {
+            return Err(Stopped::Exhausted);
+        }
+        let ranks = known.view.ranks.len();
+        let version = version::encode(term, known.versions, place.rank as usize, ranks);
+        let switch = Switch::new(ranks, version);
         let map = Arc::new(map);
         if self.change(term, known, switch, &map).await? == switch::Outcome::Switched {
             known.map = Arc::unwrap_or_clone(map);
@@ -277,14 +281,7 @@
         let engines = self.engines();
         self.group.set(&engines);
         let inspection = wire::Inspection { term, counts: false, experts: true };
-        let mut answers = self.group.inspect(&self.rank, &engines, inspection).await;
-        if answers.len() < engines.len() {
-            let answered =
-                |engine: &&SocketAddr| !answers.iter().any(|(known, _)| known == *engine);
-            let silent: Vec<SocketAddr> = engines.iter().filter(answered).copied().collect();
-            log::info!("sidecars silent count={} next=ask-engines", silent.len());
-            answers.extend(self.group.inspect_engines(&silent).await);
-        }
+        let answers = self.group.inspect(&self.rank, &engines, inspection).await;
         if answers.iter().any(|(_, condition)| condition.term > term) {
             return Err(Stopped::Superseded);
         }
@@ -296,6 +293,9 @@
             }
         }
         let missing = ranks.iter().filter(|rank| rank.is_none()).count();
+        if missing == 1 {
+            self.release_without(term, place.epoch, &ranks, known).await?;
+        }
         let Some(ranks) = ranks.into_iter().collect::<Option<Vec<_>>>() else {
             log::info!("group not known whole epoch={} missing={missing}", place.epoch);
             return Ok(false);
@@ -319,6 +319,40 @@
         Ok(known::take_map(known))
     }
 
+    /// Lets the group go on that a driver left held whose own rank is the only
+    /// one that did not answer, and cannot have been armed.
+    async fn release_without(
+        &self,
+        term: u64,
+        epoch: u64,
+        ranks: &[Option<(SocketAddr, wire::Condition)>],
+        known: &mut Known,
+    ) -> Result<(), Stopped> {
+        let state = |rank: &Option<(SocketAddr, wire::Condition)>| {
+            rank.as_ref().map(|(_, condition)| group::condition(condition))
+        };
+        let states: Vec<Option<switch::Condition>> = ranks.iter().map(state).collect();
+        let pass = ranks.iter().flatten().map(|(_, condition)| condition.pass).max();
+        let Some(switch) = Switch::resume_without(&states, pass.unwrap_or(0)) else {
+            return Ok(());
+        };
+        log::warn!(
+            "held group let go on without its driver's rank version={} pass={}",
+            switch.version(),
+            switch.pass()
+        );
+        // The rank that did not answer gets no order.
+        let own = self.settings.engine.address;
+        let address = |rank: &Option<(SocketAddr, wire::Condition)>| {
+            rank.as_ref().map_or(own, |(address, _)| *address)
+        };
+        known.view.epoch = epoch;
+        known.view.ranks = ranks.iter().map(address).collect();
+        let ended = self.change(term, known, switch, &Arc::default()).await;
+        known.view.ranks.clear();
+        ended.map(|_| ())
+    }
+
     /// Reads the counts of a sample of the ranks.
     async fn count(&self, term: u64, slots: u32, known: &mut Known) {
         let ranks = &known.view.ranks;
--- a/sidecar/src/group.rs
+++ b/sidecar/src/group.rs
@@ -7,7 +7,7 @@
 
 use futures_util::future;
 use loftcove_decision::map::switch;
-use loftcove_interface::engine::{Engine, Map, Order};
+use loftcove_interface::engine::{Engine, Map, Order, Verdict};
 use loftcove_wire as wire;
 use tonic::transport::{Channel, Endpoint};
 
@@ -17,6 +17,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest wait for a sidecar's state, which takes a few milliseconds.
 const INSPECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Wait for a sidecar's state after which its engine is asked as well: a group
+/// that is held should not wait for both, one after the other.
+const HEDGE_TIME: Duration = Duration::from_millis(120);
 /// Longest wait for a sidecar to have a map prepared; longer than it takes
 /// until it says that the effect is not known.
 const PREPARE_TIMEOUT: Duration = Duration::from_millis(1_600);
@@ -35,6 +38,51 @@
     engine: Rank<E>,
 }
 
+impl<E: Engine> Member<E> {
+    /// Asks the sidecar for the state of its engine, and the engine itself, with
+    /// which the group may be standing still, if the sidecar takes long. For
+    /// counts only the sidecar is asked: there is another interval.
+    async fn inspect(
+        &self,
+        address: SocketAddr,
+        inspection: wire::Inspection,
+    ) -> Option<wire::Condition> {
+        let mut client = self.client.clone();
+        let call = tokio::time::timeout(INSPECT_TIMEOUT, client.inspect(inspection));
+        let sidecar = async { Some(call.await.ok()?.ok()?.into_inner()) };
+        if inspection.counts {
+            return sidecar.await;
+        }
+        tokio::pin!(sidecar);
+        match tokio::time::timeout(HEDGE_TIME, sidecar.as_mut()).await {
+            Ok(Some(condition)) => Some(condition),
+            Ok(None) => self.inspect_engine(address, inspection).await,
+            Err(_) => {
+                let engine = self.inspect_engine(address, inspection);
+                let (sidecar, engine) = future::join(sidecar, engine).await;
+                sidecar.or(engine)
+            }
+        }
+    }
+
+    async fn inspect_engine(
+        &self,
+        address: SocketAddr,
+        inspection: wire::Inspection,
+    ) -> Option<wire::Condition> {
+        log::info!("sidecar silent engine={address} next=ask-engine");
+        // A term is a matter between sidecars.
+        let inspection = wire::Inspection { term: 0, ..inspection };
+        match rank::inspect(&self.engine, inspection).await {
+            Ok(condition) => Some(condition),
+            Err(error) => {
+                log::info!("engine not inspected engine={address} error=\"{error}\"");
+                None
+            }
+        }
+    }
+}
+
 /// The ranks that are known, by the address of their engine.
 pub struct Group<E> {
     own: SocketAddr,
@@ -88,33 +136,12 @@
         inspection: wire::Inspection,
     ) -> Vec<(SocketAddr, wire::Condition)> {
         let ask = async |address: SocketAddr| {
-            if address == self.own {
-                let condition = rank::inspect(local, inspection).await.ok()?;
-                return Some((address, condition));
-            }
-            let mut client = self.members.get(&address)?.client.clone();
-            let answer = tokio::time::timeout(INSPECT_TIMEOUT, client.inspect(inspection)).await;
-            Some((address, answer.ok()?.ok()?.into_inner()))
-        };
-        let answers = future::join_all(addresses.iter().map(|address| ask(*address))).await;
-        answers.into_iter().flatten().collect()
-    }
-
-    /// Asks some engines for their state, past their sidecars.
-    pub async fn inspect_engines(
-        &self,
-        addresses: &[SocketAddr],
-    ) -> Vec<(SocketAddr, wire::Condition)> {
-        let inspection = wire::Inspection { term: 0, counts: false, experts: true };
-        let ask = async |address: SocketAddr| {
-            let member = self.members.get(&address)?.clone();
-            match rank::inspect(&member.engine, inspection).await {
-                Ok(condition) => Some((address, condition)),
-                Err(error) => {
-                    log::info!("engine not inspected engine={address} error=\"{error}\"");
-                    None
-                }
-            }
+            let condition = if address == self.own {
+                rank::inspect(local, inspection).await.ok()?
+            } else {
+                self.members.get(&address)?.inspect(address, inspection).await?
+            };
+            Some((address, condition))
         };
         let answers = future::join_all(addresses.iter().map(|address| ask(*address))).await;
         answers.into_iter().flatten().collect()
@@ -129,6 +156,13 @@
         let Some(member) = self.members.get(&address).cloned() else {
             return Carried::new(wire::Effect::Unknown, None);
         };
+        // The driver gives this order itself: if its host freezes right after
+        // it, the host that the group waits for is another one.
+        if matches!(step.order, Order::Hold { .. })
+            && matches!(member.engine.give_unseen(step).await, Ok(Verdict::Accepted))
+        {
+            return Carried::new(wire::Effect::Confirmed, None);
+        }
         let mut client = member.client.clone();
         let limit = match step.order {
             Order::Prepare { .. } => PREPARE_TIMEOUT,
--- a/sidecar/src/known.rs
+++ b/sidecar/src/known.rs
@@ -17,6 +17,11 @@
 /// Time without a pass, within a change of the map, after which a driver is
 /// taken to be gone: several times what a change keeps a group waiting.
 const STALL_TIME: Duration = Duration::from_millis(500);
+/// Passes of the group without one after which the same holds, where its passes
+/// are long: a slow rank makes them last a second.
+const STALL_PASSES: u32 = 3;
+/// What is left, at each pass, of the longest time that one took.
+const PASS_TIME_KEPT: f64 = 0.7;
 
 /// What a term has learnt of the group.
 #[derive(Default)]
@@ -76,20 +81,32 @@
 #[derive(Debug, Default)]
 pub struct Stall {
     pass: u64,
+    /// Term of the driver that is to end it.
+    term: u64,
     since: Option<Instant>,
+    /// Longest time between two looks at which a pass had begun meanwhile,
+    /// of which [`PASS_TIME_KEPT`] is left at each new pass.
+    pass_time: Duration,
 }
 
 impl Stall {
-    /// Takes a report; returns whether the group has requests and has begun no
-    /// pass for too long, while a change of the map is under way.
-    pub fn look(&mut self, report: &engine::Report) -> bool {
+    /// Takes a report and the driver's term; returns whether the group has
+    /// requests and has begun no pass for too long, under this driver, while a
+    /// change of the map is under way.
+    pub fn look(&mut self, report: &engine::Report, term: u64) -> bool {
         let changing = report.prepared.is_some() || report.armed.is_some() || report.held.is_some();
-        if report.pass != self.pass || !changing || report.active == 0 {
+        let moved = report.pass != self.pass;
+        if let Some(since) = self.since.filter(|_| moved) {
+            let kept = self.pass_time.mul_f64(PASS_TIME_KEPT);
+            self.pass_time = kept.max(since.elapsed()).min(STALL_TIME * STALL_PASSES);
+        }
+        if moved || term != self.term || !changing || report.active == 0 {
             self.pass = report.pass;
+            self.term = term;
             self.since = None;
         }
         let since = *self.since.get_or_insert_with(Instant::now);
-        since.elapsed() >= STALL_TIME
+        since.elapsed() >= STALL_TIME.max(self.pass_time * STALL_PASSES)
     }
 }
 
--- a/sidecar/src/rank.rs
+++ b/sidecar/src/rank.rs
@@ -112,6 +112,18 @@
         (wire::Effect::Unknown, seen)
     }
 
+    /// Gives the order once, without a look at the engine's state.
+    pub async fn give_unseen(&self, step: &Step) -> Result<Verdict, Error> {
+        let verdict = self.engine.order(&step.order, step.epoch, None).await;
+        log::info!(
+            "order kind={} term={} epoch={} from=afar outcome={verdict:?}",
+            kind(&step.order),
+            step.term,
+            step.epoch
+        );
+        verdict
+    }
+
     /// Gives the order once.
     async fn give(&self, step: &Step, report: &Report) -> Result<Verdict, Error> {
         let after = self.fresh.then_some(report.orders);
