Move experts off a rank that is slow

Cause: an engine tells how slow it is, which was not read: a pass waits for its rank however even the load is.

Ruled out: that it brings much at a slowness of 12: the rank's own part of a pass alone is then 0.35 s, and streams of 28 events miss their deadline.

Change: the search counts a rank as so many times as loaded as it is slower, and may let a copy lapse from it. The driver reads the slowness with the counts.

--- a/decision/src/placement/spread.rs
+++ b/decision/src/placement/spread.rs
@@ -1,11 +1,13 @@
 //! Spreads the experts of one set over the ranks of a lock-step group.
 //!
-//! A pass waits for the most loaded rank of each set, so the search takes load
-//! off that rank, again and again, by the one change that leaves the ranks it
-//! touches least loaded: a copy of one of its experts goes to another rank, or
-//! it changes places with one there. It ends where nothing helps by more than
-//! a threshold, or where the ranks are even enough. The work of a round grows
-//! with the ranks and the experts that a rank holds, not with all experts.
+//! A pass waits for the rank that takes longest for its experts of each set, so
+//! the search takes load off that rank, again and again, by the one change that
+//! leaves the ranks it touches least busy: a copy of one of its experts goes to
+//! another rank, or takes over from it, or it changes places with one there. A
+//! slow rank counts as many times as loaded as it is slower. The search ends
+//! where nothing helps by more than a threshold, or where the ranks are even
+//! enough. The work of a round grows with the ranks and the experts that a rank
+//! holds, not with all experts.
 
 use std::cmp::Ordering;
 
@@ -30,20 +32,30 @@
 /// Experts of a set by rank.
 pub type Ranks = Vec<Vec<u16>>;
 
-/// Load of the most loaded rank over the mean; 1 is perfect. One where there
-/// is no load.
-pub fn peak(ranks: &Ranks, load: &[f64]) -> f64 {
-    let state = State::new(ranks, load, Bounds { placements: usize::MAX, spare: 0 });
+/// What a set has to bear.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// Load of each expert.
+    pub load: &'a [f64],
+    /// How many times as long as usual each rank takes; those that are not in
+    /// it are as fast as usual.
+    pub slowness: &'a [f64],
+}
+
+/// Time of the slowest rank over the least possible one; 1 is perfect. One
+/// where there is no load.
+pub fn peak(ranks: &Ranks, demand: Demand<'_>) -> f64 {
+    let state = State::new(ranks, demand, Bounds { placements: usize::MAX, spare: 0 });
     state.peak()
 }
 
 /// Spreads the load. Experts that a rank does not hold in `before` count
 /// against its bound. Returns `None` where nothing is gained.
-pub fn spread(before: &Ranks, load: &[f64], bounds: Bounds, goal: Goal) -> Option<Ranks> {
-    let mut state = State::new(before, load, bounds);
+pub fn spread(before: &Ranks, demand: Demand<'_>, bounds: Bounds, goal: Goal) -> Option<Ranks> {
+    let mut state = State::new(before, demand, bounds);
     let mut changed = false;
     // Each round takes load off one rank; so many rounds end any search.
-    let most = before.len() * bounds.placements.min(load.len()) * 2;
+    let most = before.len() * bounds.placements.min(demand.load.len()) * 2;
     for _ in 0..most {
         if state.peak() <= goal.even {
             break;
@@ -63,6 +75,8 @@
     Copy { expert: u16, to: usize, instead: Option<u16> },
     /// The expert leaves the rank for another one.
     Move { expert: u16, from: usize, to: usize },
+    /// The expert leaves the rank; others that hold it take its part over.
+    Drop { expert: u16, from: usize },
     /// Two experts change places.
     Swap { expert: u16, from: usize, other: u16, to: usize },
 }
@@ -70,16 +84,21 @@
 struct State<'a> {
     before: &'a Ranks,
     load: &'a [f64],
+    slowness: &'a [f64],
     bounds: Bounds,
     ranks: Ranks,
     holders: Vec<Vec<usize>>,
     /// Load of each rank.
     sums: Vec<f64>,
-    mean: f64,
+    /// Time that every rank would take if the load were spread at will.
+    ideal: f64,
 }
 
 impl<'a> State<'a> {
-    fn new(before: &'a Ranks, load: &'a [f64], bounds: Bounds) -> State<'a> {
+    fn new(before: &'a Ranks, demand: Demand<'a>, bounds: Bounds) -> State<'a> {
+        let Demand { load, slowness } = demand;
+        let speed = |rank| 1.0 / slowness.get(rank).copied().unwrap_or(1.0);
+        let speeds: f64 = (0..before.len()).map(speed).sum();
         let mut holders = vec![Vec::new(); load.len()];
         for (rank, experts) in before.iter().enumerate() {
             experts.iter().for_each(|expert| holders[usize::from(*expert)].push(rank));
@@ -87,11 +106,12 @@
         let mut state = State {
             before,
             load,
+            slowness,
             bounds,
             ranks: before.clone(),
             holders,
             sums: vec![0.0; before.len()],
-            mean: load.iter().sum::<f64>() / before.len().max(1) as f64,
+            ideal: load.iter().sum::<f64>() / speeds.max(f64::MIN_POSITIVE),
         };
         for expert in 0..load.len() {
             let share = state.share(expert as u16, 0);
@@ -108,16 +128,21 @@
         if holders <= 0 { 0.0 } else { self.load[usize::from(expert)] / holders as f64 }
     }
 
+    /// Time that a rank would take with so much more load than it has.
+    fn time(&self, rank: usize, more: f64) -> f64 {
+        (self.sums[rank] + more) * self.slowness.get(rank).copied().unwrap_or(1.0)
+    }
+
     fn slowest(&self) -> usize {
-        let by_load = |a: &usize, b: &usize| self.sums[*a].total_cmp(&self.sums[*b]);
-        (0..self.sums.len()).max_by(by_load).unwrap_or(0)
+        let by_time = |a: &usize, b: &usize| self.time(*a, 0.0).total_cmp(&self.time(*b, 0.0));
+        (0..self.sums.len()).max_by(by_time).unwrap_or(0)
     }
 
     fn peak(&self) -> f64 {
-        if self.mean <= 0.0 {
+        if self.ideal <= 0.0 {
             return 1.0;
         }
-        self.sums[self.slowest()] / self.mean
+        self.time(self.slowest(), 0.0) / self.ideal
     }
 
     /// Whether a rank may take an expert in, with `leaving` gone from it.
@@ -138,11 +163,11 @@
         new < self.bounds.spare
     }
 
-    /// The change that leaves the ranks it touches least loaded, if it takes
+    /// The change that leaves the ranks it touches least busy, if it takes
     /// enough off the slowest rank.
     fn best(&self, least_gain: f64) -> Option<Change> {
         let from = self.slowest();
-        let limit = self.sums[from] - least_gain * self.mean;
+        let limit = self.time(from, 0.0) - least_gain * self.ideal;
         let mut best: Option<(f64, Change)> = None;
         let mut offer = |worst: f64, change: Change| {
             let better = best.is_none_or(|(least, _)| worst.total_cmp(&least) == Ordering::Less);
@@ -151,9 +176,10 @@
             }
         };
         for expert in &self.ranks[from] {
+            self.offer_drop(*expert, from, &mut offer);
             for to in (0..self.ranks.len()).filter(|to| *to != from) {
-                // A rank that is as loaded cannot help.
-                if self.sums[to] >= limit {
+                // A rank that is as busy cannot help.
+                if self.time(to, 0.0) >= limit {
                     continue;
                 }
                 self.offers(*expert, from, to, &mut offer);
@@ -162,18 +188,36 @@
         best.map(|(_, change)| change)
     }
 
+    /// The expert leaves the rank if others hold it too.
+    fn offer_drop(&self, expert: u16, from: usize, offer: &mut impl FnMut(f64, Change)) {
+        let holders = &self.holders[usize::from(expert)];
+        if holders.len() < 2 {
+            return;
+        }
+        let share = self.share(expert, 0);
+        let worst = self.time(from, -share).max(self.time_without(expert, from));
+        offer(worst, Change::Drop { expert, from });
+    }
+
+    /// Time of the slowest of the other holders of an expert that leaves a rank.
+    fn time_without(&self, expert: u16, leaving: usize) -> f64 {
+        let more = self.share(expert, -1) - self.share(expert, 0);
+        let others = self.holders[usize::from(expert)].iter().filter(|rank| **rank != leaving);
+        others.map(|rank| self.time(*rank, more)).fold(0.0, f64::max)
+    }
+
     fn offers(&self, expert: u16, from: usize, to: usize, offer: &mut impl FnMut(f64, Change)) {
         let share = self.share(expert, 0);
         if share <= 0.0 {
             return;
         }
         let after_copy = self.share(expert, 1);
-        let relieved = self.sums[from] - share + after_copy;
+        let relieved = self.time(from, after_copy - share);
         if self.may_take(to, expert, None) {
             let change = Change::Copy { expert, to, instead: None };
-            offer(relieved.max(self.sums[to] + after_copy), change);
+            offer(relieved.max(self.time(to, after_copy)), change);
             let change = Change::Move { expert, from, to };
-            offer((self.sums[from] - share).max(self.sums[to] + share), change);
+            offer(self.time(from, -share).max(self.time(to, share)), change);
         }
         for other in &self.ranks[to] {
             let other_share = self.share(*other, 0);
@@ -181,7 +225,7 @@
                 self.offer_instead(expert, to, *other, relieved, offer);
                 let gives = share - other_share;
                 if gives > 0.0 && self.may_take(from, *other, Some(expert)) {
-                    let worst = (self.sums[from] - gives).max(self.sums[to] + gives);
+                    let worst = self.time(from, -gives).max(self.time(to, gives));
                     offer(worst, Change::Swap { expert, from, other: *other, to });
                 }
             }
@@ -198,16 +242,13 @@
         relieved: f64,
         offer: &mut impl FnMut(f64, Change),
     ) {
-        let holders = &self.holders[usize::from(other)];
-        if holders.len() < 2 {
+        if self.holders[usize::from(other)].len() < 2 {
             return;
         }
-        let more = self.share(other, -1) - self.share(other, 0);
-        let others = holders.iter().filter(|rank| **rank != to);
-        let heaviest = others.map(|rank| self.sums[*rank] + more).fold(0.0, f64::max);
-        let here = self.sums[to] - self.share(other, 0) + self.share(expert, 1);
+        let others = self.time_without(other, to);
+        let here = self.time(to, self.share(expert, 1) - self.share(other, 0));
         let change = Change::Copy { expert, to, instead: Some(other) };
-        offer(relieved.max(here).max(heaviest), change);
+        offer(relieved.max(here).max(others), change);
     }
 
     fn apply(&mut self, change: &Change) {
@@ -222,6 +263,7 @@
                 self.add_to(expert, to);
                 self.drop_from(expert, from);
             }
+            Change::Drop { expert, from } => self.drop_from(expert, from),
             Change::Swap { expert, from, other, to } => {
                 self.drop_from(expert, from);
                 self.drop_from(other, to);
--- a/interface/src/engine.rs
+++ b/interface/src/engine.rs
@@ -8,8 +8,10 @@
 pub type Map = Vec<Vec<Vec<u16>>>;
 
 /// State of an engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Report {
+    /// How many times as long as usual it takes for its work; 1 is usual.
+    pub slowness: f64,
     /// Its group, if it belongs to one.
     pub group: Option<Group>,
     /// Orders that it has taken since its start.
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -31,6 +31,12 @@
 /// Ranks whose counts are read: requests spread evenly, so that these stand
 /// for all.
 const SAMPLE: usize = 16;
+/// Rounds from one look at the speed of all ranks to the next, where counts are
+/// read from a part of them: a second, at the price of a small message a rank.
+const SLOWNESS_ROUNDS: u32 = 5;
+/// Slowness from which a rank counts as slow; what is below is left to the
+/// spread of the load.
+const SLOW: f64 = 1.2;
 /// Time that a sidecar stays out after it stood for election in vain.
 const ELECTION_PAUSE: Duration = Duration::from_millis(1_500);
 /// Times that the pass is chosen anew because it began before it was held.
@@ -366,9 +372,33 @@
         let requests: u32 = same.iter().map(|condition| condition.active + condition.queued).sum();
         let slots = slots * same.len() as u32;
         known.fill = f64::from(requests) / f64::from(slots.max(1));
+        self.see_slowness(term, known, &same).await;
         known.demand.take(same.into_iter().map(|c| (c.rank, c.counts)).collect());
     }
 
+    /// Takes how slow ranks are: at each round those of the sample, and at some
+    /// rounds all others.
+    async fn see_slowness(&self, term: u64, known: &mut Known, sample: &[wire::Condition]) {
+        let ranks = known.view.ranks.len();
+        known.slowness.resize(ranks, 1.0);
+        known.rounds += 1;
+        let mut all = Vec::new();
+        if sample.len() < ranks && known.rounds >= SLOWNESS_ROUNDS {
+            known.rounds = 0;
+            let inspection = wire::Inspection { term, counts: false, experts: false };
+            all = self.group.inspect(&self.rank, &known.view.ranks, inspection).await;
+        }
+        let others = all.iter().map(|(_, condition)| condition);
+        for condition in sample.iter().chain(others) {
+            let Some(slowness) = known.slowness.get_mut(condition.rank as usize) else { continue };
+            let now = if condition.slowness < SLOW { 1.0 } else { condition.slowness };
+            if (now - *slowness).abs() > f64::EPSILON {
+                log::info!("rank's speed changed rank={} slowness={now:.2}", condition.rank);
+            }
+            *slowness = now;
+        }
+    }
+
     /// Takes a change to its end.
     async fn change(
         &self,
--- a/sidecar/src/group.rs
+++ b/sidecar/src/group.rs
@@ -39,9 +39,9 @@
 }
 
 impl<E: Engine> Member<E> {
-    /// Asks the sidecar for the state of its engine, and the engine itself, with
-    /// which the group may be standing still, if the sidecar takes long. For
-    /// counts only the sidecar is asked: there is another interval.
+    /// Asks the sidecar for the state of its engine. Where the experts are asked
+    /// for, the group may be standing still until they are known: the engine
+    /// itself is asked as well if the sidecar takes long.
     async fn inspect(
         &self,
         address: SocketAddr,
@@ -50,7 +50,7 @@
         let mut client = self.client.clone();
         let call = tokio::time::timeout(INSPECT_TIMEOUT, client.inspect(inspection));
         let sidecar = async { Some(call.await.ok()?.ok()?.into_inner()) };
-        if inspection.counts {
+        if !inspection.experts {
             return sidecar.await;
         }
         tokio::pin!(sidecar);
--- a/sidecar/src/known.rs
+++ b/sidecar/src/known.rs
@@ -32,6 +32,10 @@
     pub map: Map,
     /// What experts are in demand.
     pub demand: Demand,
+    /// How many times as long as usual each rank takes for its work.
+    pub slowness: Vec<f64>,
+    /// Rounds since the slowness of all ranks was read.
+    pub rounds: u32,
     /// Requests on the engines, as a part of their slots.
     pub fill: f64,
     /// How long arming all ranks is expected to take, of which [`ARM_TIME_KEPT`]
@@ -51,6 +55,7 @@
         let before = std::mem::take(self);
         *self = Known {
             demand: before.demand,
+            slowness: before.slowness,
             arm_time: before.arm_time,
             pass_time: before.pass_time,
             versions: before.versions,
--- a/sidecar/src/plan.rs
+++ b/sidecar/src/plan.rs
@@ -47,7 +47,8 @@
         if newest.is_empty() {
             0.0
         } else {
-            spread::peak(ranks, newest) - spread::peak(ranks, before)
+            let peak = |load| spread::peak(ranks, spread::Demand { load, slowness: &[] });
+            peak(newest) - peak(before)
         }
     });
     let rise = rise.sum::<f64>() / experts.sets as f64;
@@ -80,11 +81,12 @@
         if load.is_empty() {
             return None;
         }
-        let peak = spread::peak(ranks, load);
+        let demand = spread::Demand { load, slowness: &known.slowness };
+        let peak = spread::peak(ranks, demand);
         before += peak;
-        after += match spread::spread(ranks, load, bounds, goal) {
+        after += match spread::spread(ranks, demand, bounds, goal) {
             Some(better) => {
-                let peak = spread::peak(&better, load);
+                let peak = spread::peak(&better, demand);
                 copies += copied(ranks, &better);
                 *ranks = better;
                 peak
--- a/sidecar/src/rank.rs
+++ b/sidecar/src/rank.rs
@@ -234,6 +234,7 @@
         queued: report.queued,
         counts: Vec::new(),
         experts: Vec::new(),
+        slowness: report.slowness,
     }
 }
 
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -319,7 +319,7 @@
     #[prost(bool, tag = "3")]
     pub experts: bool,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Condition {
     /// Highest term that the sidecar has seen.
     #[prost(uint64, tag = "1")]
@@ -364,6 +364,9 @@
     /// Experts in use: a set after the other, each with its length before it.
     #[prost(uint32, repeated, tag = "17")]
     pub experts: ::prost::alloc::vec::Vec<u32>,
+    /// How many times as long as usual the engine takes for its work.
+    #[prost(double, tag = "18")]
+    pub slowness: f64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Step {
@@ -384,7 +387,7 @@
     #[prost(uint32, repeated, tag = "6")]
     pub map: ::prost::alloc::vec::Vec<u32>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Result {
     #[prost(enumeration = "Effect", tag = "1")]
     pub effect: i32,
