Copy fewer experts while engines have slots to spare

What counts after a shift is the one pass over the longest pause, so that engines which are three quarters full get maps as even as before.

Change: goal and least move of the search by fill, from 0.5 to 0.75 of the slots; the log line of a placement tells the time of a pass.

--- a/sidecar/src/known.rs
+++ b/sidecar/src/known.rs
@@ -42,7 +42,7 @@
     /// is left at each change.
     pub arm_time: Duration,
     /// Time of a pass.
-    pass_time: Duration,
+    pub pass_time: Duration,
     /// Last pass that was seen, and when.
     seen: Option<(u64, Instant)>,
     /// Versions used in this term.
--- a/sidecar/src/plan.rs
+++ b/sidecar/src/plan.rs
@@ -19,18 +19,22 @@
 const COPY_GAIN: (f64, f64) = (0.75, 0.35);
 /// Peak at which the search for a set ends, while the engines are idle and
 /// while they are full.
-const EVEN: (f64, f64) = (1.15, 1.06);
-/// Least gain of one move of the search.
-const LEAST_MOVE: f64 = 0.02;
+const EVEN: (f64, f64) = (1.50, 1.06);
+/// Least gain of one move of the search, while the engines are idle and while
+/// they are full.
+const LEAST_MOVE: (f64, f64) = (0.06, 0.02);
 /// How much higher the peak must be by the last interval than by the demand
 /// before for the demand to count as shifted.
 const SHIFT: f64 = 0.25;
 
+/// Requests on the engines, as a part of their slots, up to which these count
+/// as idle, and from which as full: by measured days, passes are near the
+/// longest wanted pause after a shift of the demand from some three quarters on.
+const FILL: (f64, f64) = (0.5, 0.75);
+
 /// A value between that of idle and that of full engines.
 fn by_fill(fill: f64, (idle, full): (f64, f64)) -> f64 {
-    /// Fill up to which the engines count as idle.
-    const IDLE: f64 = 0.5;
-    let part = ((fill - IDLE) / (1.0 - IDLE)).clamp(0.0, 1.0);
+    let part = ((fill - FILL.0) / (FILL.1 - FILL.0)).clamp(0.0, 1.0);
     idle + (full - idle) * part
 }
 
@@ -71,7 +75,10 @@
         return None;
     }
     let bounds = spread::Bounds { placements: experts.placements, spare: experts.spare };
-    let goal = spread::Goal { even: by_fill(known.fill, EVEN), least_gain: LEAST_MOVE };
+    let goal = spread::Goal {
+        even: by_fill(known.fill, EVEN),
+        least_gain: by_fill(known.fill, LEAST_MOVE),
+    };
     let least_gain = by_fill(known.fill, LEAST_GAIN);
     let mut map = known.map.clone();
     let (mut before, mut after) = (0.0, 0.0);
@@ -99,10 +106,11 @@
     let part = copies as f64 / (sets * known.view.ranks.len().max(1) as f64);
     let least_gain = least_gain.max(part * by_fill(known.fill, COPY_GAIN));
     log::info!(
-        "placement epoch={} choices={:.0} fill={:.2} peak={:.3} reachable={:.3} copies={copies} change={}",
+        "placement epoch={} choices={:.0} fill={:.2} pass_ms={} peak={:.3} reachable={:.3} copies={copies} change={}",
         known.view.epoch,
         known.demand.total(),
         known.fill,
+        known.pass_time.as_millis(),
         before / sets,
         after / sets,
         gain >= least_gain
