Add a seeded fault soak of the real programs

The proxy can reset connections and stand before a given address; the harness can put it before backend servers and the store.

--- /dev/null
+++ b/soak/src/check.rs
@@ -0,0 +1,198 @@
+//! What is promised, checked on what clients and backend servers saw.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use crate::client::{DEADLINE, End, Kind, Seen};
+use crate::inject::Span;
+use crate::plan::Process;
+
+/// How much later than its deadline a request may end: the machine may be busy
+/// with other things, and a paused process catches up first.
+const LATE: Duration = Duration::from_secs(2);
+/// Attempts that the routes of the soak allow.
+const MAX_ATTEMPTS: usize = 2;
+/// Time that a process takes to be well again after something was done to it.
+const AFTER: Duration = Duration::from_millis(500);
+
+/// A broken promise.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Breach {
+    /// An answer is not the request's own or not whole.
+    #[error("request {0}: its answer is not its own and whole: {1}")]
+    Mixed(String, String),
+    /// A request that may run once ran again, or one ran more often than allowed.
+    #[error("request {0} reached {1} backend servers")]
+    Repeated(String, usize),
+    /// A request was told that it had not run, and had.
+    #[error("request {0} ran and was answered {1}")]
+    Denied(String, u16),
+    /// A backend server got another request than a client sent.
+    #[error("request {0} was changed on its way: {1}")]
+    Changed(String, String),
+    /// A request was cut off though its gateway was at most stopped as planned.
+    #[error("request {0} was cut off by gateway {1}")]
+    Lost(String, u8),
+    /// A request had no answer long after its deadline.
+    #[error("request {0} at gateway {1} took {2:?}")]
+    Late(String, u8, Duration),
+    /// A gateway went back to an older configuration.
+    #[error("gateway {0} took the key of configuration {2} after one of {1}")]
+    Back(u8, u64, u64),
+    /// A planned stop took too long.
+    #[error("{0:?} did not end after a planned stop")]
+    Overdue(Process),
+    /// A pass ran on two maps.
+    #[error("{0} passes ran on two maps")]
+    Maps(u64),
+    /// Something does not work again after the faults.
+    #[error("not well after the faults: {0}")]
+    Unwell(String),
+}
+
+/// What is known of a run.
+pub struct Evidence {
+    /// What clients saw.
+    pub seen: Vec<Seen>,
+    /// What backend servers got, by id.
+    pub arrivals: BTreeMap<String, Vec<Value>>,
+    /// What was done to processes.
+    pub spans: Vec<Span>,
+}
+
+impl Evidence {
+    /// All promises that were broken to clients and backend servers.
+    pub fn breaches(&self) -> Vec<Breach> {
+        let mut breaches: Vec<Breach> = Vec::new();
+        for seen in &self.seen {
+            let arrivals = self.arrivals.get(&seen.id).map_or(&[][..], Vec::as_slice);
+            breaches.extend(own(seen));
+            breaches.extend(repeated(seen, arrivals.len()));
+            breaches.extend(denied(seen, arrivals.len()));
+            breaches.extend(arrivals.iter().find_map(|arrival| changed(seen, arrival)));
+            breaches.extend(self.lost(seen, arrivals.len()));
+            breaches.extend(self.late(seen));
+        }
+        breaches.extend(self.back());
+        breaches
+    }
+
+    /// Whether something worse than a planned stop was done to a gateway around
+    /// that time.
+    fn harmed(&self, gateway: u8, (from, to): (Instant, Instant)) -> bool {
+        self.spans.iter().any(|span| {
+            span.process == Process::Gateway(gateway)
+                && !span.planned
+                && span.time.0 <= to
+                && span.time.1 + AFTER >= from
+        })
+    }
+
+    /// A connection that ends without an answer though the request was passed on.
+    fn lost(&self, seen: &Seen, arrivals: usize) -> Option<Breach> {
+        let cut = seen.end == End::Closed && arrivals > 0;
+        let lost = cut && !self.harmed(seen.gateway, seen.time);
+        lost.then(|| Breach::Lost(seen.id.clone(), seen.gateway))
+    }
+
+    fn late(&self, seen: &Seen) -> Option<Breach> {
+        let time = seen.time.1 - seen.time.0;
+        let late = seen.end != End::NoConnection && time > DEADLINE + LATE;
+        let late = late && !self.harmed(seen.gateway, seen.time);
+        late.then(|| Breach::Late(seen.id.clone(), seen.gateway, time))
+    }
+
+    /// Gateways that took an older key after a newer configuration, within one
+    /// life. A configuration takes its own key and the one before.
+    fn back(&self) -> Vec<Breach> {
+        let mut breaches = Vec::new();
+        let mut newest: BTreeMap<u8, (u64, Instant)> = BTreeMap::new();
+        let mut seen: Vec<&Seen> = self.seen.iter().collect();
+        seen.sort_by_key(|seen| seen.time.1);
+        for seen in seen {
+            let taken = matches!(seen.end, End::Answer { status: 200, .. });
+            if !taken {
+                continue;
+            }
+            let known = newest.get(&seen.gateway).copied();
+            // A new life may begin with what it first hears of.
+            let lives = known.is_some_and(|(_, at)| !self.restarted(seen.gateway, at, seen.time.0));
+            match known {
+                Some((number, at)) if lives && at < seen.time.0 && seen.key + 1 < number => {
+                    breaches.push(Breach::Back(seen.gateway, number, seen.key));
+                }
+                Some((number, _)) if lives && number >= seen.key => {}
+                _ => {
+                    newest.insert(seen.gateway, (seen.key, seen.time.1));
+                }
+            }
+        }
+        breaches
+    }
+
+    fn restarted(&self, gateway: u8, from: Instant, to: Instant) -> bool {
+        self.spans.iter().any(|span| {
+            span.process == Process::Gateway(gateway) && span.time.0 <= to && span.time.1 >= from
+        })
+    }
+}
+
+fn own(seen: &Seen) -> Option<Breach> {
+    let End::Answer { status, stamp, id, body, whole, .. } = &seen.end else { return None };
+    let mixed = |reason: String| Some(Breach::Mixed(seen.id.clone(), reason));
+    if id.as_ref().is_some_and(|id| *id != seen.id) {
+        return mixed(format!("it names {id:?}"));
+    }
+    let Some(stamp) = stamp else {
+        return if (200..300).contains(status) { mixed("unsigned".to_owned()) } else { None };
+    };
+    let Some(server) = stamp.strip_suffix(&format!(".{}", seen.id)) else {
+        return mixed(format!("signed {stamp}"));
+    };
+    match seen.kind {
+        Kind::Receipt | Kind::Alert if *whole && *body != format!("answer of {server}") => {
+            mixed(format!("body {body}"))
+        }
+        Kind::Draft(events) if *status == 200 => events_fit(events, body, *whole).and_then(mixed),
+        _ => None,
+    }
+}
+
+/// Whether a stream has its events in order, and all of them if it is whole.
+fn events_fit(events: u64, body: &str, whole: bool) -> Option<String> {
+    let all: String = (1..=events).map(|n| format!("id: {n}\ndata: piece {n}\n\n")).collect();
+    if whole && body != all {
+        return Some(format!("{} of {} bytes, and complete", body.len(), all.len()));
+    }
+    (!all.starts_with(body)).then(|| "its events are not in order".to_owned())
+}
+
+fn repeated(seen: &Seen, arrivals: usize) -> Option<Breach> {
+    let most = if seen.kind == Kind::Receipt { 1 } else { MAX_ATTEMPTS };
+    (arrivals > most).then(|| Breach::Repeated(seen.id.clone(), arrivals))
+}
+
+fn denied(seen: &Seen, arrivals: usize) -> Option<Breach> {
+    let End::Answer { status: status @ (408 | 421 | 429 | 503), .. } = seen.end else {
+        return None;
+    };
+    let ran = seen.kind == Kind::Receipt && arrivals > 0;
+    ran.then(|| Breach::Denied(seen.id.clone(), status))
+}
+
+fn changed(seen: &Seen, arrival: &Value) -> Option<Breach> {
+    let path = match seen.kind {
+        Kind::Receipt => "/receipt/soak",
+        Kind::Alert => "/alert/soak",
+        Kind::Draft(_) => "/draft/soak",
+    };
+    let headers = &arrival["headers"];
+    let sound = arrival["path"] == path
+        && arrival["body"] == "body"
+        && headers["x-tenant"] == "clinica"
+        && headers["x-expect-instance"] == arrival["server"]
+        && headers.get("x-api-key").is_none();
+    (!sound).then(|| Breach::Changed(seen.id.clone(), arrival.to_string()))
+}
--- /dev/null
+++ b/soak/src/client.rs
@@ -0,0 +1,174 @@
+//! Clients that send requests over kept connections, and write down what they saw.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use loftcove_tests::system::{self, Client, Request};
+use rand::Rng as _;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng as _;
+
+/// Time for which a client waits for an answer, and what it tells the gateway.
+pub const DEADLINE: Duration = Duration::from_millis(3_000);
+/// Longest time that a client waits before it takes the gateway to be dead.
+const GIVE_UP: Duration = Duration::from_secs(20);
+
+/// Kind of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// May run once.
+    Receipt,
+    /// May run again.
+    Alert,
+    /// A stream with so many events.
+    Draft(u64),
+}
+
+/// How a request ended, as its client saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum End {
+    /// No connection came up: nothing was sent.
+    NoConnection,
+    /// The connection ended without a head.
+    Closed,
+    /// Nothing came within [`GIVE_UP`].
+    Silent,
+    /// A head, and a body as far as it came.
+    Answer {
+        /// Status.
+        status: u16,
+        /// Signature of the backend server, if there is one.
+        stamp: Option<String>,
+        /// Id that the answer names.
+        id: Option<String>,
+        /// Whether a `Retry-After` was there.
+        retry_after: bool,
+        /// Body, as far as it came.
+        body: String,
+        /// Whether the body ended as it must.
+        whole: bool,
+    },
+}
+
+/// One request as its client saw it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    /// Its id.
+    pub id: String,
+    /// Its kind.
+    pub kind: Kind,
+    /// Gateway that it was sent to.
+    pub gateway: u8,
+    /// Number of the configuration whose key it bore.
+    pub key: u64,
+    /// When it was sent, and when it ended.
+    pub time: (Instant, Instant),
+    /// How it ended.
+    pub end: End,
+}
+
+/// What all clients share.
+#[derive(Debug, Default)]
+pub struct Shared {
+    /// Number of the newest configuration.
+    pub newest: AtomicU64,
+    /// Whether they are to stop.
+    pub stop: AtomicBool,
+    /// What they have seen.
+    pub seen: Mutex<Vec<Seen>>,
+}
+
+/// Key of the team in the configuration with that number.
+pub fn key(number: u64) -> String {
+    format!("key-{number}")
+}
+
+/// Sends requests until it is told to stop.
+pub async fn run(shared: Arc<Shared>, gateways: Vec<std::net::SocketAddr>, seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut kept: Option<(u8, Client)> = None;
+    while !shared.stop.load(Ordering::Relaxed) {
+        let (gateway, client) = match kept.take() {
+            Some((gateway, client)) if rng.random_bool(0.9) => (gateway, Some(client)),
+            _ => {
+                let gateway = rng.random_range(0..gateways.len());
+                (gateway as u8, Client::connect(gateways[gateway]).await)
+            }
+        };
+        let (seen, client) = one(&shared, &mut rng, gateway, client).await;
+        let ended = !matches!(seen.end, End::Answer { whole: true, .. });
+        kept = client.filter(|_| !ended).map(|client| (gateway, client));
+        if seen.end == End::NoConnection {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        shared.seen.lock().expect("no holder of the records panics").push(seen);
+    }
+}
+
+/// Sends one request.
+async fn one(
+    shared: &Shared,
+    rng: &mut ChaCha8Rng,
+    gateway: u8,
+    client: Option<Client>,
+) -> (Seen, Option<Client>) {
+    let newest = shared.newest.load(Ordering::Relaxed);
+    // Now and then with the key of an earlier configuration.
+    let back = if rng.random_ratio(1, 10) { rng.random_range(0..3) } else { 0 };
+    let number = newest.saturating_sub(back).max(1);
+    let (kind, request) = draw(rng);
+    let request = request.with("x-api-key", &key(number));
+    let sent = Instant::now();
+    let (end, client) = match client {
+        None => (End::NoConnection, None),
+        Some(mut client) => {
+            let ended = tokio::time::timeout(GIVE_UP, ask(&mut client, &request)).await;
+            (ended.unwrap_or(End::Silent), Some(client))
+        }
+    };
+    let time = (sent, Instant::now());
+    (Seen { id: request.id, kind, gateway, key: number, time, end }, client)
+}
+
+async fn ask(client: &mut Client, request: &Request) -> End {
+    let Some(response) = client.send(request).await else { return End::Closed };
+    let status = response.status().as_u16();
+    let text = |name: &str| {
+        let value = response.headers().get(name)?;
+        value.to_str().ok().map(str::to_owned)
+    };
+    let (stamp, id) = (text("x-server-stamp"), text("x-attempt-id"));
+    let retry_after = response.headers().contains_key("retry-after");
+    let (body, whole) = system::read(response).await;
+    End::Answer { status, stamp, id, retry_after, body, whole }
+}
+
+fn draw(rng: &mut ChaCha8Rng) -> (Kind, Request) {
+    let deadline = DEADLINE.as_millis().to_string();
+    let (kind, request) = match rng.random_range(0..10) {
+        0..4 => (Kind::Receipt, Request::new("/receipt/soak")),
+        4..7 => (Kind::Alert, Request::new("/alert/soak")),
+        _ => {
+            let events = rng.random_range(1..80);
+            let request = Request::new("/draft/soak").with("x-standin-events", &events.to_string());
+            (Kind::Draft(events), request)
+        }
+    };
+    let request = request.with("x-deadline-ms", &deadline);
+    // What backend servers do wrong.
+    let request = match (rng.random_range(0..25), kind) {
+        (0, Kind::Draft(events)) => {
+            request.with("x-standin-break", &rng.random_range(1..=events).to_string())
+        }
+        (0, _) => request.with("x-standin-lose", "1"),
+        (1, _) => request.with("x-standin-foreign", "1"),
+        (2, Kind::Receipt | Kind::Alert) => request.with("x-standin-status", "500"),
+        (3, Kind::Receipt | Kind::Alert) => {
+            let delay: u64 = rng.random_range(1..2_000);
+            request.with("x-standin-delay-ms", &delay.to_string())
+        }
+        _ => request,
+    };
+    (kind, request)
+}
--- /dev/null
+++ b/soak/src/inject.rs
@@ -0,0 +1,259 @@
+//! Carries faults out.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use loftcove_tests::system::{SMS, System};
+
+use crate::client;
+use crate::plan::{Event, Fault, Harm, Process, Store};
+
+/// Longest time that a planned stop may take: the time that the settings give,
+/// and some for a machine that is busy.
+const STOP_TIME: Duration = Duration::from_secs(14);
+
+/// A span in which something was done to a process.
+#[derive(Debug, Clone, Copy)]
+pub struct Span {
+    /// The process.
+    pub process: Process,
+    /// From when to when.
+    pub time: (Instant, Instant),
+    /// Whether it was a planned stop or a reload and nothing worse.
+    pub planned: bool,
+}
+
+/// What is being done to the processes.
+pub struct Injector<'a> {
+    system: &'a mut System,
+    shared: &'a client::Shared,
+    /// Processes that something is being done to, since when, and whether it is planned.
+    busy: BTreeMap<Process, (Instant, bool)>,
+    /// What was done.
+    pub spans: Vec<Span>,
+    /// Planned stops that took too long.
+    pub overdue: Vec<Process>,
+    /// Whether the group is broken.
+    broken: bool,
+}
+
+impl<'a> Injector<'a> {
+    /// An injector for a system in which nothing is wrong.
+    pub fn new(system: &'a mut System, shared: &'a client::Shared) -> Injector<'a> {
+        Injector {
+            system,
+            shared,
+            busy: BTreeMap::new(),
+            spans: Vec::new(),
+            overdue: Vec::new(),
+            broken: false,
+        }
+    }
+
+    /// Carries the events out, each at its time, and ends what has not ended.
+    pub async fn run(&mut self, events: &[Event]) {
+        let start = Instant::now();
+        let mut ends: Vec<(Duration, Fault)> = Vec::new();
+        let mut next = events.iter().peekable();
+        loop {
+            ends.sort_by_key(|(at, _)| *at);
+            let begin = next.peek().map(|event| event.at);
+            let end = ends.first().map(|(at, _)| *at);
+            let Some(at) = begin.into_iter().chain(end).min() else { break };
+            tokio::time::sleep_until((start + at).into()).await;
+            if end == Some(at) {
+                let (_, fault) = ends.remove(0);
+                self.end(fault).await;
+                continue;
+            }
+            let Some(event) = next.next() else { break };
+            if self.begin(event.fault).await {
+                ends.push((event.at + event.lasts, event.fault));
+            }
+        }
+        self.calm().await;
+    }
+
+    /// Begins a fault; returns whether it is to be ended.
+    async fn begin(&mut self, fault: Fault) -> bool {
+        match fault {
+            Fault::Kill(process) | Fault::Pause(process) | Fault::Stop(process) => {
+                if self.busy.contains_key(&process) {
+                    return false;
+                }
+                let planned = matches!(fault, Fault::Stop(_));
+                self.busy.insert(process, (Instant::now(), planned));
+                match fault {
+                    Fault::Kill(_) => self.process(process).kill().await,
+                    Fault::Pause(_) => self.process(process).signal(libc::SIGSTOP),
+                    _ => self.process(process).signal(libc::SIGTERM),
+                }
+            }
+            Fault::Freeze(rank) => {
+                let process = Process::Sidecar(rank);
+                if self.busy.contains_key(&process) {
+                    return false;
+                }
+                self.busy.insert(process, (Instant::now(), false));
+                self.process(process).signal(libc::SIGSTOP);
+                self.system.link(&server_name(true, rank), "freeze").await;
+            }
+            Fault::Reload(process) => {
+                if !self.busy.contains_key(&process) {
+                    self.process(process).signal(libc::SIGHUP);
+                }
+                return false;
+            }
+            Fault::Server { rank, number, harm } => {
+                self.system.link(&server_name(rank, number), &harm.text()).await;
+            }
+            Fault::StoreLink { gateway, harm } => {
+                self.system.link(&format!("store-gateway-{gateway}"), &harm.text()).await;
+            }
+            Fault::Store(store) => return self.harm_store(store).await,
+            Fault::Orders => self.system.group_control("/orders?lost=5&late=7").await,
+            Fault::Break => {
+                self.broken = true;
+                self.system.group_control("/break").await;
+            }
+            Fault::Shift(expert) => {
+                self.system.group_control(&format!("/popular?expert={expert}")).await;
+                return false;
+            }
+            Fault::Configure => {
+                self.configure().await;
+                return false;
+            }
+            Fault::Drain(number) => self.list_plain(number, "draining").await,
+            Fault::Unlist(number) => {
+                self.system.remove(&format!("servers/plain-{number}")).await;
+            }
+        }
+        true
+    }
+
+    async fn harm_store(&mut self, store: Store) -> bool {
+        match store {
+            Store::Down => self.system.store_control("fault/down").await,
+            Store::Slow => self.system.store_control("fault/slow").await,
+            Store::LoseWrite => self.system.store_control("fault/lose-write").await,
+            Store::Compact => self.system.store_control("compact").await,
+            // All gateways reach the store through the proxy, from one address.
+            Store::Deny(gateway) => {
+                self.system.link(&format!("store-gateway-{gateway}"), "reset").await;
+            }
+        }
+        store != Store::Compact
+    }
+
+    async fn end(&mut self, fault: Fault) {
+        match fault {
+            Fault::Kill(process) => self.restart(process),
+            Fault::Pause(process) => {
+                self.process(process).signal(libc::SIGCONT);
+                self.done(process);
+            }
+            Fault::Stop(process) => self.await_stop(process).await,
+            Fault::Freeze(rank) => {
+                let process = Process::Sidecar(rank);
+                self.process(process).signal(libc::SIGCONT);
+                self.system.link(&server_name(true, rank), "none").await;
+                self.done(process);
+            }
+            Fault::Server { rank, number, .. } => {
+                self.system.link(&server_name(rank, number), "none").await;
+            }
+            Fault::StoreLink { gateway, .. } | Fault::Store(Store::Deny(gateway)) => {
+                self.system.link(&format!("store-gateway-{gateway}"), "none").await;
+            }
+            Fault::Store(_) => self.system.store_control("fault/none").await,
+            Fault::Orders => self.system.group_control("/orders").await,
+            Fault::Break if self.broken => self.mend().await,
+            Fault::Drain(number) | Fault::Unlist(number) => self.list_plain(number, "ready").await,
+            Fault::Break | Fault::Reload(_) | Fault::Shift(_) | Fault::Configure => {}
+        }
+    }
+
+    /// Ends whatever was not ended, so that all is well again.
+    async fn calm(&mut self) {
+        self.system.link("*", "none").await;
+        self.system.store_control("fault/none").await;
+        self.system.group_control("/orders").await;
+        if self.broken {
+            self.mend().await;
+        }
+        self.configure().await;
+    }
+
+    async fn mend(&mut self) {
+        self.broken = false;
+        self.system.group_control("/mend").await;
+    }
+
+    async fn configure(&mut self) {
+        let number = self.shared.newest.load(Ordering::Relaxed) + 1;
+        // The one before is still taken, so that clients are not all refused.
+        let keys = [client::key(number), client::key(number - 1)];
+        let keys: Vec<&str> = keys.iter().map(String::as_str).collect();
+        self.system.configure(number, &keys).await;
+        self.shared.newest.store(number, Ordering::Relaxed);
+    }
+
+    async fn list_plain(&mut self, number: u8, state: &str) {
+        let address = self.system.plain_address(number);
+        self.system.list(&format!("plain-{number}"), SMS, address, state).await;
+    }
+
+    fn process(&mut self, process: Process) -> &mut loftcove_tests::process::Process {
+        match process {
+            Process::Gateway(number) => &mut self.system.gateways[usize::from(number)],
+            Process::Sidecar(rank) => &mut self.system.sidecars[usize::from(rank)],
+        }
+    }
+
+    /// Waits for the end of a planned stop, and starts the process again.
+    async fn await_stop(&mut self, process: Process) {
+        let end = Instant::now() + STOP_TIME;
+        while !self.process(process).ended() {
+            if Instant::now() > end {
+                self.overdue.push(process);
+                self.process(process).kill().await;
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.restart(process);
+    }
+
+    fn restart(&mut self, process: Process) {
+        match process {
+            Process::Gateway(number) => self.system.start_gateway(number),
+            Process::Sidecar(rank) => self.system.start_sidecar(rank),
+        }
+        self.done(process);
+    }
+
+    fn done(&mut self, process: Process) {
+        if let Some((since, planned)) = self.busy.remove(&process) {
+            self.spans.push(Span { process, time: (since, Instant::now()), planned });
+        }
+    }
+}
+
+impl Harm {
+    /// The proxy's word for it.
+    fn text(self) -> String {
+        match self {
+            Harm::Cut => "cut".to_owned(),
+            Harm::Reset => "reset".to_owned(),
+            Harm::Silence => "freeze".to_owned(),
+            Harm::LoseAnswers => "lose-answers".to_owned(),
+            Harm::Delay(ms) => format!("delay={ms}"),
+        }
+    }
+}
+
+fn server_name(rank: bool, number: u8) -> String {
+    format!("{}-{number}", if rank { "rank" } else { "plain" })
+}
--- /dev/null
+++ b/soak/src/plan.rs
@@ -0,0 +1,197 @@
+//! Which faults come when, drawn from a seed.
+
+use std::time::Duration;
+
+use rand::Rng as _;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng as _;
+
+/// Longest pause between the beginnings of two faults; they last longer than
+/// that, so that several are there at a time.
+const LONGEST_PAUSE_MS: u64 = 900;
+/// Shortest and longest time that a fault lasts.
+const LASTS_MS: std::ops::Range<u64> = 200..3_500;
+
+/// What runs.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// Gateways.
+    pub gateways: u8,
+    /// Ranks of the group, each with a sidecar.
+    pub ranks: u8,
+    /// Plain servers.
+    pub plain: u8,
+    /// Clients.
+    pub clients: u32,
+    /// Time for which faults come.
+    pub time: Duration,
+}
+
+/// One of our processes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Process {
+    /// A gateway by its number.
+    Gateway(u8),
+    /// A sidecar by its rank.
+    Sidecar(u8),
+}
+
+/// What the proxy does to a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Harm {
+    /// Closes connections.
+    Cut,
+    /// Resets them.
+    Reset,
+    /// Silences them both ways.
+    Silence,
+    /// Silences one way: answers are lost.
+    LoseAnswers,
+    /// Delays each part by so many milliseconds.
+    Delay(u64),
+}
+
+/// How the store misbehaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Store {
+    /// It refuses every call.
+    Down,
+    /// It takes long for every call.
+    Slow,
+    /// It does one write and loses the answer.
+    LoseWrite,
+    /// It forgets its history.
+    Compact,
+    /// It turns one gateway down.
+    Deny(u8),
+}
+
+/// A fault, or a change that an operator or a backend server makes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// A process is killed, and started again later.
+    Kill(Process),
+    /// A process stands still for a while.
+    Pause(Process),
+    /// A planned stop; the process is started again when it has ended.
+    Stop(Process),
+    /// A host freezes: a sidecar stands still, and nobody reaches its engine.
+    Freeze(u8),
+    /// A process is told that its settings have changed.
+    Reload(Process),
+    /// Connections to a backend server are harmed: a rank, or a plain server.
+    Server {
+        /// Whether it is a rank of the group.
+        rank: bool,
+        /// Its number.
+        number: u8,
+        /// What happens to the connections.
+        harm: Harm,
+    },
+    /// Connections of one gateway to the store are harmed.
+    StoreLink {
+        /// The gateway.
+        gateway: u8,
+        /// What happens to the connections.
+        harm: Harm,
+    },
+    /// The store misbehaves.
+    Store(Store),
+    /// Of the orders to engines, each so-and-so-many-th is lost or late.
+    Orders,
+    /// The group breaks, and forms anew.
+    Break,
+    /// Demand shifts to other experts.
+    Shift(u16),
+    /// A configuration with another key of the team.
+    Configure,
+    /// A plain server says that it is leaving, and comes back.
+    Drain(u8),
+    /// A plain server's entry goes, and comes back.
+    Unlist(u8),
+}
+
+/// A fault with its time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Event {
+    /// When it begins, from the start of the faults.
+    pub at: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// What it is.
+    pub fault: Fault,
+}
+
+/// The faults of a seed, in the order of their beginnings.
+pub fn draw(seed: u64, size: &Size) -> Vec<Event> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut events = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += Duration::from_millis(rng.random_range(0..LONGEST_PAUSE_MS));
+        if at >= size.time {
+            return events;
+        }
+        let lasts = Duration::from_millis(rng.random_range(LASTS_MS));
+        let fault = fault(&mut rng, size);
+        events.push(Event { at, lasts, fault });
+        // Series: the same kind again, at once.
+        if rng.random_ratio(1, 6) {
+            let at = at + lasts / 3;
+            events.push(Event { at, lasts, fault });
+        }
+    }
+}
+
+fn fault(rng: &mut ChaCha8Rng, size: &Size) -> Fault {
+    match rng.random_range(0..22) {
+        0..3 => Fault::Kill(process(rng, size)),
+        3..6 => Fault::Pause(process(rng, size)),
+        6..8 => Fault::Stop(process(rng, size)),
+        8 => Fault::Reload(process(rng, size)),
+        9..11 => server(rng, size),
+        11 => Fault::StoreLink { gateway: rng.random_range(0..size.gateways), harm: harm(rng) },
+        12 | 13 => Fault::Store(store(rng, size)),
+        14 => Fault::Orders,
+        15 => Fault::Break,
+        16 => Fault::Shift(rng.random_range(0..16)),
+        17 => Fault::Configure,
+        18 | 19 => Fault::Freeze(rng.random_range(0..size.ranks)),
+        20 => Fault::Drain(rng.random_range(0..size.plain)),
+        _ => Fault::Unlist(rng.random_range(0..size.plain)),
+    }
+}
+
+fn process(rng: &mut ChaCha8Rng, size: &Size) -> Process {
+    if rng.random_bool(0.5) {
+        Process::Gateway(rng.random_range(0..size.gateways))
+    } else {
+        Process::Sidecar(rng.random_range(0..size.ranks))
+    }
+}
+
+fn server(rng: &mut ChaCha8Rng, size: &Size) -> Fault {
+    let rank = rng.random_bool(0.5);
+    let number = rng.random_range(0..if rank { size.ranks } else { size.plain });
+    Fault::Server { rank, number, harm: harm(rng) }
+}
+
+fn harm(rng: &mut ChaCha8Rng) -> Harm {
+    match rng.random_range(0..5) {
+        0 => Harm::Cut,
+        1 => Harm::Reset,
+        2 => Harm::Silence,
+        3 => Harm::LoseAnswers,
+        _ => Harm::Delay(rng.random_range(5..400)),
+    }
+}
+
+fn store(rng: &mut ChaCha8Rng, size: &Size) -> Store {
+    match rng.random_range(0..5) {
+        0 => Store::Down,
+        1 => Store::Slow,
+        2 => Store::LoseWrite,
+        3 => Store::Compact,
+        _ => Store::Deny(rng.random_range(0..size.gateways)),
+    }
+}
--- /dev/null
+++ b/soak/src/run.rs
@@ -0,0 +1,129 @@
+//! One run of a seed.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use loftcove_tests::system::{Plan, Request, System};
+use serde_json::Value;
+
+use crate::check::{Breach, Evidence};
+use crate::inject::Injector;
+use crate::{client, plan};
+
+/// Longest time until all is well again after the faults. Leases of drivers and
+/// entries that were held back have run out by then.
+const RECOVERY: Duration = Duration::from_secs(30);
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Report {
+    /// Faults that were drawn.
+    pub events: Vec<plan::Event>,
+    /// Requests that were sent, and how many of them were answered with success.
+    pub requests: (usize, usize),
+    /// Changes of the map, over all ranks.
+    pub switches: u64,
+    /// Promises that were broken.
+    pub breaches: Vec<Breach>,
+    /// What the processes logged.
+    pub logs: Vec<(String, Vec<String>)>,
+}
+
+/// Plays a seed.
+pub async fn seed(seed: u64, size: &plan::Size) -> Report {
+    let events = plan::draw(seed, size);
+    let mut system = System::start(Plan {
+        gateways: size.gateways,
+        ranks: size.ranks,
+        plain: size.plain,
+        sidecars: true,
+        proxied: true,
+    })
+    .await;
+    let shared: Arc<client::Shared> = Arc::default();
+    shared.newest.store(2, Ordering::Relaxed);
+    system.configure(2, &[&client::key(2), &client::key(1)]).await;
+    let gateways: Vec<_> = (0..size.gateways).map(|number| system.client_address(number)).collect();
+    let clients: Vec<_> = (0..size.clients)
+        .map(|number| {
+            let seed = seed ^ (u64::from(number) << 32);
+            tokio::spawn(client::run(shared.clone(), gateways.clone(), seed))
+        })
+        .collect();
+    let mut injector = Injector::new(&mut system, &shared);
+    injector.run(&events).await;
+    let (spans, overdue) = (injector.spans, injector.overdue);
+    let unwell = recover(&system, &shared).await;
+    shared.stop.store(true, Ordering::Relaxed);
+    for client in clients {
+        client.await.expect("no client panics");
+    }
+    let seen = std::mem::take(&mut *shared.seen.lock().expect("no holder of the records panics"));
+    let answered = |seen: &&client::Seen| {
+        matches!(seen.end, client::End::Answer { status: 200, whole: true, .. })
+    };
+    let requests = (seen.len(), seen.iter().filter(answered).count());
+    let evidence = Evidence { seen, arrivals: arrivals(&system).await, spans };
+    let state = system.group_state().await;
+    let number = |name: &str| state[name].as_u64().unwrap_or(0);
+    let mut breaches = evidence.breaches();
+    breaches.extend(overdue.into_iter().map(Breach::Overdue));
+    breaches.extend(unwell.map(Breach::Unwell));
+    if number("violations") > 0 {
+        breaches.push(Breach::Maps(number("violations")));
+    }
+    let logs = logs(&system);
+    Report { events, requests, switches: number("switches"), breaches, logs }
+}
+
+/// Waits until every gateway serves every kind of request with the newest key
+/// and the group is not held; says what does not work if that takes too long.
+async fn recover(system: &System, shared: &client::Shared) -> Option<String> {
+    let end = Instant::now() + RECOVERY;
+    loop {
+        let lacking = unwell(system, shared).await?;
+        if Instant::now() > end {
+            return Some(lacking);
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+async fn unwell(system: &System, shared: &client::Shared) -> Option<String> {
+    let key = client::key(shared.newest.load(Ordering::Relaxed));
+    for gateway in 0..system.plan.gateways {
+        if !system.is_ready(gateway).await {
+            return Some(format!("gateway {gateway} is not ready"));
+        }
+        for path in ["/receipt/", "/alert/", "/draft/"] {
+            let request = Request::new(path).with("x-api-key", &key).with("x-standin-events", "3");
+            let status = system.ask(gateway, &request).await.status;
+            if status != 200 {
+                return Some(format!("gateway {gateway} answers {status} to {path}"));
+            }
+        }
+    }
+    None
+}
+
+async fn arrivals(system: &System) -> BTreeMap<String, Vec<Value>> {
+    let mut by_id: BTreeMap<String, Vec<Value>> = BTreeMap::new();
+    for control in [&system.group.1, &system.plain.1] {
+        let all = control.read("/requests").await;
+        for arrival in all.as_array().cloned().unwrap_or_default() {
+            let id = arrival["headers"]["x-attempt-id"].as_str().unwrap_or_default().to_owned();
+            by_id.entry(id).or_default().push(arrival);
+        }
+    }
+    by_id
+}
+
+fn logs(system: &System) -> Vec<(String, Vec<String>)> {
+    let gateways = system.gateways.iter().enumerate();
+    let gateways = gateways.map(|(number, process)| (format!("gateway-{number}"), process.log()));
+    let sidecars = system.sidecars.iter().enumerate();
+    let sidecars = sidecars.map(|(number, process)| (format!("sidecar-{number}"), process.log()));
+    gateways.chain(sidecars).collect()
+}
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -3,8 +3,8 @@
 //! Lines on standard input control it; each is confirmed by one line:
 //!
 //! - `source ZONE IP`: connections from that address come from the zone.
-//! - `target LABEL ZONE ADDRESS`: opens a port before the address; answers
-//!   `listening PORT-ADDRESS`.
+//! - `target LABEL ZONE ADDRESS [LISTEN]`: opens a port before the address, at
+//!   the address LISTEN if given; answers `listening PORT-ADDRESS`.
 //! - `link FROM TO FAULT`: sets the [`Fault`] of connections from a zone (or
 //!   `*`) to a label or a zone (or `*`).
 
@@ -27,7 +27,10 @@
     Delay(Duration),
     /// Closes every connection and takes no new one.
     Cut,
-    /// Passes requests on and drops answers: only the answer is lost.
+    /// The same by resets.
+    Reset,
+    /// Passes requests on and drops answers, those that come later on the same
+    /// connection as well.
     LoseAnswers,
     /// Holds everything, both ways, until another fault is set.
     Freeze,
@@ -44,6 +47,7 @@
         match text {
             "none" => Ok(Fault::None),
             "cut" => Ok(Fault::Cut),
+            "reset" => Ok(Fault::Reset),
             "lose-answers" => Ok(Fault::LoseAnswers),
             "freeze" => Ok(Fault::Freeze),
             other => Err(format!("not a fault: {other}")),
@@ -126,11 +130,12 @@
                 sources.insert(ip, (*zone).to_owned());
                 Ok("set".to_owned())
             }
-            ["target", label, zone, address] => {
+            ["target", label, zone, address, listen @ ..] => {
                 let address = address.parse().map_err(|_| format!("not an address: {address}"))?;
                 let target =
                     Target { label: (*label).to_owned(), zone: (*zone).to_owned(), address };
-                let listener = TcpListener::bind(("127.0.0.1", 0)).await;
+                let listen = listen.first().copied().unwrap_or("127.0.0.1:0");
+                let listener = TcpListener::bind(listen).await;
                 let listener = listener.map_err(|error| error.to_string())?;
                 let bound = listener.local_addr().map_err(|error| error.to_string())?;
                 tokio::spawn(self.clone().run(listener, target));
@@ -153,38 +158,60 @@
             let sources = self.sources.lock().expect("no holder of the lock panics");
             let from = sources.get(&peer.ip()).cloned().unwrap_or_default();
             let link = Link { from, target: target.clone(), rules: self.rules.subscribe() };
-            if link.present() != Fault::Cut {
-                tokio::spawn(pass(client, link));
+            match link.present() {
+                Fault::Cut => {}
+                Fault::Reset => reset(&client),
+                _ => {
+                    tokio::spawn(pass(client, link));
+                }
             }
         }
     }
 }
 
+/// Has the connection end with a reset when it is dropped.
+fn reset(stream: &TcpStream) {
+    // A connection that has ended already needs none.
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).ok();
+}
+
 async fn pass(client: TcpStream, link: Link) {
-    let Ok(server) = TcpStream::connect(link.target.address).await else { return };
+    let Ok(server) = TcpStream::connect(link.target.address).await else {
+        // As if the port were dead.
+        return reset(&client);
+    };
     client.set_nodelay(true).ok();
     server.set_nodelay(true).ok();
-    let (client_read, client_write) = client.into_split();
-    let (server_read, server_write) = server.into_split();
+    let (mut client, mut server) = (client, server);
     let mut cut = link.clone();
-    tokio::select! {
-        _ = cut.until(|fault| fault == Fault::Cut) => {}
-        _ = pump(client_read, server_write, Way::Request, link.clone()) => {}
-        _ = pump(server_read, client_write, Way::Answer, link) => {}
+    let ended = {
+        let (client_read, client_write) = client.split();
+        let (server_read, server_write) = server.split();
+        tokio::select! {
+            () = cut.until(|fault| matches!(fault, Fault::Cut | Fault::Reset)) => cut.present(),
+            () = pump(client_read, server_write, Way::Request, link.clone()) => Fault::None,
+            () = pump(server_read, client_write, Way::Answer, link) => Fault::None,
+        }
+    };
+    if ended == Fault::Reset {
+        reset(&client);
+        reset(&server);
     }
 }
 
-async fn pump(mut from: tcp::OwnedReadHalf, mut to: tcp::OwnedWriteHalf, way: Way, mut link: Link) {
+async fn pump(mut from: tcp::ReadHalf<'_>, mut to: tcp::WriteHalf<'_>, way: Way, mut link: Link) {
     let mut buffer = vec![0; 64 * 1024];
+    // A connection never goes on behind bytes that were lost.
+    let mut lost = false;
     loop {
         let Ok(count @ 1..) = from.read(&mut buffer).await else { return };
         link.until(|fault| fault != Fault::Freeze).await;
         match link.present() {
-            Fault::LoseAnswers if way == Way::Answer => continue,
+            Fault::LoseAnswers if way == Way::Answer => lost = true,
             Fault::Delay(time) => tokio::time::sleep(time).await,
             _ => {}
         }
-        if to.write_all(&buffer[..count]).await.is_err() {
+        if !lost && to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
     }
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -140,6 +140,11 @@
         assert_eq!(sent, 0, "the signal is sent");
     }
 
+    /// Whether it has ended.
+    pub fn ended(&mut self) -> bool {
+        self.child.try_wait().expect("the program can be waited for").is_some()
+    }
+
     /// Kills it and waits for its end.
     pub async fn kill(&mut self) {
         self.child.kill().await.expect("the program can be killed");
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -3,7 +3,8 @@
 //! Each system has loopback addresses of its own, so that all its hosts can
 //! listen on the same ports, as they do there.
 
-use std::net::Ipv4Addr;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
@@ -38,6 +39,9 @@
     pub plain: u8,
     /// Whether each rank has a sidecar.
     pub sidecars: bool,
+    /// Whether connections to backend servers and to the store go through the
+    /// fault-injecting proxy; see [`System::link`].
+    pub proxied: bool,
 }
 
 /// The system.
@@ -56,9 +60,12 @@
     pub gateways: Vec<process::Process>,
     /// Sidecars.
     pub sidecars: Vec<process::Process>,
+    proxy: Option<process::Process>,
     folder: process::Folder,
     net: [u8; 2],
-    store_address: std::net::SocketAddr,
+    store_address: SocketAddr,
+    /// Addresses at which hosts reach the store through the proxy.
+    stores: BTreeMap<String, SocketAddr>,
     version: u64,
 }
 
@@ -78,19 +85,23 @@
         let net = net();
         let lockstep = servers(net, 100, plan.ranks, "rank");
         let plain = servers(net, 50, plan.plain, "plain");
+        let proxy = plan.proxied.then(|| process::Process::start("fault-proxy", &[]));
         let mut system = System {
             plan,
             store,
             control: caller::Caller::new(store_address, ""),
-            group: group(&lockstep, true).await,
-            plain: group(&plain, false).await,
+            group: group(&lockstep, true, plan.proxied).await,
+            plain: group(&plain, false, plan.proxied).await,
             gateways: Vec::new(),
             sidecars: Vec::new(),
+            proxy,
             folder: process::Folder::new(),
             net,
             store_address,
+            stores: BTreeMap::new(),
             version: 1,
         };
+        system.interpose(lockstep.iter().chain(&plain)).await;
         system.configure(1, &[KEY]).await;
         for (service, list) in [(MODEL, &lockstep), (SMS, &plain)] {
             for (id, address) in list {
@@ -98,10 +109,12 @@
             }
         }
         for index in 0..plan.gateways {
+            system.interpose_store(&format!("gateway-{index}")).await;
             system.start_gateway(index);
         }
         if plan.sidecars {
             for rank in 0..plan.ranks {
+                system.interpose_store(&format!("sidecar-{rank}")).await;
                 system.start_sidecar(rank);
             }
         }
@@ -111,6 +124,36 @@
         system
     }
 
+    /// Puts the proxy before the backend servers, each a target with its id.
+    async fn interpose(&mut self, servers: impl Iterator<Item = &(String, SocketAddr)>) {
+        let Some(proxy) = &mut self.proxy else { return };
+        for (id, address) in servers {
+            let real = real_address(*address, true);
+            proxy.tell(&format!("target {id} norte {real} {address}")).await;
+        }
+    }
+
+    /// Puts the proxy between a host and the store, as the target `store-HOST`.
+    async fn interpose_store(&mut self, host: &str) {
+        let Some(proxy) = &mut self.proxy else { return };
+        let line = format!("target store-{host} norte {}", self.store_address);
+        let answer = proxy.tell(&line).await;
+        let address = answer.rsplit(' ').next().and_then(|text| text.parse().ok());
+        self.stores.insert(host.to_owned(), address.expect("the proxy tells its address"));
+    }
+
+    /// Sets a fault of all connections to a target of the proxy, or to `*`; see
+    /// `loftcove_standins::proxy`.
+    pub async fn link(&mut self, target: &str, fault: &str) {
+        let proxy = self.proxy.as_mut().expect("the system has a proxy");
+        assert_eq!(proxy.tell(&format!("link * {target} {fault}")).await, "set");
+    }
+
+    /// Address that clients connect to at a gateway.
+    pub fn client_address(&self, gateway: u8) -> SocketAddr {
+        (self.gateway_ip(gateway), CLIENT_PORT).into()
+    }
+
     /// Starts one more gateway beside a system, without peers; its number is 5.
     pub async fn start_alone(system: &System) -> process::Process {
         let ip = system.gateway_ip(5);
@@ -142,7 +185,7 @@
     }
 
     /// Writes the entry of a backend server.
-    pub async fn list(&self, id: &str, service: &str, address: std::net::SocketAddr, state: &str) {
+    pub async fn list(&self, id: &str, service: &str, address: SocketAddr, state: &str) {
         let entry = json!({
             "service": service, "address": address, "zone": "norte", "version": "v1",
             "slots": 12, "state": state, "cold_left_ms": 0, "seq": 1,
@@ -151,7 +194,7 @@
     }
 
     /// Address of a plain server.
-    pub fn plain_address(&self, index: u8) -> std::net::SocketAddr {
+    pub fn plain_address(&self, index: u8) -> SocketAddr {
         (Ipv4Addr::new(127, self.net[0], self.net[1], 50 + index), SERVER_PORT).into()
     }
 
@@ -220,7 +263,7 @@
             "[host]\nname = \"{name}\"\nzone = \"norte\"\nseeds = [{}]\nstore_address = \"{}\"\n\
              source_address = \"{ip}\"\nmetrics_address = \"{ip}:{METRICS_PORT}\"\n",
             seeds.join(", "),
-            self.store_address
+            self.stores.get(name).unwrap_or(&self.store_address)
         )
     }
 
@@ -301,15 +344,8 @@
 
     /// Connects a client to a gateway that keeps its connection.
     pub async fn client(&self, gateway: u8) -> Client {
-        let address = std::net::SocketAddr::from((self.gateway_ip(gateway), CLIENT_PORT));
-        let stream = tokio::net::TcpStream::connect(address).await.expect("the gateway listens");
-        let io = hyper_util::rt::TokioIo::new(stream);
-        let handshake = hyper::client::conn::http1::handshake(io).await;
-        let (sender, connection) = handshake.expect("the connection is fresh");
-        tokio::spawn(async move {
-            connection.await.ok();
-        });
-        Client { sender }
+        let client = Client::connect(self.client_address(gateway)).await;
+        client.expect("the gateway listens")
     }
 
     /// State of the lock-step group.
@@ -334,15 +370,26 @@
     }
 }
 
-type Listed = Vec<(String, std::net::SocketAddr)>;
+type Listed = Vec<(String, SocketAddr)>;
 
 fn servers(net: [u8; 2], first: u8, count: u8, name: &str) -> Listed {
     let address = |index| (Ipv4Addr::new(127, net[0], net[1], first + index), SERVER_PORT).into();
     (0..count).map(|index| (format!("{name}-{index}"), address(index))).collect()
 }
 
-async fn group(servers: &Listed, lockstep: bool) -> (process::Process, caller::Caller) {
-    let list: Vec<String> = servers.iter().map(|(id, address)| format!("{id}={address}")).collect();
+/// Address that a server listens on: another one if the proxy listens on its own.
+fn real_address(address: SocketAddr, proxied: bool) -> SocketAddr {
+    SocketAddr::new(address.ip(), address.port() + u16::from(proxied))
+}
+
+async fn group(
+    servers: &Listed,
+    lockstep: bool,
+    proxied: bool,
+) -> (process::Process, caller::Caller) {
+    let row =
+        |(id, address): &(String, SocketAddr)| format!("{id}={}", real_address(*address, proxied));
+    let list: Vec<String> = servers.iter().map(row).collect();
     let mut arguments = vec!["--servers".to_owned(), list.join(",")];
     if lockstep {
         arguments.push("--lockstep".to_owned());
@@ -402,6 +449,18 @@
 }
 
 impl Client {
+    /// Connects to a gateway, if it listens.
+    pub async fn connect(address: SocketAddr) -> Option<Client> {
+        let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+        let io = hyper_util::rt::TokioIo::new(stream);
+        let handshake = hyper::client::conn::http1::handshake(io).await;
+        let (sender, connection) = handshake.ok()?;
+        tokio::spawn(async move {
+            connection.await.ok();
+        });
+        Some(Client { sender })
+    }
+
     /// Sends a request; returns the answer whose body is still to come, or
     /// `None` where the connection ended.
     pub async fn send(
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -5,7 +5,7 @@
 use loftcove_tests::system::{Plan, Request, System};
 use loftcove_tests::until;
 
-const PLAN: Plan = Plan { gateways: 2, ranks: 4, plain: 1, sidecars: true };
+const PLAN: Plan = Plan { gateways: 2, ranks: 4, plain: 1, sidecars: true, proxied: false };
 
 /// Keeps streams running until dropped.
 struct Load {
