Keep one type for the load that a backend server tells; plain names for two modules

Cause: `Load` stood in interface/protocol and in dispatch and was copied field by field; `Trail` and `steward` were names of our own.

Change: routing::server::Load serves both; explain::History, entry::assignment. No behaviour changes. Ruled out for now: `Force`, which is also a key in the store and needs a change of its own.

--- a/daemon/src/agent/keeper.rs
+++ b/daemon/src/agent/keeper.rs
@@ -32,7 +32,7 @@
     debug_assert_eq!(keeper.verify(), Ok(()));
     drop(keeper);
     let text = format!("key={} choice={standing:?}", claim.key);
-    agent.process.trail.record(&claim.key.to_string(), text);
+    agent.process.history.record(&claim.key.to_string(), text);
     match standing {
         home::keeper::Standing::Granted => wire::Standing::Granted,
         home::keeper::Standing::Claimed => wire::Standing::Claimed,
@@ -121,7 +121,7 @@
     let name = key::homes(&agent.process.settings.process.deployment);
     let value: Bytes = serde_json::to_vec(&next).unwrap_or_default().into();
     let result = agent.process.platform.swap(&name, revision, value).await;
-    agent.process.trail.record("homes", format!("choice={cause} result={result:?}"));
+    agent.process.history.record("homes", format!("choice={cause} result={result:?}"));
     true
 }
 
@@ -191,7 +191,7 @@
         let name = key::homes(&agent.process.settings.process.deployment);
         let value: Bytes = serde_json::to_vec(&next).unwrap_or_default().into();
         let written = agent.process.platform.swap(&name, revision, value).await;
-        agent.process.trail.record("homes", format!("choice=hand-over result={written:?}"));
+        agent.process.history.record("homes", format!("choice=hand-over result={written:?}"));
         // Reading back settles a lost answer and passes the news on.
         look(agent).await;
     }
--- a/daemon/src/agent/orders.rs
+++ b/daemon/src/agent/orders.rs
@@ -63,7 +63,7 @@
         Err(gate::Refusal::Stale(_)) => wire::Ruling::Stale,
         Err(gate::Refusal::Digest(_) | gate::Refusal::Unprepared(_)) => wire::Ruling::Failed,
     };
-    agent.process.trail.record(
+    agent.process.history.record(
         &message.group,
         format!(
             "order={:?} epoch={} fence={} seen={} choice={}",
--- a/daemon/src/agent/run.rs
+++ b/daemon/src/agent/run.rs
@@ -34,18 +34,18 @@
     let wire_id = message.id.clone().unwrap_or_default();
     let id = read_id(&wire_id).ok_or(tonic::Status::invalid_argument("attempt without an id"))?;
     let (sender, receiver) = mpsc::channel(BACKLOG);
-    let trail = &agent.process.trail;
+    let history = &agent.process.history;
     let subject = id.request.to_string();
     match admit(agent, &message, id) {
         Ok((slot, flight)) => {
-            trail.record(&subject, format!("attempt={} choice=run", id.number));
+            history.record(&subject, format!("attempt={} choice=run", id.number));
             let guard = Guard { agent: agent.clone(), id, _slot: slot, _flight: flight };
             let run = Run { agent: agent.clone(), id: wire_id, sender, guard };
             tokio::spawn(run.carry_out(message));
         }
         Err(reason) => {
             let word = reason.as_str_name();
-            trail.record(&subject, format!("attempt={} choice=refuse reason={word}", id.number));
+            history.record(&subject, format!("attempt={} choice=refuse reason={word}", id.number));
             let refused =
                 wire::Refused { reason: reason.into(), report: Some(agent.load.report()) };
             let kind = Some(wire::frame::Kind::Refused(refused));
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -2,9 +2,10 @@
 //!
 //! [`server`] listens, [`call`] reads what a caller asks, [`flow`] takes it
 //! through [`claim`], [`dispatcher`] and [`dispatch`], and [`relay`] hands the answer
-//! on. [`follow`] keeps the load of the agents, [`steward`] looks after the
+//! on. [`follow`] keeps the load of the agents, [`assignment`] looks after the
 //! homes of idempotency keys, [`drive`] after the expert maps.
 
+mod assignment;
 mod call;
 mod claim;
 mod dispatch;
@@ -15,7 +16,6 @@
 mod refusal;
 mod relay;
 mod server;
-mod steward;
 
 use std::sync::Arc;
 
@@ -51,7 +51,7 @@
     let callers = listen(settings.http_address, "http").await?;
     tokio::spawn(follow::run(entry.clone()));
     tokio::spawn(dispatcher::tick(entry.dispatcher.clone()));
-    tokio::spawn(steward::run(entry.clone()));
+    tokio::spawn(assignment::run(entry.clone()));
     tokio::spawn(drive::run(entry.clone()));
     tokio::spawn(server::run(entry.clone(), callers));
     let key = link::Key::new(&process.settings.process.key).map_err(crate::process::Error::Key)?;
--- a/daemon/src/entry/steward.rs
+++ b/daemon/src/entry/assignment.rs
@@ -1,4 +1,5 @@
-//! Looks after the table of homes: founds it, and gives orphaned slots a home.
+//! Assigns the slots of idempotency keys to agents: writes the first table of
+//! homes, and gives those that have lost their agent another one.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -78,7 +79,7 @@
     let value: Bytes = serde_json::to_vec(table).unwrap_or_default().into();
     let fate = store::swap_settled(&process.platform, name, expected, value.clone()).await;
     let won = matches!(fate, Ok(store::Fate::Won(_)));
-    process.trail.record(TASK, format!("choice={cause} won={won}"));
+    process.history.record(TASK, format!("choice={cause} won={won}"));
     match fate {
         Ok(store::Fate::Won(revision)) => take(process, store::Entry { revision, value }),
         Ok(store::Fate::Overtaken(Some(entry)) | store::Fate::Conflict(Some(entry))) => {
--- a/daemon/src/entry/drive.rs
+++ b/daemon/src/entry/drive.rs
@@ -249,7 +249,7 @@
     }
 
     fn note(&self, text: &str) {
-        self.entry.process.trail.record(self.name, text.to_owned());
+        self.entry.process.history.record(self.name, text.to_owned());
     }
 
     /// The tokens of all experts, from all ranks; none unless all answered.
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -25,7 +25,7 @@
         Ok(response) => response,
         Err(refusal) => {
             let outcome = refusal.outcome().word();
-            entry.process.trail.record(
+            entry.process.history.record(
                 &id.to_string(),
                 format!("choice=refuse outcome={outcome} reason=\"{refusal}\""),
             );
@@ -182,7 +182,7 @@
                 Some(format!("{}:{:.2}", target.host, candidate.score))
             })
             .collect();
-        self.entry.process.trail.record(
+        self.entry.process.history.record(
             &self.call.id.to_string(),
             format!(
                 "team={} class={} pool={} attempt={} generation={} candidates={} choice={} reason={}",
@@ -199,7 +199,7 @@
     }
 
     fn note_end(&self, attempt: u32, ended: &dispatch::Ended) {
-        self.entry.process.trail.record(
+        self.entry.process.history.record(
             &self.call.id.to_string(),
             format!("attempt={attempt} ended={:?} cause=\"{}\"", ended.end, ended.cause),
         );
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -55,7 +55,7 @@
         }
         self.process.metrics.count(outcome.word(), reason.to_owned());
         self.process
-            .trail
+            .history
             .record(&self.request, format!("outcome={} reason={reason}", outcome.word()));
     }
 
--- a/daemon/src/explain.rs
+++ b/daemon/src/explain.rs
@@ -10,7 +10,7 @@
 
 /// The decisions of the last requests. Its lock is taken last of all.
 #[derive(Debug, Default)]
-pub struct Trail {
+pub struct History {
     lines: Mutex<VecDeque<Line>>,
 }
 
@@ -20,7 +20,7 @@
     text: Box<str>,
 }
 
-impl Trail {
+impl History {
     /// Logs a decision about a request, or about whatever has that id, and keeps it.
     pub fn record(&self, subject: &str, text: String) {
         log::info!(target: TARGET, "request={subject} {text}");
--- a/daemon/src/gossip.rs
+++ b/daemon/src/gossip.rs
@@ -100,13 +100,18 @@
     }
 
     /// Takes a record if it is newer and holds. Returns whether it was taken.
-    pub fn take(&self, record: wire::Record, life: &life::Life, trail: &explain::Trail) -> bool {
+    pub fn take(
+        &self,
+        record: wire::Record,
+        life: &life::Life,
+        history: &explain::History,
+    ) -> bool {
         let kind = record.kind();
         let mut held = self.lock();
         if held.get(&kind).is_some_and(|held| held.revision >= record.revision) {
             return false;
         }
-        if !self.apply(kind, &record, life, trail) {
+        if !self.apply(kind, &record, life, history) {
             return false;
         }
         held.insert(kind, Held { revision: record.revision, value: record.value });
@@ -120,20 +125,20 @@
         kind: wire::Kind,
         record: &wire::Record,
         life: &life::Life,
-        trail: &explain::Trail,
+        history: &explain::History,
     ) -> bool {
         match kind {
             wire::Kind::Unspecified => false,
             wire::Kind::Bundle => match self.force.offer(&record.value) {
                 Ok(bundle) => {
                     let text = format!("generation={} choice=in-force", bundle.generation);
-                    trail.record("bundle", text);
+                    history.record("bundle", text);
                     life.handle(lifecycle::Event::Ready);
                     true
                 }
                 Err(refusal) => {
                     let text = format!("choice=refused reason=\"{refusal}\"");
-                    trail.record("bundle", text);
+                    history.record("bundle", text);
                     false
                 }
             },
--- a/daemon/src/peer.rs
+++ b/daemon/src/peer.rs
@@ -48,7 +48,7 @@
         &self,
         request: Request<wire::Subject>,
     ) -> Result<Response<wire::Explanation>, Status> {
-        let lines = self.process.trail.about(&request.into_inner().request);
+        let lines = self.process.history.about(&request.into_inner().request);
         Ok(Response::new(wire::Explanation { lines }))
     }
 }
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -13,7 +13,7 @@
 
 /// The process. Lock order, where more than one is held: the entry's dispatcher or
 /// the agent's tables, then the gossip's records, then the bundle's gate,
-/// then life, then the trail.
+/// then life, then the history of decisions.
 pub struct Process {
     /// Its settings.
     pub settings: file::Daemon,
@@ -30,7 +30,7 @@
     /// Connections to other processes.
     pub links: link::Table,
     /// Decisions.
-    pub trail: explain::Trail,
+    pub history: explain::History,
     /// Metrics.
     pub metrics: metrics::Metrics,
 }
@@ -68,7 +68,7 @@
                 timeout,
             ),
             links: link::Table::new(key, settings.process.source_address),
-            trail: explain::Trail::default(),
+            history: explain::History::default(),
             metrics: metrics::Metrics::default(),
             settings,
         })
@@ -77,7 +77,7 @@
     /// Takes a record that was heard of, if it is newer.
     pub fn take(&self, record: wire::Record) {
         let size = record.value.len() as u64;
-        if self.gossip.take(record, &self.life, &self.trail) {
+        if self.gossip.take(record, &self.life, &self.history) {
             self.metrics.exchanged.inc_by(size);
             self.metrics.generation.set(self.gossip.force.generation() as i64);
         }
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -16,6 +16,17 @@
 /// Shortest and longest time without new work after a want of slots.
 pub const SHUT: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(320));
 
+/// Load that a backend server tells with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait inside it.
+    pub waiting: u32,
+    /// Requests that may run at a time.
+    pub slots: u32,
+}
+
 /// A load report of an agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Report {
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -66,17 +66,6 @@
     pub prefix: u64,
 }
 
-/// Load that a backend server told with an answer.
-#[derive(Debug, Clone, Copy)]
-pub struct Load {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that may run at a time.
-    pub slots: u32,
-}
-
 /// What to do next with a request.
 #[derive(Debug, Clone)]
 pub enum Next<T> {
@@ -166,7 +155,7 @@
             if inner.targets.insert(id, listing.target).is_some() {
                 continue;
             }
-            let load = Load { running: 0, waiting: 0, slots: listing.slots };
+            let load = server::Load { running: 0, waiting: 0, slots: listing.slots };
             actions.extend(inner.balancer.connect(id, true, now));
             actions.extend(inner.report(id, load, now));
         }
@@ -179,7 +168,7 @@
     }
 
     /// A backend server told its load.
-    pub fn report(&self, server: entity::Server, load: Load) {
+    pub fn report(&self, server: entity::Server, load: server::Load) {
         let now = self.now();
         let mut inner = self.lock();
         let actions = inner.report(server, load, now);
@@ -300,7 +289,7 @@
     fn report(
         &mut self,
         server: entity::Server,
-        load: Load,
+        load: server::Load,
         now: clock::Instant,
     ) -> Vec<balancer::Action> {
         self.sequence += 1;
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -281,8 +281,6 @@
         let (head, body) = reply.response.into_parts();
         let answer = P::answer(&head, &request.meta.id);
         if let Some(load) = answer.load {
-            let (running, waiting) = (load.running, load.waiting);
-            let load = dispatch::Load { running, waiting, slots: load.slots };
             self.dispatcher.report(attempt.server, load);
         }
         match answer.verdict {
--- a/interface/src/protocol.rs
+++ b/interface/src/protocol.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use loftcove_decision::routing::server;
 use loftcove_decision::{fleet, route};
 
 /// What loftcove reads from a client's request.
@@ -66,24 +67,13 @@
     Rejected,
 }
 
-/// Load of a backend server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Load {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that may run at a time.
-    pub slots: u32,
-}
-
 /// What loftcove reads from the head of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Answer {
     /// What it says about the request.
     pub verdict: Verdict,
     /// Load of the backend server.
-    pub load: Option<Load>,
+    pub load: Option<server::Load>,
     /// How long the backend server keeps the connection when it is idle.
     pub keep_alive: Option<Duration>,
     /// Whether the backend server closes the connection after this answer.
