Bound what a sidecar logs about an engine that cannot be reached

Ruled out: the limit of the log's buffer, which drops lines but is there for bursts; this was one cause, told again and again.

Change: the pause between tries doubles up to 320 ms, and an order tells of its first failed report only.

--- a/sidecar/src/rank.rs
+++ b/sidecar/src/rank.rs
@@ -26,6 +26,9 @@
 const REPEAT_TIME: Duration = Duration::from_millis(500);
 /// Pause after an order that the engine did not answer or refused.
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
+/// Longest pause after a report that failed; the pause doubles up to this while
+/// the engine refuses connections, which takes no time.
+const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(320);
 
 /// The engine and the highest term that was seen.
 pub struct Rank<E> {
@@ -74,6 +77,7 @@
         let mut seen = None;
         let mut refusals = 0;
         let mut accepted: Option<Instant> = None;
+        let mut pause = RETRY_PAUSE;
         while Instant::now() < end {
             if self.see(step.term) > step.term {
                 return (wire::Effect::Superseded, seen);
@@ -81,8 +85,11 @@
             let report = match self.engine.report().await {
                 Ok(report) => report,
                 Err(error) => {
-                    log::warn!("report failed order={:?} error=\"{error}\"", kind(&step.order));
-                    tokio::time::sleep(RETRY_PAUSE).await;
+                    if pause == RETRY_PAUSE {
+                        log::warn!("report failed order={:?} error=\"{error}\"", kind(&step.order));
+                    }
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_RETRY_PAUSE);
                     continue;
                 }
             };
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -128,3 +128,22 @@
     moved(&system, before).await;
     sound(&system).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_cannot_be_reached_does_not_fill_the_log() {
+    let mut system = System::start(Plan { proxied: true, ..PLAN }).await;
+    let _load = Load::start(&system).await;
+    moved(&system, 0).await;
+    let driver = driver(&system).await;
+    let other = (driver + 1) % usize::from(PLAN.ranks);
+    system.link(&format!("rank-{other}"), "cut").await;
+    system.group_control("/popular?expert=9").await;
+    let log = || system.sidecars[driver].log();
+    until("the change is given up", || async {
+        log().iter().any(|line| line.contains("outcome=Abandoned"))
+    })
+    .await;
+    let failed = log().iter().filter(|line| line.contains("report failed")).count();
+    assert!((1..=30).contains(&failed), "{failed} lines in four seconds");
+    sound(&system).await;
+}
