--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -430,6 +430,7 @@
         };
         let time = begun.elapsed();
         if holds > 0 {
+            self.metrics.held.observe(held.elapsed().as_secs_f64());
             known.arm_time = held.elapsed().max(known.arm_time.mul_f64(known::ARM_TIME_KEPT));
         }
         log::info!(
--- a/sidecar/src/metrics.rs
+++ b/sidecar/src/metrics.rs
@@ -25,6 +25,9 @@
     pub abandoned: Counter,
     /// Time of a change, from the decision to its end, seconds.
     pub change: Histogram,
+    /// Time from the order to hold the group to the change's end, seconds; the
+    /// group stands still for the last part of it, if at all.
+    pub held: Histogram,
 }
 
 impl Default for Metrics {
@@ -35,6 +38,8 @@
             abandoned: Counter::default(),
             // From 20 ms to 10 s, doubling.
             change: Histogram::new(exponential_buckets(0.02, 2.0, 10)),
+            // From 5 ms to 5 s, doubling.
+            held: Histogram::new(exponential_buckets(0.005, 2.0, 11)),
         }
     }
 }
@@ -46,6 +51,7 @@
         registry.register("map_switched", "Maps gone over to", self.switched.clone());
         registry.register("map_abandoned", "Changes given up", self.abandoned.clone());
         registry.register("map_change_seconds", "Time of a change", self.change.clone());
+        registry.register("map_held_seconds", "Time from hold to end", self.held.clone());
         let mut out = String::new();
         // Writing to a string cannot fail.
         text::encode(&mut out, &registry).unwrap_or_default();
