Have a gateway watch the store when none of its peers hears from it

Cause: a gateway that follows three peers does not watch the store, though all three may be turned down by it or cut off.

Change: with the records goes the sender's distance from the store; who has no peer within four hops and is answered itself watches as well. Such a host does not count as a watcher, so that two never stop for each other.

--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -123,9 +123,10 @@
     let request = wire::Follower { host: own.name.to_string() };
     let mut batches = client.follow(request).await?.into_inner();
     log::info!("dependency regained name=peer address={peer}");
-    let _followed = mirror.followed();
     let source = peer.to_string();
+    let _followed = mirror.followed(&source);
     while let Some(batch) = batches.message().await? {
+        mirror.peer_at(&source, batch.distance);
         let records = batch.items.into_iter().map(record).collect();
         mirror.apply(records, Source::Peer(&source));
     }
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -6,6 +6,7 @@
 //! not answer hears of changes from others, one hop later. Merging is that of
 //! [`loftcove_decision::mirror`].
 
+pub mod distance;
 pub mod follow;
 mod health;
 pub mod register;
@@ -35,6 +36,8 @@
     changes: channel::Sender<u64>,
     /// Whether the store answers this host.
     pub health: Health,
+    /// How far it is from the store over peers.
+    pub distance: distance::Distance,
     /// Peers that are followed at present.
     followed: AtomicUsize,
 }
@@ -65,6 +68,7 @@
             news: broadcast::Sender::new(BACKLOG),
             changes: channel::Sender::new(0),
             health: Health::default(),
+            distance: distance::Distance::default(),
             followed: AtomicUsize::new(0),
         }
     }
@@ -105,10 +109,38 @@
         }
     }
 
+    /// The store answered a call.
+    fn store_answered(&self) {
+        let before = self.health.up();
+        self.health.answered();
+        self.distance.set_answered(true);
+        if !before {
+            // Who has no peer within reach may watch again.
+            self.changes.send_modify(|version| *version += 1);
+        }
+    }
+
+    /// A call to the store failed.
+    fn store_failed(&self, error: &dyn std::fmt::Display) {
+        self.health.failed(error);
+        self.distance.set_answered(false);
+    }
+
+    /// A peer that is followed told its distance from the store.
+    fn peer_at(&self, peer: &str, distance: u32) {
+        let before = self.distance.peers_reach();
+        self.distance.set_peer(peer, distance);
+        let now = self.distance.peers_reach();
+        if before != now {
+            log::info!("peers reach the store reach={now} peer={peer} distance={distance}");
+            self.changes.send_modify(|version| *version += 1);
+        }
+    }
+
     /// Counts a peer that is followed until the guard is dropped.
-    fn followed(&self) -> Followed<'_> {
+    fn followed<'a>(&'a self, peer: &'a str) -> Followed<'a> {
         self.followed.fetch_add(1, Ordering::Relaxed);
-        Followed { mirror: self }
+        Followed { mirror: self, peer }
     }
 
     /// Follows the number of changes so far.
@@ -159,11 +191,13 @@
 /// A peer that is followed.
 struct Followed<'a> {
     mirror: &'a Mirror,
+    peer: &'a str,
 }
 
 impl Drop for Followed<'_> {
     fn drop(&mut self) {
         self.mirror.followed.fetch_sub(1, Ordering::Relaxed);
+        self.mirror.distance.forget_peer(self.peer);
         // Whoever relied on peers may have to watch the store now.
         self.mirror.changes.send_modify(|version| *version += 1);
     }
--- a/mirror/src/register.rs
+++ b/mirror/src/register.rs
@@ -58,13 +58,18 @@
 const RELIED_ON: usize = 3;
 
 /// Whether a gateway is to watch the store itself: it is one of the first of
-/// its zone, or it has no configuration or too few peers.
+/// its zone, or it has too few peers, or the store answers it while none of
+/// them is within reach of the store.
 pub fn watches(mirror: &Mirror, own: &str, zone: &str) -> bool {
     let entries = entries(mirror);
     let zone = entries.iter().filter(|(_, entry)| *entry.zone == *zone);
     let place = zone.map(|(name, _)| name).position(|name| **name == *own);
-    let relies = mirror.followed.load(std::sync::atomic::Ordering::Relaxed) >= RELIED_ON;
-    place.is_none_or(|place| place < WATCHERS) || !relies
+    let followed = mirror.followed.load(std::sync::atomic::Ordering::Relaxed);
+    let reached = mirror.distance.peers_reach() || !mirror.health.up();
+    let relies = followed >= RELIED_ON && reached;
+    let watcher = place.is_none_or(|place| place < WATCHERS);
+    mirror.distance.set_watcher(watcher);
+    watcher || !relies
 }
 
 /// Keeps the entry until the process ends.
@@ -81,7 +86,7 @@
         };
         match result {
             Ok(next) => {
-                mirror.health.answered();
+                mirror.store_answered();
                 let over = lease.is_some() && next.is_none();
                 lease = next;
                 if over {
@@ -89,7 +94,7 @@
                     continue;
                 }
             }
-            Err(error) => mirror.health.failed(&error),
+            Err(error) => mirror.store_failed(&error),
         }
         tokio::time::sleep(RENEWAL).await;
     }
--- a/mirror/src/serve.rs
+++ b/mirror/src/serve.rs
@@ -43,13 +43,16 @@
 
 async fn feed(mirror: Arc<Mirror>, sender: mpsc::Sender<Result<wire::Batch, Status>>) {
     let (mut batch, mut news) = mirror.follow();
+    let mut distance = mirror.distance.subscribe();
     loop {
         let items = batch.drain(..).map(item).collect();
-        if sender.send(Ok(wire::Batch { items })).await.is_err() {
+        let message = wire::Batch { items, distance: *distance.borrow_and_update() };
+        if sender.send(Ok(message)).await.is_err() {
             return;
         }
         let record = tokio::select! {
             record = news.recv() => record,
+            _ = distance.changed() => continue,
             () = sender.closed() => return,
         };
         match record {
--- a/mirror/src/watch.rs
+++ b/mirror/src/watch.rs
@@ -38,14 +38,14 @@
         }
         match store.list(prefix).await {
             Ok(listing) => {
-                mirror.health.answered();
+                mirror.store_answered();
                 pause = PAUSE.0;
                 let revision = listing.revision;
                 take(&mirror, prefix, listing);
                 changes(&mirror, &*store, prefix, revision, &wanted).await;
             }
             Err(error) => {
-                mirror.health.failed(&error);
+                mirror.store_failed(&error);
                 wait(&mut pause).await;
             }
         }
@@ -98,7 +98,7 @@
     while wanted(mirror) {
         match store.watch(prefix, after, WAIT).await {
             Ok(changes) => {
-                mirror.health.answered();
+                mirror.store_answered();
                 pause = PAUSE.0;
                 after = changes.revision;
                 let any = !changes.events.is_empty();
@@ -122,7 +122,7 @@
                 wait(&mut pause).await;
             }
             Err(error) => {
-                mirror.health.failed(&error);
+                mirror.store_failed(&error);
                 wait(&mut pause).await;
             }
         }
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -293,6 +293,9 @@
 pub struct Batch {
     #[prost(message, repeated, tag = "1")]
     pub items: ::prost::alloc::vec::Vec<Item>,
+    /// Hosts between the sender and one that watches the store and is answered.
+    #[prost(uint32, tag = "2")]
+    pub distance: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Item {
