Keep the platform's names out of the soak

Cause: soak/ read and set headers of the platform itself; they belong to the harness, stand-ins and the adapter.

Change: tests/system reads an answer's head and a backend server's arrival into types, and sets key and deadline; the soak uses those. Its checks are the same.

Ruled out: renaming at the soak alone, which would have kept two places.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use serde_json::Value;
+use loftcove_tests::system::Arrival;
 
 use crate::client::{DEADLINE, End, Kind, Seen};
 use crate::inject::Span;
@@ -57,7 +57,7 @@
     /// What clients saw.
     pub seen: Vec<Seen>,
     /// What backend servers got, by id.
-    pub arrivals: BTreeMap<String, Vec<Value>>,
+    pub arrivals: BTreeMap<String, Vec<Arrival>>,
     /// What was done to processes.
     pub spans: Vec<Span>,
 }
@@ -112,7 +112,7 @@
         let mut seen: Vec<&Seen> = self.seen.iter().collect();
         seen.sort_by_key(|seen| seen.time.1);
         for seen in seen {
-            let taken = matches!(seen.end, End::Answer { status: 200, .. });
+            let taken = matches!(&seen.end, End::Answer { head, .. } if head.status == 200);
             if !taken {
                 continue;
             }
@@ -140,22 +140,24 @@
 }
 
 fn own(seen: &Seen) -> Option<Breach> {
-    let End::Answer { status, stamp, id, body, whole, .. } = &seen.end else { return None };
+    let End::Answer { head, body, whole } = &seen.end else { return None };
     let mixed = |reason: String| Some(Breach::Mixed(seen.id.clone(), reason));
-    if id.as_ref().is_some_and(|id| *id != seen.id) {
-        return mixed(format!("it names {id:?}"));
+    if head.request.as_ref().is_some_and(|id| *id != seen.id) {
+        return mixed(format!("it names {:?}", head.request));
     }
-    let Some(stamp) = stamp else {
-        return if (200..300).contains(status) { mixed("unsigned".to_owned()) } else { None };
+    let Some(signature) = &head.signature else {
+        return if (200..300).contains(&head.status) { mixed("unsigned".to_owned()) } else { None };
     };
-    let Some(server) = stamp.strip_suffix(&format!(".{}", seen.id)) else {
-        return mixed(format!("signed {stamp}"));
+    let Some(server) = signature.strip_suffix(&format!(".{}", seen.id)) else {
+        return mixed(format!("signed {signature}"));
     };
     match seen.kind {
         Kind::Receipt | Kind::Alert if *whole && *body != format!("answer of {server}") => {
             mixed(format!("body {body}"))
         }
-        Kind::Draft(events) if *status == 200 => events_fit(events, body, *whole).and_then(mixed),
+        Kind::Draft(events) if head.status == 200 => {
+            events_fit(events, body, *whole).and_then(mixed)
+        }
         _ => None,
     }
 }
@@ -175,24 +177,17 @@
 }
 
 fn denied(seen: &Seen, arrivals: usize) -> Option<Breach> {
-    let End::Answer { status: status @ (408 | 421 | 429 | 503), .. } = seen.end else {
-        return None;
-    };
-    let ran = seen.kind == Kind::Receipt && arrivals > 0;
-    ran.then(|| Breach::Denied(seen.id.clone(), status))
+    let End::Answer { head, .. } = &seen.end else { return None };
+    let denied = matches!(head.status, 408 | 421 | 429 | 503);
+    let ran = denied && seen.kind == Kind::Receipt && arrivals > 0;
+    ran.then(|| Breach::Denied(seen.id.clone(), head.status))
 }
 
-fn changed(seen: &Seen, arrival: &Value) -> Option<Breach> {
+fn changed(seen: &Seen, arrival: &Arrival) -> Option<Breach> {
     let path = match seen.kind {
         Kind::Receipt => "/receipt/soak",
         Kind::Alert => "/alert/soak",
         Kind::Draft(_) => "/draft/soak",
     };
-    let headers = &arrival["headers"];
-    let sound = arrival["path"] == path
-        && arrival["body"] == "body"
-        && headers["x-tenant"] == "clinica"
-        && headers["x-expect-instance"] == arrival["server"]
-        && headers.get("x-api-key").is_none();
-    (!sound).then(|| Breach::Changed(seen.id.clone(), arrival.to_string()))
+    (!arrival.sound(path)).then(|| Breach::Changed(seen.id.clone(), arrival.0.to_string()))
 }
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use loftcove_tests::system::{self, Client, Request};
+use loftcove_tests::system::{self, Client, Head, Request};
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng as _;
@@ -36,14 +36,8 @@
     Silent,
     /// A head, and a body as far as it came.
     Answer {
-        /// Status.
-        status: u16,
-        /// Signature of the backend server, if there is one.
-        stamp: Option<String>,
-        /// Id that the answer names.
-        id: Option<String>,
-        /// Whether a `Retry-After` was there.
-        retry_after: bool,
+        /// Its head.
+        head: Head,
         /// Body, as far as it came.
         body: String,
         /// Whether the body ended as it must.
@@ -118,7 +112,7 @@
     let back = if rng.random_ratio(1, 10) { rng.random_range(0..3) } else { 0 };
     let number = newest.saturating_sub(back).max(1);
     let (kind, request) = draw(rng);
-    let request = request.with("x-api-key", &key(number));
+    let request = request.key(&key(number));
     let sent = Instant::now();
     let (end, client) = match client {
         None => (End::NoConnection, None),
@@ -133,19 +127,12 @@
 
 async fn ask(client: &mut Client, request: &Request) -> End {
     let Some(response) = client.send(request).await else { return End::Closed };
-    let status = response.status().as_u16();
-    let text = |name: &str| {
-        let value = response.headers().get(name)?;
-        value.to_str().ok().map(str::to_owned)
-    };
-    let (stamp, id) = (text("x-server-stamp"), text("x-attempt-id"));
-    let retry_after = response.headers().contains_key("retry-after");
+    let head = Head::of(&response);
     let (body, whole) = system::read(response).await;
-    End::Answer { status, stamp, id, retry_after, body, whole }
+    End::Answer { head, body, whole }
 }
 
 fn draw(rng: &mut ChaCha8Rng) -> (Kind, Request) {
-    let deadline = DEADLINE.as_millis().to_string();
     let (kind, request) = match rng.random_range(0..10) {
         0..4 => (Kind::Receipt, Request::new("/receipt/soak")),
         4..7 => (Kind::Alert, Request::new("/alert/soak")),
@@ -155,7 +142,7 @@
             (Kind::Draft(events), request)
         }
     };
-    let request = request.with("x-deadline-ms", &deadline);
+    let request = request.deadline(DEADLINE);
     // What backend servers do wrong.
     let request = match (rng.random_range(0..25), kind) {
         (0, Kind::Draft(events)) => {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -5,8 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use loftcove_tests::system::{Plan, Request, System};
-use serde_json::Value;
+use loftcove_tests::system::{Arrival, Plan, Request, System};
 
 use crate::check::{Breach, Evidence};
 use crate::inject::Injector;
@@ -61,9 +60,7 @@
         client.await.expect("no client panics");
     }
     let seen = std::mem::take(&mut *shared.seen.lock().expect("no holder of the records panics"));
-    let answered = |seen: &&client::Seen| {
-        matches!(seen.end, client::End::Answer { status: 200, whole: true, .. })
-    };
+    let answered = |seen: &&client::Seen| matches!(&seen.end, client::End::Answer { head, whole: true, .. } if head.status == 200);
     let requests = (seen.len(), seen.iter().filter(answered).count());
     let evidence = Evidence { seen, arrivals: arrivals(&system).await, spans };
     let state = system.group_state().await;
@@ -98,7 +95,7 @@
             return Some(format!("gateway {gateway} is not ready"));
         }
         for path in ["/receipt/", "/alert/", "/draft/"] {
-            let request = Request::new(path).with("x-api-key", &key).with("x-standin-events", "3");
+            let request = Request::new(path).key(&key).with("x-standin-events", "3");
             let status = system.ask(gateway, &request).await.status;
             if status != 200 {
                 return Some(format!("gateway {gateway} answers {status} to {path}"));
@@ -108,13 +105,13 @@
     None
 }
 
-async fn arrivals(system: &System) -> BTreeMap<String, Vec<Value>> {
-    let mut by_id: BTreeMap<String, Vec<Value>> = BTreeMap::new();
+async fn arrivals(system: &System) -> BTreeMap<String, Vec<Arrival>> {
+    let mut by_id: BTreeMap<String, Vec<Arrival>> = BTreeMap::new();
     for control in [&system.group.1, &system.plain.1] {
         let all = control.read("/requests").await;
         for arrival in all.as_array().cloned().unwrap_or_default() {
-            let id = arrival["headers"]["x-attempt-id"].as_str().unwrap_or_default().to_owned();
-            by_id.entry(id).or_default().push(arrival);
+            let arrival = Arrival(arrival);
+            by_id.entry(arrival.id().to_owned()).or_default().push(arrival);
         }
     }
     by_id
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -436,6 +436,16 @@
         self
     }
 
+    /// Sets the team's key.
+    pub fn key(self, key: &str) -> Request {
+        self.with("x-api-key", key)
+    }
+
+    /// Sets how long the client waits.
+    pub fn deadline(self, time: Duration) -> Request {
+        self.with("x-deadline-ms", &time.as_millis().to_string())
+    }
+
     /// Leaves a header out.
     pub fn without(mut self, name: &str) -> Request {
         self.headers.retain(|(known, _)| known != name);
@@ -443,6 +453,54 @@
     }
 }
 
+/// What the head of an answer tells its client.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Head {
+    /// Status.
+    pub status: u16,
+    /// Signature of the backend server, if there is one.
+    pub signature: Option<String>,
+    /// Id of the request that the answer names.
+    pub request: Option<String>,
+}
+
+impl Head {
+    /// The head of a response.
+    pub fn of<B>(response: &http::Response<B>) -> Head {
+        let text = |name: &str| {
+            let value = response.headers().get(name)?;
+            value.to_str().ok().map(str::to_owned)
+        };
+        Head {
+            status: response.status().as_u16(),
+            signature: text("x-server-stamp"),
+            request: text("x-attempt-id"),
+        }
+    }
+}
+
+/// A request as a backend server got it.
+#[derive(Debug, Clone)]
+pub struct Arrival(pub Value);
+
+impl Arrival {
+    /// Id of the request.
+    pub fn id(&self) -> &str {
+        self.0["headers"]["x-attempt-id"].as_str().unwrap_or_default()
+    }
+
+    /// Whether it came as it was sent to that path, with its team, without the
+    /// key, and to the backend server that it was meant for.
+    pub fn sound(&self, path: &str) -> bool {
+        let headers = &self.0["headers"];
+        self.0["path"] == path
+            && self.0["body"] == "body"
+            && headers["x-tenant"] == "clinica"
+            && headers["x-expect-instance"] == self.0["server"]
+            && headers.get("x-api-key").is_none()
+    }
+}
+
 /// A client that keeps its connection.
 pub struct Client {
     sender: hyper::client::conn::http1::SendRequest<Full<bytes::Bytes>>,
