--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -17,6 +17,8 @@
 };
 pub use verify::Fault;
 
+use cranelift_entity::SecondaryMap;
+
 use crate::routing::{eject, policy, server};
 use crate::{admission, clock, entity, retry};
 
@@ -39,6 +41,8 @@
     /// Of these, those that ran or may have.
     runs: u32,
     place: Place,
+    /// Group that the present attempt was sent to.
+    group: Option<entity::Group>,
     /// When the present attempt was sent.
     sent: Option<clock::Instant>,
     tried: Vec<entity::Server>,
@@ -75,7 +79,7 @@
     charge_full: bool,
     policy: P,
     pending: BTreeMap<entity::Ticket, Pending>,
-    groups: BTreeMap<entity::Pool, group::Group>,
+    groups: SecondaryMap<entity::Group, group::Group>,
     group_return: Duration,
     notes: Vec<Note>,
     next: u32,
@@ -92,7 +96,7 @@
             charge_full: options.charge_full,
             policy,
             pending: BTreeMap::new(),
-            groups: BTreeMap::new(),
+            groups: SecondaryMap::new(),
             group_return: options.group_return,
             notes: Vec::new(),
             next: 0,
@@ -190,8 +194,7 @@
         if self.servers.usable(arrival.pool).next().is_none() {
             return Err(Reason::NoBackend);
         }
-        let group = self.groups.get_mut(&arrival.pool);
-        if group.is_some_and(|group| !group.breaker.admit(now)) {
+        if self.all_down(arrival.pool, now) {
             return Err(Reason::GroupDown);
         }
         let displaced =
@@ -203,6 +206,7 @@
             failures: 0,
             runs: 0,
             place: Place::Waiting,
+            group: None,
             sent: None,
             tried: Vec::new(),
             begun: false,
@@ -219,10 +223,9 @@
     pub fn begin(&mut self, ticket: entity::Ticket, after: Duration, now: clock::Instant) {
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
         pending.begun = true;
-        let pool = pending.arrival.pool;
-        self.group_answers(pool, now);
-        let Some(pending) = self.pending.get(&ticket) else { return };
-        let Place::Sent(server) = pending.place else { return };
+        let (place, group) = (pending.place, pending.group);
+        self.group_answers(group, now);
+        let Place::Sent(server) = place else { return };
         self.servers[server].health.answered(after);
         if self.slow(server) {
             self.try_eject(server, now);
@@ -234,9 +237,12 @@
         let mut actions = Vec::new();
         let Some(pending) = self.pending.get(&ticket) else { return actions };
         let pool = pending.arrival.pool;
-        let sent = pending.sent;
+        let (sent, group) = (pending.sent, pending.group);
         match pending.place {
-            Place::Sent(server) => self.leave(server, end, now),
+            Place::Sent(server) => {
+                self.leave(server, end, now);
+                self.leave_group(group);
+            }
             Place::Waiting => {
                 let waiter = waiter(ticket, &pending.arrival, pending.since);
                 self.queue.remove(&waiter);
@@ -244,7 +250,7 @@
         }
         match end {
             End::Answered => {
-                self.group_answers(pool, now);
+                self.group_answers(group, now);
                 self.tally.answered += 1;
                 if let Some(sent) = sent {
                     self.queue.served(pool, now.since(sent));
@@ -259,8 +265,13 @@
                 self.follow(ticket, retry::Knowledge::NeverRan, false, now, &mut actions);
             }
             End::GroupDown => {
-                self.give_up(ticket, Outcome::NotRun, Reason::GroupDown, &mut actions);
-                self.group_refuses(pool, now, &mut actions);
+                self.group_refuses(group, now);
+                if self.all_down(pool, now) {
+                    self.give_up(ticket, Outcome::NotRun, Reason::GroupDown, &mut actions);
+                    self.drain(pool, Reason::GroupDown, &mut actions);
+                } else {
+                    self.follow(ticket, retry::Knowledge::NeverRan, false, now, &mut actions);
+                }
             }
             End::MayHaveRun { answer_begun } => {
                 self.follow(ticket, retry::Knowledge::MayHaveRun, answer_begun, now, &mut actions);
@@ -425,10 +436,7 @@
     /// Sends waiters while backend servers are open.
     fn pump(&mut self, pool: entity::Pool, now: clock::Instant, actions: &mut Vec<Action>) {
         while self.queue.waiting_for(pool) > 0 {
-            if !self.has_room(pool, now) {
-                break;
-            }
-            if !self.servers.usable(pool).any(|(_, record)| record.open(now)) {
+            if !self.servers.usable(pool).any(|(_, record)| self.takes(record, now)) {
                 break;
             }
             let Some(next) = self.queue.pop(pool) else { break };
@@ -440,14 +448,14 @@
             self.send(next.ticket, now, actions);
         }
         if self.queue.waiting_for(pool) > 0 && self.servers.usable(pool).next().is_none() {
-            self.drain_hopeless(pool, actions);
+            self.drain(pool, Reason::NoBackend, actions);
         }
     }
 
-    /// A pool without a usable backend server keeps nobody waiting.
-    fn drain_hopeless(&mut self, pool: entity::Pool, actions: &mut Vec<Action>) {
+    /// A pool that cannot serve keeps nobody waiting.
+    fn drain(&mut self, pool: entity::Pool, reason: Reason, actions: &mut Vec<Action>) {
         while let Some(next) = self.queue.pop(pool) {
-            self.give_up(next.ticket, Outcome::NotRun, Reason::NoBackend, actions);
+            self.give_up(next.ticket, Outcome::NotRun, reason, actions);
         }
     }
 
@@ -462,7 +470,7 @@
         tried: &[entity::Server],
         now: clock::Instant,
     ) -> Vec<Candidate> {
-        let open = || self.servers.usable(pool).filter(|(_, record)| record.open(now));
+        let open = || self.servers.usable(pool).filter(|(_, record)| self.takes(record, now));
         let fresh = open().any(|(server, _)| !tried.contains(&server));
         let open = open().filter(|(server, _)| !fresh || !tried.contains(server));
         let (local, remote): (Vec<_>, Vec<_>) = open.partition(|(_, record)| record.listing.local);
@@ -492,12 +500,10 @@
         pending.place = Place::Sent(choice.server);
         pending.sent = Some(now);
         pending.tried.push(choice.server);
-        let pool = pending.arrival.pool;
-        let before = self.in_flight(pool);
-        if let Some(group) = self.groups.get_mut(&pool) {
-            group.pace.sent(before, now);
+        pending.group = self.servers[choice.server].listing.group;
+        if let Some(group) = pending.group {
+            self.groups[group].enter(now);
         }
-        let Some(pending) = self.pending.get_mut(&ticket) else { return };
         self.servers[choice.server].in_flight += 1;
         if pending.attempts == 1 {
             self.tally.first += 1;
--- a/decision/src/balancer/group.rs
+++ b/decision/src/balancer/group.rs
@@ -1,25 +1,44 @@
-//! What the balancer knows of pools whose backend servers run in lock-step.
+//! What the balancer knows of groups whose backend servers run in lock-step.
 //!
-//! They serve all together or not at all, which the breaker keeps, and every
-//! stream makes all others slower, which the bound by pace keeps.
+//! A pool may have several groups. The ranks of one serve all together or not
+//! at all, which its breaker keeps, and every stream makes all others of the
+//! group slower, which its bound by pace keeps. A group that takes nothing is
+//! passed over for another one.
 
-use crate::balancer::{Action, Balancer, Note, Outcome, Reason};
-use crate::routing::policy;
+use crate::balancer::{Action, Balancer, Note};
+use crate::routing::{policy, server};
 use crate::{breaker, clock, entity, pace};
 
-/// What is kept of a pool whose backend servers run in lock-step.
-#[derive(Debug, Default)]
+/// What is kept of a group.
+#[derive(Debug, Clone, Default)]
 pub(super) struct Group {
     pub(super) breaker: breaker::Breaker,
     pub(super) pace: pace::Pace,
+    /// Own requests in flight.
+    pub(super) in_flight: u32,
 }
 
-impl<P: policy::Policy> Balancer<P> {
-    /// Tells that the backend servers of a pool run in lock-step.
-    pub fn set_lockstep(&mut self, pool: entity::Pool) {
-        self.groups.entry(pool).or_default();
+impl Group {
+    /// A request was sent to one of its ranks.
+    pub(super) fn enter(&mut self, now: clock::Instant) {
+        self.breaker.sent(now);
+        self.pace.sent(self.in_flight, now);
+        self.in_flight += 1;
+    }
+
+    /// Whether it serves nothing at present, as far as is known: it is broken
+    /// and no probe is due, or it stands still.
+    fn down(&self, now: clock::Instant) -> bool {
+        !self.breaker.admits(now) || self.pace.stalled(self.in_flight, now)
     }
 
+    /// Whether it can take one more request.
+    fn takes(&self, now: clock::Instant) -> bool {
+        !self.down(now) && self.in_flight < self.pace.bound()
+    }
+}
+
+impl<P: policy::Policy> Balancer<P> {
     /// What has changed since the last call.
     pub fn take_notes(&mut self) -> Vec<Note> {
         std::mem::take(&mut self.notes)
@@ -36,49 +55,51 @@
         let mut actions = Vec::new();
         let Some(pending) = self.pending.get(&ticket) else { return actions };
         let pool = pending.arrival.pool;
-        let in_flight = self.in_flight(pool);
-        let slots: u32 = self.servers.usable(pool).map(|(_, record)| record.report.slots).sum();
-        let Some(group) = self.groups.get_mut(&pool) else { return actions };
-        group.pace.event(pause, in_flight, f64::from(slots), now);
+        let Some(id) = pending.group else { return actions };
+        let members = self.servers.usable(pool);
+        let slots: u32 = members
+            .filter(|(_, record)| record.listing.group == Some(id))
+            .map(|(_, record)| record.report.slots)
+            .sum();
+        let group = &mut self.groups[id];
+        group.pace.event(pause, group.in_flight, f64::from(slots), now);
         self.pump(pool, now, &mut actions);
         actions
     }
 
-    /// Own requests in flight to a pool.
-    pub(super) fn in_flight(&self, pool: entity::Pool) -> u32 {
-        let members = self.servers.iter().filter(|(_, record)| record.listing.pool == pool);
-        members.map(|(_, record)| record.in_flight).sum()
+    /// A request left a group.
+    pub(super) fn leave_group(&mut self, group: Option<entity::Group>) {
+        let Some(group) = group else { return };
+        let group = &mut self.groups[group];
+        debug_assert!(group.in_flight > 0, "the group has no request in flight");
+        group.in_flight = group.in_flight.saturating_sub(1);
     }
 
-    /// A rank of the pool's group answered.
-    pub(super) fn group_answers(&mut self, pool: entity::Pool, now: clock::Instant) {
-        let Some(group) = self.groups.get_mut(&pool) else { return };
-        if let Some(time) = group.breaker.answered(now) {
-            self.notes.push(Note::GroupUp(pool, time));
+    /// A rank of the group answered.
+    pub(super) fn group_answers(&mut self, group: Option<entity::Group>, now: clock::Instant) {
+        let Some(group) = group else { return };
+        if let Some(time) = self.groups[group].breaker.answered(now) {
+            self.notes.push(Note::GroupUp(group, time));
         }
     }
 
-    /// A rank told that the pool's group is broken: whoever waits for it is
-    /// told when to come back.
-    pub(super) fn group_refuses(
-        &mut self,
-        pool: entity::Pool,
-        now: clock::Instant,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(group) = self.groups.get_mut(&pool) else { return };
-        if group.breaker.refused(now) {
-            self.notes.push(Note::GroupDown(pool));
-        }
-        while let Some(next) = self.queue.pop(pool) {
-            self.give_up(next.ticket, Outcome::NotRun, Reason::GroupDown, actions);
+    /// A rank told that its group is broken.
+    pub(super) fn group_refuses(&mut self, group: Option<entity::Group>, now: clock::Instant) {
+        let Some(group) = group else { return };
+        if self.groups[group].breaker.refused(now) {
+            self.notes.push(Note::GroupDown(group));
         }
     }
 
-    /// Whether the group that serves the pool, if it is one, can take one more.
-    pub(super) fn has_room(&self, pool: entity::Pool, now: clock::Instant) -> bool {
-        let Some(group) = self.groups.get(&pool) else { return true };
-        let in_flight = self.in_flight(pool);
-        in_flight < group.pace.bound() && !group.pace.stalled(in_flight, now)
+    /// Whether all groups that serve a pool are known to serve nothing.
+    pub(super) fn all_down(&self, pool: entity::Pool, now: clock::Instant) -> bool {
+        let mut groups = self.servers.usable(pool).map(|(_, record)| record.listing.group);
+        groups.all(|group| group.is_some_and(|group| self.groups[group].down(now)))
+    }
+
+    /// Whether a backend server can take one more request, and its group too.
+    pub(super) fn takes(&self, record: &server::Record, now: clock::Instant) -> bool {
+        let group = record.listing.group;
+        record.open(now) && group.is_none_or(|group| self.groups[group].takes(now))
     }
 }
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -139,7 +139,7 @@
     Attempts,
     /// The retry budget is used up.
     Budget,
-    /// The pool's group is broken.
+    /// All groups that serve the pool are broken or stand still.
     GroupDown,
 }
 
@@ -190,13 +190,13 @@
     pub retry_after: Duration,
 }
 
-/// A change of what is believed of a pool, for the log.
+/// A change of what is believed of a group, for the log.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Note {
-    /// The pool's group is broken.
-    GroupDown(entity::Pool),
-    /// The pool's group serves again, after that time.
-    GroupUp(entity::Pool, Duration),
+    /// The group is broken.
+    GroupDown(entity::Group),
+    /// The group serves again, after that time.
+    GroupUp(entity::Group, Duration),
 }
 
 /// What the daemon is to do.
--- a/decision/src/balancer/verify.rs
+++ b/decision/src/balancer/verify.rs
@@ -1,6 +1,6 @@
 //! The verifier of the balancer: its counts agree with each other.
 
-use crate::balancer::{Balancer, Place};
+use crate::balancer::{Balancer, Pending, Place};
 use crate::{admission, entity};
 
 impl<P> Balancer<P> {
@@ -22,6 +22,12 @@
                 return Err(Fault::InFlight(server));
             }
         }
+        for (id, group) in self.groups.iter() {
+            let own = |p: &&Pending| matches!(p.place, Place::Sent(_)) && p.group == Some(id);
+            if self.pending.values().filter(own).count() != group.in_flight as usize {
+                return Err(Fault::GroupInFlight(id));
+            }
+        }
         Ok(())
     }
 }
@@ -38,4 +44,7 @@
     /// Requests sent to a backend server are those it has in flight.
     #[error("requests in flight at {0} are miscounted")]
     InFlight(entity::Server),
+    /// Requests sent to a group are those it has in flight.
+    #[error("requests in flight at {0} are miscounted")]
+    GroupInFlight(entity::Group),
 }
--- a/decision/src/breaker.rs
+++ b/decision/src/breaker.rs
@@ -1,8 +1,8 @@
-//! A circuit breaker for a pool whose backend servers serve all together or
+//! A circuit breaker for a group whose backend servers serve all together or
 //! not at all, as the ranks of a lock-step group do.
 //!
 //! One refusal that tells of a broken group opens it: every other backend
-//! server of the pool would refuse as well. While it is open, one request at a
+//! server of the group would refuse as well. While it is open, one request at a
 //! time goes through as a probe; the first answer that begins closes it.
 
 use std::time::Duration;
@@ -39,16 +39,16 @@
         self.opened.is_some()
     }
 
-    /// Whether a request may go through; one that goes through an open
-    /// breaker is a probe, and the next one follows after a while.
-    pub fn admit(&mut self, now: clock::Instant) -> bool {
-        if self.opened.is_none() {
-            return true;
-        }
-        if now.since(self.probed) < PROBE_INTERVAL {
-            return false;
+    /// Whether a request may go through: it is closed, or a probe is due.
+    pub fn admits(&self, now: clock::Instant) -> bool {
+        self.opened.is_none() || now.since(self.probed) >= PROBE_INTERVAL
+    }
+
+    /// A request went through; through an open breaker it is a probe, and the
+    /// next one follows after a while.
+    pub fn sent(&mut self, now: clock::Instant) {
+        if self.is_open() {
+            self.probed = now;
         }
-        self.probed = now;
-        true
     }
 }
--- a/decision/src/entity.rs
+++ b/decision/src/entity.rs
@@ -13,6 +13,11 @@
 pub struct Pool(u32);
 entity_impl!(Pool, "pool");
 
+/// A group of backend servers of one pool that run in lock-step.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Group(u32);
+entity_impl!(Group, "group");
+
 /// A team, the callers' side.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Team(u32);
--- a/decision/src/map.rs
+++ b/decision/src/map.rs
@@ -6,10 +6,12 @@
 //! phases: every rank prepares, then the record names the new epoch, then rank
 //! 0, which launches the steps, goes over. [`gate`] is the agent's side, which
 //! refuses stale orders before a backend server that does not check fences.
+//! [`fence`] does the same by the term of the driver of a group.
 //! [`switch`] is the change of a group whose engines switch by themselves at a
 //! pass that they are told beforehand.
 
 pub mod change;
+pub mod fence;
 pub mod gate;
 pub mod record;
 pub mod switch;
--- a/decision/src/mirror.rs
+++ b/decision/src/mirror.rs
@@ -127,6 +127,11 @@
         })
     }
 
+    /// A key that has a value.
+    pub fn record(&self, key: &str) -> Option<Record> {
+        self.below(key).next().filter(|record| *record.key == *key)
+    }
+
     /// The value of a key.
     pub fn get(&self, key: &str) -> Option<&Bytes> {
         self.entries.get(key).and_then(|entry| entry.value.as_ref())
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -53,6 +53,8 @@
     pub host: Arc<str>,
     /// Pool that it belongs to.
     pub pool: entity::Pool,
+    /// Group that it runs in lock-step with, if it is a rank of one.
+    pub group: Option<entity::Group>,
     /// Whether it is in the entry host's own availability zone.
     pub local: bool,
     /// Whether the list or the bundle has it leaving.
--- a/decision/tests/balancer.rs
+++ b/decision/tests/balancer.rs
@@ -31,12 +31,25 @@
     let listing = |number: u32| server::Listing {
         host: format!("host{number}").into(),
         pool: pool(),
+        group: None,
         local: number.is_multiple_of(2),
         leaving: false,
     };
     (0..count).map(listing).collect()
 }
 
+/// As [`listings`], in groups of two, of which the first is in the own zone.
+fn grouped(count: u32) -> Vec<server::Listing> {
+    let group = |number: usize| entity::Group::from_u32(number as u32 / 2);
+    let listings = listings(count).into_iter().enumerate();
+    let grouped = listings.map(|(number, listing)| server::Listing {
+        group: Some(group(number)),
+        local: number < 2,
+        ..listing
+    });
+    grouped.collect()
+}
+
 fn up(
     balancer: &mut Balancer,
     server: u32,
@@ -87,6 +100,7 @@
         4 => Just(balancer::End::Answered),
         1 => Just(balancer::End::Full),
         1 => Just(balancer::End::NeverRan),
+        1 => Just(balancer::End::GroupDown),
         1 => any::<bool>().prop_map(|answer_begun| balancer::End::MayHaveRun { answer_begun }),
     ];
     prop_oneof![
@@ -121,7 +135,11 @@
     #![proptest_config(config(1500))]
 
     #[test]
-    fn every_request_ends_once_and_truly(events in prop::collection::vec(event(), 1..150)) {
+    fn every_request_ends_once_and_truly(
+        events in prop::collection::vec(event(), 1..150),
+        lockstep in any::<bool>(),
+    ) {
+        let listings = if lockstep { grouped } else { listings };
         let mut balancer = new(8);
         let mut now = clock::Instant::ZERO;
         let mut seen: BTreeMap<entity::Ticket, Seen> = BTreeMap::new();
--- /dev/null
+++ b/decision/tests/groups.rs
@@ -0,0 +1,140 @@
+//! A pool with several lock-step groups: one that is broken, stands still or
+//! is full is passed over for another one.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::time::Duration;
+
+use loftcove_decision::routing::{policy, server};
+use loftcove_decision::{balancer, clock, entity};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng as _;
+
+/// Ranks of each group; the first group is in the own zone.
+const RANKS: u32 = 3;
+
+struct Setup {
+    balancer: balancer::Balancer<policy::Blend>,
+    now: clock::Instant,
+}
+
+impl Setup {
+    fn new(groups: u32) -> Setup {
+        let policy =
+            policy::Blend { rng: ChaCha8Rng::seed_from_u64(7), sample: 2, affinity_slack: 0.5 };
+        let options = balancer::Options::default().retry_reserve(10.0);
+        let mut balancer = balancer::Balancer::new(policy, &options);
+        let now = clock::Instant::from_millis(1_000);
+        let listing = |number: u32| server::Listing {
+            host: format!("host{number}").into(),
+            pool: entity::Pool::from_u32(0),
+            group: Some(entity::Group::from_u32(number / RANKS)),
+            local: number < RANKS,
+            leaving: false,
+        };
+        balancer.list((0..groups * RANKS).map(listing).collect(), now);
+        for number in 0..groups * RANKS {
+            let id = entity::Server::from_u32(number);
+            balancer.connect(id, true, now);
+            let report = server::Report {
+                incarnation: 1,
+                sequence: 1,
+                slots: 8,
+                alive: true,
+                ..server::Report::default()
+            };
+            balancer.report(id, report, now);
+        }
+        Setup { balancer, now }
+    }
+
+    fn arrive(&mut self) -> (entity::Ticket, Vec<balancer::Action>) {
+        let due = self.now + Duration::from_secs(8);
+        let arrival = balancer::Arrival {
+            pool: entity::Pool::from_u32(0),
+            team: entity::Team::from_u32(0),
+            precedence: 1,
+            repeatable: true,
+            resumable: true,
+            max_attempts: 2,
+            deadline: due,
+            expires: due,
+            prefix: 0,
+        };
+        self.balancer.arrive(arrival, self.now)
+    }
+
+    /// Group that a request was sent to, or why it was refused.
+    fn fate(&self, actions: &[balancer::Action]) -> Result<u32, balancer::Reason> {
+        let [action] = actions else { panic!("one action, not {actions:?}") };
+        match action {
+            balancer::Action::Send(dispatch) => Ok(dispatch.choice.server.as_u32() / RANKS),
+            balancer::Action::Refuse(refusal) => Err(refusal.reason),
+        }
+    }
+}
+
+#[test]
+fn a_request_that_a_broken_group_refused_goes_to_another() {
+    let mut setup = Setup::new(2);
+    let (ticket, actions) = setup.arrive();
+    assert_eq!(setup.fate(&actions), Ok(0), "the own zone's group goes first");
+    let actions = setup.balancer.end(ticket, balancer::End::GroupDown, setup.now);
+    assert_eq!(setup.fate(&actions), Ok(1));
+    // The next ones do not try the broken group at all.
+    let (_, actions) = setup.arrive();
+    assert_eq!(setup.fate(&actions), Ok(1));
+    assert_eq!(setup.balancer.verify(), Ok(()));
+}
+
+#[test]
+fn a_probe_finds_out_that_a_group_serves_again() {
+    let mut setup = Setup::new(2);
+    let (ticket, _) = setup.arrive();
+    setup.balancer.end(ticket, balancer::End::GroupDown, setup.now);
+    setup.now = setup.now + Duration::from_millis(200);
+    let (probe, actions) = setup.arrive();
+    assert_eq!(setup.fate(&actions), Ok(0));
+    let (_, actions) = setup.arrive();
+    assert_eq!(setup.fate(&actions), Ok(1), "one probe at a time");
+    setup.balancer.begin(probe, Duration::from_millis(20), setup.now);
+    let (_, actions) = setup.arrive();
+    assert_eq!(setup.fate(&actions), Ok(0));
+}
+
+#[test]
+fn a_group_that_stands_still_is_passed_over() {
+    let mut setup = Setup::new(2);
+    setup.arrive();
+    setup.arrive();
+    setup.now = setup.now + Duration::from_secs(1);
+    let (_, actions) = setup.arrive();
+    assert_eq!(setup.fate(&actions), Ok(1));
+}
+
+#[test]
+fn a_pool_whose_groups_are_all_down_refuses_at_once() {
+    let mut setup = Setup::new(2);
+    let (first, _) = setup.arrive();
+    let actions = setup.balancer.end(first, balancer::End::GroupDown, setup.now);
+    assert_eq!(setup.fate(&actions), Ok(1));
+    let actions = setup.balancer.end(first, balancer::End::GroupDown, setup.now);
+    assert_eq!(setup.fate(&actions), Err(balancer::Reason::GroupDown));
+    let (_, actions) = setup.arrive();
+    assert_eq!(setup.fate(&actions), Err(balancer::Reason::GroupDown));
+    assert_eq!(setup.balancer.verify(), Ok(()));
+}
+
+#[test]
+fn a_group_whose_passes_are_long_sheds_to_another() {
+    let mut setup = Setup::new(2);
+    let tickets: Vec<entity::Ticket> = (0..6).map(|_| setup.arrive().0).collect();
+    for _ in 0..4 {
+        setup.now = setup.now + Duration::from_millis(250);
+        for ticket in &tickets {
+            setup.balancer.event(*ticket, 1.5, setup.now);
+        }
+    }
+    let (_, actions) = setup.arrive();
+    assert_eq!(setup.fate(&actions), Ok(1));
+}
--- a/decision/tests/pace.rs
+++ b/decision/tests/pace.rs
@@ -64,14 +64,16 @@
 fn a_broken_group_gets_one_probe_at_a_time() {
     let mut breaker = Breaker::default();
     let now = Instant::from_millis(1_000);
-    assert!(breaker.admit(now));
+    assert!(breaker.admits(now));
     assert!(breaker.refused(now));
-    assert!(!breaker.admit(now + Duration::from_millis(100)));
+    assert!(!breaker.admits(now + Duration::from_millis(100)));
     let probe = now + Duration::from_millis(200);
-    assert!(breaker.admit(probe));
-    assert!(!breaker.admit(probe + Duration::from_millis(10)));
+    assert!(breaker.admits(probe));
+    breaker.sent(probe);
+    assert!(!breaker.admits(probe + Duration::from_millis(10)));
     assert!(!breaker.refused(probe + Duration::from_millis(20)), "it was open before");
     let open = breaker.answered(now + Duration::from_secs(3));
     assert_eq!(open, Some(Duration::from_secs(3)));
-    assert!(breaker.admit(now + Duration::from_secs(3)));
+    breaker.sent(now + Duration::from_secs(3));
+    assert!(breaker.admits(now + Duration::from_secs(3)));
 }
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -33,6 +33,8 @@
     pub id: Arc<str>,
     /// Pool that it belongs to.
     pub pool: Arc<str>,
+    /// Group that it runs in lock-step with, if it is a rank of one.
+    pub group: Option<Arc<str>>,
     /// Whether it is in this host's availability zone.
     pub local: bool,
     /// Whether it is leaving.
@@ -102,6 +104,7 @@
 struct Inner<T> {
     balancer: balancer::Balancer<policy::Blend>,
     pools: name::Table<entity::Pool>,
+    groups: name::Table<entity::Group>,
     teams: name::Table<entity::Team>,
     targets: BTreeMap<entity::Server, T>,
     waiting: BTreeMap<entity::Ticket, mpsc::UnboundedSender<Next<T>>>,
@@ -116,6 +119,7 @@
         let inner = Inner {
             balancer: balancer::Balancer::new(policy, options),
             pools: name::Table::default(),
+            groups: name::Table::default(),
             teams: name::Table::default(),
             targets: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -145,6 +149,7 @@
         let rows = listings.iter().map(|listing| server::Listing {
             host: listing.id.clone(),
             pool: inner.pools.intern(&listing.pool),
+            group: listing.group.as_ref().map(|group| inner.groups.intern(group)),
             local: listing.local,
             leaving: listing.leaving,
         });
@@ -230,13 +235,6 @@
         inner.route(actions);
     }
 
-    /// Tells that the backend servers of a pool run in lock-step.
-    pub fn set_lockstep(&self, pool: &Arc<str>) {
-        let mut inner = self.lock();
-        let id = inner.pools.intern(pool);
-        inner.balancer.set_lockstep(id);
-    }
-
     fn begin(&self, ticket: entity::Ticket, after: Duration) {
         let now = self.now();
         let mut inner = self.lock();
@@ -309,12 +307,12 @@
     fn route(&mut self, actions: Vec<balancer::Action>) {
         for note in self.balancer.take_notes() {
             match note {
-                balancer::Note::GroupDown(pool) => {
-                    log::warn!("group down pool={}", self.pools.name(pool));
+                balancer::Note::GroupDown(group) => {
+                    log::warn!("group down group={}", self.groups.name(group));
                 }
-                balancer::Note::GroupUp(pool, time) => {
-                    let name = self.pools.name(pool);
-                    log::info!("group up pool={name} down_ms={}", time.as_millis());
+                balancer::Note::GroupUp(group, time) => {
+                    let name = self.groups.name(group);
+                    log::info!("group up group={name} down_ms={}", time.as_millis());
                 }
             }
         }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -10,7 +10,7 @@
 use loftcove_decision::{balancer, fleet, lifecycle, route};
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::{Place, Protocol, Record};
-use loftcove_mirror::{self as mirror, register};
+use loftcove_mirror::{self as mirror, membership, register};
 use loftcove_settings::gateway as settings;
 
 use crate::{drain, metrics, upstream};
@@ -122,6 +122,17 @@
         }
     }
 
+    /// Service and group of each engine whose group is known.
+    fn groups(&self) -> BTreeMap<SocketAddr, (Arc<str>, Arc<str>)> {
+        let mut groups = BTreeMap::new();
+        for (group, entry) in membership::entries(&self.mirror) {
+            for member in entry.members {
+                groups.insert(member, (entry.service.clone(), group.clone()));
+            }
+        }
+        groups
+    }
+
     fn list(&self, servers: BTreeMap<Arc<str>, fleet::Server>, gateways: usize) {
         let routes = self.routes.load();
         let connections = |service: &str| {
@@ -129,9 +140,23 @@
             let most = service.map_or(u32::MAX, |service| service.max_connections) as usize;
             (most / gateways).max(1)
         };
+        let lockstep = |service: &str| {
+            let service = routes.as_ref().and_then(|table| table.service(service));
+            service.is_some_and(|service| {
+                service.engine.as_ref().is_some_and(|engine| engine.experts.is_some())
+            })
+        };
+        let groups = self.groups();
+        let group = |server: &fleet::Server| {
+            let known = groups.get(&server.address);
+            let known = known.filter(|(service, _)| *service == server.service);
+            // Until its members are known, a service counts as one group.
+            known.map_or_else(|| server.service.clone(), |(_, group)| group.clone())
+        };
         let listing = |server: &fleet::Server| dispatch::Listing {
             id: server.id.clone(),
             pool: server.service.clone(),
+            group: lockstep(&server.service).then(|| group(server)),
             local: *server.zone == *self.settings.host.zone,
             leaving: server.draining,
             slots: server.slots,
@@ -141,13 +166,6 @@
                 max_connections: connections(&server.service),
             },
         };
-        if let Some(table) = routes.as_ref() {
-            for service in table.services() {
-                if service.engine.as_ref().is_some_and(|engine| engine.experts.is_some()) {
-                    self.dispatcher.set_lockstep(&service.name);
-                }
-            }
-        }
         self.dispatcher.list(servers.values().map(listing).collect());
         self.upstream.keep(|id| servers.contains_key(id));
     }
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod distance;
 pub mod follow;
 mod health;
+pub mod membership;
 pub mod register;
 pub mod serve;
 pub mod watch;
@@ -159,6 +160,11 @@
         self.lock().get(key).cloned()
     }
 
+    /// A key that has a value.
+    pub fn record(&self, key: &str) -> Option<mirror::Record> {
+        self.lock().record(key)
+    }
+
     /// Keys below a prefix with their values and revisions.
     pub fn below(&self, prefix: &str) -> Vec<mirror::Record> {
         self.lock().below(prefix).collect()
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -12,7 +12,7 @@
 use loftcove_interface::engine::{self, Engine, Map};
 use loftcove_interface::protocol::{Place, Protocol, Record};
 use loftcove_interface::store::Store;
-use loftcove_mirror::Mirror;
+use loftcove_mirror::{Mirror, membership};
 use loftcove_settings::gateway as settings;
 use loftcove_wire as wire;
 use tokio::sync::watch;
@@ -284,30 +284,19 @@
         place: &engine::Group,
         known: &mut Known,
     ) -> Result<bool, Stopped> {
-        let engines = self.engines();
-        self.group.set(&engines);
-        let inspection = wire::Inspection { term, counts: false, experts: true };
-        let answers = self.group.inspect(&self.rank, &engines, inspection).await;
-        if answers.iter().any(|(_, condition)| condition.term > term) {
-            return Err(Stopped::Superseded);
-        }
-        let mut ranks: Vec<Option<(SocketAddr, wire::Condition)>> = vec![None; place.size as usize];
-        for (address, condition) in answers {
-            let same = condition.group == *place.name && condition.epoch == place.epoch;
-            if let Some(slot) = ranks.get_mut(condition.rank as usize).filter(|_| same) {
-                *slot = Some((address, condition));
-            }
-        }
+        let ranks = self.find(term, place).await?;
         let missing = ranks.iter().filter(|rank| rank.is_none()).count();
         if missing == 1 {
-            self.release_without(term, place.epoch, &ranks, known).await?;
+            self.release_without(term, place, &ranks, known).await?;
         }
         let Some(ranks) = ranks.into_iter().collect::<Option<Vec<_>>>() else {
             log::info!("group not known whole epoch={} missing={missing}", place.epoch);
             return Ok(false);
         };
         let (addresses, conditions): (Vec<_>, Vec<_>) = ranks.into_iter().unzip();
-        known.view = View { epoch: place.epoch, ranks: addresses, conditions };
+        self.publish(place, &addresses);
+        known.view =
+            View { group: place.name.clone(), epoch: place.epoch, ranks: addresses, conditions };
         let states: Vec<switch::Condition> =
             known.view.conditions.iter().map(group::condition).collect();
         if let Some(switch) = Switch::resume(&states) {
@@ -325,12 +314,60 @@
         Ok(known::take_map(known))
     }
 
+    /// Finds the engine of each rank: asks those that were its members before,
+    /// and the service's others only where some are missing.
+    async fn find(
+        &mut self,
+        term: u64,
+        place: &engine::Group,
+    ) -> Result<Vec<Option<(SocketAddr, wire::Condition)>>, Stopped> {
+        let engines = self.engines();
+        self.group.set(&engines);
+        let group = place.name.to_string();
+        let inspection = wire::Inspection { term, counts: false, experts: true, group };
+        let before = membership::of(&self.mirror, &place.name);
+        let (members, others): (Vec<SocketAddr>, Vec<SocketAddr>) =
+            engines.into_iter().partition(|engine| before.members.contains(engine));
+        let mut ranks = vec![None; place.size as usize];
+        for addresses in [members, others] {
+            if ranks.iter().all(Option::is_some) {
+                break;
+            }
+            for (address, condition) in
+                self.group.inspect(&self.rank, &addresses, &inspection).await
+            {
+                if condition.group != *place.name {
+                    continue;
+                }
+                if condition.term > term {
+                    return Err(Stopped::Superseded);
+                }
+                let same = condition.epoch == place.epoch;
+                if let Some(slot) = ranks.get_mut(condition.rank as usize).filter(|_| same) {
+                    *slot = Some((address, condition));
+                }
+            }
+        }
+        Ok(ranks)
+    }
+
+    /// Tells the gateways, through the store, which engines belong to the
+    /// group. Nothing waits for it.
+    fn publish(&self, place: &engine::Group, ranks: &[SocketAddr]) {
+        let mut members = ranks.to_vec();
+        members.sort();
+        let entry = membership::Entry { service: self.settings.engine.service.clone(), members };
+        let (mirror, store) = (self.mirror.clone(), self.store.clone());
+        let group = place.name.clone();
+        tokio::spawn(async move { membership::publish(&*store, &mirror, &group, &entry).await });
+    }
+
     /// Lets the group go on that a driver left held whose own rank is the only
     /// one that did not answer, and cannot have been armed.
     async fn release_without(
         &self,
         term: u64,
-        epoch: u64,
+        place: &engine::Group,
         ranks: &[Option<(SocketAddr, wire::Condition)>],
         known: &mut Known,
     ) -> Result<(), Stopped> {
@@ -352,7 +389,8 @@
         let address = |rank: &Option<(SocketAddr, wire::Condition)>| {
             rank.as_ref().map_or(own, |(address, _)| *address)
         };
-        known.view.epoch = epoch;
+        known.view.group = place.name.clone();
+        known.view.epoch = place.epoch;
         known.view.ranks = ranks.iter().map(address).collect();
         let ended = self.change(term, known, switch, &Arc::default()).await;
         known.view.ranks.clear();
@@ -364,8 +402,9 @@
         let ranks = &known.view.ranks;
         let stride = ranks.len().div_ceil(SAMPLE).max(1);
         let sample: Vec<SocketAddr> = ranks.iter().copied().step_by(stride).collect();
-        let inspection = wire::Inspection { term, counts: true, experts: false };
-        let answers = self.group.inspect(&self.rank, &sample, inspection).await;
+        let group = known.view.group.to_string();
+        let inspection = wire::Inspection { term, counts: true, experts: false, group };
+        let answers = self.group.inspect(&self.rank, &sample, &inspection).await;
         let epoch = known.view.epoch;
         let same: Vec<wire::Condition> =
             answers.into_iter().map(|(_, c)| c).filter(|c| c.epoch == epoch).collect();
@@ -385,8 +424,9 @@
         let mut all = Vec::new();
         if sample.len() < ranks && known.rounds >= SLOWNESS_ROUNDS {
             known.rounds = 0;
-            let inspection = wire::Inspection { term, counts: false, experts: false };
-            all = self.group.inspect(&self.rank, &known.view.ranks, inspection).await;
+            let group = known.view.group.to_string();
+            let inspection = wire::Inspection { term, counts: false, experts: false, group };
+            all = self.group.inspect(&self.rank, &known.view.ranks, &inspection).await;
         }
         let others = all.iter().map(|(_, condition)| condition);
         for condition in sample.iter().chain(others) {
@@ -458,7 +498,8 @@
     ) -> Result<(), Stopped> {
         let epoch = known.view.epoch;
         let carry = async |rank: usize, order: switch::Order| {
-            let step = Step { term, epoch, order: group::order(order, map) };
+            let group = known.view.group.clone();
+            let step = Step { group, term, epoch, order: group::order(order, map) };
             let address = known.view.ranks[rank];
             (rank, order, self.group.carry(&self.rank, address, &step).await)
         };
--- a/sidecar/src/election.rs
+++ b/sidecar/src/election.rs
@@ -31,7 +31,7 @@
 
 /// Revision of a key, zero where it does not exist.
 pub fn revision(mirror: &Mirror, key: &str) -> u64 {
-    mirror.below(key).first().map_or(0, |record| record.revision)
+    mirror.record(key).map_or(0, |record| record.revision)
 }
 
 /// Tries to become driver, once, in the place of the one whose key has the
@@ -58,10 +58,9 @@
         Err(store::Error::Lost(reason)) => {
             log::warn!("election unsettled group={group} reason=\"{reason}\" next=read-back");
             tokio::time::sleep(RENEWAL).await;
-            let own = mirror
-                .below(&key(group))
-                .into_iter()
-                .find(|record| record.value.as_ref().is_some_and(|value| value == name.as_bytes()));
+            let own = mirror.record(&key(group)).filter(|record| {
+                record.value.as_ref().is_some_and(|value| value == name.as_bytes())
+            });
             if let Some(record) = own {
                 return Ok(Some(Term { number: record.revision, lease }));
             }
--- a/sidecar/src/group.rs
+++ b/sidecar/src/group.rs
@@ -45,10 +45,10 @@
     async fn inspect(
         &self,
         address: SocketAddr,
-        inspection: wire::Inspection,
+        inspection: &wire::Inspection,
     ) -> Option<wire::Condition> {
         let mut client = self.client.clone();
-        let call = tokio::time::timeout(INSPECT_TIMEOUT, client.inspect(inspection));
+        let call = tokio::time::timeout(INSPECT_TIMEOUT, client.inspect(inspection.clone()));
         let sidecar = async { Some(call.await.ok()?.ok()?.into_inner()) };
         if !inspection.experts {
             return sidecar.await;
@@ -68,12 +68,12 @@
     async fn inspect_engine(
         &self,
         address: SocketAddr,
-        inspection: wire::Inspection,
+        inspection: &wire::Inspection,
     ) -> Option<wire::Condition> {
         log::info!("sidecar silent engine={address} next=ask-engine");
         // A term is a matter between sidecars.
-        let inspection = wire::Inspection { term: 0, ..inspection };
-        match rank::inspect(&self.engine, inspection).await {
+        let inspection = wire::Inspection { term: 0, ..inspection.clone() };
+        match rank::inspect(&self.engine, &inspection).await {
             Ok(condition) => Some(condition),
             Err(error) => {
                 log::info!("engine not inspected engine={address} error=\"{error}\"");
@@ -94,6 +94,8 @@
 /// What the group came to say.
 #[derive(Debug, Clone, Default)]
 pub struct View {
+    /// Name of the group.
+    pub group: Arc<str>,
     /// Epoch of the group.
     pub epoch: u64,
     /// Address of the engine of each rank.
@@ -133,7 +135,7 @@
         &self,
         local: &Rank<E>,
         addresses: &[SocketAddr],
-        inspection: wire::Inspection,
+        inspection: &wire::Inspection,
     ) -> Vec<(SocketAddr, wire::Condition)> {
         let ask = async |address: SocketAddr| {
             let condition = if address == self.own {
--- a/sidecar/src/rank.rs
+++ b/sidecar/src/rank.rs
@@ -6,10 +6,10 @@
 //! after another, is refused by the engine. Orders of a driver that has been
 //! replaced are refused here.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use loftcove_decision::map::fence;
 use loftcove_interface::engine::{Counts, Engine, Error, Order, Report, Verdict};
 use loftcove_wire as wire;
 use tonic::{Request, Response, Status};
@@ -30,11 +30,11 @@
 /// the engine refuses connections, which takes no time.
 const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(320);
 
-/// The engine and the highest term that was seen.
+/// The engine and the highest term that was seen of a driver of its group.
 pub struct Rank<E> {
     /// The engine.
     pub engine: E,
-    term: AtomicU64,
+    fence: Mutex<fence::Fence>,
     /// Whether the engine's reports are fresh, as they are on its own machine.
     fresh: bool,
 }
@@ -42,6 +42,8 @@
 /// An order of a driver.
 #[derive(Debug, Clone)]
 pub struct Step {
+    /// Group that it is for.
+    pub group: Arc<str>,
     /// Term of the driver.
     pub term: u64,
     /// Epoch of the group.
@@ -53,22 +55,26 @@
 impl<E: Engine> Rank<E> {
     /// A sidecar that has seen no term.
     pub fn new(engine: E) -> Rank<E> {
-        Rank { engine, term: AtomicU64::new(0), fresh: true }
+        Rank { engine, fence: Mutex::default(), fresh: true }
     }
 
     /// An engine on another machine, whose reports are old: orders do not
     /// count on the number of orders that they tell.
     pub fn afar(engine: E) -> Rank<E> {
-        Rank { engine, term: AtomicU64::new(0), fresh: false }
+        Rank { engine, fence: Mutex::default(), fresh: false }
     }
 
-    /// Takes a term; returns the highest one seen.
-    pub fn see(&self, term: u64) -> u64 {
-        let before = self.term.fetch_max(term, Ordering::Relaxed);
-        if term > before && before > 0 {
-            log::info!("driver changed term={term} before={before}");
+    /// Takes a term of a driver of the engine's present group; returns the
+    /// highest one seen. A term of zero claims nothing.
+    pub fn see(&self, group: &Arc<str>, term: u64) -> u64 {
+        // Each change is one assignment; a panic cannot leave half of one.
+        let mut fence = self.fence.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let before = fence.see(group, 0);
+        let highest = fence.see(group, term);
+        if highest > before && before > 0 {
+            log::info!("driver changed group={group} term={term} before={before}");
         }
-        before.max(term)
+        highest
     }
 
     /// Carries an order out.
@@ -79,9 +85,6 @@
         let mut accepted: Option<Instant> = None;
         let mut pause = RETRY_PAUSE;
         while Instant::now() < end {
-            if self.see(step.term) > step.term {
-                return (wire::Effect::Superseded, seen);
-            }
             let report = match self.engine.report().await {
                 Ok(report) => report,
                 Err(error) => {
@@ -94,6 +97,10 @@
                 }
             };
             seen = Some(report.clone());
+            let own = report.group.as_ref().filter(|own| own.name == step.group);
+            if own.is_some_and(|own| self.see(&own.name, step.term) > step.term) {
+                return (wire::Effect::Superseded, seen);
+            }
             match judge(step, &report) {
                 Standing::Shown => return (wire::Effect::Confirmed, seen),
                 Standing::Over => return (wire::Effect::Refused, seen),
@@ -165,7 +172,7 @@
 
 fn judge(step: &Step, report: &Report) -> Standing {
     let Some(group) = &report.group else { return Standing::Over };
-    if group.epoch != step.epoch {
+    if group.name != step.group || group.epoch != step.epoch {
         return Standing::Over;
     }
     match &step.order {
@@ -248,11 +255,19 @@
 /// State of an engine, with what else is asked for.
 pub async fn inspect<E: Engine>(
     rank: &Rank<E>,
-    inspection: wire::Inspection,
+    inspection: &wire::Inspection,
 ) -> Result<wire::Condition, Error> {
-    let term = rank.see(inspection.term);
     let report = rank.engine.report().await?;
+    let own = report.group.as_ref();
+    // A driver of another group learns only that this engine is not one of its.
+    let term = own.map_or(0, |own| {
+        let same = *own.name == *inspection.group;
+        rank.see(&own.name, if same { inspection.term } else { 0 })
+    });
     let mut condition = condition(term, &report);
+    if condition.group != inspection.group {
+        return Ok(condition);
+    }
     if inspection.counts {
         let Counts { counts, .. } = rank.engine.counts().await?;
         condition.counts = counts;
@@ -270,7 +285,7 @@
         &self,
         request: Request<wire::Inspection>,
     ) -> Result<Response<wire::Condition>, Status> {
-        let condition = inspect(&self.rank, request.into_inner()).await;
+        let condition = inspect(&self.rank, &request.into_inner()).await;
         condition.map(Response::new).map_err(|error| Status::unavailable(error.to_string()))
     }
 
@@ -284,8 +299,7 @@
             Status::invalid_argument("the step has no operation or a malformed map")
         })?;
         let (effect, report) = self.rank.carry(&step).await;
-        let term = self.rank.see(0);
-        let condition = report.map(|report| condition(term, &report));
+        let condition = report.map(|report| condition(0, &report));
         Ok(Response::new(wire::Result { effect: effect.into(), condition }))
     }
 }
@@ -302,12 +316,18 @@
         wire::Operation::Hold => Order::Hold { pass },
         wire::Operation::Release => Order::Release { pass },
     };
-    Some(Step { term: message.term, epoch: message.epoch, order })
+    let group = (*message.group).into();
+    Some(Step { group, term: message.term, epoch: message.epoch, order })
 }
 
 /// An order as a message.
 pub fn message(step: &Step) -> wire::Step {
-    let mut message = wire::Step { term: step.term, epoch: step.epoch, ..wire::Step::default() };
+    let mut message = wire::Step {
+        group: step.group.to_string(),
+        term: step.term,
+        epoch: step.epoch,
+        ..wire::Step::default()
+    };
     match &step.order {
         Order::Prepare { version, map } => {
             message.set_operation(wire::Operation::Prepare);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -30,12 +30,18 @@
     pub logs: Vec<(String, Vec<String>)>,
 }
 
+/// Lock-step groups of a seed's system: with odd seeds, two of two ranks or more.
+fn groups(seed: u64, size: &plan::Size) -> u8 {
+    if seed % 2 == 1 && size.ranks >= 4 { 2 } else { 1 }
+}
+
 /// Plays a seed.
 pub async fn seed(seed: u64, size: &plan::Size) -> Report {
     let events = plan::draw(seed, size);
     let mut system = System::start(Plan {
         gateways: size.gateways,
         ranks: size.ranks,
+        groups: groups(seed, size),
         plain: size.plain,
         sidecars: true,
         proxied: true,
@@ -63,8 +69,12 @@
     let answered = |seen: &&client::Seen| matches!(&seen.end, client::End::Answer { head, whole: true, .. } if head.status == 200);
     let requests = (seen.len(), seen.iter().filter(answered).count());
     let evidence = Evidence { seen, arrivals: arrivals(&system).await, spans };
-    let state = system.group_state().await;
-    let number = |name: &str| state[name].as_u64().unwrap_or(0);
+    let mut states = Vec::new();
+    for group in 0..system.plan.groups {
+        states.push(system.state_of(group).await);
+    }
+    let number =
+        |name: &str| -> u64 { states.iter().map(|state| state[name].as_u64().unwrap_or(0)).sum() };
     let mut breaches = evidence.breaches();
     breaches.extend(overdue.into_iter().map(Breach::Overdue));
     breaches.extend(unwell.map(Breach::Unwell));
@@ -107,12 +117,9 @@
 
 async fn arrivals(system: &System) -> BTreeMap<String, Vec<Arrival>> {
     let mut by_id: BTreeMap<String, Vec<Arrival>> = BTreeMap::new();
-    for control in [&system.group.1, &system.plain.1] {
-        let all = control.read("/requests").await;
-        for arrival in all.as_array().cloned().unwrap_or_default() {
-            let arrival = Arrival(arrival);
-            by_id.entry(arrival.id().to_owned()).or_default().push(arrival);
-        }
+    for arrival in system.all_arrivals().await {
+        let arrival = Arrival(arrival);
+        by_id.entry(arrival.id().to_owned()).or_default().push(arrival);
     }
     by_id
 }
--- a/standins/src/bin/standin-group.rs
+++ b/standins/src/bin/standin-group.rs
@@ -1,7 +1,9 @@
 //! The stand-in for backend servers on the users' platform:
-//! `standin-group --servers ID=ADDRESS,.. [--lockstep]`.
+//! `standin-group --servers ID=ADDRESS,.. [--lockstep] [--groups N]`.
 //!
-//! Prints `listening ADDRESS` for its control address once all servers listen.
+//! The servers form so many groups of the same size, one after the other. What
+//! the control address takes goes to the group of the query's `group`, counted
+//! from 0, and to the first one without it. Prints `listening ADDRESS` for its control address once all servers listen.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -16,6 +18,8 @@
 async fn main() {
     let mut arguments = pico_args::Arguments::from_env();
     let lockstep = arguments.contains("--lockstep");
+    let groups: usize =
+        arguments.opt_value_from_str("--groups").expect("--groups takes a number").unwrap_or(1);
     let servers: String =
         arguments.value_from_str("--servers").expect("--servers takes ids with addresses");
     let servers: Vec<(&str, SocketAddr)> = servers
@@ -23,17 +27,24 @@
         .filter_map(|part| part.split_once('='))
         .map(|(id, address)| (id, address.parse().expect("a server has an address")))
         .collect();
-    let group = Group::new(servers.len());
-    for (rank, (id, address)) in servers.into_iter().enumerate() {
+    let ranks = servers.len().div_ceil(groups).max(1);
+    let groups: Vec<Group> =
+        (0..groups).map(|number| Group::new(&format!("g{number}"), ranks)).collect();
+    for (number, (id, address)) in servers.into_iter().enumerate() {
+        let (group, rank) = (&groups[number / ranks], number % ranks);
         let listener = TcpListener::bind(address).await.expect("the server's address is free");
         let address = address.to_string().into();
         let worker = Worker { group: group.clone(), rank, id: id.into(), address, lockstep };
         tokio::spawn(serve(listener, worker));
     }
-    tokio::spawn(group.clone().run());
+    for group in &groups {
+        tokio::spawn(group.clone().run());
+    }
     let control = server::listen(([127, 0, 0, 1], 0).into()).await;
     server::serve(control, move |request| {
         let query = store::query(request.uri().query().unwrap_or_default());
+        let number = query.get("group").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let group: &Group = groups.get(number).unwrap_or(&groups[0]);
         let answer = group.control(request.uri().path(), &query);
         async move { server::json(200, &answer) }
     })
--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -44,6 +44,7 @@
 }
 
 struct State {
+    name: String,
     epoch: u64,
     open: bool,
     pass: u64,
@@ -83,8 +84,9 @@
 
 impl Group {
     /// A group of so many ranks.
-    pub fn new(ranks: usize) -> Group {
+    pub fn new(name: &str, ranks: usize) -> Group {
         let mut state = State {
+            name: name.to_owned(),
             epoch: 0,
             open: true,
             pass: 0,
@@ -163,7 +165,7 @@
             "stage": "both",
             "models": [{ "name": "m", "version": 1, "adapters": [] }],
             "group": {
-                "name": "g0", "epoch": state.epoch, "rank": rank,
+                "name": state.name, "epoch": state.epoch, "rank": rank,
                 "state": if state.open { "open" } else { "broken" },
             },
             "size": state.ranks.len(),
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -33,8 +33,10 @@
 pub struct Plan {
     /// Gateways.
     pub gateways: u8,
-    /// Ranks of the group.
+    /// Ranks of all lock-step groups together.
     pub ranks: u8,
+    /// Lock-step groups, of the same size.
+    pub groups: u8,
     /// Plain servers.
     pub plain: u8,
     /// Whether each rank has a sidecar.
@@ -90,8 +92,8 @@
             plan,
             store,
             control: caller::Caller::new(store_address, ""),
-            group: group(&lockstep, true, plan.proxied).await,
-            plain: group(&plain, false, plan.proxied).await,
+            group: servers_of(&lockstep, Some(plan.groups), plan.proxied).await,
+            plain: servers_of(&plain, None, plan.proxied).await,
             gateways: Vec::new(),
             sidecars: Vec::new(),
             proxy,
@@ -348,9 +350,14 @@
         client.expect("the gateway listens")
     }
 
-    /// State of the lock-step group.
+    /// State of the first lock-step group.
     pub async fn group_state(&self) -> Value {
-        self.group.1.read("/state").await
+        self.state_of(0).await
+    }
+
+    /// State of a lock-step group.
+    pub async fn state_of(&self, group: u8) -> Value {
+        self.group.1.read(&format!("/state?group={group}")).await
     }
 
     /// Tells the lock-step group something.
@@ -360,12 +367,19 @@
 
     /// Requests with that id that reached backend servers, over all of them.
     pub async fn arrivals(&self, id: &str) -> Vec<Value> {
+        let mut all = self.all_arrivals().await;
+        all.retain(|request| request["headers"]["x-attempt-id"] == id);
+        all
+    }
+
+    /// Requests that reached backend servers, over all of them.
+    pub async fn all_arrivals(&self) -> Vec<Value> {
         let mut all = Vec::new();
-        for (_, control) in [&self.group, &self.plain] {
-            let requests = control.read("/requests").await;
+        let groups = (0..self.plan.groups).map(|group| (&self.group.1, group));
+        for (control, group) in groups.chain([(&self.plain.1, 0)]) {
+            let requests = control.read(&format!("/requests?group={group}")).await;
             all.extend(requests.as_array().cloned().unwrap_or_default());
         }
-        all.retain(|request| request["headers"]["x-attempt-id"] == id);
         all
     }
 }
@@ -382,17 +396,18 @@
     SocketAddr::new(address.ip(), address.port() + u16::from(proxied))
 }
 
-async fn group(
+/// Starts backend servers, as lock-step groups where a number of these is given.
+async fn servers_of(
     servers: &Listed,
-    lockstep: bool,
+    groups: Option<u8>,
     proxied: bool,
 ) -> (process::Process, caller::Caller) {
     let row =
         |(id, address): &(String, SocketAddr)| format!("{id}={}", real_address(*address, proxied));
     let list: Vec<String> = servers.iter().map(row).collect();
     let mut arguments = vec!["--servers".to_owned(), list.join(",")];
-    if lockstep {
-        arguments.push("--lockstep".to_owned());
+    if let Some(groups) = groups {
+        arguments.extend(["--lockstep".to_owned(), "--groups".to_owned(), groups.to_string()]);
     }
     let mut group = process::Process::start("standin-group", &arguments);
     let control = group.address().await;
--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -5,7 +5,8 @@
 use loftcove_tests::system::{HOST, KEY, Plan, Request, SMS, System, read};
 use loftcove_tests::until;
 
-const PLAN: Plan = Plan { gateways: 2, ranks: 2, plain: 3, sidecars: false, proxied: false };
+const PLAN: Plan =
+    Plan { gateways: 2, ranks: 2, groups: 1, plain: 3, sidecars: false, proxied: false };
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_reaches_one_backend_server_as_it_was_sent() {
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -5,7 +5,8 @@
 use loftcove_tests::system::{Plan, Request, System};
 use loftcove_tests::until;
 
-const PLAN: Plan = Plan { gateways: 2, ranks: 4, plain: 1, sidecars: true, proxied: false };
+const PLAN: Plan =
+    Plan { gateways: 2, ranks: 4, groups: 1, plain: 1, sidecars: true, proxied: false };
 
 /// Keeps streams running until dropped.
 struct Load {
@@ -147,3 +148,41 @@
     assert!((1..=30).contains(&failed), "{failed} lines in four seconds");
     sound(&system).await;
 }
+
+const TWO_GROUPS: Plan =
+    Plan { gateways: 2, ranks: 6, groups: 2, plain: 1, sidecars: true, proxied: false };
+
+/// Waits until a group has gone over to another map.
+async fn moves(system: &System, group: u8) {
+    until("the group has another map", || async {
+        let state = system.state_of(group).await;
+        state["switches"].as_u64().unwrap_or(0) > 0 && state["held"] == 0
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_maps_of_two_groups_of_one_service_change() {
+    let system = System::start(TWO_GROUPS).await;
+    let _load = Load::start(&system).await;
+    for group in 0..TWO_GROUPS.groups {
+        moves(&system, group).await;
+        let state = system.state_of(group).await;
+        assert_eq!(state["violations"], 0, "{state}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_group_serves_while_the_other_is_broken() {
+    let system = System::start(TWO_GROUPS).await;
+    let load = Load::start(&system).await;
+    // Each driver has told the gateways its members before it changes the map.
+    moves(&system, 0).await;
+    moves(&system, 1).await;
+    drop(load);
+    system.group_control("/break?group=0").await;
+    for _ in 0..40 {
+        let answer = system.ask(0, &Request::new("/draft/")).await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+}
--- a/tests/tests/stores.rs
+++ b/tests/tests/stores.rs
@@ -5,7 +5,8 @@
 use loftcove_tests::system::{BOUND, KEY, Plan, Request, System};
 use loftcove_tests::until;
 
-const PLAN: Plan = Plan { gateways: 3, ranks: 2, plain: 2, sidecars: false, proxied: false };
+const PLAN: Plan =
+    Plan { gateways: 3, ranks: 2, groups: 1, plain: 2, sidecars: false, proxied: false };
 
 async fn refused(system: &System, gateway: u8, key: &str) -> bool {
     system.ask(gateway, &Request::new("/alert/").with("x-api-key", key)).await.status == 401
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -310,7 +310,7 @@
     #[prost(bool, tag = "4")]
     pub removed: bool,
 }
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Inspection {
     /// Term of the driver that asks; 0 asks without claiming to drive.
     #[prost(uint64, tag = "1")]
@@ -321,10 +321,13 @@
     /// Whether the experts that the rank holds are wanted.
     #[prost(bool, tag = "3")]
     pub experts: bool,
+    /// Group that the driver drives: its term means nothing in another one.
+    #[prost(string, tag = "4")]
+    pub group: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Condition {
-    /// Highest term that the sidecar has seen.
+    /// Highest term that the sidecar has seen of a driver of this group.
     #[prost(uint64, tag = "1")]
     pub term: u64,
     #[prost(string, tag = "2")]
@@ -389,6 +392,9 @@
     /// list with its length before it.
     #[prost(uint32, repeated, tag = "6")]
     pub map: ::prost::alloc::vec::Vec<u32>,
+    /// Group that the step is for.
+    #[prost(string, tag = "7")]
+    pub group: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Result {
