Bound the streams of a group by a model of its pass

Ruled out: prompts (6% of the ranks' time), want of slots alone. Change: decision/pass has the published cost of a pass, decision/pace infers the skew from pauses and the streams that answers tell, and bounds the own part of what fits in time with the skew of the last seconds.

--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -20,7 +20,7 @@
 use cranelift_entity::SecondaryMap;
 
 use crate::routing::{eject, policy, server};
-use crate::{admission, clock, entity, retry};
+use crate::{admission, clock, entity, pass, retry};
 
 /// Score from which an open backend server of the own availability zone
 /// counts as loaded, so that others are looked at.
@@ -80,6 +80,8 @@
     policy: P,
     pending: BTreeMap<entity::Ticket, Pending>,
     groups: SecondaryMap<entity::Group, group::Group>,
+    costs: BTreeMap<entity::Pool, pass::Cost>,
+    gateways: u32,
     group_return: Duration,
     notes: Vec<Note>,
     next: u32,
@@ -97,6 +99,8 @@
             policy,
             pending: BTreeMap::new(),
             groups: SecondaryMap::new(),
+            costs: BTreeMap::new(),
+            gateways: 1,
             group_return: options.group_return,
             notes: Vec::new(),
             next: 0,
--- a/decision/src/balancer/group.rs
+++ b/decision/src/balancer/group.rs
@@ -5,9 +5,11 @@
 //! group slower, which its bound by pace keeps. A group that takes nothing is
 //! passed over for another one.
 
+use std::time::Duration;
+
 use crate::balancer::{Action, Balancer, Note};
 use crate::routing::{policy, server};
-use crate::{breaker, clock, entity, pace};
+use crate::{breaker, clock, entity, pace, pass};
 
 /// What is kept of a group.
 #[derive(Debug, Clone, Default)]
@@ -44,29 +46,59 @@
         std::mem::take(&mut self.notes)
     }
 
-    /// An event of a request's stream came after a pause, which is given
-    /// relative to the longest wanted one.
+    /// Sets what a pass of the pool's groups costs.
+    pub fn set_cost(&mut self, pool: entity::Pool, cost: pass::Cost) {
+        self.costs.insert(pool, cost);
+    }
+
+    /// Sets how many gateways share the backend servers, this one included.
+    pub fn set_gateways(&mut self, gateways: u32) {
+        self.gateways = gateways;
+    }
+
+    /// An answer told how many requests its backend server runs and keeps waiting.
+    pub fn loaded(&mut self, server: entity::Server, requests: u32) {
+        if let Some(group) = self.servers[server].listing.group {
+            self.groups[group].pace.report(requests);
+        }
+    }
+
+    /// An event of a request's stream came after a pause; events are wanted
+    /// within `wanted`. The first event of a stream has no pause.
     pub fn event(
         &mut self,
         ticket: entity::Ticket,
-        pause: f64,
+        pause: Duration,
+        wanted: Duration,
         now: clock::Instant,
     ) -> Vec<Action> {
         let mut actions = Vec::new();
         let Some(pending) = self.pending.get(&ticket) else { return actions };
         let pool = pending.arrival.pool;
         let Some(id) = pending.group else { return actions };
-        let members = self.servers.usable(pool);
-        let slots: u32 = members
-            .filter(|(_, record)| record.listing.group == Some(id))
-            .map(|(_, record)| record.report.slots)
-            .sum();
-        let group = &mut self.groups[id];
-        group.pace.event(pause, group.in_flight, f64::from(slots), now);
-        self.pump(pool, now, &mut actions);
+        if self.groups[id].pace.event(pause, now) {
+            let view = self.view(pool, id);
+            self.groups[id].pace.settle(wanted, &view, now);
+            self.pump(pool, now, &mut actions);
+        }
         actions
     }
 
+    fn view(&self, pool: entity::Pool, id: entity::Group) -> pace::View {
+        let members = self.servers.usable(pool).map(|(_, record)| record);
+        let members = members.filter(|record| record.listing.group == Some(id));
+        let (ranks, slots) = members.fold((0, 0), |(ranks, slots): (u32, u32), record| {
+            (ranks + 1, slots.max(record.report.slots))
+        });
+        pace::View {
+            ranks,
+            slots,
+            in_flight: self.groups[id].in_flight,
+            gateways: self.gateways,
+            cost: self.costs.get(&pool).copied().unwrap_or_default(),
+        }
+    }
+
     /// A request left a group.
     pub(super) fn leave_group(&mut self, group: Option<entity::Group>) {
         let Some(group) = group else { return };
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod mirror;
 pub mod name;
 pub mod pace;
+pub mod pass;
 pub mod placement;
 pub mod rendezvous;
 pub mod retry;
--- a/decision/src/route.rs
+++ b/decision/src/route.rs
@@ -106,8 +106,15 @@
     pub slots: u32,
     /// Tokens that an engine has memory for.
     pub memory_tokens: u64,
-    /// Time of a pass without any work.
+    /// Time of a step without any work.
     pub step: Duration,
+    /// Time that each stream of an engine adds to a step; zero where it is not told.
+    pub step_per_stream: Duration,
+    /// Steps that a pass plays.
+    pub steps: u32,
+    /// Bandwidth at which an engine copies, megabits a second; zero where it is
+    /// not told.
+    pub copy_mbps: f64,
     /// Prompt tokens that an engine reads in a second.
     pub read_per_s: f64,
     /// How long the group takes to open once all its ranks are there.
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use loftcove_decision::routing::{policy, server};
-use loftcove_decision::{admission, balancer, clock, entity, name};
+use loftcove_decision::{admission, balancer, clock, entity, name, pass};
 use rand_chacha::rand_core::SeedableRng as _;
 use tokio::sync::{Notify, mpsc};
 
@@ -176,10 +176,24 @@
     pub fn report(&self, server: entity::Server, load: server::Load) {
         let now = self.now();
         let mut inner = self.lock();
+        inner.balancer.loaded(server, load.running + load.waiting);
         let actions = inner.report(server, load, now);
         inner.route(actions);
     }
 
+    /// Sets what a pass of a pool's lock-step groups costs.
+    pub fn set_cost(&self, pool: &Arc<str>, cost: pass::Cost) {
+        let mut inner = self.lock();
+        let id = inner.pools.intern(pool);
+        inner.balancer.set_cost(id, cost);
+    }
+
+    /// Sets how many gateways share the backend servers, this one included.
+    pub fn set_gateways(&self, gateways: usize) {
+        let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
+        self.lock().balancer.set_gateways(gateways);
+    }
+
     /// A backend server turned out to be another run than the listed one:
     /// nothing is sent there until the list has it again.
     pub fn unlist(&self, server: entity::Server) {
@@ -228,10 +242,10 @@
         }
     }
 
-    fn event(&self, ticket: entity::Ticket, pause: f64) {
+    fn event(&self, ticket: entity::Ticket, pause: Duration, wanted: Duration) {
         let now = self.now();
         let mut inner = self.lock();
-        let actions = inner.balancer.event(ticket, pause, now);
+        let actions = inner.balancer.event(ticket, pause, wanted, now);
         inner.route(actions);
     }
 
--- a/dispatch/src/permit.rs
+++ b/dispatch/src/permit.rs
@@ -41,10 +41,10 @@
         self.dispatcher.begin(self.ticket, after);
     }
 
-    /// An event of the request's stream came after a pause, which is given
-    /// relative to the longest wanted one.
-    pub fn event(&self, pause: f64) {
-        self.dispatcher.event(self.ticket, pause);
+    /// An event of the request's stream came after a pause, which is zero for
+    /// the first one; events are wanted within `wanted`.
+    pub fn event(&self, pause: Duration, wanted: Duration) {
+        self.dispatcher.event(self.ticket, pause, wanted);
     }
 
     /// The attempt ended; unless it was answered, [`Permit::next`] tells what follows.
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use loftcove_decision::{balancer, fleet, lifecycle, route};
+use loftcove_decision::{balancer, fleet, lifecycle, pass, route};
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::{Place, Protocol, Record};
 use loftcove_mirror::{self as mirror, membership, register};
@@ -166,6 +166,13 @@
                 max_connections: connections(&server.service),
             },
         };
+        for service in routes.iter().flat_map(|table| table.services()) {
+            if let Some(engine) = &service.engine {
+                let cost = pass::Cost::new(engine.step, engine.step_per_stream, engine.steps);
+                self.dispatcher.set_cost(&service.name, cost);
+            }
+        }
+        self.dispatcher.set_gateways(gateways);
         self.dispatcher.list(servers.values().map(listing).collect());
         self.upstream.keep(|id| servers.contains_key(id));
     }
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -148,12 +148,11 @@
         End::Whole
     }
 
-    /// Tells the dispatcher how long the stream has paused, relative to the
-    /// longest wanted pause.
+    /// Tells the dispatcher how long the stream has paused.
     fn observe(&self, pause: Duration) {
         let wanted = self.request.grant.route.pause;
         if let Some(wanted) = wanted.filter(|wanted| !wanted.is_zero()) {
-            self.permit.event(pause.as_secs_f64() / wanted.as_secs_f64());
+            self.permit.event(pause, wanted);
         }
     }
 
