--- a/decision/src/balancer/group.rs
+++ b/decision/src/balancer/group.rs
@@ -18,8 +18,13 @@
     pub(super) pace: pace::Pace,
     /// Own requests in flight.
     pub(super) in_flight: u32,
+    /// When its bound was last noted.
+    noted: clock::Instant,
 }
 
+/// Least time between two notes of a group's bound.
+const NOTE_INTERVAL: Duration = Duration::from_secs(1);
+
 impl Group {
     /// A request was sent to one of its ranks.
     pub(super) fn enter(&mut self, now: clock::Instant) {
@@ -78,7 +83,13 @@
         let Some(id) = pending.group else { return actions };
         if self.groups[id].pace.event(pause, now) {
             let view = self.view(pool, id);
-            self.groups[id].pace.settle(wanted, &view, now);
+            let group = &mut self.groups[id];
+            let ground = group.pace.settle(wanted, &view, now);
+            let binds = ground.in_flight >= group.pace.bound();
+            if binds && now.since(group.noted) >= NOTE_INTERVAL {
+                group.noted = now;
+                self.notes.push(Note::Bound(id, ground));
+            }
             self.pump(pool, now, &mut actions);
         }
         actions
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::routing::policy;
-use crate::{admission, clock, entity};
+use crate::{admission, clock, entity, pace};
 
 /// A request as it arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -197,6 +197,8 @@
     GroupDown(entity::Group),
     /// The group serves again, after that time.
     GroupUp(entity::Group, Duration),
+    /// The group carries as many own streams as its bound allows.
+    Bound(entity::Group, pace::Ground),
 }
 
 /// What the daemon is to do.
--- a/decision/src/pace.rs
+++ b/decision/src/pace.rs
@@ -31,10 +31,10 @@
 const MEMORY: Duration = Duration::from_secs(8);
 /// Part of the remembered intervals whose skew the bound allows for. What is
 /// above it are passes that a change of the map kept waiting.
-const ALLOWED: f64 = 0.85;
+const ALLOWED: f64 = 0.75;
 /// Weight of the newest answer in the mean of the streams of a rank: some
-/// twenty answers, a second or two of a gateway.
-const REPORT_GAIN: f64 = 0.05;
+/// eight answers, about a second of a gateway.
+const REPORT_GAIN: f64 = 0.12;
 /// Weight of the newest interval in the mean of the own streams: as slow as
 /// the reports, so that both are of the same time.
 const OWN_GAIN: f64 = 0.1;
@@ -64,6 +64,23 @@
     pub cost: pass::Cost,
 }
 
+/// What a bound was settled by, for the log.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ground {
+    /// Own streams that may be in flight.
+    pub bound: f64,
+    /// Own streams in flight.
+    pub in_flight: u32,
+    /// Streams that a rank carries.
+    pub streams: f64,
+    /// Streams that a rank can carry in time.
+    pub fitting: f64,
+    /// Times that a pass took longer than published.
+    pub skew: f64,
+    /// The skew that the bound allows for.
+    pub allowed: f64,
+}
+
 /// The bound of one group.
 #[derive(Debug, Clone)]
 pub struct Pace {
@@ -121,7 +138,7 @@
 
     /// Settles the bound by the pauses since the last time, where events are
     /// wanted within `wanted`.
-    pub fn settle(&mut self, wanted: Duration, view: &View, now: clock::Instant) {
+    pub fn settle(&mut self, wanted: Duration, view: &View, now: clock::Instant) -> Ground {
         self.changed = now;
         let in_flight = f64::from(view.in_flight);
         self.own += OWN_GAIN * (in_flight - self.own);
@@ -134,7 +151,8 @@
         let time = wanted.as_secs_f64() * HEADROOM;
         let fits = |skew: f64| view.cost.streams(time / skew.max(f64::MIN_POSITIVE));
         let slots = f64::from(view.slots.max(1));
-        let fitting = match fits(skew.max(self.allowed_skew())) {
+        let allowed = skew.max(self.allowed_skew());
+        let fitting = match fits(allowed) {
             // Not even one stream a rank would be in time for ever: then by
             // what is seen now, and if that is no better, late ones are served.
             few if few < 1.0 => match fits(skew) {
@@ -154,6 +172,7 @@
         };
         let even_part = fitting * ranks / gateways;
         self.bound = (own_part + EVENING * (even_part - own_part)).max(LEAST);
+        Ground { bound: self.bound, in_flight: view.in_flight, streams, fitting, skew, allowed }
     }
 
     fn remember(&mut self, skew: f64, now: clock::Instant) {
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -324,6 +324,17 @@
                 balancer::Note::GroupDown(group) => {
                     log::warn!("group down group={}", self.groups.name(group));
                 }
+                balancer::Note::Bound(group, ground) => log::info!(
+                    "group bound group={} bound={:.1} in_flight={} streams={:.2} fitting={:.2} \
+                     skew={:.2} allowed={:.2}",
+                    self.groups.name(group),
+                    ground.bound,
+                    ground.in_flight,
+                    ground.streams,
+                    ground.fitting,
+                    ground.skew,
+                    ground.allowed
+                ),
                 balancer::Note::GroupUp(group, time) => {
                     let name = self.groups.name(group);
                     log::info!("group up group={name} down_ms={}", time.as_millis());
