Make changes of the map as deep as pays for the time of their copies

Ruled out: the switch itself (some 0.15 s). Change: decision/placement/stage searches all sets together with few copies a rank first and takes the change that shortens passes most for its time, by the published copy time and the observed time of a switch; the rest follows with the next change. The test of a deep and a shallow change is new with the module.

--- a/decision/src/placement.rs
+++ b/decision/src/placement.rs
@@ -6,7 +6,8 @@
 //! makes a layout from nothing, [`improve`] betters one by single moves, and
 //! [`policy`] decides when to do which. `docs/design/placement.md` compares
 //! the policies by measurement. [`spread`] is the search for groups whose ranks
-//! take in a few experts of each set at a time.
+//! take in a few experts of each set at a time, and [`stage`] says how much of
+//! what it finds is done at once.
 
 pub mod cost;
 pub mod improve;
@@ -15,3 +16,4 @@
 pub mod pack;
 pub mod policy;
 pub mod spread;
+pub mod stage;
--- a/decision/src/placement/spread.rs
+++ b/decision/src/placement/spread.rs
@@ -52,19 +52,58 @@
 /// Spreads the load. Experts that a rank does not hold in `before` count
 /// against its bound. Returns `None` where nothing is gained.
 pub fn spread(before: &Ranks, demand: Demand<'_>, bounds: Bounds, goal: Goal) -> Option<Ranks> {
-    let mut state = State::new(before, demand, bounds);
+    let mut search = Search::new(before, demand, bounds);
+    let mut room = vec![usize::MAX; before.len()];
     let mut changed = false;
-    // Each round takes load off one rank; so many rounds end any search.
-    let most = before.len() * bounds.placements.min(demand.load.len()) * 2;
-    for _ in 0..most {
-        if state.peak() <= goal.even {
-            break;
-        }
-        let Some(change) = state.best(goal.least_gain) else { break };
-        state.apply(&change);
+    while search.peak() > goal.even && search.advance(goal.least_gain, &mut room) {
         changed = true;
     }
-    changed.then_some(state.ranks)
+    changed.then_some(search.state.ranks)
+}
+
+/// A search that is taken further one change after the other.
+pub struct Search<'a> {
+    state: State<'a>,
+    /// Changes that are left: each takes load off one rank, so that so many end
+    /// any search.
+    left: usize,
+}
+
+impl<'a> Search<'a> {
+    /// A search that begins with a placement.
+    pub fn new(before: &'a Ranks, demand: Demand<'a>, bounds: Bounds) -> Search<'a> {
+        let left = before.len() * bounds.placements.min(demand.load.len()) * 2;
+        Search { state: State::new(before, demand, bounds), left }
+    }
+
+    /// Time of the slowest rank over the least possible one.
+    pub fn peak(&self) -> f64 {
+        self.state.peak()
+    }
+
+    /// The placement that it has come to.
+    pub fn ranks(&self) -> &Ranks {
+        &self.state.ranks
+    }
+
+    /// Makes the next change, if it takes that part of the mean load off the
+    /// slowest rank. `room` has the experts that each rank may still take in,
+    /// over all sets, and is kept up. Returns whether there was a change.
+    pub fn advance(&mut self, least_gain: f64, room: &mut [usize]) -> bool {
+        if self.left == 0 {
+            return false;
+        }
+        let Some(change) = self.state.best(least_gain, room) else { return false };
+        self.left -= 1;
+        let [one, other] = change.ranks();
+        let before = (self.state.taken(one), self.state.taken(other));
+        self.state.apply(&change);
+        room[one] = room[one].saturating_add(before.0) - self.state.taken(one);
+        if other != one {
+            room[other] = room[other].saturating_add(before.1) - self.state.taken(other);
+        }
+        true
+    }
 }
 
 /// A change of one or two ranks.
@@ -81,6 +120,17 @@
     Swap { expert: u16, from: usize, other: u16, to: usize },
 }
 
+impl Change {
+    /// The ranks that may take an expert in or give one up.
+    fn ranks(&self) -> [usize; 2] {
+        match *self {
+            Change::Copy { to, .. } => [to, to],
+            Change::Move { from, to, .. } | Change::Swap { from, to, .. } => [from, to],
+            Change::Drop { from, .. } => [from, from],
+        }
+    }
+}
+
 struct State<'a> {
     before: &'a Ranks,
     load: &'a [f64],
@@ -145,8 +195,14 @@
         self.time(self.slowest(), 0.0) / self.ideal
     }
 
+    /// Experts that a rank holds and did not hold before.
+    fn taken(&self, rank: usize) -> usize {
+        let old = &self.before[rank];
+        self.ranks[rank].iter().filter(|expert| !old.contains(expert)).count()
+    }
+
     /// Whether a rank may take an expert in, with `leaving` gone from it.
-    fn may_take(&self, rank: usize, expert: u16, leaving: Option<u16>) -> bool {
+    fn may_take(&self, rank: usize, expert: u16, leaving: Option<u16>, room: &[usize]) -> bool {
         let held = &self.ranks[rank];
         if held.contains(&expert) {
             return false;
@@ -160,12 +216,12 @@
         }
         let kept = held.iter().filter(|held| Some(**held) != leaving);
         let new = kept.filter(|held| !old.contains(held)).count();
-        new < self.bounds.spare
+        new < self.bounds.spare && new < self.taken(rank).saturating_add(room[rank])
     }
 
     /// The change that leaves the ranks it touches least busy, if it takes
     /// enough off the slowest rank.
-    fn best(&self, least_gain: f64) -> Option<Change> {
+    fn best(&self, least_gain: f64, room: &[usize]) -> Option<Change> {
         let from = self.slowest();
         let limit = self.time(from, 0.0) - least_gain * self.ideal;
         let mut best: Option<(f64, Change)> = None;
@@ -182,7 +238,7 @@
                 if self.time(to, 0.0) >= limit {
                     continue;
                 }
-                self.offers(*expert, from, to, &mut offer);
+                self.offers(*expert, (from, to), room, &mut offer);
             }
         }
         best.map(|(_, change)| change)
@@ -206,14 +262,20 @@
         others.map(|rank| self.time(*rank, more)).fold(0.0, f64::max)
     }
 
-    fn offers(&self, expert: u16, from: usize, to: usize, offer: &mut impl FnMut(f64, Change)) {
+    fn offers(
+        &self,
+        expert: u16,
+        (from, to): (usize, usize),
+        room: &[usize],
+        offer: &mut impl FnMut(f64, Change),
+    ) {
         let share = self.share(expert, 0);
         if share <= 0.0 {
             return;
         }
         let after_copy = self.share(expert, 1);
         let relieved = self.time(from, after_copy - share);
-        if self.may_take(to, expert, None) {
+        if self.may_take(to, expert, None, room) {
             let change = Change::Copy { expert, to, instead: None };
             offer(relieved.max(self.time(to, after_copy)), change);
             let change = Change::Move { expert, from, to };
@@ -221,10 +283,10 @@
         }
         for other in &self.ranks[to] {
             let other_share = self.share(*other, 0);
-            if self.may_take(to, expert, Some(*other)) {
+            if self.may_take(to, expert, Some(*other), room) {
                 self.offer_instead(expert, to, *other, relieved, offer);
                 let gives = share - other_share;
-                if gives > 0.0 && self.may_take(from, *other, Some(expert)) {
+                if gives > 0.0 && self.may_take(from, *other, Some(expert), room) {
                     let worst = self.time(from, -gives).max(self.time(to, gives));
                     offer(worst, Change::Swap { expert, from, other: *other, to });
                 }
--- /dev/null
+++ b/decision/tests/stage.rs
@@ -0,0 +1,92 @@
+//! A change of the map is as deep as pays for the time of its copies.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::time::Duration;
+
+use loftcove_decision::placement::spread::{self, Bounds, Demand, Goal, Ranks};
+use loftcove_decision::placement::stage::{self, Stage, Times};
+
+const GOAL: Goal = Goal { even: 1.05, least_gain: 0.01 };
+const BOUNDS: Bounds = Bounds { placements: 9, spare: 4 };
+const RANKS: usize = 12;
+const EXPERTS: usize = 96;
+
+fn dealt() -> Ranks {
+    (0..RANKS).map(|rank| (rank..EXPERTS).step_by(RANKS).map(|e| e as u16).collect()).collect()
+}
+
+/// A power law whose most popular expert differs from set to set.
+fn loads(sets: usize) -> Vec<Vec<f64>> {
+    let load = |set: usize| {
+        let place = move |expert: usize| (expert + set * 7) % EXPERTS + 1;
+        (0..EXPERTS).map(|expert| 1.0 / (place(expert) as f64).powf(1.1)).collect()
+    };
+    (0..sets).map(load).collect()
+}
+
+fn plan(copy_ms: u64, switch_ms: u64, loads: &[Vec<f64>], map: &[Ranks]) -> Stage {
+    let demand: Vec<Demand<'_>> = loads.iter().map(|load| Demand { load, slowness: &[] }).collect();
+    let times =
+        Times { copy: Duration::from_millis(copy_ms), switch: Duration::from_millis(switch_ms) };
+    stage::plan(map, &demand, BOUNDS, GOAL, times).unwrap()
+}
+
+fn copies_of(before: &[Ranks], after: &[Ranks]) -> Vec<usize> {
+    let of_rank = |rank: usize| {
+        let sets = before.iter().zip(after);
+        let new = sets.map(|(old, new)| {
+            new[rank].iter().filter(|expert| !old[rank].contains(expert)).count()
+        });
+        new.sum()
+    };
+    (0..RANKS).map(of_rank).collect()
+}
+
+#[test]
+fn slow_copies_make_a_shallow_change_and_fast_ones_a_deep_one() {
+    let loads = loads(3);
+    let map = vec![dealt(); 3];
+    let slow = plan(1_000, 200, &loads, &map);
+    let fast = plan(10, 200, &loads, &map);
+    assert!(slow.copies.1 <= 2, "{}", slow.copies.1);
+    assert!(fast.copies.1 > slow.copies.1, "{} {}", fast.copies.1, slow.copies.1);
+    assert!(fast.peak.1 < slow.peak.1);
+}
+
+#[test]
+fn the_copies_that_are_told_are_those_of_the_map() {
+    let loads = loads(3);
+    let map = vec![dealt(); 3];
+    for copy_ms in [1, 50, 400] {
+        let stage = plan(copy_ms, 300, &loads, &map);
+        let copies = copies_of(&map, &stage.map);
+        assert_eq!(stage.copies.0, copies.iter().sum::<usize>());
+        assert_eq!(stage.copies.1, copies.iter().copied().max().unwrap());
+        assert!(stage.gain() > 0.0);
+        let time = Duration::from_millis(300 + copy_ms * stage.copies.1 as u64);
+        assert_eq!(stage.time, time);
+    }
+}
+
+#[test]
+fn changes_one_after_the_other_come_as_far_as_one_deep_one() {
+    let loads = loads(3);
+    let mut map = vec![dealt(); 3];
+    let mean = |map: &[Ranks]| {
+        let peaks = map.iter().zip(&loads);
+        let peaks = peaks.map(|(ranks, load)| spread::peak(ranks, Demand { load, slowness: &[] }));
+        peaks.sum::<f64>() / 3.0
+    };
+    let deep = plan(0, 300, &loads, &map);
+    for _ in 0..12 {
+        let demand: Vec<Demand<'_>> =
+            loads.iter().map(|load| Demand { load, slowness: &[] }).collect();
+        let times = Times { copy: Duration::from_millis(400), switch: Duration::from_millis(200) };
+        match stage::plan(&map, &demand, BOUNDS, GOAL, times) {
+            Some(stage) => map = stage.map,
+            None => break,
+        }
+    }
+    assert!(mean(&map) < deep.peak.1 + 0.15, "{} {}", mean(&map), deep.peak.1);
+}
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -196,7 +196,7 @@
     }
 
     /// Slots of an engine, and what the configuration says of the experts.
-    fn experts(&self) -> Option<(u32, route::Experts)> {
+    fn experts(&self) -> Option<(route::Engine, route::Experts)> {
         let records = P::PREFIXES.iter().flat_map(|prefix| self.mirror.below(prefix));
         let config = records
             .filter(|record| P::place(&record.key) == Place::Config)
@@ -205,7 +205,8 @@
         let service = &self.settings.engine.service;
         let service = config.services.into_iter().find(|other| other.name == *service)?;
         let engine = service.engine?;
-        Some((engine.slots, engine.experts?))
+        let experts = engine.experts?;
+        Some((engine, experts))
     }
 
     /// Drives until the term is over or the process is to stop.
@@ -238,7 +239,7 @@
             known.view.ranks.clear();
             return Ok(());
         };
-        let Some((slots, experts)) = self.experts() else { return Ok(()) };
+        let Some((engine, experts)) = self.experts() else { return Ok(()) };
         // A hold between two rounds is one of an earlier driver that came late.
         let stale_hold = report.held.is_some();
         if known.view.epoch != place.epoch || known.view.ranks.is_empty() || stale_hold {
@@ -247,9 +248,9 @@
                 return Ok(());
             }
         }
-        self.count(term, slots, known).await;
+        self.count(term, engine.slots, known).await;
         plan::notice_shift(known, &experts);
-        let Some(map) = plan::decide(known, &experts) else { return Ok(()) };
+        let Some(stage) = plan::decide(known, &engine, &experts) else { return Ok(()) };
         known.versions += 1;
         if known.versions >= version::MAPS_OF_A_TERM {
             return Err(Stopped::Exhausted);
@@ -257,10 +258,13 @@
         let ranks = known.view.ranks.len();
         let version = version::encode(term, known.versions, place.rank as usize, ranks);
         let switch = Switch::new(ranks, version);
-        let map = Arc::new(map);
+        let copying = stage.time.saturating_sub(known.switch_time());
+        let map = Arc::new(stage.map);
+        let begun = Instant::now();
         if self.change(term, known, switch, &map).await? == switch::Outcome::Switched {
             known.map = Arc::unwrap_or_clone(map);
             self.settle(version).await;
+            known.see_switch(begun.elapsed(), copying);
         }
         Ok(())
     }
--- a/sidecar/src/known.rs
+++ b/sidecar/src/known.rs
@@ -14,6 +14,9 @@
 const AHEAD: (u64, u64) = (2, 12);
 /// What is left, at each change, of the time that arming is expected to take.
 pub const ARM_TIME_KEPT: f64 = 0.8;
+/// Expected time of the first change of the map beside its copies: orders to all
+/// ranks and the passes until the switch.
+const FIRST_SWITCH_TIME: Duration = Duration::from_millis(300);
 /// Time without a pass, within a change of the map, after which a driver is
 /// taken to be gone: several times what a change keeps a group waiting.
 const STALL_TIME: Duration = Duration::from_millis(500);
@@ -43,6 +46,8 @@
     pub arm_time: Duration,
     /// Time of a pass.
     pub pass_time: Duration,
+    /// Mean time of a change of the map beside its copies; none before the first.
+    switch_time: Option<Duration>,
     /// Last pass that was seen, and when.
     seen: Option<(u64, Instant)>,
     /// Versions used in this term.
@@ -58,6 +63,7 @@
             slowness: before.slowness,
             arm_time: before.arm_time,
             pass_time: before.pass_time,
+            switch_time: before.switch_time,
             versions: before.versions,
             ..Known::default()
         };
@@ -74,6 +80,17 @@
         self.seen = Some((pass, now));
     }
 
+    /// Time of a change of the map beside its copies.
+    pub fn switch_time(&self) -> Duration {
+        self.switch_time.unwrap_or(FIRST_SWITCH_TIME)
+    }
+
+    /// Takes how long a change took, of which `copying` was expected for copies.
+    pub fn see_switch(&mut self, time: Duration, copying: Duration) {
+        let sample = time.saturating_sub(copying);
+        self.switch_time = Some((self.switch_time() + sample) / 2);
+    }
+
     /// Passes from the present one to the one at which the ranks switch.
     pub fn ahead(&self) -> u64 {
         let pass = self.pass_time.as_secs_f64().max(0.001);
--- a/sidecar/src/plan.rs
+++ b/sidecar/src/plan.rs
@@ -1,8 +1,10 @@
 //! Decides whether a group should go over to another map, and to which.
 
+use std::time::Duration;
+
 use loftcove_decision::placement::spread;
+use loftcove_decision::placement::stage::{self, Stage, Times};
 use loftcove_decision::route;
-use loftcove_interface::engine::Map;
 
 use crate::known::Known;
 
@@ -23,6 +25,9 @@
 /// Least gain of one move of the search, while the engines are idle and while
 /// they are full.
 const LEAST_MOVE: (f64, f64) = (0.06, 0.02);
+/// Time of a copy where the bandwidth is not published.
+const UNKNOWN_COPY_TIME: Duration = Duration::from_millis(200);
+const BITS_OF_A_BYTE: f64 = 8.0;
 /// How much higher the peak must be by the last interval than by the demand
 /// before for the demand to count as shifted.
 const SHIFT: f64 = 0.25;
@@ -62,14 +67,8 @@
     }
 }
 
-/// Experts that ranks hold in one placement of a set and not in the other.
-fn copied(before: &spread::Ranks, after: &spread::Ranks) -> usize {
-    let pairs = before.iter().zip(after);
-    pairs.map(|(old, new)| new.iter().filter(|expert| !old.contains(expert)).count()).sum()
-}
-
-/// The map to go over to, or `None` to stay.
-pub fn decide(known: &Known, experts: &route::Experts) -> Option<Map> {
+/// The change of the map to make now, or `None` to stay.
+pub fn decide(known: &Known, engine: &route::Engine, experts: &route::Experts) -> Option<Stage> {
     let least = LEAST_CHOICES * (experts.count * experts.sets) as f64;
     if known.demand.total() < least || known.map.len() != experts.sets {
         return None;
@@ -79,41 +78,39 @@
         even: by_fill(known.fill, EVEN),
         least_gain: by_fill(known.fill, LEAST_MOVE),
     };
-    let least_gain = by_fill(known.fill, LEAST_GAIN);
-    let mut map = known.map.clone();
-    let (mut before, mut after) = (0.0, 0.0);
-    let mut copies = 0;
-    for (set, ranks) in map.iter_mut().enumerate() {
-        let load = known.demand.set(set, experts.count);
-        if load.is_empty() {
-            return None;
-        }
-        let demand = spread::Demand { load, slowness: &known.slowness };
-        let peak = spread::peak(ranks, demand);
-        before += peak;
-        after += match spread::spread(ranks, demand, bounds, goal) {
-            Some(better) => {
-                let peak = spread::peak(&better, demand);
-                copies += copied(ranks, &better);
-                *ranks = better;
-                peak
-            }
-            None => peak,
-        };
+    let demand: Vec<spread::Demand<'_>> = (0..experts.sets)
+        .map(|set| spread::Demand {
+            load: known.demand.set(set, experts.count),
+            slowness: &known.slowness,
+        })
+        .collect();
+    if demand.iter().any(|demand| demand.load.is_empty()) {
+        return None;
     }
-    let sets = experts.sets as f64;
-    let gain = (before - after) / sets;
-    let part = copies as f64 / (sets * known.view.ranks.len().max(1) as f64);
-    let least_gain = least_gain.max(part * by_fill(known.fill, COPY_GAIN));
+    let times = Times { copy: copy_time(engine, experts), switch: known.switch_time() };
+    let stage = stage::plan(&known.map, &demand, bounds, goal, times)?;
+    let part = stage.copies.0 as f64 / (experts.sets * known.view.ranks.len().max(1)) as f64;
+    let least_gain = by_fill(known.fill, LEAST_GAIN).max(part * by_fill(known.fill, COPY_GAIN));
+    let change = stage.gain() >= least_gain;
     log::info!(
-        "placement epoch={} choices={:.0} fill={:.2} pass_ms={} peak={:.3} reachable={:.3} copies={copies} change={}",
+        "placement epoch={} choices={:.0} fill={:.2} pass_ms={} peak={:.3} reachable={:.3} copies={} deepest={} expected_ms={} change={change}",
         known.view.epoch,
         known.demand.total(),
         known.fill,
         known.pass_time.as_millis(),
-        before / sets,
-        after / sets,
-        gain >= least_gain
+        stage.peak.0,
+        stage.peak.1,
+        stage.copies.0,
+        stage.copies.1,
+        stage.time.as_millis(),
     );
-    (gain >= least_gain).then_some(map)
+    change.then_some(stage)
+}
+
+/// Time in which a rank copies one expert.
+fn copy_time(engine: &route::Engine, experts: &route::Experts) -> Duration {
+    if engine.copy_mbps <= 0.0 {
+        return UNKNOWN_COPY_TIME;
+    }
+    Duration::from_secs_f64(experts.size_mb * BITS_OF_A_BYTE / engine.copy_mbps)
 }
