Offer large records to followers in other zones, and send them on demand

Change: a follower in another zone is offered records from 1 KiB up, waits 150 ms for its own zone to tell it, and fetches what it still lacks, packed.

--- a/decision/src/mirror.rs
+++ b/decision/src/mirror.rs
@@ -132,6 +132,13 @@
         self.below(key).next().filter(|record| *record.key == *key)
     }
 
+    /// What is known of a key, a removal included.
+    pub fn newest_of(&self, key: &str) -> Option<Record> {
+        let (key, entry) = self.entries.get_key_value(key)?;
+        let (revision, value) = (entry.revision, entry.value.clone());
+        Some(Record { key: key.clone(), revision, value })
+    }
+
     /// The value of a key.
     pub fn get(&self, key: &str) -> Option<&Bytes> {
         self.entries.get(key).and_then(|entry| entry.value.as_ref())
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 use loftcove_settings::gateway as settings;
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
+use tonic::codec::CompressionEncoding;
 use tonic::transport::server::TcpIncoming;
 
 /// Peers that a gateway follows. With three, a change reaches a gateway while
@@ -89,7 +90,7 @@
     let entry = register::Entry { address: listen.peer_address, zone: host.zone.clone() };
     tokio::spawn(register::run(gateway.mirror.clone(), store, host.name.clone(), entry));
     tokio::spawn(gateway.mirror.clone().expire());
-    tokio::spawn(serve_peers(gateway.mirror.clone(), peers));
+    tokio::spawn(serve_peers(gateway.mirror.clone(), host.zone.clone(), peers));
     tokio::spawn(health::serve(gateway.clone(), ready));
     tokio::spawn(health::serve(gateway.clone(), metrics));
     tokio::spawn(state::follow(gateway.clone()));
@@ -116,8 +117,9 @@
     socket.listen(backlog).map_err(fault)
 }
 
-async fn serve_peers(mirror: Arc<mirror::Mirror>, listener: TcpListener) {
-    let service = wire::mirror_server::MirrorServer::new(serve::Service::new(mirror));
+async fn serve_peers(mirror: Arc<mirror::Mirror>, zone: Arc<str>, listener: TcpListener) {
+    let service = wire::mirror_server::MirrorServer::new(serve::Service::new(mirror, zone))
+        .send_compressed(CompressionEncoding::Gzip);
     let router = tonic::transport::Server::builder().add_service(service);
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     if let Err(error) = router.serve_with_incoming(incoming).await {
--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -5,9 +5,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use loftcove_decision::mirror::Record;
 use loftcove_wire as wire;
 use rand::seq::IndexedRandom as _;
+use tonic::codec::CompressionEncoding;
 
 use crate::{Mirror, Source, register};
 
@@ -18,6 +20,12 @@
 const KEEP_ALIVE: (Duration, Duration) = (Duration::from_millis(800), Duration::from_millis(700));
 /// How long a peer that failed is passed over while there are others.
 const PENALTY: Duration = Duration::from_secs(2);
+/// Time for which a record that another zone's peer offers is awaited from the
+/// own zone. It takes milliseconds to pass through a zone; the shortest bound
+/// for a configuration is two seconds.
+const OFFER_WAIT: Duration = Duration::from_millis(150);
+/// Longest time for a record to be fetched, until another peer is followed.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause between two tries.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -120,17 +128,46 @@
         .tcp_nodelay(true);
     let channel = endpoint.connect().await.map_err(|error| unreachable(&error))?;
     let mut client = wire::mirror_client::MirrorClient::new(channel);
-    let request = wire::Follower { host: own.name.to_string() };
+    let request = wire::Follower { host: own.name.to_string(), zone: own.zone.to_string() };
+    let fetcher = client.clone().accept_compressed(CompressionEncoding::Gzip);
     let mut batches = client.follow(request).await?.into_inner();
     log::info!("dependency regained name=peer address={peer}");
     let source = peer.to_string();
     let _followed = mirror.followed(&source);
-    while let Some(batch) = batches.message().await? {
+    let mut fetches = FuturesUnordered::new();
+    loop {
+        let batch = tokio::select! {
+            batch = batches.message() => batch?,
+            Some(fetched) = fetches.next() => {
+                mirror.apply(Vec::from_iter(fetched?), Source::Peer(&source));
+                continue;
+            }
+        };
+        let Some(batch) = batch else { return Ok(()) };
         mirror.peer_at(&source, batch.distance);
-        let records = batch.items.into_iter().map(record).collect();
-        mirror.apply(records, Source::Peer(&source));
+        let (offers, items): (Vec<_>, Vec<_>) =
+            batch.items.into_iter().partition(|item| item.offered);
+        mirror.apply(items.into_iter().map(record).collect(), Source::Peer(&source));
+        fetches.extend(offers.into_iter().map(|offer| fetch(mirror, fetcher.clone(), offer)));
+    }
+}
+
+/// Fetches a record that was offered, unless it is heard of elsewhere meanwhile.
+async fn fetch(
+    mirror: &Mirror,
+    mut client: wire::mirror_client::MirrorClient<tonic::transport::Channel>,
+    offer: wire::Item,
+) -> Result<Option<Record>, tonic::Status> {
+    tokio::time::sleep(OFFER_WAIT).await;
+    let known = mirror.newest_of(&offer.key).map_or(0, |record| record.revision);
+    if known >= offer.revision {
+        return Ok(None);
     }
-    Ok(())
+    log::info!("fetching key={} revision={} known={known}", offer.key, offer.revision);
+    let wanted = wire::Wanted { key: offer.key, revision: offer.revision };
+    let call = tokio::time::timeout(FETCH_TIMEOUT, client.fetch(wanted));
+    let item = call.await.map_err(|_| tonic::Status::deadline_exceeded("fetch"))??;
+    Ok(Some(record(item.into_inner())))
 }
 
 fn record(item: wire::Item) -> Record {
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -160,6 +160,11 @@
         self.lock().get(key).cloned()
     }
 
+    /// What is known of a key, a removal included.
+    pub fn newest_of(&self, key: &str) -> Option<mirror::Record> {
+        self.lock().newest_of(key)
+    }
+
     /// A key that has a value.
     pub fn record(&self, key: &str) -> Option<mirror::Record> {
         self.lock().record(key)
--- a/mirror/src/serve.rs
+++ b/mirror/src/serve.rs
@@ -1,4 +1,7 @@
 //! Hands the copy on to those who follow it.
+//!
+//! Followers in other zones are only offered large records: mostly they have
+//! them from a peer of their own zone, and traffic between zones is dear.
 
 use std::sync::Arc;
 
@@ -13,15 +16,19 @@
 /// Batches that may wait for a slow follower.
 const QUEUE: usize = 4;
 
+/// Size from which a record counts as large, bytes: an offer takes a tenth.
+const LARGE: usize = 1_024;
+
 /// The service.
 pub struct Service {
     mirror: Arc<Mirror>,
+    zone: Arc<str>,
 }
 
 impl Service {
-    /// A service that hands on this copy.
-    pub fn new(mirror: Arc<Mirror>) -> Service {
-        Service { mirror }
+    /// A service that hands on this copy, of a host in that zone.
+    pub fn new(mirror: Arc<Mirror>, zone: Arc<str>) -> Service {
+        Service { mirror, zone }
     }
 }
 
@@ -33,19 +40,41 @@
         &self,
         request: Request<wire::Follower>,
     ) -> Result<Response<Self::FollowStream>, Status> {
-        let host = request.into_inner().host;
-        log::debug!("follower came host={host}");
+        let wire::Follower { host, zone } = request.into_inner();
+        log::debug!("follower came host={host} zone={zone}");
         let (sender, receiver) = mpsc::channel(QUEUE);
-        tokio::spawn(feed(self.mirror.clone(), sender));
+        let reach = if *zone == *self.zone { Reach::Near } else { Reach::Far };
+        tokio::spawn(feed(self.mirror.clone(), reach, sender));
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
+
+    async fn fetch(&self, request: Request<wire::Wanted>) -> Result<Response<wire::Item>, Status> {
+        let wanted = request.into_inner();
+        let record = self.mirror.newest_of(&wanted.key);
+        let record = record.filter(|record| record.revision >= wanted.revision);
+        let record = record.ok_or_else(|| Status::not_found("no such record"))?;
+        Ok(Response::new(item(record, Reach::Near)))
+    }
 }
 
-async fn feed(mirror: Arc<Mirror>, sender: mpsc::Sender<Result<wire::Batch, Status>>) {
+/// Where a follower is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reach {
+    /// In the same zone.
+    Near,
+    /// In another zone.
+    Far,
+}
+
+async fn feed(
+    mirror: Arc<Mirror>,
+    reach: Reach,
+    sender: mpsc::Sender<Result<wire::Batch, Status>>,
+) {
     let (mut batch, mut news) = mirror.follow();
     let mut distance = mirror.distance.subscribe();
     loop {
-        let items = batch.drain(..).map(item).collect();
+        let items = batch.drain(..).map(|record| item(record, reach)).collect();
         let message = wire::Batch { items, distance: *distance.borrow_and_update() };
         if sender.send(Ok(message)).await.is_err() {
             return;
@@ -66,11 +95,15 @@
     }
 }
 
-fn item(record: Record) -> wire::Item {
+fn item(record: Record, reach: Reach) -> wire::Item {
+    let removed = record.value.is_none();
+    let value = record.value.unwrap_or_default();
+    let offered = reach == Reach::Far && value.len() >= LARGE;
     wire::Item {
         key: record.key.to_string(),
         revision: record.revision,
-        removed: record.value.is_none(),
-        value: record.value.unwrap_or_default(),
+        removed,
+        value: if offered { Default::default() } else { value },
+        offered,
     }
 }
--- /dev/null
+++ b/mirror/tests/offers.rs
@@ -0,0 +1,86 @@
+//! Large records cross to another zone only for who lacks them.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use loftcove_decision::mirror::Record;
+use loftcove_mirror::{Mirror, Source, follow, serve};
+use loftcove_wire as wire;
+use tokio_stream::wrappers::TcpListenerStream;
+
+const LARGE: usize = 50_000;
+
+fn record(key: &str, revision: u64, bytes: usize) -> Record {
+    Record { key: key.into(), revision, value: Some(vec![b'x'; bytes].into()) }
+}
+
+async fn host(zone: &str) -> (Arc<Mirror>, SocketAddr) {
+    let mirror: Arc<Mirror> = Arc::default();
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let service = serve::Service::new(mirror.clone(), zone.into());
+    let server = wire::mirror_server::MirrorServer::new(service);
+    let incoming = TcpListenerStream::new(listener);
+    tokio::spawn(
+        tonic::transport::Server::builder().add_service(server).serve_with_incoming(incoming),
+    );
+    (mirror, address)
+}
+
+/// The first batch that a follower in a zone gets.
+async fn first_batch(address: SocketAddr, zone: &str) -> wire::Batch {
+    let url = format!("http://{address}");
+    let mut client = wire::mirror_client::MirrorClient::connect(url).await.unwrap();
+    let follower = wire::Follower { host: "f".to_owned(), zone: zone.to_owned() };
+    client.follow(follower).await.unwrap().into_inner().message().await.unwrap().unwrap()
+}
+
+#[tokio::test]
+async fn large_records_are_offered_to_other_zones_and_pushed_within_one() {
+    let (mirror, address) = host("norte").await;
+    mirror.apply(vec![record("large", 5, LARGE), record("small", 6, 10)], Source::Store);
+    let near = first_batch(address, "norte").await;
+    assert!(near.items.iter().all(|item| !item.offered));
+    assert_eq!(near.items[0].value.len(), LARGE);
+    let far = first_batch(address, "sul").await;
+    assert!(far.items[0].offered && far.items[0].value.is_empty());
+    assert!(!far.items[1].offered && far.items[1].value.len() == 10);
+}
+
+#[tokio::test]
+async fn a_record_that_nobody_near_has_is_fetched() {
+    let (mirror, address) = host("norte").await;
+    let follower: Arc<Mirror> = Arc::default();
+    let own = follow::Own { name: "f".into(), zone: "sul".into(), address: None };
+    let peers = Arc::new(follow::Peers::new(own, vec![address]));
+    tokio::spawn(follow::run(follower.clone(), peers, 0));
+    mirror.apply(vec![record("large", 5, LARGE)], Source::Store);
+    let mut changes = follower.subscribe();
+    let heard = async {
+        while follower.get("large").is_none_or(|value| value.len() != LARGE) {
+            changes.changed().await.unwrap();
+        }
+        mirror.apply(vec![record("large", 9, LARGE + 1)], Source::Store);
+        while follower.get("large").is_none_or(|value| value.len() != LARGE + 1) {
+            changes.changed().await.unwrap();
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(10), heard).await.unwrap();
+    assert_eq!(follower.newest_of("large").unwrap().revision, 9);
+}
+
+#[tokio::test]
+async fn a_fetch_of_what_is_not_there_is_a_typed_error() {
+    let (mirror, address) = host("norte").await;
+    mirror.apply(vec![record("large", 5, LARGE)], Source::Store);
+    let url = format!("http://{address}");
+    let mut client = wire::mirror_client::MirrorClient::connect(url).await.unwrap();
+    for (key, revision) in [("large", 6), ("other", 1)] {
+        let wanted = wire::Wanted { key: key.to_owned(), revision };
+        let status = client.fetch(wanted).await.unwrap_err();
+        assert_eq!(status.code(), tonic::Code::NotFound);
+    }
+}
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -287,6 +287,17 @@
     /// Host that follows, by name.
     #[prost(string, tag = "1")]
     pub host: ::prost::alloc::string::String,
+    /// Its availability zone: large records are only offered to other zones.
+    #[prost(string, tag = "2")]
+    pub zone: ::prost::alloc::string::String,
+}
+/// A record that was offered.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Wanted {
+    #[prost(string, tag = "1")]
+    pub key: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
 }
 /// Records of the store, in the order of their keys or as they were learnt.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -309,6 +320,9 @@
     /// Whether the key was removed; it has no value then.
     #[prost(bool, tag = "4")]
     pub removed: bool,
+    /// Whether the value is left out, and can be fetched.
+    #[prost(bool, tag = "5")]
+    pub offered: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Inspection {
@@ -2169,6 +2183,25 @@
             req.extensions_mut().insert(GrpcMethod::new("loftcove.v1.Mirror", "Follow"));
             self.inner.server_streaming(req, path, codec).await
         }
+        /// One record whole, at the least as new as it was offered.
+        pub async fn fetch(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Wanted>,
+        ) -> std::result::Result<tonic::Response<super::Item>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/loftcove.v1.Mirror/Fetch");
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("loftcove.v1.Mirror", "Fetch"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -2195,6 +2228,11 @@
             &self,
             request: tonic::Request<super::Follower>,
         ) -> std::result::Result<tonic::Response<Self::FollowStream>, tonic::Status>;
+        /// One record whole, at the least as new as it was offered.
+        async fn fetch(
+            &self,
+            request: tonic::Request<super::Wanted>,
+        ) -> std::result::Result<tonic::Response<super::Item>, tonic::Status>;
     }
     /// Served by gateways: hands on what is known of the store.
     #[derive(Debug)]
@@ -2319,6 +2357,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/loftcove.v1.Mirror/Fetch" => {
+                    #[allow(non_camel_case_types)]
+                    struct FetchSvc<T: Mirror>(pub Arc<T>);
+                    impl<T: Mirror> tonic::server::UnaryService<super::Wanted>
+                    for FetchSvc<T> {
+                        type Response = super::Item;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Wanted>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Mirror>::fetch(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = FetchSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
