Let a request wait as long as its answer can begin in time, and no longer

Change: the balancer keeps the mean time, and its deviation, in which answers of a pool begin after sending; a request waits until that leaves no time within the objective and is refused at once where the queue ahead takes longer. A refused caller is told how long the pool mostly stays full, spread over callers.

--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -103,6 +103,7 @@
                 max_attempts: loftcove_decision::retry::MAX_ATTEMPTS,
                 deadline: now + Duration::from_secs(10),
                 expires: now + Duration::from_secs(10),
+                begin_by: None,
                 prefix: u64::from(round % 64) + 1,
             };
             let (ticket, _) = machine.arrive(arrival, now);
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -338,6 +338,7 @@
             max_attempts: retry::MAX_ATTEMPTS,
             deadline,
             expires: deadline,
+            begin_by: None,
             prefix,
         };
         self.result.offered += 1;
--- a/daemon/src/entry/dispatcher.rs
+++ b/daemon/src/entry/dispatcher.rs
@@ -192,6 +192,7 @@
             max_attempts: retry::MAX_ATTEMPTS,
             deadline: now + arrival.budget,
             expires: now + arrival.budget,
+            begin_by: None,
             prefix: arrival.prefix,
         };
         let (ticket, actions) = inner.balancer.arrive(arrival, now);
--- a/decision/src/admission.rs
+++ b/decision/src/admission.rs
@@ -12,7 +12,7 @@
 
 use cranelift_entity::SecondaryMap;
 
-use crate::{clock, entity};
+use crate::{clock, entity, episode};
 
 /// One choice in this many goes past the most urgent precedence.
 pub const PATIENCE: u32 = 8;
@@ -20,6 +20,12 @@
 const RATE_GAIN: f64 = 0.1;
 /// Weight of the newest sample in the mean time of an answer.
 const SERVICE_GAIN: f64 = 0.05;
+/// Weight of the newest sample in the mean time until an answer begins and in
+/// its deviation.
+const BEGIN_GAIN: f64 = 0.1;
+/// Deviations above the mean that an answer may take to begin: it is then in
+/// time for nearly all.
+const BEGIN_DEVIATIONS: f64 = 2.0;
 /// Longest time that a refused caller is told to stay away.
 const LONGEST_RETURN: Duration = Duration::from_secs(30);
 
@@ -93,6 +99,13 @@
     departed: Option<clock::Instant>,
     /// Mean time from sending to the whole answer, seconds.
     service: Option<f64>,
+    /// Mean time from sending to the beginning of the answer, and its mean
+    /// deviation, seconds.
+    begin: Option<(f64, f64)>,
+    /// Times in which all its backend servers had no room.
+    full: episode::Episode,
+    /// Callers that were refused for want of room, for the spread of their returns.
+    refused: u32,
 }
 
 /// The waiters of one precedence.
@@ -173,7 +186,8 @@
     /// [`Refusal::QueueFull`] where it would itself have to give way.
     pub fn push(&mut self, waiter: Waiter, now: clock::Instant) -> Result<Option<Waiter>, Refusal> {
         let wait = self.expected_wait(waiter.pool, waiter.precedence);
-        if self.too_late(&waiter, now + wait) {
+        let starts = now + wait;
+        if self.too_late(&waiter, starts) || (starts > now && starts > waiter.expires) {
             return Err(Refusal::Deadline);
         }
         let mut displaced = None;
@@ -219,6 +233,35 @@
         sent + service >= waiter.deadline
     }
 
+    /// An answer of the pool began that long after it was sent for.
+    pub fn begun(&mut self, pool: entity::Pool, time: Duration) {
+        let line = self.pools.entry(pool).or_default();
+        let sample = time.as_secs_f64();
+        let (mean, deviation) = line.begin.unwrap_or((sample, 0.0));
+        let error = sample - mean;
+        let deviation = deviation + BEGIN_GAIN * (error.abs() - deviation);
+        line.begin = Some((mean + BEGIN_GAIN * error, deviation));
+    }
+
+    /// Until when a request may wait whose answer is to begin by then. It may
+    /// always be sent at once.
+    pub fn latest(&self, pool: entity::Pool, begin_by: clock::Instant) -> clock::Instant {
+        let begin = self.pools.get(&pool).and_then(|line| line.begin);
+        let (mean, deviation) = begin.unwrap_or_default();
+        begin_by.before(Duration::from_secs_f64(mean + BEGIN_DEVIATIONS * deviation))
+    }
+
+    /// Whether all backend servers of the pool are without room.
+    pub fn set_full(&mut self, pool: entity::Pool, full: bool, now: clock::Instant) {
+        let line = self.pools.entry(pool).or_default();
+        if full {
+            line.full.begin(now);
+            line.refused = line.refused.wrapping_add(1);
+        } else {
+            line.full.end(now);
+        }
+    }
+
     /// A request of the pool was answered whole in that time.
     pub fn served(&mut self, pool: entity::Pool, time: Duration) {
         let line = self.pools.entry(pool).or_default();
@@ -258,9 +301,15 @@
         Duration::from_secs_f64(ahead as f64 * line.spacing.unwrap_or(0.0))
     }
 
-    /// When a refused caller should come back: after the present queue is gone.
+    /// When a refused caller should come back: after the present queue is gone,
+    /// and after as long as the pool mostly stays full. Callers are told times
+    /// that differ, so that they do not come back together.
     pub fn retry_after(&self, pool: entity::Pool) -> Duration {
-        self.expected_wait(pool, u32::MAX).clamp(self.shortest_return, LONGEST_RETURN)
+        let line = self.pools.get(&pool);
+        let full = line.and_then(|line| line.full.left()).unwrap_or(Duration::ZERO);
+        let refused = line.map_or(0, |line| line.refused);
+        let wait = self.expected_wait(pool, u32::MAX).max(full).max(self.shortest_return);
+        wait.mul_f64(spread(refused)).min(LONGEST_RETURN)
     }
 
     /// Makes room for a newcomer, if a team holds more for its weight than
@@ -310,6 +359,13 @@
     }
 }
 
+/// Part of a wait that a caller is told, from one to two, spread evenly over
+/// callers in a row by the golden ratio.
+fn spread(number: u32) -> f64 {
+    const GOLDEN: f64 = 0.618_033_988_749_895;
+    1.0 + (f64::from(number) * GOLDEN).fract()
+}
+
 /// End of a team's waiters at which one joins.
 #[derive(Clone, Copy)]
 enum End {
--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -185,9 +185,27 @@
             return (ticket, actions);
         }
         self.pump(arrival.pool, now, &mut actions);
+        self.refuse_hopeless(ticket, &arrival, now, &mut actions);
         (ticket, actions)
     }
 
+    /// Refuses a newcomer at once that found no room and may not wait.
+    fn refuse_hopeless(
+        &mut self,
+        ticket: entity::Ticket,
+        arrival: &Arrival,
+        now: clock::Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let waits = self.pending.get(&ticket).is_some_and(|p| p.place == Place::Waiting);
+        self.queue.set_full(arrival.pool, waits, now);
+        let waiter = self.waiter(ticket, arrival, now);
+        if waits && waiter.expires <= now && self.queue.remove(&waiter) {
+            let reason = Reason::Admission(admission::Refusal::Deadline);
+            self.give_up(ticket, Outcome::NotRun, reason, actions);
+        }
+    }
+
     fn admit(
         &mut self,
         ticket: entity::Ticket,
@@ -201,8 +219,8 @@
         if self.all_down(arrival.pool, now) {
             return Err(Reason::GroupDown);
         }
-        let displaced =
-            self.queue.push(waiter(ticket, &arrival, now), now).map_err(Reason::Admission)?;
+        let waiter = self.waiter(ticket, &arrival, now);
+        let displaced = self.queue.push(waiter, now).map_err(Reason::Admission)?;
         let pending = Pending {
             arrival,
             since: now,
@@ -227,9 +245,13 @@
     pub fn begin(&mut self, ticket: entity::Ticket, after: Duration, now: clock::Instant) {
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
         pending.begun = true;
-        let (place, group) = (pending.place, pending.group);
+        let (place, group, sent) = (pending.place, pending.group, pending.sent);
+        let pool = pending.arrival.pool;
         self.group_answers(group, now);
         let Place::Sent(server) = place else { return };
+        if let Some(sent) = sent {
+            self.queue.begun(pool, now.since(sent));
+        }
         self.servers[server].health.answered(after);
         if self.slow(server) {
             self.try_eject(server, now);
@@ -241,14 +263,14 @@
         let mut actions = Vec::new();
         let Some(pending) = self.pending.get(&ticket) else { return actions };
         let pool = pending.arrival.pool;
-        let (sent, group) = (pending.sent, pending.group);
+        let (sent, group, begun) = (pending.sent, pending.group, pending.begun);
         match pending.place {
             Place::Sent(server) => {
                 self.leave(server, end, now);
                 self.leave_group(group);
             }
             Place::Waiting => {
-                let waiter = waiter(ticket, &pending.arrival, pending.since);
+                let waiter = self.waiter(ticket, &pending.arrival, pending.since);
                 self.queue.remove(&waiter);
             }
         }
@@ -258,6 +280,9 @@
                 self.tally.answered += 1;
                 if let Some(sent) = sent {
                     self.queue.served(pool, now.since(sent));
+                    if !begun {
+                        self.queue.begun(pool, now.since(sent));
+                    }
                 }
                 self.finish(ticket);
             }
@@ -340,7 +365,9 @@
         }
         pending.place = Place::Waiting;
         pending.tried.clear();
-        self.queue.push_front(waiter(ticket, &pending.arrival, pending.since));
+        let (arrival, since) = (pending.arrival, pending.since);
+        let waiter = self.waiter(ticket, &arrival, since);
+        self.queue.push_front(waiter);
     }
 
     /// Sends a failed request again, or gives it up.
@@ -373,7 +400,8 @@
             Reason::Budget
         } else {
             pending.place = Place::Waiting;
-            let waiter = waiter(ticket, &pending.arrival, pending.since);
+            let (arrival, since) = (pending.arrival, pending.since);
+            let waiter = self.waiter(ticket, &arrival, since);
             self.queue.push_front(waiter);
             return;
         };
@@ -520,6 +548,24 @@
         actions.push(Action::Send(Dispatch { ticket, attempt, choice, considered }));
     }
 
+    fn waiter(
+        &self,
+        ticket: entity::Ticket,
+        arrival: &Arrival,
+        since: clock::Instant,
+    ) -> admission::Waiter {
+        let latest = arrival.begin_by.map(|by| self.queue.latest(arrival.pool, by));
+        admission::Waiter {
+            ticket,
+            pool: arrival.pool,
+            team: arrival.team,
+            precedence: arrival.precedence,
+            deadline: arrival.deadline,
+            expires: latest.map_or(arrival.expires, |latest| latest.min(arrival.expires)),
+            since,
+        }
+    }
+
     fn slow(&self, server: entity::Server) -> bool {
         let pool = self.servers[server].listing.pool;
         let mut paces: Vec<f64> =
@@ -547,15 +593,3 @@
 fn outcome(runs: u32) -> Outcome {
     if runs == 0 { Outcome::NotRun } else { Outcome::Unknown }
 }
-
-fn waiter(ticket: entity::Ticket, arrival: &Arrival, since: clock::Instant) -> admission::Waiter {
-    admission::Waiter {
-        ticket,
-        pool: arrival.pool,
-        team: arrival.team,
-        precedence: arrival.precedence,
-        deadline: arrival.deadline,
-        expires: arrival.expires,
-        since,
-    }
-}
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -25,6 +25,9 @@
     pub deadline: clock::Instant,
     /// Until when it may wait for a backend server.
     pub expires: clock::Instant,
+    /// By when its answer should begin, if that is known: it waits no longer
+    /// than leaves time for it.
+    pub begin_by: Option<clock::Instant>,
     /// Hash of the prompt's beginning; zero where there is none.
     pub prefix: u64,
 }
--- a/decision/src/clock.rs
+++ b/decision/src/clock.rs
@@ -26,6 +26,11 @@
         self.0
     }
 
+    /// The moment that long before this one, no earlier than the origin.
+    pub fn before(self, span: Duration) -> Instant {
+        Instant(self.0.saturating_sub(span.as_micros() as u64))
+    }
+
     /// Time from `earlier` to this point; zero where `earlier` is later.
     pub fn since(self, earlier: Instant) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod breaker;
 pub mod clock;
 pub mod entity;
+pub mod episode;
 pub mod fleet;
 pub mod generation;
 pub mod home;
--- a/decision/tests/balancer.rs
+++ b/decision/tests/balancer.rs
@@ -80,6 +80,7 @@
         max_attempts: retry::MAX_ATTEMPTS,
         deadline,
         expires: deadline,
+        begin_by: None,
         prefix: 0,
     }
 }
--- a/decision/tests/groups.rs
+++ b/decision/tests/groups.rs
@@ -59,6 +59,7 @@
             max_attempts: 2,
             deadline: due,
             expires: due,
+            begin_by: None,
             prefix: 0,
         };
         self.balancer.arrive(arrival, self.now)
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -62,8 +62,8 @@
     pub max_attempts: u32,
     /// When its answer is due.
     pub due: Instant,
-    /// Until when it may wait for a backend server.
-    pub expires: Instant,
+    /// By when its answer should begin.
+    pub begin_by: Instant,
     /// Hash of the prompt's beginning; zero where there is none.
     pub prefix: u64,
 }
@@ -216,7 +216,8 @@
             resumable: arrival.resumable,
             max_attempts: arrival.max_attempts,
             deadline: self.at(arrival.due),
-            expires: self.at(arrival.expires),
+            expires: self.at(arrival.due),
+            begin_by: Some(self.at(arrival.begin_by)),
             prefix: arrival.prefix,
         };
         let (ticket, actions) = inner.balancer.arrive(arrival, now);
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -16,10 +16,6 @@
 use crate::state::{Gateway, Target};
 use crate::{drain, request, stream, upstream};
 
-/// Part of the route's objective that a request may wait for a backend server
-/// before it is refused: a refusal within a quarter of it leaves the client
-/// time to be served elsewhere.
-const WAIT_PART: f64 = 0.22;
 /// Precedences that backend servers tell apart.
 const PRIORITIES: u32 = 9;
 
@@ -201,7 +197,6 @@
 fn arrival(request: &Request) -> dispatch::Arrival {
     let route = &request.grant.route;
     let team = request.grant.team.as_ref().map(|team| team.name.clone());
-    let wait = route.objective.mul_f64(WAIT_PART);
     dispatch::Arrival {
         pool: request.service.clone(),
         team: team.unwrap_or_default(),
@@ -210,7 +205,7 @@
         resumable: route.kind == route::Kind::Streaming { resumable: true },
         max_attempts: route.max_attempts,
         due: request.due,
-        expires: request.due.min(request.came + wait),
+        begin_by: request.came + route.objective,
         prefix: request.meta.prefix,
     }
 }
