Have a driver's next run take its term over at once

Change: the key names host and run; a sidecar that finds its host's name with another run knows that its driver is gone, and stands for election at once. Test: a driver that starts again goes on at once (waited for the lease before).

--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -106,7 +106,7 @@
             store: parts.store,
             metrics: parts.metrics,
             group,
-            name: format!("{}#{:08x}", settings.host.name, rand::random::<u32>()),
+            name: election::run_name(&settings.host.name),
             settings,
             defeated: None,
             protocol: PhantomData,
@@ -144,16 +144,21 @@
         let known = election::revision(&self.mirror, &key);
         let stalled = stall.look(&report, known);
         let defeated = self.defeated.is_some_and(|at| at.elapsed() < ELECTION_PAUSE);
-        if (known != 0 && !stalled) || defeated || self.engines().is_empty() {
+        let own = election::was_own(&self.mirror, &key, &self.name);
+        if (known != 0 && !stalled && !own) || defeated || self.engines().is_empty() {
             return None;
         }
         // The lowest rank goes first, so that few stand at once.
-        let part = 1.0 + rand::random::<f64>();
-        tokio::time::sleep(PAUSE_BY_RANK.mul_f64(f64::from(place.rank) * part)).await;
+        if !own {
+            let part = 1.0 + rand::random::<f64>();
+            tokio::time::sleep(PAUSE_BY_RANK.mul_f64(f64::from(place.rank) * part)).await;
+        }
         if election::revision(&self.mirror, &key) != known {
             return None;
         }
-        if known != 0 {
+        if own {
+            log::info!("earlier run drove group={} term={known}", place.name);
+        } else if known != 0 {
             log::warn!("driver deposed group={} term={known} pass={}", place.name, report.pass);
         }
         let stand = election::stand(&*self.store, &self.mirror, &place.name, &self.name, known);
--- a/sidecar/src/election.rs
+++ b/sidecar/src/election.rs
@@ -15,6 +15,9 @@
 /// Time between two renewals.
 const RENEWAL: Duration = Duration::from_millis(800);
 
+/// Between the name of a host and the number of a run.
+const RUN_MARK: char = '#';
+
 /// The key of a group's driver.
 pub fn key(group: &str) -> Arc<str> {
     format!("{OWN_PREFIX}drivers/{group}").into()
@@ -29,6 +32,20 @@
     pub lease: store::Lease,
 }
 
+/// Name that a run of a sidecar drives by; each run has its own.
+pub fn run_name(host: &str) -> String {
+    format!("{host}{RUN_MARK}{:08x}", rand::random::<u32>())
+}
+
+/// Whether a group's driver was an earlier run of this host's sidecar, which is
+/// gone then: its term need not run out.
+pub fn was_own(mirror: &Mirror, key: &str, name: &str) -> bool {
+    let Some(value) = mirror.record(key).and_then(|record| record.value) else { return false };
+    let host = |name: &str| name.rsplit_once(RUN_MARK).map(|(host, _)| host.to_owned());
+    let driver = std::str::from_utf8(&value).unwrap_or_default();
+    driver != name && host(driver).is_some() && host(driver) == host(name)
+}
+
 /// Revision of a key, zero where it does not exist.
 pub fn revision(mirror: &Mirror, key: &str) -> u64 {
     mirror.record(key).map_or(0, |record| record.revision)
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -186,3 +186,22 @@
         assert_eq!(answer.status, 200, "{}", answer.body);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_driver_that_starts_again_goes_on_at_once() {
+    let mut system = System::start(PLAN).await;
+    let load = Load::start(&system).await;
+    moved(&system, 0).await;
+    let driver = driver(&system).await;
+    system.sidecars[driver].kill().await;
+    system.start_sidecar(driver as u8);
+    // It does not wait until the lease of its earlier run lapses.
+    until("it drives again", || async {
+        let log = system.sidecars[driver].log();
+        let own = log.iter().position(|line| line.contains("earlier run drove"));
+        own.is_some_and(|own| log[own..].iter().any(|line| line.contains("driver elected")))
+    })
+    .await;
+    drop(load);
+    sound(&system).await;
+}
