Choose backend servers without regard to prompts

Cause: requests of one shared beginning went to one rank while its load was within half its slots of the least, so ranks were loaded unevenly, and a pass waits for the slowest; the engines keep no prompt once its request has ended. Change: gateways have no affinity; the prompt's parts are not read any more.

--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -20,9 +20,8 @@
 
 /// Candidates looked at by one choice; see `docs/design/routing.md`.
 const SAMPLE: usize = 2;
-/// How much more load the backend server with the prompt's beginning in its
-/// cache may have.
-const AFFINITY_SLACK: f64 = 0.5;
+/// Engines keep no prompt beyond its request, so that none is preferred.
+const NO_PREFIX: u64 = 0;
 /// Time between two looks for requests that have waited too long.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -64,8 +63,6 @@
     pub due: Instant,
     /// By when its answer should begin.
     pub begin_by: Instant,
-    /// Hash of the prompt's beginning; zero where there is none.
-    pub prefix: u64,
 }
 
 /// What to do next with a request.
@@ -115,7 +112,7 @@
     /// A dispatcher without backend servers.
     pub fn new(options: &balancer::Options) -> Dispatcher<T> {
         let rng = rand_chacha::ChaCha8Rng::seed_from_u64(rand::random());
-        let policy = policy::Blend { rng, sample: SAMPLE, affinity_slack: AFFINITY_SLACK };
+        let policy = policy::Blend { rng, sample: SAMPLE, affinity_slack: 0.0 };
         let inner = Inner {
             balancer: balancer::Balancer::new(policy, options),
             pools: name::Table::default(),
@@ -218,7 +215,7 @@
             deadline: self.at(arrival.due),
             expires: self.at(arrival.due),
             begin_by: Some(self.at(arrival.begin_by)),
-            prefix: arrival.prefix,
+            prefix: NO_PREFIX,
         };
         let (ticket, actions) = inner.balancer.arrive(arrival, now);
         inner.waiting.insert(ticket, sender);
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -206,7 +206,6 @@
         max_attempts: route.max_attempts,
         due: request.due,
         begin_by: request.came + route.objective,
-        prefix: request.meta.prefix,
     }
 }
 
--- a/interface/src/protocol.rs
+++ b/interface/src/protocol.rs
@@ -21,8 +21,6 @@
     pub tokens: Option<(u32, u32)>,
     /// The client's guess of the answer's tokens.
     pub length_hint: Option<u32>,
-    /// First shared part of the prompt, as a hash; zero where there is none.
-    pub prefix: u64,
 }
 
 /// What loftcove adds to a request on its way to a backend server.
