Leave a peer whose zone does not fit once another one is known

Cause: at the start a host knows only the seeds, and it kept following whom it had found first. Change: the first follower goes to its own zone, the others to other zones, as soon as such peers are known; offers are repeated, a failed fetch does not end the stream; a prepare that was accepted is not given again while it copies. An outcome line tells when a stream's first event came, and its longest pause. Tests: mirror/tests/zones.rs fails without the change.

--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -185,12 +185,13 @@
             permit,
             sender,
             _flight: self.flight,
+            timing: stream::Timing::default(),
         };
         (relay, response)
     }
 
     fn done(&self, outcome: &'static str, reason: &str) {
-        self.gateway.done(&self.request, outcome, reason);
+        self.gateway.done(&self.request, outcome, &reason);
     }
 }
 
@@ -211,7 +212,12 @@
 
 impl<P: Protocol> Gateway<P> {
     /// Logs and counts a request's outcome.
-    pub(crate) fn done(&self, request: &Request, outcome: &'static str, reason: &str) {
+    pub(crate) fn done(
+        &self,
+        request: &Request,
+        outcome: &'static str,
+        reason: &dyn std::fmt::Display,
+    ) {
         let time = request.came.elapsed();
         self.metrics.ended(outcome, time);
         log::info!(
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -5,6 +5,7 @@
 //! answer. A stream that cannot be ended is broken off towards the client as
 //! well, so that it does not look whole.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -37,6 +38,38 @@
     pub sender: mpsc::Sender<Part>,
     /// Its share in the requests in flight.
     pub _flight: drain::InFlight<P>,
+    /// What the client has seen of its pace.
+    pub timing: Timing,
+}
+
+/// When a stream's events came.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Timing {
+    /// From the request to the first event.
+    first: Option<Duration>,
+    /// Longest pause between two events, also while another backend server is
+    /// found.
+    pause: Duration,
+    /// When the last event came.
+    last: Option<Instant>,
+}
+
+impl Timing {
+    /// An event of a request that came then.
+    fn event(&mut self, came: Instant) {
+        let now = Instant::now();
+        self.first.get_or_insert(now - came);
+        let pause = self.last.map_or(Duration::ZERO, |last| now - last);
+        self.pause = self.pause.max(pause);
+        self.last = Some(now);
+    }
+}
+
+impl fmt::Display for Timing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let first = self.first.unwrap_or_default().as_millis();
+        write!(f, "first_ms={first} pause_ms={}", self.pause.as_millis())
+    }
 }
 
 /// How one backend server's part of a stream ended.
@@ -60,11 +93,11 @@
             match self.pass(part, &mut splitter).await {
                 End::Whole => {
                     self.permit.end(balancer::End::Answered);
-                    return self.gateway.done(&self.request, "answered", "whole");
+                    return self.done("answered", "whole");
                 }
                 End::Left => {
                     self.permit.end(balancer::End::Abandoned);
-                    return self.gateway.done(&self.request, "client-left", "client-left");
+                    return self.done("client-left", "client-left");
                 }
                 End::Late => return self.break_off("deadline").await,
                 End::Broken => begun = self.resume(&mut splitter).await,
@@ -82,11 +115,11 @@
         match end {
             End::Whole => {
                 self.permit.end(balancer::End::Answered);
-                self.gateway.done(&self.request, "answered", "whole");
+                self.done("answered", "whole");
             }
             End::Left => {
                 self.permit.end(balancer::End::Abandoned);
-                self.gateway.done(&self.request, "client-left", "client-left");
+                self.done("client-left", "client-left");
             }
             End::Late => self.break_off("deadline").await,
             End::Broken => self.break_off("backend-server-broke-off").await,
@@ -113,7 +146,7 @@
     }
 
     /// Hands one backend server's part of the stream on.
-    async fn pass(&self, begun: Begun, splitter: &mut Splitter) -> End {
+    async fn pass(&mut self, begun: Begun, splitter: &mut Splitter) -> End {
         let Begun { mut body, answer, connection, target, .. } = begun;
         // The first event's wait is no pause.
         let mut last: Option<Instant> = None;
@@ -130,7 +163,7 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             if let Some(events) = splitter.push(&data) {
-                self.observe(last.map_or(Duration::ZERO, |last| last.elapsed()));
+                self.observe(last.map_or(Duration::ZERO, |last: Instant| last.elapsed()));
                 last = Some(Instant::now());
                 if let Some(end) = self.hand_on(events).await {
                     return end;
@@ -148,8 +181,14 @@
         End::Whole
     }
 
+    /// Logs and counts the stream's outcome.
+    fn done(&self, outcome: &'static str, reason: &str) {
+        self.gateway.done(&self.request, outcome, &format_args!("{reason} {}", self.timing));
+    }
+
     /// Tells the dispatcher how long the stream has paused.
-    fn observe(&self, pause: Duration) {
+    fn observe(&mut self, pause: Duration) {
+        self.timing.event(self.request.came);
         let wanted = self.request.grant.route.pause;
         if let Some(wanted) = wanted.filter(|wanted| !wanted.is_zero()) {
             self.permit.event(pause, wanted);
@@ -208,7 +247,7 @@
 
     /// Breaks the answer off, so that the client does not take it to be whole.
     async fn break_off(self, reason: &'static str) {
-        self.gateway.done(&self.request, "broken-off", reason);
+        self.done("broken-off", reason);
         // The client may have left meanwhile.
         self.sender.send(Err(Broken)).await.unwrap_or_default();
     }
--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -24,8 +24,10 @@
 /// own zone. It takes milliseconds to pass through a zone; the shortest bound
 /// for a configuration is two seconds.
 const OFFER_WAIT: Duration = Duration::from_millis(150);
-/// Longest time for a record to be fetched, until another peer is followed.
+/// Longest time for a record to be fetched, until the next offer of it.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long after a failure a peer is not a reason to leave another one.
+const RETURN_PENALTY: Duration = Duration::from_secs(10);
 /// Pause between two tries.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -60,6 +62,26 @@
         *lock(&self.seeds) = seeds;
     }
 
+    /// Whether a follower should leave a peer since one is known in a zone that
+    /// fits it better: at the start only the seeds are known, and hosts that
+    /// follow one another alone would all miss what one of them misses.
+    fn better_known(&self, mirror: &Mirror, follower: usize, peer: SocketAddr) -> bool {
+        let entries = register::entries(mirror);
+        let fits = |zone: &Arc<str>| (*zone == self.own.zone) == (follower == 0);
+        let present = entries.iter().find(|(_, entry)| entry.address == peer);
+        if present.is_none_or(|(_, entry)| fits(&entry.zone)) {
+            return false;
+        }
+        let used: Vec<SocketAddr> = lock(&self.used).values().copied().collect();
+        let failed = lock(&self.failed);
+        entries.iter().any(|(_, entry)| {
+            let address = entry.address;
+            let taken = Some(address) == self.own.address || used.contains(&address);
+            let sound = failed.get(&address).is_none_or(|at| at.elapsed() > RETURN_PENALTY);
+            fits(&entry.zone) && sound && !taken
+        })
+    }
+
     /// A peer for a follower: the first follower prefers the own zone, the
     /// others prefer other zones, so that neither side of a cut is forgotten.
     fn choose(&self, mirror: &Mirror, follower: usize) -> Option<SocketAddr> {
@@ -101,23 +123,25 @@
     loop {
         if let Some(peer) = peers.choose(&mirror, follower) {
             lock(&peers.used).insert(follower, peer);
-            let status = follow(&mirror, &peers.own, peer).await;
+            let better = || peers.better_known(&mirror, follower, peer);
+            let ended = follow(&mirror, &peers.own, peer, better).await;
             lock(&peers.used).remove(&follower);
-            lock(&peers.failed).insert(peer, Instant::now());
-            log::info!("dependency lost name=peer address={peer} error=\"{status}\"");
+            if let Err(status) = ended {
+                lock(&peers.failed).insert(peer, Instant::now());
+                log::info!("dependency lost name=peer address={peer} error=\"{status}\"");
+            }
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
-async fn follow(mirror: &Mirror, own: &Own, peer: SocketAddr) -> tonic::Status {
-    match stream(mirror, own, peer).await {
-        Ok(()) => tonic::Status::unavailable("the peer ended the stream"),
-        Err(status) => status,
-    }
-}
-
-async fn stream(mirror: &Mirror, own: &Own, peer: SocketAddr) -> Result<(), tonic::Status> {
+/// Follows a peer until the stream fails, or until a better one is known.
+async fn follow(
+    mirror: &Mirror,
+    own: &Own,
+    peer: SocketAddr,
+    better: impl Fn() -> bool,
+) -> Result<(), tonic::Status> {
     let unreachable = |error: &dyn std::error::Error| tonic::Status::unavailable(error.to_string());
     let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{peer}"))
         .map_err(|error| unreachable(&error))?
@@ -139,16 +163,26 @@
         let batch = tokio::select! {
             batch = batches.message() => batch?,
             Some(fetched) = fetches.next() => {
-                mirror.apply(Vec::from_iter(fetched?), Source::Peer(&source));
+                match fetched {
+                    Ok(record) => mirror.apply(Vec::from_iter(record), Source::Peer(&source)),
+                    // The peer offers it again.
+                    Err(status) => log::info!("fetch failed peer={source} error=\"{status}\""),
+                }
                 continue;
             }
         };
-        let Some(batch) = batch else { return Ok(()) };
+        let Some(batch) = batch else {
+            return Err(tonic::Status::unavailable("the peer ended the stream"));
+        };
         mirror.peer_at(&source, batch.distance);
         let (offers, items): (Vec<_>, Vec<_>) =
             batch.items.into_iter().partition(|item| item.offered);
         mirror.apply(items.into_iter().map(record).collect(), Source::Peer(&source));
         fetches.extend(offers.into_iter().map(|offer| fetch(mirror, fetcher.clone(), offer)));
+        if better() {
+            log::info!("peer left address={source} reason=better-zone-known");
+            return Ok(());
+        }
     }
 }
 
@@ -158,7 +192,8 @@
     mut client: wire::mirror_client::MirrorClient<tonic::transport::Channel>,
     offer: wire::Item,
 ) -> Result<Option<Record>, tonic::Status> {
-    tokio::time::sleep(OFFER_WAIT).await;
+    // Peers of many followers are not asked by all of them at the same time.
+    tokio::time::sleep(OFFER_WAIT.mul_f64(1.0 + rand::random::<f64>())).await;
     let known = mirror.newest_of(&offer.key).map_or(0, |record| record.revision);
     if known >= offer.revision {
         return Ok(None);
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -149,6 +149,14 @@
         self.changes.subscribe()
     }
 
+    /// Records with a value of so many bytes or more.
+    fn larger_than(&self, bytes: usize) -> Vec<mirror::Record> {
+        let large = |record: &mirror::Record| {
+            record.value.as_ref().is_some_and(|value| value.len() >= bytes)
+        };
+        self.lock().records().filter(large).collect()
+    }
+
     /// All records and, from then on, each new one.
     pub fn follow(&self) -> (Vec<mirror::Record>, broadcast::Receiver<mirror::Record>) {
         let state = self.lock();
--- a/mirror/src/serve.rs
+++ b/mirror/src/serve.rs
@@ -4,6 +4,7 @@
 //! them from a peer of their own zone, and traffic between zones is dear.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use loftcove_decision::mirror::Record;
 use loftcove_wire as wire;
@@ -19,6 +20,11 @@
 /// Size from which a record counts as large, bytes: an offer takes a tenth.
 const LARGE: usize = 1_024;
 
+/// Time between two offers of the same record to a follower in another zone: one
+/// that a follower did not get to fetch is made good well within the shortest
+/// bound for a configuration, two seconds.
+const OFFER_INTERVAL: Duration = Duration::from_millis(800);
+
 /// The service.
 pub struct Service {
     mirror: Arc<Mirror>,
@@ -73,6 +79,8 @@
 ) {
     let (mut batch, mut news) = mirror.follow();
     let mut distance = mirror.distance.subscribe();
+    let mut offers = tokio::time::interval(OFFER_INTERVAL);
+    offers.reset();
     loop {
         let items = batch.drain(..).map(|record| item(record, reach)).collect();
         let message = wire::Batch { items, distance: *distance.borrow_and_update() };
@@ -82,6 +90,10 @@
         let record = tokio::select! {
             record = news.recv() => record,
             _ = distance.changed() => continue,
+            _ = offers.tick(), if reach == Reach::Far => {
+                batch = mirror.larger_than(LARGE);
+                continue;
+            }
             () = sender.closed() => return,
         };
         match record {
--- a/mirror/tests/offers.rs
+++ b/mirror/tests/offers.rs
@@ -84,3 +84,19 @@
         assert_eq!(status.code(), tonic::Code::NotFound);
     }
 }
+
+#[tokio::test]
+async fn an_offer_is_repeated() {
+    let (mirror, address) = host("norte").await;
+    mirror.apply(vec![record("large", 5, LARGE), record("small", 6, 10)], Source::Store);
+    let url = format!("http://{address}");
+    let mut client = wire::mirror_client::MirrorClient::connect(url).await.unwrap();
+    let follower = wire::Follower { host: "f".to_owned(), zone: "sul".to_owned() };
+    let mut batches = client.follow(follower).await.unwrap().into_inner();
+    batches.message().await.unwrap().unwrap();
+    let again = tokio::time::timeout(Duration::from_secs(10), batches.message()).await;
+    let again = again.unwrap().unwrap().unwrap();
+    let keys: Vec<&str> = again.items.iter().map(|item| &*item.key).collect();
+    assert_eq!(keys, ["large"]);
+    assert!(again.items[0].offered);
+}
--- /dev/null
+++ b/mirror/tests/zones.rs
@@ -0,0 +1,68 @@
+//! The first follower of a host hears from its own zone, the others from other
+//! zones, also where only a seed elsewhere was known at the start.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use loftcove_decision::mirror::Record;
+use loftcove_mirror::{Mirror, OWN_PREFIX, Source, follow, register, serve};
+use loftcove_wire as wire;
+use tokio_stream::wrappers::TcpListenerStream;
+
+async fn host(zone: &str) -> (Arc<Mirror>, SocketAddr) {
+    let mirror: Arc<Mirror> = Arc::default();
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let service = serve::Service::new(mirror.clone(), zone.into());
+    let server = wire::mirror_server::MirrorServer::new(service);
+    let incoming = TcpListenerStream::new(listener);
+    tokio::spawn(
+        tonic::transport::Server::builder().add_service(server).serve_with_incoming(incoming),
+    );
+    (mirror, address)
+}
+
+fn entry(name: &str, zone: &str, address: SocketAddr, revision: u64) -> Record {
+    let entry = register::Entry { address, zone: zone.into() };
+    let value = serde_json::to_vec(&entry).unwrap();
+    let key = format!("{OWN_PREFIX}gateways/{name}").into();
+    Record { key, revision, value: Some(value.into()) }
+}
+
+/// Starts a follower of a host in `norte` with one seed, which knows all hosts,
+/// and waits until it has heard what only the host of the wanted zone knows.
+async fn hears_from(follower: usize, seed_zone: &str, wanted_zone: &str) {
+    let (seed, seed_address) = host(seed_zone).await;
+    let (wanted, wanted_address) = host(wanted_zone).await;
+    let entries = vec![
+        entry("seed", seed_zone, seed_address, 1),
+        entry("wanted", wanted_zone, wanted_address, 2),
+    ];
+    seed.apply(entries, Source::Store);
+    let news = Record { key: "news".into(), revision: 3, value: Some("x".into()) };
+    wanted.apply(vec![news], Source::Store);
+    let mirror: Arc<Mirror> = Arc::default();
+    let own = follow::Own { name: "f".into(), zone: "norte".into(), address: None };
+    let peers = Arc::new(follow::Peers::new(own, vec![seed_address]));
+    tokio::spawn(follow::run(mirror.clone(), peers, follower));
+    let mut changes = mirror.subscribe();
+    let heard = async {
+        while mirror.get("news").is_none() {
+            changes.changed().await.unwrap();
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(10), heard).await.unwrap();
+}
+
+#[tokio::test]
+async fn the_first_follower_moves_to_its_own_zone() {
+    hears_from(0, "sul", "norte").await;
+}
+
+#[tokio::test]
+async fn another_follower_moves_to_another_zone() {
+    hears_from(1, "norte", "sul").await;
+}
--- a/sidecar/src/rank.rs
+++ b/sidecar/src/rank.rs
@@ -22,7 +22,7 @@
 /// Time between two looks whether a map has been copied.
 const COPY_POLL: Duration = Duration::from_millis(40);
 /// Time after which an order that was accepted and shows no effect is given
-/// again, unless the engine is still copying.
+/// again. One to prepare a map is left to the driver, who asks again.
 const REPEAT_TIME: Duration = Duration::from_millis(500);
 /// Pause after an order that the engine did not answer or refused.
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
@@ -104,7 +104,7 @@
             match judge(step, &report) {
                 Standing::Shown => return (wire::Effect::Confirmed, seen),
                 Standing::Over => return (wire::Effect::Refused, seen),
-                Standing::Open if accepted.is_some_and(|at| under_way(step, &report, at)) => {
+                Standing::Open if accepted.is_some_and(|at| under_way(&step.order, at)) => {
                     tokio::time::sleep(COPY_POLL).await;
                 }
                 Standing::Open => {
@@ -170,10 +170,10 @@
     Open,
 }
 
-/// Whether an order that was accepted then may yet show its effect by itself.
-fn under_way(step: &Step, report: &Report, accepted: Instant) -> bool {
-    let copying = report.busy && matches!(step.order, Order::Prepare { .. });
-    copying || accepted.elapsed() < REPEAT_TIME
+/// Whether an order that was accepted then may yet show its effect by itself:
+/// copying takes as long as it takes, and reports do not tell of it.
+fn under_way(order: &Order, accepted: Instant) -> bool {
+    matches!(order, Order::Prepare { .. }) || accepted.elapsed() < REPEAT_TIME
 }
 
 fn judge(step: &Step, report: &Report) -> Standing {
