Let a change of the map pay by the time that it wins and costs

Change: a change pays if what it shortens passes by, until the demand is expected to shift again, is more than what passes take longer while it copies; the time between shifts is observed.

--- a/sidecar/src/known.rs
+++ b/sidecar/src/known.rs
@@ -14,6 +14,8 @@
 const AHEAD: (u64, u64) = (2, 12);
 /// What is left, at each change, of the time that arming is expected to take.
 pub const ARM_TIME_KEPT: f64 = 0.8;
+/// How long the demand is expected to stay as it is before two shifts were seen.
+const FIRST_PHASE: Duration = Duration::from_secs(8);
 /// Expected time of the first change of the map beside its copies: orders to all
 /// ranks and the passes until the switch.
 const FIRST_SWITCH_TIME: Duration = Duration::from_millis(300);
@@ -48,6 +50,9 @@
     pub pass_time: Duration,
     /// Mean time of a change of the map beside its copies; none before the first.
     switch_time: Option<Duration>,
+    /// When the demand last shifted, and the mean time between two shifts.
+    shifted: Option<Instant>,
+    phase: Option<Duration>,
     /// Last pass that was seen, and when.
     seen: Option<(u64, Instant)>,
     /// Versions used in this term.
@@ -64,6 +69,8 @@
             arm_time: before.arm_time,
             pass_time: before.pass_time,
             switch_time: before.switch_time,
+            shifted: before.shifted,
+            phase: before.phase,
             versions: before.versions,
             ..Known::default()
         };
@@ -80,6 +87,19 @@
         self.seen = Some((pass, now));
     }
 
+    /// How long the demand mostly stays as it is.
+    pub fn phase(&self) -> Duration {
+        self.phase.unwrap_or(FIRST_PHASE)
+    }
+
+    /// The demand has shifted.
+    pub fn see_shift(&mut self) {
+        let now = Instant::now();
+        if let Some(before) = self.shifted.replace(now) {
+            self.phase = Some((self.phase() + (now - before)) / 2);
+        }
+    }
+
     /// Time of a change of the map beside its copies.
     pub fn switch_time(&self) -> Duration {
         self.switch_time.unwrap_or(FIRST_SWITCH_TIME)
--- a/sidecar/src/plan.rs
+++ b/sidecar/src/plan.rs
@@ -11,14 +11,13 @@
 /// Choices that a set's demand must rest on, for each expert.
 const LEAST_CHOICES: f64 = 12.0;
 /// Least gain of a change, as a part of the ideal time of the experts' work,
-/// while the engines are idle and while they are full. Copying has a price, and
-/// a shorter pass brings more the more requests wait for it; by measured days
-/// of the two deployments.
+/// while the engines are idle and while they are full: a shorter pass brings more
+/// the more requests wait for it. This and the pairs below are guesses;
+/// `docs/POLICY.md` has what other values bring.
 const LEAST_GAIN: (f64, f64) = (0.30, 0.10);
-/// Least gain of a change for one copied expert a rank and set, while the
-/// engines are idle and while they are full; set by the price of copies on days
-/// with 24 ranks, where many small changes cost a fifth of the worth.
-const COPY_GAIN: (f64, f64) = (0.75, 0.35);
+/// Part by which passes take longer while ranks copy, as the engines' protocol
+/// tells.
+const COPY_SLOWDOWN: f64 = 0.15;
 /// Peak at which the search for a set ends, while the engines are idle and
 /// while they are full.
 const EVEN: (f64, f64) = (1.50, 1.06);
@@ -33,8 +32,7 @@
 const SHIFT: f64 = 0.25;
 
 /// Requests on the engines, as a part of their slots, up to which these count
-/// as idle, and from which as full: by measured days, passes are near the
-/// longest wanted pause after a shift of the demand from some three quarters on.
+/// as idle, and from which as full. A guess, see [`LEAST_GAIN`].
 const FILL: (f64, f64) = (0.5, 0.75);
 
 /// A value between that of idle and that of full engines.
@@ -64,9 +62,18 @@
     if rise > SHIFT {
         log::info!("demand shifted epoch={} rise={rise:.2}", known.view.epoch);
         known.demand.restart();
+        known.see_shift();
     }
 }
 
+/// Whether a change wins more time, until the demand is expected to shift again,
+/// than passes lose while it copies.
+fn pays(stage: &Stage, times: Times, phase: Duration) -> bool {
+    let left = phase.saturating_sub(stage.time).as_secs_f64();
+    let copying = stage.time.saturating_sub(times.switch).as_secs_f64();
+    stage.gain() * left > COPY_SLOWDOWN * stage.peak.0 * copying
+}
+
 /// The change of the map to make now, or `None` to stay.
 pub fn decide(known: &Known, engine: &route::Engine, experts: &route::Experts) -> Option<Stage> {
     let least = LEAST_CHOICES * (experts.count * experts.sets) as f64;
@@ -89,9 +96,8 @@
     }
     let times = Times { copy: copy_time(engine, experts), switch: known.switch_time() };
     let stage = stage::plan(&known.map, &demand, bounds, goal, times)?;
-    let part = stage.copies.0 as f64 / (experts.sets * known.view.ranks.len().max(1)) as f64;
-    let least_gain = by_fill(known.fill, LEAST_GAIN).max(part * by_fill(known.fill, COPY_GAIN));
-    let change = stage.gain() >= least_gain;
+    let least_gain = by_fill(known.fill, LEAST_GAIN);
+    let change = stage.gain() >= least_gain && pays(&stage, times, known.phase());
     log::info!(
         "placement epoch={} choices={:.0} fill={:.2} pass_ms={} peak={:.3} reachable={:.3} copies={} deepest={} expected_ms={} change={change}",
         known.view.epoch,
