Split the driver and the balancer; allow for slow copies in a change's time

Cause: sidecar/drive and decision/balancer had grown to 535 and 595 lines with several jobs each; a change was given up after 4 s though copies of a second or more each take longer than that. Checked: clippy, unit tests, end-to-end tests of groups.

--- /dev/null
+++ b/decision/src/balancer/choose.rs
@@ -0,0 +1,91 @@
+//! Which backend server the balancer sends a request to, and which it takes out.
+
+use crate::balancer::{Action, Balancer, Candidate, Dispatch, Place, SPILL_MARGIN, SPILL_SCORE};
+use crate::routing::{eject, policy, server};
+use crate::{clock, entity};
+
+impl<P: policy::Policy> Balancer<P> {
+    /// Open backend servers: those of the own zone, unless they are all
+    /// loaded and others are clearly less so.
+    ///
+    /// Those that have failed the request before are left out while there are
+    /// others, wherever these are.
+    fn open(
+        &self,
+        pool: entity::Pool,
+        tried: &[entity::Server],
+        now: clock::Instant,
+    ) -> Vec<Candidate> {
+        let open = || self.servers.usable(pool).filter(|(_, record)| self.takes(record, now));
+        let fresh = open().any(|(server, _)| !tried.contains(&server));
+        let open = open().filter(|(server, _)| !fresh || !tried.contains(server));
+        let (local, remote): (Vec<_>, Vec<_>) = open.partition(|(_, record)| record.listing.local);
+        let weigh = |list: Vec<(entity::Server, &server::Record)>| -> Vec<Candidate> {
+            let weighed = list.into_iter();
+            weighed.map(|(server, record)| Candidate { server, score: record.score(now) }).collect()
+        };
+        let (local, remote) = (weigh(local), weigh(remote));
+        let least = |list: &[Candidate]| {
+            list.iter().map(|candidate| candidate.score).fold(f64::INFINITY, f64::min)
+        };
+        let (at_home, abroad) = (least(&local), least(&remote));
+        let spill = at_home >= SPILL_SCORE && abroad + SPILL_MARGIN < at_home;
+        if local.is_empty() || spill { remote } else { local }
+    }
+
+    pub(super) fn send(
+        &mut self,
+        ticket: entity::Ticket,
+        now: clock::Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.pending.get(&ticket) else { return };
+        let considered = self.open(pending.arrival.pool, &pending.tried, now);
+        let candidates: Vec<entity::Server> = considered.iter().map(|c| c.server).collect();
+        let Some(pending) = self.pending.get_mut(&ticket) else { return };
+        let request = policy::Request { prefix: pending.arrival.prefix };
+        let Some(choice) = self.policy.choose(&self.servers, &candidates, &request, now) else {
+            return;
+        };
+        pending.attempts += 1;
+        pending.place = Place::Sent(choice.server);
+        pending.sent = Some(now);
+        pending.tried.push(choice.server);
+        pending.group = self.servers[choice.server].listing.group;
+        if let Some(group) = pending.group {
+            self.groups[group].enter(now);
+        }
+        self.servers[choice.server].in_flight += 1;
+        if pending.attempts == 1 {
+            self.tally.first += 1;
+            self.budget.deposit();
+        } else {
+            self.tally.again += 1;
+        }
+        self.queue.depart(pending.arrival.pool, now);
+        let attempt = pending.attempts;
+        actions.push(Action::Send(Dispatch { ticket, attempt, choice, considered }));
+    }
+
+    pub(super) fn slow(&self, server: entity::Server) -> bool {
+        let pool = self.servers[server].listing.pool;
+        let mut paces: Vec<f64> =
+            self.servers.usable(pool).filter_map(|(_, record)| record.health.pace()).collect();
+        paces.sort_by(f64::total_cmp);
+        let (Some(own), Some(median)) =
+            (self.servers[server].health.pace(), paces.get(paces.len() / 2))
+        else {
+            return false;
+        };
+        paces.len() >= 3 && own > median * eject::SLOW_FACTOR
+    }
+
+    pub(super) fn try_eject(&mut self, server: entity::Server, now: clock::Instant) {
+        let pool = self.servers[server].listing.pool;
+        let usable: Vec<_> = self.servers.usable(pool).collect();
+        let out = usable.iter().filter(|(_, record)| record.health.ejected(now)).count();
+        if eject::floor_allows(usable.len(), out) {
+            self.servers[server].health.eject(now);
+        }
+    }
+}
--- a/mirror/src/register.rs
+++ b/mirror/src/register.rs
@@ -48,10 +48,10 @@
     records.filter_map(read).collect()
 }
 
-/// Gateways of an availability zone that watch the store. Each costs calls, the
-/// largest price but one on the grown deployments; with two, and others in the
-/// other zones, it takes all of them to be turned down by the store for a change
-/// not to be heard of at once, and who lacks peers watches as well.
+/// Gateways of an availability zone that watch the store. Each costs calls of
+/// the store; with three it takes all of them, and their peers in the other
+/// zones, to be turned down by the store for a change not to be heard of at
+/// once, and who lacks peers watches as well.
 const WATCHERS: usize = 3;
 /// Peers that a gateway must follow to rely on them: two that are cut off
 /// together with it are not enough.
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -1,28 +1,27 @@
 //! Drives a group: decides where its experts should be, and takes it there.
 
+mod change;
+mod learn;
+
 use std::marker::PhantomData;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use loftcove_decision::map::switch::{self, Switch};
 use loftcove_decision::map::version;
-use loftcove_decision::{fleet, route};
-use loftcove_interface::engine::{self, Engine, Map};
-use loftcove_interface::protocol::{Place, Protocol, Record};
+use loftcove_interface::engine::Engine;
+use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
-use loftcove_mirror::{Mirror, membership};
+use loftcove_mirror::Mirror;
 use loftcove_settings::gateway as settings;
-use loftcove_wire as wire;
 use tokio::sync::watch;
 
 use crate::election::{self, Term};
-use crate::group::{self, Connect, Group, View};
-use crate::known::{self, Known, Stall};
+use crate::group::{Connect, Group};
+use crate::known::{Known, Stall};
 use crate::metrics::Metrics;
 use crate::plan;
-use crate::rank::{Rank, Step};
+use crate::rank::Rank;
 
 /// Time between two looks at the counts.
 const INTERVAL: Duration = Duration::from_millis(200);
@@ -41,7 +40,8 @@
 const ELECTION_PAUSE: Duration = Duration::from_millis(1_500);
 /// Times that the pass is chosen anew because it began before it was held.
 const MAX_HOLDS: u32 = 8;
-/// Longest time for all ranks to prepare. Copying takes less than a second.
+/// Longest time for all ranks to prepare, beside twice the time that their copies
+/// are expected to take.
 const PREPARE_TIME: Duration = Duration::from_secs(4);
 /// Time between two looks whether the switch has taken place, and their number.
 const SETTLE_POLL: Duration = Duration::from_millis(20);
@@ -173,47 +173,6 @@
         term.map(|term| (place.name, term))
     }
 
-    /// Addresses of the engines of this sidecar's service.
-    fn engines(&self) -> Vec<SocketAddr> {
-        let service = &*self.settings.engine.service;
-        let servers = self.servers().into_iter().filter(|server| *server.service == *service);
-        let mut addresses: Vec<SocketAddr> = servers.map(|server| server.address).collect();
-        addresses.sort();
-        addresses.dedup();
-        addresses
-    }
-
-    fn servers(&self) -> Vec<fleet::Server> {
-        let records = P::PREFIXES.iter().flat_map(|prefix| self.mirror.below(prefix));
-        let servers = records.filter(|record| matches!(P::place(&record.key), Place::Server(_)));
-        let read = |record: loftcove_decision::mirror::Record| match P::record(
-            &record.key,
-            &record.value.unwrap_or_default(),
-        ) {
-            Ok(Record::Server(server)) => Some(server),
-            Ok(_) => None,
-            Err(error) => {
-                log::error!("record not readable error=\"{error}\"");
-                None
-            }
-        };
-        servers.filter_map(read).collect()
-    }
-
-    /// Slots of an engine, and what the configuration says of the experts.
-    fn experts(&self) -> Option<(route::Engine, route::Experts)> {
-        let records = P::PREFIXES.iter().flat_map(|prefix| self.mirror.below(prefix));
-        let config = records
-            .filter(|record| P::place(&record.key) == Place::Config)
-            .find_map(|record| P::record(&record.key, &record.value?).ok());
-        let Some(Record::Config(config)) = config else { return None };
-        let service = &self.settings.engine.service;
-        let service = config.services.into_iter().find(|other| other.name == *service)?;
-        let engine = service.engine?;
-        let experts = engine.experts?;
-        Some((engine, experts))
-    }
-
     /// Drives until the term is over or the process is to stop.
     async fn drive(&mut self, group: &str, term: Term, stop: &watch::Receiver<bool>) {
         let (mirror, store) = (self.mirror.clone(), self.store.clone());
@@ -263,13 +222,13 @@
         let ranks = known.view.ranks.len();
         let version = version::encode(term, known.versions, place.rank as usize, ranks);
         let switch = Switch::new(ranks, version);
-        let copying = stage.time.saturating_sub(known.switch_time());
+        known.copying = stage.time.saturating_sub(known.switch_time());
         let map = Arc::new(stage.map);
         let begun = Instant::now();
         if self.change(term, known, switch, &map).await? == switch::Outcome::Switched {
             known.map = Arc::unwrap_or_clone(map);
             self.settle(version).await;
-            known.see_switch(begun.elapsed(), copying);
+            known.see_switch(begun.elapsed());
         }
         Ok(())
     }
@@ -284,252 +243,4 @@
             }
         }
     }
-
-    /// Learns which engine is which rank and what they hold, and ends what
-    /// another driver has begun. Returns whether the whole group is known.
-    async fn learn(
-        &mut self,
-        term: u64,
-        place: &engine::Group,
-        known: &mut Known,
-    ) -> Result<bool, Stopped> {
-        let ranks = self.find(term, place).await?;
-        let missing = ranks.iter().filter(|rank| rank.is_none()).count();
-        if missing == 1 {
-            self.release_without(term, place, &ranks, known).await?;
-        }
-        let Some(ranks) = ranks.into_iter().collect::<Option<Vec<_>>>() else {
-            log::info!("group not known whole epoch={} missing={missing}", place.epoch);
-            return Ok(false);
-        };
-        let (addresses, conditions): (Vec<_>, Vec<_>) = ranks.into_iter().unzip();
-        self.publish(place, &addresses);
-        known.view =
-            View { group: place.name.clone(), epoch: place.epoch, ranks: addresses, conditions };
-        let states: Vec<switch::Condition> =
-            known.view.conditions.iter().map(group::condition).collect();
-        if let Some(switch) = Switch::resume(&states) {
-            log::warn!("change of an earlier driver found version={}", switch.version());
-            let map = Arc::default();
-            self.change(term, known, switch, &map).await?;
-            known.view.ranks.clear();
-            return Ok(false);
-        }
-        if states.iter().any(|state| state.armed.is_some()) {
-            // An earlier driver's change takes place at its pass.
-            known.view.ranks.clear();
-            return Ok(false);
-        }
-        Ok(known::take_map(known))
-    }
-
-    /// Finds the engine of each rank: asks those that were its members before,
-    /// and the service's others only where some are missing.
-    async fn find(
-        &mut self,
-        term: u64,
-        place: &engine::Group,
-    ) -> Result<Vec<Option<(SocketAddr, wire::Condition)>>, Stopped> {
-        let engines = self.engines();
-        self.group.set(&engines);
-        let group = place.name.to_string();
-        let inspection = wire::Inspection { term, counts: false, experts: true, group };
-        let before = membership::of(&self.mirror, &place.name);
-        let (members, others): (Vec<SocketAddr>, Vec<SocketAddr>) =
-            engines.into_iter().partition(|engine| before.members.contains(engine));
-        let mut ranks = vec![None; place.size as usize];
-        for addresses in [members, others] {
-            if ranks.iter().all(Option::is_some) {
-                break;
-            }
-            for (address, condition) in
-                self.group.inspect(&self.rank, &addresses, &inspection).await
-            {
-                if condition.group != *place.name {
-                    continue;
-                }
-                if condition.term > term {
-                    return Err(Stopped::Superseded);
-                }
-                let same = condition.epoch == place.epoch;
-                if let Some(slot) = ranks.get_mut(condition.rank as usize).filter(|_| same) {
-                    *slot = Some((address, condition));
-                }
-            }
-        }
-        Ok(ranks)
-    }
-
-    /// Tells the gateways, through the store, which engines belong to the
-    /// group. Nothing waits for it.
-    fn publish(&self, place: &engine::Group, ranks: &[SocketAddr]) {
-        let mut members = ranks.to_vec();
-        members.sort();
-        let entry = membership::Entry { service: self.settings.engine.service.clone(), members };
-        let (mirror, store) = (self.mirror.clone(), self.store.clone());
-        let group = place.name.clone();
-        tokio::spawn(async move { membership::publish(&*store, &mirror, &group, &entry).await });
-    }
-
-    /// Lets the group go on that a driver left held whose own rank is the only
-    /// one that did not answer, and cannot have been armed.
-    async fn release_without(
-        &self,
-        term: u64,
-        place: &engine::Group,
-        ranks: &[Option<(SocketAddr, wire::Condition)>],
-        known: &mut Known,
-    ) -> Result<(), Stopped> {
-        let state = |rank: &Option<(SocketAddr, wire::Condition)>| {
-            rank.as_ref().map(|(_, condition)| group::condition(condition))
-        };
-        let states: Vec<Option<switch::Condition>> = ranks.iter().map(state).collect();
-        let pass = ranks.iter().flatten().map(|(_, condition)| condition.pass).max();
-        let Some(switch) = Switch::resume_without(&states, pass.unwrap_or(0)) else {
-            return Ok(());
-        };
-        log::warn!(
-            "held group let go on without its driver's rank version={} pass={}",
-            switch.version(),
-            switch.pass()
-        );
-        // The rank that did not answer gets no order.
-        let own = self.settings.engine.address;
-        let address = |rank: &Option<(SocketAddr, wire::Condition)>| {
-            rank.as_ref().map_or(own, |(address, _)| *address)
-        };
-        known.view.group = place.name.clone();
-        known.view.epoch = place.epoch;
-        known.view.ranks = ranks.iter().map(address).collect();
-        let ended = self.change(term, known, switch, &Arc::default()).await;
-        known.view.ranks.clear();
-        ended.map(|_| ())
-    }
-
-    /// Reads the counts of a sample of the ranks.
-    async fn count(&self, term: u64, slots: u32, known: &mut Known) {
-        let ranks = &known.view.ranks;
-        let stride = ranks.len().div_ceil(SAMPLE).max(1);
-        let sample: Vec<SocketAddr> = ranks.iter().copied().step_by(stride).collect();
-        let group = known.view.group.to_string();
-        let inspection = wire::Inspection { term, counts: true, experts: false, group };
-        let answers = self.group.inspect(&self.rank, &sample, &inspection).await;
-        let epoch = known.view.epoch;
-        let same: Vec<wire::Condition> =
-            answers.into_iter().map(|(_, c)| c).filter(|c| c.epoch == epoch).collect();
-        let requests: u32 = same.iter().map(|condition| condition.active + condition.queued).sum();
-        let slots = slots * same.len() as u32;
-        known.fill = f64::from(requests) / f64::from(slots.max(1));
-        self.see_slowness(term, known, &same).await;
-        known.demand.take(same.into_iter().map(|c| (c.rank, c.counts)).collect());
-    }
-
-    /// Takes how slow ranks are: at each round those of the sample, and at some
-    /// rounds all others.
-    async fn see_slowness(&self, term: u64, known: &mut Known, sample: &[wire::Condition]) {
-        let ranks = known.view.ranks.len();
-        known.slowness.resize(ranks, 1.0);
-        known.rounds += 1;
-        let mut all = Vec::new();
-        if sample.len() < ranks && known.rounds >= SLOWNESS_ROUNDS {
-            known.rounds = 0;
-            let group = known.view.group.to_string();
-            let inspection = wire::Inspection { term, counts: false, experts: false, group };
-            all = self.group.inspect(&self.rank, &known.view.ranks, &inspection).await;
-        }
-        let others = all.iter().map(|(_, condition)| condition);
-        for condition in sample.iter().chain(others) {
-            let Some(slowness) = known.slowness.get_mut(condition.rank as usize) else { continue };
-            let now = if condition.slowness < SLOW { 1.0 } else { condition.slowness };
-            if (now - *slowness).abs() > f64::EPSILON {
-                log::info!("rank's speed changed rank={} slowness={now:.2}", condition.rank);
-            }
-            *slowness = now;
-        }
-    }
-
-    /// Takes a change to its end.
-    async fn change(
-        &self,
-        term: u64,
-        known: &mut Known,
-        mut switch: Switch,
-        map: &Arc<Map>,
-    ) -> Result<switch::Outcome, Stopped> {
-        let begun = Instant::now();
-        let mut holds = 0;
-        let mut held = begun;
-        let outcome = loop {
-            if let Some(outcome) = switch.outcome() {
-                break outcome;
-            }
-            if switch.prepared() {
-                holds += 1;
-                let Ok(report) = self.rank.engine.report().await else { continue };
-                if holds > MAX_HOLDS {
-                    break switch::Outcome::Abandoned;
-                }
-                switch.hold(report.pass + known.ahead());
-                held = Instant::now();
-            }
-            self.phase(term, known, &mut switch, map).await?;
-            if !switch.committed() && begun.elapsed() > PREPARE_TIME {
-                break switch::Outcome::Abandoned;
-            }
-        };
-        let time = begun.elapsed();
-        if holds > 0 {
-            self.metrics.held.observe(held.elapsed().as_secs_f64());
-            known.arm_time = held.elapsed().max(known.arm_time.mul_f64(known::ARM_TIME_KEPT));
-        }
-        log::info!(
-            "map change outcome={outcome:?} term={term} epoch={} version={} pass={} holds={holds} ms={}",
-            known.view.epoch,
-            switch.version(),
-            switch.pass(),
-            time.as_millis()
-        );
-        self.metrics.change.observe(time.as_secs_f64());
-        match outcome {
-            switch::Outcome::Switched => self.metrics.switched.inc(),
-            switch::Outcome::Abandoned => self.metrics.abandoned.inc(),
-        };
-        Ok(outcome)
-    }
-
-    /// Gives the orders of the present phase and takes their effects.
-    async fn phase(
-        &self,
-        term: u64,
-        known: &Known,
-        switch: &mut Switch,
-        map: &Arc<Map>,
-    ) -> Result<(), Stopped> {
-        let epoch = known.view.epoch;
-        let carry = async |rank: usize, order: switch::Order| {
-            let group = known.view.group.clone();
-            let step = Step { group, term, epoch, order: group::order(order, map) };
-            let address = known.view.ranks[rank];
-            (rank, order, self.group.carry(&self.rank, address, &step).await)
-        };
-        let orders = switch.orders();
-        let mut running: FuturesUnordered<_> =
-            orders.into_iter().map(|(rank, order)| carry(rank, order)).collect();
-        while let Some((rank, order, carried)) = running.next().await {
-            if carried.condition.is_some_and(|condition| condition.epoch != epoch) {
-                return Err(Stopped::Epoch);
-            }
-            let effect = match carried.effect {
-                wire::Effect::Confirmed => switch::Effect::Confirmed,
-                wire::Effect::Refused => switch::Effect::Refused,
-                wire::Effect::Superseded => return Err(Stopped::Superseded),
-                wire::Effect::Unknown | wire::Effect::Unspecified => switch::Effect::Unknown,
-            };
-            if effect != switch::Effect::Confirmed {
-                log::info!("order rank={rank} order={order:?} effect={effect:?}");
-            }
-            switch.effect(rank, order, effect);
-        }
-        Ok(())
-    }
 }
--- a/sidecar/src/known.rs
+++ b/sidecar/src/known.rs
@@ -48,6 +48,8 @@
     pub arm_time: Duration,
     /// Time of a pass.
     pub pass_time: Duration,
+    /// How long the copies of the present change are expected to take.
+    pub copying: Duration,
     /// Mean time of a change of the map beside its copies; none before the first.
     switch_time: Option<Duration>,
     /// When the demand last shifted, and the mean time between two shifts.
@@ -105,9 +107,9 @@
         self.switch_time.unwrap_or(FIRST_SWITCH_TIME)
     }
 
-    /// Takes how long a change took, of which `copying` was expected for copies.
-    pub fn see_switch(&mut self, time: Duration, copying: Duration) {
-        let sample = time.saturating_sub(copying);
+    /// Takes how long a change took, copies included.
+    pub fn see_switch(&mut self, time: Duration) {
+        let sample = time.saturating_sub(self.copying);
         self.switch_time = Some((self.switch_time() + sample) / 2);
     }
 
