Test a stage of a change under any load

Cause: the search keeps up the room of each rank by subtraction; a fault there would show as a panic in debug builds only for some loads. Change: 200 generated loads, three changes in a row each: bounds, copies as told, every expert held, passes never longer.

--- a/decision/tests/stage.rs
+++ b/decision/tests/stage.rs
@@ -6,6 +6,8 @@
 
 use loftcove_decision::placement::spread::{self, Bounds, Demand, Goal, Ranks};
 use loftcove_decision::placement::stage::{self, Stage, Times};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const GOAL: Goal = Goal { even: 1.05, least_gain: 0.01 };
 const BOUNDS: Bounds = Bounds { placements: 9, spare: 4 };
@@ -90,3 +92,44 @@
     }
     assert!(mean(&map) < deep.peak.1 + 0.15, "{} {}", mean(&map), deep.peak.1);
 }
+
+#[test]
+fn any_load_keeps_the_bounds_and_never_lengthens_passes() {
+    let config = ProptestConfig {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let load = prop::collection::vec(0.0_f64..1_000.0, EXPERTS);
+    let strategy = (prop::collection::vec(load, 3), 1_u64..2_000);
+    let mut runner = proptest::test_runner::TestRunner::new(config);
+    runner
+        .run(&strategy, |(loads, copy_ms)| {
+            let mut map = vec![dealt(); 3];
+            for _ in 0..3 {
+                let demand: Vec<Demand<'_>> =
+                    loads.iter().map(|load| Demand { load, slowness: &[] }).collect();
+                let times = Times {
+                    copy: Duration::from_millis(copy_ms),
+                    switch: Duration::from_millis(300),
+                };
+                let Some(stage) = stage::plan(&map, &demand, BOUNDS, GOAL, times) else { break };
+                let copies = copies_of(&map, &stage.map);
+                prop_assert_eq!(stage.copies.1, copies.iter().copied().max().unwrap_or(0));
+                prop_assert!(stage.peak.1 <= stage.peak.0);
+                for (old, new) in map.iter().flatten().zip(stage.map.iter().flatten()) {
+                    prop_assert!(new.len() <= BOUNDS.placements);
+                    let taken = new.iter().filter(|expert| !old.contains(expert)).count();
+                    prop_assert!(taken <= BOUNDS.spare);
+                }
+                for set in &stage.map {
+                    let held = |expert: u16| set.iter().any(|rank| rank.contains(&expert));
+                    prop_assert!((0..EXPERTS as u16).all(held));
+                }
+                map = stage.map;
+            }
+            Ok(())
+        })
+        .unwrap();
+}
