Have the test of two groups fail where one group's term stops the other's driver

Cause: the test that both maps change passed on the code before as well, since drivers got a change through between two elections. Change: no round may stop as superseded.

--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -170,6 +170,12 @@
         let state = system.state_of(group).await;
         assert_eq!(state["violations"], 0, "{state}");
     }
+    // Neither group's driver took the other's term for that of its successor.
+    let superseded = |sidecar: &loftcove_tests::process::Process| {
+        sidecar.log().iter().filter(|line| line.contains("superseded")).count()
+    };
+    let count: usize = system.sidecars.iter().map(superseded).sum();
+    assert_eq!(count, 0, "rounds stopped");
 }
 
 #[tokio::test(flavor = "multi_thread")]
