Show how long each watch of the store waits and when it was last answered

Logs and metrics could not tell a watch whose call was lost (hypothesis 1) from one that the store does not wake (hypothesis 2).

--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Counters and histograms of a gateway.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use loftcove_interface::protocol::Protocol;
+use loftcove_mirror::progress;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -19,6 +21,42 @@
     pub outcome: &'static str,
 }
 
+/// Label with the prefix that a watch of the store is for.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Watched {
+    prefix: &'static str,
+}
+
+/// Metrics of the watches of the store, as they stand.
+#[derive(Debug, Default)]
+struct Watches {
+    waited: Family<Watched, Gauge<f64, AtomicU64>>,
+    answer_age: Family<Watched, Gauge<f64, AtomicU64>>,
+    lost: Family<Watched, Counter>,
+}
+
+impl Watches {
+    fn of(progress: &progress::Progress) -> Watches {
+        let watches = Watches::default();
+        for (prefix, watch) in progress.watches() {
+            let label = Watched { prefix };
+            let seconds = |time: Option<Duration>| time.map_or(0.0, |time| time.as_secs_f64());
+            watches.waited.get_or_create(&label).set(seconds(watch.waited()));
+            watches.answer_age.get_or_create(&label).set(seconds(watch.answer_age()));
+            watches.lost.get_or_create(&label).inc_by(watch.lost);
+        }
+        watches
+    }
+
+    fn register(self, registry: &mut Registry) {
+        let waited = "Time that the present call of a watch has waited";
+        registry.register("watch_waited_seconds", waited, self.waited);
+        let age = "Time since the store last answered a watch";
+        registry.register("watch_answer_age_seconds", age, self.answer_age);
+        registry.register("watch_lost", "Calls of a watch without an answer", self.lost);
+    }
+}
+
 /// All metrics.
 #[derive(Debug)]
 pub struct Metrics {
@@ -73,6 +111,7 @@
         registry.register("config_version", "Configuration", self.config_version.clone());
         registry.register("waiting", "Requests that wait", waiting);
         registry.register("in_flight", "Requests in flight", flights);
+        Watches::of(&gateway.mirror.progress).register(&mut registry);
         let mut out = String::new();
         // Writing to a string cannot fail.
         text::encode(&mut out, &registry).unwrap_or_default();
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod follow;
 mod health;
 pub mod membership;
+pub mod progress;
 pub mod register;
 pub mod serve;
 pub mod watch;
@@ -39,6 +40,8 @@
     pub health: Health,
     /// How far it is from the store over peers.
     pub distance: distance::Distance,
+    /// How its watches of the store get on.
+    pub progress: progress::Progress,
     /// Peers that are followed at present.
     followed: AtomicUsize,
 }
@@ -70,6 +73,7 @@
             changes: channel::Sender::new(0),
             health: Health::default(),
             distance: distance::Distance::default(),
+            progress: progress::Progress::default(),
             followed: AtomicUsize::new(0),
         }
     }
@@ -116,11 +120,23 @@
         self.health.answered();
         self.distance.set_answered(true);
         if !before {
+            self.tell_waiting();
             // Who has no peer within reach may watch again.
             self.changes.send_modify(|version| *version += 1);
         }
     }
 
+    /// Tells of watches that were sent before the store was back: nothing says
+    /// that it knows of them.
+    fn tell_waiting(&self) {
+        for (prefix, watch) in self.progress.watches() {
+            if let Some(waited) = watch.waited() {
+                let ms = waited.as_millis();
+                log::info!("watch waits since before the outage's end prefix={prefix} ms={ms}");
+            }
+        }
+    }
+
     /// A call to the store failed.
     fn store_failed(&self, error: &dyn std::fmt::Display) {
         self.health.failed(error);
--- a/mirror/src/watch.rs
+++ b/mirror/src/watch.rs
@@ -39,6 +39,7 @@
         match store.list(prefix).await {
             Ok(listing) => {
                 mirror.store_answered();
+                mirror.progress.answered(prefix);
                 pause = PAUSE.0;
                 let revision = listing.revision;
                 take(&mirror, prefix, listing);
@@ -90,15 +91,19 @@
 async fn changes<S: Store>(
     mirror: &Mirror,
     store: &S,
-    prefix: &str,
+    prefix: &'static str,
     mut after: u64,
     wanted: &(impl Fn(&Mirror) -> bool + Send),
 ) {
     let mut pause = PAUSE.0;
     while wanted(mirror) {
-        match store.watch(prefix, after, WAIT).await {
+        let waiting = mirror.progress.wait(prefix);
+        let answer = store.watch(prefix, after, WAIT).await;
+        drop(waiting);
+        match answer {
             Ok(changes) => {
                 mirror.store_answered();
+                mirror.progress.answered(prefix);
                 pause = PAUSE.0;
                 after = changes.revision;
                 let any = !changes.events.is_empty();
@@ -118,6 +123,7 @@
             }
             // A waiting watch may be cut; that alone says nothing of the store.
             Err(store::Error::Lost(reason)) => {
+                mirror.progress.lost(prefix);
                 log::info!("watch cut prefix={prefix} after={after} reason=\"{reason}\"");
                 wait(&mut pause).await;
             }
