--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -34,6 +34,9 @@
     LoseAnswers,
     /// Holds everything, both ways, until another fault is set.
     Freeze,
+    /// Drops everything, both ways and for good, on the connections that are open
+    /// when this is set, and leaves them open. New ones pass.
+    Silence,
 }
 
 impl FromStr for Fault {
@@ -50,6 +53,7 @@
             "reset" => Ok(Fault::Reset),
             "lose-answers" => Ok(Fault::LoseAnswers),
             "freeze" => Ok(Fault::Freeze),
+            "silence" => Ok(Fault::Silence),
             other => Err(format!("not a fault: {other}")),
         }
     }
@@ -62,7 +66,9 @@
     Answer,
 }
 
-type Rules = Vec<(String, String, Fault)>;
+/// From where, to where, and what is done.
+type Rule = (String, String, Fault);
+type Rules = Vec<Rule>;
 
 /// The proxy.
 #[derive(Clone)]
@@ -90,18 +96,31 @@
 struct Link {
     from: String,
     target: Target,
+    /// Rules that were set before the connection was opened.
+    before: usize,
     rules: watch::Receiver<Rules>,
 }
 
 impl Link {
-    /// The last rule that matches.
+    fn matches(&self, (from, to, _): &Rule) -> bool {
+        let from_fits = *from == "*" || *from == self.from;
+        let to_fits = *to == "*" || *to == self.target.label || *to == self.target.zone;
+        from_fits && to_fits
+    }
+
+    /// The last rule that matches. One that silences is for the connections of
+    /// its time alone; see [`Link::silenced`].
     fn fault(&self, rules: &Rules) -> Fault {
-        let matches = |(from, to, _): &&(String, String, Fault)| {
-            let from_fits = *from == "*" || *from == self.from;
-            let to_fits = *to == "*" || *to == self.target.label || *to == self.target.zone;
-            from_fits && to_fits
-        };
-        rules.iter().rev().find(matches).map_or(Fault::None, |rule| rule.2)
+        let matching = rules.iter().rev().filter(|rule| self.matches(rule));
+        let lasting = matching.map(|rule| rule.2).find(|fault| *fault != Fault::Silence);
+        lasting.unwrap_or(Fault::None)
+    }
+
+    /// Whether the connection was silenced since it was opened.
+    fn silenced(&self) -> bool {
+        let rules = self.rules.borrow();
+        let since = rules.iter().skip(self.before);
+        since.filter(|rule| self.matches(rule)).any(|rule| rule.2 == Fault::Silence)
     }
 
     fn present(&self) -> Fault {
@@ -157,7 +176,9 @@
             let Ok((client, peer)) = listener.accept().await else { continue };
             let sources = self.sources.lock().expect("no holder of the lock panics");
             let from = sources.get(&peer.ip()).cloned().unwrap_or_default();
-            let link = Link { from, target: target.clone(), rules: self.rules.subscribe() };
+            let rules = self.rules.subscribe();
+            let before = rules.borrow().len();
+            let link = Link { from, target: target.clone(), before, rules };
             match link.present() {
                 Fault::Cut => {}
                 Fault::Reset => reset(&client),
@@ -204,8 +225,14 @@
     // A connection never goes on behind bytes that were lost.
     let mut lost = false;
     loop {
-        let Ok(count @ 1..) = from.read(&mut buffer).await else { return };
+        let Ok(count @ 1..) = from.read(&mut buffer).await else {
+            // The end of a silenced connection is not told either.
+            return if way == Way::Answer && link.silenced() {
+                std::future::pending().await
+            };
+        };
         link.until(|fault| fault != Fault::Freeze).await;
+        lost |= link.silenced();
         match link.present() {
             Fault::LoseAnswers if way == Way::Answer => lost = true,
             Fault::Delay(time) => tokio::time::sleep(time).await,
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -34,6 +34,9 @@
     None,
     /// Refuses every call and does nothing.
     Down,
+    /// Neither does nor ever answers a call that comes meanwhile, and leaves its
+    /// connection open. Watches that wait already are answered.
+    Silent,
     /// Waits for 1.5 s before each call.
     Slow,
     /// Does the next write and loses its answer.
@@ -93,6 +96,7 @@
         }
         match self.count(caller) {
             Fault::Down => return server::text(503, "down"),
+            Fault::Silent => return std::future::pending().await,
             Fault::Slow => tokio::time::sleep(Duration::from_millis(1_500)).await,
             Fault::None | Fault::LoseWrite => {}
         }
@@ -206,6 +210,7 @@
             "allow" => self.denied.clear(),
             "fault/none" => self.fault = Fault::None,
             "fault/down" => self.fault = Fault::Down,
+            "fault/silent" => self.fault = Fault::Silent,
             "fault/slow" => self.fault = Fault::Slow,
             "fault/lose-write" => self.fault = Fault::LoseWrite,
             _ => return server::text(404, "no such control"),
