Prove each watch of the store by its own answers, within the bound for changes

Calls wait for 0.75 of the bound and are overdue 0.2 of it later; the first after a change by lot; a lost call has the other watches asked again; a host is at distance 0 only while its watches are answered; after a silent connection none of its time is used.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
@@ -73,10 +74,10 @@
     let peers = bind(listen.peer_address, SMALL_BACKLOG)?;
     let metrics = bind(host.metrics_address, SMALL_BACKLOG)?;
     let gateway = Arc::new(state::Gateway::<P>::new(settings));
-    for prefix in [P::PREFIXES[0], P::PREFIXES[1], mirror::OWN_PREFIX] {
+    for subject in subjects::<P>(&gateway.settings.serving) {
         let (name, zone) = (host.name.clone(), host.zone.clone());
         let wanted = move |mirror: &mirror::Mirror| register::watches(mirror, &name, &zone);
-        tokio::spawn(watch::run(gateway.mirror.clone(), store.clone(), prefix, wanted));
+        tokio::spawn(watch::run(gateway.mirror.clone(), store.clone(), subject, wanted));
     }
     let own = follow::Own {
         name: host.name.clone(),
@@ -103,6 +104,21 @@
     Ok(())
 }
 
+/// Time within which a change of loftcove's own keys is to be known: peers'
+/// addresses, members and drivers of groups. All of these go on by what was
+/// known before, and entries of peers outlast their owners by as long.
+const OWN_BOUND: Duration = Duration::from_secs(20);
+
+/// What a gateway watches in the store.
+fn subjects<P: Protocol>(serving: &settings::Serving) -> [watch::Subject; 3] {
+    let ms = |ms: f64| Duration::from_secs_f64(ms / 1_000.0);
+    [
+        watch::Subject { prefix: P::CONFIG_PREFIX, bound: ms(serving.config_bound_ms) },
+        watch::Subject { prefix: P::SERVERS_PREFIX, bound: ms(serving.drain_bound_ms) },
+        watch::Subject { prefix: mirror::OWN_PREFIX, bound: OWN_BOUND },
+    ]
+}
+
 /// Connections that may wait to be accepted: all clients of a zone may come
 /// back at once after the other gateways have gone.
 const CLIENT_BACKLOG: u32 = 1_024;
--- a/interface/src/protocol.rs
+++ b/interface/src/protocol.rs
@@ -119,8 +119,14 @@
 /// Translates between the platform's messages and loftcove's types. All
 /// functions are pure.
 pub trait Protocol: Send + Sync + 'static {
-    /// Prefixes of the store that hold configuration and backend servers.
-    const PREFIXES: [&'static str; 2];
+    /// Prefix of the store that holds the configuration.
+    const CONFIG_PREFIX: &'static str;
+
+    /// Prefix of the store that holds the backend servers.
+    const SERVERS_PREFIX: &'static str;
+
+    /// Both of them.
+    const PREFIXES: [&'static str; 2] = [Self::CONFIG_PREFIX, Self::SERVERS_PREFIX];
 
     /// Path at which the platform asks whether a gateway is ready.
     const READY_PATH: &'static str;
--- a/interface/src/store.rs
+++ b/interface/src/store.rs
@@ -48,6 +48,15 @@
     },
 }
 
+/// How long one call of a watch may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Wait {
+    /// Longest time until a change; then the store answers that there was none.
+    pub change: Duration,
+    /// Time beyond that after which the call counts as lost.
+    pub answer: Duration,
+}
+
 /// What a watch saw.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Changes {
@@ -115,12 +124,13 @@
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Listing, Error>> + Send;
 
     /// Waits until something below the prefix changes after `after`, or until
-    /// `wait` is over.
+    /// the wait is over. Whether the store knows of the call shows only in its
+    /// answer.
     fn watch(
         &self,
         prefix: &str,
         after: Revision,
-        wait: Duration,
+        wait: Wait,
     ) -> impl Future<Output = Result<Changes, Error>> + Send;
 
     /// Writes one key.
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -36,6 +36,8 @@
     state: Mutex<mirror::Mirror>,
     news: broadcast::Sender<mirror::Record>,
     changes: channel::Sender<u64>,
+    /// Times at which a call to the store failed after one that was answered.
+    silences: channel::Sender<u64>,
     /// Whether the store answers this host.
     pub health: Health,
     /// How far it is from the store over peers.
@@ -71,6 +73,7 @@
             state: Mutex::default(),
             news: broadcast::Sender::new(BACKLOG),
             changes: channel::Sender::new(0),
+            silences: channel::Sender::new(0),
             health: Health::default(),
             distance: distance::Distance::default(),
             progress: progress::Progress::default(),
@@ -114,11 +117,31 @@
         }
     }
 
-    /// The store answered a call.
+    /// The store answered a call of a watch.
+    fn watch_answered(&self, prefix: &'static str) {
+        if let Some(silent) = self.progress.answered(prefix) {
+            let ms = silent.as_millis();
+            log::info!("watch answered again prefix={prefix} silent_ms={ms}");
+        }
+        self.distance.set_answered(self.progress.all_heard());
+        self.store_answered();
+    }
+
+    /// A call of a watch got no answer. Those who follow this host learn that it
+    /// may miss changes.
+    fn watch_failed(&self, prefix: &'static str) {
+        let first = self.progress.failed(prefix);
+        self.distance.set_answered(false);
+        if first {
+            self.silences.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// The store answered a call. That says nothing of the watches, which are on
+    /// connections of their own.
     fn store_answered(&self) {
         let before = self.health.up();
         self.health.answered();
-        self.distance.set_answered(true);
         if !before {
             self.tell_waiting();
             // Who has no peer within reach may watch again.
@@ -139,8 +162,12 @@
 
     /// A call to the store failed.
     fn store_failed(&self, error: &dyn std::fmt::Display) {
+        let before = self.health.up();
         self.health.failed(error);
         self.distance.set_answered(false);
+        if before {
+            self.silences.send_modify(|count| *count += 1);
+        }
     }
 
     /// A peer that is followed told its distance from the store.
--- a/mirror/src/progress.rs
+++ b/mirror/src/progress.rs
@@ -21,8 +21,10 @@
     waits: Option<Instant>,
     /// When the store last answered it.
     answered: Option<Instant>,
-    /// Calls that got no answer.
+    /// Calls that got no answer, or that the store refused.
     pub lost: u64,
+    /// Whether the last call was answered.
+    heard: bool,
 }
 
 impl Watch {
@@ -49,14 +51,29 @@
         Wait { progress: self, prefix }
     }
 
-    /// The store answered a call.
-    pub fn answered(&self, prefix: &'static str) {
-        self.lock().entry(prefix).or_default().answered = Some(Instant::now());
+    /// The store answered a call. Returns how long it had been silent, if the
+    /// call before got no answer.
+    pub fn answered(&self, prefix: &'static str) -> Option<Duration> {
+        let mut watches = self.lock();
+        let watch = watches.entry(prefix).or_default();
+        let silent = watch.answer_age().filter(|_| !watch.heard);
+        watch.answered = Some(Instant::now());
+        watch.heard = true;
+        silent
     }
 
-    /// A call got no answer.
-    pub fn lost(&self, prefix: &'static str) {
-        self.lock().entry(prefix).or_default().lost += 1;
+    /// A call got no answer, or the store refused it. Returns whether the call
+    /// before was answered.
+    pub fn failed(&self, prefix: &'static str) -> bool {
+        let mut watches = self.lock();
+        let watch = watches.entry(prefix).or_default();
+        watch.lost += 1;
+        std::mem::take(&mut watch.heard)
+    }
+
+    /// Whether the last call of each watch was answered.
+    pub fn all_heard(&self) -> bool {
+        self.lock().values().all(|watch| watch.heard)
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<&'static str, Watch>> {
--- a/mirror/src/register.rs
+++ b/mirror/src/register.rs
@@ -1,6 +1,7 @@
 //! Registers a gateway with its peers, under a lease in the store.
 //!
-//! Renewing the lease is also the check whether the store answers.
+//! Renewing the lease is also a check whether the store answers at all. The
+//! watches are on other connections and have checks of their own ([`crate::watch`]).
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,8 +16,6 @@
 const TTL: Duration = Duration::from_secs(20);
 /// Time between two renewals; a renewal costs a tenth of a read.
 const RENEWAL: Duration = Duration::from_millis(1_500);
-/// Longest wait for a renewal before the store counts as away.
-const PATIENCE: Duration = Duration::from_millis(900);
 
 /// A gateway's entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,7 +77,7 @@
     loop {
         let result = match lease {
             None => begin(&*store, &name, &entry).await.map(Some),
-            Some(lease) => match renew(&*store, lease).await {
+            Some(lease) => match store.keep(lease).await {
                 Ok(true) => Ok(Some(lease)),
                 Ok(false) => Ok(None),
                 Err(error) => Err(error),
@@ -100,13 +99,6 @@
     }
 }
 
-async fn renew<S: Store>(store: &S, lease: store::Lease) -> Result<bool, store::Error> {
-    match tokio::time::timeout(PATIENCE, store.keep(lease)).await {
-        Ok(result) => result,
-        Err(_) => Err(store::Error::Lost("renewal not answered".to_owned())),
-    }
-}
-
 async fn begin<S: Store>(
     store: &S,
     name: &str,
--- a/mirror/src/watch.rs
+++ b/mirror/src/watch.rs
@@ -1,4 +1,10 @@
 //! Watches the store and fills the copy.
+//!
+//! A watch is one call after the other, and only the answer to a call shows
+//! that the store knows of it: the call may have come while the store was away,
+//! or its connection may have fallen silent, and neither is told. So each call
+//! is short against the time within which changes are to be in force, and one
+//! that is overdue is made again, after the same revision, on a new connection.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,9 +15,18 @@
 
 use crate::{Mirror, Source};
 
-/// Longest time that one watch waits. Longer ones cost fewer calls; a watch
-/// that has died unnoticed is made good by peers meanwhile.
-const WAIT: Duration = Duration::from_secs(20);
+/// Part of the bound for a change that one call waits. Longer calls are fewer.
+const CHANGE_PART: f64 = 0.75;
+/// Part of the bound after which an answer is overdue: a hundred times what the
+/// store takes. Both parts together are less than the bound, since the next call
+/// brings the change at once: a host that nobody else tells keeps the bound.
+const ANSWER_PART: f64 = 0.2;
+/// Least part of its wait that the first call after a change takes, by lot. All
+/// hosts make that call at the same time; where all are lost together, the one
+/// that is overdue first has the others told by peers.
+const LEAST_LOT: f64 = 0.25;
+/// Time that a call waits for a change after one that failed.
+const PROBE: Duration = Duration::from_millis(50);
 /// Pause after changes before the next watch, so that those that come one after
 /// the other, as when all hosts start, cost one call together. The first of
 /// them is never delayed, and the bounds for all are seconds.
@@ -20,13 +35,48 @@
 /// back at once after an outage, so each waits a part of it by lot.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
+/// What is watched.
+#[derive(Debug, Clone, Copy)]
+pub struct Subject {
+    /// Prefix of the keys.
+    pub prefix: &'static str,
+    /// Longest time within which a change is to be in force.
+    pub bound: Duration,
+}
+
+impl Subject {
+    /// How long a call may take.
+    fn wait(&self, call: Call) -> store::Wait {
+        let longest = self.bound.mul_f64(CHANGE_PART);
+        let change = match call {
+            Call::First => longest.mul_f64(rand::rng().random_range(LEAST_LOT..1.0)),
+            Call::Next => longest,
+            Call::Probe => PROBE,
+        };
+        store::Wait { change, answer: self.bound.mul_f64(ANSWER_PART) }
+    }
+}
+
+/// Which call of a watch it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Call {
+    /// The first after a listing or a change.
+    First,
+    /// One after a call that was answered without a change.
+    Next,
+    /// One after a call that failed: it shows soon whether the store hears of
+    /// the watch, and brings what was missed.
+    Probe,
+}
+
 /// Watches a prefix until the process ends, while `wanted` says so.
 pub async fn run<S: Store>(
     mirror: Arc<Mirror>,
     store: Arc<S>,
-    prefix: &'static str,
+    subject: Subject,
     wanted: impl Fn(&Mirror) -> bool + Send + 'static,
 ) {
+    let prefix = subject.prefix;
     let mut pause = PAUSE.0;
     let mut changed = mirror.subscribe();
     loop {
@@ -38,14 +88,14 @@
         }
         match store.list(prefix).await {
             Ok(listing) => {
-                mirror.store_answered();
-                mirror.progress.answered(prefix);
+                mirror.watch_answered(prefix);
                 pause = PAUSE.0;
                 let revision = listing.revision;
                 take(&mirror, prefix, listing);
-                changes(&mirror, &*store, prefix, revision, &wanted).await;
+                changes(&mirror, &*store, subject, revision, &wanted).await;
             }
             Err(error) => {
+                mirror.watch_failed(prefix);
                 mirror.store_failed(&error);
                 wait(&mut pause).await;
             }
@@ -91,46 +141,82 @@
 async fn changes<S: Store>(
     mirror: &Mirror,
     store: &S,
-    prefix: &'static str,
+    subject: Subject,
     mut after: u64,
     wanted: &(impl Fn(&Mirror) -> bool + Send),
 ) {
+    let prefix = subject.prefix;
     let mut pause = PAUSE.0;
+    let mut call = Call::First;
     while wanted(mirror) {
-        let waiting = mirror.progress.wait(prefix);
-        let answer = store.watch(prefix, after, WAIT).await;
-        drop(waiting);
-        match answer {
-            Ok(changes) => {
-                mirror.store_answered();
-                mirror.progress.answered(prefix);
+        match ask(mirror, store, subject, after, call).await {
+            Answer::Changes(changes) if changes.events.is_empty() => {
+                mirror.watch_answered(prefix);
                 pause = PAUSE.0;
                 after = changes.revision;
-                let any = !changes.events.is_empty();
-                for event in changes.events {
-                    match event {
-                        store::Event::Put(item) => mirror.apply(vec![put(item)], Source::Store),
-                        store::Event::Removed { key, revision } => remove(mirror, key, revision),
-                    }
-                }
-                if any {
-                    tokio::time::sleep(BATCH).await;
-                }
+                call = Call::Next;
+            }
+            Answer::Changes(changes) => {
+                mirror.watch_answered(prefix);
+                pause = PAUSE.0;
+                after = changes.revision;
+                call = Call::First;
+                changes.events.into_iter().for_each(|event| apply(mirror, event));
+                tokio::time::sleep(BATCH).await;
             }
-            Err(store::Error::HistoryGone) => {
+            Answer::Failed(store::Error::HistoryGone) => {
                 log::warn!("watch lost its history prefix={prefix} after={after} next=list");
                 return;
             }
-            // A waiting watch may be cut; that alone says nothing of the store.
-            Err(store::Error::Lost(reason)) => {
-                mirror.progress.lost(prefix);
-                log::info!("watch cut prefix={prefix} after={after} reason=\"{reason}\"");
+            Answer::Failed(error) => {
+                log::info!("watch lost prefix={prefix} after={after} error=\"{error}\"");
+                mirror.watch_failed(prefix);
+                // A waiting call may be cut; that alone says nothing of the store.
+                if !matches!(error, store::Error::Lost(_)) {
+                    mirror.store_failed(&error);
+                }
+                call = Call::Probe;
                 wait(&mut pause).await;
             }
-            Err(error) => {
-                mirror.store_failed(&error);
+            Answer::Doubtful => {
+                log::info!("watch doubted prefix={prefix} after={after} reason=other-call-lost");
+                call = Call::Probe;
                 wait(&mut pause).await;
             }
         }
     }
 }
+
+/// What came of a call of a watch.
+enum Answer {
+    /// The store answered.
+    Changes(store::Changes),
+    /// The call failed.
+    Failed(store::Error),
+    /// Another call of this host got no answer while this one waited: whatever
+    /// befell that one may have befallen this one, and would show much later.
+    Doubtful,
+}
+
+async fn ask<S: Store>(
+    mirror: &Mirror,
+    store: &S,
+    subject: Subject,
+    after: u64,
+    call: Call,
+) -> Answer {
+    let _waiting = mirror.progress.wait(subject.prefix);
+    let mut silences = mirror.silences.subscribe();
+    let answer = tokio::select! {
+        answer = store.watch(subject.prefix, after, subject.wait(call)) => answer,
+        _ = silences.changed() => return Answer::Doubtful,
+    };
+    answer.map_or_else(Answer::Failed, Answer::Changes)
+}
+
+fn apply(mirror: &Mirror, event: store::Event) {
+    match event {
+        store::Event::Put(item) => mirror.apply(vec![put(item)], Source::Store),
+        store::Event::Removed { key, revision } => remove(mirror, key, revision),
+    }
+}
--- a/settings/src/gateway.rs
+++ b/settings/src/gateway.rs
@@ -52,6 +52,10 @@
         retry_ratio: f64 = 0.2;
         /// Retries allowed over all gateways beyond that part, within a window.
         retry_slack: f64 = 90.0;
+        /// Longest time until an acknowledged configuration is in force, milliseconds.
+        config_bound_ms: f64 = 2_000.0;
+        /// Longest time until a leaving backend server gets nothing new, milliseconds.
+        drain_bound_ms: f64 = 2_000.0;
         /// Memory that the process may use, megabytes.
         memory_mb: u64 = 256;
         /// File descriptors that the process may use.
