Notice silent connections between sidecars, of drivers to the store and of the own watches

A driver's connections to sidecars had no probe; a driver's renewal was lost for 1.5 s and made again 0.8 s later, after its key had lapsed; the own interface's watches waited for 55 s against 16 s.

The tests' clusters use the default watch_ms now in place of 5 s. The fault proxy stands before sidecars.

--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -11,13 +11,10 @@
 use rand::seq::IndexedRandom as _;
 use tonic::codec::CompressionEncoding;
 
-use crate::{Mirror, Source, register};
+use crate::{Mirror, Source, peer, register};
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
-/// How often a silent connection is probed, and how long the probe may take: a
-/// peer that is cut off is noticed well within the bound for configuration.
-const KEEP_ALIVE: (Duration, Duration) = (Duration::from_millis(800), Duration::from_millis(700));
 /// How long a peer that failed is passed over while there are others.
 const PENALTY: Duration = Duration::from_secs(2);
 /// Time for which a record that another zone's peer offers is awaited from the
@@ -139,24 +136,18 @@
 async fn follow(
     mirror: &Mirror,
     own: &Own,
-    peer: SocketAddr,
+    address: SocketAddr,
     better: impl Fn() -> bool,
 ) -> Result<(), tonic::Status> {
     let unreachable = |error: &dyn std::error::Error| tonic::Status::unavailable(error.to_string());
-    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{peer}"))
-        .map_err(|error| unreachable(&error))?
-        .connect_timeout(CONNECT_TIMEOUT)
-        .http2_keep_alive_interval(KEEP_ALIVE.0)
-        .keep_alive_timeout(KEEP_ALIVE.1)
-        .keep_alive_while_idle(true)
-        .tcp_nodelay(true);
+    let endpoint = peer::endpoint(address, CONNECT_TIMEOUT).map_err(|error| unreachable(&error))?;
     let channel = endpoint.connect().await.map_err(|error| unreachable(&error))?;
     let mut client = wire::mirror_client::MirrorClient::new(channel);
     let request = wire::Follower { host: own.name.to_string(), zone: own.zone.to_string() };
     let fetcher = client.clone().accept_compressed(CompressionEncoding::Gzip);
     let mut batches = client.follow(request).await?.into_inner();
-    log::info!("dependency regained name=peer address={peer}");
-    let source = peer.to_string();
+    log::info!("dependency regained name=peer address={address}");
+    let source = address.to_string();
     let _followed = mirror.followed(&source);
     let mut fetches = FuturesUnordered::new();
     loop {
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod follow;
 mod health;
 pub mod membership;
+pub mod peer;
 pub mod progress;
 pub mod register;
 pub mod serve;
--- a/settings/src/file.rs
+++ b/settings/src/file.rs
@@ -73,8 +73,9 @@
         address: SocketAddr;
         /// Longest wait for an answer, milliseconds.
         timeout_ms: u64 = 2_000;
-        /// Longest time that one watch waits, milliseconds.
-        watch_ms: u64 = 55_000;
+        /// Longest time that one watch waits, milliseconds; one that is lost shows no sooner, and
+        /// a bundle is to be in force within 16 s.
+        watch_ms: u64 = 10_000;
         /// Entry hosts of an availability zone that watch the platform; the others hear from them.
         watchers: usize = 2;
     }
--- a/sidecar/src/election.rs
+++ b/sidecar/src/election.rs
@@ -14,6 +14,10 @@
 const TTL: Duration = Duration::from_millis(2_500);
 /// Time between two renewals.
 const RENEWAL: Duration = Duration::from_millis(800);
+/// First pause after a renewal that failed; it doubles up to the time between
+/// two. A renewal lost on a silent connection, which takes 0.7 s, and the next
+/// one come within the time that the key outlasts the one before.
+const RETRY: Duration = Duration::from_millis(100);
 
 /// Between the name of a host and the number of a run.
 const RUN_MARK: char = '#';
@@ -94,25 +98,28 @@
 pub async fn keep<S: Store>(store: &S, mirror: &Mirror, group: &str, term: Term) {
     let mut changes = mirror.subscribe();
     let mut away = false;
+    let mut pause = RENEWAL;
     loop {
         if revision(mirror, &key(group)) > term.number {
             return;
         }
         match store.keep(term.lease).await {
             Ok(true) => {
+                pause = RENEWAL;
                 if std::mem::take(&mut away) {
                     log::info!("dependency regained name=store");
                 }
             }
             Ok(false) => return,
             Err(error) => {
+                pause = if away { (pause * 2).min(RENEWAL) } else { RETRY };
                 if !std::mem::replace(&mut away, true) {
                     log::warn!("dependency lost name=store error=\"{error}\"");
                 }
             }
         }
         tokio::select! {
-            () = tokio::time::sleep(RENEWAL) => {}
+            () = tokio::time::sleep(pause) => {}
             _ = changes.changed() => {}
         }
     }
--- a/sidecar/src/group.rs
+++ b/sidecar/src/group.rs
@@ -8,8 +8,9 @@
 use futures_util::future;
 use loftcove_decision::map::switch;
 use loftcove_interface::engine::{Engine, Map, Order, Verdict};
+use loftcove_mirror::peer;
 use loftcove_wire as wire;
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport::Channel;
 
 use crate::rank::{self, Rank, Step};
 
@@ -118,11 +119,15 @@
                 continue;
             }
             let sidecar = SocketAddr::new(address.ip(), self.port);
-            let Ok(endpoint) = Endpoint::from_shared(format!("http://{sidecar}")) else {
-                log::error!("sidecar's address is not usable address={sidecar}");
-                continue;
+            let endpoint = match peer::endpoint(sidecar, CONNECT_TIMEOUT) {
+                Ok(endpoint) => endpoint,
+                Err(error) => {
+                    log::error!(
+                        "sidecar's address is not usable address={sidecar} error=\"{error}\""
+                    );
+                    continue;
+                }
             };
-            let endpoint = endpoint.connect_timeout(CONNECT_TIMEOUT).tcp_nodelay(true);
             let client = wire::rank_client::RankClient::new(endpoint.connect_lazy());
             let engine = Rank::afar((self.connect)(*address));
             self.members.insert(*address, Arc::new(Member { client, engine }));
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -224,7 +224,7 @@
             "[process]\nrole = \"{role}\"\nhost = \"{host}\"\nzone = \"{zone}\"\n\
              deployment = \"vale\"\npeer_address = \"{peer}\"\nkey = \"{}\"\n\
              source_address = \"{}\"\nexchange_ms = 200\ndrain_ms = 20000\nseeds = [{}]\nworkers = {}\n\
-             [platform]\naddress = \"{}\"\ntimeout_ms = 1000\nwatch_ms = 5000\n\
+             [platform]\naddress = \"{}\"\ntimeout_ms = 1000\n\
              [operators]\n{}\n[homes]\n{}\n",
             self.key,
             source_address(index),
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -28,6 +28,11 @@
 const METRICS_PORT: u16 = 9_464;
 const SERVER_PORT: u16 = 8_100;
 
+/// Last part of the address of the first rank's host, and of its sidecar where
+/// the proxy listens in its place.
+const FIRST_RANK: u8 = 100;
+const FIRST_PROXIED: u8 = 170;
+
 /// What is started.
 #[derive(Debug, Clone, Copy)]
 pub struct Plan {
@@ -41,8 +46,8 @@
     pub plain: u8,
     /// Whether each rank has a sidecar.
     pub sidecars: bool,
-    /// Whether connections to backend servers and to the store go through the
-    /// fault-injecting proxy; see [`System::link`].
+    /// Whether connections to backend servers, to the store and to sidecars go
+    /// through the fault-injecting proxy; see [`System::link`].
     pub proxied: bool,
 }
 
@@ -85,7 +90,8 @@
         let mut store = process::Process::start("standin-platform", &[]);
         let store_address = store.address().await;
         let net = net();
-        let lockstep = servers(net, 100, plan.ranks, "rank");
+        assert!(plan.ranks <= FIRST_PROXIED - FIRST_RANK, "addresses for so many ranks");
+        let lockstep = servers(net, FIRST_RANK, plan.ranks, "rank");
         let plain = servers(net, 50, plan.plain, "plain");
         let proxy = plan.proxied.then(|| process::Process::start("fault-proxy", &[]));
         let mut system = System {
@@ -117,6 +123,7 @@
         if plan.sidecars {
             for rank in 0..plan.ranks {
                 system.interpose_store(&format!("sidecar-{rank}")).await;
+                system.interpose_sidecar(rank).await;
                 system.start_sidecar(rank);
             }
         }
@@ -135,6 +142,27 @@
         }
     }
 
+    /// Puts the proxy before a sidecar, as the target `sidecar-RANK`. Drivers reach
+    /// it at its engine's host.
+    async fn interpose_sidecar(&mut self, rank: u8) {
+        let (listen, real) = (self.rank_ip(rank), self.sidecar_ip(rank));
+        let Some(proxy) = &mut self.proxy else { return };
+        let line = format!("target sidecar-{rank} norte {real}:{PEER_PORT} {listen}:{PEER_PORT}");
+        proxy.tell(&line).await;
+    }
+
+    /// Address of a rank's host.
+    fn rank_ip(&self, rank: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.net[0], self.net[1], FIRST_RANK + rank)
+    }
+
+    /// Address that a rank's sidecar listens on: another one if the proxy listens
+    /// on its own.
+    fn sidecar_ip(&self, rank: u8) -> Ipv4Addr {
+        let first = if self.proxy.is_some() { FIRST_PROXIED } else { FIRST_RANK };
+        Ipv4Addr::new(127, self.net[0], self.net[1], first + rank)
+    }
+
     /// Puts the proxy between a host and the store, as the target `store-HOST`.
     async fn interpose_store(&mut self, host: &str) {
         let Some(proxy) = &mut self.proxy else { return };
@@ -293,10 +321,10 @@
 
     /// Starts a rank's sidecar, or starts it again.
     pub fn start_sidecar(&mut self, rank: u8) {
-        let ip = Ipv4Addr::new(127, self.net[0], self.net[1], 100 + rank);
+        let (ip, own) = (self.rank_ip(rank), self.sidecar_ip(rank));
         let name = format!("sidecar-{rank}");
         let text = format!(
-            "{}[peering]\npeer_address = \"{ip}:{PEER_PORT}\"\n\
+            "{}[peering]\npeer_address = \"{own}:{PEER_PORT}\"\n\
              [engine]\naddress = \"{ip}:{SERVER_PORT}\"\nservice = \"{MODEL}\"\n",
             self.host_section(&name, ip)
         );
--- a/tests/tests/bundles.rs
+++ b/tests/tests/bundles.rs
@@ -144,3 +144,20 @@
     // The platform stays cut: the other zone's peers bring the news.
     in_force_everywhere(&cluster, 3).await;
 }
+
+/// Longest time until a bundle is in force everywhere, as the users bound it.
+const IN_FORCE: std::time::Duration = std::time::Duration::from_secs(16);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bundle_spreads_while_open_connections_to_the_platform_are_silent() {
+    let mut cluster = cluster::Cluster::start(cluster::Plan::default()).await;
+    assert!(roll(&cluster, "two", "").await);
+    in_force_everywhere(&cluster, 2).await;
+    // Time for the next watches to be opened.
+    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    cluster.link("*", "platform", "silence").await;
+    let began = Instant::now();
+    assert!(roll(&cluster, "three", "").await);
+    in_force_everywhere(&cluster, 3).await;
+    assert!(began.elapsed() < IN_FORCE, "{:?}", began.elapsed());
+}
--- a/tests/tests/silences.rs
+++ b/tests/tests/silences.rs
@@ -1,5 +1,5 @@
-//! Calls to the store, and open connections to it, that fall silent without a
-//! reset, while new ones work.
+//! Calls to the store, and open connections to it and between sidecars, that
+//! fall silent without a reset, while new ones work.
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
@@ -58,3 +58,67 @@
     let took = all_take(&system, "third").await - began;
     assert!(took < BOUND, "{took:?}");
 }
+
+/// Revision of the key of the first group's driver, if it has one.
+async fn term(system: &System) -> Option<u64> {
+    let page = system.control.read("/v1/kv-range?path_prefix=loftcove/drivers/").await;
+    page["items"][0]["revision"].as_u64()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_driver_outlasts_open_connections_to_the_store_that_fall_silent() {
+    let mut system = System::start(Plan { ranks: 4, sidecars: true, ..PLAN }).await;
+    until("a sidecar drives", || async { term(&system).await.is_some() }).await;
+    let before = term(&system).await;
+    // More than once: when in the interval of renewals it happens is left open.
+    for _ in 0..4 {
+        for rank in 0..4 {
+            system.link(&format!("store-sidecar-{rank}"), "silence").await;
+        }
+        let end = Instant::now() + std::time::Duration::from_millis(3_700);
+        while Instant::now() < end {
+            assert_eq!(term(&system).await, before);
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Lines of all sidecars that tell of another one that did not answer.
+fn passed_over(system: &System) -> usize {
+    let told = |line: &&String| {
+        line.contains("sidecar silent engine=") || line.contains("sidecar passed over engine=")
+    };
+    system.sidecars.iter().map(|sidecar| sidecar.log().iter().filter(told).count()).sum()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sidecars_whose_open_connections_fall_silent_are_reached_again() {
+    let mut system = System::start(Plan { ranks: 4, sidecars: true, ..PLAN }).await;
+    let mut client = system.client(0).await;
+    let load = tokio::spawn(async move {
+        loop {
+            let request = Request::new("/draft/").with("x-standin-events", "100");
+            let Some(response) = client.send(&request).await else { return };
+            loftcove_tests::system::read(response).await;
+        }
+    });
+    let switches =
+        async |system: &System| system.group_state().await["switches"].as_u64().unwrap_or(0);
+    until("the group has gone over to a map", || async { switches(&system).await > 0 }).await;
+    for rank in 0..4 {
+        system.link(&format!("sidecar-{rank}"), "silence").await;
+    }
+    // Longer than it takes to notice.
+    tokio::time::sleep(BOUND / 2).await;
+    let before = (passed_over(&system), switches(&system).await);
+    for expert in [3, 11, 7] {
+        system.group_control(&format!("/popular?expert={expert}")).await;
+        tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    }
+    until("the group has gone over to another map", || async {
+        switches(&system).await > before.1
+    })
+    .await;
+    assert_eq!(passed_over(&system), before.0);
+    load.abort();
+}
