--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -41,6 +41,9 @@
     /// A gateway went back to an older configuration.
     #[error("gateway {0} took the key of configuration {2} after one of {1}")]
     Back(u8, u64, u64),
+    /// A gateway does not go by the newest configuration in time.
+    #[error("gateway {0} does not go by configuration {1} after {2:?}")]
+    Unforced(u8, u64, Duration),
     /// A planned stop took too long.
     #[error("{0:?} did not end after a planned stop")]
     Overdue(Process),
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -7,7 +7,7 @@
 use loftcove_tests::system::{SMS, System};
 
 use crate::client;
-use crate::plan::{Event, Fault, Harm, Process, Store};
+use crate::plan::{Event, Fault, Harm, Link, Process, Store};
 
 /// Longest time that a planned stop may take: the time that the settings give,
 /// and some for a machine that is busy.
@@ -111,6 +111,10 @@
             Fault::StoreLink { gateway, harm } => {
                 self.system.link(&format!("store-gateway-{gateway}"), &harm.text()).await;
             }
+            Fault::Silence(link) => {
+                self.system.link(&link.target(), "silence").await;
+                return false;
+            }
             Fault::Store(store) => return self.harm_store(store).await,
             Fault::Orders => self.system.group_control("/orders?lost=5&late=7").await,
             Fault::Break => {
@@ -135,6 +139,7 @@
 
     async fn harm_store(&mut self, store: Store) -> bool {
         match store {
+            Store::Silent => self.system.store_control("fault/silent").await,
             Store::Down => self.system.store_control("fault/down").await,
             Store::Slow => self.system.store_control("fault/slow").await,
             Store::LoseWrite => self.system.store_control("fault/lose-write").await,
@@ -171,7 +176,11 @@
             Fault::Orders => self.system.group_control("/orders").await,
             Fault::Break if self.broken => self.mend().await,
             Fault::Drain(number) | Fault::Unlist(number) => self.list_plain(number, "ready").await,
-            Fault::Break | Fault::Reload(_) | Fault::Shift(_) | Fault::Configure => {}
+            Fault::Break
+            | Fault::Reload(_)
+            | Fault::Shift(_)
+            | Fault::Silence(_)
+            | Fault::Configure => {}
         }
     }
 
@@ -241,6 +250,19 @@
     }
 }
 
+impl Link {
+    /// The proxy's target.
+    fn target(self) -> String {
+        match self {
+            Link::Store(Process::Gateway(number)) => format!("store-gateway-{number}"),
+            Link::Store(Process::Sidecar(rank)) => format!("store-sidecar-{rank}"),
+            Link::Sidecar(rank) => format!("sidecar-{rank}"),
+            Link::Rank(rank) => server_name(true, rank),
+            Link::Plain(number) => server_name(false, number),
+        }
+    }
+}
+
 impl Harm {
     /// The proxy's word for it.
     fn text(self) -> String {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -11,6 +11,11 @@
 const LONGEST_PAUSE_MS: u64 = 900;
 /// Shortest and longest time that a fault lasts.
 const LASTS_MS: std::ops::Range<u64> = 200..3_500;
+/// Time between two silences, on average.
+const SILENCE_INTERVAL: Duration = Duration::from_millis(1_500);
+/// What the seed of silences differs by. They are drawn beside the other faults,
+/// so that seeds that were kept before there were silences still mean the same.
+const SILENCE_SEED: u64 = 0x51;
 
 /// What runs.
 #[derive(Debug, Clone, Copy)]
@@ -51,9 +56,24 @@
     Delay(u64),
 }
 
+/// Whose open connections fall silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Link {
+    /// Those of a process to the store.
+    Store(Process),
+    /// Those of drivers to a sidecar, by its rank.
+    Sidecar(u8),
+    /// Those to a rank's engine.
+    Rank(u8),
+    /// Those to a plain server.
+    Plain(u8),
+}
+
 /// How the store misbehaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Store {
+    /// It never answers the calls that come.
+    Silent,
     /// It refuses every call.
     Down,
     /// It takes long for every call.
@@ -95,6 +115,8 @@
         /// What happens to the connections.
         harm: Harm,
     },
+    /// The connections that are open fall silent for good; new ones work.
+    Silence(Link),
     /// The store misbehaves.
     Store(Store),
     /// Of the orders to engines, each so-and-so-many-th is lost or late.
@@ -124,6 +146,40 @@
 
 /// The faults of a seed, in the order of their beginnings.
 pub fn draw(seed: u64, size: &Size) -> Vec<Event> {
+    let mut events = faults(seed, size);
+    events.extend(silences(seed, size));
+    events.sort_by_key(|event| event.at);
+    events
+}
+
+fn silences(seed: u64, size: &Size) -> Vec<Event> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SILENCE_SEED);
+    let count = (size.time.as_secs_f64() / SILENCE_INTERVAL.as_secs_f64()).ceil() as usize;
+    let mut events = Vec::new();
+    for _ in 0..count {
+        let at = size.time.mul_f64(rng.random_range(0.0..1.0));
+        let lasts = Duration::from_millis(rng.random_range(LASTS_MS));
+        let fault = silence(&mut rng, size);
+        events.push(Event { at, lasts, fault });
+        // Right after a change all watches are opened again.
+        if fault == Fault::Store(Store::Silent) {
+            events.push(Event { at, lasts, fault: Fault::Configure });
+        }
+    }
+    events
+}
+
+fn silence(rng: &mut ChaCha8Rng, size: &Size) -> Fault {
+    match rng.random_range(0..6) {
+        0 | 1 => Fault::Store(Store::Silent),
+        2 | 3 => Fault::Silence(Link::Store(process(rng, size))),
+        4 => Fault::Silence(Link::Sidecar(rng.random_range(0..size.ranks))),
+        _ if rng.random_bool(0.5) => Fault::Silence(Link::Rank(rng.random_range(0..size.ranks))),
+        _ => Fault::Silence(Link::Plain(rng.random_range(0..size.plain))),
+    }
+}
+
+fn faults(seed: u64, size: &Size) -> Vec<Event> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut events = Vec::new();
     let mut at = Duration::ZERO;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use loftcove_tests::system::{Arrival, Plan, Request, System};
+use loftcove_tests::system::{Arrival, BOUND, Plan, Request, System};
 
 use crate::check::{Breach, Evidence};
 use crate::inject::Injector;
@@ -60,6 +60,7 @@
     let mut injector = Injector::new(&mut system, &shared);
     injector.run(&events).await;
     let (spans, overdue) = (injector.spans, injector.overdue);
+    let unforced = unforced(&system, &shared).await;
     let unwell = recover(&system, &shared).await;
     shared.stop.store(true, Ordering::Relaxed);
     for client in clients {
@@ -77,6 +78,7 @@
         |name: &str| -> u64 { states.iter().map(|state| state[name].as_u64().unwrap_or(0)).sum() };
     let mut breaches = evidence.breaches();
     breaches.extend(overdue.into_iter().map(Breach::Overdue));
+    breaches.extend(unforced);
     breaches.extend(unwell.map(Breach::Unwell));
     if number("violations") > 0 {
         breaches.push(Breach::Maps(number("violations")));
@@ -85,6 +87,24 @@
     Report { events, requests, switches: number("switches"), breaches, logs }
 }
 
+/// Waits until every gateway goes by the newest configuration, which is written
+/// when the faults are over; tells of one that does not in time.
+async fn unforced(system: &System, shared: &client::Shared) -> Option<Breach> {
+    let newest = shared.newest.load(Ordering::Relaxed);
+    let request = || Request::new("/alert/").key(&client::key(newest));
+    let began = Instant::now();
+    for gateway in 0..system.plan.gateways {
+        while !system.is_ready(gateway).await || system.ask(gateway, &request()).await.status == 401
+        {
+            if began.elapsed() > BOUND {
+                return Some(Breach::Unforced(gateway, newest, began.elapsed()));
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    None
+}
+
 /// Waits until every gateway serves every kind of request with the newest key
 /// and the group is not held; says what does not work if that takes too long.
 async fn recover(system: &System, shared: &client::Shared) -> Option<String> {
