Close kept connections to a backend server after one of them fell silent

Test first: with four kept connections silenced, the second request still failed (502); now only the first does.

--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -27,6 +27,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time that sent bytes may stay unacknowledged.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
+/// Time for which a kept connection may be silent before the others that are
+/// kept to the same backend server are not used again: what silenced one has
+/// most likely silenced them all, and each would cost a request. Heads come
+/// within this time where the backend server serves at all.
+const SILENT: Duration = Duration::from_secs(1);
 /// How long an idle connection is kept where the backend server says nothing.
 const IDLE_TIME: Duration = Duration::from_secs(3);
 /// What is taken off the time that a backend server keeps idle connections, so
@@ -90,7 +95,11 @@
         fresh: bool,
     ) -> Result<Reply, Error> {
         while let Some(mut sender) = self.take(&target.id).filter(|_| !fresh) {
-            match sender.try_send_request(request).await {
+            let mut doubt = Doubt::new(self, &target.id);
+            let answer = sender.try_send_request(request).await;
+            doubt.answered = answer.is_ok();
+            drop(doubt);
+            match answer {
                 Ok(response) => return Ok(reply(response, sender, target)),
                 Err(mut error) => match error.take_message() {
                     // The connection had ended before.
@@ -140,6 +149,35 @@
     }
 }
 
+/// A call on a kept connection, which may have fallen silent. Dropping it after
+/// a long wait without an answer, also where the wait is given up, closes the
+/// other connections that are kept to the backend server.
+struct Doubt<'a> {
+    pool: &'a Pool,
+    id: &'a str,
+    since: Instant,
+    answered: bool,
+}
+
+impl<'a> Doubt<'a> {
+    fn new(pool: &'a Pool, id: &'a str) -> Doubt<'a> {
+        Doubt { pool, id, since: Instant::now(), answered: false }
+    }
+}
+
+impl Drop for Doubt<'_> {
+    fn drop(&mut self) {
+        let silent = self.since.elapsed();
+        if self.answered || silent < SILENT {
+            return;
+        }
+        if let Some(kept) = self.pool.lock().remove(self.id).filter(|kept| !kept.is_empty()) {
+            let (count, ms) = (kept.len(), silent.as_millis());
+            log::info!("kept connections closed server={} count={count} silent_ms={ms}", self.id);
+        }
+    }
+}
+
 fn reply(response: http::Response<Incoming>, sender: Sender, target: &Target) -> Reply {
     Reply { response, connection: Connection { sender, id: target.id.clone() } }
 }
--- a/tests/tests/silences.rs
+++ b/tests/tests/silences.rs
@@ -122,3 +122,20 @@
     assert_eq!(passed_over(&system), before.0);
     load.abort();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_request_at_most_is_lost_to_silent_connections_of_a_backend_server() {
+    let mut system = System::start(Plan { gateways: 1, plain: 1, ..PLAN }).await;
+    // Requests at the same time leave a kept connection each.
+    let requests: Vec<Request> = (0..4).map(|_| Request::new("/alert/")).collect();
+    let together = requests.iter().map(|request| system.ask(0, request));
+    for answer in futures_util::future::join_all(together).await {
+        assert_eq!(answer.status, 200);
+    }
+    system.link("plain-0", "silence").await;
+    let lost = system.ask(0, &Request::new("/alert/")).await.status;
+    assert_ne!(lost, 200);
+    for _ in 0..4 {
+        assert_eq!(system.ask(0, &Request::new("/alert/")).await.status, 200);
+    }
+}
