--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -13,6 +13,9 @@
 /// and some for a machine that is busy.
 const STOP_TIME: Duration = Duration::from_secs(14);
 
+/// Time in which all gateways open their watches again after a change.
+const DEAF_TIME: Duration = Duration::from_millis(500);
+
 /// A span in which something was done to a process.
 #[derive(Debug, Clone, Copy)]
 pub struct Span {
@@ -184,9 +187,22 @@
         }
     }
 
-    /// Ends whatever was not ended, so that all is well again.
+    /// Makes all gateways deaf at once: the store is silent when they open their
+    /// watches again after a configuration, and what is open to it falls silent.
+    async fn deafen(&mut self) {
+        self.configure().await;
+        self.system.store_control("fault/silent").await;
+        tokio::time::sleep(DEAF_TIME).await;
+        for gateway in 0..self.system.plan.gateways {
+            self.system.link(&format!("store-gateway-{gateway}"), "silence").await;
+        }
+    }
+
+    /// Ends whatever was not ended, so that all is well again, with one more fault
+    /// before the configuration that is to be in force in time.
     async fn calm(&mut self) {
         self.system.link("*", "none").await;
+        self.deafen().await;
         self.system.store_control("fault/none").await;
         self.system.group_control("/orders").await;
         if self.broken {
