Probe connections to backend servers, so that a silent one ends within seconds

A stream that waits for its next event sends nothing, so that a path which drops every packet did not show until the request's deadline.

--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -27,6 +27,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time that sent bytes may stay unacknowledged.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
+/// How long nothing may come over a connection before it is probed, and the time
+/// between two probes; the system counts both in whole seconds. A probe that is
+/// not acknowledged ends the connection as sent bytes do ([`UNACKNOWLEDGED`]).
+const PROBE_TIME: Duration = Duration::from_secs(1);
 /// Time for which a kept connection may be silent before the others that are
 /// kept to the same backend server are not used again: what silenced one has
 /// most likely silenced them all, and each would cost a request. Heads come
@@ -187,9 +191,10 @@
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = stream.map_err(|error| fault(&error))?.map_err(|error| fault(&error))?;
     stream.set_nodelay(true).map_err(|error| fault(&error))?;
-    socket2::SockRef::from(&stream)
-        .set_tcp_user_timeout(Some(UNACKNOWLEDGED))
-        .map_err(|error| fault(&error))?;
+    let socket = socket2::SockRef::from(&stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)).map_err(|error| fault(&error))?;
+    let probes = socket2::TcpKeepalive::new().with_time(PROBE_TIME).with_interval(PROBE_TIME);
+    socket.set_tcp_keepalive(&probes).map_err(|error| fault(&error))?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| fault(&error))?;
     tokio::spawn(async move {
--- a/tests/tests/silences.rs
+++ b/tests/tests/silences.rs
@@ -139,3 +139,20 @@
         assert_eq!(system.ask(0, &Request::new("/alert/")).await.status, 200);
     }
 }
+
+/// Kept connections to an address whose keep-alive timer runs, by the system's
+/// own table. A path that drops every packet cannot be made without privileges.
+fn probed_connections(address: std::net::SocketAddr) -> usize {
+    let std::net::IpAddr::V4(ip) = address.ip() else { return 0 };
+    let remote = format!("{:08X}:{:04X}", u32::from_le_bytes(ip.octets()), address.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    rows.filter(|row| row.get(2) == Some(&&*remote) && row[5].starts_with("02:")).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_to_backend_servers_are_probed() {
+    let system = System::start(Plan { gateways: 1, plain: 1, ..PLAN }).await;
+    assert_eq!(system.ask(0, &Request::new("/alert/")).await.status, 200);
+    assert!(probed_connections(system.plain_address(0)) > 0);
+}
