Let go of peers' connections that fell silent, on the side that was called

A follower that leaves a silent connection cannot tell the host: stream, queue and descriptor stayed until the system gave up, after a quarter of an hour. The silenced connections of the fault proxy no longer pass on their end either.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -28,7 +28,7 @@
 
 use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
-use loftcove_mirror::{self as mirror, follow, register, serve, watch};
+use loftcove_mirror::{self as mirror, follow, peer, register, serve, watch};
 use loftcove_settings::gateway as settings;
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
@@ -136,7 +136,7 @@
 async fn serve_peers(mirror: Arc<mirror::Mirror>, zone: Arc<str>, listener: TcpListener) {
     let service = wire::mirror_server::MirrorServer::new(serve::Service::new(mirror, zone))
         .send_compressed(CompressionEncoding::Gzip);
-    let router = tonic::transport::Server::builder().add_service(service);
+    let router = peer::server().add_service(service);
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     if let Err(error) = router.serve_with_incoming(incoming).await {
         log::error!("peer service ended error=\"{error}\"");
--- a/mirror/src/peer.rs
+++ b/mirror/src/peer.rs
@@ -3,13 +3,24 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tonic::transport::{Endpoint, Error};
+use tonic::transport::{Endpoint, Error, Server};
 
 /// How often a connection is probed, and how long the probe may take. A
 /// connection that has fallen silent shows within the two, which is less than
 /// the shortest bound for a change, two seconds; the next one tells all anew.
 const PROBE: (Duration, Duration) = (Duration::from_millis(800), Duration::from_millis(700));
 
+/// The same on the side that was called, which only lets go of what the caller
+/// left: less often, as it costs each connection once more.
+const RELEASE: (Duration, Duration) = (Duration::from_secs(3), Duration::from_secs(2));
+
+/// A server for peers. Connections that fall silent end.
+pub fn server() -> Server {
+    Server::builder()
+        .http2_keepalive_interval(Some(RELEASE.0))
+        .http2_keepalive_timeout(Some(RELEASE.1))
+}
+
 /// How to connect to a peer. Whoever calls it need not notice by itself that an
 /// open connection has fallen silent.
 ///
--- a/mirror/tests/common/mod.rs
+++ b/mirror/tests/common/mod.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use loftcove_mirror::{Mirror, serve};
+use loftcove_mirror::{Mirror, peer, serve};
 use loftcove_wire as wire;
 use tokio_stream::wrappers::TcpListenerStream;
 
@@ -15,8 +15,6 @@
     let service = serve::Service::new(mirror.clone(), zone.into());
     let server = wire::mirror_server::MirrorServer::new(service);
     let incoming = TcpListenerStream::new(listener);
-    tokio::spawn(
-        tonic::transport::Server::builder().add_service(server).serve_with_incoming(incoming),
-    );
+    tokio::spawn(peer::server().add_service(server).serve_with_incoming(incoming));
     (mirror, address)
 }
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -26,7 +26,7 @@
 use loftcove_interface::engine::Engine;
 use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
-use loftcove_mirror::{Mirror, follow};
+use loftcove_mirror::{Mirror, follow, peer};
 use loftcove_settings::gateway as settings;
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
@@ -124,7 +124,7 @@
 
 async fn serve<E: Engine>(rank: Arc<rank::Rank<E>>, listener: TcpListener) {
     let service = wire::rank_server::RankServer::new(rank::Service::new(rank));
-    let router = tonic::transport::Server::builder().add_service(service);
+    let router = peer::server().add_service(service);
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     if let Err(error) = router.serve_with_incoming(incoming).await {
         log::error!("peer service ended error=\"{error}\"");
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -227,9 +227,10 @@
     loop {
         let Ok(count @ 1..) = from.read(&mut buffer).await else {
             // The end of a silenced connection is not told either.
-            return if way == Way::Answer && link.silenced() {
+            if link.silenced() {
                 std::future::pending().await
-            };
+            }
+            return;
         };
         link.until(|fault| fault != Fault::Freeze).await;
         lost |= link.silenced();
