--- a/mirror/src/progress.rs
+++ b/mirror/src/progress.rs
@@ -71,6 +71,11 @@
         std::mem::take(&mut watch.heard)
     }
 
+    /// The prefix is not watched any more.
+    pub fn forget(&self, prefix: &'static str) {
+        self.lock().remove(prefix);
+    }
+
     /// Whether the last call of each watch was answered.
     pub fn all_heard(&self) -> bool {
         self.lock().values().all(|watch| watch.heard)
--- a/mirror/src/watch.rs
+++ b/mirror/src/watch.rs
@@ -81,6 +81,7 @@
     let mut changed = mirror.subscribe();
     loop {
         if !wanted(&mirror) {
+            mirror.progress.forget(prefix);
             if changed.changed().await.is_err() {
                 return;
             }
