Test that work ends when its client has gone, at four stages

While the backend server works, while it waits for one, before its second try, after its stream was taken up elsewhere.

--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -37,6 +37,25 @@
 /// No answer: the connection is closed.
 type Dropped = std::io::Error;
 
+/// A request that a rank is at work on, until it is dropped.
+struct Work<'a> {
+    group: &'a Group,
+    rank: usize,
+}
+
+impl<'a> Work<'a> {
+    fn begin(group: &'a Group, rank: usize) -> Work<'a> {
+        group.count(rank, 1);
+        Work { group, rank }
+    }
+}
+
+impl Drop for Work<'_> {
+    fn drop(&mut self) {
+        self.group.count(self.rank, -1);
+    }
+}
+
 fn text<'a>(headers: &'a http::HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -127,6 +146,7 @@
             "body": String::from_utf8_lossy(&body),
         }));
         if let Some(delay) = number(headers, "x-standin-delay-ms") {
+            let _work = Work::begin(&self.group, self.rank);
             tokio::time::sleep(Duration::from_millis(delay)).await;
         }
         if headers.contains_key("x-standin-lose") {
