Call a gateway not ready while it can take no more connections

The setting max_descriptors was read and used nowhere: out of descriptors, a gateway refused every new connection and went on calling itself ready. Test first (it never became not ready); clients that are connected are served meanwhile. New metric: connections.

--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -30,9 +30,17 @@
 /// Time for the last bytes to leave.
 const FLUSH: Duration = Duration::from_millis(50);
 
+/// Descriptors that clients' connections leave free: the platform keeps 200 for
+/// files, and hosts that follow this one, the store and the metrics take some.
+const KEPT_DESCRIPTORS: usize = 300;
+/// Pause between two looks whether clients have left.
+const ROOM_PAUSE: Duration = Duration::from_millis(20);
+
 /// The life, shared by all connections.
 pub struct Life {
     inner: Mutex<Inner>,
+    /// Clients' connections that may be open.
+    most_connections: usize,
     phase: watch::Sender<lifecycle::Phase>,
 }
 
@@ -43,14 +51,6 @@
     stop: Option<Instant>,
 }
 
-impl Default for Life {
-    fn default() -> Life {
-        let inner =
-            Inner { machine: lifecycle::Life::machine(), in_flight: 0, connections: 0, stop: None };
-        Life { inner: Mutex::new(inner), phase: watch::Sender::new(lifecycle::Phase::Starting) }
-    }
-}
-
 /// How a request is to be taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Entry {
@@ -63,6 +63,18 @@
 }
 
 impl Life {
+    /// A life that begins, of a process that may use so many descriptors. Each
+    /// client's connection may need another one to a backend server.
+    pub fn new(max_descriptors: usize) -> Life {
+        let inner =
+            Inner { machine: lifecycle::Life::machine(), in_flight: 0, connections: 0, stop: None };
+        Life {
+            inner: Mutex::new(inner),
+            most_connections: (max_descriptors.saturating_sub(KEPT_DESCRIPTORS) / 2).max(1),
+            phase: watch::Sender::new(lifecycle::Phase::Starting),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
@@ -77,7 +89,26 @@
 
     /// Whether new connections are wanted.
     pub fn ready(&self) -> bool {
-        *self.phase.borrow() == lifecycle::Phase::Serving
+        *self.phase.borrow() == lifecycle::Phase::Serving && self.has_room()
+    }
+
+    /// Whether a client's connection can be taken.
+    fn has_room(&self) -> bool {
+        self.connections() < self.most_connections
+    }
+
+    /// Waits until a client's connection can be taken. Those that come meanwhile
+    /// are kept by the system, and the platform finds the gateway not ready.
+    pub async fn room(&self) {
+        if self.has_room() {
+            return;
+        }
+        let connections = self.connections();
+        log::warn!("no more connections taken connections={connections} next=not-ready");
+        while !self.has_room() {
+            tokio::time::sleep(ROOM_PAUSE).await;
+        }
+        log::info!("connections taken again");
     }
 
     /// Requests in flight.
@@ -85,7 +116,8 @@
         self.lock().in_flight
     }
 
-    fn connections(&self) -> usize {
+    /// Clients' connections that are open.
+    pub fn connections(&self) -> usize {
         self.lock().connections
     }
 
@@ -105,9 +137,9 @@
     }
 
     /// Counts a connection until the guard is dropped.
-    pub fn connected(&self) -> Open<'_> {
-        self.lock().connections += 1;
-        Open { life: self }
+    pub fn connected<P>(gateway: &Arc<state::Gateway<P>>) -> Open<P> {
+        gateway.life.lock().connections += 1;
+        Open { gateway: gateway.clone() }
     }
 
     /// Follows the phase.
@@ -141,13 +173,13 @@
 }
 
 /// An open connection.
-pub struct Open<'a> {
-    life: &'a Life,
+pub struct Open<P> {
+    gateway: Arc<state::Gateway<P>>,
 }
 
-impl Drop for Open<'_> {
+impl<P> Drop for Open<P> {
     fn drop(&mut self) {
-        self.life.lock().connections -= 1;
+        self.gateway.life.lock().connections -= 1;
     }
 }
 
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -102,6 +102,8 @@
         waiting.set(gateway.dispatcher.waiting() as i64);
         let flights: Gauge = Gauge::default();
         flights.set(gateway.life.in_flight() as i64);
+        let connections: Gauge = Gauge::default();
+        connections.set(gateway.life.connections() as i64);
         let mut registry = Registry::with_prefix("loftcove");
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("attempts", "Attempts sent", self.attempts.clone());
@@ -111,6 +113,7 @@
         registry.register("config_version", "Configuration", self.config_version.clone());
         registry.register("waiting", "Requests that wait", waiting);
         registry.register("in_flight", "Requests in flight", flights);
+        registry.register("connections", "Connections of clients", connections);
         Watches::of(&gateway.mirror.progress).register(&mut registry);
         let mut out = String::new();
         // Writing to a string cannot fail.
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -9,7 +9,7 @@
 use loftcove_interface::protocol::Protocol;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{flow, state};
+use crate::{drain, flow, state};
 
 /// Longest time that a connection is idle before the configuration's limit is
 /// known, and what is added to that limit, so that we never close first on a
@@ -26,9 +26,11 @@
 /// Takes connections until the process ends.
 pub async fn run<P: Protocol>(gateway: Arc<state::Gateway<P>>, listener: TcpListener) {
     loop {
+        gateway.life.room().await;
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve(gateway.clone(), stream));
+                let open = drain::Life::connected(&gateway);
+                tokio::spawn(serve(gateway.clone(), stream, open));
             }
             Err(error) => {
                 // Out of file descriptors, mostly: others must end first.
@@ -39,7 +41,11 @@
     }
 }
 
-async fn serve<P: Protocol>(gateway: Arc<state::Gateway<P>>, stream: TcpStream) {
+async fn serve<P: Protocol>(
+    gateway: Arc<state::Gateway<P>>,
+    stream: TcpStream,
+    _open: drain::Open<P>,
+) {
     let options = stream
         .set_nodelay(true)
         .and_then(|()| socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
@@ -47,7 +53,6 @@
         log::debug!("client's connection has ended error=\"{error}\"");
         return;
     }
-    let _open = gateway.life.connected();
     let limits = gateway.routes.load().as_ref().map(|table| table.limits);
     let idle = limits.map_or(IDLE_TIME, |limits| limits.idle_timeout) + IDLE_MARGIN;
     let head = limits.map_or(MIN_HEAD, |limits| limits.header_bytes.max(MIN_HEAD));
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -69,13 +69,14 @@
             .charge_full(true)
             .shortest_return(SHORTEST_RETURN)
             .group_return(GROUP_RETURN);
+        let life = drain::Life::new(settings.serving.max_descriptors);
         Gateway {
             settings,
             routes: ArcSwapOption::empty(),
             mirror: Arc::default(),
             dispatcher: Arc::new(dispatch::Dispatcher::new(&options)),
             upstream: upstream::Pool::default(),
-            life: drain::Life::default(),
+            life,
             metrics: metrics::Metrics::default(),
             protocol: PhantomData,
         }
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -184,14 +184,16 @@
         (self.gateway_ip(gateway), CLIENT_PORT).into()
     }
 
-    /// Starts one more gateway beside a system, without peers; its number is 5.
-    pub async fn start_alone(system: &System) -> process::Process {
+    /// Starts one more gateway beside a system, without peers, with lines for its
+    /// section `[serving]`; its number is 5.
+    pub async fn start_alone(system: &System, serving: &str) -> process::Process {
         let ip = system.gateway_ip(5);
         let text = format!(
             "[host]\nname = \"lonely\"\nzone = \"norte\"\nstore_address = \"{}\"\n\
              metrics_address = \"{ip}:{METRICS_PORT}\"\n\
              [listen]\nclient_address = \"{ip}:{CLIENT_PORT}\"\n\
-             ready_address = \"{ip}:{READY_PORT}\"\npeer_address = \"{ip}:{PEER_PORT}\"\n[serving]\n",
+             ready_address = \"{ip}:{READY_PORT}\"\npeer_address = \"{ip}:{PEER_PORT}\"\n\
+             [serving]\n{serving}",
             system.store_address
         );
         let file = system.folder.write("lonely.toml", &text);
--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -160,7 +160,7 @@
 async fn without_a_configuration_nothing_is_refused_for_good() {
     let system = System::start(PLAN).await;
     system.store_control("fault/down").await;
-    let mut lonely = System::start_alone(&system).await;
+    let mut lonely = System::start_alone(&system, "").await;
     let answer = system.ask(5, &Request::new("/alert/")).await;
     assert_eq!(answer.status, 503);
     assert!(answer.headers.contains_key("retry-after"));
@@ -190,3 +190,25 @@
     let passed = system.gateways[0].log().iter().any(|line| line.contains("version=1 before=2"));
     assert!(!passed, "it went back");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_that_can_take_no_more_connections_says_so() {
+    let system = System::start(PLAN).await;
+    let full = System::start_alone(&system, "max_descriptors = 320\n").await;
+    until("it is ready", || system.is_ready(5)).await;
+    let mut client = system.client(5).await;
+    let mut idle = Vec::new();
+    until("it is not ready", || {
+        idle.push(std::net::TcpStream::connect(system.client_address(5)).unwrap());
+        async { !system.is_ready(5).await }
+    })
+    .await;
+    // Whoever is connected is served.
+    let answer = client.send(&Request::new("/alert/")).await.unwrap();
+    assert_eq!(answer.status(), 200);
+    let told = |line: &String| line.contains("no more connections taken");
+    until("the log tells", || async { full.log().iter().any(told) }).await;
+    drop(idle);
+    until("it is ready again", || system.is_ready(5)).await;
+    assert_eq!(system.ask(5, &Request::new("/alert/")).await.status, 200);
+}
