Check the bounds and the wait of a watch in settings; doubt watches for silence alone

A bound of 0 or below would have made calls without an end, or ended the process; a watch over 30 s is refused by the store. A refusal of the store is an answer: it has no other watch asked again.

--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -22,6 +22,7 @@
 
 use bytes::Bytes;
 use loftcove_decision::{clock, mirror};
+use loftcove_interface::store;
 use tokio::sync::{broadcast, watch as channel};
 
 pub use health::Health;
@@ -37,7 +38,7 @@
     state: Mutex<mirror::Mirror>,
     news: broadcast::Sender<mirror::Record>,
     changes: channel::Sender<u64>,
-    /// Times at which a call to the store failed after one that was answered.
+    /// Times at which a call to the store got no answer after one that was answered.
     silences: channel::Sender<u64>,
     /// Whether the store answers this host.
     pub health: Health,
@@ -128,12 +129,20 @@
         self.store_answered();
     }
 
-    /// A call of a watch got no answer. Those who follow this host learn that it
-    /// may miss changes.
-    fn watch_failed(&self, prefix: &'static str) {
+    /// A call of a watch failed. Those who follow this host learn that it may
+    /// miss changes.
+    fn watch_failed(&self, prefix: &'static str, error: &store::Error) {
         let first = self.progress.failed(prefix);
         self.distance.set_answered(false);
         if first {
+            self.doubt(error);
+        }
+    }
+
+    /// Has all watches asked again after a first call that got no answer. A
+    /// refusal is an answer.
+    fn doubt(&self, error: &store::Error) {
+        if matches!(error, store::Error::Lost(_)) {
             self.silences.send_modify(|count| *count += 1);
         }
     }
@@ -162,12 +171,12 @@
     }
 
     /// A call to the store failed.
-    fn store_failed(&self, error: &dyn std::fmt::Display) {
+    fn store_failed(&self, error: &store::Error) {
         let before = self.health.up();
         self.health.failed(error);
         self.distance.set_answered(false);
         if before {
-            self.silences.send_modify(|count| *count += 1);
+            self.doubt(error);
         }
     }
 
--- a/mirror/src/progress.rs
+++ b/mirror/src/progress.rs
@@ -96,6 +96,8 @@
 
 impl Drop for Wait<'_> {
     fn drop(&mut self) {
-        self.progress.lock().entry(self.prefix).or_default().waits = None;
+        if let Some(watch) = self.progress.lock().get_mut(self.prefix) {
+            watch.waits = None;
+        }
     }
 }
--- a/mirror/src/watch.rs
+++ b/mirror/src/watch.rs
@@ -96,7 +96,7 @@
                 changes(&mirror, &*store, subject, revision, &wanted).await;
             }
             Err(error) => {
-                mirror.watch_failed(prefix);
+                mirror.watch_failed(prefix, &error);
                 mirror.store_failed(&error);
                 wait(&mut pause).await;
             }
@@ -171,7 +171,7 @@
             }
             Answer::Failed(error) => {
                 log::info!("watch lost prefix={prefix} after={after} error=\"{error}\"");
-                mirror.watch_failed(prefix);
+                mirror.watch_failed(prefix, &error);
                 // A waiting call may be cut; that alone says nothing of the store.
                 if !matches!(error, store::Error::Lost(_)) {
                     mirror.store_failed(&error);
--- a/mirror/tests/silence.rs
+++ b/mirror/tests/silence.rs
@@ -48,8 +48,9 @@
     rows.filter(|row| row.get(1) == Some(&&*local) && row[3] == "01").count()
 }
 
-#[tokio::test]
-async fn a_follower_whose_connection_falls_silent_hears_again_within_seconds() {
+/// Silences the connection of a follower to a host; returns where the host is
+/// and how long it took until the follower heard of something new.
+async fn silenced() -> (SocketAddr, Duration) {
     let (source, address) = host("norte").await;
     let proxy = Proxy::default();
     let mirror = follower(&proxy, address).await;
@@ -57,21 +58,19 @@
     hears(&mirror, "first").await;
     proxy.obey("link * host silence").await.unwrap();
     source.apply(vec![record("second", 2)], Source::Store);
-    let took = hears(&mirror, "second").await;
+    (address, hears(&mirror, "second").await)
+}
+
+#[tokio::test]
+async fn a_follower_whose_connection_falls_silent_hears_again_within_seconds() {
+    let (_, took) = silenced().await;
     // Two seconds for the users; some more on a machine that is busy.
     assert!(took < Duration::from_secs(4), "{took:?}");
 }
 
 #[tokio::test]
 async fn a_host_lets_go_of_a_connection_that_fell_silent() {
-    let (source, address) = host("norte").await;
-    let proxy = Proxy::default();
-    let mirror = follower(&proxy, address).await;
-    source.apply(vec![record("first", 1)], Source::Store);
-    hears(&mirror, "first").await;
-    proxy.obey("link * host silence").await.unwrap();
-    source.apply(vec![record("second", 2)], Source::Store);
-    hears(&mirror, "second").await;
+    let (address, _) = silenced().await;
     // The follower has left the silent connection, and nothing tells the host.
     assert_eq!(accepted(address), 2);
     tokio::time::sleep(Duration::from_secs(8)).await;
--- a/settings/src/file.rs
+++ b/settings/src/file.rs
@@ -197,15 +197,7 @@
     }
 
     fn check(&self, file: &Path, text: &str) -> Result<(), error::Error> {
-        let fault = |key: &str, reason: &str| {
-            let line = line_of_key(text, key);
-            Err(error::Error::Key {
-                file: file.to_owned(),
-                line,
-                key: key.to_owned(),
-                reason: reason.to_owned(),
-            })
-        };
+        let fault = |key: &str, reason: &str| Err(fault(file, text, key, reason));
         match self.process.role {
             Role::Entry if self.entry.is_none() => {
                 return fault("role", "an entry needs the section [entry]");
@@ -224,6 +216,9 @@
         if self.process.exchange_ms == 0 {
             return fault("exchange_ms", "must be above 0");
         }
+        if !(1..=LONGEST_WATCH_MS).contains(&self.platform.watch_ms) {
+            return fault("watch_ms", "must be above 0, and 30,000 at most");
+        }
         if self.homes.slots == 0 {
             return fault("slots", "must be above 0");
         }
@@ -239,6 +234,9 @@
     }
 }
 
+/// Longest time that the platform lets a watch wait, milliseconds.
+const LONGEST_WATCH_MS: u64 = 30_000;
+
 /// Least length of the deployment's key, characters.
 const MIN_KEY: usize = 16;
 
@@ -254,6 +252,16 @@
     }
 }
 
+/// The fault of a key whose value is out of range.
+pub(crate) fn fault(file: &Path, text: &str, key: &str, reason: &str) -> error::Error {
+    error::Error::Key {
+        file: file.to_owned(),
+        line: line_of_key(text, key),
+        key: key.to_owned(),
+        reason: reason.to_owned(),
+    }
+}
+
 pub(crate) fn load(file: &Path) -> Result<String, error::Error> {
     std::fs::read_to_string(file)
         .map_err(|source| error::Error::Read { file: file.to_owned(), source })
--- a/settings/src/gateway.rs
+++ b/settings/src/gateway.rs
@@ -112,10 +112,29 @@
     ///
     /// One [`error::Error`] for the first fault.
     pub fn read(path: &Path) -> Result<Gateway, error::Error> {
-        file::parse(path, &file::load(path)?)
+        let text = file::load(path)?;
+        let gateway: Gateway = file::parse(path, &text)?;
+        gateway.check(path, &text)?;
+        Ok(gateway)
+    }
+
+    fn check(&self, path: &Path, text: &str) -> Result<(), error::Error> {
+        let bounds = [
+            ("config_bound_ms", self.serving.config_bound_ms),
+            ("drain_bound_ms", self.serving.drain_bound_ms),
+        ];
+        // A number that is none is in no range either.
+        match bounds.iter().find(|(_, ms)| !BOUND_MS.contains(ms)) {
+            Some((key, _)) => Err(file::fault(path, text, key, "must be from 100 to 600,000")),
+            None => Ok(()),
+        }
     }
 }
 
+/// Bounds for changes that a gateway can keep, milliseconds: calls to the store
+/// take parts of them, and the store's take milliseconds.
+const BOUND_MS: std::ops::RangeInclusive<f64> = 100.0..=600_000.0;
+
 impl Sidecar {
     /// Reads and checks a sidecar's file.
     ///
--- a/settings/tests/settings.rs
+++ b/settings/tests/settings.rs
@@ -4,7 +4,7 @@
 
 use std::path::Path;
 
-use loftcove_settings::file;
+use loftcove_settings::{file, gateway};
 
 fn shipped(name: &str) -> std::path::PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy").join(name)
@@ -31,10 +31,31 @@
         fault("\n[entry]", "\n[agent]"),
         fault("replace-the-key-of-the-deployment", "short"),
         fault("[platform]\n", "exchange_ms = 0\n[platform]\n"),
+        fault("[platform]\n", "[platform]\nwatch_ms = 55000\n"),
     ];
     insta::assert_snapshot!(faults.join("\n"));
 }
 
+#[test]
+fn a_gateway_checks_its_bounds() {
+    let path = std::env::temp_dir().join(format!("loftcove-gateway-{}.toml", std::process::id()));
+    let read = |serving: &str| {
+        let text = format!(
+            "[host]\nname = \"g\"\nzone = \"z\"\nstore_address = \"127.0.0.1:1\"\n\
+             metrics_address = \"127.0.0.1:2\"\n[listen]\nclient_address = \"127.0.0.1:3\"\n\
+             ready_address = \"127.0.0.1:4\"\npeer_address = \"127.0.0.1:5\"\n[serving]\n{serving}\n"
+        );
+        std::fs::write(&path, text).unwrap();
+        gateway::Gateway::read(&path).map_err(|error| error.to_string())
+    };
+    assert!(read("config_bound_ms = 2000").is_ok());
+    for wrong in ["config_bound_ms = 0", "drain_bound_ms = -1", "drain_bound_ms = nan"] {
+        let fault = read(wrong).unwrap_err();
+        assert!(fault.contains(":11: key `") && fault.contains("100 to 600,000"), "{fault}");
+    }
+    std::fs::remove_file(&path).unwrap();
+}
+
 #[test]
 fn shipped_settings_are_right() {
     for deployment in ["mensageira-vale", "cartamar"] {
@@ -49,7 +70,7 @@
 fn the_operators_page_holds_the_reference() {
     let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATIONS.md");
     let page = std::fs::read_to_string(page).unwrap();
-    for section in file::DAEMON_SECTIONS.iter().chain(&loftcove_settings::gateway::SECTIONS) {
+    for section in file::DAEMON_SECTIONS.iter().chain(&gateway::SECTIONS) {
         let section = section.to_string();
         assert!(page.contains(&section), "docs/OPERATIONS.md lacks:\n{section}");
     }
