--- a/mirror/tests/watch.rs
+++ b/mirror/tests/watch.rs
@@ -16,11 +16,11 @@
 const SUBJECT: watch::Subject =
     watch::Subject { prefix: "news/", bound: Duration::from_millis(2_000) };
 
-/// A store with one change, at revision 2. It can be deaf to watches; what it
-/// did not hear it never answers. Other calls it answers all the same.
+/// A store with one change, at revision 2. It can lose the calls of watches,
+/// and never answers those that it lost. Other calls it answers all the same.
 #[derive(Default)]
 struct Fake {
-    deaf: AtomicBool,
+    loses_watches: AtomicBool,
     /// Whether renewals are lost as well.
     away: AtomicBool,
     changed: AtomicBool,
@@ -45,7 +45,7 @@
     }
 
     async fn watch(&self, _prefix: &str, after: Revision, wait: Wait) -> Result<Changes, Error> {
-        if self.deaf.load(Ordering::Relaxed) {
+        if self.loses_watches.load(Ordering::Relaxed) {
             tokio::time::sleep(wait.change + wait.answer).await;
             return Err(Error::Lost("nothing".to_owned()));
         }
@@ -96,10 +96,10 @@
 async fn a_change_is_heard_of_within_the_bound_after_a_call_that_was_lost() {
     let store: Arc<Fake> = Arc::default();
     let mirror = host(&store, SUBJECT);
-    store.deaf.store(true, Ordering::Relaxed);
+    store.loses_watches.store(true, Ordering::Relaxed);
     tokio::time::sleep(Duration::from_millis(10)).await;
     // The call that was lost waits on; the next one is heard.
-    store.deaf.store(false, Ordering::Relaxed);
+    store.loses_watches.store(false, Ordering::Relaxed);
     store.changed.store(true, Ordering::Relaxed);
     let took = heard(&mirror).await;
     assert!(took < SUBJECT.bound, "{took:?}");
@@ -110,12 +110,12 @@
     let store: Arc<Fake> = Arc::default();
     let patient = watch::Subject { bound: SUBJECT.bound * 100, ..SUBJECT };
     let mirror = host(&store, patient);
-    store.deaf.store(true, Ordering::Relaxed);
+    store.loses_watches.store(true, Ordering::Relaxed);
     tokio::time::sleep(Duration::from_millis(10)).await;
     store.away.store(true, Ordering::Relaxed);
     // The watch waits for minutes; a renewal is lost meanwhile.
     tokio::time::sleep(SUBJECT.bound).await;
-    store.deaf.store(false, Ordering::Relaxed);
+    store.loses_watches.store(false, Ordering::Relaxed);
     store.away.store(false, Ordering::Relaxed);
     store.changed.store(true, Ordering::Relaxed);
     let took = heard(&mirror).await;
@@ -128,7 +128,7 @@
     let mirror = host(&store, SUBJECT);
     tokio::time::sleep(Duration::from_secs(3)).await;
     assert_eq!(mirror.distance.get(), 0);
-    store.deaf.store(true, Ordering::Relaxed);
+    store.loses_watches.store(true, Ordering::Relaxed);
     // Its registration goes on being renewed.
     tokio::time::sleep(SUBJECT.bound * 2).await;
     for _ in 0..400 {
@@ -136,7 +136,7 @@
         assert_eq!(mirror.distance.get(), distance::FAR);
         assert!(mirror.health.up());
     }
-    store.deaf.store(false, Ordering::Relaxed);
+    store.loses_watches.store(false, Ordering::Relaxed);
     tokio::time::sleep(SUBJECT.bound * 2).await;
     assert_eq!(mirror.distance.get(), 0);
 }
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -14,7 +14,7 @@
 const STOP_TIME: Duration = Duration::from_secs(14);
 
 /// Time in which all gateways open their watches again after a change.
-const DEAF_TIME: Duration = Duration::from_millis(500);
+const REOPEN_TIME: Duration = Duration::from_millis(500);
 
 /// A span in which something was done to a process.
 #[derive(Debug, Clone, Copy)]
@@ -187,12 +187,12 @@
         }
     }
 
-    /// Makes all gateways deaf at once: the store is silent when they open their
+    /// Lets all gateways lose their watches at once: the store is silent when they open their
     /// watches again after a configuration, and what is open to it falls silent.
-    async fn deafen(&mut self) {
+    async fn lose_watches(&mut self) {
         self.configure().await;
         self.system.store_control("fault/silent").await;
-        tokio::time::sleep(DEAF_TIME).await;
+        tokio::time::sleep(REOPEN_TIME).await;
         for gateway in 0..self.system.plan.gateways {
             self.system.link(&format!("store-gateway-{gateway}"), "silence").await;
         }
@@ -202,7 +202,7 @@
     /// before the configuration that is to be in force in time.
     async fn calm(&mut self) {
         self.system.link("*", "none").await;
-        self.deafen().await;
+        self.lose_watches().await;
         self.system.store_control("fault/none").await;
         self.system.group_control("/orders").await;
         if self.broken {
