--- a/sidecar/src/codec.rs
+++ b/sidecar/src/codec.rs
@@ -1,8 +1,6 @@
 //! Lists of numbers as our messages carry them: each list with its length
 //! before it.
 
-use loftcove_interface::engine::Map;
-
 /// Puts lists into one row of numbers.
 pub fn flatten<'a>(lists: impl IntoIterator<Item = &'a Vec<u16>>) -> Vec<u32> {
     let mut row = Vec::new();
@@ -25,17 +23,3 @@
     }
     Some(lists)
 }
-
-/// Puts a map into one row of numbers.
-pub fn flatten_map(map: &Map) -> Vec<u32> {
-    flatten(map.iter().flatten())
-}
-
-/// Takes a row apart into a map of so many ranks.
-pub fn map(row: &[u32], ranks: usize) -> Option<Map> {
-    let lists = lists(row)?;
-    if ranks == 0 || lists.len() % ranks != 0 {
-        return None;
-    }
-    Some(lists.chunks(ranks).map(<[Vec<u16>]>::to_vec).collect())
-}
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -9,7 +9,7 @@
 
 use loftcove_decision::map::switch::{self, Switch};
 use loftcove_decision::map::version;
-use loftcove_interface::engine::Engine;
+use loftcove_interface::engine::{Engine, Map};
 use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
 use loftcove_mirror::Mirror;
@@ -17,9 +17,10 @@
 use tokio::sync::watch;
 
 use crate::election::{self, Term};
-use crate::group::{Connect, Group};
+use crate::group::Group;
 use crate::known::{Known, Stall};
 use crate::metrics::Metrics;
+use crate::parcel::Source;
 use crate::plan;
 use crate::rank::Rank;
 
@@ -60,12 +61,20 @@
     pub store: Arc<S>,
     /// Settings.
     pub settings: settings::Sidecar,
-    /// Makes a client of an engine.
-    pub connect: Connect<E>,
+    /// The group, as this sidecar reaches it.
+    pub group: Arc<Group<E>>,
     /// Metrics.
     pub metrics: Arc<Metrics>,
 }
 
+/// The map of a change, and how it is told; both are empty where a change of an
+/// earlier driver is ended.
+#[derive(Debug, Default)]
+struct Plan {
+    map: Arc<Map>,
+    source: Source,
+}
+
 /// The driver.
 pub struct Driver<P, S, E> {
     rank: Arc<Rank<E>>,
@@ -73,7 +82,7 @@
     store: Arc<S>,
     settings: settings::Sidecar,
     metrics: Arc<Metrics>,
-    group: Group<E>,
+    group: Arc<Group<E>>,
     name: String,
     /// When it stood for election in vain.
     defeated: Option<Instant>,
@@ -98,14 +107,12 @@
     /// A driver that is not elected.
     pub fn new(parts: Parts<S, E>) -> Driver<P, S, E> {
         let settings = parts.settings;
-        let port = settings.peering.peer_address.port();
-        let group = Group::new(settings.engine.address, port, parts.connect);
         Driver {
             rank: parts.rank,
             mirror: parts.mirror,
             store: parts.store,
             metrics: parts.metrics,
-            group,
+            group: parts.group,
             name: election::run_name(&settings.host.name),
             settings,
             defeated: None,
@@ -225,8 +232,10 @@
         known.copying = stage.time.saturating_sub(known.switch_time());
         let map = Arc::new(stage.map);
         let begun = Instant::now();
-        if self.change(term, known, switch, &map).await? == switch::Outcome::Switched {
-            known.map = Arc::unwrap_or_clone(map);
+        let source = Source { base: known.map.clone(), experts: experts.count };
+        let plan = Plan { map: map.clone(), source };
+        if self.change(term, known, switch, &plan).await? == switch::Outcome::Switched {
+            known.map = map;
             self.settle(version).await;
             known.see_switch(begun.elapsed());
         }
--- a/sidecar/src/drive/change.rs
+++ b/sidecar/src/drive/change.rs
@@ -1,18 +1,20 @@
 //! How a driver takes a change of the map to its end.
 
-use std::sync::Arc;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Instant;
 
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use loftcove_decision::map::switch::{self, Switch};
-use loftcove_interface::engine::{Engine, Map};
+use loftcove_interface::engine::Engine;
 use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
 use loftcove_wire as wire;
 
-use crate::drive::{Driver, MAX_HOLDS, PREPARE_TIME, Stopped};
-use crate::group;
+use crate::drive::{Driver, MAX_HOLDS, PREPARE_TIME, Plan, Stopped};
+use crate::group::{self, Carried};
 use crate::known::{self, Known};
+use crate::parcel::Parcel;
 use crate::rank::Step;
 
 impl<P: Protocol, S: Store, E: Engine> Driver<P, S, E> {
@@ -22,7 +24,7 @@
         term: u64,
         known: &mut Known,
         mut switch: Switch,
-        map: &Arc<Map>,
+        plan: &Plan,
     ) -> Result<switch::Outcome, Stopped> {
         let begun = Instant::now();
         let mut holds = 0;
@@ -40,7 +42,7 @@
                 switch.hold(report.pass + known.ahead());
                 held = Instant::now();
             }
-            self.phase(term, known, &mut switch, map).await?;
+            self.phase(term, known, &mut switch, plan).await?;
             if !switch.committed() && begun.elapsed() > PREPARE_TIME + known.copying * 2 {
                 break switch::Outcome::Abandoned;
             }
@@ -71,33 +73,59 @@
         term: u64,
         known: &Known,
         switch: &mut Switch,
-        map: &Arc<Map>,
+        plan: &Plan,
     ) -> Result<(), Stopped> {
         let epoch = known.view.epoch;
-        let carry = async |rank: usize, order: switch::Order| {
-            let group = known.view.group.clone();
-            let step = Step { group, term, epoch, order: group::order(order, map) };
-            let address = known.view.ranks[rank];
-            (rank, order, self.group.carry(&self.rank, address, &step).await)
-        };
         let orders = switch.orders();
+        // All orders of a phase are the same.
+        let Some(order) = orders.first().map(|(_, order)| *order) else { return Ok(()) };
+        let group = known.view.group.clone();
+        let step = Step { group, term, epoch, order: group::order(order, &plan.map) };
+        let parcel = Parcel::new(step, plan.source.clone());
+        let ranks: BTreeMap<SocketAddr, usize> =
+            orders.iter().map(|(rank, _)| (known.view.ranks[*rank], *rank)).collect();
+        let engines: Vec<SocketAddr> = ranks.keys().copied().collect();
+        let parts = self.group.parts(&engines).into_iter();
+        let parts = parts.map(|part| part.into_iter().map(|place| engines[place]).collect());
+        let begun = Instant::now();
         let mut running: FuturesUnordered<_> =
-            orders.into_iter().map(|(rank, order)| carry(rank, order)).collect();
-        while let Some((rank, order, carried)) = running.next().await {
-            if carried.condition.is_some_and(|condition| condition.epoch != epoch) {
-                return Err(Stopped::Epoch);
-            }
-            let effect = match carried.effect {
-                wire::Effect::Confirmed => switch::Effect::Confirmed,
-                wire::Effect::Refused => switch::Effect::Refused,
-                wire::Effect::Superseded => return Err(Stopped::Superseded),
-                wire::Effect::Unknown | wire::Effect::Unspecified => switch::Effect::Unknown,
-            };
-            if effect != switch::Effect::Confirmed {
-                log::info!("order rank={rank} order={order:?} effect={effect:?}");
+            parts.map(|part| self.group.deliver(&self.rank, part, &parcel)).collect();
+        while let Some(delivered) = running.next().await {
+            for (engine, carried) in delivered {
+                take(switch, (ranks[&engine], order), carried, epoch)?;
             }
-            switch.effect(rank, order, effect);
         }
+        log::info!(
+            "phase ended order={order:?} ranks={} map_bytes={} ms={}",
+            engines.len(),
+            parcel.map_bytes(),
+            begun.elapsed().as_millis()
+        );
         Ok(())
     }
 }
+
+/// Takes what came of an order at a rank.
+fn take(
+    switch: &mut Switch,
+    (rank, order): (usize, switch::Order),
+    carried: Carried,
+    epoch: u64,
+) -> Result<(), Stopped> {
+    if carried.condition.is_some_and(|condition| condition.epoch != epoch) {
+        return Err(Stopped::Epoch);
+    }
+    let effect = match carried.effect {
+        wire::Effect::Confirmed => switch::Effect::Confirmed,
+        wire::Effect::Refused => switch::Effect::Refused,
+        wire::Effect::Superseded => return Err(Stopped::Superseded),
+        wire::Effect::Unknown | wire::Effect::BaseMissing | wire::Effect::Unspecified => {
+            switch::Effect::Unknown
+        }
+    };
+    if effect != switch::Effect::Confirmed {
+        log::info!("order rank={rank} order={order:?} effect={effect:?}");
+    }
+    switch.effect(rank, order, effect);
+    Ok(())
+}
--- a/sidecar/src/drive/learn.rs
+++ b/sidecar/src/drive/learn.rs
@@ -1,5 +1,6 @@
 //! What a driver asks of its group, and of the copy of the store.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -11,19 +12,16 @@
 use loftcove_mirror::membership;
 use loftcove_wire as wire;
 
-use crate::drive::{Driver, SAMPLE, SLOW, SLOWNESS_ROUNDS, Stopped};
+use crate::drive::{Driver, Plan, SAMPLE, SLOW, SLOWNESS_ROUNDS, Stopped};
 use crate::group::{self, View};
 use crate::known::{self, Known};
 
 impl<P: Protocol, S: Store, E: Engine> Driver<P, S, E> {
-    /// Addresses of the engines of this sidecar's service.
-    pub(super) fn engines(&self) -> Vec<SocketAddr> {
+    /// Engines of this sidecar's service, with their zones.
+    pub(super) fn engines(&self) -> BTreeMap<SocketAddr, Arc<str>> {
         let service = &*self.settings.engine.service;
         let servers = self.servers().into_iter().filter(|server| *server.service == *service);
-        let mut addresses: Vec<SocketAddr> = servers.map(|server| server.address).collect();
-        addresses.sort();
-        addresses.dedup();
-        addresses
+        servers.map(|server| (server.address, server.zone)).collect()
     }
 
     fn servers(&self) -> Vec<fleet::Server> {
@@ -82,8 +80,7 @@
             known.view.conditions.iter().map(group::condition).collect();
         if let Some(switch) = Switch::resume(&states) {
             log::warn!("change of an earlier driver found version={}", switch.version());
-            let map = Arc::default();
-            self.change(term, known, switch, &map).await?;
+            self.change(term, known, switch, &Plan::default()).await?;
             known.view.ranks.clear();
             return Ok(false);
         }
@@ -98,25 +95,24 @@
     /// Finds the engine of each rank: asks those that were its members before,
     /// and the service's others only where some are missing.
     async fn find(
-        &mut self,
+        &self,
         term: u64,
         place: &engine::Group,
     ) -> Result<Vec<Option<(SocketAddr, wire::Condition)>>, Stopped> {
         let engines = self.engines();
-        self.group.set(&engines);
+        self.group.set(engines.clone());
         let group = place.name.to_string();
         let inspection = wire::Inspection { term, counts: false, experts: true, group };
         let before = membership::of(&self.mirror, &place.name);
         let (members, others): (Vec<SocketAddr>, Vec<SocketAddr>) =
-            engines.into_iter().partition(|engine| before.members.contains(engine));
+            engines.into_keys().partition(|engine| before.members.contains(engine));
         let mut ranks = vec![None; place.size as usize];
         for addresses in [members, others] {
             if ranks.iter().all(Option::is_some) {
                 break;
             }
-            for (address, condition) in
-                self.group.inspect(&self.rank, &addresses, &inspection).await
-            {
+            let survey = self.group.survey(&self.rank, &addresses, &inspection).await;
+            for (address, condition) in survey.conditions {
                 if condition.group != *place.name {
                     continue;
                 }
@@ -173,7 +169,7 @@
         known.view.group = place.name.clone();
         known.view.epoch = place.epoch;
         known.view.ranks = ranks.iter().map(address).collect();
-        let ended = self.change(term, known, switch, &Arc::default()).await;
+        let ended = self.change(term, known, switch, &Plan::default()).await;
         known.view.ranks.clear();
         ended.map(|_| ())
     }
@@ -185,15 +181,15 @@
         let sample: Vec<SocketAddr> = ranks.iter().copied().step_by(stride).collect();
         let group = known.view.group.to_string();
         let inspection = wire::Inspection { term, counts: true, experts: false, group };
-        let answers = self.group.inspect(&self.rank, &sample, &inspection).await;
+        let survey = self.group.sum(&self.rank, &sample, &inspection).await;
         let epoch = known.view.epoch;
-        let same: Vec<wire::Condition> =
-            answers.into_iter().map(|(_, c)| c).filter(|c| c.epoch == epoch).collect();
+        let conditions = survey.conditions.into_iter().map(|(_, condition)| condition);
+        let same: Vec<wire::Condition> = conditions.filter(|c| c.epoch == epoch).collect();
         let requests: u32 = same.iter().map(|condition| condition.active + condition.queued).sum();
         let slots = slots * same.len() as u32;
         known.fill = f64::from(requests) / f64::from(slots.max(1));
         self.see_slowness(term, known, &same).await;
-        known.demand.take(same.into_iter().map(|c| (c.rank, c.counts)).collect());
+        known.demand.take(&survey.counts);
     }
 
     /// Takes how slow ranks are: at each round those of the sample, and at some
@@ -207,7 +203,7 @@
             known.rounds = 0;
             let group = known.view.group.to_string();
             let inspection = wire::Inspection { term, counts: false, experts: false, group };
-            all = self.group.inspect(&self.rank, &known.view.ranks, &inspection).await;
+            all = self.group.survey(&self.rank, &known.view.ranks, &inspection).await.conditions;
         }
         let others = all.iter().map(|(_, condition)| condition);
         for condition in sample.iter().chain(others) {
--- a/sidecar/src/group.rs
+++ b/sidecar/src/group.rs
@@ -1,18 +1,21 @@
-//! The ranks of a group, as its driver reaches them.
+//! The ranks of a group, as its driver and its relays reach them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
 
 use futures_util::future;
-use loftcove_decision::map::switch;
+use futures_util::stream::{FuturesUnordered, StreamExt as _};
+use loftcove_decision::map::{switch, tree};
 use loftcove_interface::engine::{Engine, Map, Order, Verdict};
 use loftcove_mirror::peer;
 use loftcove_wire as wire;
 use tonic::transport::Channel;
 
-use crate::rank::{self, Rank, Step};
+use crate::parcel::Parcel;
+use crate::rank::{self, Rank};
+use crate::relay::{self, Errand, Work};
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -27,6 +30,23 @@
 /// Longest wait for a sidecar to carry out any other order, for which the
 /// group may be standing still; then the engine is asked directly.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
+/// Ranks that are served directly. A message to one takes about a millisecond
+/// of a small host's processor, which is less than the way over a relay while
+/// there are no more than these.
+const DIRECT: usize = 32;
+/// Parts that more ranks are split into: sixteen messages of 2 KB take 43 ms on
+/// a link of 6 Mbit/s, and two levels of them reach 256 ranks, three 4,096.
+const PARTS: usize = 16;
+/// Parts that ranks are split into where only sums are wanted: about the root
+/// of the ranks that are asked, so that whoever drives reads as much as a relay.
+const SUM_PARTS: usize = 4;
+/// Time within which a relay begins its answer. It takes a millisecond or two;
+/// one that is gone must cost less than a tenth of a second.
+const RELAY_TIME: Duration = Duration::from_millis(80);
+/// Relays that are tried for a part until its ranks are asked one by one.
+const RELAY_TRIES: usize = 2;
+/// How long a relay that was silent is passed over.
+const RELAY_PENALTY: Duration = Duration::from_secs(5);
 
 /// Makes a client of an engine.
 pub type Connect<E> = Box<dyn Fn(SocketAddr) -> E + Send + Sync>;
@@ -66,6 +86,22 @@
         }
     }
 
+    /// Has the sidecar carry a step out, told by the whole map where it does not
+    /// hold the one of before.
+    async fn carry(&self, parcel: &Parcel) -> Result<wire::Result, String> {
+        let limit = limit(&parcel.step.order);
+        let mut client = self.client.clone();
+        let result = tokio::time::timeout(limit, client.carry(parcel.message().clone())).await;
+        let result = result.map_err(|_| "no answer in time".to_owned())?;
+        let result = result.map_err(|status| status.message().to_owned())?.into_inner();
+        if result.effect() != wire::Effect::BaseMissing {
+            return Ok(result);
+        }
+        let result = tokio::time::timeout(limit, client.carry(parcel.whole().clone())).await;
+        let result = result.map_err(|_| "no answer in time".to_owned())?;
+        Ok(result.map_err(|status| status.message().to_owned())?.into_inner())
+    }
+
     async fn inspect_engine(
         &self,
         address: SocketAddr,
@@ -84,12 +120,17 @@
     }
 }
 
-/// The ranks that are known, by the address of their engine.
+/// The ranks that are known, by the address of their engine. Its locks are held
+/// one at a time, and never across a wait.
 pub struct Group<E> {
     own: SocketAddr,
     port: u16,
     connect: Connect<E>,
-    members: BTreeMap<SocketAddr, Arc<Member<E>>>,
+    members: Mutex<BTreeMap<SocketAddr, Arc<Member<E>>>>,
+    /// Availability zones of the engines, as far as they are known.
+    zones: Mutex<BTreeMap<SocketAddr, Arc<str>>>,
+    /// Relays that gave no answer, and when.
+    silent: Mutex<BTreeMap<SocketAddr, Instant>>,
 }
 
 /// What the group came to say.
@@ -108,59 +149,269 @@
 impl<E: Engine> Group<E> {
     /// A group with this sidecar's own engine; all sidecars listen on `port`.
     pub fn new(own: SocketAddr, port: u16, connect: Connect<E>) -> Group<E> {
-        Group { own, port, connect, members: BTreeMap::new() }
+        let (members, zones, silent) = Default::default();
+        Group { own, port, connect, members, zones, silent }
     }
 
-    /// Takes the addresses of the engines.
-    pub fn set(&mut self, engines: &[SocketAddr]) {
-        self.members.retain(|address, _| engines.contains(address));
-        for address in engines {
-            if self.members.contains_key(address) {
-                continue;
+    /// Address of this sidecar's own engine.
+    pub fn own(&self) -> SocketAddr {
+        self.own
+    }
+
+    /// Takes the addresses of the engines with their zones, and forgets others.
+    pub fn set(&self, engines: BTreeMap<SocketAddr, Arc<str>>) {
+        lock(&self.members).retain(|address, _| engines.contains_key(address));
+        lock(&self.silent).retain(|address, _| engines.contains_key(address));
+        *lock(&self.zones) = engines;
+    }
+
+    /// The rank of an engine.
+    fn member(&self, address: SocketAddr) -> Option<Arc<Member<E>>> {
+        if let Some(member) = lock(&self.members).get(&address) {
+            return Some(member.clone());
+        }
+        let sidecar = SocketAddr::new(address.ip(), self.port);
+        let endpoint = match peer::endpoint(sidecar, CONNECT_TIMEOUT) {
+            Ok(endpoint) => endpoint,
+            Err(error) => {
+                log::error!("sidecar's address is not usable address={sidecar} error=\"{error}\"");
+                return None;
             }
-            let sidecar = SocketAddr::new(address.ip(), self.port);
-            let endpoint = match peer::endpoint(sidecar, CONNECT_TIMEOUT) {
-                Ok(endpoint) => endpoint,
-                Err(error) => {
-                    log::error!(
-                        "sidecar's address is not usable address={sidecar} error=\"{error}\""
-                    );
-                    continue;
-                }
-            };
-            let client = wire::rank_client::RankClient::new(endpoint.connect_lazy());
-            let engine = Rank::afar((self.connect)(*address));
-            self.members.insert(*address, Arc::new(Member { client, engine }));
+        };
+        let client = wire::rank_client::RankClient::new(endpoint.connect_lazy());
+        let engine = Rank::afar((self.connect)(address));
+        let member = Arc::new(Member { client, engine });
+        Some(lock(&self.members).entry(address).or_insert(member).clone())
+    }
+
+    /// Parts that these ranks are served in, as places in the list; one for
+    /// each rank where they are few.
+    pub fn parts(&self, engines: &[SocketAddr]) -> Vec<Vec<usize>> {
+        if engines.len() <= DIRECT {
+            return (0..engines.len()).map(|place| vec![place]).collect();
         }
+        self.split(engines, PARTS)
+    }
+
+    fn split(&self, engines: &[SocketAddr], parts: usize) -> Vec<Vec<usize>> {
+        let zones = lock(&self.zones).clone();
+        tree::split(engines.iter().map(|engine| zones.get(engine).cloned()), parts)
     }
 
     /// Asks some ranks for their state, all at once; those that do not answer
     /// are left out.
-    pub async fn inspect(
+    async fn inspect(
         &self,
         local: &Rank<E>,
-        addresses: &[SocketAddr],
+        engines: &[SocketAddr],
         inspection: &wire::Inspection,
     ) -> Vec<(SocketAddr, wire::Condition)> {
         let ask = async |address: SocketAddr| {
             let condition = if address == self.own {
                 rank::inspect(local, inspection).await.ok()?
             } else {
-                self.members.get(&address)?.inspect(address, inspection).await?
+                self.member(address)?.inspect(address, inspection).await?
             };
             Some((address, condition))
         };
-        let answers = future::join_all(addresses.iter().map(|address| ask(*address))).await;
+        let answers = future::join_all(engines.iter().map(|engine| ask(*engine))).await;
         answers.into_iter().flatten().collect()
     }
 
+    /// Reads the state of ranks, by relays where they are many; those that do
+    /// not answer are left out.
+    pub async fn survey(
+        &self,
+        local: &Rank<E>,
+        engines: &[SocketAddr],
+        inspection: &wire::Inspection,
+    ) -> Survey {
+        self.survey_parts(local, engines, inspection, self.parts(engines)).await
+    }
+
+    /// Reads how often experts were chosen at ranks, of which relays return
+    /// the sum.
+    pub async fn sum(
+        &self,
+        local: &Rank<E>,
+        engines: &[SocketAddr],
+        inspection: &wire::Inspection,
+    ) -> Survey {
+        self.survey_parts(local, engines, inspection, self.split(engines, SUM_PARTS)).await
+    }
+
+    async fn survey_parts(
+        &self,
+        local: &Rank<E>,
+        engines: &[SocketAddr],
+        inspection: &wire::Inspection,
+        parts: Vec<Vec<usize>>,
+    ) -> Survey {
+        let mut parts: FuturesUnordered<_> = parts
+            .into_iter()
+            .map(|part| part.into_iter().map(|place| engines[place]).collect::<Vec<_>>())
+            .map(|part| self.survey_part(local, part, inspection))
+            .collect();
+        let mut survey = Survey::default();
+        while let Some(part) = parts.next().await {
+            relay::add(&mut survey.counts, &part.counts);
+            survey.conditions.extend(part.conditions);
+        }
+        survey
+    }
+
+    async fn survey_part(
+        &self,
+        local: &Rank<E>,
+        part: Vec<SocketAddr>,
+        inspection: &wire::Inspection,
+    ) -> Survey {
+        let mut survey = Survey::default();
+        let work = Work::Inspection(inspection.clone());
+        let mut take = |engine, finding: wire::Finding| {
+            survey.conditions.extend(finding.condition.map(|condition| (engine, condition)));
+        };
+        let (left, counts) = self.serve(&part, &work, INSPECT_TIMEOUT, &mut take).await;
+        survey.counts = counts;
+        // Where experts are not asked for, the next look will do.
+        let direct = part.len() == 1 || inspection.experts;
+        let left = if direct { left } else { Vec::new() };
+        for (engine, mut condition) in self.inspect(local, &left, inspection).await {
+            relay::add(&mut survey.counts, &std::mem::take(&mut condition.counts));
+            survey.conditions.push((engine, condition));
+        }
+        survey
+    }
+
+    /// Carries an order out at the ranks of a part, by a relay where there are
+    /// several.
+    pub async fn deliver(
+        &self,
+        local: &Rank<E>,
+        part: Vec<SocketAddr>,
+        parcel: &Parcel,
+    ) -> Vec<(SocketAddr, Carried)> {
+        let mut all = Vec::new();
+        let work = Work::Step(parcel.message().clone());
+        let limit = limit(&parcel.step.order);
+        let mut take = |engine, finding: wire::Finding| {
+            if finding.effect() != wire::Effect::BaseMissing {
+                all.push((engine, Carried::new(finding.effect(), finding.condition)));
+            }
+        };
+        self.serve(&part, &work, limit, &mut take).await;
+        let done: BTreeSet<SocketAddr> = all.iter().map(|(engine, _)| *engine).collect();
+        let left = part.into_iter().filter(|engine| !done.contains(engine));
+        let carry = async |engine| (engine, self.carry(local, engine, parcel).await);
+        all.extend(future::join_all(left.map(carry)).await);
+        all
+    }
+
+    /// Has relays serve a part; returns the ranks that are left, and the sum of
+    /// the counts.
+    async fn serve(
+        &self,
+        part: &[SocketAddr],
+        work: &Work,
+        limit: Duration,
+        take: &mut impl FnMut(SocketAddr, wire::Finding),
+    ) -> (Vec<SocketAddr>, Vec<u32>) {
+        let mut engines = part.to_vec();
+        // A rank that was silent is no relay for a while; nor is the driver's own.
+        engines.sort_by_key(|engine| self.is_silent(*engine) || *engine == self.own);
+        let mut silent = Vec::new();
+        while engines.len() > 1 && silent.len() < RELAY_TRIES {
+            let errand = Errand { work: work.clone(), engines: engines.clone(), limit };
+            let Some(findings) = self.relayed(&errand).await else {
+                silent.push(engines.remove(0));
+                continue;
+            };
+            let mut left: Vec<Option<SocketAddr>> = engines.into_iter().map(Some).collect();
+            for finding in findings.findings {
+                if let Some(engine) = left.get_mut(finding.place as usize).and_then(Option::take) {
+                    take(engine, finding);
+                }
+            }
+            silent.extend(left.into_iter().flatten());
+            return (silent, findings.counts);
+        }
+        silent.extend(engines);
+        (silent, Vec::new())
+    }
+
+    fn is_silent(&self, engine: SocketAddr) -> bool {
+        lock(&self.silent).get(&engine).is_some_and(|at| at.elapsed() < RELAY_PENALTY)
+    }
+
+    /// Has the first rank of an errand run it; `None` where it does not begin
+    /// its answer in time.
+    pub async fn relayed(&self, errand: &Errand) -> Option<wire::Findings> {
+        let relay = *errand.engines.first()?;
+        let mut client = self.member(relay)?.client.clone();
+        let call = tokio::time::timeout(RELAY_TIME, client.relay(errand.message())).await;
+        let mut stream = match call {
+            Ok(Ok(answer)) => answer.into_inner(),
+            other => {
+                let cause = cause(other);
+                log::info!("relay passed over engine={relay} cause=\"{cause}\"");
+                lock(&self.silent).insert(relay, Instant::now());
+                return None;
+            }
+        };
+        let mut all = wire::Findings::default();
+        let read = async {
+            while let Some(findings) = stream.message().await? {
+                all.findings.extend(findings.findings);
+                relay::add(&mut all.counts, &findings.counts);
+            }
+            Ok::<(), tonic::Status>(())
+        };
+        match tokio::time::timeout(errand.limit, read).await {
+            Ok(Ok(())) => {}
+            other => {
+                let cause = cause(other);
+                log::info!("relay cut short engine={relay} cause=\"{cause}\"");
+                lock(&self.silent).insert(relay, Instant::now());
+            }
+        }
+        Some(all)
+    }
+
+    /// Does work at one rank by its sidecar; nothing is found where that does
+    /// not answer.
+    pub async fn ask(&self, engine: SocketAddr, work: &Work, limit: Duration) -> wire::Findings {
+        let Some(member) = self.member(engine) else { return wire::Findings::default() };
+        let mut client = member.client.clone();
+        let call = async {
+            match work {
+                Work::Step(step) => client
+                    .carry(step.clone())
+                    .await
+                    .map(|result| relay::of_step(result.into_inner())),
+                Work::Inspection(inspection) => client
+                    .inspect(inspection.clone())
+                    .await
+                    .map(|condition| relay::of_inspection(condition.into_inner())),
+            }
+        };
+        match tokio::time::timeout(limit, call).await {
+            Ok(Ok(findings)) => findings,
+            other => {
+                let cause = cause(other);
+                log::info!("rank not served by relay engine={engine} cause=\"{cause}\"");
+                wire::Findings::default()
+            }
+        }
+    }
+
     /// Carries an order out at a rank, past its sidecar if that does not answer.
-    pub async fn carry(&self, local: &Rank<E>, address: SocketAddr, step: &Step) -> Carried {
-        if address == self.own {
+    async fn carry(&self, local: &Rank<E>, engine: SocketAddr, parcel: &Parcel) -> Carried {
+        let step = &parcel.step;
+        if engine == self.own {
             let (effect, report) = local.carry(step).await;
             return Carried::new(effect, report.map(|report| rank::condition(0, &report)));
         }
-        let Some(member) = self.members.get(&address).cloned() else {
+        let Some(member) = self.member(engine) else {
             return Carried::new(wire::Effect::Unknown, None);
         };
         // The driver gives this order itself: if its host freezes right after
@@ -170,23 +421,10 @@
         {
             return Carried::new(wire::Effect::Confirmed, None);
         }
-        let mut client = member.client.clone();
-        let limit = match step.order {
-            Order::Prepare { .. } => PREPARE_TIMEOUT,
-            _ => ORDER_TIMEOUT,
-        };
-        let call = client.carry(rank::message(step));
-        match tokio::time::timeout(limit, call).await {
-            Ok(Ok(answer)) => {
-                let result = answer.into_inner();
-                Carried::new(result.effect(), result.condition)
-            }
-            other => {
-                let cause = match other {
-                    Ok(Err(status)) => status.message().to_owned(),
-                    _ => "no answer in time".to_owned(),
-                };
-                log::info!("sidecar passed over engine={address} cause=\"{cause}\"");
+        match member.carry(parcel).await {
+            Ok(result) => Carried::new(result.effect(), result.condition),
+            Err(cause) => {
+                log::info!("sidecar passed over engine={engine} cause=\"{cause}\"");
                 let (effect, report) = member.engine.carry(step).await;
                 Carried::new(effect, report.map(|report| rank::condition(0, &report)))
             }
@@ -194,6 +432,36 @@
     }
 }
 
+/// Longest wait for a sidecar to carry out an order.
+fn limit(order: &Order) -> Duration {
+    match order {
+        Order::Prepare { .. } => PREPARE_TIMEOUT,
+        _ => ORDER_TIMEOUT,
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // Each change is one insertion or removal; a panic cannot leave half of one.
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Why a call came to nothing.
+fn cause<T>(call: Result<Result<T, tonic::Status>, tokio::time::error::Elapsed>) -> String {
+    match call {
+        Ok(Err(status)) => status.message().to_owned(),
+        _ => "no answer in time".to_owned(),
+    }
+}
+
+/// What a look at several ranks brought.
+#[derive(Debug, Default)]
+pub struct Survey {
+    /// States of the ranks, by the address of their engine.
+    pub conditions: Vec<(SocketAddr, wire::Condition)>,
+    /// Sum over the ranks of how often each expert was chosen.
+    pub counts: Vec<u32>,
+}
+
 /// What came of an order.
 #[derive(Debug)]
 pub struct Carried {
--- a/sidecar/src/known.rs
+++ b/sidecar/src/known.rs
@@ -1,5 +1,6 @@
 //! What a driver knows of its group.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use loftcove_interface::engine::{self, Map};
@@ -34,7 +35,7 @@
     /// Its ranks.
     pub view: View,
     /// The map in use.
-    pub map: Map,
+    pub map: Arc<Map>,
     /// What experts are in demand.
     pub demand: Demand,
     /// How many times as long as usual each rank takes for its work.
@@ -170,6 +171,7 @@
         known.view.ranks.clear();
         return false;
     }
-    known.map = (0..sets).map(|set| lists.iter().map(|rank| rank[set].clone()).collect()).collect();
+    let of_set = |set: usize| lists.iter().map(|rank| rank[set].clone()).collect();
+    known.map = Arc::new((0..sets).map(of_set).collect());
     true
 }
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -5,18 +5,23 @@
 //! of each group is its driver, by a lease in the store ([`election`]): it
 //! collects what experts were chosen ([`demand`]), decides where they should be
 //! ([`plan`], by what is [`known`]) and takes all ranks over to a new map
-//! ([`drive`]), through [`group`]. No
-//! request passes through a sidecar.
+//! ([`drive`]), through [`group`]; in a large group by sidecars that pass on what
+//! is meant for others ([`relay`]). A map travels as its difference from one
+//! that the ranks hold ([`parcel`], [`maps`]). No request passes through a
+//! sidecar.
 
-mod codec;
-mod demand;
+pub mod codec;
+pub mod demand;
 mod drive;
 mod election;
-mod group;
-mod known;
+pub mod group;
+pub mod known;
+pub mod maps;
 mod metrics;
-mod plan;
-mod rank;
+pub mod parcel;
+pub mod plan;
+pub mod rank;
+pub mod relay;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -81,13 +86,16 @@
     let metrics: Arc<metrics::Metrics> = Arc::default();
     tokio::spawn(metrics::serve(metrics.clone(), metrics_listener));
     let rank = Arc::new(rank::Rank::new(connect(settings.engine.address)));
-    tokio::spawn(serve(rank.clone(), peers));
+    let port = settings.peering.peer_address.port();
+    let group = group::Group::new(settings.engine.address, port, Box::new(connect));
+    let group = Arc::new(group);
+    tokio::spawn(serve(rank.clone(), group.clone(), peers));
     let driver = drive::Driver::<P, S, E>::new(drive::Parts {
         rank,
         mirror,
         store: Arc::new(store),
         settings: settings.clone(),
-        connect: Box::new(connect),
+        group,
         metrics,
     });
     log::info!("started host={} engine={}", host.name, settings.engine.address);
@@ -122,8 +130,12 @@
     TcpListener::bind(address).await.map_err(|source| Error::Listen { address, source })
 }
 
-async fn serve<E: Engine>(rank: Arc<rank::Rank<E>>, listener: TcpListener) {
-    let service = wire::rank_server::RankServer::new(rank::Service::new(rank));
+async fn serve<E: Engine>(
+    rank: Arc<rank::Rank<E>>,
+    group: Arc<group::Group<E>>,
+    listener: TcpListener,
+) {
+    let service = wire::rank_server::RankServer::new(rank::Service::new(rank, group));
     let router = peer::server().add_service(service);
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     if let Err(error) = router.serve_with_incoming(incoming).await {
--- a/sidecar/src/rank.rs
+++ b/sidecar/src/rank.rs
@@ -12,9 +12,13 @@
 use loftcove_decision::map::fence;
 use loftcove_interface::engine::{Counts, Engine, Error, Order, Report, Verdict};
 use loftcove_wire as wire;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status};
 
-use crate::codec;
+use crate::group::Group;
+use crate::maps::{self, Maps};
+use crate::{codec, relay};
 
 /// Longest time for an order until the driver is told that its effect is not
 /// known. It asks again.
@@ -30,15 +34,28 @@
 /// the engine refuses connections, which takes no time.
 const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(320);
 
+/// Longest time between two looks at the counts for their difference to tell
+/// the present demand: a change of the map, during which nobody looks, takes
+/// less.
+const LOOK_TIME: Duration = Duration::from_secs(5);
+
 /// The engine and the highest term that was seen of a driver of its group.
 pub struct Rank<E> {
     /// The engine.
     pub engine: E,
     fence: Mutex<fence::Fence>,
+    maps: Mutex<Maps>,
+    looked: Mutex<Option<Look>>,
     /// Whether the engine's reports are fresh, as they are on its own machine.
     fresh: bool,
 }
 
+/// Counts that a driver has had.
+struct Look {
+    at: Instant,
+    counts: Vec<u64>,
+}
+
 /// An order of a driver.
 #[derive(Debug, Clone)]
 pub struct Step {
@@ -55,20 +72,78 @@
 impl<E: Engine> Rank<E> {
     /// A sidecar that has seen no term.
     pub fn new(engine: E) -> Rank<E> {
-        Rank { engine, fence: Mutex::default(), fresh: true }
+        Rank::with(engine, true)
     }
 
     /// An engine on another machine, whose reports are old: orders do not
     /// count on the number of orders that they tell.
     pub fn afar(engine: E) -> Rank<E> {
-        Rank { engine, fence: Mutex::default(), fresh: false }
+        Rank::with(engine, false)
+    }
+
+    fn with(engine: E, fresh: bool) -> Rank<E> {
+        let (fence, maps, looked) = Default::default();
+        Rank { engine, fence, maps, looked, fresh }
+    }
+
+    /// How often each expert was chosen since a driver last looked; empty where
+    /// nobody did for long.
+    async fn choices(&self) -> Result<Vec<u32>, Error> {
+        let Counts { counts, .. } = self.engine.counts().await?;
+        let now = Look { at: Instant::now(), counts: counts.clone() };
+        let before = lock(&self.looked).replace(now);
+        let before = before.filter(|look| look.at.elapsed() < LOOK_TIME);
+        let before = before.filter(|look| look.counts.len() == counts.len());
+        let Some(before) = before else { return Ok(Vec::new()) };
+        let pairs = counts.into_iter().zip(before.counts);
+        // An engine that was restarted counts from zero again.
+        Ok(pairs.map(|(now, before)| now.saturating_sub(before) as u32).collect())
+    }
+
+    /// The step that a message tells.
+    async fn step(&self, message: &wire::Step) -> Result<Step, Fault> {
+        let (version, pass) = (message.version, message.pass);
+        let order = match message.operation() {
+            wire::Operation::Unspecified => return Err(Fault::Malformed("no operation".into())),
+            wire::Operation::Prepare => {
+                let report = self.engine.report().await.map_err(Fault::Engine)?;
+                let ranks = report.group.map_or(0, |group| group.size);
+                let map = message.map.clone().unwrap_or_default();
+                let map = lock(&self.maps).take(&map, ranks as usize);
+                Order::Prepare { version, map: map.map_err(Fault::Map)? }
+            }
+            wire::Operation::Arm => Order::Arm { version, pass },
+            wire::Operation::Disarm => Order::Disarm { version },
+            wire::Operation::Hold => Order::Hold { pass },
+            wire::Operation::Release => Order::Release { pass },
+        };
+        let group = (*message.group).into();
+        Ok(Step { group, term: message.term, epoch: message.epoch, order })
+    }
+
+    /// Carries out the step that a message tells.
+    pub async fn carry_message(&self, message: &wire::Step) -> Result<wire::Result, Fault> {
+        let step = match self.step(message).await {
+            Ok(step) => step,
+            Err(Fault::Map(maps::Error::BaseMissing)) => {
+                log::info!("map not made version={} reason=base-missing", message.version);
+                let effect = wire::Effect::BaseMissing.into();
+                return Ok(wire::Result { effect, condition: None });
+            }
+            Err(fault) => {
+                log::error!("step not taken term={} error=\"{fault}\"", message.term);
+                return Err(fault);
+            }
+        };
+        let (effect, report) = self.carry(&step).await;
+        let condition = report.map(|report| condition(0, &report));
+        Ok(wire::Result { effect: effect.into(), condition })
     }
 
     /// Takes a term of a driver of the engine's present group; returns the
     /// highest one seen. A term of zero claims nothing.
     pub fn see(&self, group: &Arc<str>, term: u64) -> u64 {
-        // Each change is one assignment; a panic cannot leave half of one.
-        let mut fence = self.fence.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut fence = lock(&self.fence);
         let before = fence.see(group, 0);
         let highest = fence.see(group, term);
         if highest > before && before > 0 {
@@ -154,6 +229,34 @@
     }
 }
 
+/// Why a message of a step is not carried out.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    /// The message makes no sense.
+    #[error("step is malformed: {0}")]
+    Malformed(String),
+    /// Its map cannot be made.
+    #[error("map of the step: {0}")]
+    Map(maps::Error),
+    /// The engine does not tell its place.
+    #[error(transparent)]
+    Engine(Error),
+}
+
+impl From<Fault> for Status {
+    fn from(fault: Fault) -> Status {
+        match fault {
+            Fault::Malformed(_) | Fault::Map(_) => Status::invalid_argument(fault.to_string()),
+            Fault::Engine(error) => Status::unavailable(error.to_string()),
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    // Each change is one assignment or insertion; a panic cannot leave half of one.
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
 /// Times that an engine may refuse an order, in a state in which it should
 /// take it, before the refusal is believed: another order may have come
 /// between the report and this one.
@@ -223,12 +326,13 @@
 /// The service that other sidecars call.
 pub struct Service<E> {
     rank: Arc<Rank<E>>,
+    group: Arc<Group<E>>,
 }
 
 impl<E: Engine> Service<E> {
-    /// A service for this engine.
-    pub fn new(rank: Arc<Rank<E>>) -> Service<E> {
-        Service { rank }
+    /// A service for this engine, which relays to the others of its group.
+    pub fn new(rank: Arc<Rank<E>>, group: Arc<Group<E>>) -> Service<E> {
+        Service { rank, group }
     }
 }
 
@@ -252,9 +356,9 @@
         held_pass: report.held.unwrap_or(0),
         active: report.active,
         queued: report.queued,
-        counts: Vec::new(),
         experts: Vec::new(),
         slowness: report.slowness,
+        counts: Vec::new(),
     }
 }
 
@@ -275,8 +379,7 @@
         return Ok(condition);
     }
     if inspection.counts {
-        let Counts { counts, .. } = rank.engine.counts().await?;
-        condition.counts = counts;
+        condition.counts = rank.choices().await?;
     }
     if inspection.experts {
         let (held, _) = rank.engine.lists().await?;
@@ -296,66 +399,20 @@
     }
 
     async fn carry(&self, request: Request<wire::Step>) -> Result<Response<wire::Result>, Status> {
-        let message = request.into_inner();
-        let size = match self.rank.engine.report().await {
-            Ok(report) => report.group.map_or(0, |group| group.size),
-            Err(error) => return Err(Status::unavailable(error.to_string())),
-        };
-        let step = step(&message, size as usize).ok_or_else(|| {
-            Status::invalid_argument("the step has no operation or a malformed map")
-        })?;
-        let (effect, report) = self.rank.carry(&step).await;
-        let condition = report.map(|report| condition(0, &report));
-        Ok(Response::new(wire::Result { effect: effect.into(), condition }))
+        let result = self.rank.carry_message(&request.into_inner()).await?;
+        Ok(Response::new(result))
     }
-}
 
-fn step(message: &wire::Step, size: usize) -> Option<Step> {
-    let (version, pass) = (message.version, message.pass);
-    let order = match message.operation() {
-        wire::Operation::Unspecified => return None,
-        wire::Operation::Prepare => {
-            Order::Prepare { version, map: Arc::new(codec::map(&message.map, size)?) }
-        }
-        wire::Operation::Arm => Order::Arm { version, pass },
-        wire::Operation::Disarm => Order::Disarm { version },
-        wire::Operation::Hold => Order::Hold { pass },
-        wire::Operation::Release => Order::Release { pass },
-    };
-    let group = (*message.group).into();
-    Some(Step { group, term: message.term, epoch: message.epoch, order })
-}
+    type RelayStream = ReceiverStream<Result<wire::Findings, Status>>;
 
-/// An order as a message.
-pub fn message(step: &Step) -> wire::Step {
-    let mut message = wire::Step {
-        group: step.group.to_string(),
-        term: step.term,
-        epoch: step.epoch,
-        ..wire::Step::default()
-    };
-    match &step.order {
-        Order::Prepare { version, map } => {
-            message.set_operation(wire::Operation::Prepare);
-            message.version = *version;
-            message.map = codec::flatten_map(map);
-        }
-        Order::Arm { version, pass } => {
-            message.set_operation(wire::Operation::Arm);
-            (message.version, message.pass) = (*version, *pass);
-        }
-        Order::Disarm { version } => {
-            message.set_operation(wire::Operation::Disarm);
-            message.version = *version;
-        }
-        Order::Hold { pass } => {
-            message.set_operation(wire::Operation::Hold);
-            message.pass = *pass;
-        }
-        Order::Release { pass } => {
-            message.set_operation(wire::Operation::Release);
-            message.pass = *pass;
-        }
+    async fn relay(
+        &self,
+        request: Request<wire::Errand>,
+    ) -> Result<Response<Self::RelayStream>, Status> {
+        let errand = relay::Errand::read(request.into_inner())
+            .map_err(|error| Status::invalid_argument(error.to_string()))?;
+        let (sender, receiver) = mpsc::channel(relay::QUEUE);
+        tokio::spawn(relay::run(self.group.clone(), self.rank.clone(), errand, sender));
+        Ok(Response::new(ReceiverStream::new(receiver)))
     }
-    message
 }
--- /dev/null
+++ b/sidecar/src/relay.rs
@@ -0,0 +1,277 @@
+//! Serves several ranks on behalf of the driver of their group.
+//!
+//! A driver that sends to every rank itself spends, in a large group, more of
+//! its link and processor than a change may take. So it sends to one rank of
+//! each part ([`loftcove_decision::map::tree`]), which sends on to the others
+//! and returns what came of it. A relay decides nothing: each rank checks term,
+//! epoch and group by itself, and whoever does not answer the relay is left to
+//! the driver.
+
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt as _};
+use loftcove_interface::engine::Engine;
+use loftcove_wire as wire;
+use tokio::sync::mpsc;
+use tonic::Status;
+
+use crate::group::Group;
+use crate::rank::{self, Rank};
+
+/// Findings that may wait for a slow caller.
+pub const QUEUE: usize = 4;
+/// Most ranks of an errand, far more than a group has.
+const MAX_ENGINES: usize = 1 << 16;
+/// Longest time that an errand may ask for.
+const MAX_LIMIT: Duration = Duration::from_secs(5);
+/// Time of the limit that a relay leaves for its own relays' answers to reach it.
+const HOP_TIME: Duration = Duration::from_millis(25);
+/// Findings of steps that are returned together at the most.
+const BATCH: usize = 64;
+
+/// Why an errand is not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// An address has neither 6 nor 18 bytes.
+    #[error("address of an engine is malformed")]
+    Address,
+    /// More ranks than any group has.
+    #[error("errand names too many engines")]
+    Engines,
+    /// Neither a step nor an inspection.
+    #[error("errand asks for nothing")]
+    Work,
+}
+
+/// What is done at each rank.
+#[derive(Debug, Clone)]
+pub enum Work {
+    /// A step is carried out.
+    Step(wire::Step),
+    /// The state is read.
+    Inspection(wire::Inspection),
+}
+
+/// What a relay does.
+#[derive(Debug, Clone)]
+pub struct Errand {
+    /// What is done.
+    pub work: Work,
+    /// Engines of the ranks.
+    pub engines: Vec<SocketAddr>,
+    /// Time until the caller stops waiting.
+    pub limit: Duration,
+}
+
+impl Errand {
+    /// Reads a message.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] for one that makes no sense.
+    pub fn read(message: wire::Errand) -> Result<Errand, Error> {
+        if message.engines.len() > MAX_ENGINES {
+            return Err(Error::Engines);
+        }
+        let engines = message.engines.iter().map(|bytes| address(bytes).ok_or(Error::Address));
+        let work = match (message.step, message.inspection) {
+            (Some(step), _) => Work::Step(step),
+            (None, Some(inspection)) => Work::Inspection(inspection),
+            (None, None) => return Err(Error::Work),
+        };
+        Ok(Errand {
+            work,
+            engines: engines.collect::<Result<_, _>>()?,
+            limit: Duration::from_millis(u64::from(message.limit_ms)).min(MAX_LIMIT),
+        })
+    }
+
+    /// The message.
+    pub fn message(&self) -> wire::Errand {
+        let (step, inspection) = match &self.work {
+            Work::Step(step) => (Some(step.clone()), None),
+            Work::Inspection(inspection) => (None, Some(inspection.clone())),
+        };
+        wire::Errand {
+            step,
+            inspection,
+            engines: self.engines.iter().map(octets).collect(),
+            limit_ms: self.limit.as_millis() as u32,
+        }
+    }
+}
+
+fn octets(address: &SocketAddr) -> Bytes {
+    let mut octets = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    octets.extend(address.port().to_be_bytes());
+    octets.into()
+}
+
+fn address(octets: &[u8]) -> Option<SocketAddr> {
+    let (ip, port) = octets.split_last_chunk::<2>()?;
+    let ip: IpAddr = match ip.len() {
+        4 => Ipv4Addr::from(<[u8; 4]>::try_from(ip).ok()?).into(),
+        16 => Ipv6Addr::from(<[u8; 16]>::try_from(ip).ok()?).into(),
+        _ => return None,
+    };
+    Some(SocketAddr::new(ip, u16::from_be_bytes(*port)))
+}
+
+/// Adds choices up, rank by rank.
+pub fn add(sum: &mut Vec<u32>, counts: &[u32]) {
+    if sum.is_empty() {
+        sum.resize(counts.len(), 0);
+    }
+    if sum.len() == counts.len() {
+        sum.iter_mut().zip(counts).for_each(|(sum, count)| *sum = sum.saturating_add(*count));
+    }
+}
+
+/// Runs an errand until its limit, or until its caller has gone.
+pub async fn run<E: Engine>(
+    group: Arc<Group<E>>,
+    local: Arc<Rank<E>>,
+    errand: Errand,
+    sender: mpsc::Sender<Result<wire::Findings, Status>>,
+) {
+    let limit = errand.limit.saturating_sub(HOP_TIME);
+    let served = async {
+        match &errand.work {
+            Work::Step(_) => serve_step(&group, &local, &errand, limit, &sender).await,
+            Work::Inspection(_) => serve_inspection(&group, &local, &errand, limit, &sender).await,
+        }
+    };
+    tokio::select! {
+        () = served => {}
+        () = sender.closed() => log::info!("errand dropped reason=caller-left"),
+    }
+}
+
+/// Returns what came of a step at each rank as it comes in.
+async fn serve_step<E: Engine>(
+    group: &Group<E>,
+    local: &Rank<E>,
+    errand: &Errand,
+    limit: Duration,
+    sender: &mpsc::Sender<Result<wire::Findings, Status>>,
+) {
+    let found = parts(group, local, errand, limit);
+    let mut found = found.ready_chunks(BATCH);
+    let end = tokio::time::sleep(limit);
+    tokio::pin!(end);
+    loop {
+        let chunk = tokio::select! {
+            chunk = found.next() => chunk,
+            () = &mut end => None,
+        };
+        let Some(chunk) = chunk else { return };
+        let findings = chunk.into_iter().flat_map(|findings| findings.findings).collect();
+        let message = wire::Findings { findings, counts: Vec::new() };
+        if sender.send(Ok(message)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Returns the states that came in within the limit, and the sum of the counts.
+async fn serve_inspection<E: Engine>(
+    group: &Group<E>,
+    local: &Rank<E>,
+    errand: &Errand,
+    limit: Duration,
+    sender: &mpsc::Sender<Result<wire::Findings, Status>>,
+) {
+    let mut all = wire::Findings::default();
+    let collect = async {
+        let mut found = parts(group, local, errand, limit);
+        while let Some(findings) = found.next().await {
+            add(&mut all.counts, &findings.counts);
+            all.findings.extend(findings.findings);
+        }
+    };
+    if tokio::time::timeout(limit, collect).await.is_err() {
+        log::info!("errand's time is over engines={}", errand.engines.len());
+    }
+    // A caller that has left wants no answer.
+    sender.send(Ok(all)).await.unwrap_or_default();
+}
+
+/// Runs an errand at the parts of its ranks, each by itself.
+fn parts<'a, E: Engine>(
+    group: &'a Group<E>,
+    local: &'a Rank<E>,
+    errand: &'a Errand,
+    limit: Duration,
+) -> FuturesUnordered<impl Future<Output = wire::Findings> + 'a> {
+    let places: Vec<usize> = (0..errand.engines.len()).collect();
+    let (own, others): (Vec<usize>, Vec<usize>) =
+        places.into_iter().partition(|place| errand.engines[*place] == group.own());
+    let addresses: Vec<SocketAddr> = others.iter().map(|place| errand.engines[*place]).collect();
+    let split = group.parts(&addresses).into_iter();
+    let split = split.map(|part| part.into_iter().map(|place| others[place]).collect());
+    let all: Vec<Vec<usize>> = split.chain(own.into_iter().map(|place| vec![place])).collect();
+    all.into_iter().map(|part| serve_part(group, local, errand, part, limit)).collect()
+}
+
+async fn serve_part<E: Engine>(
+    group: &Group<E>,
+    local: &Rank<E>,
+    errand: &Errand,
+    part: Vec<usize>,
+    limit: Duration,
+) -> wire::Findings {
+    let engines: Vec<SocketAddr> = part.iter().map(|place| errand.engines[*place]).collect();
+    let mut findings = match engines[..] {
+        [engine] if engine == group.own() => here(local, &errand.work).await,
+        [engine] => group.ask(engine, &errand.work, limit).await,
+        _ => {
+            let errand = Errand { work: errand.work.clone(), engines, limit };
+            group.relayed(&errand).await.unwrap_or_default()
+        }
+    };
+    // Places are those of this errand.
+    findings.findings.retain(|finding| (finding.place as usize) < part.len());
+    for finding in &mut findings.findings {
+        finding.place = part[finding.place as usize] as u32;
+    }
+    findings
+}
+
+/// Does the work at the engine beside this sidecar.
+async fn here<E: Engine>(local: &Rank<E>, work: &Work) -> wire::Findings {
+    match work {
+        Work::Step(step) => match local.carry_message(step).await {
+            Ok(result) => of_step(result),
+            // Said where it was found; the driver asks the rank itself.
+            Err(_) => wire::Findings::default(),
+        },
+        Work::Inspection(inspection) => match rank::inspect(local, inspection).await {
+            Ok(condition) => of_inspection(condition),
+            Err(error) => {
+                log::info!("engine not inspected engine=own error=\"{error}\"");
+                wire::Findings::default()
+            }
+        },
+    }
+}
+
+/// What came of a step at one rank.
+pub fn of_step(result: wire::Result) -> wire::Findings {
+    let epoch = result.condition.map(|condition| condition.epoch);
+    let condition = epoch.map(|epoch| wire::Condition { epoch, ..wire::Condition::default() });
+    let finding = wire::Finding { place: 0, effect: result.effect, condition };
+    wire::Findings { findings: vec![finding], counts: Vec::new() }
+}
+
+/// What was read at one rank.
+pub fn of_inspection(mut condition: wire::Condition) -> wire::Findings {
+    let counts = std::mem::take(&mut condition.counts);
+    let finding = wire::Finding { condition: Some(condition), ..wire::Finding::default() };
+    wire::Findings { findings: vec![finding], counts }
+}
--- /dev/null
+++ b/sidecar/tests/relays.rs
@@ -0,0 +1,197 @@
+//! A step reaches every rank of a large group by relays, whatever befalls some
+//! of them, and a map reaches each rank by its difference from one it holds.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use common::{Fault, GROUP, Ranks, SETS, TERM, step};
+use loftcove_decision::map::difference;
+use loftcove_interface::engine::{Map, Order};
+use loftcove_sidecar::parcel::{Parcel, Source};
+use loftcove_sidecar::relay::{Errand, Error, Work};
+use loftcove_wire as wire;
+use prost::Message as _;
+
+const RANKS: usize = 192;
+
+/// A map that gives each rank of set after set an expert more.
+fn next(map: &Map, number: usize) -> Map {
+    let mut next = map.clone();
+    let ranks = map[0].len();
+    for (set, lists) in next.iter_mut().enumerate() {
+        let rank = (number * 31 + set * 17) % ranks;
+        lists[rank].push(((rank + 1) % (2 * ranks)) as u16);
+    }
+    next
+}
+
+fn prepare(base: &Map, map: &Map, version: u64) -> Parcel {
+    let source = Source { base: Arc::new(base.clone()), experts: 2 * base[0].len() };
+    Parcel::new(step(Order::Prepare { version, map: Arc::new(map.clone()) }), source)
+}
+
+fn opening(ranks: usize) -> Map {
+    difference::dealt(SETS, 2 * ranks, ranks)
+}
+
+/// All ranks confirmed and have exactly this map.
+fn assert_prepared(
+    ranks: &Ranks,
+    effects: &BTreeMap<std::net::SocketAddr, wire::Effect>,
+    map: &Map,
+    version: u64,
+) {
+    assert_eq!(effects.len(), ranks.engines.len());
+    assert!(effects.values().all(|effect| *effect == wire::Effect::Confirmed), "{effects:?}");
+    for table in &ranks.tables {
+        let state = table.state.lock().unwrap();
+        let (prepared, held) = state.prepared.as_ref().unwrap();
+        assert_eq!((*prepared, difference::digest(held)), (version, difference::digest(map)));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn maps_follow_one_another_by_their_differences() {
+    let ranks = common::start(RANKS, &BTreeMap::new()).await;
+    let (first, second) = (next(&opening(RANKS), 1), next(&next(&opening(RANKS), 1), 2));
+    let parcel = prepare(&opening(RANKS), &first, 10);
+    assert_prepared(&ranks, &ranks.deliver(&parcel).await, &first, 10);
+    let parcel = prepare(&first, &second, 11);
+    assert_prepared(&ranks, &ranks.deliver(&parcel).await, &second, 11);
+}
+
+/// Bytes and messages that the driver sends for one change of a few experts
+/// in each set, all phases together, at several sizes of the group.
+#[tokio::test]
+async fn what_a_driver_sends_grows_slower_than_the_group() {
+    let mut before = 0;
+    for size in [192, 1_024] {
+        let engines: Vec<std::net::SocketAddr> = (0..size)
+            .map(|rank| {
+                ([10, 1 + (rank % 5) as u8, (rank / 200) as u8, (rank % 200) as u8], 8_100).into()
+            })
+            .collect();
+        let zones = engines.iter().map(|engine| (*engine, format!("{}", engine.ip()).into()));
+        let zones: BTreeMap<_, Arc<str>> = zones.collect();
+        let zone = |engine: &std::net::SocketAddr| -> Arc<str> { zones[engine][..4].into() };
+        let group = common::unreached(engines[0]);
+        group.set(engines.iter().map(|engine| (*engine, zone(engine))).collect());
+        let parcel = prepare(&opening(size), &next(&opening(size), 1), 10);
+        let parts = group.parts(&engines);
+        assert!(parts.len() <= 21, "{} parts of {size} ranks", parts.len());
+        let message = |part: &Vec<usize>| {
+            let engines = part.iter().map(|place| engines[*place]).collect();
+            let work = Work::Step(parcel.message().clone());
+            let errand = Errand { work, engines, limit: std::time::Duration::from_secs(1) };
+            errand.message().encoded_len()
+        };
+        // To prepare and to arm; hold and release go to one rank.
+        let bytes = 2 * parts.iter().map(message).sum::<usize>();
+        assert!(bytes < 30_000, "{bytes} bytes at {size} ranks");
+        // Six bytes and two of framing name a rank.
+        let names = 2 * 8 * size;
+        assert!(before == 0 || bytes - names < 2 * before, "{bytes} bytes at {size} ranks");
+        before = bytes - names;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rank_without_the_base_is_told_the_whole_map() {
+    let ranks = common::start(RANKS, &BTreeMap::new()).await;
+    // No rank has seen the map that the next one is told by.
+    let (first, second) = (next(&opening(RANKS), 1), next(&next(&opening(RANKS), 1), 2));
+    let parcel = prepare(&first, &second, 10);
+    assert_prepared(&ranks, &ranks.deliver(&parcel).await, &second, 10);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn relays_that_are_gone_or_silent_cost_little() {
+    // The first of many parts, in every zone.
+    let gone = (0..8).map(|rank| (rank, Fault::Gone));
+    let silent = (8..16).map(|rank| (rank, Fault::Silent));
+    let faults: BTreeMap<usize, Fault> = gone.chain(silent).filter(|(rank, _)| *rank > 0).collect();
+    let ranks = common::start(RANKS, &faults).await;
+    let map = next(&opening(RANKS), 1);
+    let parcel = prepare(&opening(RANKS), &map, 10);
+    assert_prepared(&ranks, &ranks.deliver(&parcel).await, &map, 10);
+    for (rank, table) in ranks.tables.iter().enumerate() {
+        let afar = table.state.lock().unwrap().from_afar;
+        assert!(afar > 0 || !faults.contains_key(&rank), "rank {rank} has no sidecar");
+    }
+    // The next step knows whom to pass over: what is left is the wait for the
+    // ranks themselves.
+    let arm = Parcel::new(step(Order::Arm { version: 10, pass: 200 }), Source::default());
+    let begun = Instant::now();
+    let effects = ranks.deliver(&arm).await;
+    assert!(effects.values().all(|effect| *effect == wire::Effect::Confirmed), "{effects:?}");
+    assert!(begun.elapsed() < common::PATIENCE);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn fences_hold_through_relays() {
+    let ranks = common::start(RANKS, &BTreeMap::new()).await;
+    let inspection =
+        wire::Inspection { term: TERM + 1, group: GROUP.to_owned(), ..wire::Inspection::default() };
+    // A rank that does not answer in time is left out of a look.
+    while ranks.group.survey(&ranks.driver, &ranks.engines, &inspection).await.conditions.len()
+        < RANKS
+    {}
+    let map = next(&opening(RANKS), 1);
+    let effects = ranks.deliver(&prepare(&opening(RANKS), &map, 10)).await;
+    assert!(effects.values().all(|effect| *effect == wire::Effect::Superseded), "{effects:?}");
+    assert!(ranks.tables.iter().all(|table| table.state.lock().unwrap().orders == 0));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn sums_of_counts_are_those_of_all_ranks() {
+    let ranks = common::start(RANKS, &BTreeMap::new()).await;
+    let look = || async {
+        let inspection = wire::Inspection {
+            term: TERM,
+            counts: true,
+            group: GROUP.to_owned(),
+            ..wire::Inspection::default()
+        };
+        let sample: Vec<_> = ranks.engines.iter().copied().step_by(12).collect();
+        ranks.group.sum(&ranks.driver, &sample, &inspection).await
+    };
+    for (rank, table) in ranks.tables.iter().enumerate() {
+        table.state.lock().unwrap().counts = vec![rank as u64, 1_000];
+    }
+    assert!(look().await.counts.is_empty(), "nobody has looked before");
+    loop {
+        for table in &ranks.tables {
+            table.state.lock().unwrap().counts[0] += 3;
+        }
+        let survey = look().await;
+        // Those that did not answer in time are left out.
+        if survey.conditions.len() == 16 && survey.counts == [3 * 16, 0] {
+            break;
+        }
+        assert!(survey.counts.iter().sum::<u32>() < 3 * 16 * 10, "{:?}", survey.counts);
+    }
+}
+
+#[tokio::test]
+async fn malformed_errands_are_refused() {
+    let sound = wire::Errand {
+        step: Some(wire::Step::default()),
+        engines: vec![vec![127, 0, 0, 1, 31, 164].into()],
+        limit_ms: u32::MAX,
+        ..wire::Errand::default()
+    };
+    let errand = Errand::read(sound.clone()).unwrap();
+    assert_eq!(errand.engines, ["127.0.0.1:8100".parse().unwrap()]);
+    assert!(errand.limit.as_secs() <= 5, "no caller keeps a relay for longer");
+    let read = |errand| Errand::read(errand).err();
+    let short = wire::Errand { engines: vec![vec![1, 2, 3].into()], ..sound.clone() };
+    assert_eq!(read(short), Some(Error::Address));
+    assert_eq!(read(wire::Errand { step: None, ..sound.clone() }), Some(Error::Work));
+    let many = wire::Errand { engines: vec![sound.engines[0].clone(); 70_000], ..sound };
+    assert_eq!(read(many), Some(Error::Engines));
+}
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -324,6 +324,43 @@
     #[prost(bool, tag = "5")]
     pub offered: bool,
 }
+/// What a relay does at several ranks.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Errand {
+    /// The step; without one their states are read.
+    #[prost(message, optional, tag = "1")]
+    pub step: ::core::option::Option<Step>,
+    /// What is read.
+    #[prost(message, optional, tag = "2")]
+    pub inspection: ::core::option::Option<Inspection>,
+    /// Addresses of the ranks' engines: octets of the address and two of the port.
+    #[prost(bytes = "bytes", repeated, tag = "3")]
+    pub engines: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
+    /// Time that the relay has, milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub limit_ms: u32,
+}
+/// What a relay found, as it comes in.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Findings {
+    #[prost(message, repeated, tag = "1")]
+    pub findings: ::prost::alloc::vec::Vec<Finding>,
+    /// Sum over the ranks of how often each expert was chosen since the last look.
+    #[prost(uint32, repeated, tag = "2")]
+    pub counts: ::prost::alloc::vec::Vec<u32>,
+}
+/// What came of an errand at one rank; there is none for one that did not answer.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Finding {
+    /// Place of the rank's engine in the errand.
+    #[prost(uint32, tag = "1")]
+    pub place: u32,
+    #[prost(enumeration = "Effect", tag = "2")]
+    pub effect: i32,
+    /// State of the engine; for a step no more than its epoch.
+    #[prost(message, optional, tag = "3")]
+    pub condition: ::core::option::Option<Condition>,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Inspection {
     /// Term of the driver that asks; 0 asks without claiming to drive.
@@ -378,15 +415,15 @@
     pub active: u32,
     #[prost(uint32, tag = "15")]
     pub queued: u32,
-    /// Set by set, how often each expert was chosen since the engine's start.
-    #[prost(uint64, repeated, tag = "16")]
-    pub counts: ::prost::alloc::vec::Vec<u64>,
     /// Experts in use: a set after the other, each with its length before it.
     #[prost(uint32, repeated, tag = "17")]
     pub experts: ::prost::alloc::vec::Vec<u32>,
     /// How many times as long as usual the engine takes for its work.
     #[prost(double, tag = "18")]
     pub slowness: f64,
+    /// Set by set, how often each expert was chosen since a driver last looked.
+    #[prost(uint32, repeated, tag = "19")]
+    pub counts: ::prost::alloc::vec::Vec<u32>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Step {
@@ -402,13 +439,31 @@
     pub version: u64,
     #[prost(uint64, tag = "5")]
     pub pass: u64,
-    /// For a preparation, the map: set by set and rank by rank the experts, each
-    /// list with its length before it.
-    #[prost(uint32, repeated, tag = "6")]
-    pub map: ::prost::alloc::vec::Vec<u32>,
     /// Group that the step is for.
     #[prost(string, tag = "7")]
     pub group: ::prost::alloc::string::String,
+    /// For a preparation, the map.
+    #[prost(message, optional, tag = "8")]
+    pub map: ::core::option::Option<Difference>,
+}
+/// A map by its difference from another one.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Difference {
+    /// Digest of the map that it is applied to: one that the rank holds, or the
+    /// one that the group opened with.
+    #[prost(uint64, tag = "1")]
+    pub base: u64,
+    /// Digest of the result.
+    #[prost(uint64, tag = "2")]
+    pub digest: u64,
+    /// Sets of the map, and experts of each.
+    #[prost(uint32, tag = "3")]
+    pub sets: u32,
+    #[prost(uint32, tag = "4")]
+    pub experts: u32,
+    /// The difference, see `loftcove_decision::map::difference`.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub changes: ::prost::bytes::Bytes,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Result {
@@ -754,6 +809,8 @@
     Superseded = 3,
     /// The engine has not answered yet; whether it has effect is not known.
     Unknown = 4,
+    /// The rank does not hold the map that the new one is told by: nothing was done.
+    BaseMissing = 5,
 }
 impl Effect {
     /// String value of the enum field names used in the ProtoBuf definition.
@@ -767,6 +824,7 @@
             Self::Refused => "EFFECT_REFUSED",
             Self::Superseded => "EFFECT_SUPERSEDED",
             Self::Unknown => "EFFECT_UNKNOWN",
+            Self::BaseMissing => "EFFECT_BASE_MISSING",
         }
     }
     /// Creates an enum from field names used in the ProtoBuf definition.
@@ -777,6 +835,7 @@
             "EFFECT_REFUSED" => Some(Self::Refused),
             "EFFECT_SUPERSEDED" => Some(Self::Superseded),
             "EFFECT_UNKNOWN" => Some(Self::Unknown),
+            "EFFECT_BASE_MISSING" => Some(Self::BaseMissing),
             _ => None,
         }
     }
@@ -2570,6 +2629,29 @@
             req.extensions_mut().insert(GrpcMethod::new("loftcove.v1.Rank", "Carry"));
             self.inner.unary(req, path, codec).await
         }
+        /// Has a step carried out, or states read, at several ranks by way of this
+        /// one. The answer begins at once, so that the caller knows of the relay.
+        pub async fn relay(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Errand>,
+        ) -> std::result::Result<
+            tonic::Response<tonic::codec::Streaming<super::Findings>>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/loftcove.v1.Rank/Relay");
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("loftcove.v1.Rank", "Relay"));
+            self.inner.server_streaming(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -2595,6 +2677,18 @@
             &self,
             request: tonic::Request<super::Step>,
         ) -> std::result::Result<tonic::Response<super::Result>, tonic::Status>;
+        /// Server streaming response type for the Relay method.
+        type RelayStream: tonic::codegen::tokio_stream::Stream<
+                Item = std::result::Result<super::Findings, tonic::Status>,
+            >
+            + std::marker::Send
+            + 'static;
+        /// Has a step carried out, or states read, at several ranks by way of this
+        /// one. The answer begins at once, so that the caller knows of the relay.
+        async fn relay(
+            &self,
+            request: tonic::Request<super::Errand>,
+        ) -> std::result::Result<tonic::Response<Self::RelayStream>, tonic::Status>;
     }
     /// Served by sidecars: the engine beside them, one rank of a group.
     #[derive(Debug)]
@@ -2759,6 +2853,50 @@
                     };
                     Box::pin(fut)
                 }
+                "/loftcove.v1.Rank/Relay" => {
+                    #[allow(non_camel_case_types)]
+                    struct RelaySvc<T: Rank>(pub Arc<T>);
+                    impl<T: Rank> tonic::server::ServerStreamingService<super::Errand>
+                    for RelaySvc<T> {
+                        type Response = super::Findings;
+                        type ResponseStream = T::RelayStream;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::ResponseStream>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Errand>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Rank>::relay(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = RelaySvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.server_streaming(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
