Search for a map a quarter as long, and off the thread that renews the term

Ruled out: a smaller search, since plans would be worse. Change: the 48 least busy ranks that may take something in are looked at for help to the slowest; peaks of sets that did not change are kept; the search runs on a thread of its own, and one that found nothing is not made again within a second unless the peak rises. Groups of up to 49 ranks are searched as before.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,6 +1,6 @@
-//! `bench placement|curve|routing|overload|path|capacity`: prints a measurement.
+//! `bench placement|curve|routing|overload|path|capacity|spread`: prints a measurement.
 
-use loftcove_bench::{capacity, overload, path, placement, routing};
+use loftcove_bench::{capacity, overload, path, placement, routing, spread};
 
 fn main() {
     let mut arguments = pico_args::Arguments::from_env();
@@ -12,6 +12,7 @@
         "overload" => overload::print(),
         "path" => path::print(),
         "capacity" => capacity::print(),
-        _ => println!("usage: bench placement|curve|routing|overload|path|capacity"),
+        "spread" => spread::print(),
+        _ => println!("usage: bench placement|curve|routing|overload|path|capacity|spread"),
     }
 }
--- a/decision/src/placement/spread.rs
+++ b/decision/src/placement/spread.rs
@@ -6,11 +6,16 @@
 //! another rank, or takes over from it, or it changes places with one there. A
 //! slow rank counts as many times as loaded as it is slower. The search ends
 //! where nothing helps by more than a threshold, or where the ranks are even
-//! enough. The work of a round grows with the ranks and the experts that a rank
-//! holds, not with all experts.
+//! enough. The work of a round grows with the experts that a rank holds, and a
+//! little with the ranks, not with all experts.
 
 use std::cmp::Ordering;
 
+/// Ranks that are looked at for help to the slowest one. In groups of up to so
+/// many and one this is all of them; in larger ones looking at the least busy
+/// takes a part of the time, and plans get no worse (`docs/CAPACITY.md`).
+const HELPERS: usize = 48;
+
 /// What a rank may hold and take in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
@@ -201,6 +206,11 @@
         self.ranks[rank].iter().filter(|expert| !old.contains(expert)).count()
     }
 
+    /// Whether a rank has given up an expert, which it may have back at no cost.
+    fn lacks(&self, rank: usize) -> bool {
+        self.before[rank].iter().any(|expert| !self.ranks[rank].contains(expert))
+    }
+
     /// Whether a rank may take an expert in, with `leaving` gone from it.
     fn may_take(&self, rank: usize, expert: u16, leaving: Option<u16>, room: &[usize]) -> bool {
         let held = &self.ranks[rank];
@@ -219,11 +229,28 @@
         new < self.bounds.spare && new < self.taken(rank).saturating_add(room[rank])
     }
 
+    /// The other ranks that may help one, as many as are looked at, by their
+    /// numbers: those that are least busy.
+    fn helpers(&self, from: usize, limit: f64, room: &[usize]) -> Vec<usize> {
+        // A rank that is as busy, or that may take nothing in, cannot help.
+        let may = |rank: usize| room[rank] > 0 || self.taken(rank) > 0 || self.lacks(rank);
+        let helps = |rank: &usize| *rank != from && self.time(*rank, 0.0) < limit && may(*rank);
+        let mut ranks: Vec<usize> = (0..self.ranks.len()).filter(helps).collect();
+        if ranks.len() > HELPERS {
+            let by_time = |a: &usize, b: &usize| self.time(*a, 0.0).total_cmp(&self.time(*b, 0.0));
+            ranks.select_nth_unstable_by(HELPERS, by_time);
+            ranks.truncate(HELPERS);
+            ranks.sort_unstable();
+        }
+        ranks
+    }
+
     /// The change that leaves the ranks it touches least busy, if it takes
     /// enough off the slowest rank.
     fn best(&self, least_gain: f64, room: &[usize]) -> Option<Change> {
         let from = self.slowest();
         let limit = self.time(from, 0.0) - least_gain * self.ideal;
+        let helpers = self.helpers(from, limit, room);
         let mut best: Option<(f64, Change)> = None;
         let mut offer = |worst: f64, change: Change| {
             let better = best.is_none_or(|(least, _)| worst.total_cmp(&least) == Ordering::Less);
@@ -233,12 +260,8 @@
         };
         for expert in &self.ranks[from] {
             self.offer_drop(*expert, from, &mut offer);
-            for to in (0..self.ranks.len()).filter(|to| *to != from) {
-                // A rank that is as busy cannot help.
-                if self.time(to, 0.0) >= limit {
-                    continue;
-                }
-                self.offers(*expert, (from, to), room, &mut offer);
+            for to in &helpers {
+                self.offers(*expert, (from, *to), room, &mut offer);
             }
         }
         best.map(|(_, change)| change)
--- a/decision/src/placement/stage.rs
+++ b/decision/src/placement/stage.rs
@@ -99,13 +99,19 @@
 /// Takes the searches on, that of the longest time first, until all are even
 /// enough or nothing helps.
 fn advance(searches: &mut [Search<'_>], goal: Goal, room: &mut [usize]) {
-    let mut open: Vec<usize> = (0..searches.len()).collect();
-    loop {
-        open.retain(|set| searches[*set].peak() > goal.even);
-        let by_peak = |a: &usize, b: &usize| searches[*a].peak().total_cmp(&searches[*b].peak());
-        let Some(set) = open.iter().copied().max_by(by_peak) else { return };
-        if !searches[set].advance(goal.least_gain, room) {
-            open.retain(|other| *other != set);
+    // Only the peak of the set that was changed is another one.
+    let mut open: Vec<(usize, f64)> = searches
+        .iter()
+        .map(Search::peak)
+        .enumerate()
+        .filter(|(_, peak)| *peak > goal.even)
+        .collect();
+    while let Some(place) = (0..open.len()).max_by(|a, b| open[*a].1.total_cmp(&open[*b].1)) {
+        let set = open[place].0;
+        let advanced = searches[set].advance(goal.least_gain, room);
+        open[place].1 = searches[set].peak();
+        if !advanced || open[place].1 <= goal.even {
+            open.remove(place);
         }
     }
 }
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -221,7 +221,8 @@
         }
         self.count(term, engine.slots, known).await;
         plan::notice_shift(known, &experts);
-        let Some(stage) = plan::decide(known, &engine, &experts) else { return Ok(()) };
+        let stage = plan::decide(known, &engine, &experts).await;
+        let Some(stage) = stage else { return Ok(()) };
         known.versions += 1;
         if known.versions >= version::MAPS_OF_A_TERM {
             return Err(Stopped::Exhausted);
--- a/sidecar/src/known.rs
+++ b/sidecar/src/known.rs
@@ -29,6 +29,13 @@
 /// What is left, at each pass, of the longest time that one took.
 const PASS_TIME_KEPT: f64 = 0.7;
 
+/// Time until a search that found nothing worth a change is made again, and the
+/// rise of the peak that makes it sooner. A search takes a small host a tenth of
+/// a second in a group of 192 ranks, while the demand drifts over seconds; a
+/// shift raises the peak by more than this. Both are guesses.
+const SEARCH_PAUSE: Duration = Duration::from_secs(1);
+const SEARCH_RISE: f64 = 0.05;
+
 /// What a term has learnt of the group.
 #[derive(Default)]
 pub struct Known {
@@ -60,6 +67,8 @@
     seen: Option<(u64, Instant)>,
     /// Versions used in this term.
     pub versions: u64,
+    /// When a search last found nothing worth a change, and at what peak.
+    fruitless: Option<(Instant, f64)>,
 }
 
 impl Known {
@@ -79,6 +88,17 @@
         };
     }
 
+    /// Whether to search for a better map at that peak.
+    pub fn worth_a_search(&self, peak: f64) -> bool {
+        self.fruitless
+            .is_none_or(|(at, before)| at.elapsed() >= SEARCH_PAUSE || peak >= before + SEARCH_RISE)
+    }
+
+    /// A search has ended, with a change worth making or without.
+    pub fn searched(&mut self, peak: f64, change: bool) {
+        self.fruitless = (!change).then(|| (Instant::now(), peak));
+    }
+
     /// Takes the last pass that has begun, for the time of a pass.
     pub fn see_pass(&mut self, pass: u64) {
         let now = Instant::now();
--- a/sidecar/src/plan.rs
+++ b/sidecar/src/plan.rs
@@ -1,10 +1,12 @@
 //! Decides whether a group should go over to another map, and to which.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use loftcove_decision::placement::spread;
 use loftcove_decision::placement::stage::{self, Stage, Times};
 use loftcove_decision::route;
+use loftcove_interface::engine::Map;
 
 use crate::known::Known;
 
@@ -74,30 +76,32 @@
     stage.gain() * left > COPY_SLOWDOWN * stage.peak.0 * copying
 }
 
-/// The change of the map to make now, or `None` to stay.
-pub fn decide(known: &Known, engine: &route::Engine, experts: &route::Experts) -> Option<Stage> {
-    let least = LEAST_CHOICES * (experts.count * experts.sets) as f64;
-    if known.demand.total() < least || known.map.len() != experts.sets {
+/// The change of the map to make now, or `None` to stay. The search is on a
+/// thread of its own: in a large group it takes a small host's processor longer
+/// than a renewal of the term, or a message to a rank, may wait.
+pub async fn decide(
+    known: &mut Known,
+    engine: &route::Engine,
+    experts: &route::Experts,
+) -> Option<Stage> {
+    let task = Task::new(known, engine, experts)?;
+    let peak = task.peak();
+    if !known.worth_a_search(peak) {
         return None;
     }
-    let bounds = spread::Bounds { placements: experts.placements, spare: experts.spare };
-    let goal = spread::Goal {
-        even: by_fill(known.fill, EVEN),
-        least_gain: by_fill(known.fill, LEAST_MOVE),
+    let times = task.times;
+    let stage = match tokio::task::spawn_blocking(move || task.search()).await {
+        Ok(stage) => stage,
+        Err(error) => {
+            log::error!("search for a map failed error=\"{error}\"");
+            None
+        }
     };
-    let demand: Vec<spread::Demand<'_>> = (0..experts.sets)
-        .map(|set| spread::Demand {
-            load: known.demand.set(set, experts.count),
-            slowness: &known.slowness,
-        })
-        .collect();
-    if demand.iter().any(|demand| demand.load.is_empty()) {
-        return None;
-    }
-    let times = Times { copy: copy_time(engine, experts), switch: known.switch_time() };
-    let stage = stage::plan(&known.map, &demand, bounds, goal, times)?;
-    let least_gain = by_fill(known.fill, LEAST_GAIN);
-    let change = stage.gain() >= least_gain && pays(&stage, times, known.phase());
+    let change = stage.as_ref().is_some_and(|stage| {
+        stage.gain() >= by_fill(known.fill, LEAST_GAIN) && pays(stage, times, known.phase())
+    });
+    known.searched(peak, change);
+    let stage = stage?;
     log::info!(
         "placement epoch={} choices={:.0} fill={:.2} pass_ms={} peak={:.3} reachable={:.3} copies={} deepest={} expected_ms={} change={change}",
         known.view.epoch,
@@ -113,6 +117,56 @@
     change.then_some(stage)
 }
 
+/// What a search needs, apart from what goes on.
+struct Task {
+    map: Arc<Map>,
+    /// Demand of the experts of each set.
+    loads: Vec<Vec<f64>>,
+    slowness: Vec<f64>,
+    bounds: spread::Bounds,
+    goal: spread::Goal,
+    times: Times,
+}
+
+impl Task {
+    /// `None` where too little is known.
+    fn new(known: &Known, engine: &route::Engine, experts: &route::Experts) -> Option<Task> {
+        let least = LEAST_CHOICES * (experts.count * experts.sets) as f64;
+        if known.demand.total() < least || known.map.len() != experts.sets {
+            return None;
+        }
+        let load = |set| known.demand.set(set, experts.count).to_vec();
+        let loads: Vec<Vec<f64>> = (0..experts.sets).map(load).collect();
+        loads.iter().all(|load| !load.is_empty()).then(|| Task {
+            map: known.map.clone(),
+            loads,
+            slowness: known.slowness.clone(),
+            bounds: spread::Bounds { placements: experts.placements, spare: experts.spare },
+            goal: spread::Goal {
+                even: by_fill(known.fill, EVEN),
+                least_gain: by_fill(known.fill, LEAST_MOVE),
+            },
+            times: Times { copy: copy_time(engine, experts), switch: known.switch_time() },
+        })
+    }
+
+    fn demand(&self) -> Vec<spread::Demand<'_>> {
+        let demand = |load| spread::Demand { load, slowness: &self.slowness };
+        self.loads.iter().map(|load| demand(load)).collect()
+    }
+
+    /// Mean over the sets of the slowest rank's time over the least possible one.
+    fn peak(&self) -> f64 {
+        let sets = self.map.iter().zip(self.demand());
+        let sum: f64 = sets.map(|(ranks, demand)| spread::peak(ranks, demand)).sum();
+        sum / self.loads.len() as f64
+    }
+
+    fn search(&self) -> Option<Stage> {
+        stage::plan(&self.map, &self.demand(), self.bounds, self.goal, self.times)
+    }
+}
+
 /// Time in which a rank copies one expert.
 fn copy_time(engine: &route::Engine, experts: &route::Experts) -> Duration {
     if engine.copy_mbps <= 0.0 {
