Depose a driver only for a group that it left held; stagger elections by the root of the rank

At an election rank 191 waited 7.6 to 15 s. Ruled out: telling cut ranks from the engine's report, which does not say why no pass begins. Change: only the rank that holds the next pass, and so knows that a driver left the group standing, may depose it; ranks wait by the root of their number, 0.55 to 1.1 s for the last.

--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -48,8 +48,11 @@
 const SETTLE_POLL: Duration = Duration::from_millis(20);
 /// See [`SETTLE_POLL`].
 const SETTLE_POLLS: u32 = 25;
-/// Time that a rank lets each lower one go first at an election.
-const PAUSE_BY_RANK: Duration = Duration::from_millis(40);
+/// Time that rank 1 lets rank 0 go first at an election; others wait longer by
+/// the root of their rank, so that the last of hundreds waits for a second and
+/// not for many, and few more than one stand before all have heard of the first:
+/// that takes the store and its watchers some 50 ms.
+const ELECTION_STAGGER: Duration = Duration::from_millis(40);
 
 /// What a driver works with.
 pub struct Parts<S, E> {
@@ -158,7 +161,7 @@
         // The lowest rank goes first, so that few stand at once.
         if !own {
             let part = 1.0 + rand::random::<f64>();
-            tokio::time::sleep(PAUSE_BY_RANK.mul_f64(f64::from(place.rank) * part)).await;
+            tokio::time::sleep(ELECTION_STAGGER.mul_f64(f64::from(place.rank).sqrt() * part)).await;
         }
         if election::revision(&self.mirror, &key) != known {
             return None;
--- a/sidecar/src/known.rs
+++ b/sidecar/src/known.rs
@@ -142,7 +142,8 @@
     }
 }
 
-/// Notices that the group stands still within a change of the map.
+/// Notices that the group stands still because a driver left it held. What else
+/// keeps it standing, as a rank that is cut off, no other driver can mend.
 #[derive(Debug, Default)]
 pub struct Stall {
     pass: u64,
@@ -155,17 +156,16 @@
 }
 
 impl Stall {
-    /// Takes a report and the driver's term; returns whether the group has
-    /// requests and has begun no pass for too long, under this driver, while a
-    /// change of the map is under way.
+    /// Takes a report and the driver's term; returns whether this rank has kept
+    /// the group from its next pass for too long under this driver.
     pub fn look(&mut self, report: &engine::Report, term: u64) -> bool {
-        let changing = report.prepared.is_some() || report.armed.is_some() || report.held.is_some();
+        let held = report.held == Some(report.pass + 1);
         let moved = report.pass != self.pass;
         if let Some(since) = self.since.filter(|_| moved) {
             let kept = self.pass_time.mul_f64(PASS_TIME_KEPT);
             self.pass_time = kept.max(since.elapsed()).min(STALL_TIME * STALL_PASSES);
         }
-        if moved || term != self.term || !changing || report.active == 0 {
+        if moved || term != self.term || !held {
             self.pass = report.pass;
             self.term = term;
             self.since = None;
