Read the store at a start only where peers do not tell, and renew seldom where they do

Ruled out: longer watches (the bounds), registration by peers (peers find each other by it). Change: a gateway that is no seed waits a second for its peers to tell it everything; one that leaves a peer for a better one keeps relying on the others for half a second; who relies on peers renews its entry each 5 s; nine gateways watch in all, two or three of each zone.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -75,8 +75,12 @@
     let metrics = bind(host.metrics_address, SMALL_BACKLOG)?;
     let gateway = Arc::new(state::Gateway::<P>::new(settings));
     for subject in subjects::<P>(&gateway.settings.serving) {
-        let (name, zone) = (host.name.clone(), host.zone.clone());
-        let wanted = move |mirror: &mirror::Mirror| register::watches(mirror, &name, &zone);
+        let own = register::Own {
+            name: host.name.clone(),
+            zone: host.zone.clone(),
+            seed: host.seeds.contains(&listen.peer_address),
+        };
+        let wanted = move |mirror: &mirror::Mirror| register::watches(mirror, &own);
         tokio::spawn(watch::run(gateway.mirror.clone(), store.clone(), subject, wanted));
     }
     let own = follow::Own {
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -48,6 +48,8 @@
     pub progress: progress::Progress,
     /// Peers that are followed at present.
     followed: AtomicUsize,
+    /// When these were last enough to rely on.
+    relied: register::Relied,
 }
 
 /// Where a record was heard of, for the log.
@@ -80,6 +82,7 @@
             distance: distance::Distance::default(),
             progress: progress::Progress::default(),
             followed: AtomicUsize::new(0),
+            relied: register::Relied::default(),
         }
     }
 }
--- a/mirror/src/register.rs
+++ b/mirror/src/register.rs
@@ -3,9 +3,10 @@
 //! Renewing the lease is also a check whether the store answers at all. The
 //! watches are on other connections and have checks of their own ([`crate::watch`]).
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use loftcove_interface::store::{self, Store};
 use serde::{Deserialize, Serialize};
@@ -14,8 +15,12 @@
 
 /// How long an entry outlasts its owner. Peers skip a dead one by themselves.
 const TTL: Duration = Duration::from_secs(20);
-/// Time between two renewals; a renewal costs a tenth of a read.
+/// Time between two renewals of one that watches the store, or that the store
+/// does not answer; a renewal costs a tenth of a read.
 const RENEWAL: Duration = Duration::from_millis(1_500);
+/// The same for one that relies on peers. What a renewal shows of the store
+/// matters little to it, and the entry outlasts three that are lost.
+const SLOW_RENEWAL: Duration = Duration::from_secs(5);
 
 /// A gateway's entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,28 +52,87 @@
     records.filter_map(read).collect()
 }
 
-/// Gateways of an availability zone that watch the store. Each costs calls of
-/// the store; with three it takes all of them, and their peers in the other
-/// zones, to be turned down by the store for a change not to be heard of at
-/// once, and who lacks peers watches as well.
-const WATCHERS: usize = 3;
+/// Gateways that watch the store over all zones, and the least and most of one
+/// zone. Each costs calls of the store, for every change. With nine, a store
+/// that turns away a third of all hosts turns all of them away once in 20,000
+/// times; with two of a zone it takes both, and their peers in other zones, for
+/// a change not to be heard of at once, and who lacks peers watches as well.
+const WATCHERS: usize = 9;
+const WATCHERS_OF_ZONE: (usize, usize) = (2, 3);
 /// Peers that a gateway must follow to rely on them: two that are cut off
 /// together with it are not enough.
 const RELIED_ON: usize = 3;
+/// Time from its start in which a gateway expects its first peers to tell it
+/// everything, rather than reading it all from the store: hundreds that start
+/// at once would cost it several calls each. Peers tell within half a second; of
+/// those that others ask first, the seeds, each reads by itself.
+const FIRST_NEWS: Duration = Duration::from_secs(1);
+/// Time for which a gateway that left a peer for a better one still counts on
+/// having enough: finding another takes 0.15 s and a connection.
+const CHANGE_OF_PEER: Duration = Duration::from_millis(500);
+
+/// A gateway that may watch the store.
+#[derive(Debug, Clone)]
+pub struct Own {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Whether others ask it first when they start.
+    pub seed: bool,
+}
 
 /// Whether a gateway is to watch the store itself: it is one of the first of
 /// its zone, or it has too few peers, or the store answers it while none of
 /// them is within reach of the store.
-pub fn watches(mirror: &Mirror, own: &str, zone: &str) -> bool {
+pub fn watches(mirror: &Mirror, own: &Own) -> bool {
     let entries = entries(mirror);
-    let zone = entries.iter().filter(|(_, entry)| *entry.zone == *zone);
-    let place = zone.map(|(name, _)| name).position(|name| **name == *own);
+    let starting = !own.seed && mirror.origin.elapsed() < FIRST_NEWS;
+    let watcher = match place(&entries, own) {
+        Some(place) => place < watchers_of_zone(&entries),
+        None => !starting,
+    };
+    mirror.distance.set_watcher(watcher);
+    watcher || !(starting || relies(mirror))
+}
+
+/// Place of a gateway among those of its zone; `None` where it is not yet known
+/// to be registered.
+fn place(entries: &[(Arc<str>, Entry)], own: &Own) -> Option<usize> {
+    let zone = entries.iter().filter(|(_, entry)| entry.zone == own.zone);
+    zone.map(|(name, _)| name).position(|name| *name == own.name)
+}
+
+fn watchers_of_zone(entries: &[(Arc<str>, Entry)]) -> usize {
+    let zones: BTreeSet<&Arc<str>> = entries.iter().map(|(_, entry)| &entry.zone).collect();
+    let (least, most) = WATCHERS_OF_ZONE;
+    WATCHERS.div_ceil(zones.len().max(1)).clamp(least, most)
+}
+
+/// Whether a gateway may rely on the peers that it follows, or did until just now.
+fn relies(mirror: &Mirror) -> bool {
     let followed = mirror.followed.load(std::sync::atomic::Ordering::Relaxed);
     let reached = mirror.distance.peers_reach() || !mirror.health.up();
-    let relies = followed >= RELIED_ON && reached;
-    let watcher = place.is_none_or(|place| place < WATCHERS);
-    mirror.distance.set_watcher(watcher);
-    watcher || !relies
+    mirror.relied.look(reached && followed >= RELIED_ON, reached)
+}
+
+/// When a gateway last had enough peers.
+#[derive(Debug, Default)]
+pub struct Relied {
+    last: Mutex<Option<Instant>>,
+}
+
+impl Relied {
+    /// Takes whether it has enough peers now, and whether any of them reaches the
+    /// store; returns whether it may rely on them.
+    fn look(&self, enough: bool, reached: bool) -> bool {
+        // Each change is one assignment.
+        let mut last = self.last.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        if enough {
+            *last = Some(Instant::now());
+        }
+        reached && last.is_some_and(|at| at.elapsed() < CHANGE_OF_PEER)
+    }
 }
 
 /// Keeps the entry until the process ends.
@@ -95,7 +159,8 @@
             }
             Err(error) => mirror.store_failed(&error),
         }
-        tokio::time::sleep(RENEWAL).await;
+        let slow = mirror.health.up() && mirror.progress.watches().is_empty();
+        tokio::time::sleep(if slow { SLOW_RENEWAL } else { RENEWAL }).await;
     }
 }
 
--- a/mirror/src/watch.rs
+++ b/mirror/src/watch.rs
@@ -36,6 +36,9 @@
 /// back at once after an outage, so each waits a part of it by lot.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
+/// Longest time between two looks whether the watch is wanted.
+const LOOK: Duration = Duration::from_millis(500);
+
 /// What is watched.
 #[derive(Debug, Clone, Copy)]
 pub struct Subject {
@@ -83,8 +86,13 @@
     loop {
         if !wanted(&mirror) {
             mirror.progress.forget(prefix);
-            if changed.changed().await.is_err() {
-                return;
+            tokio::select! {
+                alive = changed.changed() => {
+                    if alive.is_err() {
+                        return;
+                    }
+                }
+                () = tokio::time::sleep(LOOK) => {}
             }
             continue;
         }
