Log records that are learnt in a flood by their number

Change: a process writes up to 32 such lines at once and one more a second; the next line tells how many were left out, and each is logged at debug.

--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod distance;
 pub mod follow;
 mod health;
+mod learnt;
 pub mod membership;
 pub mod peer;
 pub mod progress;
@@ -46,6 +47,8 @@
     pub distance: distance::Distance,
     /// How its watches of the store get on.
     pub progress: progress::Progress,
+    /// What is logged of records that are learnt.
+    learnt: learnt::Learnt,
     /// Peers that are followed at present.
     followed: AtomicUsize,
     /// When these were last enough to rely on.
@@ -82,6 +85,7 @@
             distance: distance::Distance::default(),
             progress: progress::Progress::default(),
             followed: AtomicUsize::new(0),
+            learnt: learnt::Learnt::default(),
             relied: register::Relied::default(),
         }
     }
@@ -107,12 +111,7 @@
                 continue;
             }
             count += 1;
-            log::info!(
-                "learnt key={} revision={} removed={} from={source}",
-                record.key,
-                record.revision,
-                record.value.is_none()
-            );
+            self.learnt.log(&record, source);
             // Nobody may be following at present.
             self.news.send(record).unwrap_or_default();
         }
