Give engines a map that is the same to the letter, whichever way it comes

Cause: a rank that makes the map of a difference has its lists in ascending order, while the driver's own engine, and one told past its sidecar, got them as the search left them. Ruled out: two maps of one version (a term's numbers only rise), a digest that two maps share. Change: a step's map is put in order where it is packed. Before: sidecar/tests/relays.rs compares all ranks' maps; two tests fail.

--- a/decision/src/map/difference.rs
+++ b/decision/src/map/difference.rs
@@ -9,7 +9,9 @@
 //! is two to four bytes for an expert that comes. Both sides compare digests of
 //! the base and of the result, so a difference is never applied to another map.
 //!
-//! Lists are kept in ascending order here: the order within a rank means nothing.
+//! Lists are kept in ascending order here. The order within a rank means nothing
+//! to the work, but engines may compare maps to the letter, so a map must be the
+//! same whether a rank has it from a difference or not ([`canonical`]).
 
 use std::io;
 
@@ -62,6 +64,11 @@
     hasher.digest()
 }
 
+/// The same map with its lists in ascending order, as [`apply`] makes it.
+pub fn canonical(map: &Map) -> Map {
+    map.iter().map(|ranks| ranks.iter().map(|list| sorted(list)).collect()).collect()
+}
+
 fn sorted(list: &[u16]) -> Vec<u16> {
     let mut list = list.to_vec();
     list.sort_unstable();
--- a/decision/tests/difference.rs
+++ b/decision/tests/difference.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
-use loftcove_decision::map::difference::{self, Map};
+use loftcove_decision::map::difference::{self, Map, canonical};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -18,11 +18,6 @@
     proptest::collection::vec(ranks, SETS)
 }
 
-fn canonical(mut map: Map) -> Map {
-    map.iter_mut().flatten().for_each(|list| list.sort_unstable());
-    map
-}
-
 proptest! {
     #![proptest_config(ProptestConfig { cases: 500, rng_seed: RngSeed::Fixed(7), ..ProptestConfig::default() })]
 
@@ -30,15 +25,15 @@
     fn any_map_is_made_of_any_other(base in map(), map in map()) {
         let bytes = difference::encode(&base, &map).unwrap();
         let made = difference::apply(&base, &bytes, difference::digest(&map)).unwrap();
-        prop_assert_eq!(made, canonical(map));
+        prop_assert_eq!(made, canonical(&map));
     }
 
     #[test]
     fn another_base_is_noticed(base in map(), other in map(), map in map()) {
-        prop_assume!(canonical(base.clone()) != canonical(other.clone()));
+        prop_assume!(canonical(&base) != canonical(&other));
         let bytes = difference::encode(&base, &map).unwrap();
         if let Ok(made) = difference::apply(&other, &bytes, difference::digest(&map)) {
-            prop_assert_eq!(made, canonical(map));
+            prop_assert_eq!(made, canonical(&map));
         }
     }
 
@@ -58,7 +53,7 @@
         changed[cut] ^= 1 << bit;
         if let Ok(made) = difference::apply(&base, &changed, digest) {
             // Bits that fill the last byte mean nothing.
-            prop_assert_eq!(made, canonical(map));
+            prop_assert_eq!(made, canonical(&map));
         }
         let mut longer = bytes;
         longer.push(0);
--- a/sidecar/src/parcel.rs
+++ b/sidecar/src/parcel.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, OnceLock};
 
+use loftcove_decision::map::difference;
 use loftcove_interface::engine::{Map, Order};
 use loftcove_wire as wire;
 
@@ -28,10 +29,13 @@
 }
 
 impl Parcel {
-    /// Packs a step.
-    pub fn new(step: Step, source: Source) -> Parcel {
+    /// Packs a step. Its map is the same to the letter for a rank that makes it
+    /// of a difference, for this sidecar's own, and for one whose engine is told
+    /// past its sidecar.
+    pub fn new(mut step: Step, source: Source) -> Parcel {
         let mut message = message(&step);
-        if let Order::Prepare { map, .. } = &step.order {
+        if let Order::Prepare { map, .. } = &mut step.order {
+            *map = Arc::new(difference::canonical(map));
             message.map = maps::message(&source.base, map, source.experts);
         }
         Parcel { step, message, source, whole: OnceLock::new() }
--- a/sidecar/tests/relays.rs
+++ b/sidecar/tests/relays.rs
@@ -48,10 +48,13 @@
 ) {
     assert_eq!(effects.len(), ranks.engines.len());
     assert!(effects.values().all(|effect| *effect == wire::Effect::Confirmed), "{effects:?}");
-    for table in &ranks.tables {
+    let mut first: Option<Arc<Map>> = None;
+    for (rank, table) in ranks.tables.iter().enumerate() {
         let state = table.state.lock().unwrap();
         let (prepared, held) = state.prepared.as_ref().unwrap();
         assert_eq!((*prepared, difference::digest(held)), (version, difference::digest(map)));
+        // Engines compare maps to the letter, whichever way they came.
+        assert_eq!(first.get_or_insert_with(|| held.clone()), held, "rank {rank}");
     }
 }
 
