Rely on the peers that are left while another is sought, and wait for peers after a restart

Ruled out: renewals (2,600 at a tenth of a call). Change: a connection to a peer is given up after 0.4 s; a gateway with fewer than three peers relies on those that reach the store for three tenths of the shortest bound; who starts waits 1.5 s for its peers.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -79,6 +79,7 @@
             name: host.name.clone(),
             zone: host.zone.clone(),
             seed: host.seeds.contains(&listen.peer_address),
+            bound: shortest_bound(&gateway.settings.serving),
         };
         let wanted = move |mirror: &mirror::Mirror| register::watches(mirror, &own);
         tokio::spawn(watch::run(gateway.mirror.clone(), store.clone(), subject, wanted));
@@ -123,6 +124,11 @@
     ]
 }
 
+/// Shortest of the bounds for what the operators and the backend servers change.
+fn shortest_bound(serving: &settings::Serving) -> Duration {
+    Duration::from_secs_f64(serving.config_bound_ms.min(serving.drain_bound_ms) / 1_000.0)
+}
+
 /// Connections that may wait to be accepted: all clients of a zone may come
 /// back at once after the other gateways have gone.
 const CLIENT_BACKLOG: u32 = 1_024;
--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -13,8 +13,10 @@
 
 use crate::{Mirror, Source, peer, register};
 
-/// Longest wait for a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest wait for a connection, which takes milliseconds. The opening packet to
+/// a host that is down is lost, and would only be sent again after a second: while
+/// all hosts start, the next try finds the host up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a peer that failed is passed over while there are others.
 const PENALTY: Duration = Duration::from_secs(2);
 /// Time for which a record that another zone's peer offers is awaited from the
--- a/mirror/src/register.rs
+++ b/mirror/src/register.rs
@@ -64,12 +64,15 @@
 const RELIED_ON: usize = 3;
 /// Time from its start in which a gateway expects its first peers to tell it
 /// everything, rather than reading it all from the store: hundreds that start
-/// at once would cost it several calls each. Peers tell within half a second; of
-/// those that others ask first, the seeds, each reads by itself.
-const FIRST_NEWS: Duration = Duration::from_secs(1);
-/// Time for which a gateway that left a peer for a better one still counts on
-/// having enough: finding another takes 0.15 s and a connection.
-const CHANGE_OF_PEER: Duration = Duration::from_millis(500);
+/// at once would cost it several calls each. Peers tell within half a second, or
+/// a second where the first connection finds a host that is still down; of those
+/// that others ask first, the seeds, each reads by itself.
+const FIRST_NEWS: Duration = Duration::from_millis(1_500);
+/// Part of the shortest bound for a change for which a gateway that has lost a
+/// peer still relies on those that are left, if they reach the store: it looks
+/// for another meanwhile, and after a cut it tries some that are gone. What is
+/// left of the bound is for reading everything from the store.
+const CHANGE_OF_PEER: f64 = 0.3;
 
 /// A gateway that may watch the store.
 #[derive(Debug, Clone)]
@@ -80,6 +83,8 @@
     pub zone: Arc<str>,
     /// Whether others ask it first when they start.
     pub seed: bool,
+    /// Shortest time within which a change is to be in force.
+    pub bound: Duration,
 }
 
 /// Whether a gateway is to watch the store itself: it is one of the first of
@@ -93,7 +98,7 @@
         None => !starting,
     };
     mirror.distance.set_watcher(watcher);
-    watcher || !(starting || relies(mirror))
+    watcher || !(starting || relies(mirror, own.bound))
 }
 
 /// Place of a gateway among those of its zone; `None` where it is not yet known
@@ -110,10 +115,11 @@
 }
 
 /// Whether a gateway may rely on the peers that it follows, or did until just now.
-fn relies(mirror: &Mirror) -> bool {
+fn relies(mirror: &Mirror, bound: Duration) -> bool {
     let followed = mirror.followed.load(std::sync::atomic::Ordering::Relaxed);
     let reached = mirror.distance.peers_reach() || !mirror.health.up();
-    mirror.relied.look(reached && followed >= RELIED_ON, reached)
+    let enough = reached && followed >= RELIED_ON;
+    mirror.relied.look(enough, reached, bound.mul_f64(CHANGE_OF_PEER))
 }
 
 /// When a gateway last had enough peers.
@@ -124,14 +130,14 @@
 
 impl Relied {
     /// Takes whether it has enough peers now, and whether any of them reaches the
-    /// store; returns whether it may rely on them.
-    fn look(&self, enough: bool, reached: bool) -> bool {
+    /// store; returns whether it may rely on them, having had enough within `patience`.
+    fn look(&self, enough: bool, reached: bool, patience: Duration) -> bool {
         // Each change is one assignment.
         let mut last = self.last.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         if enough {
             *last = Some(Instant::now());
         }
-        reached && last.is_some_and(|at| at.elapsed() < CHANGE_OF_PEER)
+        enough || reached && last.is_some_and(|at| at.elapsed() < patience)
     }
 }
 
