--- a/sidecar/src/group.rs
+++ b/sidecar/src/group.rs
@@ -1,6 +1,6 @@
 //! The ranks of a group, as its driver and its relays reach them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -284,26 +284,32 @@
     }
 
     /// Carries an order out at the ranks of a part, by a relay where there are
-    /// several.
+    /// several. Ranks that lack the map of before, as all do after a restart, are
+    /// told the whole one by a relay too.
     pub async fn deliver(
         &self,
         local: &Rank<E>,
         part: Vec<SocketAddr>,
         parcel: &Parcel,
     ) -> Vec<(SocketAddr, Carried)> {
+        let limit = limit(&parcel.step.order);
         let mut all = Vec::new();
+        let mut lacking = Vec::new();
+        let mut take = |engine, finding: wire::Finding| match finding.effect() {
+            wire::Effect::BaseMissing => lacking.push(engine),
+            effect => all.push((engine, Carried::new(effect, finding.condition))),
+        };
         let work = Work::Step(parcel.message().clone());
-        let limit = limit(&parcel.step.order);
-        let mut take = |engine, finding: wire::Finding| {
-            if finding.effect() != wire::Effect::BaseMissing {
+        let (mut left, _) = self.serve(&part, &work, limit, &mut take).await;
+        if !lacking.is_empty() {
+            let mut take = |engine, finding: wire::Finding| {
                 all.push((engine, Carried::new(finding.effect(), finding.condition)));
-            }
-        };
-        self.serve(&part, &work, limit, &mut take).await;
-        let done: BTreeSet<SocketAddr> = all.iter().map(|(engine, _)| *engine).collect();
-        let left = part.into_iter().filter(|engine| !done.contains(engine));
+            };
+            let work = Work::Step(parcel.whole().clone());
+            left.extend(self.serve(&lacking, &work, limit, &mut take).await.0);
+        }
         let carry = async |engine| (engine, self.carry(local, engine, parcel).await);
-        all.extend(future::join_all(left.map(carry)).await);
+        all.extend(future::join_all(left.into_iter().map(carry)).await);
         all
     }
 
