--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -135,6 +135,7 @@
                 continue;
             };
             log::info!("driver elected group={group} term={}", term.number);
+            self.metrics.elected.inc();
             self.metrics.driving.set(1);
             self.drive(&group, term, &stop).await;
             self.metrics.driving.set(0);
@@ -170,6 +171,7 @@
             log::info!("earlier run drove group={} term={known}", place.name);
         } else if known != 0 {
             log::warn!("driver deposed group={} term={known} pass={}", place.name, report.pass);
+            self.metrics.deposed.inc();
         }
         let stand = election::stand(&*self.store, &self.mirror, &place.name, &self.name, known);
         let term = match stand.await {
--- a/sidecar/src/metrics.rs
+++ b/sidecar/src/metrics.rs
@@ -19,6 +19,10 @@
 pub struct Metrics {
     /// Whether this sidecar drives its group.
     pub driving: Gauge,
+    /// Terms that this sidecar was elected for.
+    pub elected: Counter,
+    /// Drivers that it took the term from, of a group that was left held.
+    pub deposed: Counter,
     /// Maps that the group was taken to.
     pub switched: Counter,
     /// Changes that were given up.
@@ -34,6 +38,8 @@
     fn default() -> Metrics {
         Metrics {
             driving: Gauge::default(),
+            elected: Counter::default(),
+            deposed: Counter::default(),
             switched: Counter::default(),
             abandoned: Counter::default(),
             // From 20 ms to 10 s, doubling.
@@ -48,6 +54,8 @@
     fn encode(&self) -> String {
         let mut registry = Registry::with_prefix("loftcove");
         registry.register("driving", "Whether this sidecar drives", self.driving.clone());
+        registry.register("elected", "Terms elected for", self.elected.clone());
+        registry.register("deposed", "Drivers deposed", self.deposed.clone());
         registry.register("map_switched", "Maps gone over to", self.switched.clone());
         registry.register("map_abandoned", "Changes given up", self.abandoned.clone());
         registry.register("map_change_seconds", "Time of a change", self.change.clone());
--- a/sidecar/tests/relays.rs
+++ b/sidecar/tests/relays.rs
@@ -180,6 +180,30 @@
     }
 }
 
+#[tokio::test]
+async fn a_map_that_is_not_the_one_meant_never_reaches_an_engine() {
+    use loftcove_sidecar::maps;
+    use loftcove_sidecar::rank::Fault;
+    let ranks = common::start(2, &BTreeMap::new()).await;
+    let parcel = prepare(&opening(2), &next(&opening(2), 1), 10);
+    let carried = async |change: fn(&mut wire::Difference)| {
+        let mut step = parcel.message().clone();
+        change(step.map.as_mut().unwrap());
+        ranks.driver.carry_message(&step).await
+    };
+    let digest = carried(|map| map.digest += 1).await;
+    let expected = maps::Error::Malformed(difference::Error::Digest);
+    assert!(matches!(digest, Err(Fault::Map(error)) if error == expected), "{digest:?}");
+    let cut = carried(|map| map.changes.truncate(1)).await;
+    assert!(matches!(cut, Err(Fault::Map(maps::Error::Malformed(_)))), "{cut:?}");
+    let base = carried(|map| map.base += 1).await.unwrap();
+    assert_eq!(base.effect(), wire::Effect::BaseMissing);
+    // A shape that no group has takes no memory.
+    let huge = carried(|map| (map.base, map.sets) = (1, u32::MAX)).await.unwrap();
+    assert_eq!(huge.effect(), wire::Effect::BaseMissing);
+    assert_eq!(ranks.tables[0].state.lock().unwrap().orders, 0);
+}
+
 #[tokio::test]
 async fn malformed_errands_are_refused() {
     let sound = wire::Errand {
