--- a/sidecar/src/group.rs
+++ b/sidecar/src/group.rs
@@ -11,25 +11,12 @@
 use loftcove_interface::engine::{Engine, Map, Order, Verdict};
 use loftcove_mirror::peer;
 use loftcove_wire as wire;
-use tonic::transport::Channel;
 
+use crate::member::{self, Member};
 use crate::parcel::Parcel;
 use crate::rank::{self, Rank};
 use crate::relay::{self, Errand, Work};
 
-/// Longest wait for a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Longest wait for a sidecar's state, which takes a few milliseconds.
-const INSPECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Wait for a sidecar's state after which its engine is asked as well: a group
-/// that is held should not wait for both, one after the other.
-const HEDGE_TIME: Duration = Duration::from_millis(120);
-/// Longest wait for a sidecar to have a map prepared; longer than it takes
-/// until it says that the effect is not known.
-const PREPARE_TIMEOUT: Duration = Duration::from_millis(1_600);
-/// Longest wait for a sidecar to carry out any other order, for which the
-/// group may be standing still; then the engine is asked directly.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(350);
 /// Ranks that are served directly. A message to one takes about a millisecond
 /// of a small host's processor, which is less than the way over a relay while
 /// there are no more than these.
@@ -51,75 +38,6 @@
 /// Makes a client of an engine.
 pub type Connect<E> = Box<dyn Fn(SocketAddr) -> E + Send + Sync>;
 
-/// One rank.
-struct Member<E> {
-    client: wire::rank_client::RankClient<Channel>,
-    /// The engine itself, for when its sidecar does not answer. The engine's
-    /// word is then older, and each call has a price.
-    engine: Rank<E>,
-}
-
-impl<E: Engine> Member<E> {
-    /// Asks the sidecar for the state of its engine. Where the experts are asked
-    /// for, the group may be standing still until they are known: the engine
-    /// itself is asked as well if the sidecar takes long.
-    async fn inspect(
-        &self,
-        address: SocketAddr,
-        inspection: &wire::Inspection,
-    ) -> Option<wire::Condition> {
-        let mut client = self.client.clone();
-        let call = tokio::time::timeout(INSPECT_TIMEOUT, client.inspect(inspection.clone()));
-        let sidecar = async { Some(call.await.ok()?.ok()?.into_inner()) };
-        if !inspection.experts {
-            return sidecar.await;
-        }
-        tokio::pin!(sidecar);
-        match tokio::time::timeout(HEDGE_TIME, sidecar.as_mut()).await {
-            Ok(Some(condition)) => Some(condition),
-            Ok(None) => self.inspect_engine(address, inspection).await,
-            Err(_) => {
-                let engine = self.inspect_engine(address, inspection);
-                let (sidecar, engine) = future::join(sidecar, engine).await;
-                sidecar.or(engine)
-            }
-        }
-    }
-
-    /// Has the sidecar carry a step out, told by the whole map where it does not
-    /// hold the one of before.
-    async fn carry(&self, parcel: &Parcel) -> Result<wire::Result, String> {
-        let limit = limit(&parcel.step.order);
-        let mut client = self.client.clone();
-        let result = tokio::time::timeout(limit, client.carry(parcel.message().clone())).await;
-        let result = result.map_err(|_| "no answer in time".to_owned())?;
-        let result = result.map_err(|status| status.message().to_owned())?.into_inner();
-        if result.effect() != wire::Effect::BaseMissing {
-            return Ok(result);
-        }
-        let result = tokio::time::timeout(limit, client.carry(parcel.whole().clone())).await;
-        let result = result.map_err(|_| "no answer in time".to_owned())?;
-        Ok(result.map_err(|status| status.message().to_owned())?.into_inner())
-    }
-
-    async fn inspect_engine(
-        &self,
-        address: SocketAddr,
-        inspection: &wire::Inspection,
-    ) -> Option<wire::Condition> {
-        log::info!("sidecar silent engine={address} next=ask-engine");
-        // A term is a matter between sidecars.
-        let inspection = wire::Inspection { term: 0, ..inspection.clone() };
-        match rank::inspect(&self.engine, &inspection).await {
-            Ok(condition) => Some(condition),
-            Err(error) => {
-                log::info!("engine not inspected engine={address} error=\"{error}\"");
-                None
-            }
-        }
-    }
-}
-
 /// The ranks that are known, by the address of their engine. Its locks are held
 /// one at a time, and never across a wait.
 pub struct Group<E> {
@@ -171,7 +89,7 @@
             return Some(member.clone());
         }
         let sidecar = SocketAddr::new(address.ip(), self.port);
-        let endpoint = match peer::endpoint(sidecar, CONNECT_TIMEOUT) {
+        let endpoint = match peer::endpoint(sidecar, member::CONNECT_TIMEOUT) {
             Ok(endpoint) => endpoint,
             Err(error) => {
                 log::error!("sidecar's address is not usable address={sidecar} error=\"{error}\"");
@@ -271,7 +189,7 @@
         let mut take = |engine, finding: wire::Finding| {
             survey.conditions.extend(finding.condition.map(|condition| (engine, condition)));
         };
-        let (left, counts) = self.serve(&part, &work, INSPECT_TIMEOUT, &mut take).await;
+        let (left, counts) = self.serve(&part, &work, member::INSPECT_TIMEOUT, &mut take).await;
         survey.counts = counts;
         // Where experts are not asked for, the next look will do.
         let direct = part.len() == 1 || inspection.experts;
@@ -292,7 +210,7 @@
         part: Vec<SocketAddr>,
         parcel: &Parcel,
     ) -> Vec<(SocketAddr, Carried)> {
-        let limit = limit(&parcel.step.order);
+        let limit = member::limit(&parcel.step.order);
         let mut all = Vec::new();
         let mut lacking = Vec::new();
         let mut take = |engine, finding: wire::Finding| match finding.effect() {
@@ -358,7 +276,7 @@
         let mut stream = match call {
             Ok(Ok(answer)) => answer.into_inner(),
             other => {
-                let cause = cause(other);
+                let cause = member::cause(other);
                 log::info!("relay passed over engine={relay} cause=\"{cause}\"");
                 lock(&self.silent).insert(relay, Instant::now());
                 return None;
@@ -375,7 +293,7 @@
         match tokio::time::timeout(errand.limit, read).await {
             Ok(Ok(())) => {}
             other => {
-                let cause = cause(other);
+                let cause = member::cause(other);
                 log::info!("relay cut short engine={relay} cause=\"{cause}\"");
                 lock(&self.silent).insert(relay, Instant::now());
             }
@@ -403,7 +321,7 @@
         match tokio::time::timeout(limit, call).await {
             Ok(Ok(findings)) => findings,
             other => {
-                let cause = cause(other);
+                let cause = member::cause(other);
                 log::info!("rank not served by relay engine={engine} cause=\"{cause}\"");
                 wire::Findings::default()
             }
@@ -438,27 +356,11 @@
     }
 }
 
-/// Longest wait for a sidecar to carry out an order.
-fn limit(order: &Order) -> Duration {
-    match order {
-        Order::Prepare { .. } => PREPARE_TIMEOUT,
-        _ => ORDER_TIMEOUT,
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     // Each change is one insertion or removal; a panic cannot leave half of one.
     mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
-/// Why a call came to nothing.
-fn cause<T>(call: Result<Result<T, tonic::Status>, tokio::time::error::Elapsed>) -> String {
-    match call {
-        Ok(Err(status)) => status.message().to_owned(),
-        _ => "no answer in time".to_owned(),
-    }
-}
-
 /// What a look at several ranks brought.
 #[derive(Debug, Default)]
 pub struct Survey {
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod group;
 pub mod known;
 pub mod maps;
+pub mod member;
 mod metrics;
 pub mod parcel;
 pub mod plan;
