--- a/decision/src/map/tree.rs
+++ b/decision/src/map/tree.rs
@@ -1,10 +1,11 @@
 //! Splits the ranks of a group into parts, each of which one of its ranks
 //! serves for whoever drives the group.
 //!
-//! What goes to all ranks goes to one of each part first, and from there on. So
-//! what one host sends grows with the root of the ranks, and a part never
-//! reaches over two availability zones: what is long crosses between two zones
-//! once for each part.
+//! What goes to all ranks goes to one of each part first, and from there on, in
+//! parts again where a part is large. So what one host sends is bounded by the
+//! number of parts, and the levels grow with the logarithm of the ranks. A part
+//! never reaches over two availability zones: what is long crosses between two
+//! zones once for each part.
 
 use std::collections::BTreeMap;
 
