Have the stand-in for engines compare maps to the letter

Cause: two contents of one version, in another order, passed all tests, as the stand-in compared versions alone. Change: a pass on two contents is a violation there too. The product is unchanged.

--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -2,7 +2,7 @@
 //! lock-step group, or plain servers of a service.
 //!
 //! All ranks live in one process and begin each pass together. A pass in which
-//! two ranks hold different maps is counted as a violation. What a request
+//! two ranks hold maps of different versions or contents is counted as a violation. What a request
 //! asks for by headers of its own (`x-standin-...`) happens to it; see
 //! [`crate::worker`]. The control address takes `PUT /orders?lost=N&late=N`
 //! (each Nth order is not carried out, or half a second later, and neither is
@@ -10,6 +10,7 @@
 //! and tells with `GET /state` and `GET /requests` what happened.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash as _, Hasher as _};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -31,10 +32,20 @@
 /// Experts by set.
 type Experts = Vec<Vec<u16>>;
 
+/// A map, as one rank has it.
+#[derive(Default)]
+struct Map {
+    version: u64,
+    /// The rank's own experts.
+    experts: Experts,
+    /// Hash of the whole of it, in the order in which it came.
+    content: u64,
+}
+
 #[derive(Default)]
 struct Rank {
-    map: (u64, Experts),
-    prepared: Option<(u64, Experts)>,
+    map: Map,
+    prepared: Option<Map>,
     highest: u64,
     armed: Option<(u64, u64)>,
     held: Option<u64>,
@@ -175,8 +186,8 @@
             "active": own.active,
             "pace": 1.0,
             "step": state.pass,
-            "map": own.map.0,
-            "prepared": own.prepared.as_ref().map(|prepared| prepared.0),
+            "map": own.map.version,
+            "prepared": own.prepared.as_ref().map(|prepared| prepared.version),
             "armed": own.armed.map(|(version, step)| json!({ "version": version, "step": step })),
             "held": own.held,
         })
@@ -189,8 +200,7 @@
         if !lists {
             return json!({ "step": state.pass, "epoch": state.epoch, "counts": own.counts });
         }
-        let list =
-            |(version, experts): &(u64, Experts)| json!({ "version": version, "experts": experts });
+        let list = |map: &Map| json!({ "version": map.version, "experts": map.experts });
         json!({
             "epoch": state.epoch,
             "map": list(&own.map),
@@ -225,14 +235,14 @@
                 return state.take(rank, order);
             }
         };
-        let Ok(experts) = prepared else { return 409 };
+        let Ok(map) = prepared else { return 409 };
         let group = self.clone();
-        let (version, epoch) = (order.version.unwrap_or(0), order.epoch);
+        let epoch = order.epoch;
         tokio::spawn(async move {
             tokio::time::sleep(COPY).await;
             let mut state = group.lock();
-            if epoch == Some(state.epoch) && state.ranks[rank].highest == version {
-                state.ranks[rank].prepared = Some((version, experts));
+            if epoch == Some(state.epoch) && state.ranks[rank].highest == map.version {
+                state.ranks[rank].prepared = Some(map);
             }
         });
         202
@@ -255,7 +265,7 @@
             "pass": state.pass,
             "violations": state.violations,
             "switches": state.switches,
-            "maps": state.ranks.iter().map(|rank| rank.map.0).collect::<Vec<_>>(),
+            "maps": state.ranks.iter().map(|rank| rank.map.version).collect::<Vec<_>>(),
             "held": state.ranks.iter().filter(|rank| rank.held.is_some()).count(),
             "active": state.ranks.iter().map(|rank| rank.active).sum::<u32>(),
         })
@@ -276,7 +286,8 @@
         for (rank, own) in self.ranks.iter_mut().enumerate() {
             let counts = std::mem::take(&mut own.counts);
             let active = own.active;
-            *own = Rank { map: (0, dealt(rank, ranks)), counts, active, ..Rank::default() };
+            let map = Map { experts: dealt(rank, ranks), ..Map::default() };
+            *own = Rank { map, counts, active, ..Rank::default() };
             own.counts.resize(SHAPE.0 * SHAPE.1, 0);
         }
     }
@@ -296,8 +307,10 @@
                 self.switches += 1;
             }
         }
-        let versions: BTreeSet<u64> = self.ranks.iter().map(|rank| rank.map.0).collect();
-        self.violations += u64::from(versions.len() > 1);
+        // Maps are compared to the letter: two of one version may differ too.
+        let maps: BTreeSet<(u64, u64)> =
+            self.ranks.iter().map(|rank| (rank.map.version, rank.map.content)).collect();
+        self.violations += u64::from(maps.len() > 1);
         true
     }
 
@@ -317,14 +330,14 @@
         epoch && self.open && order.expected_rev.is_none_or(|orders| orders == own.orders)
     }
 
-    fn check_prepare(&mut self, rank: usize, order: &Order) -> Result<Experts, ()> {
+    fn check_prepare(&mut self, rank: usize, order: &Order) -> Result<Map, ()> {
         let fits = self.fits(rank, order);
         let (.., placements, spare) = SHAPE;
         let own = &mut self.ranks[rank];
         let version = order.version.unwrap_or(0);
         let map = order.map.as_ref().ok_or(())?;
         let experts: Experts = map.iter().map(|set| set[rank].clone()).collect();
-        let within = experts.iter().zip(&own.map.1).all(|(new, old)| {
+        let within = experts.iter().zip(&own.map.experts).all(|(new, old)| {
             let taken = new.iter().filter(|expert| !old.contains(expert)).count();
             new.len() <= placements && taken <= spare
         });
@@ -333,7 +346,9 @@
         }
         own.highest = version;
         own.prepared = None;
-        Ok(experts)
+        let mut hasher = std::hash::DefaultHasher::new();
+        map.hash(&mut hasher);
+        Ok(Map { version, experts, content: hasher.finish() })
     }
 
     fn take(&mut self, rank: usize, order: &Order) -> u16 {
@@ -347,7 +362,8 @@
         }
         let accepted = match order.op.as_str() {
             "arm" => {
-                let fits = own.prepared.as_ref().is_some_and(|p| p.0 == version) && step > pass;
+                let fits =
+                    own.prepared.as_ref().is_some_and(|p| p.version == version) && step > pass;
                 own.armed = if fits { Some((version, step)) } else { own.armed };
                 fits
             }
