Read entries of backend servers strictly, once a change, and tell runs apart by their start

Cause: record.rs filled in a missing zone or slots, took any unknown state for draining and knew no start of a run, so that a foreign entry named a backend server to use; each change of the mirror parsed every entry and the configuration again and logged each unreadable one each time; a backend server that starts again under its id kept the load, window, ejection and connections of its earlier run, and a restarted engine's counts could look like demand.

--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -67,6 +67,7 @@
     let mut machine = balancer::Balancer::new(routing::chosen(rng), &balancer::Options::default());
     let listing = |server: u32| server::Listing {
         host: format!("server{server:05}").into(),
+        born: None,
         pool: entity::Pool::from_u32(0),
         group: None,
         local: true,
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -244,6 +244,7 @@
     fn start(&mut self) {
         let listing = |server: usize| server::Listing {
             host: format!("server{server:04}").into(),
+            born: None,
             pool: pool(),
             group: None,
             local: true,
--- a/daemon/src/entry/dispatcher.rs
+++ b/daemon/src/entry/dispatcher.rs
@@ -118,6 +118,7 @@
             let Some(pool) = model.or(service) else { continue };
             listings.push(server::Listing {
                 host: host.id.clone(),
+                born: None,
                 pool: inner.pools.intern(pool),
                 group: None,
                 local: *host.zone == *zone,
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -1,5 +1,6 @@
 //! What one entry host knows of the backend servers.
 
+use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,6 +52,8 @@
 pub struct Listing {
     /// Id of its host.
     pub host: Arc<str>,
+    /// When its run started, Unix milliseconds, where that is told.
+    pub born: Option<u64>,
     /// Pool that it belongs to.
     pub pool: entity::Pool,
     /// Group that it runs in lock-step with, if it is a rank of one.
@@ -108,6 +111,12 @@
         }
     }
 
+    /// Whether it is of the run that started then; a run that was listed
+    /// without its start is the same one.
+    fn is_run(&self, born: Option<u64>) -> bool {
+        self.listing.born.is_none() || self.listing.born == born
+    }
+
     /// Whether it may be given new work at all.
     pub fn usable(&self) -> bool {
         self.listed
@@ -200,32 +209,37 @@
 #[derive(Debug, Default)]
 pub struct Table {
     records: PrimaryMap<entity::Server, Record>,
+    /// Newest run of the backend server on each host.
+    newest: HashMap<Arc<str>, entity::Server>,
 }
 
 impl Table {
     /// Replaces the listings. One that is gone stays known while its requests
-    /// are in flight, and gets no new work.
+    /// are in flight, and gets no new work. One that has started again is
+    /// another record: nothing that was learnt of its earlier run holds.
     pub fn list(&mut self, listings: Vec<Listing>) {
         for record in self.records.values_mut() {
             record.listed = false;
         }
         for listing in listings {
-            match self.find(&listing.host) {
+            match self.find(&listing.host).filter(|id| self.records[*id].is_run(listing.born)) {
                 Some(server) => {
                     let record = &mut self.records[server];
                     record.listing = listing;
                     record.listed = true;
                 }
                 None => {
-                    self.records.push(Record::new(listing));
+                    let host = listing.host.clone();
+                    let server = self.records.push(Record::new(listing));
+                    self.newest.insert(host, server);
                 }
             }
         }
     }
 
-    /// The backend server on that host.
+    /// The newest run of the backend server on that host.
     pub fn find(&self, host: &str) -> Option<entity::Server> {
-        self.records.iter().find(|(_, record)| *record.listing.host == *host).map(|(id, _)| id)
+        self.newest.get(host).copied()
     }
 
     /// All backend servers, in the order of their ids.
--- a/decision/tests/groups.rs
+++ b/decision/tests/groups.rs
@@ -27,6 +27,7 @@
         let now = clock::Instant::from_millis(1_000);
         let listing = |number: u32| server::Listing {
             host: format!("host{number}").into(),
+            born: None,
             pool: entity::Pool::from_u32(0),
             group: Some(entity::Group::from_u32(number / RANKS)),
             local: number < RANKS,
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use loftcove_decision::routing::{policy, server};
-use loftcove_decision::{admission, balancer, clock, entity, name, pass};
+use loftcove_decision::{admission, balancer, clock, entity, fleet, name, pass};
 use rand_chacha::rand_core::SeedableRng as _;
 use tokio::sync::{Notify, mpsc};
 
@@ -28,12 +28,12 @@
 /// A backend server to be listed, with what the caller needs to reach it.
 #[derive(Debug, Clone)]
 pub struct Listing<T> {
-    /// Id of the backend server.
-    pub id: Arc<str>,
+    /// Run of the backend server.
+    pub run: fleet::Run,
     /// Pool that it belongs to.
     pub pool: Arc<str>,
-    /// Group that it runs in lock-step with, if it is a rank of one.
-    pub group: Option<Arc<str>>,
+    /// Its place in a lock-step group, if it is a rank of one.
+    pub rank: Option<Rank>,
     /// Whether it is in this host's availability zone.
     pub local: bool,
     /// Whether it is leaving.
@@ -44,6 +44,15 @@
     pub target: T,
 }
 
+/// A backend server's place in a lock-step group.
+#[derive(Debug, Clone)]
+pub struct Rank {
+    /// Name of the group.
+    pub group: Arc<str>,
+    /// What the rank itself tells of the group.
+    pub told: Option<fleet::Rank>,
+}
+
 /// A request that arrives.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -144,16 +153,17 @@
         let now = self.now();
         let mut inner = self.lock();
         let rows = listings.iter().map(|listing| server::Listing {
-            host: listing.id.clone(),
+            host: listing.run.id.clone(),
+            born: listing.run.born,
             pool: inner.pools.intern(&listing.pool),
-            group: listing.group.as_ref().map(|group| inner.groups.intern(group)),
+            group: listing.rank.as_ref().map(|rank| inner.groups.intern(&rank.group)),
             local: listing.local,
             leaving: listing.leaving,
         });
         let rows: Vec<server::Listing> = rows.collect();
         let mut actions = inner.balancer.list(rows, now);
         for listing in listings {
-            let Some(id) = inner.balancer.servers().find(&listing.id) else { continue };
+            let Some(id) = inner.balancer.servers().find(&listing.run.id) else { continue };
             if inner.targets.insert(id, listing.target).is_some() {
                 continue;
             }
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -233,7 +233,7 @@
             "attempt failed request={} attempt={} server={} cause=\"{cause}\" ms={}",
             request.meta.id,
             attempt.number,
-            attempt.target.id,
+            attempt.target.run.id,
             request.came.elapsed().as_millis()
         );
     }
@@ -250,7 +250,7 @@
             "attempt request={} number={} server={} reason={} score={:.2} open={} config={} left_ms={}",
             request.meta.id,
             attempt.number,
-            attempt.target.id,
+            attempt.target.run.id,
             attempt.reason,
             attempt.score,
             attempt.open,
@@ -358,7 +358,7 @@
     resume_after: Option<Arc<str>>,
 ) -> http::Request<Full<bytes::Bytes>> {
     let forward = Forward {
-        instance: target.id.clone(),
+        instance: target.run.id.clone(),
         team: request.grant.team.as_ref().map(|team| team.name.clone()),
         left: Some(left),
         priority: Some(request.grant.precedence().min(PRIORITIES) as u8),
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -72,6 +72,8 @@
     pub whole: Histogram,
     /// Version of the configuration.
     pub config_version: Gauge,
+    /// Entries of the store that name no backend server to use.
+    pub unusable_entries: Gauge,
 }
 
 impl Default for Metrics {
@@ -85,6 +87,7 @@
             first_byte: histogram(),
             whole: histogram(),
             config_version: Gauge::default(),
+            unusable_entries: Gauge::default(),
         }
     }
 }
@@ -111,6 +114,8 @@
         registry.register("first_byte_seconds", "Time to the head", self.first_byte.clone());
         registry.register("whole_seconds", "Time to the end", self.whole.clone());
         registry.register("config_version", "Configuration", self.config_version.clone());
+        let unusable = "Entries that name no backend server to use";
+        registry.register("unusable_entries", unusable, self.unusable_entries.clone());
         registry.register("waiting", "Requests that wait", waiting);
         registry.register("in_flight", "Requests in flight", flights);
         registry.register("connections", "Connections of clients", connections);
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -1,6 +1,6 @@
 //! What all requests of a gateway share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,8 +9,8 @@
 use arc_swap::ArcSwapOption;
 use loftcove_decision::{balancer, fleet, lifecycle, pass, route};
 use loftcove_dispatch as dispatch;
-use loftcove_interface::protocol::{Place, Protocol, Record};
-use loftcove_mirror::{self as mirror, membership, register};
+use loftcove_interface::protocol::Protocol;
+use loftcove_mirror::{self as mirror, catalog, membership, register};
 use loftcove_settings::gateway as settings;
 
 use crate::{drain, metrics, upstream};
@@ -30,8 +30,8 @@
 /// Where a backend server takes requests.
 #[derive(Debug, Clone)]
 pub struct Target {
-    /// Id of its run.
-    pub id: Arc<str>,
+    /// Its run.
+    pub run: fleet::Run,
     /// Address.
     pub address: SocketAddr,
     /// Connections that this gateway may keep to it.
@@ -83,47 +83,38 @@
     }
 
     /// Takes a configuration if it is newer than the present one.
-    fn take_config(&self, config: route::Config) {
+    fn take_config(&self, config: &Arc<route::Config>) {
         let present = self.routes.load().as_ref().map(|table| table.version);
         if present.is_some_and(|version| version >= config.version) {
             return;
         }
         let version = config.version;
-        self.routes.store(Some(Arc::new(route::Table::new(config))));
+        self.routes.store(Some(Arc::new(route::Table::new(config.as_ref().clone()))));
         self.metrics.config_version.set(version as i64);
         log::info!("configuration version={version} before={}", present.unwrap_or(0));
     }
 
     /// Brings routes and backend servers up to the mirror.
-    fn refresh(&self) {
-        let mut servers: BTreeMap<Arc<str>, fleet::Server> = BTreeMap::new();
-        for prefix in P::PREFIXES {
-            for record in self.mirror.below(prefix) {
-                if P::place(&record.key) == Place::Other {
-                    continue;
-                }
-                match P::record(&record.key, &record.value.unwrap_or_default()) {
-                    Ok(Record::Config(config)) => self.take_config(*config),
-                    Ok(Record::Server(server)) => {
-                        servers.insert(server.id.clone(), server);
-                    }
-                    Ok(Record::Other) => {}
-                    Err(error) => log::error!("record not readable error=\"{error}\""),
-                }
-            }
+    fn refresh(&self, catalog: &mut catalog::Catalog<P>) {
+        catalog.update(&self.mirror);
+        if let Some(config) = catalog.config() {
+            self.take_config(config);
         }
+        let servers: Vec<&fleet::Server> = catalog.servers().collect();
+        self.metrics.unusable_entries.set(catalog.unusable() as i64);
         let gateways = register::entries(&self.mirror).len().max(1);
         let serving = &self.settings.serving;
         self.dispatcher.set_reserve(serving.retry_slack * RETRY_MARGIN / gateways as f64);
         let usable = !servers.is_empty();
-        self.list(servers, gateways);
+        self.list(&servers, gateways);
         // Without backend servers it could only refuse.
         if usable && self.routes.load().is_some() {
             self.life.handle(lifecycle::Event::Ready);
         }
     }
 
-    /// Service and group of each engine whose group is known.
+    /// Service and group of each engine, as drivers have written them: for
+    /// engines whose entries do not tell.
     fn groups(&self) -> BTreeMap<SocketAddr, (Arc<str>, Arc<str>)> {
         let mut groups = BTreeMap::new();
         for (group, entry) in membership::entries(&self.mirror) {
@@ -134,7 +125,7 @@
         groups
     }
 
-    fn list(&self, servers: BTreeMap<Arc<str>, fleet::Server>, gateways: usize) {
+    fn list(&self, servers: &[&fleet::Server], gateways: usize) {
         let routes = self.routes.load();
         let connections = |service: &str| {
             let service = routes.as_ref().and_then(|table| table.service(service).cloned());
@@ -148,21 +139,26 @@
             })
         };
         let groups = self.groups();
-        let group = |server: &fleet::Server| {
-            let known = groups.get(&server.address);
-            let known = known.filter(|(service, _)| *service == server.service);
-            // Until its members are known, a service counts as one group.
-            known.map_or_else(|| server.service.clone(), |(_, group)| group.clone())
+        let rank = |server: &fleet::Server| match &server.rank {
+            Some(rank) => dispatch::Rank { group: rank.group.clone(), told: Some(rank.clone()) },
+            None => {
+                let known = groups.get(&server.address);
+                let known = known.filter(|(service, _)| *service == server.service);
+                // Until its members are known, a service counts as one group.
+                let group =
+                    known.map_or_else(|| server.service.clone(), |(_, group)| group.clone());
+                dispatch::Rank { group, told: None }
+            }
         };
-        let listing = |server: &fleet::Server| dispatch::Listing {
-            id: server.id.clone(),
+        let listing = |server: &&fleet::Server| dispatch::Listing {
+            run: server.run(),
             pool: server.service.clone(),
-            group: lockstep(&server.service).then(|| group(server)),
+            rank: lockstep(&server.service).then(|| rank(server)),
             local: *server.zone == *self.settings.host.zone,
             leaving: server.draining,
             slots: server.slots,
             target: Target {
-                id: server.id.clone(),
+                run: server.run(),
                 address: server.address,
                 max_connections: connections(&server.service),
             },
@@ -174,8 +170,9 @@
             }
         }
         self.dispatcher.set_gateways(gateways);
-        self.dispatcher.list(servers.values().map(listing).collect());
-        self.upstream.keep(|id| servers.contains_key(id));
+        self.dispatcher.list(servers.iter().map(listing).collect());
+        let runs: BTreeSet<fleet::Run> = servers.iter().map(|server| server.run()).collect();
+        self.upstream.keep(|run| runs.contains(run));
     }
 }
 
@@ -183,9 +180,10 @@
 /// ends.
 pub async fn follow<P: Protocol>(gateway: Arc<Gateway<P>>) {
     let mut changes = gateway.mirror.subscribe();
+    let mut catalog = catalog::Catalog::default();
     loop {
         changes.borrow_and_update();
-        gateway.refresh();
+        gateway.refresh(&mut catalog);
         if changes.changed().await.is_err() {
             return;
         }
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -8,7 +8,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use loftcove_decision::fleet;
 use tokio::net::TcpStream;
 
 use crate::state::Target;
@@ -66,13 +67,13 @@
 /// A connection that is in use; dropping it closes it.
 pub struct Connection {
     sender: Sender,
-    id: Arc<str>,
+    run: fleet::Run,
 }
 
-/// Kept connections, by the id of the backend server's run.
+/// Kept connections, by the backend server's run.
 #[derive(Default)]
 pub struct Pool {
-    idle: Mutex<HashMap<Arc<str>, Vec<Idle>>>,
+    idle: Mutex<HashMap<fleet::Run, Vec<Idle>>>,
 }
 
 struct Idle {
@@ -81,7 +82,7 @@
 }
 
 impl Pool {
-    fn lock(&self) -> MutexGuard<'_, HashMap<Arc<str>, Vec<Idle>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<fleet::Run, Vec<Idle>>> {
         // A holder that panicked leaves at worst one connection less.
         self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
@@ -98,8 +99,8 @@
         mut request: http::Request<Full<Bytes>>,
         fresh: bool,
     ) -> Result<Reply, Error> {
-        while let Some(mut sender) = self.take(&target.id).filter(|_| !fresh) {
-            let mut doubt = Doubt::new(self, &target.id);
+        while let Some(mut sender) = self.take(&target.run).filter(|_| !fresh) {
+            let mut doubt = Doubt::new(self, &target.run);
             let answer = sender.try_send_request(request).await;
             doubt.answered = answer.is_ok();
             drop(doubt);
@@ -123,9 +124,9 @@
         }
     }
 
-    fn take(&self, id: &str) -> Option<Sender> {
+    fn take(&self, run: &fleet::Run) -> Option<Sender> {
         let mut idle = self.lock();
-        let kept = idle.get_mut(id)?;
+        let kept = idle.get_mut(run)?;
         while let Some(idle) = kept.pop() {
             if idle.sender.is_ready() && Instant::now() < idle.until {
                 return Some(idle.sender);
@@ -139,7 +140,7 @@
     pub fn put(&self, target: &Target, connection: Connection, keep_alive: Option<Duration>) {
         let time = keep_alive.map_or(IDLE_TIME, |time| time.saturating_sub(IDLE_MARGIN));
         let mut idle = self.lock();
-        let kept = idle.entry(connection.id.clone()).or_default();
+        let kept = idle.entry(connection.run.clone()).or_default();
         let now = Instant::now();
         kept.retain(|idle| now < idle.until && !idle.sender.is_closed());
         if kept.len() < target.max_connections {
@@ -148,8 +149,8 @@
     }
 
     /// Closes the kept connections to backend servers that are not wanted.
-    pub fn keep(&self, wanted: impl Fn(&str) -> bool) {
-        self.lock().retain(|id, _| wanted(id));
+    pub fn keep(&self, wanted: impl Fn(&fleet::Run) -> bool) {
+        self.lock().retain(|run, _| wanted(run));
     }
 }
 
@@ -158,14 +159,14 @@
 /// other connections that are kept to the backend server.
 struct Doubt<'a> {
     pool: &'a Pool,
-    id: &'a str,
+    run: &'a fleet::Run,
     since: Instant,
     answered: bool,
 }
 
 impl<'a> Doubt<'a> {
-    fn new(pool: &'a Pool, id: &'a str) -> Doubt<'a> {
-        Doubt { pool, id, since: Instant::now(), answered: false }
+    fn new(pool: &'a Pool, run: &'a fleet::Run) -> Doubt<'a> {
+        Doubt { pool, run, since: Instant::now(), answered: false }
     }
 }
 
@@ -175,15 +176,18 @@
         if self.answered || silent < SILENT {
             return;
         }
-        if let Some(kept) = self.pool.lock().remove(self.id).filter(|kept| !kept.is_empty()) {
+        if let Some(kept) = self.pool.lock().remove(self.run).filter(|kept| !kept.is_empty()) {
             let (count, ms) = (kept.len(), silent.as_millis());
-            log::info!("kept connections closed server={} count={count} silent_ms={ms}", self.id);
+            log::info!(
+                "kept connections closed server={} count={count} silent_ms={ms}",
+                self.run.id
+            );
         }
     }
 }
 
 fn reply(response: http::Response<Incoming>, sender: Sender, target: &Target) -> Reply {
-    Reply { response, connection: Connection { sender, id: target.id.clone() } }
+    Reply { response, connection: Connection { sender, run: target.run.clone() } }
 }
 
 async fn connect(address: SocketAddr) -> Result<Sender, Error> {
--- a/interface/src/engine.rs
+++ b/interface/src/engine.rs
@@ -56,6 +56,8 @@
     pub pass: u64,
     /// Epoch of the group.
     pub epoch: u64,
+    /// When the engine started, Unix milliseconds, where it tells.
+    pub born: Option<u64>,
     /// Set by set, a count for each expert.
     pub counts: Vec<u64>,
 }
--- /dev/null
+++ b/mirror/src/catalog.rs
@@ -0,0 +1,158 @@
+//! The operators' configuration and the backend servers, read from the mirror.
+//!
+//! Each record is read once for each change of it. An entry that cannot be
+//! read names no backend server, not even the one that its key named before;
+//! the others hold. Reading again what has not changed took most of the time of
+//! a change: at 198 backend servers, 198 entries and the configuration for each
+//! one that had changed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::marker::PhantomData;
+use std::sync::Arc;
+
+use loftcove_decision::{fleet, mirror, route};
+use loftcove_interface::protocol::{Place, Protocol, Record};
+
+use crate::{Mirror, lines};
+
+/// Ids whose last known start is kept although they are not listed.
+const MOST_STARTS: usize = 4_096;
+
+/// What the records say.
+#[derive(Debug)]
+pub struct Catalog<P> {
+    entries: BTreeMap<Arc<str>, Entry>,
+    config: Option<Arc<route::Config>>,
+    /// Latest start that was told of each id: an entry of an earlier one, which
+    /// a run of before may have written late, is old news.
+    starts: BTreeMap<Arc<str>, u64>,
+    lines: lines::Allowance,
+    protocol: PhantomData<P>,
+}
+
+/// A backend server's entry, as it was last read.
+#[derive(Debug)]
+struct Entry {
+    revision: u64,
+    /// None where it cannot be read.
+    server: Option<fleet::Server>,
+}
+
+impl<P> Default for Catalog<P> {
+    fn default() -> Catalog<P> {
+        Catalog {
+            entries: BTreeMap::new(),
+            config: None,
+            starts: BTreeMap::new(),
+            lines: lines::Allowance::default(),
+            protocol: PhantomData,
+        }
+    }
+}
+
+impl<P: Protocol> Catalog<P> {
+    /// Reads what has changed in the mirror.
+    pub fn update(&mut self, mirror: &Mirror) {
+        let mut listed = BTreeSet::new();
+        for record in P::PREFIXES.iter().flat_map(|prefix| mirror.below(prefix)) {
+            match P::place(&record.key) {
+                Place::Config => self.read_config(&record),
+                Place::Server(_) => {
+                    self.read_server(&record);
+                    listed.insert(record.key);
+                }
+                Place::Other => {}
+            }
+        }
+        self.entries.retain(|key, _| listed.contains(key));
+        self.forget_starts();
+    }
+
+    /// The configuration, the newest one that could be read.
+    pub fn config(&self) -> Option<&Arc<route::Config>> {
+        self.config.as_ref()
+    }
+
+    /// The backend servers. Where some tell when they started, an entry that
+    /// does not is of another writer.
+    pub fn servers(&self) -> impl Iterator<Item = &fleet::Server> {
+        let servers = || self.entries.values().filter_map(|entry| entry.server.as_ref());
+        let told = servers().any(|server| server.born.is_some());
+        servers().filter(move |server| server.born.is_some() || !told)
+    }
+
+    /// Entries that name no backend server to use.
+    pub fn unusable(&self) -> usize {
+        self.entries.len() - self.servers().count()
+    }
+
+    fn read_config(&mut self, record: &mirror::Record) {
+        let value = record.value.as_deref().unwrap_or_default();
+        match P::record(&record.key, value) {
+            Ok(Record::Config(config)) => {
+                let newer = self.config.as_ref().is_none_or(|own| own.version < config.version);
+                if newer {
+                    self.config = Some(Arc::new(*config));
+                }
+            }
+            Ok(_) => {}
+            Err(error) => self.tell(&error.to_string(), record),
+        }
+    }
+
+    fn read_server(&mut self, record: &mirror::Record) {
+        let known = self.entries.get(&record.key);
+        if known.is_some_and(|known| known.revision == record.revision) {
+            return;
+        }
+        let value = record.value.as_deref().unwrap_or_default();
+        let server = match P::record(&record.key, value) {
+            Ok(Record::Server(server)) => Some(server),
+            Ok(_) => None,
+            Err(error) => {
+                self.tell(&error.to_string(), record);
+                None
+            }
+        };
+        if let Some(server) = &server
+            && let Some(born) = server.born
+        {
+            let latest = self.starts.entry(server.id.clone()).or_insert(born);
+            if born < *latest {
+                let latest = *latest;
+                self.tell(&format!("start {born} is before {latest}"), record);
+                // The run that is known stays as it is.
+                let known = self.entries.remove(&record.key).and_then(|known| known.server);
+                let entry = Entry { revision: record.revision, server: known };
+                self.entries.insert(record.key.clone(), entry);
+                return;
+            }
+            *latest = born;
+        }
+        self.entries.insert(record.key.clone(), Entry { revision: record.revision, server });
+    }
+
+    /// Logs an entry that is not used, once for each change of it, and only
+    /// some of them in a flood.
+    fn tell(&self, reason: &str, record: &mirror::Record) {
+        if let Some(left_out) = self.lines.take() {
+            let revision = record.revision;
+            log::warn!(
+                "record not used key={} revision={revision} reason=\"{reason}\" left_out={left_out}",
+                record.key
+            );
+        }
+    }
+
+    fn forget_starts(&mut self) {
+        if self.starts.len() <= MOST_STARTS {
+            return;
+        }
+        let listed: BTreeSet<&Arc<str>> = self
+            .entries
+            .values()
+            .filter_map(|entry| entry.server.as_ref().map(|server| &server.id))
+            .collect();
+        self.starts.retain(|id, _| listed.contains(id));
+    }
+}
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -6,10 +6,12 @@
 //! not answer hears of changes from others, one hop later. Merging is that of
 //! [`loftcove_decision::mirror`].
 
+pub mod catalog;
 pub mod distance;
 pub mod follow;
 mod health;
 mod learnt;
+mod lines;
 pub mod membership;
 pub mod peer;
 pub mod progress;
--- /dev/null
+++ b/mirror/tests/catalog.rs
@@ -0,0 +1,109 @@
+//! Backend servers as the mirror's records tell them: what cannot be read
+//! names none, and the others hold.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use loftcove_decision::mirror::Record;
+use loftcove_mirror::catalog::Catalog;
+use loftcove_mirror::{Mirror, Source};
+use loftcove_platform::adapter::Adapter;
+use serde_json::{Value, json};
+
+#[derive(Default)]
+struct Setup {
+    mirror: Mirror,
+    catalog: Catalog<Adapter>,
+    revision: u64,
+}
+
+impl Setup {
+    fn put(&mut self, id: &str, value: &[u8]) {
+        self.write(id, Some(value.to_vec()));
+    }
+
+    fn write(&mut self, id: &str, value: Option<Vec<u8>>) {
+        self.revision += 1;
+        let key = format!("servers/{id}").into();
+        let value = value.map(bytes::Bytes::from);
+        let record = Record { key, revision: self.revision, value };
+        self.mirror.apply(vec![record], Source::Store);
+        self.catalog.update(&self.mirror);
+    }
+
+    fn list(&mut self, id: &str, born: Option<u64>, port: u16) {
+        self.put(id, entry(born, port).to_string().as_bytes());
+    }
+
+    /// Ports of the backend servers that are to be used.
+    fn ports(&self) -> Vec<u16> {
+        self.catalog.servers().map(|server| server.address.port()).collect()
+    }
+}
+
+fn entry(born: Option<u64>, port: u16) -> Value {
+    let mut entry = json!({
+        "service": "drafts", "address": format!("10.1.0.9:{port}"), "zone": "norte",
+        "version": "v1", "slots": 10, "state": "ready", "cold_left_ms": 0, "seq": 4,
+    });
+    if let Some(born) = born {
+        entry["born"] = json!(born);
+    }
+    entry
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_names_none_and_the_others_hold() {
+    let mut setup = Setup::default();
+    setup.list("i-1", None, 1);
+    setup.list("i-2", None, 2);
+    assert_eq!(setup.ports(), [1, 2]);
+    // What the key named before is not kept.
+    setup.put("i-1", b"\xff not an entry");
+    assert_eq!(setup.ports(), [2]);
+    assert_eq!(setup.catalog.unusable(), 1);
+    setup.put("i-3", &vec![b'['; 1 << 20]);
+    assert_eq!((setup.ports(), setup.catalog.unusable()), (vec![2], 2));
+    setup.list("i-1", None, 3);
+    assert_eq!((setup.ports(), setup.catalog.unusable()), (vec![3, 2], 1));
+}
+
+#[test]
+fn thousands_of_strange_entries_leave_the_others() {
+    let mut setup = Setup::default();
+    setup.list("i-1", None, 1);
+    let strange: Vec<Record> = (0..3_000)
+        .map(|number| Record {
+            key: format!("servers/x-{number}").into(),
+            revision: 10 + number,
+            value: Some("{\"service\":7}".into()),
+        })
+        .collect();
+    setup.mirror.apply(strange, Source::Store);
+    setup.catalog.update(&setup.mirror);
+    assert_eq!((setup.ports(), setup.catalog.unusable()), (vec![1], 3_000));
+}
+
+#[test]
+fn an_entry_of_an_earlier_start_is_old_news() {
+    let mut setup = Setup::default();
+    setup.list("i-1", Some(2_000), 2);
+    // Written late by the run of before.
+    setup.list("i-1", Some(1_000), 1);
+    assert_eq!(setup.ports(), [2]);
+    setup.list("i-1", Some(3_000), 3);
+    assert_eq!(setup.ports(), [3]);
+    assert_eq!(setup.catalog.servers().next().unwrap().born, Some(3_000));
+    // Also after its entry was gone for a while.
+    setup.write("i-1", None);
+    assert!(setup.ports().is_empty());
+    setup.list("i-1", Some(2_000), 2);
+    assert!(setup.ports().is_empty());
+}
+
+#[test]
+fn an_entry_without_a_start_is_strange_where_others_tell_theirs() {
+    let mut setup = Setup::default();
+    setup.list("i-1", Some(2_000), 1);
+    setup.list("i-2", None, 2);
+    assert_eq!((setup.ports(), setup.catalog.unusable()), (vec![1], 1));
+}
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -3,7 +3,6 @@
 mod change;
 mod learn;
 
-use std::marker::PhantomData;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,7 +11,7 @@
 use loftcove_interface::engine::{Engine, Map};
 use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
-use loftcove_mirror::Mirror;
+use loftcove_mirror::{Mirror, catalog};
 use loftcove_settings::gateway as settings;
 use tokio::sync::watch;
 
@@ -87,9 +86,9 @@
     metrics: Arc<Metrics>,
     group: Arc<Group<E>>,
     name: String,
+    catalog: catalog::Catalog<P>,
     /// When it stood for election in vain.
     defeated: Option<Instant>,
-    protocol: PhantomData<P>,
 }
 
 /// Why a change was left as it is.
@@ -118,8 +117,8 @@
             group: parts.group,
             name: election::run_name(&settings.host.name),
             settings,
+            catalog: catalog::Catalog::default(),
             defeated: None,
-            protocol: PhantomData,
         }
     }
 
@@ -156,6 +155,7 @@
         let stalled = stall.look(&report, known);
         let defeated = self.defeated.is_some_and(|at| at.elapsed() < ELECTION_PAUSE);
         let own = election::was_own(&self.mirror, &key, &self.name);
+        self.catalog.update(&self.mirror);
         if (known != 0 && !stalled && !own) || defeated || self.engines().is_empty() {
             return None;
         }
@@ -210,6 +210,7 @@
     /// One round: learn, decide, change.
     async fn round(&mut self, term: u64, known: &mut Known) -> Result<(), Stopped> {
         let Ok(report) = self.rank.engine.report().await else { return Ok(()) };
+        self.catalog.update(&self.mirror);
         known.see_pass(report.pass);
         let Some(place) = report.group.filter(|place| place.open) else {
             known.view.ranks.clear();
--- a/sidecar/src/drive/learn.rs
+++ b/sidecar/src/drive/learn.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 
 use loftcove_decision::map::switch::{self, Switch};
-use loftcove_decision::{fleet, route};
+use loftcove_decision::route;
 use loftcove_interface::engine::{self, Engine};
-use loftcove_interface::protocol::{Place, Protocol, Record};
+use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
 use loftcove_mirror::membership;
 use loftcove_wire as wire;
@@ -20,37 +20,15 @@
     /// Engines of this sidecar's service, with their zones.
     pub(super) fn engines(&self) -> BTreeMap<SocketAddr, Arc<str>> {
         let service = &*self.settings.engine.service;
-        let servers = self.servers().into_iter().filter(|server| *server.service == *service);
-        servers.map(|server| (server.address, server.zone)).collect()
+        let servers = self.catalog.servers().filter(|server| *server.service == *service);
+        servers.map(|server| (server.address, server.zone.clone())).collect()
     }
 
-    fn servers(&self) -> Vec<fleet::Server> {
-        let records = P::PREFIXES.iter().flat_map(|prefix| self.mirror.below(prefix));
-        let servers = records.filter(|record| matches!(P::place(&record.key), Place::Server(_)));
-        let read = |record: loftcove_decision::mirror::Record| match P::record(
-            &record.key,
-            &record.value.unwrap_or_default(),
-        ) {
-            Ok(Record::Server(server)) => Some(server),
-            Ok(_) => None,
-            Err(error) => {
-                log::error!("record not readable error=\"{error}\"");
-                None
-            }
-        };
-        servers.filter_map(read).collect()
-    }
-
-    /// Slots of an engine, and what the configuration says of the experts.
+    /// What the configuration says of the engines and of their experts.
     pub(super) fn experts(&self) -> Option<(route::Engine, route::Experts)> {
-        let records = P::PREFIXES.iter().flat_map(|prefix| self.mirror.below(prefix));
-        let config = records
-            .filter(|record| P::place(&record.key) == Place::Config)
-            .find_map(|record| P::record(&record.key, &record.value?).ok());
-        let Some(Record::Config(config)) = config else { return None };
         let service = &self.settings.engine.service;
-        let service = config.services.into_iter().find(|other| other.name == *service)?;
-        let engine = service.engine?;
+        let services = &self.catalog.config()?.services;
+        let engine = services.iter().find(|other| other.name == *service)?.engine.clone()?;
         let experts = engine.experts?;
         Some((engine, experts))
     }
--- a/sidecar/src/rank.rs
+++ b/sidecar/src/rank.rs
@@ -53,9 +53,23 @@
 /// Counts that a driver has had.
 struct Look {
     at: Instant,
+    born: Option<u64>,
     counts: Vec<u64>,
 }
 
+impl Look {
+    /// How often each expert was chosen from an earlier look to this one; none
+    /// where the engine has started anew between them, and counts from zero.
+    fn since(&self, before: &Look) -> Option<Vec<u32>> {
+        if self.born != before.born || self.counts.len() != before.counts.len() {
+            return None;
+        }
+        let pairs = self.counts.iter().zip(&before.counts);
+        let grown = pairs.map(|(now, before)| now.checked_sub(*before));
+        grown.map(|count| count.and_then(|count| u32::try_from(count).ok())).collect()
+    }
+}
+
 /// An order of a driver.
 #[derive(Debug, Clone)]
 pub struct Step {
@@ -89,15 +103,13 @@
     /// How often each expert was chosen since a driver last looked; empty where
     /// nobody did for long.
     async fn choices(&self) -> Result<Vec<u32>, Error> {
-        let Counts { counts, .. } = self.engine.counts().await?;
-        let now = Look { at: Instant::now(), counts: counts.clone() };
-        let before = lock(&self.looked).replace(now);
-        let before = before.filter(|look| look.at.elapsed() < LOOK_TIME);
-        let before = before.filter(|look| look.counts.len() == counts.len());
-        let Some(before) = before else { return Ok(Vec::new()) };
-        let pairs = counts.into_iter().zip(before.counts);
-        // An engine that was restarted counts from zero again.
-        Ok(pairs.map(|(now, before)| now.saturating_sub(before) as u32).collect())
+        let Counts { counts, born, .. } = self.engine.counts().await?;
+        let now = Look { at: Instant::now(), born, counts };
+        let mut looked = lock(&self.looked);
+        let before = looked.take().filter(|look| look.at.elapsed() < LOOK_TIME);
+        let grown = before.and_then(|before| now.since(&before));
+        *looked = Some(now);
+        Ok(grown.unwrap_or_default())
     }
 
     /// The step that a message tells.
--- a/sidecar/tests/common/mod.rs
+++ b/sidecar/tests/common/mod.rs
@@ -34,6 +34,8 @@
     pub armed: Option<(u64, u64)>,
     pub orders: u64,
     pub counts: Vec<u64>,
+    /// When it started, where it tells.
+    pub born: Option<u64>,
     /// Orders that came past its sidecar.
     pub from_afar: u64,
 }
@@ -73,8 +75,8 @@
     }
 
     async fn counts(&self) -> Result<Counts, Error> {
-        let counts = self.state.lock().unwrap().counts.clone();
-        Ok(Counts { pass: 100, epoch: EPOCH, counts })
+        let state = self.state.lock().unwrap();
+        Ok(Counts { pass: 100, epoch: EPOCH, born: state.born, counts: state.counts.clone() })
     }
 
     async fn lists(&self) -> Result<(Held, Option<Held>), Error> {
