Believe of a group what its ranks' entries tell, and probe a broken one as seldom as one gateway would

Cause: in a break each of 42 gateways sent a caller's request into the broken group every 150 ms: 87 probes a second from a zone with 67 callers. Gateways of the zone that is cut off tried ranks of the living group one by one, 250 ms each, and refused for the want of a retry as well. Ruled out: that the living group was full: its ranks carried 7 of 10 streams.

Change: decision/outage: a group is down by a refusal, by its ranks' entries, or when three ranks in a row are not reached; it is back by entries of a later epoch, or by a connection (gateway/probe), not by a caller. Probes are shared among the gateways. Nothing is sent where all groups are down, whatever they are down for; callers are told so.

Tests: decision/tests/outage.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -245,6 +245,7 @@
         let listing = |server: usize| server::Listing {
             host: format!("server{server:04}").into(),
             born: None,
+            news: None,
             pool: pool(),
             group: None,
             local: true,
--- a/daemon/src/entry/dispatcher.rs
+++ b/daemon/src/entry/dispatcher.rs
@@ -119,6 +119,7 @@
             listings.push(server::Listing {
                 host: host.id.clone(),
                 born: None,
+                news: None,
                 pool: inner.pools.intern(pool),
                 group: None,
                 local: *host.zone == *zone,
--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -137,6 +137,7 @@
     /// Takes a new host list.
     pub fn list(&mut self, listings: Vec<server::Listing>, now: clock::Instant) -> Vec<Action> {
         self.servers.list(listings);
+        self.hear(now);
         self.pump_all(now)
     }
 
@@ -248,7 +249,7 @@
         pending.begun = true;
         let (place, group, sent) = (pending.place, pending.group, pending.sent);
         let pool = pending.arrival.pool;
-        self.group_answers(group, now);
+        self.group_answers(group, sent, now);
         let Place::Sent(server) = place else { return };
         if let Some(sent) = sent {
             self.queue.begun(pool, now.since(sent));
@@ -277,7 +278,7 @@
         }
         match end {
             End::Answered => {
-                self.group_answers(group, now);
+                self.group_answers(group, sent, now);
                 self.tally.answered += 1;
                 if let Some(sent) = sent {
                     self.queue.served(pool, now.since(sent));
@@ -291,17 +292,13 @@
                 self.finish(ticket);
             }
             End::Full => self.wait_again(ticket, now, &mut actions),
-            End::NeverRan | End::Unreachable => {
+            End::NeverRan => {
                 self.follow(ticket, retry::Knowledge::NeverRan, false, now, &mut actions);
             }
+            End::Unreachable => self.follow_never_ran(ticket, pool, now, &mut actions),
             End::GroupDown => {
-                self.group_refuses(group, now);
-                if self.all_down(pool, now) {
-                    self.give_up(ticket, Outcome::NotRun, Reason::GroupDown, &mut actions);
-                    self.drain(pool, Reason::GroupDown, &mut actions);
-                } else {
-                    self.follow(ticket, retry::Knowledge::NeverRan, false, now, &mut actions);
-                }
+                self.group_refuses(group, sent, now);
+                self.follow_never_ran(ticket, pool, now, &mut actions);
             }
             End::MayHaveRun { answer_begun } => {
                 self.follow(ticket, retry::Knowledge::MayHaveRun, answer_begun, now, &mut actions);
@@ -339,7 +336,10 @@
                     self.try_eject(server, now);
                 }
             }
-            End::Unreachable => self.try_eject(server, now),
+            End::Unreachable => {
+                self.try_eject(server, now);
+                self.group_unreached(server, now);
+            }
             End::Abandoned | End::GroupDown => {}
         }
         let record = &mut self.servers[server];
@@ -371,6 +371,23 @@
         self.queue.push_front(waiter);
     }
 
+    /// Sends a request again that did not run for an outage, unless that leaves
+    /// nobody who could serve its pool.
+    fn follow_never_ran(
+        &mut self,
+        ticket: entity::Ticket,
+        pool: entity::Pool,
+        now: clock::Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.all_down(pool, now) {
+            self.give_up(ticket, Outcome::NotRun, Reason::GroupDown, actions);
+            self.drain(pool, Reason::GroupDown, actions);
+        } else {
+            self.follow(ticket, retry::Knowledge::NeverRan, false, now, actions);
+        }
+    }
+
     /// Sends a failed request again, or gives it up.
     fn follow(
         &mut self,
--- a/decision/src/balancer/group.rs
+++ b/decision/src/balancer/group.rs
@@ -1,20 +1,21 @@
 //! What the balancer knows of groups whose backend servers run in lock-step.
 //!
 //! A pool may have several groups. The ranks of one serve all together or not
-//! at all, which its breaker keeps, and every stream makes all others of the
+//! at all, which is believed of it by [`outage`], and every stream makes all others of the
 //! group slower, which its bound by pace keeps. A group that takes nothing is
 //! passed over for another one.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::balancer::{Action, Balancer, Note};
 use crate::routing::{policy, server};
-use crate::{breaker, clock, entity, pace, pass};
+use crate::{clock, entity, outage, pace, pass};
 
 /// What is kept of a group.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Group {
-    pub(super) breaker: breaker::Breaker,
+    pub(super) outage: outage::Outage,
     pub(super) pace: pace::Pace,
     /// Own requests in flight.
     pub(super) in_flight: u32,
@@ -28,15 +29,15 @@
 impl Group {
     /// A request was sent to one of its ranks.
     pub(super) fn enter(&mut self, now: clock::Instant) {
-        self.breaker.sent(now);
+        self.outage.sent(now);
         self.pace.sent(self.in_flight, now);
         self.in_flight += 1;
     }
 
-    /// Whether it serves nothing at present, as far as is known: it is broken
-    /// and no probe is due, or it stands still.
+    /// Whether it serves nothing at present, as far as is known: it is broken or
+    /// out of reach and no probe is due, or it stands still.
     fn down(&self, now: clock::Instant) -> bool {
-        !self.breaker.admits(now) || self.pace.stalled(self.in_flight, now)
+        !self.outage.admits(now) || self.pace.stalled(self.in_flight, now)
     }
 
     /// Whether it can take one more request.
@@ -59,6 +60,9 @@
     /// Sets how many gateways share the backend servers, this one included.
     pub fn set_gateways(&mut self, gateways: u32) {
         self.gateways = gateways;
+        for group in self.groups.values_mut() {
+            group.outage.share(gateways);
+        }
     }
 
     /// An answer told how many requests its backend server runs and keeps waiting.
@@ -118,20 +122,93 @@
         group.in_flight = group.in_flight.saturating_sub(1);
     }
 
-    /// A rank of the group answered.
-    pub(super) fn group_answers(&mut self, group: Option<entity::Group>, now: clock::Instant) {
-        let Some(group) = group else { return };
-        if let Some(time) = self.groups[group].breaker.answered(now) {
-            self.notes.push(Note::GroupUp(group, time));
-        }
+    /// A rank of the group answered a request that was sent then.
+    pub(super) fn group_answers(
+        &mut self,
+        group: Option<entity::Group>,
+        sent: Option<clock::Instant>,
+        now: clock::Instant,
+    ) {
+        let (Some(group), Some(sent)) = (group, sent) else { return };
+        let change = self.groups[group].outage.answered(sent, now);
+        self.believe(group, change, now);
     }
 
-    /// A rank told that its group is broken.
-    pub(super) fn group_refuses(&mut self, group: Option<entity::Group>, now: clock::Instant) {
-        let Some(group) = group else { return };
-        if self.groups[group].breaker.refused(now) {
-            self.notes.push(Note::GroupDown(group));
+    /// A rank told that its group is broken, to a request that was sent then.
+    pub(super) fn group_refuses(
+        &mut self,
+        group: Option<entity::Group>,
+        sent: Option<clock::Instant>,
+        now: clock::Instant,
+    ) {
+        let (Some(group), Some(sent)) = (group, sent) else { return };
+        let change = self.groups[group].outage.refused(sent, now);
+        self.believe(group, change, now);
+    }
+
+    /// No connection to a rank of the group came about.
+    pub(super) fn group_unreached(&mut self, server: entity::Server, now: clock::Instant) {
+        let Some(group) = self.servers[server].listing.group else { return };
+        let change = self.groups[group].outage.unreached(server, now);
+        self.believe(group, change, now);
+    }
+
+    /// A connection to a rank of a group that was out of reach came about.
+    pub fn reached(&mut self, group: entity::Group, now: clock::Instant) -> Vec<Action> {
+        let change = self.groups[group].outage.reached(now);
+        self.believe(group, change, now);
+        self.pump_all(now)
+    }
+
+    /// Takes what the entries of the ranks tell.
+    pub(super) fn hear(&mut self, now: clock::Instant) {
+        let mut told: BTreeMap<entity::Group, outage::News> = BTreeMap::new();
+        for (_, record) in self.servers.iter().filter(|(_, record)| record.listed) {
+            let (Some(group), Some(news)) = (record.listing.group, record.listing.news) else {
+                continue;
+            };
+            told.entry(group).and_modify(|before| *before = before.with(news)).or_insert(news);
         }
+        for (group, news) in told {
+            self.groups[group].outage.share(self.gateways);
+            let change = self.groups[group].outage.hear(news, now);
+            self.believe(group, change, now);
+        }
+    }
+
+    /// Groups that are out of reach, each with its ranks.
+    pub fn out_of_reach(&self) -> Vec<(entity::Group, Vec<entity::Server>)> {
+        let unreached = |group: &entity::Group| {
+            self.groups[*group].outage.ground() == Some(outage::Ground::Unreached)
+        };
+        let ranks = |group: entity::Group| {
+            let of_group = self
+                .servers
+                .iter()
+                .filter(|(_, record)| record.listing.group == Some(group) && record.usable());
+            of_group.map(|(server, _)| server).collect()
+        };
+        let groups = self.groups.keys().filter(unreached);
+        groups.map(|group| (group, ranks(group))).collect()
+    }
+
+    /// Notes a change of what is believed of a group. Ranks that were taken out
+    /// while it was away are back with it.
+    fn believe(
+        &mut self,
+        group: entity::Group,
+        change: Option<outage::Change>,
+        now: clock::Instant,
+    ) {
+        let note = match change {
+            None => return,
+            Some(outage::Change::Down(ground)) => Note::GroupDown(group, ground),
+            Some(outage::Change::Up(time)) => {
+                self.servers.restore(group, now);
+                Note::GroupUp(group, time)
+            }
+        };
+        self.notes.push(note);
     }
 
     /// Whether all groups that serve a pool are known to serve nothing.
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::routing::policy;
-use crate::{admission, clock, entity, pace};
+use crate::{admission, clock, entity, outage, pace};
 
 /// A request as it arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -196,8 +196,8 @@
 /// A change of what is believed of a group, for the log.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Note {
-    /// The group is broken.
-    GroupDown(entity::Group),
+    /// The group does not serve, for that reason.
+    GroupDown(entity::Group, outage::Ground),
     /// The group serves again, after that time.
     GroupUp(entity::Group, Duration),
     /// The group carries as many own streams as its bound allows.
--- a/decision/src/breaker.rs
+++ b/decision/src/breaker.rs
@@ -9,18 +9,35 @@
 
 use crate::clock;
 
-/// Time between two probes. A group forms within less than a second, and a
-/// probe costs its client one more refusal at the most.
+/// Time between two probes of all callers together. A group forms within less
+/// than a second, and a probe costs its client one more refusal at the most.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
+/// Longest time between two probes of one caller: what is lost where nothing
+/// but a probe shows that the group is back.
+const LONGEST_INTERVAL: Duration = Duration::from_secs(3);
 
 /// The breaker.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Breaker {
     opened: Option<clock::Instant>,
     probed: clock::Instant,
+    interval: Duration,
+}
+
+impl Default for Breaker {
+    fn default() -> Breaker {
+        Breaker { opened: None, probed: clock::Instant::ZERO, interval: PROBE_INTERVAL }
+    }
 }
 
 impl Breaker {
+    /// So many callers probe the group: each seldom enough that all together
+    /// probe as often as one alone. Forty that each probed every 150 ms sent
+    /// more requests into a broken group than its callers had.
+    pub fn share(&mut self, callers: u32) {
+        self.interval = PROBE_INTERVAL.saturating_mul(callers.max(1)).min(LONGEST_INTERVAL);
+    }
+
     /// The group refused. Returns whether this opened the breaker.
     pub fn refused(&mut self, now: clock::Instant) -> bool {
         self.probed = now;
@@ -34,6 +51,11 @@
         self.opened.take().map(|opened| now.since(opened))
     }
 
+    /// When it opened, if it is open.
+    pub fn opened(&self) -> Option<clock::Instant> {
+        self.opened
+    }
+
     /// Whether it is open.
     pub fn is_open(&self) -> bool {
         self.opened.is_some()
@@ -41,7 +63,7 @@
 
     /// Whether a request may go through: it is closed, or a probe is due.
     pub fn admits(&self, now: clock::Instant) -> bool {
-        self.opened.is_none() || now.since(self.probed) >= PROBE_INTERVAL
+        self.opened.is_none() || now.since(self.probed) >= self.interval
     }
 
     /// A request went through; through an open breaker it is a probe, and the
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod map;
 pub mod mirror;
 pub mod name;
+pub mod outage;
 pub mod pace;
 pub mod pass;
 pub mod placement;
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3;
 
 use crate::routing::eject;
-use crate::{attempt, clock, entity, limit};
+use crate::{attempt, clock, entity, limit, outage};
 
 /// Half-life of what a report says of other entry hosts' requests.
 pub const REPORT_HALF_LIFE: Duration = Duration::from_millis(1_000);
@@ -58,6 +58,8 @@
     pub pool: entity::Pool,
     /// Group that it runs in lock-step with, if it is a rank of one.
     pub group: Option<entity::Group>,
+    /// What its entry tells of the group.
+    pub news: Option<outage::News>,
     /// Whether it is in the entry host's own availability zone.
     pub local: bool,
     /// Whether the list or the bundle has it leaving.
@@ -242,6 +244,14 @@
         self.newest.get(host).copied()
     }
 
+    /// Takes the ranks of a group in again that were out for their failures.
+    pub fn restore(&mut self, group: entity::Group, now: clock::Instant) {
+        let ranks = self.records.values_mut().filter(|record| record.listing.group == Some(group));
+        for record in ranks.filter(|record| record.health.ejected(now)) {
+            record.health = eject::Health::default();
+        }
+    }
+
     /// All backend servers, in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = (entity::Server, &Record)> {
         self.records.iter()
--- a/decision/tests/balancer.rs
+++ b/decision/tests/balancer.rs
@@ -31,6 +31,7 @@
     let listing = |number: u32| server::Listing {
         host: format!("host{number}").into(),
         born: None,
+        news: None,
         pool: pool(),
         group: None,
         local: number.is_multiple_of(2),
--- /dev/null
+++ b/decision/tests/outage.rs
@@ -0,0 +1,216 @@
+//! What is believed of a group when a zone is cut off: the group across the cut
+//! is broken until its ranks tell of a later epoch, and the one beyond it is out
+//! of reach until a connection comes about.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::time::Duration;
+
+use loftcove_decision::fleet::Standing;
+use loftcove_decision::outage::{Change, Ground, News, Outage};
+use loftcove_decision::routing::{policy, server};
+use loftcove_decision::{balancer, clock, entity};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng as _;
+
+fn at(ms: u64) -> clock::Instant {
+    clock::Instant::from_millis(1_000_000 + ms)
+}
+
+fn rank(number: u32) -> entity::Server {
+    entity::Server::from_u32(number)
+}
+
+const fn open(epoch: u64) -> News {
+    News { epoch, state: Standing::Open }
+}
+
+const fn broken(epoch: u64) -> News {
+    News { epoch, state: Standing::Broken }
+}
+
+/// Gateways that probe the group in these tests.
+const GATEWAYS: u32 = 42;
+
+fn outage() -> Outage {
+    let mut outage = Outage::default();
+    outage.share(GATEWAYS);
+    outage
+}
+
+#[test]
+fn the_newest_epoch_counts_and_its_end_before_its_beginning() {
+    assert_eq!(open(1).with(broken(1)), broken(1));
+    assert_eq!(broken(1).with(open(1)), broken(1), "an entry that is not yet rewritten");
+    assert_eq!(broken(1).with(open(2)), open(2));
+    assert_eq!(open(2).with(broken(1)), open(2));
+}
+
+#[test]
+fn a_group_is_down_from_the_first_rank_that_says_so_to_a_later_epoch() {
+    let mut outage = outage();
+    assert_eq!(outage.hear(open(1), at(0)), None);
+    let down = outage.refused(at(10), at(20));
+    assert_eq!(down, Some(Change::Down(Ground::Refused)));
+    assert!(!outage.admits(at(1_000)));
+    // Entries of the epoch that is over tell nothing new.
+    assert_eq!(outage.hear(open(1), at(30)), None);
+    assert_eq!(outage.hear(broken(1), at(1_200)), None);
+    assert_eq!(outage.hear(open(2), at(6_020)), Some(Change::Up(Duration::from_millis(6_000))));
+    assert!(outage.admits(at(6_020)));
+    assert_eq!(outage.ground(), None);
+}
+
+#[test]
+fn entries_tell_of_a_break_that_nobody_here_has_met() {
+    let mut outage = outage();
+    assert_eq!(outage.hear(broken(0), at(0)), Some(Change::Down(Ground::Told)));
+    assert!(!outage.admits(at(500)));
+    assert_eq!(outage.hear(open(1), at(600)), Some(Change::Up(Duration::from_millis(600))));
+    assert_eq!(outage.hear(broken(1), at(900)), Some(Change::Down(Ground::Told)));
+}
+
+#[test]
+fn what_was_sent_before_a_change_says_nothing_of_it() {
+    let mut outage = outage();
+    outage.hear(open(1), at(0));
+    outage.refused(at(10), at(20));
+    // An answer that was on its way is no probe.
+    assert_eq!(outage.answered(at(15), at(25)), None);
+    assert!(!outage.admits(at(100)));
+    outage.hear(open(2), at(6_000));
+    // Nor does a refusal of before tell of the new epoch.
+    assert_eq!(outage.refused(at(5_990), at(6_010)), None);
+    assert!(outage.admits(at(6_010)));
+}
+
+#[test]
+fn a_group_of_which_no_rank_is_reached_is_out_of_reach_until_one_is() {
+    let mut outage = outage();
+    outage.hear(open(1), at(0));
+    assert_eq!(outage.unreached(rank(1), at(0)), None);
+    assert_eq!(outage.unreached(rank(1), at(1)), None, "the same one");
+    assert_eq!(outage.unreached(rank(2), at(2)), None);
+    assert_eq!(outage.unreached(rank(3), at(3)), Some(Change::Down(Ground::Unreached)));
+    // Beyond the cut the group serves on, which is no help here.
+    assert_eq!(outage.hear(open(1), at(100)), None);
+    assert!(!outage.admits(at(1_000)));
+    assert_eq!(outage.reached(at(5_003)), Some(Change::Up(Duration::from_millis(5_000))));
+}
+
+#[test]
+fn single_ranks_that_are_gone_stop_no_group() {
+    let mut outage = outage();
+    for round in 0..10 {
+        assert_eq!(outage.unreached(rank(1), at(round * 10)), None);
+        assert_eq!(outage.unreached(rank(2), at(round * 10 + 1)), None);
+        outage.answered(at(round * 10 + 2), at(round * 10 + 3));
+    }
+    assert!(outage.admits(at(200)));
+}
+
+#[test]
+fn a_group_that_is_reached_again_may_yet_be_broken() {
+    let mut outage = outage();
+    outage.hear(open(1), at(0));
+    for number in 0..3 {
+        outage.unreached(rank(number), at(10));
+    }
+    outage.hear(broken(1), at(2_000));
+    assert_eq!(outage.reached(at(4_000)), None);
+    assert!(!outage.admits(at(4_000)));
+    assert!(outage.hear(open(2), at(5_600)).is_some());
+}
+
+#[test]
+fn all_gateways_together_probe_as_often_as_one_alone() {
+    let probes = |gateways: u32| -> usize {
+        let mut outage = Outage::default();
+        outage.share(gateways);
+        outage.refused(at(0), at(0));
+        let mut probes = 0;
+        for ms in 0..6_000 {
+            if outage.admits(at(ms)) {
+                outage.sent(at(ms));
+                probes += 1;
+            }
+        }
+        probes
+    };
+    let alone = probes(1);
+    assert!((38..=40).contains(&alone), "{alone}");
+    // One probe each 1.5 s of ten.
+    assert!((30..=40).contains(&(probes(10) * 10)), "{}", probes(10));
+    // Also hundreds find out by themselves within seconds.
+    assert!((1..=2).contains(&probes(148)), "{}", probes(148));
+}
+
+/// A gateway of a zone with ranks of two groups, of which one is broken: the
+/// other one has room for all.
+#[test]
+fn callers_beside_a_broken_group_are_not_refused_for_want_of_retries() {
+    let rng = ChaCha8Rng::seed_from_u64(7);
+    let policy = policy::Blend { rng, sample: 2, affinity_slack: 0.0 };
+    // What each of 42 gateways has of the users' budget.
+    let options = balancer::Options::default().charge_full(true).retry_ratio(0.15);
+    let mut balancer = balancer::Balancer::new(policy, &options.retry_reserve(4.2));
+    balancer.set_gateways(GATEWAYS);
+    let listing = |number: u32, news: News| server::Listing {
+        host: format!("host{number}").into(),
+        born: None,
+        pool: entity::Pool::from_u32(0),
+        group: Some(entity::Group::from_u32(number % 2)),
+        news: Some(news),
+        local: true,
+        leaving: false,
+    };
+    let list =
+        |news: News| (0..20).map(move |n| listing(n, if n % 2 == 0 { open(1) } else { news }));
+    balancer.list(list(open(1)).collect(), at(0));
+    for number in 0..20 {
+        balancer.connect(rank(number), true, at(0));
+        let report = server::Report {
+            incarnation: 1,
+            sequence: 1,
+            slots: 10,
+            alive: true,
+            ..Default::default()
+        };
+        balancer.report(rank(number), report, at(0));
+    }
+    let (mut refused, mut into_the_broken) = (0, 0);
+    // Five callers a second, for the six seconds of a break.
+    for step in 0..30 {
+        let now = at(1_000 + step * 200);
+        let due = now + Duration::from_secs(8);
+        let arrival = balancer::Arrival {
+            pool: entity::Pool::from_u32(0),
+            team: entity::Team::from_u32(0),
+            precedence: 1,
+            repeatable: true,
+            resumable: true,
+            max_attempts: 2,
+            deadline: due,
+            expires: due,
+            begin_by: Some(now + Duration::from_millis(400)),
+            prefix: 0,
+        };
+        let (ticket, mut actions) = balancer.arrive(arrival, now);
+        while let [balancer::Action::Send(dispatch)] = &actions[..] {
+            if dispatch.choice.server.as_u32() % 2 == 0 {
+                balancer.begin(ticket, Duration::from_millis(100), now);
+                balancer.end(ticket, balancer::End::Answered, now);
+                break;
+            }
+            into_the_broken += 1;
+            actions = balancer.end(ticket, balancer::End::GroupDown, now);
+        }
+        refused += usize::from(matches!(actions[..], [balancer::Action::Refuse(_)]));
+    }
+    assert_eq!(refused, 0);
+    assert!(into_the_broken <= 3, "{into_the_broken}");
+    // Its return is heard of, and it gets requests again.
+    balancer.list(list(open(2)).collect(), at(8_000));
+    let back = balancer.take_notes();
+    assert!(back.iter().any(|note| matches!(note, balancer::Note::GroupUp(_, _))), "{back:?}");
+}
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use loftcove_decision::routing::{policy, server};
-use loftcove_decision::{admission, balancer, clock, entity, fleet, name, pass};
+use loftcove_decision::{admission, balancer, clock, entity, fleet, name, outage, pass};
 use rand_chacha::rand_core::SeedableRng as _;
 use tokio::sync::{Notify, mpsc};
 
@@ -53,6 +53,13 @@
     pub told: Option<fleet::Rank>,
 }
 
+impl Rank {
+    fn news(&self) -> Option<outage::News> {
+        let told = self.told.as_ref()?;
+        Some(outage::News { epoch: told.epoch, state: told.state })
+    }
+}
+
 /// A request that arrives.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -104,6 +111,7 @@
 pub struct Dispatcher<T> {
     origin: Instant,
     waited: Notify,
+    outage: Arc<Notify>,
     inner: Mutex<Inner<T>>,
 }
 
@@ -115,6 +123,8 @@
     targets: BTreeMap<entity::Server, T>,
     waiting: BTreeMap<entity::Ticket, mpsc::UnboundedSender<Next<T>>>,
     sequence: u64,
+    /// Wakes whoever looks for groups out of reach.
+    outage: Arc<Notify>,
 }
 
 impl<T: Clone + Send> Dispatcher<T> {
@@ -122,6 +132,7 @@
     pub fn new(options: &balancer::Options) -> Dispatcher<T> {
         let rng = rand_chacha::ChaCha8Rng::seed_from_u64(rand::random());
         let policy = policy::Blend { rng, sample: SAMPLE, affinity_slack: 0.0 };
+        let outage: Arc<Notify> = Arc::default();
         let inner = Inner {
             balancer: balancer::Balancer::new(policy, options),
             pools: name::Table::default(),
@@ -130,8 +141,10 @@
             targets: BTreeMap::new(),
             waiting: BTreeMap::new(),
             sequence: 0,
+            outage: outage.clone(),
         };
-        Dispatcher { origin: Instant::now(), waited: Notify::new(), inner: Mutex::new(inner) }
+        let (origin, waited) = (Instant::now(), Notify::new());
+        Dispatcher { origin, waited, outage, inner: Mutex::new(inner) }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner<T>> {
@@ -157,6 +170,7 @@
             born: listing.run.born,
             pool: inner.pools.intern(&listing.pool),
             group: listing.rank.as_ref().map(|rank| inner.groups.intern(&rank.group)),
+            news: listing.rank.as_ref().and_then(Rank::news),
             local: listing.local,
             leaving: listing.leaving,
         });
@@ -210,6 +224,25 @@
         inner.route(actions);
     }
 
+    /// Waits until groups are out of reach; returns the ranks of each.
+    pub async fn out_of_reach(&self) -> Vec<(entity::Group, Vec<T>)> {
+        loop {
+            let groups = self.lock().out_of_reach();
+            if !groups.is_empty() {
+                return groups;
+            }
+            self.outage.notified().await;
+        }
+    }
+
+    /// A connection to a rank of a group that was out of reach came about.
+    pub fn reached(&self, group: entity::Group) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let actions = inner.balancer.reached(group, now);
+        inner.route(actions);
+    }
+
     /// A request arrives; the permit tells what to do with it.
     pub fn arrive(self: &Arc<Dispatcher<T>>, arrival: &Arrival) -> Permit<T> {
         let now = self.now();
@@ -325,12 +358,21 @@
         self.balancer.report(server, report, now)
     }
 
+    fn out_of_reach(&self) -> Vec<(entity::Group, Vec<T>)> {
+        let groups = self.balancer.out_of_reach().into_iter();
+        let targets = |ranks: Vec<entity::Server>| {
+            ranks.iter().filter_map(|rank| self.targets.get(rank).cloned()).collect()
+        };
+        groups.map(|(group, ranks)| (group, targets(ranks))).collect()
+    }
+
     /// Hands each action to the request that it is about.
     fn route(&mut self, actions: Vec<balancer::Action>) {
         for note in self.balancer.take_notes() {
             match note {
-                balancer::Note::GroupDown(group) => {
-                    log::warn!("group down group={}", self.groups.name(group));
+                balancer::Note::GroupDown(group, ground) => {
+                    log::warn!("group down group={} ground={ground}", self.groups.name(group));
+                    self.outage.notify_one();
                 }
                 balancer::Note::Bound(group, ground) => log::info!(
                     "group bound group={} bound={:.1} in_flight={} streams={:.2} fitting={:.2} \
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`upstream`] sends an attempt, and [`answer`] or, for streams, [`stream`]
 //! hands the answer on. [`state`] holds what all requests share; it follows
 //! the configuration and the list of backend servers through the mirror.
+//! [`probe`] finds out when a group can be reached again.
 //! [`health`] tells the platform whether the gateway is ready, [`drain`] is
 //! the planned stop.
 
@@ -15,6 +16,7 @@
 mod flow;
 mod health;
 mod metrics;
+mod probe;
 mod request;
 mod server;
 mod state;
@@ -100,6 +102,7 @@
     tokio::spawn(health::serve(gateway.clone(), ready));
     tokio::spawn(health::serve(gateway.clone(), metrics));
     tokio::spawn(state::follow(gateway.clone()));
+    tokio::spawn(probe::run(gateway.clone()));
     let dispatcher = gateway.dispatcher.clone();
     tokio::spawn(async move { dispatcher.run().await });
     tokio::spawn(server::run(gateway.clone(), clients));
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -190,6 +190,12 @@
     Reply { response, connection: Connection { sender, run: target.run.clone() } }
 }
 
+/// Whether a connection to a backend server comes about. Nothing is sent on it.
+pub async fn reaches(address: SocketAddr) -> bool {
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Ok(_)))
+}
+
 async fn connect(address: SocketAddr) -> Result<Sender, Error> {
     let fault = |error: &dyn std::error::Error| Error::NotSent(error.to_string());
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
