Soak and end-to-end tests: entries of other writers, runs that start again, breaks that entries tell

Change: the soak draws three more faults, from a seed of their own, so that kept seeds mean the same; ranks' entries follow breaks there; tests/outages: a told break sends nothing into the group, its end is heard of without a probe.

--- a/mirror/src/catalog.rs
+++ b/mirror/src/catalog.rs
@@ -73,12 +73,11 @@
         self.config.as_ref()
     }
 
-    /// The backend servers. Where some tell when they started, an entry that
-    /// does not is of another writer.
+    /// The backend servers. One that does not tell when it started is used all
+    /// the same: a single entry of another writer, which tells it, must not take
+    /// out all others.
     pub fn servers(&self) -> impl Iterator<Item = &fleet::Server> {
-        let servers = || self.entries.values().filter_map(|entry| entry.server.as_ref());
-        let told = servers().any(|server| server.born.is_some());
-        servers().filter(move |server| server.born.is_some() || !told)
+        self.entries.values().filter_map(|entry| entry.server.as_ref())
     }
 
     /// Entries that name no backend server to use.
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -13,6 +13,9 @@
 /// and some for a machine that is busy.
 const STOP_TIME: Duration = Duration::from_secs(14);
 
+/// First start that an entry tells, Unix milliseconds; later ones are higher.
+const FIRST_START: u64 = 1_764_720_000_000;
+
 /// Time in which all gateways open their watches again after a change.
 const REOPEN_TIME: Duration = Duration::from_millis(500);
 
@@ -39,6 +42,8 @@
     pub overdue: Vec<Process>,
     /// Whether the group is broken.
     broken: bool,
+    /// When plain servers that started again did so, Unix milliseconds.
+    starts: BTreeMap<u8, u64>,
 }
 
 impl<'a> Injector<'a> {
@@ -51,6 +56,7 @@
             spans: Vec::new(),
             overdue: Vec::new(),
             broken: false,
+            starts: BTreeMap::new(),
         }
     }
 
@@ -123,6 +129,7 @@
             Fault::Break => {
                 self.broken = true;
                 self.system.group_control("/break").await;
+                self.system.tell_ranks().await;
             }
             Fault::Shift(expert) => {
                 self.system.group_control(&format!("/popular?expert={expert}")).await;
@@ -133,6 +140,15 @@
                 return false;
             }
             Fault::Drain(number) => self.list_plain(number, "draining").await,
+            Fault::Restart(number) => {
+                self.restart_plain(number).await;
+                return false;
+            }
+            Fault::Foreign => self.write_foreign().await,
+            Fault::Spoil(number) => {
+                let spoilt = serde_json::json!({ "service": SMS, "state": "ready", "slots": "12" });
+                self.system.put(&format!("servers/plain-{number}"), &spoilt).await;
+            }
             Fault::Unlist(number) => {
                 self.system.remove(&format!("servers/plain-{number}")).await;
             }
@@ -178,11 +194,19 @@
             Fault::Store(_) => self.system.store_control("fault/none").await,
             Fault::Orders => self.system.group_control("/orders").await,
             Fault::Break if self.broken => self.mend().await,
-            Fault::Drain(number) | Fault::Unlist(number) => self.list_plain(number, "ready").await,
+            Fault::Drain(number) | Fault::Unlist(number) | Fault::Spoil(number) => {
+                self.list_plain(number, "ready").await;
+            }
+            Fault::Foreign => {
+                for number in 0..foreign().len() {
+                    self.system.remove(&format!("servers/foreign-{number}")).await;
+                }
+            }
             Fault::Break
             | Fault::Reload(_)
             | Fault::Shift(_)
             | Fault::Silence(_)
+            | Fault::Restart(_)
             | Fault::Configure => {}
         }
     }
@@ -214,6 +238,7 @@
     async fn mend(&mut self) {
         self.broken = false;
         self.system.group_control("/mend").await;
+        self.system.tell_ranks().await;
     }
 
     async fn configure(&mut self) {
@@ -227,7 +252,29 @@
 
     async fn list_plain(&mut self, number: u8, state: &str) {
         let address = self.system.plain_address(number);
-        self.system.list(&format!("plain-{number}"), SMS, address, state).await;
+        let id = format!("plain-{number}");
+        match self.starts.get(&number) {
+            Some(born) if state == "ready" => {
+                self.system.list_run(&id, SMS, address, *born).await;
+            }
+            _ => self.system.list(&id, SMS, address, state).await,
+        }
+    }
+
+    async fn restart_plain(&mut self, number: u8) {
+        let born = self.starts.entry(number).or_insert(FIRST_START);
+        *born += 1;
+        let born = *born;
+        let address = self.system.plain_address(number);
+        self.system.link(&server_name(false, number), "reset").await;
+        self.system.list_run(&format!("plain-{number}"), SMS, address, born).await;
+        self.system.link(&server_name(false, number), "none").await;
+    }
+
+    async fn write_foreign(&mut self) {
+        for (number, entry) in foreign().into_iter().enumerate() {
+            self.system.put(&format!("servers/foreign-{number}"), &entry).await;
+        }
     }
 
     fn process(&mut self, process: Process) -> &mut loftcove_tests::process::Process {
@@ -266,6 +313,32 @@
     }
 }
 
+/// Entries of another writer. Each names the plain service or the group, at an
+/// address where nobody listens, and none is whole.
+fn foreign() -> Vec<serde_json::Value> {
+    use serde_json::json;
+    let whole = json!({
+        "service": SMS, "address": "127.0.0.1:9", "zone": "norte", "version": "v1",
+        "slots": 12, "state": "ready", "cold_left_ms": 0, "seq": 1,
+    });
+    let with = |field: &str, value: serde_json::Value| {
+        let mut entry = whole.clone();
+        entry[field] = value;
+        entry
+    };
+    vec![
+        json!(null),
+        json!([whole.clone()]),
+        json!({ "service": SMS, "address": "127.0.0.1:9" }),
+        json!("x".repeat(100_000)),
+        with("state", json!("cordoned")),
+        with("slots", json!(-1)),
+        with("born", json!("yesterday")),
+        with("zone", json!(7)),
+        with("group", json!({ "name": "modelo-0", "epoch": 99, "state": "broken" })),
+    ]
+}
+
 impl Link {
     /// The proxy's target.
     fn target(self) -> String {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -16,6 +16,10 @@
 /// What the seed of silences differs by. They are drawn beside the other faults,
 /// so that seeds that were kept before there were silences still mean the same.
 const SILENCE_SEED: u64 = 0x51;
+/// Time between two strange or new entries, on average.
+const ENTRY_INTERVAL: Duration = Duration::from_millis(2_000);
+/// The same for entries as [`SILENCE_SEED`] for silences.
+const ENTRY_SEED: u64 = 0xe7;
 
 /// What runs.
 #[derive(Debug, Clone, Copy)]
@@ -131,6 +135,14 @@
     Drain(u8),
     /// A plain server's entry goes, and comes back.
     Unlist(u8),
+    /// A plain server starts again under its id, by its entry: its connections
+    /// are reset.
+    Restart(u8),
+    /// Another writer's entries come, and go.
+    Foreign,
+    /// Another writer spoils a plain server's entry, until the server writes it
+    /// again.
+    Spoil(u8),
 }
 
 /// A fault with its time.
@@ -148,6 +160,7 @@
 pub fn draw(seed: u64, size: &Size) -> Vec<Event> {
     let mut events = faults(seed, size);
     events.extend(silences(seed, size));
+    events.extend(entries(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -169,6 +182,24 @@
     events
 }
 
+fn entries(seed: u64, size: &Size) -> Vec<Event> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ ENTRY_SEED);
+    let count = (size.time.as_secs_f64() / ENTRY_INTERVAL.as_secs_f64()).ceil() as usize;
+    let mut events = Vec::new();
+    for _ in 0..count {
+        let at = size.time.mul_f64(rng.random_range(0.0..1.0));
+        let lasts = Duration::from_millis(rng.random_range(LASTS_MS));
+        let number = rng.random_range(0..size.plain);
+        let fault = match rng.random_range(0..3) {
+            0 => Fault::Restart(number),
+            1 => Fault::Foreign,
+            _ => Fault::Spoil(number),
+        };
+        events.push(Event { at, lasts, fault });
+    }
+    events
+}
+
 fn silence(rng: &mut ChaCha8Rng, size: &Size) -> Fault {
     match rng.random_range(0..6) {
         0 | 1 => Fault::Store(Store::Silent),
--- /dev/null
+++ b/tests/tests/outages.rs
@@ -0,0 +1,88 @@
+//! A group that is broken gets no caller's request while its ranks' entries say
+//! so, and gets requests again as soon as they tell of a later epoch.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use loftcove_tests::system::{Plan, Request, System};
+use loftcove_tests::until;
+
+const PLAN: Plan =
+    Plan { gateways: 1, ranks: 3, groups: 1, plain: 1, sidecars: false, proxied: false };
+
+fn draft() -> Request {
+    Request::new("/draft/").with("x-standin-events", "3")
+}
+
+/// Whether a line of the gateway's log has all of these.
+fn logged(system: &System, parts: &[&str]) -> bool {
+    system.gateways[0].log().iter().any(|line| parts.iter().all(|part| line.contains(part)))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_tell_of_a_break_and_of_its_end() {
+    let system = System::start(PLAN).await;
+    system.tell_ranks().await;
+    assert_eq!(system.ask(0, &draft()).await.status, 200);
+
+    system.group_control("/break").await;
+    system.tell_ranks().await;
+    until("the break is heard of", || async { logged(&system, &["group down", "ground=told"]) })
+        .await;
+    for _ in 0..10 {
+        let request = draft();
+        let answer = system.ask(0, &request).await;
+        assert_eq!(answer.status, 503);
+        assert!(answer.headers.contains_key("retry-after"));
+        assert!(system.arrivals(&request.id).await.is_empty(), "nothing is sent into it");
+    }
+
+    system.group_control("/mend").await;
+    system.tell_ranks().await;
+    until("its return is heard of", || async { logged(&system, &["group up"]) }).await;
+    assert_eq!(system.ask(0, &draft()).await.status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entries_of_another_writer_name_nobody_and_the_others_hold() {
+    let system = System::start(PLAN).await;
+    let foreign = serde_json::json!({ "service": "modelo", "address": "127.0.0.1:9" });
+    system.put("servers/foreign", &foreign).await;
+    // A rank's own entry is spoilt as well: the others serve.
+    system.put("servers/rank-0", &serde_json::json!(["no", "entry"])).await;
+    until("both are heard of", || async {
+        logged(&system, &["record not used", "servers/foreign"])
+            && logged(&system, &["record not used", "servers/rank-0"])
+    })
+    .await;
+    for _ in 0..6 {
+        let request = draft();
+        assert_eq!(system.ask(0, &request).await.status, 200);
+        let arrivals = system.arrivals(&request.id).await;
+        assert!(arrivals.iter().all(|arrival| arrival["server"] != "rank-0"), "{arrivals:?}");
+    }
+    let metrics = system.metrics(0).await;
+    assert!(metrics.contains("unusable_entries 2"), "{metrics}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_server_that_starts_again_under_its_id_is_used_anew() {
+    let system = System::start(PLAN).await;
+    let alert = || Request::new("/alert/");
+    assert_eq!(system.ask(0, &alert()).await.status, 200);
+    let address = system.plain_address(0);
+    system.list_run("plain-0", loftcove_tests::system::SMS, address, 2_000).await;
+    // Of an earlier start: old news, which says that it is leaving.
+    let mut late = serde_json::json!({
+        "service": loftcove_tests::system::SMS, "address": address, "zone": "norte",
+        "version": "v1", "slots": 12, "state": "draining", "cold_left_ms": 0, "seq": 9,
+    });
+    late["born"] = serde_json::json!(1_000);
+    system.put("servers/plain-0", &late).await;
+    until("the late entry is heard of", || async {
+        logged(&system, &["record not used", "start 1000 is before 2000"])
+    })
+    .await;
+    let request = alert();
+    assert_eq!(system.ask(0, &request).await.status, 200);
+    assert_eq!(system.arrivals(&request.id).await.len(), 1);
+}
