Let callers wait for a group whose ranks are all back, and tell entries from restarts by size

Ruled out: holding without a ground (by how long a break has lasted): at 3 s a third would be served, the others wait in vain. Change: when as many ranks as the group has tell of the break, it is expected back after its published time to form and 0.3 s for the news; until half a second later callers wait, if the answer can still come by their deadline.

Tests: decision/tests/outage.

--- a/decision/src/admission.rs
+++ b/decision/src/admission.rs
@@ -227,6 +227,11 @@
         removed
     }
 
+    /// Mean time of a whole answer of the pool.
+    pub fn service(&self, pool: entity::Pool) -> Duration {
+        self.pools.get(&pool).map_or(Duration::ZERO, Line::service)
+    }
+
     /// Whether a waiter that were sent at that time would miss its deadline.
     pub fn too_late(&self, waiter: &Waiter, sent: clock::Instant) -> bool {
         let service = self.pools.get(&waiter.pool).map_or(Duration::ZERO, Line::service);
--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -82,6 +82,8 @@
     pending: BTreeMap<entity::Ticket, Pending>,
     groups: SecondaryMap<entity::Group, group::Group>,
     costs: BTreeMap<entity::Pool, pass::Cost>,
+    /// How long the groups of a pool take to form, where that is published.
+    forms: BTreeMap<entity::Pool, Duration>,
     gateways: u32,
     group_return: Duration,
     notes: Vec<Note>,
@@ -101,6 +103,7 @@
             pending: BTreeMap::new(),
             groups: SecondaryMap::new(),
             costs: BTreeMap::new(),
+            forms: BTreeMap::new(),
             gateways: 1,
             group_return: options.group_return,
             notes: Vec::new(),
@@ -199,9 +202,10 @@
         now: clock::Instant,
         actions: &mut Vec<Action>,
     ) {
-        let waits = self.pending.get(&ticket).is_some_and(|p| p.place == Place::Waiting);
+        let pending = self.pending.get(&ticket).filter(|p| p.place == Place::Waiting);
+        let waits = pending.is_some();
+        let waiter = self.waiter(ticket, pending.map_or(arrival, |p| &p.arrival), now);
         self.queue.set_full(arrival.pool, waits, now);
-        let waiter = self.waiter(ticket, arrival, now);
         if waits && waiter.expires <= now && self.queue.remove(&waiter) {
             let reason = Reason::Admission(admission::Refusal::Deadline);
             self.give_up(ticket, Outcome::NotRun, reason, actions);
@@ -218,8 +222,12 @@
         if self.servers.usable(arrival.pool).next().is_none() {
             return Err(Reason::NoBackend);
         }
+        let mut arrival = arrival;
         if self.all_down(arrival.pool, now) {
-            return Err(Reason::GroupDown);
+            let until = self.held_until(&arrival, now).ok_or(Reason::GroupDown)?;
+            // Its answer begins late in any case.
+            arrival.begin_by = None;
+            arrival.expires = arrival.expires.min(until);
         }
         let waiter = self.waiter(ticket, &arrival, now);
         let displaced = self.queue.push(waiter, now).map_err(Reason::Admission)?;
@@ -382,7 +390,9 @@
     ) {
         if self.all_down(pool, now) {
             self.give_up(ticket, Outcome::NotRun, Reason::GroupDown, actions);
-            self.drain(pool, Reason::GroupDown, actions);
+            if self.expected(pool, now).is_none() {
+                self.drain(pool, Reason::GroupDown, actions);
+            }
         } else {
             self.follow(ticket, retry::Knowledge::NeverRan, false, now, actions);
         }
--- a/decision/src/balancer/group.rs
+++ b/decision/src/balancer/group.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::balancer::{Action, Balancer, Note};
+use crate::balancer::{Action, Arrival, Balancer, Note};
 use crate::routing::{policy, server};
 use crate::{clock, entity, outage, pace, pass};
 
@@ -23,6 +23,9 @@
     noted: clock::Instant,
 }
 
+/// Time beyond its expected return that a group is waited for, by callers that
+/// stay for two seconds without an event at the least.
+const HOLD_SLACK: Duration = Duration::from_millis(500);
 /// Least time between two notes of a group's bound.
 const NOTE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -57,6 +60,31 @@
         self.costs.insert(pool, cost);
     }
 
+    /// Sets how long the pool's groups take to form.
+    pub fn set_form(&mut self, pool: entity::Pool, time: Duration) {
+        self.forms.insert(pool, time);
+    }
+
+    /// How long it takes until a group of the pool is expected to serve again.
+    pub(super) fn expected(&self, pool: entity::Pool, now: clock::Instant) -> Option<Duration> {
+        let form = *self.forms.get(&pool)?;
+        let groups = self.servers.usable(pool).filter_map(|(_, record)| record.listing.group);
+        groups.filter_map(|group| self.groups[group].outage.expected(form, now)).min()
+    }
+
+    /// Until when a request may wait for a group that is about to serve again;
+    /// none where it would be in vain. A caller that has come back once is not
+    /// refused a second time, a moment before it could be served.
+    pub(super) fn held_until(
+        &self,
+        arrival: &Arrival,
+        now: clock::Instant,
+    ) -> Option<clock::Instant> {
+        let back = now + self.expected(arrival.pool, now)?;
+        let served = back + self.queue.service(arrival.pool);
+        (served < arrival.deadline).then(|| back + HOLD_SLACK)
+    }
+
     /// Sets how many gateways share the backend servers, this one included.
     pub fn set_gateways(&mut self, gateways: u32) {
         self.gateways = gateways;
--- a/decision/src/outage.rs
+++ b/decision/src/outage.rs
@@ -25,6 +25,10 @@
 /// gone by themselves; each costs a caller up to 250 ms.
 const UNREACHED: usize = 3;
 
+/// Time that a rank's entry takes to tell that the group has formed: the store and
+/// a peer. After all hosts were restarted it took 0.1 to 0.3 s.
+const NEWS_TIME: Duration = Duration::from_millis(300);
+
 /// Why a group is believed not to serve.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Ground {
@@ -53,6 +57,8 @@
     pub epoch: u64,
     /// Whether the group runs in it.
     pub state: fleet::Standing,
+    /// Ranks that tell just this, and all that the group has.
+    pub ranks: (u32, u32),
 }
 
 impl News {
@@ -62,10 +68,19 @@
         match self.epoch.cmp(&other.epoch) {
             std::cmp::Ordering::Less => other,
             std::cmp::Ordering::Greater => self,
+            std::cmp::Ordering::Equal if self.state == other.state => {
+                News { ranks: (self.ranks.0 + other.ranks.0, self.ranks.1), ..self }
+            }
             std::cmp::Ordering::Equal if other.state == fleet::Standing::Broken => other,
             std::cmp::Ordering::Equal => self,
         }
     }
+
+    /// Whether all ranks are back and know that the group is broken: it then forms
+    /// anew.
+    fn forming(&self) -> bool {
+        self.state == fleet::Standing::Broken && self.ranks.0 >= self.ranks.1
+    }
 }
 
 /// A change of what is believed.
@@ -86,6 +101,8 @@
     epoch: Option<u64>,
     /// Newest epoch that is known to be over.
     over: Option<u64>,
+    /// Since when all ranks tell of the break, if they do.
+    forming: Option<clock::Instant>,
     /// When it was last believed to serve again.
     returned: clock::Instant,
     /// Ranks that were not reached since one last answered.
@@ -126,6 +143,7 @@
     /// The ranks' entries, as they are now known.
     pub fn hear(&mut self, news: News, now: clock::Instant) -> Option<Change> {
         self.epoch = self.epoch.max(Some(news.epoch));
+        self.forming = news.forming().then(|| self.forming.unwrap_or(now));
         let over = self.over >= Some(news.epoch);
         match news.state {
             fleet::Standing::Broken if over => None,
@@ -170,6 +188,13 @@
         self.close(now)
     }
 
+    /// How long it takes until the group is expected to serve again, where a
+    /// group forms in that time; none where nothing tells.
+    pub fn expected(&self, form: Duration, now: clock::Instant) -> Option<Duration> {
+        let due = self.forming? + form + NEWS_TIME;
+        (due > now).then(|| due.since(now))
+    }
+
     fn open(&mut self, ground: Ground, now: clock::Instant) -> Option<Change> {
         self.ground = Some(ground);
         self.breaker.refused(now).then_some(Change::Down(ground))
--- a/decision/tests/outage.rs
+++ b/decision/tests/outage.rs
@@ -22,11 +22,11 @@
 }
 
 const fn open(epoch: u64) -> News {
-    News { epoch, state: Standing::Open }
+    News { epoch, state: Standing::Open, ranks: (1, 3) }
 }
 
 const fn broken(epoch: u64) -> News {
-    News { epoch, state: Standing::Broken }
+    News { epoch, state: Standing::Broken, ranks: (1, 3) }
 }
 
 /// Gateways that probe the group in these tests.
@@ -145,6 +145,102 @@
     assert!((1..=2).contains(&probes(148)), "{}", probes(148));
 }
 
+/// Time in which a group of these tests forms.
+const FORM: Duration = Duration::from_millis(600);
+
+/// A pool of three ranks of one group, all of which were restarted.
+struct Restart {
+    balancer: balancer::Balancer<policy::Blend>,
+}
+
+impl Restart {
+    /// A pool of which so many ranks tell that the group is broken.
+    fn new(telling: u32) -> Restart {
+        let rng = ChaCha8Rng::seed_from_u64(7);
+        let policy = policy::Blend { rng, sample: 2, affinity_slack: 0.0 };
+        let mut balancer = balancer::Balancer::new(policy, &balancer::Options::default());
+        balancer.set_gateways(GATEWAYS);
+        balancer.set_form(entity::Pool::from_u32(0), FORM);
+        let mut restart = Restart { balancer };
+        restart.list(telling, broken(4), at(0));
+        for number in 0..3 {
+            restart.balancer.connect(rank(number), true, at(0));
+            let report = server::Report {
+                incarnation: 1,
+                sequence: 1,
+                slots: 10,
+                alive: true,
+                ..Default::default()
+            };
+            restart.balancer.report(rank(number), report, at(0));
+        }
+        restart
+    }
+
+    fn list(&mut self, telling: u32, news: News, now: clock::Instant) -> Vec<balancer::Action> {
+        let listing = |number: u32| server::Listing {
+            host: format!("host{number}").into(),
+            born: None,
+            pool: entity::Pool::from_u32(0),
+            group: Some(entity::Group::from_u32(0)),
+            news: Some(if number < telling { news } else { open(news.epoch - 1) }),
+            local: true,
+            leaving: false,
+        };
+        self.balancer.list((0..3).map(listing).collect(), now)
+    }
+
+    fn arrive(&mut self, patience: Duration, now: clock::Instant) -> Vec<balancer::Action> {
+        let arrival = balancer::Arrival {
+            pool: entity::Pool::from_u32(0),
+            team: entity::Team::from_u32(0),
+            precedence: 1,
+            repeatable: true,
+            resumable: true,
+            max_attempts: 2,
+            deadline: now + patience,
+            expires: now + patience,
+            begin_by: Some(now + Duration::from_millis(400)),
+            prefix: 0,
+        };
+        self.balancer.arrive(arrival, now).1
+    }
+}
+
+fn refused(actions: &[balancer::Action]) -> bool {
+    matches!(actions, [balancer::Action::Refuse(_)])
+}
+
+/// All hosts were restarted: callers whose answers broke off come back at once, for
+/// the last time, a moment before the group has formed.
+#[test]
+fn callers_wait_for_a_group_whose_ranks_are_all_back() {
+    let mut restart = Restart::new(3);
+    let patience = Duration::from_secs(5);
+    assert_eq!(restart.arrive(patience, at(100)), []);
+    assert_eq!(restart.arrive(patience, at(800)), [], "also beyond the time for a first event");
+    assert_eq!(restart.balancer.tick(at(850)), []);
+    let sent = restart.list(3, open(5), at(860));
+    assert_eq!(sent.len(), 2);
+    assert!(sent.iter().all(|action| matches!(action, balancer::Action::Send(_))), "{sent:?}");
+    assert_eq!(restart.balancer.verify(), Ok(()));
+}
+
+#[test]
+fn nobody_waits_without_a_ground_or_in_vain() {
+    // One rank is not back: nothing tells when the group will be.
+    assert!(refused(&Restart::new(2).arrive(Duration::from_secs(5), at(100))));
+    // The answer would not come before its deadline.
+    assert!(refused(&Restart::new(3).arrive(Duration::from_millis(500), at(100))));
+    // It is overdue: who waits is refused, and so is whoever comes now.
+    let mut overdue = Restart::new(3);
+    assert_eq!(overdue.arrive(Duration::from_secs(5), at(100)), []);
+    assert_eq!(overdue.balancer.tick(at(1_300)), []);
+    assert!(refused(&overdue.balancer.tick(at(1_450))));
+    assert!(refused(&overdue.arrive(Duration::from_secs(5), at(1_460))));
+    assert_eq!(overdue.balancer.verify(), Ok(()));
+}
+
 /// A gateway of a zone with ranks of two groups, of which one is broken: the
 /// other one has room for all.
 #[test]
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -56,7 +56,7 @@
 impl Rank {
     fn news(&self) -> Option<outage::News> {
         let told = self.told.as_ref()?;
-        Some(outage::News { epoch: told.epoch, state: told.state })
+        Some(outage::News { epoch: told.epoch, state: told.state, ranks: (1, told.size) })
     }
 }
 
@@ -209,6 +209,13 @@
         inner.balancer.set_cost(id, cost);
     }
 
+    /// Sets how long a pool's lock-step groups take to form.
+    pub fn set_form(&self, pool: &Arc<str>, time: Duration) {
+        let mut inner = self.lock();
+        let id = inner.pools.intern(pool);
+        inner.balancer.set_form(id, time);
+    }
+
     /// Sets how many gateways share the backend servers, this one included.
     pub fn set_gateways(&self, gateways: usize) {
         let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -167,6 +167,7 @@
             if let Some(engine) = &service.engine {
                 let cost = pass::Cost::new(engine.step, engine.step_per_stream, engine.steps);
                 self.dispatcher.set_cost(&service.name, cost);
+                self.dispatcher.set_form(&service.name, engine.form);
             }
         }
         self.dispatcher.set_gateways(gateways);
