--- /dev/null
+++ b/day/src/summary.rs
@@ -0,0 +1,179 @@
+//! What became of requests, by second and availability zone.
+
+use std::collections::BTreeMap;
+use std::time::SystemTime;
+
+use crate::line::{Line, Time};
+use crate::outage::{Outage, Outages};
+
+/// Zone of hosts of which nothing tells their own.
+const UNKNOWN_ZONE: &str = "?";
+
+/// Requests of one second and zone.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Row {
+    /// Final answers by `outcome/reason`; answers that a backend server gave are
+    /// `answered/STATUS`, whole streams `answered/whole`.
+    pub outcomes: BTreeMap<String, u64>,
+    /// Attempts that were sent.
+    pub attempts: u64,
+    /// Attempts that failed, by cause.
+    pub failed: BTreeMap<String, u64>,
+    /// Time to the first event of each whole stream, milliseconds.
+    pub first_ms: Vec<u64>,
+    /// Longest pause of each whole stream, milliseconds.
+    pub pause_ms: Vec<u64>,
+}
+
+impl Row {
+    /// Adds another row.
+    pub fn add(&mut self, other: &Row) {
+        for (name, count) in &other.outcomes {
+            *self.outcomes.entry(name.clone()).or_default() += count;
+        }
+        for (name, count) in &other.failed {
+            *self.failed.entry(name.clone()).or_default() += count;
+        }
+        self.attempts += other.attempts;
+        self.first_ms.extend(&other.first_ms);
+        self.pause_ms.extend(&other.pause_ms);
+    }
+
+    /// Final answers with that outcome.
+    pub fn of(&self, outcome: &str) -> u64 {
+        let own = |name: &&String| name.split('/').next() == Some(outcome);
+        let names = self.outcomes.keys().filter(own);
+        names.map(|name| self.outcomes[name]).sum()
+    }
+
+    /// All final answers.
+    pub fn total(&self) -> u64 {
+        self.outcomes.values().sum()
+    }
+}
+
+/// A line that is shown as it is, of a driver or a dependency.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Event {
+    /// When, seconds.
+    pub at: f64,
+    /// Who wrote it.
+    pub host: String,
+    /// What it says.
+    pub text: String,
+}
+
+/// A day.
+#[derive(Debug, Default, PartialEq)]
+pub struct Day {
+    /// Requests by second and zone.
+    pub rows: BTreeMap<(i64, String), Row>,
+    /// Outages of groups.
+    pub outages: Vec<Outage>,
+    /// Drivers that began, ended or were deposed.
+    pub drivers: Vec<Event>,
+    /// Changes of expert maps that were decided.
+    pub changes: u64,
+    /// Dependencies that were lost, by name.
+    pub lost: BTreeMap<String, u64>,
+    /// Lines that were read.
+    pub lines: u64,
+    /// Lines that were not understood.
+    pub strange: u64,
+}
+
+/// A day that is being read.
+#[derive(Debug, Default)]
+pub struct Reader {
+    day: Day,
+    zones: BTreeMap<String, String>,
+    outages: Outages,
+    start: Option<SystemTime>,
+}
+
+impl Reader {
+    /// Takes a line of a log; `host` is whose log it is, where lines do not tell.
+    pub fn take(&mut self, line: &str, host: &str) {
+        self.day.lines += 1;
+        let Some(line) = Line::read(line) else {
+            self.day.strange += u64::from(!line.trim().is_empty());
+            return;
+        };
+        if let Time::Wall(at) = line.at {
+            self.start.get_or_insert(at);
+        }
+        let at = line.at.seconds(self.start.unwrap_or(SystemTime::UNIX_EPOCH));
+        let host = line.host.unwrap_or(host);
+        self.take_known(&line, host, at);
+    }
+
+    /// The day as it was read.
+    pub fn finish(mut self) -> Day {
+        self.day.outages = self.outages.finish();
+        self.day
+    }
+
+    fn take_known(&mut self, line: &Line<'_>, host: &str, at: f64) {
+        let text = line.text;
+        if text.starts_with("outcome request=") {
+            self.outcome(line, host, at);
+        } else if text.starts_with("refused request=") {
+            let reason = line.field("reason").unwrap_or("?");
+            self.count(host, at, format!("refused/{reason}"));
+        } else if text.starts_with("attempt request=") {
+            self.row(host, at).attempts += 1;
+        } else if text.starts_with("attempt failed request=") {
+            let cause = line.field("cause").unwrap_or("?").to_owned();
+            *self.row(host, at).failed.entry(cause).or_default() += 1;
+        } else if text.starts_with("group down ") {
+            let ground = line.field("ground").unwrap_or("?");
+            self.outages.down(line.field("group").unwrap_or("?"), host, ground, at);
+        } else if text.starts_with("group up ") {
+            self.outages.up(line.field("group").unwrap_or("?"), host, at);
+        } else if text.starts_with("driver ") {
+            let event = Event { at, host: host.to_owned(), text: text.to_owned() };
+            self.day.drivers.push(event);
+        } else if text.starts_with("placement ") {
+            self.day.changes += u64::from(line.field("change") == Some("true"));
+        } else if text.starts_with("dependency lost ") {
+            let name = line.field("name").unwrap_or("?").to_owned();
+            *self.day.lost.entry(name).or_default() += 1;
+        } else if text.starts_with("started host=") {
+            self.outages.forget(host);
+            if let Some(zone) = line.field("zone") {
+                self.zones.insert(host.to_owned(), zone.to_owned());
+            }
+        }
+    }
+
+    fn outcome(&mut self, line: &Line<'_>, host: &str, at: f64) {
+        let outcome = line.field("outcome").unwrap_or("?");
+        let reason = line.field("reason").unwrap_or("?");
+        self.count(host, at, format!("{outcome}/{reason}"));
+        if reason != "whole" {
+            return;
+        }
+        let millis = |name: &str| line.millis(name).map(|time| time.as_millis() as u64);
+        let (first, pause) = (millis("first_ms"), millis("pause_ms"));
+        let row = self.row(host, at);
+        row.first_ms.extend(first);
+        row.pause_ms.extend(pause);
+    }
+
+    fn count(&mut self, host: &str, at: f64, name: String) {
+        *self.row(host, at).outcomes.entry(name).or_default() += 1;
+    }
+
+    fn row(&mut self, host: &str, at: f64) -> &mut Row {
+        let zone = self.zones.get(host).map_or(UNKNOWN_ZONE, String::as_str);
+        self.day.rows.entry((at.floor() as i64, zone.to_owned())).or_default()
+    }
+}
+
+/// The value that a part of the values does not exceed; none of no values.
+pub fn quantile(values: &[u64], part: f64) -> Option<u64> {
+    let mut sorted = values.to_vec();
+    sorted.sort_unstable();
+    let last = sorted.len().checked_sub(1)?;
+    sorted.get((last as f64 * part).round() as usize).copied()
+}
--- /dev/null
+++ b/day/src/text.rs
@@ -0,0 +1,114 @@
+//! A day as text.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::summary::{Day, Row, quantile};
+
+/// Shows a day: by second and zone, by reason, outages, drivers.
+pub struct Text<'a>(pub &'a Day);
+
+/// Drivers' lines that are shown.
+const MOST_DRIVERS: usize = 40;
+
+impl fmt::Display for Text<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let day = self.0;
+        writeln!(f, "{} lines, {} not understood", day.lines, day.strange)?;
+        seconds(f, day)?;
+        reasons(f, day)?;
+        outages(f, day)?;
+        drivers(f, day)
+    }
+}
+
+fn seconds(f: &mut fmt::Formatter<'_>, day: &Day) -> fmt::Result {
+    writeln!(
+        f,
+        "\n{:>6} {:<16} {:>8} {:>8} {:>8} {:>8} {:>8} {:>9} {:>9}  most refused for",
+        "second",
+        "zone",
+        "answered",
+        "not-run",
+        "unknown",
+        "broken",
+        "attempts",
+        "first p50",
+        "pause p90"
+    )?;
+    for ((second, zone), row) in &day.rows {
+        let ms = |values: &[u64], part| {
+            quantile(values, part).map_or_else(|| "-".to_owned(), |ms| ms.to_string())
+        };
+        writeln!(
+            f,
+            "{second:>6} {zone:<16} {:>8} {:>8} {:>8} {:>8} {:>8} {:>9} {:>9}  {}",
+            row.of("answered"),
+            row.of("not-run") + row.of("refused"),
+            row.of("unknown"),
+            row.of("broken-off"),
+            row.attempts,
+            ms(&row.first_ms, 0.5),
+            ms(&row.pause_ms, 0.9),
+            most_refused(row)
+        )?;
+    }
+    Ok(())
+}
+
+/// The commonest reason of a second's refusals, with its number.
+fn most_refused(row: &Row) -> String {
+    let refused = row.outcomes.iter().filter(|(name, _)| !name.starts_with("answered/"));
+    let most = refused.max_by_key(|(_, count)| **count);
+    most.map_or_else(String::new, |(name, count)| format!("{name} {count}"))
+}
+
+fn reasons(f: &mut fmt::Formatter<'_>, day: &Day) -> fmt::Result {
+    let mut all = Row::default();
+    day.rows.values().for_each(|row| all.add(row));
+    table(f, "final answers", &all.outcomes)?;
+    table(f, "attempts that failed", &all.failed)?;
+    table(f, "dependencies lost", &day.lost)
+}
+
+fn table(f: &mut fmt::Formatter<'_>, title: &str, counts: &BTreeMap<String, u64>) -> fmt::Result {
+    let mut sorted: Vec<(&String, &u64)> = counts.iter().collect();
+    sorted.sort_by(|a, b| b.1.cmp(a.1).then(a.0.cmp(b.0)));
+    writeln!(f, "\n{title}")?;
+    sorted.iter().try_for_each(|(name, count)| writeln!(f, "{count:>8} {name}"))
+}
+
+fn outages(f: &mut fmt::Formatter<'_>, day: &Day) -> fmt::Result {
+    writeln!(f, "\noutages of groups")?;
+    for outage in &day.outages {
+        let grounds: Vec<String> =
+            outage.grounds.iter().map(|(ground, hosts)| format!("{ground} {hosts}")).collect();
+        let up = outage.up.map_or_else(
+            || "no host believed it up".to_owned(),
+            |(first, last)| format!("up from {first:.2} to {last:.2}"),
+        );
+        writeln!(
+            f,
+            "  {}: down from {:.2} to {:.2} at {} hosts ({}), {up}, {} left",
+            outage.group,
+            outage.down.0,
+            outage.down.1,
+            outage.hosts,
+            grounds.join(", "),
+            outage.left
+        )?;
+    }
+    Ok(())
+}
+
+fn drivers(f: &mut fmt::Formatter<'_>, day: &Day) -> fmt::Result {
+    writeln!(f, "\ndrivers; {} changes of maps", day.changes)?;
+    for event in day.drivers.iter().take(MOST_DRIVERS) {
+        writeln!(f, "  {:.2} {} {}", event.at, event.host, event.text)?;
+    }
+    let left_out = day.drivers.len().saturating_sub(MOST_DRIVERS);
+    if left_out > 0 {
+        writeln!(f, "  and {left_out} more")?;
+    }
+    Ok(())
+}
--- a/tool/src/error.rs
+++ b/tool/src/error.rs
@@ -12,6 +12,12 @@
     /// No such command.
     #[error("no command `{0}`; see --help")]
     Command(String),
+    /// No logs were named.
+    #[error("no logs; explain-day [--svg FILE] LOG...")]
+    Logs,
+    /// A day's picture could not be made.
+    #[error(transparent)]
+    Picture(#[from] loftcove_day::plot::Error),
     /// The settings are not right.
     #[error(transparent)]
     Settings(#[from] loftcove_settings::error::Error),
--- a/tool/src/main.rs
+++ b/tool/src/main.rs
@@ -2,10 +2,11 @@
 //!
 //! [`bundle`] proposes, approves, rolls forward and withdraws bundles, all in
 //! the platform's service; [`report`] asks the processes for their status and
-//! explanations; [`key`] makes operators' keys. Operators never touch single
+//! explanations; [`day`] sums up a day by its logs; [`key`] makes operators' keys. Operators never touch single
 //! machines.
 
 mod bundle;
+mod day;
 mod error;
 mod key;
 mod report;
@@ -35,6 +36,7 @@
   bundle diff FILE FILE        what two texts state differently
   status                       all processes, as they see themselves
   explain REQUEST-ID           the decisions about a request
+  explain-day [--svg FILE] LOG...   sum up a day by the logs of its hosts
   key new FILE                 make an operator's secret key; prints the public one
 
 The settings default to loftcove.toml.
@@ -108,6 +110,7 @@
             let request: String = arguments.free_from_str()?;
             report::explain(&context()?, &request).await
         }
+        Some("explain-day") => day::run(&mut arguments),
         Some("key") => key::run(&mut arguments),
         Some(other) => Err(error::Error::Command(other.to_owned())),
         None => {
