Read the catalog only where the mirror has changed

Change: the catalog remembers the version of the mirror that it read; the sidecar reads it only where it may stand for election. Test: catalog.rs counts what is read.

--- a/mirror/src/catalog.rs
+++ b/mirror/src/catalog.rs
@@ -21,6 +21,8 @@
 /// What the records say.
 #[derive(Debug)]
 pub struct Catalog<P> {
+    /// Version of the mirror that was read last.
+    read: Option<u64>,
     entries: BTreeMap<Arc<str>, Entry>,
     config: Option<Arc<route::Config>>,
     /// Latest start that was told of each id: an entry of an earlier one, which
@@ -41,6 +43,7 @@
 impl<P> Default for Catalog<P> {
     fn default() -> Catalog<P> {
         Catalog {
+            read: None,
             entries: BTreeMap::new(),
             config: None,
             starts: BTreeMap::new(),
@@ -51,8 +54,13 @@
 }
 
 impl<P: Protocol> Catalog<P> {
-    /// Reads what has changed in the mirror.
+    /// Reads what has changed in the mirror; costs next to nothing where nothing
+    /// has.
     pub fn update(&mut self, mirror: &Mirror) {
+        let version = mirror.version();
+        if self.read.replace(version) == Some(version) {
+            return;
+        }
         let mut listed = BTreeSet::new();
         for record in P::PREFIXES.iter().flat_map(|prefix| mirror.below(prefix)) {
             match P::place(&record.key) {
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -201,6 +201,11 @@
         Followed { mirror: self, peer }
     }
 
+    /// Number of changes so far.
+    pub fn version(&self) -> u64 {
+        *self.changes.borrow()
+    }
+
     /// Follows the number of changes so far.
     pub fn subscribe(&self) -> channel::Receiver<u64> {
         self.changes.subscribe()
--- a/mirror/tests/catalog.rs
+++ b/mirror/tests/catalog.rs
@@ -3,7 +3,11 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+use std::cell::Cell;
+use std::time::Duration;
+
 use loftcove_decision::mirror::Record;
+use loftcove_interface::protocol::{self, Protocol};
 use loftcove_mirror::catalog::Catalog;
 use loftcove_mirror::{Mirror, Source};
 use loftcove_platform::adapter::Adapter;
@@ -108,3 +112,68 @@
     setup.list("x-1", Some(2_000), 3);
     assert_eq!((setup.ports(), setup.catalog.unusable()), (vec![1, 2, 3], 0));
 }
+
+thread_local! {
+    /// Records that were read in this thread.
+    static READ: Cell<usize> = const { Cell::new(0) };
+}
+
+/// The adapter, which counts the records that it reads.
+struct Counting;
+
+impl Protocol for Counting {
+    const CONFIG_PREFIX: &'static str = Adapter::CONFIG_PREFIX;
+    const SERVERS_PREFIX: &'static str = Adapter::SERVERS_PREFIX;
+    const READY_PATH: &'static str = Adapter::READY_PATH;
+
+    fn place(key: &str) -> protocol::Place<'_> {
+        Adapter::place(key)
+    }
+
+    fn record(key: &str, value: &[u8]) -> Result<protocol::Record, protocol::Error> {
+        READ.set(READ.get() + 1);
+        Adapter::record(key, value)
+    }
+
+    fn request(head: &http::request::Parts) -> Result<protocol::Request, protocol::Error> {
+        Adapter::request(head)
+    }
+
+    fn forward(head: &http::request::Parts, forward: &protocol::Forward) -> http::HeaderMap {
+        Adapter::forward(head, forward)
+    }
+
+    fn answer(head: &http::response::Parts, id: &str) -> protocol::Answer {
+        Adapter::answer(head, id)
+    }
+
+    fn relay(head: &http::response::Parts) -> http::HeaderMap {
+        Adapter::relay(head)
+    }
+
+    fn refuse(id: Option<&str>, retry_after: Option<Duration>) -> http::HeaderMap {
+        Adapter::refuse(id, retry_after)
+    }
+}
+
+/// A sidecar that is no driver looks ten times a second, at hundreds of entries.
+#[test]
+fn what_has_not_changed_is_not_read_again() {
+    let mirror = Mirror::default();
+    let mut catalog: Catalog<Counting> = Catalog::default();
+    let record = |number: u64, revision: u64| Record {
+        key: format!("servers/i-{number}").into(),
+        revision,
+        value: Some(entry(None, 1).to_string().into()),
+    };
+    mirror.apply((0..200).map(|number| record(number, 1)).collect(), Source::Store);
+    catalog.update(&mirror);
+    assert_eq!(READ.take(), 200);
+    for _ in 0..10 {
+        catalog.update(&mirror);
+    }
+    assert_eq!(READ.take(), 0);
+    mirror.apply(vec![record(7, 2)], Source::Store);
+    catalog.update(&mirror);
+    assert_eq!((READ.take(), catalog.servers().count()), (1, 200));
+}
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -155,8 +155,11 @@
         let stalled = stall.look(&report, known);
         let defeated = self.defeated.is_some_and(|at| at.elapsed() < ELECTION_PAUSE);
         let own = election::was_own(&self.mirror, &key, &self.name);
+        if (known != 0 && !stalled && !own) || defeated {
+            return None;
+        }
         self.catalog.update(&self.mirror);
-        if (known != 0 && !stalled && !own) || defeated || self.engines().is_empty() {
+        if self.engines().is_empty() {
             return None;
         }
         // The lowest rank goes first, so that few stand at once.
