Logs: tell tries of the same request, and whether its server lives

The logs of the incident could not tell whether nobody counts a request's ends (each try looks like a new request) or our own second attempts multiply them, nor whether a broken attempt's server ended or only cut it.

Each attempt now names a digest of path, team and body, and a connection that broke is followed by one look at the backend server (`lives=`). What follows an attempt is as before: the look runs beside it.

--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod pace;
 pub mod pass;
 pub mod placement;
+pub mod poison;
 pub mod rendezvous;
 pub mod retry;
 pub mod route;
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -79,6 +79,8 @@
     Stream(Box<Begun>),
     /// An answer that is too long to be held: its beginning, and the rest.
     Long(Box<Begun>, bytes::Bytes),
+    /// The connection broke before the answer was whole.
+    Broken(String),
     /// It failed; the balancer says what follows. A failure that a backend
     /// server answered itself is kept, in case nothing follows.
     Failed(balancer::End, Option<answer::Whole>, String),
@@ -126,6 +128,11 @@
                     return self.stream(*begun, permit);
                 }
                 Sent::Long(begun, first) => return self.long(*begun, first, permit),
+                Sent::Broken(cause) => {
+                    self.gateway.note(&request, &attempt, &cause);
+                    self.gateway.broke(&request, &attempt.target);
+                    permit.end(FAILED);
+                }
                 Sent::Failed(end, answer, cause) => {
                     self.gateway.note(&request, &attempt, &cause);
                     kept = answer.or(kept);
@@ -230,8 +237,9 @@
     /// Logs why an attempt failed.
     pub(crate) fn note(&self, request: &Request, attempt: &dispatch::Attempt<Target>, cause: &str) {
         log::info!(
-            "attempt failed request={} attempt={} server={} cause=\"{cause}\" ms={}",
+            "attempt failed request={} digest={} attempt={} server={} cause=\"{cause}\" ms={}",
             request.meta.id,
+            request.digest,
             attempt.number,
             attempt.target.run.id,
             request.came.elapsed().as_millis()
@@ -247,8 +255,9 @@
     ) -> Sent {
         let left = request.due.saturating_duration_since(Instant::now());
         log::info!(
-            "attempt request={} number={} server={} reason={} score={:.2} open={} config={} left_ms={}",
+            "attempt request={} digest={} number={} server={} reason={} score={:.2} open={} config={} left_ms={}",
             request.meta.id,
+            request.digest,
             attempt.number,
             attempt.target.run.id,
             attempt.reason,
@@ -266,7 +275,7 @@
             Ok(Err(upstream::Error::NotSent(cause))) => {
                 return Sent::Failed(balancer::End::Unreachable, None, cause);
             }
-            Ok(Err(upstream::Error::NoAnswer(cause))) => return may_have_run(cause),
+            Ok(Err(upstream::Error::NoAnswer(cause))) => return Sent::Broken(cause),
             Err(_) => return may_have_run("deadline".to_owned()),
         };
         self.read(request, attempt, reply).await
@@ -324,14 +333,15 @@
                 let connection = reply.connection;
                 Sent::Long(Box::new(Begun { head, body, answer, connection, target }), first)
             }
-            Err(fault) => may_have_run(fault.to_string()),
+            Err(fault @ answer::Fault::Broken) => Sent::Broken(fault.to_string()),
+            Err(fault @ answer::Fault::Late) => may_have_run(fault.to_string()),
         }
     }
 
     /// Sends an attempt that goes on with a stream behind an event.
     pub(crate) async fn resume(
-        &self,
-        request: &Request,
+        self: &Arc<Gateway<P>>,
+        request: &Arc<Request>,
         attempt: &dispatch::Attempt<Target>,
         after: Option<Arc<str>>,
     ) -> Result<Begun, (balancer::End, String)> {
@@ -339,6 +349,10 @@
             Sent::Stream(begun) => Ok(*begun),
             Sent::Whole(whole) => Err((FAILED, format!("status {}", whole.head.status))),
             Sent::Long(begun, _) => Err((FAILED, format!("status {}", begun.head.status))),
+            Sent::Broken(cause) => {
+                self.broke(request, &attempt.target);
+                Err((FAILED, cause))
+            }
             Sent::Failed(end, _, cause) => Err((end, cause)),
         }
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod answer;
 mod body;
 mod drain;
+mod ended;
 mod event;
 mod flow;
 mod health;
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use loftcove_decision::route;
+use loftcove_decision::{poison, route};
 use loftcove_interface::protocol;
 
 /// Longest time that a request is worked on where neither the client nor the
@@ -66,6 +66,8 @@
     pub meta: protocol::Request,
     /// Its route and team.
     pub grant: route::Grant,
+    /// What it is, whichever try of its caller: path, caller and body.
+    pub digest: poison::Digest,
     /// Service that is to answer it.
     pub service: Arc<str>,
     /// When it came.
@@ -94,7 +96,22 @@
     let body = tokio::time::timeout_at(due.into(), collect(body, routes.limits.body_bytes));
     let body = body.await.map_err(|_| Refusal::Truncated)??;
     let service = grant.route.target(rand::random()).clone();
-    Ok(Request { head, body, meta, grant, service, came, due, version: routes.version })
+    let digest = digest(&head, &meta, &grant, &body);
+    Ok(Request { head, body, meta, grant, digest, service, came, due, version: routes.version })
+}
+
+/// What stays the same when a caller asks again: the team stands for the caller,
+/// whichever of its keys is used, and all headers may differ.
+fn digest(
+    head: &http::request::Parts,
+    meta: &protocol::Request,
+    grant: &route::Grant,
+    body: &[u8],
+) -> poison::Digest {
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let team = grant.team.as_ref().map_or("", |team| &*team.name);
+    let parts = [head.method.as_str(), &meta.host, path, team].map(str::as_bytes);
+    poison::Digest::of(&[parts[0], parts[1], parts[2], parts[3], body])
 }
 
 async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -90,6 +90,7 @@
         let mut splitter = Splitter::default();
         let mut begun = Some(begun);
         while let Some(part) = begun.take() {
+            let target = part.target.clone();
             match self.pass(part, &mut splitter).await {
                 End::Whole => {
                     self.permit.end(balancer::End::Answered);
@@ -100,7 +101,10 @@
                     return self.done("client-left", "client-left");
                 }
                 End::Late => return self.break_off("deadline").await,
-                End::Broken => begun = self.resume(&mut splitter).await,
+                End::Broken => {
+                    self.gateway.broke(&self.request, &target);
+                    begun = self.resume(&mut splitter).await;
+                }
             }
         }
         self.break_off("backend-server-broke-off").await;
@@ -108,6 +112,7 @@
 
     /// Hands an answer that is no stream of events on as it comes.
     pub async fn copy(mut self, begun: Begun, first: Bytes) {
+        let target = begun.target.clone();
         let end = match self.hand_on(first).await {
             Some(end) => end,
             None => self.copy_rest(begun).await,
@@ -122,7 +127,10 @@
                 self.done("client-left", "client-left");
             }
             End::Late => self.break_off("deadline").await,
-            End::Broken => self.break_off("backend-server-broke-off").await,
+            End::Broken => {
+                self.gateway.broke(&self.request, &target);
+                self.break_off("backend-server-broke-off").await;
+            }
         }
     }
 
