--- a/standins/src/bin/standin-group.rs
+++ b/standins/src/bin/standin-group.rs
@@ -5,10 +5,8 @@
 //! the control address takes goes to the group of the query's `group`, counted
 //! from 0, and to the first one without it. Prints `listening ADDRESS` for its control address once all servers listen.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 
-use hyper_util::rt::TokioIo;
 use loftcove_standins::group::Group;
 use loftcove_standins::worker::Worker;
 use loftcove_standins::{server, store};
@@ -34,8 +32,9 @@
         let (group, rank) = (&groups[number / ranks], number % ranks);
         let listener = TcpListener::bind(address).await.expect("the server's address is free");
         let address = address.to_string().into();
-        let worker = Worker { group: group.clone(), rank, id: id.into(), address, lockstep };
-        tokio::spawn(serve(listener, worker));
+        let (group, ends) = (group.clone(), Default::default());
+        let worker = Worker { group, rank, id: id.into(), address, lockstep, ends };
+        tokio::spawn(worker.run(listener));
     }
     for group in &groups {
         tokio::spawn(group.clone().run());
@@ -50,19 +49,3 @@
     })
     .await;
 }
-
-async fn serve(listener: TcpListener, worker: Worker) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        stream.set_nodelay(true).ok();
-        let worker = worker.clone();
-        tokio::spawn(async move {
-            let service = hyper::service::service_fn(move |request| worker.clone().handle(request));
-            let http = hyper::server::conn::http1::Builder::new();
-            // A connection that the worker drops ends here.
-            let _: Result<(), hyper::Error> =
-                http.serve_connection(TokioIo::new(stream), service).await;
-            Ok::<_, Infallible>(())
-        });
-    }
-}
--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -7,7 +7,8 @@
 //! [`crate::worker`]. The control address takes `PUT /orders?lost=N&late=N`
 //! (each Nth order is not carried out, or half a second later, and neither is
 //! answered), `PUT /break` and `PUT /mend` (the group breaks, and forms anew),
-//! and tells with `GET /state` and `GET /requests` what happened.
+//! and tells with `GET /state`, `GET /requests` and `GET /ends` (servers that
+//! ended under a request) what happened.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash as _, Hasher as _};
@@ -66,6 +67,7 @@
     late: u64,
     given: u64,
     requests: Vec<Value>,
+    ends: Vec<Value>,
     popular: u16,
 }
 
@@ -108,6 +110,7 @@
             late: 0,
             given: 0,
             requests: Vec::new(),
+            ends: Vec::new(),
             popular: 0,
         };
         state.form();
@@ -168,6 +171,19 @@
         self.lock().requests.push(request);
     }
 
+    /// A server ends under a request with that body: its group breaks.
+    pub fn end(&self, server: &str, body: &str) {
+        let mut state = self.lock();
+        state.open = false;
+        let end = json!({ "server": server, "body": body, "arrivals": state.requests.len() });
+        state.ends.push(end);
+    }
+
+    /// A server that had ended is back: its group forms anew.
+    pub fn restart(&self) {
+        self.lock().form();
+    }
+
     /// Report of a rank.
     pub fn report(&self, rank: usize) -> Value {
         let state = self.lock();
@@ -258,6 +274,7 @@
             "/break" => state.open = false,
             "/mend" => state.form(),
             "/requests" => return Value::Array(state.requests.clone()),
+            "/ends" => return Value::Array(state.ends.clone()),
             _ => {}
         }
         json!({
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -4,7 +4,9 @@
 //! (answer with a stream of N events), `x-standin-break: N` (break off behind
 //! the Nth event, but not where the stream is resumed), `x-standin-lose`
 //! (end without an answer), `x-standin-status: N`, `x-standin-foreign` (an
-//! answer that names another request), `x-standin-delay-ms: N`.
+//! answer that names another request), `x-standin-delay-ms: N`,
+//! `x-standin-end-ms: N` (the server ends N ms after it has begun the request,
+//! and starts again under its id after [`AWAY`]).
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -13,11 +15,17 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, combinators};
 use hyper::body::Incoming;
+use hyper_util::rt::TokioIo;
 use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use crate::group::Group;
 use crate::server;
 
+/// How long a server is away that has ended.
+pub const AWAY: Duration = Duration::from_millis(300);
+
 /// One backend server.
 #[derive(Clone)]
 pub struct Worker {
@@ -31,6 +39,8 @@
     pub address: Arc<str>,
     /// Whether it is a rank of a lock-step group.
     pub lockstep: bool,
+    /// Times that it has ended.
+    pub ends: watch::Sender<u64>,
 }
 
 type Body = combinators::BoxBody<Bytes, std::io::Error>;
@@ -69,6 +79,52 @@
 }
 
 impl Worker {
+    /// Serves at its address, from one start to the next, until the process ends.
+    pub async fn run(self, mut listener: TcpListener) {
+        loop {
+            self.live(listener).await;
+            tokio::time::sleep(AWAY).await;
+            listener = TcpListener::bind(&*self.address).await.expect("its address is its own");
+            if self.lockstep {
+                self.group.restart();
+            }
+        }
+    }
+
+    /// Serves until it ends, which closes all its connections.
+    async fn live(&self, listener: TcpListener) {
+        let mut ended = self.ends.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                _ = ended.changed() => return,
+                accepted = listener.accept() => accepted,
+            };
+            let Ok((stream, _)) = accepted else { continue };
+            stream.set_nodelay(true).ok();
+            let (worker, mut ended) = (self.clone(), self.ends.subscribe());
+            tokio::spawn(async move {
+                let service =
+                    hyper::service::service_fn(move |request| worker.clone().handle(request));
+                let http = hyper::server::conn::http1::Builder::new();
+                tokio::select! {
+                    _ = ended.changed() => {}
+                    // A connection that the worker drops ends here.
+                    _ = http.serve_connection(TokioIo::new(stream), service) => {}
+                }
+            });
+        }
+    }
+
+    /// Ends some time after a request began that ends whoever runs it.
+    fn end_after(&self, time: Duration, body: &[u8]) {
+        let (worker, body) = (self.clone(), String::from_utf8_lossy(body).into_owned());
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            worker.group.end(&worker.id, &body);
+            worker.ends.send_modify(|count| *count += 1);
+        });
+    }
+
     /// Answers one request.
     ///
     /// # Errors
@@ -145,6 +201,9 @@
             "headers": kept,
             "body": String::from_utf8_lossy(&body),
         }));
+        if let Some(ms) = number(headers, "x-standin-end-ms") {
+            self.end_after(Duration::from_millis(ms), &body);
+        }
         if let Some(delay) = number(headers, "x-standin-delay-ms") {
             let _work = Work::begin(&self.group, self.rank);
             tokio::time::sleep(Duration::from_millis(delay)).await;
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -413,6 +413,29 @@
         assert_eq!(self.group.1.ask("PUT", what, &[], "").await.status, 200);
     }
 
+    /// Ends of backend servers under requests, oldest first, over all of a kind: the
+    /// ranks of the first lock-step group, or the plain servers.
+    pub async fn ends(&self, ranks: bool) -> Vec<Value> {
+        let control = if ranks { &self.group.1 } else { &self.plain.1 };
+        control.read("/ends").await.as_array().cloned().unwrap_or_default()
+    }
+
+    /// Waits until a backend server that ended is back, and writes its entry
+    /// with that start, as the platform's backend servers do.
+    pub async fn restarted(&self, id: &str, born: u64) {
+        let number = id.rsplit('-').next().and_then(|text| text.parse().ok());
+        let number: u8 = number.expect("an id ends with a number");
+        let (service, address) = match id.starts_with("rank") {
+            true => (MODEL, SocketAddr::from((self.rank_ip(number), SERVER_PORT))),
+            false => (SMS, self.plain_address(number)),
+        };
+        until("the server is back", || async {
+            tokio::net::TcpStream::connect(address).await.is_ok()
+        })
+        .await;
+        self.list_run(id, service, address, born).await;
+    }
+
     /// Requests with that id that reached backend servers, over all of them.
     pub async fn arrivals(&self, id: &str) -> Vec<Value> {
         let mut all = self.all_arrivals().await;
@@ -499,6 +522,12 @@
         self
     }
 
+    /// Sets the body.
+    pub fn body(mut self, body: &str) -> Request {
+        body.clone_into(&mut self.body);
+        self
+    }
+
     /// Sets the team's key.
     pub fn key(self, key: &str) -> Request {
         self.with("x-api-key", key)
--- /dev/null
+++ b/tests/tests/poison.rs
@@ -0,0 +1,81 @@
+//! The same request ended eight backend servers.
+//!
+//! Seen: three servers had ended under a request, and it was sent to servers
+//! four and five times more; each end broke the lock-step group of all others.
+//! How: its caller asked again at other gateways, and each try was a new
+//! request to them; a stream that broke off was also resumed at once.
+//! Cause: an attempt that may have run was never told from one whose server
+//! ended under it, and no gateway knew what had become of the request before.
+//! Proof: tries of one digest as `attempt number=1` at several gateways, each
+//! with `connection broke ... lives=false`.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use loftcove_tests::system::{Plan, Request, System};
+use loftcove_tests::until;
+
+const PLAN: Plan =
+    Plan { gateways: 3, ranks: 4, groups: 1, plain: 3, sidecars: false, proxied: false };
+
+/// Times that the caller asks.
+const TRIES: usize = 8;
+/// Retries that may reach a server after the third end: the users' bound.
+const RETRIES: usize = 3;
+/// Body of the request under which servers end.
+const BODY: &str = "ends whoever runs it";
+
+/// A request of a plain service, or of the lock-step group.
+fn request(ranks: bool) -> Request {
+    if ranks {
+        Request::new("/draft/").with("x-standin-events", "100")
+    } else {
+        Request::new("/alert/").with("x-standin-delay-ms", "1000")
+    }
+}
+
+/// Has the servers that ended since the last call start again, and waits until
+/// all gateways serve; `seen` counts the ends of before.
+async fn mend(system: &System, ranks: bool, seen: &mut usize) {
+    let ends = system.ends(ranks).await;
+    for end in &ends[*seen..] {
+        *seen += 1;
+        system.restarted(end["server"].as_str().unwrap(), *seen as u64).await;
+    }
+    let sound =
+        Request::new(if ranks { "/draft/" } else { "/alert/" }).with("x-standin-events", "2");
+    for gateway in 0..system.plan.gateways {
+        until("the gateway serves", || async { system.ask(gateway, &sound).await.status == 200 })
+            .await;
+    }
+}
+
+/// The caller asks at one gateway after the other; returns how many servers
+/// ended, and how often the request reached one after the third of these.
+async fn repeat(system: &System, ranks: bool) -> (usize, usize) {
+    let mut seen = 0;
+    for gateway in (0..system.plan.gateways).cycle().take(TRIES) {
+        let request = request(ranks).body(BODY).with("x-standin-end-ms", "50");
+        system.ask(gateway, &request).await;
+        mend(system, ranks, &mut seen).await;
+    }
+    let ends = system.ends(ranks).await;
+    let third = ends.get(2).map_or(u64::MAX, |end| end["arrivals"].as_u64().unwrap());
+    let control = if ranks { &system.group.1 } else { &system.plain.1 };
+    let arrivals = control.read("/requests").await;
+    let later = arrivals.as_array().unwrap().iter().skip(third as usize);
+    (ends.len(), later.filter(|arrival| arrival["body"] == BODY).count())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_same_request_ends_few_plain_servers() {
+    let system = System::start(PLAN).await;
+    let (ends, retries) = repeat(&system, false).await;
+    assert!(ends <= 3 && retries <= RETRIES, "{ends} ends, {retries} retries after the third");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_same_request_ends_few_ranks() {
+    let system = System::start(PLAN).await;
+    let (ends, retries) = repeat(&system, true).await;
+    assert!(ends <= 3 && retries <= RETRIES, "{ends} ends, {retries} retries after the third");
+}
