Measure deadlines, leases and ages on a clock that counts suspensions

A request that waited would be sent with time that it no longer has, a home of idempotency keys would grant keys after its lease, a driver would go on without asking for its term until a timer that stood still ran out, and kept connections would be used past their time.

Ruled out: the time of day, which may jump either way.

Timers of the runtime stay steady and are late after a suspension, so an attempt is checked against the deadline before it is sent, a driver renews its term before its next round, and a gateway has the store asked for what it missed.

Not proved: real processes on a suspended host.

--- a/clock/src/lib.rs
+++ b/clock/src/lib.rs
@@ -62,3 +62,45 @@
         Instant(self.0.saturating_add(time))
     }
 }
+
+/// Shortest suspension that is told. Below lie differences of how the system
+/// corrects the two clocks, and no bound of ours is as short.
+const SHORTEST: Duration = Duration::from_millis(100);
+/// Time between two looks whether the host was suspended: timers that were set
+/// before are late by the whole suspension, so this bounds how long nothing is
+/// done about it. Two readings of a clock each.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// A moment on both clocks.
+#[derive(Debug, Clone, Copy)]
+pub struct Mark {
+    steady: std::time::Instant,
+    boot: Instant,
+}
+
+impl Mark {
+    /// The present. A pause of the thread between the two readings makes a
+    /// later suspension seem shorter, never longer.
+    pub fn now() -> Mark {
+        let steady = std::time::Instant::now();
+        Mark { steady, boot: Instant::now() }
+    }
+
+    /// For how long the host has been suspended since; none if it was not.
+    pub fn suspended(&self) -> Option<Duration> {
+        let boot = self.boot.elapsed();
+        let suspended = boot.saturating_sub(self.steady.elapsed());
+        (suspended >= SHORTEST).then_some(suspended)
+    }
+}
+
+/// Waits until the host has been suspended; returns for how long.
+pub async fn suspended() -> Duration {
+    let mark = Mark::now();
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        if let Some(time) = mark.suspended() {
+            return time;
+        }
+    }
+}
--- a/daemon/src/clock.rs
+++ b/daemon/src/clock.rs
@@ -1,21 +1,24 @@
 //! The clocks of the process, as the decisions take them.
 
 use std::ops::Range;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use loftcove_clock as boot;
 use loftcove_decision::{attempt, clock};
 use rand::Rng as _;
 
-/// Reads both clocks. The monotonic one counts from the start of the process.
+/// Reads both clocks. The monotonic one counts from the start of the process, also
+/// while the host is suspended: a home that slept through its lease must not grant
+/// keys that another one grants by now.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    origin: Instant,
+    origin: boot::Instant,
 }
 
 impl Clock {
     /// Starts the monotonic clock.
     pub fn start() -> Clock {
-        Clock { origin: Instant::now() }
+        Clock { origin: boot::Instant::now() }
     }
 
     /// The monotonic clock.
--- a/daemon/src/entry/drive.rs
+++ b/daemon/src/entry/drive.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use loftcove_bundle::content;
+use loftcove_clock as boot;
 use loftcove_decision::entity;
 use loftcove_decision::map::{change, gate, record};
 use loftcove_decision::placement::policy::Policy as _;
@@ -33,7 +34,7 @@
 /// What is kept about a group between two looks.
 struct Group {
     policy: policy::Incremental,
-    decided: Option<Instant>,
+    decided: Option<boot::Instant>,
     /// The record and its revision as last read or written.
     record: Option<(store::Revision, record::Record)>,
     skew: Option<f64>,
@@ -138,7 +139,7 @@
         // proposed only when no rank needs the one between.
         let settled = epochs.iter().all(|epoch| *epoch == record.active_epoch().0);
         if due && settled {
-            self.with_group(|group| group.decided = Some(Instant::now()));
+            self.with_group(|group| group.decided = Some(boot::Instant::now()));
             self.decide(record, revision).await;
         }
     }
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -2,9 +2,10 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hyper::body::Incoming;
+use loftcove_clock as boot;
 use loftcove_decision::{balancer, entity};
 
 use crate::entry::refusal::{Outcome, Refusal};
@@ -50,14 +51,20 @@
     let max_body = process.settings.entry.as_ref().map_or(usize::MAX, |own| own.max_body);
     let call = call::read(id, request, &bundle, max_body).await?;
     // The deadline runs while the key is claimed, too.
-    let began = Instant::now();
+    let began = boot::Instant::now();
     let claim = match call.key {
         Some(key) if !call.class.repeatable => Some(claim::make(process, &call, key).await?),
         _ => None,
     };
     let budget = call.budget.checked_sub(began.elapsed()).ok_or(Refusal::Deadline)?;
-    let flow =
-        Flow { entry: entry.clone(), call, bundle, claim, flight, due: Instant::now() + budget };
+    let flow = Flow {
+        entry: entry.clone(),
+        call,
+        bundle,
+        claim,
+        flight,
+        due: boot::Instant::now() + budget,
+    };
     flow.run(budget).await
 }
 
@@ -89,7 +96,7 @@
     bundle: Arc<force::Bundle>,
     claim: Option<claim::Claim>,
     flight: life::InFlight,
-    due: Instant,
+    due: boot::Instant,
 }
 
 impl Flow {
@@ -138,7 +145,7 @@
             return None;
         };
         self.note(next, &target);
-        let left = self.due.saturating_duration_since(Instant::now());
+        let left = self.due.saturating_duration_since(boot::Instant::now());
         let process = self.entry.process.clone();
         let attempt = dispatch::Attempt {
             call: &self.call,
@@ -151,7 +158,7 @@
         if let Some(claim) = &mut self.claim {
             claim.attempt();
         }
-        let sent_at = Instant::now();
+        let sent_at = boot::Instant::now();
         match dispatch::send(&process, &attempt).await {
             dispatch::Sent::Begun(begun) => {
                 permit.begin(sent_at.elapsed());
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -9,11 +9,11 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Instant;
 
 use bytes::Bytes;
 use http_body::Frame;
 use http_body_util::Full;
+use loftcove_clock as boot;
 use loftcove_decision::{balancer, entity};
 use loftcove_wire as wire;
 use tokio_stream::Stream as _;
@@ -116,7 +116,7 @@
 pub async fn respond(
     mut begun: dispatch::Begun,
     mut finish: Finish,
-    due: Instant,
+    due: boot::Instant,
 ) -> http::Response<Body> {
     let mut response = http::Response::new(());
     *response.status_mut() = http::StatusCode::from_u16(begun.head.status as u16)
@@ -152,7 +152,7 @@
     }
     let trailer = http::HeaderValue::from_static(call::OUTCOME_HEADER);
     response.headers_mut().insert(http::header::TRAILER, trailer);
-    let sleep = Box::pin(tokio::time::sleep_until(due.into()));
+    let sleep = Box::pin(tokio::time::sleep_until(due.timer()));
     let stream = Stream { begun, finish, events, held, deadline: sleep, state: State::Open };
     response.map(|()| Body { inner: Inner::Stream(Box::new(stream)) })
 }
@@ -168,11 +168,11 @@
     begun: &mut dispatch::Begun,
     finish: &Finish,
     held: &mut VecDeque<Bytes>,
-    due: Instant,
+    due: boot::Instant,
 ) -> Held {
     let mut size = 0;
     while size <= HOLD_LIMIT {
-        let next = tokio::time::timeout_at(due.into(), begun.frames.message()).await;
+        let next = tokio::time::timeout_at(due.timer(), begun.frames.message()).await;
         let Ok(frame) = next else { return Held::Broken("deadline") };
         match part(finish, &begun.id, frame) {
             Some(Part::Data(data)) => {
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -9,8 +9,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use loftcove_clock as boot;
 use loftcove_decision::routing::{policy, server};
 use loftcove_decision::{admission, balancer, clock, entity, fleet, name, outage, pass};
 use rand_chacha::rand_core::SeedableRng as _;
@@ -76,9 +77,9 @@
     /// Backend servers that may run it at the most.
     pub max_attempts: u32,
     /// When its answer is due.
-    pub due: Instant,
+    pub due: boot::Instant,
     /// By when its answer should begin.
-    pub begin_by: Instant,
+    pub begin_by: boot::Instant,
 }
 
 /// What to do next with a request.
@@ -109,7 +110,7 @@
 
 /// The balancer behind a lock.
 pub struct Dispatcher<T> {
-    origin: Instant,
+    origin: boot::Instant,
     waited: Notify,
     outage: Arc<Notify>,
     inner: Mutex<Inner<T>>,
@@ -143,7 +144,7 @@
             sequence: 0,
             outage: outage.clone(),
         };
-        let (origin, waited) = (Instant::now(), Notify::new());
+        let (origin, waited) = (boot::Instant::now(), Notify::new());
         Dispatcher { origin, waited, outage, inner: Mutex::new(inner) }
     }
 
@@ -152,13 +153,13 @@
         self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    fn at(&self, instant: Instant) -> clock::Instant {
+    fn at(&self, instant: boot::Instant) -> clock::Instant {
         let micros = instant.saturating_duration_since(self.origin).as_micros();
         clock::Instant::from_micros(micros as u64)
     }
 
     fn now(&self) -> clock::Instant {
-        self.at(Instant::now())
+        self.at(boot::Instant::now())
     }
 
     /// Replaces the list of backend servers.
--- a/gateway/src/answer.rs
+++ b/gateway/src/answer.rs
@@ -1,10 +1,11 @@
 //! Answers towards clients: a backend server's, whole, or one of our own.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
+use loftcove_clock as boot;
 use loftcove_decision::balancer;
 use loftcove_interface::protocol::Protocol;
 
@@ -53,10 +54,10 @@
 /// # Errors
 ///
 /// A [`Fault`].
-pub async fn read(mut body: Incoming, due: Instant) -> Result<Read, Fault> {
+pub async fn read(mut body: Incoming, due: boot::Instant) -> Result<Read, Fault> {
     let mut whole = BytesMut::new();
     loop {
-        let frame = tokio::time::timeout_at(due.into(), body.frame()).await;
+        let frame = tokio::time::timeout_at(due.timer(), body.frame()).await;
         match frame.map_err(|_| Fault::Late)? {
             None => return Ok(Read::Whole(whole.freeze())),
             Some(Err(_)) => return Err(Fault::Broken),
--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -9,8 +9,9 @@
 
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use loftcove_clock as boot;
 use loftcove_decision::lifecycle;
 use loftcove_interface::protocol::Protocol;
 use loftcove_mirror::follow;
@@ -48,7 +49,7 @@
     machine: StateMachine<lifecycle::Life>,
     in_flight: usize,
     connections: usize,
-    stop: Option<Instant>,
+    stop: Option<boot::Instant>,
 }
 
 /// How a request is to be taken.
@@ -238,12 +239,12 @@
     let life = &gateway.life;
     let grace = Duration::from_secs_f64(gateway.settings.serving.grace_s);
     log::info!("stopping in_flight={} grace_ms={}", life.in_flight(), grace.as_millis());
-    let begun = Instant::now();
+    let begun = boot::Instant::now();
     life.lock().stop = Some(begun);
     life.handle(lifecycle::Event::InFlight(1));
     life.handle(lifecycle::Event::Stop);
     let end = begun + grace.saturating_sub(END_MARGIN);
-    while Instant::now() < end {
+    while boot::Instant::now() < end {
         let noticed = begun.elapsed() >= NOTICE_TIME;
         if noticed && life.in_flight() == 0 {
             break;
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -2,10 +2,11 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http_body_util::Full;
 use hyper::body::Incoming;
+use loftcove_clock as boot;
 use loftcove_decision::{balancer, entity, poison, route};
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::{Answer, Forward, NotRun, Protocol, Verdict};
@@ -27,7 +28,7 @@
     gateway: Arc<Gateway<P>>,
     request: http::Request<Incoming>,
 ) -> Result<Response, Infallible> {
-    let came = Instant::now();
+    let came = boot::Instant::now();
     let (head, body) = request.into_parts();
     let entry = gateway.life.entry();
     let mut response = match begin(&gateway, head, body, entry).await {
@@ -122,7 +123,7 @@
             let next = tokio::select! {
                 biased;
                 _ = &mut refused => return self.ends_servers(),
-                next = tokio::time::timeout_at(request.due.into(), permit.next()) => next,
+                next = tokio::time::timeout_at(request.due.timer(), permit.next()) => next,
             };
             let next = match next {
                 Ok(Some(next)) => next,
@@ -286,7 +287,11 @@
         attempt: &dispatch::Attempt<Target>,
         resume_after: Option<Arc<str>>,
     ) -> Sent {
-        let left = request.due.saturating_duration_since(Instant::now());
+        let left = request.due.saturating_duration_since(boot::Instant::now());
+        // The timers of the request are late if the host was suspended.
+        if left.is_zero() {
+            return Sent::Failed(balancer::End::NeverRan, None, "overdue before sent".to_owned());
+        }
         log::info!(
             "attempt request={} digest={} number={} server={} reason={} score={:.2} open={} config={} left_ms={}",
             request.meta.id,
@@ -303,7 +308,7 @@
         let message = message::<P>(request, &attempt.target, left, resume_after);
         let fresh = !request.grant.route.kind.repeatable();
         let reply = self.upstream.send(&attempt.target, message, fresh);
-        let reply = match tokio::time::timeout_at(request.due.into(), reply).await {
+        let reply = match tokio::time::timeout_at(request.due.timer(), reply).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(upstream::Error::NotSent(cause))) => {
                 return Sent::Failed(balancer::End::Unreachable, None, cause);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use loftcove_clock as boot;
 use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
 use loftcove_mirror::{self as mirror, ends, follow, peer, register, serve, watch};
@@ -105,6 +106,7 @@
     tokio::spawn(health::serve(gateway.clone(), metrics));
     tokio::spawn(state::follow(gateway.clone()));
     tokio::spawn(probe::run(gateway.clone()));
+    tokio::spawn(notice_suspensions(gateway.mirror.clone()));
     let dispatcher = gateway.dispatcher.clone();
     tokio::spawn(async move { dispatcher.run().await });
     tokio::spawn(server::run(gateway.clone(), clients));
@@ -148,6 +150,15 @@
     socket.listen(backlog).map_err(fault)
 }
 
+/// Has the store asked for what was missed, each time that the host has been
+/// suspended.
+async fn notice_suspensions(mirror: Arc<mirror::Mirror>) {
+    loop {
+        let time = boot::suspended().await;
+        mirror.woke(time);
+    }
+}
+
 async fn serve_peers(mirror: Arc<mirror::Mirror>, zone: Arc<str>, listener: TcpListener) {
     let service = wire::mirror_server::MirrorServer::new(serve::Service::new(mirror, zone))
         .send_compressed(CompressionEncoding::Gzip);
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -1,11 +1,12 @@
 //! Reads a client's request and finds its route.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
+use loftcove_clock as boot;
 use loftcove_decision::{poison, route};
 use loftcove_interface::protocol;
 
@@ -77,9 +78,9 @@
     /// Service that is to answer it.
     pub service: Arc<str>,
     /// When it came.
-    pub came: Instant,
+    pub came: boot::Instant,
     /// When the final answer is due.
-    pub due: Instant,
+    pub due: boot::Instant,
     /// Version of the configuration that decided.
     pub version: u64,
 }
@@ -95,11 +96,11 @@
     meta: protocol::Request,
     routes: &route::Table,
 ) -> Result<Request, Refusal> {
-    let came = Instant::now();
+    let came = boot::Instant::now();
     let grant = routes.find(&meta.host, head.uri.path(), meta.key.as_deref())?;
     let patience = meta.patience.unwrap_or(LONGEST).min(grant.route.timeout);
     let due = came + patience.saturating_sub(MARGIN);
-    let body = tokio::time::timeout_at(due.into(), collect(body, routes.limits.body_bytes));
+    let body = tokio::time::timeout_at(due.timer(), collect(body, routes.limits.body_bytes));
     let body = body.await.map_err(|_| Refusal::Truncated)??;
     let service = grant.route.target(rand::random()).clone();
     let digest = digest(&head, &meta, &grant, &body);
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -7,10 +7,11 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
+use loftcove_clock as boot;
 use loftcove_decision::balancer;
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::Protocol;
@@ -51,15 +52,15 @@
     /// found.
     pause: Duration,
     /// When the last event came.
-    last: Option<Instant>,
+    last: Option<boot::Instant>,
 }
 
 impl Timing {
     /// An event of a request that came then.
-    fn event(&mut self, came: Instant) {
-        let now = Instant::now();
-        self.first.get_or_insert(now - came);
-        let pause = self.last.map_or(Duration::ZERO, |last| now - last);
+    fn event(&mut self, came: boot::Instant) {
+        let now = boot::Instant::now();
+        self.first.get_or_insert(now.saturating_duration_since(came));
+        let pause = self.last.map_or(Duration::ZERO, |last| now.saturating_duration_since(last));
         self.pause = self.pause.max(pause);
         self.last = Some(now);
     }
@@ -148,7 +149,7 @@
             let frame = tokio::select! {
                 biased;
                 () = self.sender.closed() => return End::Left,
-                frame = tokio::time::timeout_at(self.request.due.into(), begun.body.frame()) => frame,
+                frame = tokio::time::timeout_at(self.request.due.timer(), begun.body.frame()) => frame,
             };
             let data = match frame {
                 Err(_) => return End::Late,
@@ -166,7 +167,7 @@
     async fn pass(&mut self, begun: Begun, splitter: &mut Splitter) -> End {
         let Begun { mut body, answer, connection, target, .. } = begun;
         // The first event's wait is no pause.
-        let mut last: Option<Instant> = None;
+        let mut last: Option<boot::Instant> = None;
         let gateway = self.gateway.clone();
         let refused = gateway.mirror.ends.refused(self.request.digest);
         tokio::pin!(refused);
@@ -175,7 +176,7 @@
                 biased;
                 () = self.sender.closed() => return End::Left,
                 _ = &mut refused => return End::Refused,
-                frame = tokio::time::timeout_at(self.request.due.into(), body.frame()) => frame,
+                frame = tokio::time::timeout_at(self.request.due.timer(), body.frame()) => frame,
             };
             let data = match frame {
                 Err(_) => return End::Late,
@@ -184,8 +185,8 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             if let Some(events) = splitter.push(&data) {
-                self.observe(last.map_or(Duration::ZERO, |last: Instant| last.elapsed()));
-                last = Some(Instant::now());
+                self.observe(last.map_or(Duration::ZERO, |last: boot::Instant| last.elapsed()));
+                last = Some(boot::Instant::now());
                 if let Some(end) = self.hand_on(events).await {
                     return end;
                 }
@@ -218,7 +219,7 @@
 
     /// Hands bytes to the client; returns an end if that ends the stream.
     async fn hand_on(&self, bytes: Bytes) -> Option<End> {
-        let sent = tokio::time::timeout_at(self.request.due.into(), self.sender.send(Ok(bytes)));
+        let sent = tokio::time::timeout_at(self.request.due.timer(), self.sender.send(Ok(bytes)));
         match sent.await {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(End::Left),
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -9,13 +9,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use loftcove_clock as boot;
 use loftcove_decision::fleet;
 use tokio::net::TcpStream;
 
@@ -78,7 +79,7 @@
 
 struct Idle {
     sender: Sender,
-    until: Instant,
+    until: boot::Instant,
 }
 
 impl Pool {
@@ -128,7 +129,7 @@
         let mut idle = self.lock();
         let kept = idle.get_mut(run)?;
         while let Some(idle) = kept.pop() {
-            if idle.sender.is_ready() && Instant::now() < idle.until {
+            if idle.sender.is_ready() && boot::Instant::now() < idle.until {
                 return Some(idle.sender);
             }
         }
@@ -141,7 +142,7 @@
         let time = keep_alive.map_or(IDLE_TIME, |time| time.saturating_sub(IDLE_MARGIN));
         let mut idle = self.lock();
         let kept = idle.entry(connection.run.clone()).or_default();
-        let now = Instant::now();
+        let now = boot::Instant::now();
         kept.retain(|idle| now < idle.until && !idle.sender.is_closed());
         if kept.len() < target.max_connections {
             kept.push(Idle { sender: connection.sender, until: now + time });
@@ -160,13 +161,13 @@
 struct Doubt<'a> {
     pool: &'a Pool,
     run: &'a fleet::Run,
-    since: Instant,
+    since: boot::Instant,
     answered: bool,
 }
 
 impl<'a> Doubt<'a> {
     fn new(pool: &'a Pool, run: &'a fleet::Run) -> Doubt<'a> {
-        Doubt { pool, run, since: Instant::now(), answered: false }
+        Doubt { pool, run, since: boot::Instant::now(), answered: false }
     }
 }
 
--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
+use loftcove_clock as boot;
 use loftcove_decision::mirror::Record;
 use loftcove_wire as wire;
 use rand::seq::IndexedRandom as _;
@@ -47,7 +48,7 @@
     seeds: Mutex<Vec<SocketAddr>>,
     /// Peers that are followed, by the number of the follower.
     used: Mutex<BTreeMap<usize, SocketAddr>>,
-    failed: Mutex<BTreeMap<SocketAddr, Instant>>,
+    failed: Mutex<BTreeMap<SocketAddr, boot::Instant>>,
 }
 
 impl Peers {
@@ -126,7 +127,7 @@
             let ended = follow(&mirror, &peers.own, peer, better).await;
             lock(&peers.used).remove(&follower);
             if let Err(status) = ended {
-                lock(&peers.failed).insert(peer, Instant::now());
+                lock(&peers.failed).insert(peer, boot::Instant::now());
                 log::info!("dependency lost name=peer address={peer} error=\"{status}\"");
             }
         }
--- a/mirror/src/health.rs
+++ b/mirror/src/health.rs
@@ -1,7 +1,8 @@
 //! Whether the store answers this host, and since when.
 
+use loftcove_clock as boot;
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// An outage that seems shorter does not make entries lapse: they outlast three
 /// missed renewals of more than a second each, and we notice an outage within
@@ -20,9 +21,9 @@
 
 #[derive(Debug, Default)]
 struct State {
-    down_since: Option<Instant>,
+    down_since: Option<boot::Instant>,
     /// End of the last outage that was long enough for entries to lapse.
-    returned: Option<Instant>,
+    returned: Option<boot::Instant>,
 }
 
 impl Health {
@@ -34,7 +35,7 @@
     pub fn failed(&self, error: &dyn std::fmt::Display) {
         let mut state = self.lock();
         if state.down_since.is_none() {
-            state.down_since = Some(Instant::now());
+            state.down_since = Some(boot::Instant::now());
             log::warn!("dependency lost name=store error=\"{error}\"");
         }
     }
@@ -46,7 +47,7 @@
         let outage = since.elapsed();
         log::info!("dependency regained name=store outage_ms={}", outage.as_millis());
         if outage >= SHORT_OUTAGE {
-            state.returned = Some(Instant::now());
+            state.returned = Some(boot::Instant::now());
         }
     }
 
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -22,9 +22,9 @@
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
 
 use bytes::Bytes;
+use loftcove_clock as boot;
 use loftcove_decision::{clock, mirror};
 use loftcove_interface::store;
 use tokio::sync::{broadcast, watch as channel};
@@ -38,7 +38,7 @@
 
 /// The copy, shared by whoever fills and reads it.
 pub struct Mirror {
-    origin: Instant,
+    origin: boot::Instant,
     state: Mutex<mirror::Mirror>,
     news: broadcast::Sender<mirror::Record>,
     changes: channel::Sender<u64>,
@@ -81,7 +81,7 @@
 impl Default for Mirror {
     fn default() -> Mirror {
         Mirror {
-            origin: Instant::now(),
+            origin: boot::Instant::now(),
             state: Mutex::default(),
             news: broadcast::Sender::new(BACKLOG),
             changes: channel::Sender::new(0),
@@ -155,6 +155,13 @@
         }
     }
 
+    /// The host was suspended: calls that wait were sent before, and their timers
+    /// are late, so all watches are asked again.
+    pub fn woke(&self, suspended: std::time::Duration) {
+        log::warn!("host suspended ms={} next=ask-again", suspended.as_millis());
+        self.silences.send_modify(|count| *count += 1);
+    }
+
     /// The store answered a call. That says nothing of the watches, which are on
     /// connections of their own.
     fn store_answered(&self) {
--- a/mirror/src/lines.rs
+++ b/mirror/src/lines.rs
@@ -1,7 +1,7 @@
 //! A limit on lines of log that come in floods.
 
+use loftcove_clock as boot;
 use std::sync::Mutex;
-use std::time::Instant;
 
 /// Lines that may be written at once, and those that may be more each second:
 /// changes come one by one in a settled system, and hundreds together at a start.
@@ -17,13 +17,13 @@
 #[derive(Debug)]
 struct State {
     lines: f64,
-    counted: Instant,
+    counted: boot::Instant,
     left_out: usize,
 }
 
 impl Default for Allowance {
     fn default() -> Allowance {
-        let state = State { lines: LINES, counted: Instant::now(), left_out: 0 };
+        let state = State { lines: LINES, counted: boot::Instant::now(), left_out: 0 };
         Allowance { state: Mutex::new(state) }
     }
 }
@@ -35,7 +35,7 @@
         let mut state = self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let more = state.counted.elapsed().as_secs_f64() * LINES_A_SECOND;
         state.lines = (state.lines + more).min(LINES);
-        state.counted = Instant::now();
+        state.counted = boot::Instant::now();
         if state.lines < 1.0 {
             state.left_out += 1;
             return None;
--- a/mirror/src/progress.rs
+++ b/mirror/src/progress.rs
@@ -4,9 +4,10 @@
 //! That the store answers other calls says nothing of a watch that waits: its
 //! call, or the answer to it, may be lost while its connection stays open.
 
+use loftcove_clock as boot;
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// The watches of a host.
 #[derive(Debug, Default)]
@@ -18,9 +19,9 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Watch {
     /// Since when a call of it waits for its answer.
-    waits: Option<Instant>,
+    waits: Option<boot::Instant>,
     /// When the store last answered it.
-    answered: Option<Instant>,
+    answered: Option<boot::Instant>,
     /// Calls that got no answer, or that the store refused.
     pub lost: u64,
     /// Whether the last call was answered.
@@ -47,7 +48,7 @@
 
     /// A call waits until the guard is dropped.
     pub fn wait(&self, prefix: &'static str) -> Wait<'_> {
-        self.lock().entry(prefix).or_default().waits = Some(Instant::now());
+        self.lock().entry(prefix).or_default().waits = Some(boot::Instant::now());
         Wait { progress: self, prefix }
     }
 
@@ -57,7 +58,7 @@
         let mut watches = self.lock();
         let watch = watches.entry(prefix).or_default();
         let silent = watch.answer_age().filter(|_| !watch.heard);
-        watch.answered = Some(Instant::now());
+        watch.answered = Some(boot::Instant::now());
         watch.heard = true;
         silent
     }
--- a/mirror/src/register.rs
+++ b/mirror/src/register.rs
@@ -6,8 +6,9 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use loftcove_clock as boot;
 use loftcove_interface::store::{self, Store};
 use serde::{Deserialize, Serialize};
 
@@ -125,7 +126,7 @@
 /// When a gateway last had enough peers.
 #[derive(Debug, Default)]
 pub struct Relied {
-    last: Mutex<Option<Instant>>,
+    last: Mutex<Option<boot::Instant>>,
 }
 
 impl Relied {
@@ -135,7 +136,7 @@
         // Each change is one assignment.
         let mut last = self.last.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         if enough {
-            *last = Some(Instant::now());
+            *last = Some(boot::Instant::now());
         }
         enough || reached && last.is_some_and(|at| at.elapsed() < patience)
     }
--- /dev/null
+++ b/mirror/tests/ends.rs
@@ -0,0 +1,180 @@
+//! What gateways tell each other of requests that end backend servers.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use loftcove_decision::poison::{Digest, KEPT, Standing};
+use loftcove_decision::{fleet, mirror};
+use loftcove_interface::store::{self, Error, Store};
+use loftcove_mirror::{Mirror, Source, ends, follow};
+use loftcove_standins::proxy::Proxy;
+
+use common::host;
+
+/// Time within which all gateways in touch are to know, by the users' pages.
+const BOUND: Duration = Duration::from_millis(3_000);
+
+fn run(number: u32) -> fleet::Run {
+    fleet::Run { id: format!("server-{number}").into(), born: Some(7) }
+}
+
+fn guilty() -> Digest {
+    Digest::of(&[b"guilty"])
+}
+
+fn follow(mirror: &Arc<Mirror>, address: SocketAddr) {
+    let own = follow::Own { name: "f".into(), zone: "norte".into(), address: None };
+    let peers = Arc::new(follow::Peers::new(own, vec![address]));
+    tokio::spawn(follow::run(mirror.clone(), peers, 0));
+}
+
+/// Servers that it ended, once the host refuses the request.
+async fn refuses(mirror: &Mirror) -> u32 {
+    tokio::time::timeout(BOUND, mirror.ends.refused(guilty())).await.expect("heard in time")
+}
+
+/// Each of the ends was seen by another host, and none of these refuses it alone.
+#[tokio::test]
+async fn ends_that_different_hosts_saw_add_up_over_two_hops() {
+    let ((first, at_first), (second, at_second)) = (host("norte").await, host("norte").await);
+    let third: Arc<Mirror> = Arc::default();
+    follow(&second, at_first);
+    follow(&third, at_second);
+    first.ends.found(&run(1), guilty());
+    second.ends.found(&run(2), guilty());
+    assert_eq!(refuses(&third).await, 2);
+    // Who comes later is told everything.
+    let late: Arc<Mirror> = Arc::default();
+    follow(&late, at_second);
+    assert_eq!(refuses(&late).await, 2);
+    // The first follows nobody.
+    assert_eq!(first.ends.standing(guilty()), Standing::Suspect(1));
+}
+
+#[tokio::test]
+async fn who_came_to_its_end_is_cleared_everywhere() {
+    let (first, address) = host("norte").await;
+    let second: Arc<Mirror> = Arc::default();
+    follow(&second, address);
+    first.ends.found(&run(1), guilty());
+    first.ends.found(&run(2), guilty());
+    refuses(&second).await;
+    first.ends.clear(guilty());
+    while second.ends.standing(guilty()) != Standing::Sound {
+        tokio::task::yield_now().await;
+    }
+    // What is told again does not bring it back.
+    first.ends.found(&run(1), guilty());
+    assert_eq!(first.ends.standing(guilty()), Standing::Sound);
+}
+
+/// The only connection to a peer falls silent, and new ones work.
+#[tokio::test]
+async fn news_is_heard_in_time_over_a_connection_that_fell_silent() {
+    let (source, address) = host("norte").await;
+    let proxy = Proxy::default();
+    let answer = proxy.obey(&format!("target host norte {address}")).await.unwrap();
+    let mirror: Arc<Mirror> = Arc::default();
+    follow(&mirror, answer.rsplit(' ').next().unwrap().parse().unwrap());
+    source.ends.found(&run(1), guilty());
+    while mirror.ends.standing(guilty()) == Standing::Sound {
+        tokio::task::yield_now().await;
+    }
+    proxy.obey("link * host silence").await.unwrap();
+    source.ends.found(&run(2), guilty());
+    assert_eq!(refuses(&mirror).await, 2);
+}
+
+/// A store that keeps one write.
+#[derive(Debug, Default)]
+struct Kept {
+    calls: AtomicU32,
+    /// Whether another host was first.
+    taken: bool,
+    written: Mutex<Option<store::Write>>,
+    ended: AtomicU32,
+}
+
+impl Store for Kept {
+    async fn list(&self, _: &str) -> Result<store::Listing, Error> {
+        Err(Error::Refused(503))
+    }
+
+    async fn watch(
+        &self,
+        _: &str,
+        _: store::Revision,
+        _: store::Wait,
+    ) -> Result<store::Changes, Error> {
+        Err(Error::Refused(503))
+    }
+
+    async fn write(&self, write: &store::Write) -> Result<store::Outcome, Error> {
+        *self.written.lock().unwrap() = Some(write.clone());
+        Ok(if self.taken { store::Outcome::Conflict } else { store::Outcome::Done(5) })
+    }
+
+    async fn grant(&self, ttl: Duration) -> Result<store::Lease, Error> {
+        assert_eq!(ttl, KEPT);
+        // The first call is lost.
+        match self.calls.fetch_add(1, Ordering::Relaxed) {
+            0 => Err(Error::Lost("answer".to_owned())),
+            _ => Ok(1),
+        }
+    }
+
+    async fn keep(&self, _: store::Lease) -> Result<bool, Error> {
+        Ok(true)
+    }
+
+    async fn end(&self, _: store::Lease) -> Result<(), Error> {
+        self.ended.fetch_add(1, Ordering::Relaxed);
+        Ok(())
+    }
+}
+
+/// A host that refuses a request writes it to the store, in a second try, and
+/// another one that follows nobody takes it from there.
+#[tokio::test]
+async fn the_store_is_a_second_way() {
+    let (store, mirror): (Arc<Kept>, Arc<Mirror>) = Default::default();
+    tokio::spawn(ends::run(mirror.clone(), store.clone()));
+    mirror.ends.found(&run(1), guilty());
+    mirror.ends.found(&run(2), guilty());
+    let written = || store.written.lock().unwrap().clone();
+    let write = async {
+        while written().is_none() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        written().unwrap()
+    };
+    let write = tokio::time::timeout(BOUND, write).await.expect("written in time");
+    assert_eq!((write.expected, write.lease), (Some(0), Some(1)));
+    let record = mirror::Record { key: write.key, revision: 5, value: write.value };
+    let alone: Arc<Mirror> = Arc::default();
+    tokio::spawn(ends::run(alone.clone(), Arc::<Kept>::default()));
+    alone.apply(vec![record.clone()], Source::Store);
+    assert_eq!(refuses(&alone).await, 2);
+    // An entry of another writer names nobody.
+    let spoilt = mirror::Record { value: Some("{".into()), revision: 6, ..record };
+    alone.apply(vec![spoilt], Source::Store);
+    assert_eq!(alone.ends.standing(guilty()), Standing::Convicted(2));
+}
+
+#[tokio::test]
+async fn a_lease_that_is_not_needed_is_ended() {
+    let store = Arc::new(Kept { taken: true, calls: AtomicU32::new(1), ..Kept::default() });
+    let mirror: Arc<Mirror> = Arc::default();
+    tokio::spawn(ends::run(mirror.clone(), store.clone()));
+    mirror.ends.found(&run(1), guilty());
+    mirror.ends.found(&run(2), guilty());
+    while store.ended.load(Ordering::Relaxed) == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -4,8 +4,9 @@
 mod learn;
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use loftcove_clock as boot;
 use loftcove_decision::map::switch::{self, Switch};
 use loftcove_decision::map::version;
 use loftcove_interface::engine::{Engine, Map};
@@ -38,6 +39,9 @@
 const SLOW: f64 = 1.2;
 /// Time that a sidecar stays out after it stood for election in vain.
 const ELECTION_PAUSE: Duration = Duration::from_millis(1_500);
+/// Longest wait for the renewal after a suspension: it takes milliseconds, and a
+/// store that does not answer ends no term.
+const RENEWAL_TIME: Duration = Duration::from_secs(1);
 /// Times that the pass is chosen anew because it began before it was held.
 const MAX_HOLDS: u32 = 8;
 /// Longest time for all ranks to prepare, beside twice the time that their copies
@@ -88,7 +92,7 @@
     name: String,
     catalog: catalog::Catalog<P>,
     /// When it stood for election in vain.
-    defeated: Option<Instant>,
+    defeated: Option<boot::Instant>,
 }
 
 /// Why a change was left as it is.
@@ -184,7 +188,7 @@
                 None
             }
         };
-        self.defeated = term.is_none().then(Instant::now);
+        self.defeated = term.is_none().then(boot::Instant::now);
         term.map(|term| (place.name, term))
     }
 
@@ -192,12 +196,20 @@
     async fn drive(&mut self, group: &str, term: Term, stop: &watch::Receiver<bool>) {
         let (mirror, store) = (self.mirror.clone(), self.store.clone());
         let name: Arc<str> = group.into();
-        let kept = tokio::spawn(async move {
-            election::keep(&*store, &mirror, &name, term).await;
+        let renewals = Arc::new(election::Renewals::default());
+        let kept = tokio::spawn({
+            let renewals = renewals.clone();
+            async move {
+                election::keep(&*store, &mirror, &name, term, &renewals).await;
+            }
         });
         let mut known = Known::default();
         while !kept.is_finished() && !*stop.borrow() {
-            let begun = Instant::now();
+            let renewed = tokio::time::timeout(RENEWAL_TIME, renewals.check()).await;
+            if renewed.is_ok_and(|suspended| suspended) {
+                continue;
+            }
+            let begun = boot::Instant::now();
             if let Err(stopped) = self.round(term.number, &mut known).await {
                 log::info!("round stopped term={} reason=\"{stopped}\"", term.number);
                 if matches!(stopped, Stopped::Superseded | Stopped::Exhausted) {
@@ -241,7 +253,7 @@
         let switch = Switch::new(ranks, version);
         known.copying = stage.time.saturating_sub(known.switch_time());
         let map = Arc::new(stage.map);
-        let begun = Instant::now();
+        let begun = boot::Instant::now();
         let source = Source { base: known.map.clone(), experts: experts.count };
         let plan = Plan { map: map.clone(), source };
         if self.change(term, known, switch, &plan).await? == switch::Outcome::Switched {
--- a/sidecar/src/election.rs
+++ b/sidecar/src/election.rs
@@ -7,8 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use loftcove_clock as boot;
 use loftcove_interface::store::{self, Store};
 use loftcove_mirror::{Mirror, OWN_PREFIX};
+use tokio::sync::{Notify, watch};
 
 /// How long the key outlasts a driver that died. No map changes meanwhile.
 const TTL: Duration = Duration::from_millis(2_500);
@@ -92,10 +94,46 @@
     Ok(None)
 }
 
+/// Renewals of a term, as its driver follows them.
+#[derive(Debug)]
+pub struct Renewals {
+    /// When the last one was sent that came to an end.
+    last: watch::Sender<boot::Mark>,
+    /// Asks for one now.
+    wanted: Notify,
+}
+
+impl Default for Renewals {
+    fn default() -> Renewals {
+        Renewals { last: watch::Sender::new(boot::Mark::now()), wanted: Notify::new() }
+    }
+}
+
+impl Renewals {
+    /// Waits for a renewal if the host was suspended since the last one: the
+    /// term may have lapsed meanwhile, and the timer of the next renewal does
+    /// not count that time. Returns whether it was.
+    pub async fn check(&self) -> bool {
+        let Some(time) = self.last.borrow().suspended() else { return false };
+        log::warn!("host suspended ms={} next=renew", time.as_millis());
+        let mut last = self.last.subscribe();
+        self.wanted.notify_one();
+        // Both end together with the driver.
+        last.changed().await.unwrap_or_default();
+        true
+    }
+}
+
 /// Renews a term; returns when it is over. Where the store does not answer,
 /// the term goes on: nobody else can have begun one without the store, and if
 /// somebody has, sidecars refuse this one's orders.
-pub async fn keep<S: Store>(store: &S, mirror: &Mirror, group: &str, term: Term) {
+pub async fn keep<S: Store>(
+    store: &S,
+    mirror: &Mirror,
+    group: &str,
+    term: Term,
+    renewals: &Renewals,
+) {
     let mut changes = mirror.subscribe();
     let mut away = false;
     let mut pause = RENEWAL;
@@ -103,14 +141,19 @@
         if revision(mirror, &key(group)) > term.number {
             return;
         }
-        match store.keep(term.lease).await {
-            Ok(true) => {
+        let sent = boot::Mark::now();
+        let kept = store.keep(term.lease).await;
+        if kept == Ok(false) {
+            return;
+        }
+        renewals.last.send_replace(sent);
+        match kept {
+            Ok(_) => {
                 pause = RENEWAL;
                 if std::mem::take(&mut away) {
                     log::info!("dependency regained name=store");
                 }
             }
-            Ok(false) => return,
             Err(error) => {
                 pause = if away { (pause * 2).min(RENEWAL) } else { RETRY };
                 if !std::mem::replace(&mut away, true) {
@@ -120,6 +163,7 @@
         }
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
+            () = renewals.wanted.notified() => {}
             _ = changes.changed() => {}
         }
     }
--- a/sidecar/src/group.rs
+++ b/sidecar/src/group.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future;
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
+use loftcove_clock as boot;
 use loftcove_decision::map::{switch, tree};
 use loftcove_interface::engine::{Engine, Map, Order, Verdict};
 use loftcove_mirror::peer;
@@ -48,7 +49,7 @@
     /// Availability zones of the engines, as far as they are known.
     zones: Mutex<BTreeMap<SocketAddr, Arc<str>>>,
     /// Relays that gave no answer, and when.
-    silent: Mutex<BTreeMap<SocketAddr, Instant>>,
+    silent: Mutex<BTreeMap<SocketAddr, boot::Instant>>,
 }
 
 /// What the group came to say.
@@ -278,7 +279,7 @@
             other => {
                 let cause = member::cause(other);
                 log::info!("relay passed over engine={relay} cause=\"{cause}\"");
-                lock(&self.silent).insert(relay, Instant::now());
+                lock(&self.silent).insert(relay, boot::Instant::now());
                 return None;
             }
         };
@@ -295,7 +296,7 @@
             other => {
                 let cause = member::cause(other);
                 log::info!("relay cut short engine={relay} cause=\"{cause}\"");
-                lock(&self.silent).insert(relay, Instant::now());
+                lock(&self.silent).insert(relay, boot::Instant::now());
             }
         }
         Some(all)
--- a/sidecar/src/known.rs
+++ b/sidecar/src/known.rs
@@ -1,8 +1,9 @@
 //! What a driver knows of its group.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use loftcove_clock as boot;
 use loftcove_interface::engine::{self, Map};
 
 use crate::codec;
@@ -61,14 +62,14 @@
     /// Mean time of a change of the map beside its copies; none before the first.
     switch_time: Option<Duration>,
     /// When the demand last shifted, and the mean time between two shifts.
-    shifted: Option<Instant>,
+    shifted: Option<boot::Instant>,
     phase: Option<Duration>,
     /// Last pass that was seen, and when.
-    seen: Option<(u64, Instant)>,
+    seen: Option<(u64, boot::Instant)>,
     /// Versions used in this term.
     pub versions: u64,
     /// When a search last found nothing worth a change, and at what peak.
-    fruitless: Option<(Instant, f64)>,
+    fruitless: Option<(boot::Instant, f64)>,
 }
 
 impl Known {
@@ -96,16 +97,16 @@
 
     /// A search has ended, with a change worth making or without.
     pub fn searched(&mut self, peak: f64, change: bool) {
-        self.fruitless = (!change).then(|| (Instant::now(), peak));
+        self.fruitless = (!change).then(|| (boot::Instant::now(), peak));
     }
 
     /// Takes the last pass that has begun, for the time of a pass.
     pub fn see_pass(&mut self, pass: u64) {
-        let now = Instant::now();
+        let now = boot::Instant::now();
         if let Some((before, at)) = self.seen
             && pass > before
         {
-            self.pass_time = (now - at) / (pass - before) as u32;
+            self.pass_time = now.saturating_duration_since(at) / (pass - before) as u32;
         }
         self.seen = Some((pass, now));
     }
@@ -117,9 +118,9 @@
 
     /// The demand has shifted.
     pub fn see_shift(&mut self) {
-        let now = Instant::now();
+        let now = boot::Instant::now();
         if let Some(before) = self.shifted.replace(now) {
-            self.phase = Some((self.phase() + (now - before)) / 2);
+            self.phase = Some((self.phase() + now.saturating_duration_since(before)) / 2);
         }
     }
 
@@ -149,7 +150,7 @@
     pass: u64,
     /// Term of the driver that is to end it.
     term: u64,
-    since: Option<Instant>,
+    since: Option<boot::Instant>,
     /// Longest time between two looks at which a pass had begun meanwhile,
     /// of which [`PASS_TIME_KEPT`] is left at each new pass.
     pass_time: Duration,
@@ -170,7 +171,7 @@
             self.term = term;
             self.since = None;
         }
-        let since = *self.since.get_or_insert_with(Instant::now);
+        let since = *self.since.get_or_insert_with(boot::Instant::now);
         since.elapsed() >= STALL_TIME.max(self.pass_time * STALL_PASSES)
     }
 }
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod codec;
 pub mod demand;
 mod drive;
-mod election;
+pub mod election;
 pub mod group;
 pub mod known;
 pub mod maps;
--- a/sidecar/src/rank.rs
+++ b/sidecar/src/rank.rs
@@ -7,8 +7,9 @@
 //! replaced are refused here.
 
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use loftcove_clock as boot;
 use loftcove_decision::map::fence;
 use loftcove_interface::engine::{Counts, Engine, Error, Order, Report, Verdict};
 use loftcove_wire as wire;
@@ -52,7 +53,7 @@
 
 /// Counts that a driver has had.
 struct Look {
-    at: Instant,
+    at: boot::Instant,
     born: Option<u64>,
     counts: Vec<u64>,
 }
@@ -104,7 +105,7 @@
     /// nobody did for long.
     async fn choices(&self) -> Result<Vec<u32>, Error> {
         let Counts { counts, born, .. } = self.engine.counts().await?;
-        let now = Look { at: Instant::now(), born, counts };
+        let now = Look { at: boot::Instant::now(), born, counts };
         let mut looked = lock(&self.looked);
         let before = looked.take().filter(|look| look.at.elapsed() < LOOK_TIME);
         let grown = before.and_then(|before| now.since(&before));
@@ -166,12 +167,12 @@
 
     /// Carries an order out.
     pub async fn carry(&self, step: &Step) -> (wire::Effect, Option<Report>) {
-        let end = Instant::now() + ORDER_TIME;
+        let end = boot::Instant::now() + ORDER_TIME;
         let mut seen = None;
         let mut refusals = 0;
-        let mut accepted: Option<Instant> = None;
+        let mut accepted: Option<boot::Instant> = None;
         let mut pause = RETRY_PAUSE;
-        while Instant::now() < end {
+        while boot::Instant::now() < end {
             let report = match self.engine.report().await {
                 Ok(report) => report,
                 Err(error) => {
@@ -196,7 +197,7 @@
                 }
                 Standing::Open => {
                     match self.give(step, &report).await {
-                        Ok(Verdict::Accepted) => accepted = Some(Instant::now()),
+                        Ok(Verdict::Accepted) => accepted = Some(boot::Instant::now()),
                         Ok(Verdict::Conflict | Verdict::Refused(_)) => {
                             refusals += 1;
                             if refusals > MAX_REFUSALS {
@@ -287,7 +288,7 @@
 
 /// Whether an order that was accepted then may yet show its effect by itself:
 /// copying takes as long as it takes, and reports do not tell of it.
-fn under_way(order: &Order, accepted: Instant) -> bool {
+fn under_way(order: &Order, accepted: boot::Instant) -> bool {
     matches!(order, Order::Prepare { .. }) || accepted.elapsed() < REPEAT_TIME
 }
 
