Soak: callers of requests that end their servers; requests many send alike

The soak draws, from a seed of its own, callers that ask gateways by lot twelve times for what ends the server that runs it, beside all other faults. Checked: no more than three retries reach a server after the third end, and no other request is refused for an end. Its clients all send one of three requests, which are on most servers that end: what came to its end of late at any gateway is now cleared at once (decision/poison::Finished), with a test that failed before (mirror/tests/ends.rs: what_many_send_alike_is_not_refused).

The proxy takes no connection while its target has ended, as the target itself would: before, it accepted them, and the look at the server found it alive.

--- a/decision/tests/poison.rs
+++ b/decision/tests/poison.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use loftcove_decision::poison::{Digest, Item, KEPT, Ledger, Lookout, Mark, Standing};
+use loftcove_decision::poison::{Digest, Finished, Item, KEPT, Ledger, Lookout, Mark, Standing};
 use loftcove_decision::{clock, fleet};
 use proptest::prelude::*;
 
@@ -136,6 +136,27 @@
     assert_eq!(ledger.standing(request("a")), Standing::Sound);
 }
 
+/// The pattern: thousands of callers send the same, and it is on every server
+/// that ends.
+#[test]
+fn what_came_to_its_end_of_late_is_remembered_for_a_while() {
+    let mut finished = Finished::default();
+    finished.add(request("common"), at(1_000));
+    assert!(finished.contains(request("common"), at(2_000)));
+    assert!(!finished.contains(request("rare"), at(2_000)));
+    assert!(!finished.contains(request("common"), at(62_000)));
+    // Of thousands of others only the last are kept, and what comes again.
+    for number in 0..10_000 {
+        finished.add(request(&format!("other-{number}")), at(3_000));
+        if number % 1_000 == 0 {
+            finished.add(request("common"), at(3_000));
+        }
+    }
+    assert!(finished.contains(request("common"), at(4_000)));
+    assert!(!finished.contains(request("other-0"), at(4_000)));
+    assert!(finished.contains(request("other-9999"), at(4_000)));
+}
+
 #[test]
 fn requests_differ_by_each_part() {
     let parts = |parts: &[&str]| {
--- a/mirror/src/ends.rs
+++ b/mirror/src/ends.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, SystemTime};
 
 use loftcove_clock as boot;
-use loftcove_decision::poison::{Digest, Item, Ledger, Lookout, Mark, Standing};
+use loftcove_decision::poison::{Digest, Finished, Item, Ledger, Lookout, Mark, Standing};
 use loftcove_decision::{clock, fleet, mirror};
 use loftcove_interface::store::{self, Store};
 use loftcove_wire as wire;
@@ -45,6 +45,7 @@
 struct State {
     ledger: Ledger,
     lookout: Lookout,
+    finished: Finished,
     /// Requests under which this process itself saw a server end.
     own: BTreeSet<Digest>,
 }
@@ -91,11 +92,11 @@
 
     /// A request came to its end.
     pub fn clear(&self, digest: Digest) {
-        // Mostly there is nothing to clear.
-        if *self.changes.borrow() == 0 {
-            return;
-        }
-        let cleared = self.lock().ledger.clear(digest);
+        let now = self.now();
+        let mut state = self.lock();
+        state.finished.add(digest, now);
+        let cleared = state.ledger.clear(digest);
+        drop(state);
         if !cleared.is_empty() {
             log::info!("request cleared digest={digest} ends={}", cleared.len());
             self.tell(cleared);
@@ -139,11 +140,15 @@
             if !state.ledger.take(&item, now) {
                 continue;
             }
+            let mut told = vec![item.clone()];
+            if item.mark == Mark::Suspect && state.finished.contains(item.digest, now) {
+                told.extend(state.ledger.clear(item.digest));
+            }
             let after = state.ledger.standing(item.digest);
             if before != after {
                 log_standing(&item, after, source);
             }
-            news.push(item);
+            news.extend(told);
         }
         drop(state);
         self.tell(news);
--- a/mirror/tests/ends.rs
+++ b/mirror/tests/ends.rs
@@ -74,6 +74,23 @@
     assert_eq!(first.ends.standing(guilty()), Standing::Sound);
 }
 
+/// The pattern: many callers send the same, which is on every server that ends.
+/// Another host has seen it come to its end.
+#[tokio::test]
+async fn what_many_send_alike_is_not_refused() {
+    let ((first, at_first), (second, at_second)) = (host("norte").await, host("norte").await);
+    follow(&first, at_second);
+    follow(&second, at_first);
+    second.ends.clear(guilty());
+    for number in 1..=3 {
+        first.ends.found(&run(number), guilty());
+        while first.ends.standing(guilty()) != Standing::Sound {
+            tokio::task::yield_now().await;
+        }
+    }
+    assert_eq!(second.ends.standing(guilty()), Standing::Sound);
+}
+
 /// The only connection to a peer falls silent, and new ones work.
 #[tokio::test]
 async fn news_is_heard_in_time_over_a_connection_that_fell_silent() {
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -1,6 +1,6 @@
 //! What is promised, checked on what clients and backend servers saw.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use loftcove_tests::system::Arrival;
@@ -47,6 +47,12 @@
     /// A planned stop took too long.
     #[error("{0:?} did not end after a planned stop")]
     Overdue(Process),
+    /// A request under which servers end reached others after the third.
+    #[error("{0} ended {1} servers, and reached {2} more after the third")]
+    Poisoned(String, usize, usize),
+    /// A request was refused for ends of servers that another one ended.
+    #[error("request {0} was refused for ends that are not its own")]
+    Blamed(String),
     /// A pass ran on two maps.
     #[error("{0} passes ran on two maps")]
     Maps(u64),
@@ -55,6 +61,40 @@
     Unwell(String),
 }
 
+/// Retries that may reach a server after a request has ended three: the users'
+/// bound, which holds from some seconds later on; here from the third end.
+const RETRIES: usize = 3;
+
+/// Requests that reached more servers than they may, by the ends of one kind of
+/// servers and what reached these.
+pub fn poisoned(ends: &[serde_json::Value], arrivals: &[serde_json::Value]) -> Vec<Breach> {
+    let mut bodies: Vec<&str> = ends.iter().filter_map(|end| end["body"].as_str()).collect();
+    bodies.sort_unstable();
+    bodies.dedup();
+    let check = |body: &str| {
+        let own: Vec<_> = ends.iter().filter(|end| end["body"] == body).collect();
+        let third = own.get(2)?["arrivals"].as_u64()? as usize;
+        let later = arrivals.iter().skip(third).filter(|arrival| arrival["body"] == body).count();
+        (later > RETRIES).then(|| Breach::Poisoned(body.to_owned(), own.len(), later))
+    };
+    bodies.into_iter().filter_map(check).collect()
+}
+
+/// Requests of clients that gateways refused, by their logs, as if they ended
+/// servers.
+pub fn blamed(seen: &[Seen], logs: &[(String, Vec<String>)]) -> Vec<Breach> {
+    let lines = logs.iter().flat_map(|(_, lines)| lines);
+    let refused = lines.filter(|line| line.contains("reason=ends-servers"));
+    let ids: BTreeSet<&str> = refused
+        .filter_map(|line| {
+            let (_, rest) = line.split_once("request=")?;
+            rest.split(' ').next()
+        })
+        .collect();
+    let blamed = seen.iter().filter(|seen| ids.contains(&*seen.id));
+    blamed.map(|seen| Breach::Blamed(seen.id.clone())).collect()
+}
+
 /// What is known of a run.
 pub struct Evidence {
     /// What clients saw.
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -132,6 +132,26 @@
     End::Answer { head, body, whole }
 }
 
+/// Body of the request under which servers end, of that caller.
+pub fn poison_body(caller: u8) -> String {
+    format!("poison {caller}")
+}
+
+/// Asks a gateway once for what ends the server that runs it.
+pub async fn poison(gateway: std::net::SocketAddr, caller: u8, rank: bool, key: String) {
+    let request = if rank {
+        Request::new("/draft/poison").with("x-standin-events", "200")
+    } else {
+        Request::new("/alert/poison").with("x-standin-delay-ms", "1000")
+    };
+    let request = request.with("x-standin-end-ms", "40").body(&poison_body(caller));
+    let request = request.key(&key).deadline(DEADLINE);
+    // What the caller sees does not matter: servers tell what reached them.
+    if let Some(mut client) = Client::connect(gateway).await {
+        tokio::time::timeout(GIVE_UP, ask(&mut client, &request)).await.ok();
+    }
+}
+
 fn draw(rng: &mut ChaCha8Rng) -> (Kind, Request) {
     let (kind, request) = match rng.random_range(0..10) {
         0..4 => (Kind::Receipt, Request::new("/receipt/soak")),
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -42,8 +42,12 @@
     pub overdue: Vec<Process>,
     /// Whether the group is broken.
     broken: bool,
-    /// When plain servers that started again did so, Unix milliseconds.
-    starts: BTreeMap<u8, u64>,
+    /// When servers that started again did so, by their ids, Unix milliseconds.
+    starts: BTreeMap<String, u64>,
+    /// Callers of requests that end their servers.
+    callers: tokio::task::JoinSet<()>,
+    /// Ends in each group, and of plain servers, whose new start is listed.
+    relisted: BTreeMap<Option<u8>, usize>,
 }
 
 impl<'a> Injector<'a> {
@@ -57,6 +61,8 @@
             overdue: Vec::new(),
             broken: false,
             starts: BTreeMap::new(),
+            callers: tokio::task::JoinSet::new(),
+            relisted: BTreeMap::new(),
         }
     }
 
@@ -149,6 +155,13 @@
                 let spoilt = serde_json::json!({ "service": SMS, "state": "ready", "slots": "12" });
                 self.system.put(&format!("servers/plain-{number}"), &spoilt).await;
             }
+            Fault::Poison { caller, gateway, rank } => {
+                self.relist().await;
+                let address = self.system.client_address(gateway);
+                let key = client::key(self.shared.newest.load(Ordering::Relaxed));
+                self.callers.spawn(client::poison(address, caller, rank, key));
+                return false;
+            }
             Fault::Unlist(number) => {
                 self.system.remove(&format!("servers/plain-{number}")).await;
             }
@@ -206,6 +219,7 @@
             | Fault::Reload(_)
             | Fault::Shift(_)
             | Fault::Silence(_)
+            | Fault::Poison { .. }
             | Fault::Restart(_)
             | Fault::Configure => {}
         }
@@ -225,6 +239,8 @@
     /// Ends whatever was not ended, so that all is well again, with one more fault
     /// before the configuration that is to be in force in time.
     async fn calm(&mut self) {
+        while self.callers.join_next().await.is_some() {}
+        self.relist().await;
         self.system.link("*", "none").await;
         self.lose_watches().await;
         self.system.store_control("fault/none").await;
@@ -253,7 +269,7 @@
     async fn list_plain(&mut self, number: u8, state: &str) {
         let address = self.system.plain_address(number);
         let id = format!("plain-{number}");
-        match self.starts.get(&number) {
+        match self.starts.get(&id) {
             Some(born) if state == "ready" => {
                 self.system.list_run(&id, SMS, address, *born).await;
             }
@@ -262,15 +278,30 @@
     }
 
     async fn restart_plain(&mut self, number: u8) {
-        let born = self.starts.entry(number).or_insert(FIRST_START);
+        let id = server_name(false, number);
+        let born = self.starts.entry(id.clone()).or_insert(FIRST_START);
         *born += 1;
         let born = *born;
         let address = self.system.plain_address(number);
-        self.system.link(&server_name(false, number), "reset").await;
-        self.system.list_run(&format!("plain-{number}"), SMS, address, born).await;
+        self.system.link(&id, "reset").await;
+        self.system.list_run(&id, SMS, address, born).await;
         self.system.link(&server_name(false, number), "none").await;
     }
 
+    /// Writes the entries of servers that ended under a request and are back.
+    async fn relist(&mut self) {
+        for group in (0..self.system.plan.groups).map(Some).chain([None]) {
+            let ends = self.system.ends(group).await;
+            let seen = std::mem::replace(self.relisted.entry(group).or_default(), ends.len());
+            for end in &ends[seen..] {
+                let id = end["server"].as_str().expect("an end names its server");
+                let born = self.starts.entry(id.to_owned()).or_insert(FIRST_START);
+                *born += 1;
+                self.system.restarted(id, *born).await;
+            }
+        }
+    }
+
     async fn write_foreign(&mut self) {
         for (number, entry) in foreign().into_iter().enumerate() {
             self.system.put(&format!("servers/foreign-{number}"), &entry).await;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -20,6 +20,15 @@
 const ENTRY_INTERVAL: Duration = Duration::from_millis(2_000);
 /// The same for entries as [`SILENCE_SEED`] for silences.
 const ENTRY_SEED: u64 = 0xe7;
+/// Time between two callers of a request that ends its servers, on average.
+const POISON_INTERVAL: Duration = Duration::from_millis(4_000);
+/// The same for these callers as [`SILENCE_SEED`] for silences.
+const POISON_SEED: u64 = 0xde;
+/// Times that such a caller asks, and the time between two: servers that ended
+/// are back after that, and their entries tell a new start.
+pub const POISON_TRIES: u32 = 12;
+/// See [`POISON_TRIES`].
+const POISON_PAUSE: Duration = Duration::from_millis(450);
 
 /// What runs.
 #[derive(Debug, Clone, Copy)]
@@ -140,6 +149,15 @@
     Restart(u8),
     /// Another writer's entries come, and go.
     Foreign,
+    /// A caller asks a gateway for what ends the server that runs it.
+    Poison {
+        /// Number of the caller.
+        caller: u8,
+        /// Gateway that it asks this time.
+        gateway: u8,
+        /// Whether a rank runs it, and not a plain server.
+        rank: bool,
+    },
     /// Another writer spoils a plain server's entry, until the server writes it
     /// again.
     Spoil(u8),
@@ -161,6 +179,7 @@
     let mut events = faults(seed, size);
     events.extend(silences(seed, size));
     events.extend(entries(seed, size));
+    events.extend(poisons(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -200,6 +219,24 @@
     events
 }
 
+/// Callers that ask the same at one gateway after the other.
+fn poisons(seed: u64, size: &Size) -> Vec<Event> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ POISON_SEED);
+    let count = (size.time.as_secs_f64() / POISON_INTERVAL.as_secs_f64()).ceil() as u8;
+    let mut events = Vec::new();
+    for caller in 0..count {
+        let mut at = size.time.mul_f64(rng.random_range(0.0..0.3));
+        let rank = rng.random_bool(0.5);
+        for _ in 0..POISON_TRIES {
+            let gateway = rng.random_range(0..size.gateways);
+            let fault = Fault::Poison { caller, gateway, rank };
+            events.push(Event { at, lasts: Duration::ZERO, fault });
+            at += POISON_PAUSE;
+        }
+    }
+    events
+}
+
 fn silence(rng: &mut ChaCha8Rng, size: &Size) -> Fault {
     match rng.random_range(0..6) {
         0 | 1 => Fault::Store(Store::Silent),
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -7,7 +7,7 @@
 
 use loftcove_tests::system::{Arrival, BOUND, Plan, Request, System};
 
-use crate::check::{Breach, Evidence};
+use crate::check::{self, Breach, Evidence};
 use crate::inject::Injector;
 use crate::{client, plan};
 
@@ -70,6 +70,7 @@
     let answered = |seen: &&client::Seen| matches!(&seen.end, client::End::Answer { head, whole: true, .. } if head.status == 200);
     let requests = (seen.len(), seen.iter().filter(answered).count());
     let evidence = Evidence { seen, arrivals: arrivals(&system).await, spans };
+    let poisoned = poisoned(&system).await;
     let mut states = Vec::new();
     for group in 0..system.plan.groups {
         states.push(system.state_of(group).await);
@@ -79,11 +80,13 @@
     let mut breaches = evidence.breaches();
     breaches.extend(overdue.into_iter().map(Breach::Overdue));
     breaches.extend(unforced);
+    breaches.extend(poisoned);
     breaches.extend(unwell.map(Breach::Unwell));
     if number("violations") > 0 {
         breaches.push(Breach::Maps(number("violations")));
     }
     let logs = logs(&system);
+    breaches.extend(check::blamed(&evidence.seen, &logs));
     Report { events, requests, switches: number("switches"), breaches, logs }
 }
 
@@ -144,6 +147,16 @@
     by_id
 }
 
+/// Requests that ended servers and reached too many after it.
+async fn poisoned(system: &System) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    for group in (0..system.plan.groups).map(Some).chain([None]) {
+        let (ends, arrivals) = (system.ends(group).await, system.reached(group).await);
+        breaches.extend(check::poisoned(&ends, &arrivals));
+    }
+    breaches
+}
+
 fn logs(system: &System) -> Vec<(String, Vec<String>)> {
     let gateways = system.gateways.iter().enumerate();
     let gateways = gateways.map(|(number, process)| (format!("gateway-{number}"), process.log()));
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -7,6 +7,9 @@
 //!   the address LISTEN if given; answers `listening PORT-ADDRESS`.
 //! - `link FROM TO FAULT`: sets the [`Fault`] of connections from a zone (or
 //!   `*`) to a label or a zone (or `*`).
+//!
+//! A target that has ended takes no connection, and neither does the proxy
+//! before it: it closes its port before the connections that the end broke.
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -16,7 +19,7 @@
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream, tcp};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// What the proxy does to traffic.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -171,9 +174,25 @@
         }
     }
 
-    async fn run(self, listener: TcpListener, target: Target) {
+    async fn run(self, mut listener: TcpListener, target: Target) {
+        let address = listener.local_addr().expect("a bound listener has an address");
+        let port = Port { asked: Arc::default(), closed: watch::Sender::new(false) };
         loop {
-            let Ok((client, peer)) = listener.accept().await else { continue };
+            let accepted = tokio::select! {
+                () = port.asked.notified() => None,
+                accepted = listener.accept() => Some(accepted),
+            };
+            let Some(accepted) = accepted else {
+                drop(listener);
+                port.closed.send_replace(true);
+                while TcpStream::connect(target.address).await.is_err() {
+                    tokio::time::sleep(REVIVAL_POLL).await;
+                }
+                listener = TcpListener::bind(address).await.expect("the port is the proxy's own");
+                port.closed.send_replace(false);
+                continue;
+            };
+            let Ok((client, peer)) = accepted else { continue };
             let sources = self.sources.lock().expect("no holder of the lock panics");
             let from = sources.get(&peer.ip()).cloned().unwrap_or_default();
             let rules = self.rules.subscribe();
@@ -183,27 +202,51 @@
                 Fault::Cut => {}
                 Fault::Reset => reset(&client),
                 _ => {
-                    tokio::spawn(pass(client, link));
+                    tokio::spawn(pass(client, link, port.clone()));
                 }
             }
         }
     }
 }
 
+/// Time between two looks whether a target that has ended is back.
+const REVIVAL_POLL: Duration = Duration::from_millis(20);
+
+/// The port before a target.
+#[derive(Clone)]
+struct Port {
+    /// Asks for it to be closed.
+    asked: Arc<Notify>,
+    /// Whether it is, until the target is back.
+    closed: watch::Sender<bool>,
+}
+
+impl Port {
+    /// Closes the port if the target takes no connection.
+    async fn follow(&self, target: &Target) {
+        if TcpStream::connect(target.address).await.is_ok() {
+            return;
+        }
+        let mut closed = self.closed.subscribe();
+        self.asked.notify_one();
+        closed.wait_for(|closed| *closed).await.ok();
+    }
+}
+
 /// Has the connection end with a reset when it is dropped.
 fn reset(stream: &TcpStream) {
     // A connection that has ended already needs none.
     socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)).ok();
 }
 
-async fn pass(client: TcpStream, link: Link) {
+async fn pass(client: TcpStream, link: Link, port: Port) {
     let Ok(server) = TcpStream::connect(link.target.address).await else {
         // As if the port were dead.
         return reset(&client);
     };
     client.set_nodelay(true).ok();
     server.set_nodelay(true).ok();
-    let (mut client, mut server) = (client, server);
+    let (mut client, mut server, target) = (client, server, link.target.clone());
     let mut cut = link.clone();
     let ended = {
         let (client_read, client_write) = client.split();
@@ -214,6 +257,9 @@
             () = pump(server_read, client_write, Way::Answer, link) => Fault::None,
         }
     };
+    if ended == Fault::None {
+        port.follow(&target).await;
+    }
     if ended == Fault::Reset {
         reset(&client);
         reset(&server);
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -413,11 +413,22 @@
         assert_eq!(self.group.1.ask("PUT", what, &[], "").await.status, 200);
     }
 
-    /// Ends of backend servers under requests, oldest first, over all of a kind: the
-    /// ranks of the first lock-step group, or the plain servers.
-    pub async fn ends(&self, ranks: bool) -> Vec<Value> {
-        let control = if ranks { &self.group.1 } else { &self.plain.1 };
-        control.read("/ends").await.as_array().cloned().unwrap_or_default()
+    /// Ends of backend servers under requests, oldest first: those of a lock-step
+    /// group, or of the plain servers.
+    pub async fn ends(&self, group: Option<u8>) -> Vec<Value> {
+        self.rows(group, "/ends").await
+    }
+
+    /// Requests that reached the backend servers of a lock-step group, or the
+    /// plain ones.
+    pub async fn reached(&self, group: Option<u8>) -> Vec<Value> {
+        self.rows(group, "/requests").await
+    }
+
+    async fn rows(&self, group: Option<u8>, what: &str) -> Vec<Value> {
+        let control = if group.is_some() { &self.group.1 } else { &self.plain.1 };
+        let rows = control.read(&format!("{what}?group={}", group.unwrap_or(0))).await;
+        rows.as_array().cloned().unwrap_or_default()
     }
 
     /// Waits until a backend server that ended is back, and writes its entry
@@ -446,10 +457,8 @@
     /// Requests that reached backend servers, over all of them.
     pub async fn all_arrivals(&self) -> Vec<Value> {
         let mut all = Vec::new();
-        let groups = (0..self.plan.groups).map(|group| (&self.group.1, group));
-        for (control, group) in groups.chain([(&self.plain.1, 0)]) {
-            let requests = control.read(&format!("/requests?group={group}")).await;
-            all.extend(requests.as_array().cloned().unwrap_or_default());
+        for group in (0..self.plan.groups).map(Some).chain([None]) {
+            all.extend(self.reached(group).await);
         }
         all
     }
--- a/tests/tests/poison.rs
+++ b/tests/tests/poison.rs
@@ -33,10 +33,15 @@
     }
 }
 
+/// The lock-step group, or the plain servers.
+fn group(ranks: bool) -> Option<u8> {
+    ranks.then_some(0)
+}
+
 /// Has the servers that ended since the last call start again, and waits until
 /// all gateways serve; `seen` counts the ends of before.
 async fn mend(system: &System, ranks: bool, seen: &mut usize) {
-    let ends = system.ends(ranks).await;
+    let ends = system.ends(group(ranks)).await;
     for end in &ends[*seen..] {
         *seen += 1;
         system.restarted(end["server"].as_str().unwrap(), *seen as u64).await;
@@ -58,11 +63,10 @@
         system.ask(gateway, &request).await;
         mend(system, ranks, &mut seen).await;
     }
-    let ends = system.ends(ranks).await;
+    let ends = system.ends(group(ranks)).await;
     let third = ends.get(2).map_or(u64::MAX, |end| end["arrivals"].as_u64().unwrap());
-    let control = if ranks { &system.group.1 } else { &system.plain.1 };
-    let arrivals = control.read("/requests").await;
-    let later = arrivals.as_array().unwrap().iter().skip(third as usize);
+    let arrivals = system.reached(group(ranks)).await;
+    let later = arrivals.iter().skip(third as usize);
     (ends.len(), later.filter(|arrival| arrival["body"] == BODY).count())
 }
 
@@ -86,7 +90,7 @@
 async fn a_refusal_outlasts_a_restart_of_all_gateways() {
     let mut system = System::start(PLAN).await;
     repeat(&system, false).await;
-    let before = system.ends(false).await.len();
+    let before = system.ends(None).await.len();
     let kept = || async {
         let kept = |line: &String| line.contains("refusal kept");
         system.gateways.iter().any(|gateway| gateway.log().iter().any(kept))
@@ -104,7 +108,7 @@
         assert_eq!(system.ask(gateway, &request).await.status, 502);
         assert!(system.arrivals(&request.id).await.is_empty());
     }
-    assert_eq!(system.ends(false).await.len(), before);
+    assert_eq!(system.ends(None).await.len(), before);
 }
 
 /// Others run on the servers that end, and come again once these are back.
