--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,6 +1,7 @@
-//! `bench placement|curve|routing|overload|path|capacity|spread`: prints a measurement.
+//! `bench placement|curve|routing|overload|path|capacity|spread|poison`: prints a
+//! measurement. `bench poison FILE` also draws it, as SVG.
 
-use loftcove_bench::{capacity, overload, path, placement, routing, spread};
+use loftcove_bench::{capacity, overload, path, placement, poison, routing, spread};
 
 fn main() {
     let mut arguments = pico_args::Arguments::from_env();
@@ -13,6 +14,14 @@
         "path" => path::print(),
         "capacity" => capacity::print(),
         "spread" => spread::print(),
-        _ => println!("usage: bench placement|curve|routing|overload|path|capacity|spread"),
+        "poison" => {
+            poison::print();
+            for file in arguments.finish() {
+                if let Err(error) = poison::draw(file.as_ref()) {
+                    eprintln!("not drawn: {error}");
+                }
+            }
+        }
+        _ => println!("usage: bench placement|curve|routing|overload|path|capacity|spread|poison"),
     }
 }
--- a/bench/tests/bounds.rs
+++ b/bench/tests/bounds.rs
@@ -1,6 +1,6 @@
 //! Regression bounds on counted work: the same figures in every run.
 
-use loftcove_bench::{drift, fleet, overload, placement, routing};
+use loftcove_bench::{drift, fleet, overload, placement, poison, routing};
 use loftcove_decision::placement::policy;
 
 /// A group as today, for half a day.
@@ -73,3 +73,17 @@
         assert!(own.hits > other.hits * 2, "{name}: {} against {}", own.hits, other.hits);
     }
 }
+
+#[test]
+fn a_request_that_ends_servers_ends_few_and_takes_nobody_along() {
+    for gateways in [30, 300] {
+        for seed in 0..10 {
+            let plan = |way| poison::Plan { way, gateways, at_once: 1, pause_ms: 500, seed };
+            let told = poison::run(&plan(poison::Way::Told));
+            assert!(told.ended <= 3, "{gateways} gateways, seed {seed}: {told:?}");
+            assert_eq!(told.blamed, 0, "{gateways} gateways, seed {seed}: {told:?}");
+            assert!(told.known_ms.is_some_and(|ms| ms < 3_000), "{told:?}");
+            assert!(poison::run(&plan(poison::Way::Nobody)).ended > 10);
+        }
+    }
+}
