--- a/day/src/summary.rs
+++ b/day/src/summary.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::SystemTime;
 
+use crate::ends::{Suspect, Suspects};
 use crate::line::{Line, Time};
 use crate::outage::{Outage, Outages};
 
@@ -70,6 +71,9 @@
     pub rows: BTreeMap<(i64, String), Row>,
     /// Outages of groups.
     pub outages: Vec<Outage>,
+    /// Requests that were refused since servers ended under them, by their
+    /// digest, and how many others were suspects.
+    pub ended: (Vec<(String, Suspect)>, u64),
     /// Drivers that began, ended or were deposed.
     pub drivers: Vec<Event>,
     /// Changes of expert maps that were decided.
@@ -88,6 +92,7 @@
     day: Day,
     zones: BTreeMap<String, String>,
     outages: Outages,
+    suspects: Suspects,
     start: Option<SystemTime>,
 }
 
@@ -110,6 +115,7 @@
     /// The day as it was read.
     pub fn finish(mut self) -> Day {
         self.day.outages = self.outages.finish();
+        self.day.ended = self.suspects.finish();
         self.day
     }
 
@@ -130,6 +136,12 @@
             self.outages.down(line.field("group").unwrap_or("?"), host, ground, at);
         } else if text.starts_with("group up ") {
             self.outages.up(line.field("group").unwrap_or("?"), host, at);
+        } else if text.starts_with("server ended digest=") {
+            let field = |name| line.field(name).unwrap_or("?");
+            let (digest, server) = (field("digest"), field("server"));
+            self.suspects.held(digest, server, field("standing"), host, at);
+        } else if text.starts_with("request ends servers ") {
+            self.suspects.refused(line.field("digest").unwrap_or("?"));
         } else if text.starts_with("driver ") {
             let event = Event { at, host: host.to_owned(), text: text.to_owned() };
             self.day.drivers.push(event);
--- a/day/src/text.rs
+++ b/day/src/text.rs
@@ -18,6 +18,7 @@
         seconds(f, day)?;
         reasons(f, day)?;
         outages(f, day)?;
+        ended(f, day)?;
         drivers(f, day)
     }
 }
@@ -101,6 +102,28 @@
     Ok(())
 }
 
+fn ended(f: &mut fmt::Formatter<'_>, day: &Day) -> fmt::Result {
+    let (refused, others) = &day.ended;
+    writeln!(f, "\nrequests that ended servers; {others} others were on servers that ended")?;
+    for (digest, suspect) in refused {
+        let servers: Vec<&str> = suspect.servers.iter().map(String::as_str).collect();
+        let refused = suspect.refused.map_or_else(
+            || "never seen to be held guilty".to_owned(),
+            |(first, last)| format!("refused from {first:.2} to {last:.2}"),
+        );
+        writeln!(
+            f,
+            "  {digest}: {} servers ({}) from {:.2}, {refused} at {} hosts, {} refusals",
+            servers.len(),
+            servers.join(", "),
+            suspect.since,
+            suspect.hosts.len(),
+            suspect.refusals
+        )?;
+    }
+    Ok(())
+}
+
 fn drivers(f: &mut fmt::Formatter<'_>, day: &Day) -> fmt::Result {
     writeln!(f, "\ndrivers; {} changes of maps", day.changes)?;
     for event in day.drivers.iter().take(MOST_DRIVERS) {
--- a/day/tests/day.rs
+++ b/day/tests/day.rs
@@ -85,3 +85,24 @@
     let empty = plot::write(&day("", ""), &file);
     assert!(matches!(empty, Err(plot::Error::Empty)));
 }
+
+const ENDS: &str = "\
+1.0 a 2026-01-01T00:00:01Z [INFO] m: server ended digest=aa server=s1 standing=suspect ends=1 from=own
+1.0 a 2026-01-01T00:00:01Z [INFO] m: server ended digest=bb server=s1 standing=suspect ends=1 from=own
+1.1 b 2026-01-01T00:00:01Z [INFO] m: server ended digest=aa server=s1 standing=suspect ends=1 from=peer:a
+3.0 b 2026-01-01T00:00:03Z [INFO] m: server ended digest=aa server=s2 standing=refused ends=2 from=own
+3.2 a 2026-01-01T00:00:03Z [INFO] m: server ended digest=aa server=s2 standing=refused ends=2 from=peer:b
+4.0 a 2026-01-01T00:00:04Z [INFO] m: request ends servers request=r digest=aa ends=2
+";
+
+#[test]
+fn a_request_that_ended_servers_is_shown_with_its_servers() {
+    let day = day(ENDS, "");
+    let (refused, others) = &day.ended;
+    assert_eq!((refused.len(), *others), (1, 1));
+    let (digest, suspect) = &refused[0];
+    assert_eq!((&**digest, suspect.since, suspect.refused), ("aa", 1.0, Some((3.0, 3.2))));
+    assert_eq!((suspect.servers.len(), suspect.hosts.len(), suspect.refusals), (2, 2, 1));
+    let shown = text::Text(&day).to_string();
+    assert!(shown.contains("aa: 2 servers (s1, s2) from 1.00, refused from 3.00"), "{shown}");
+}
