News of ended servers goes both ways between a gateway and its peers

Cause: records of the store come from the watchers, so it does not matter who follows a host; an end is found out by any gateway. With three peers drawn by lot one gateway in twenty is followed by nobody, and what it found stayed with it.

Change: a gateway also tells the peers that it follows (rpc Tell), all that it knows at first and each new item. Sidecars, which have nothing of their own to tell, do not. Test: mirror/tests/ends.rs, a host that nobody follows.

--- a/bench/src/poison.rs
+++ b/bench/src/poison.rs
@@ -2,7 +2,7 @@
 //! it, and the time until all gateways know, by the number of gateways.
 //!
 //! Gateways have the real ledgers and tell each other as the real ones do, each
-//! to those who follow it. Servers and callers are counted work.
+//! those who follow it and those that it follows. Servers and callers are counted work.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap};
@@ -97,7 +97,7 @@
     plan: Plan,
     rng: ChaCha8Rng,
     ledgers: Vec<Ledger>,
-    /// Who follows each gateway.
+    /// Whom each gateway tells: those who follow it and those that it follows.
     followers: Vec<Vec<usize>>,
     servers: Vec<Server>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
@@ -131,10 +131,11 @@
         let mut followers = vec![Vec::new(); plan.gateways];
         for gateway in 0..plan.gateways {
             let peers = rand::seq::index::sample(&mut rng, plan.gateways, FOLLOWED);
-            peers
-                .iter()
-                .filter(|peer| *peer != gateway)
-                .for_each(|peer| followers[peer].push(gateway));
+            for peer in peers.iter().filter(|peer| *peer != gateway) {
+                // News goes both ways.
+                followers[peer].push(gateway);
+                followers[gateway].push(peer);
+            }
         }
         let servers = (0..2 * plan.gateways)
             .map(|number| Server { run: number as u64, ..Server::default() })
--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -10,6 +10,7 @@
 use loftcove_decision::mirror::Record;
 use loftcove_wire as wire;
 use rand::seq::IndexedRandom as _;
+use tokio::sync::broadcast;
 use tonic::codec::CompressionEncoding;
 
 use crate::{Mirror, Source, peer, register};
@@ -26,6 +27,9 @@
 const OFFER_WAIT: Duration = Duration::from_millis(150);
 /// Longest time for a record to be fetched, until the next offer of it.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest time for a peer to take what it is told: what comes after it must still
+/// reach another one within the three seconds in which all are to know.
+const TELL_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long after a failure a peer is not a reason to leave another one.
 const RETURN_PENALTY: Duration = Duration::from_secs(10);
 /// Pause between two tries.
@@ -153,9 +157,18 @@
     let source = address.to_string();
     let _followed = mirror.followed(&source);
     let mut fetches = FuturesUnordered::new();
+    // Who has no followers has nothing of its own to tell either.
+    let teller = async {
+        match own.address {
+            Some(_) => tell(mirror, client.clone()).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::pin!(teller);
     loop {
         let batch = tokio::select! {
             batch = batches.message() => batch?,
+            status = &mut teller => return Err(status),
             Some(fetched) = fetches.next() => {
                 match fetched {
                     Ok(record) => mirror.apply(Vec::from_iter(record), Source::Peer(&source)),
@@ -181,6 +194,37 @@
     }
 }
 
+/// Tells the peer what is known of servers that ended, and what is found out from
+/// then on, until a call fails. Followers draw their peers by lot, and with three
+/// of them one host in twenty is followed by nobody: without this, its own
+/// finds would stay with it.
+async fn tell(
+    mirror: &Mirror,
+    mut client: wire::mirror_client::MirrorClient<tonic::transport::Channel>,
+) -> tonic::Status {
+    let (mut items, mut news) = mirror.ends.follow();
+    loop {
+        let marks = items.drain(..).map(|item| mirror.ends.to_wire(&item)).collect::<Vec<_>>();
+        if !marks.is_empty() {
+            let call = tokio::time::timeout(TELL_TIMEOUT, client.tell(wire::Marks { marks }));
+            match call.await {
+                Ok(Ok(_)) => {}
+                Ok(Err(status)) => return status,
+                Err(_) => return tonic::Status::deadline_exceeded("tell"),
+            }
+        }
+        match news.recv().await {
+            Ok(item) => items.push(item),
+            Err(broadcast::error::RecvError::Lagged(_)) => (items, news) = mirror.ends.follow(),
+            // The sender lives as long as the process.
+            Err(broadcast::error::RecvError::Closed) => std::future::pending().await,
+        }
+        while let Ok(item) = news.try_recv() {
+            items.push(item);
+        }
+    }
+}
+
 /// Fetches a record that was offered, unless it is heard of elsewhere meanwhile.
 async fn fetch(
     mirror: &Mirror,
--- a/mirror/src/serve.rs
+++ b/mirror/src/serve.rs
@@ -54,6 +54,12 @@
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
+    async fn tell(&self, request: Request<wire::Marks>) -> Result<Response<wire::Ask>, Status> {
+        let peer = request.remote_addr().map_or_else(|| "?".to_owned(), |peer| peer.to_string());
+        self.mirror.ends.hear(request.into_inner().marks, &peer);
+        Ok(Response::new(wire::Ask {}))
+    }
+
     async fn fetch(&self, request: Request<wire::Wanted>) -> Result<Response<wire::Item>, Status> {
         let wanted = request.into_inner();
         let record = self.mirror.newest_of(&wanted.key);
--- a/mirror/tests/ends.rs
+++ b/mirror/tests/ends.rs
@@ -57,6 +57,26 @@
     assert_eq!(first.ends.standing(guilty()), Standing::Suspect(1));
 }
 
+/// With few peers drawn by lot, some hosts are followed by nobody.
+#[tokio::test]
+async fn a_host_that_nobody_follows_tells_those_that_it_follows() {
+    let (followed, address) = host("norte").await;
+    let alone: Arc<Mirror> = Arc::default();
+    alone.ends.found(&run(1), guilty());
+    let own = follow::Own {
+        name: "alone".into(),
+        zone: "norte".into(),
+        address: Some("127.0.0.1:9".parse().unwrap()),
+    };
+    let peers = Arc::new(follow::Peers::new(own, vec![address]));
+    tokio::spawn(follow::run(alone.clone(), peers, 0));
+    while followed.ends.standing(guilty()) == Standing::Sound {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    alone.ends.found(&run(2), guilty());
+    assert_eq!(refuses(&followed).await, 2);
+}
+
 #[tokio::test]
 async fn who_came_to_its_end_is_cleared_everywhere() {
     let (first, address) = host("norte").await;
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -311,6 +311,11 @@
     #[prost(message, repeated, tag = "3")]
     pub marks: ::prost::alloc::vec::Vec<Mark>,
 }
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Marks {
+    #[prost(message, repeated, tag = "1")]
+    pub marks: ::prost::alloc::vec::Vec<Mark>,
+}
 /// A request on a backend server that ended.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Mark {
@@ -2283,6 +2288,25 @@
             req.extensions_mut().insert(GrpcMethod::new("loftcove.v1.Mirror", "Fetch"));
             self.inner.unary(req, path, codec).await
         }
+        /// What a follower knows of servers that ended: nobody may be following it.
+        pub async fn tell(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Marks>,
+        ) -> std::result::Result<tonic::Response<super::Ask>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/loftcove.v1.Mirror/Tell");
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new("loftcove.v1.Mirror", "Tell"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -2314,6 +2338,11 @@
             &self,
             request: tonic::Request<super::Wanted>,
         ) -> std::result::Result<tonic::Response<super::Item>, tonic::Status>;
+        /// What a follower knows of servers that ended: nobody may be following it.
+        async fn tell(
+            &self,
+            request: tonic::Request<super::Marks>,
+        ) -> std::result::Result<tonic::Response<super::Ask>, tonic::Status>;
     }
     /// Served by gateways: hands on what is known of the store.
     #[derive(Debug)]
@@ -2481,6 +2510,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/loftcove.v1.Mirror/Tell" => {
+                    #[allow(non_camel_case_types)]
+                    struct TellSvc<T: Mirror>(pub Arc<T>);
+                    impl<T: Mirror> tonic::server::UnaryService<super::Marks>
+                    for TellSvc<T> {
+                        type Response = super::Ask;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Marks>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Mirror>::tell(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = TellSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
