Tell an end that is noticed late, when another run has the address already

Servers were back 1.1 s after they had ended; a break that is noticed later, for a packet was lost or the gateway stood still, found the next run alive, and the end was not counted. A server that had started again under its id also counted as one that had left by plan, since its earlier run is off the list.

Now an end is also told by another run that is listed at the address, and only the newest run of an id can have left. Tests: dispatch/tests/runs.rs.

--- a/decision/src/fleet.rs
+++ b/decision/src/fleet.rs
@@ -42,6 +42,15 @@
     pub born: Option<u64>,
 }
 
+impl Run {
+    /// Whether this is another run than `earlier`, as far as both tell: where one
+    /// does not tell its start, the id alone names it.
+    pub fn differs(&self, earlier: &Run) -> bool {
+        let starts = (self.born, earlier.born);
+        self.id != earlier.id || matches!(starts, (Some(own), Some(other)) if own != other)
+    }
+}
+
 /// A backend server's place in a lock-step group, as it last told it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Rank {
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -232,11 +232,21 @@
         inner.route(actions);
     }
 
-    /// Whether a backend server is leaving, or has left the list.
+    /// Whether a backend server is leaving, or has left the list. One that has
+    /// started again has not: its earlier run ended.
     pub fn leaving(&self, server: entity::Server) -> bool {
         let inner = self.lock();
-        let record = &inner.balancer.servers()[server];
-        record.listing.leaving || !record.listed
+        let servers = inner.balancer.servers();
+        let record = &servers[server];
+        let newest = servers.find(&record.listing.host) == Some(server);
+        record.listing.leaving || !record.listed && newest
+    }
+
+    /// Whether a backend server is listed to which this applies.
+    pub fn lists(&self, wanted: impl Fn(&T) -> bool) -> bool {
+        let inner = self.lock();
+        let listed = inner.balancer.servers().iter().filter(|(_, record)| record.listed);
+        listed.into_iter().any(|(server, _)| inner.targets.get(&server).is_some_and(&wanted))
     }
 
     /// Waits until groups are out of reach; returns the ranks of each.
--- a/gateway/src/ended.rs
+++ b/gateway/src/ended.rs
@@ -3,7 +3,9 @@
 //! A connection that breaks says little: the path may have been reset, the
 //! backend server may have cut one request, or its group may have broken since
 //! another rank ended. One that has ended itself takes no connection either.
-//! One that was leaving ends by plan, under whatever it still runs.
+//! One that was leaving ends by plan, under whatever it still runs. Where the
+//! break was noticed late, another run may take connections at the address by
+//! then: 1.1 s after the end was seen.
 
 use loftcove_decision::{balancer, entity};
 use loftcove_interface::protocol::Protocol;
@@ -23,7 +25,10 @@
         answer_begun: bool,
     ) -> balancer::End {
         let leaving = self.dispatcher.leaving(server);
-        let lives = upstream::reaches(target.address).await;
+        let replaced = self.dispatcher.lists(|other: &Target| {
+            other.address == target.address && other.run.differs(&target.run)
+        });
+        let lives = !replaced && upstream::reaches(target.address).await;
         log::info!(
             "connection broke request={} digest={} server={} lives={lives} leaving={leaving} ms={}",
             request.meta.id,
