--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -9,7 +9,8 @@
 //!
 //! - A request's way: [`balancer`] joins [`admission`] (who goes first),
 //!   [`routing`] (which backend server), [`limit`] (how many at a time) and
-//!   [`retry`] (whether again). [`attempt`] is the agent's side.
+//!   [`retry`] (whether again). [`poison`] counts the backend servers that end
+//!   under a request, over all its tries. [`attempt`] is the agent's side.
 //! - An idempotency key's way: [`home`].
 //! - A bundle's way: [`generation`].
 //! - An expert map's way: [`placement`] decides it, [`map`] brings it in force.
--- /dev/null
+++ b/dispatch/tests/common/mod.rs
@@ -0,0 +1,37 @@
+//! A service with one backend server, and requests for it.
+
+use std::time::Duration;
+
+use loftcove_clock as boot;
+use loftcove_decision::fleet;
+use loftcove_dispatch as dispatch;
+
+const SERVICE: &str = "service";
+
+/// Entry of a run with so many slots.
+pub fn listing(run: &fleet::Run, slots: u32) -> dispatch::Listing<fleet::Run> {
+    dispatch::Listing {
+        run: run.clone(),
+        pool: SERVICE.into(),
+        rank: None,
+        local: true,
+        leaving: false,
+        slots,
+        target: run.clone(),
+    }
+}
+
+/// A request that has so much time.
+pub fn arrival(time: Duration) -> dispatch::Arrival {
+    let due = boot::Instant::now() + time;
+    dispatch::Arrival {
+        pool: SERVICE.into(),
+        team: "team".into(),
+        precedence: 0,
+        repeatable: true,
+        resumable: false,
+        max_attempts: 2,
+        due,
+        begin_by: due,
+    }
+}
--- a/dispatch/tests/runs.rs
+++ b/dispatch/tests/runs.rs
@@ -2,44 +2,26 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+mod common;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use loftcove_clock as boot;
+use common::{arrival, listing};
 use loftcove_decision::{balancer, entity, fleet};
 use loftcove_dispatch as dispatch;
 
+const SLOTS: u32 = 4;
+
 fn run(id: &str, born: Option<u64>) -> fleet::Run {
     fleet::Run { id: id.into(), born }
 }
 
-fn listing(run: &fleet::Run, leaving: bool) -> dispatch::Listing<fleet::Run> {
-    dispatch::Listing {
-        run: run.clone(),
-        pool: "service".into(),
-        rank: None,
-        local: true,
-        leaving,
-        slots: 4,
-        target: run.clone(),
-    }
-}
-
 /// A dispatcher that lists the run, and the server as it names it.
 async fn listed(run: &fleet::Run) -> (Arc<dispatch::Dispatcher<fleet::Run>>, entity::Server) {
     let dispatcher = Arc::new(dispatch::Dispatcher::new(&balancer::Options::default()));
-    dispatcher.list(vec![listing(run, false)]);
-    let due = boot::Instant::now() + Duration::from_secs(60);
-    let mut permit = dispatcher.arrive(&dispatch::Arrival {
-        pool: "service".into(),
-        team: "team".into(),
-        precedence: 0,
-        repeatable: true,
-        resumable: false,
-        max_attempts: 2,
-        due,
-        begin_by: due,
-    });
+    dispatcher.list(vec![listing(run, SLOTS)]);
+    let mut permit = dispatcher.arrive(&arrival(Duration::from_secs(60)));
     let Some(dispatch::Next::Send(attempt)) = permit.next().await else { panic!("not sent") };
     (dispatcher, attempt.server)
 }
@@ -49,7 +31,7 @@
     let first = run("a", Some(1));
     let (dispatcher, server) = listed(&first).await;
     assert!(!dispatcher.leaving(server));
-    dispatcher.list(vec![listing(&first, true)]);
+    dispatcher.list(vec![dispatch::Listing { leaving: true, ..listing(&first, SLOTS) }]);
     assert!(dispatcher.leaving(server));
     dispatcher.list(Vec::new());
     assert!(dispatcher.leaving(server));
@@ -60,11 +42,11 @@
     let (first, second) = (run("a", Some(1)), run("a", Some(2)));
     let (dispatcher, server) = listed(&first).await;
     assert!(!dispatcher.lists(|other| other.differs(&first)));
-    dispatcher.list(vec![listing(&second, false)]);
+    dispatcher.list(vec![listing(&second, SLOTS)]);
     assert!(!dispatcher.leaving(server));
     assert!(dispatcher.lists(|other| other.differs(&first)));
     // What is off the list is not found.
-    dispatcher.list(vec![listing(&run("b", Some(1)), false)]);
+    dispatcher.list(vec![listing(&run("b", Some(1)), SLOTS)]);
     assert!(!dispatcher.lists(|other| *other == second));
 }
 
--- a/dispatch/tests/suspension.rs
+++ b/dispatch/tests/suspension.rs
@@ -2,48 +2,24 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+mod common;
+
 use std::sync::Arc;
 use std::time::Duration;
 
+use common::{arrival, listing};
 use loftcove_clock as boot;
 use loftcove_decision::{balancer, fleet};
 use loftcove_dispatch as dispatch;
 
-const SERVICE: &str = "service";
-
-fn listing() -> dispatch::Listing<()> {
-    dispatch::Listing {
-        run: fleet::Run { id: "server".into(), born: Some(1) },
-        pool: SERVICE.into(),
-        rank: None,
-        local: true,
-        leaving: false,
-        slots: 1,
-        target: (),
-    }
-}
-
-fn arrival(time: Duration) -> dispatch::Arrival {
-    let due = boot::Instant::now() + time;
-    dispatch::Arrival {
-        pool: SERVICE.into(),
-        team: "team".into(),
-        precedence: 0,
-        repeatable: true,
-        resumable: false,
-        max_attempts: 2,
-        due,
-        begin_by: due,
-    }
-}
-
 /// The pattern: a host is suspended for longer than a request that waits has
 /// time. It is answered at once, not after the time that its timer still counts,
 /// and goes to no server.
 #[tokio::test]
 async fn a_request_that_waited_through_a_suspension_is_refused_at_once() {
     let dispatcher = Arc::new(dispatch::Dispatcher::new(&balancer::Options::default()));
-    dispatcher.list(vec![listing()]);
+    let run = fleet::Run { id: "server".into(), born: Some(1) };
+    dispatcher.list(vec![listing(&run, 1)]);
     let ticks = dispatcher.clone();
     tokio::spawn(async move { ticks.run().await });
     let mut first = dispatcher.arrive(&arrival(Duration::from_secs(60)));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! [`upstream`] sends an attempt, and [`answer`] or, for streams, [`stream`]
 //! hands the answer on. [`state`] holds what all requests share; it follows
 //! the configuration and the list of backend servers through the mirror.
-//! [`probe`] finds out when a group can be reached again.
+//! [`probe`] finds out when a group can be reached again, [`ended`] whether a
+//! backend server ended under a request.
 //! [`health`] tells the platform whether the gateway is ready, [`drain`] is
 //! the planned stop.
 
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -105,8 +105,8 @@
                 }
                 End::Late => return self.break_off("deadline").await,
                 End::Broken => {
-                    let begun_answer = splitter.last_id().is_some();
-                    let broke = self.gateway.broke(&self.request, server, &target, begun_answer);
+                    let answer_begun = splitter.last_id().is_some();
+                    let broke = self.gateway.broke(&self.request, server, &target, answer_begun);
                     let end = broke.await;
                     begun = self.resume(&mut splitter, end).await;
                 }
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -4,7 +4,8 @@
 //! ([`follow`]); a sidecar only follows. Whatever one of them learns it hands
 //! on to those who follow it ([`serve`]), so that a host that the store does
 //! not answer hears of changes from others, one hop later. Merging is that of
-//! [`loftcove_decision::mirror`].
+//! [`loftcove_decision::mirror`]. Along with it goes what gateways know of
+//! requests under which backend servers end ([`ends`]).
 
 pub mod catalog;
 pub mod distance;
