Own interface: no second attempt after a server's end, and entry hosts count

Now the agent looks whether its server takes a connection after a call broke off and tells the number of that end; the entry host counts by the same ledger and refuses the request with 502, type ends-servers, outcome unknown.

Left: entry hosts do not tell each other.

Ends that no longer count are dropped when they are asked for, and not up to ten seconds later.

--- a/daemon/src/agent/run.rs
+++ b/daemon/src/agent/run.rs
@@ -137,7 +137,10 @@
                 lock(&self.agent).withdraw(self.guard.id);
                 self.refuse(wire::Refusal::Unreachable).await;
             }
-            Err(error) => self.break_off(&error.to_string()).await,
+            Err(error) => {
+                let server_end = self.agent.server.ended().await;
+                self.break_off(&error.to_string(), server_end).await;
+            }
         }
     }
 
@@ -158,7 +161,7 @@
 
     async fn pass_on(&self, response: http::Response<Incoming>) {
         if !self.echoes(&response) {
-            self.break_off("the backend server answered another request").await;
+            self.break_off("the backend server answered another request", None).await;
             return;
         }
         let header = |(name, value): (&http::HeaderName, &http::HeaderValue)| wire::Header {
@@ -179,7 +182,8 @@
                 }
                 Ok(_) => {}
                 Err(error) => {
-                    self.break_off(&error.to_string()).await;
+                    let server_end = self.agent.server.ended().await;
+                    self.break_off(&error.to_string(), server_end).await;
                     return;
                 }
             }
@@ -201,8 +205,8 @@
         self.send(wire::frame::Kind::Refused(refused)).await;
     }
 
-    async fn break_off(&self, reason: &str) {
-        let broken = wire::Broken { reason: reason.to_owned() };
+    async fn break_off(&self, reason: &str, server_end: Option<u64>) {
+        let broken = wire::Broken { reason: reason.to_owned(), server_end };
         self.send(wire::frame::Kind::Broken(broken)).await;
     }
 
--- a/daemon/src/agent/server.rs
+++ b/daemon/src/agent/server.rs
@@ -1,6 +1,7 @@
 //! The backend server over HTTP.
 
 use std::net::SocketAddr;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +10,7 @@
 use hyper_util::client::legacy;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Deserialize;
+use tokio::net::TcpStream;
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -57,9 +59,18 @@
     pub layers: Vec<Vec<(u32, u32)>>,
 }
 
+/// Ends of the backend server that its agent noticed.
+#[derive(Debug, Default)]
+struct Ends {
+    count: u64,
+    /// Whether it took no connection at the last look.
+    away: bool,
+}
+
 /// A client of the backend server.
 pub struct Client {
     address: SocketAddr,
+    ends: Mutex<Ends>,
     http: legacy::Client<legacy::connect::HttpConnector, Full<Bytes>>,
 }
 
@@ -75,7 +86,7 @@
             // Whether a call is made again is decided elsewhere.
             .retry_canceled_requests(false)
             .build(connector);
-        Client { address, http }
+        Client { address, ends: Mutex::default(), http }
     }
 
     /// The URI of a path on the backend server, if the path makes one.
@@ -88,6 +99,24 @@
             .ok()
     }
 
+    /// After a call that broke off: which end of the backend server it was, if
+    /// that takes no connection. Calls that broke with the same end get the same
+    /// number.
+    pub async fn ended(&self) -> Option<u64> {
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let lives = matches!(connected.await, Ok(Ok(_)));
+        // Each change is one assignment.
+        let mut ends = self.ends.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let known = std::mem::replace(&mut ends.away, !lives);
+        ends.count += u64::from(!lives && !known);
+        (!lives).then_some(ends.count)
+    }
+
+    /// The backend server answered: its next end is another one.
+    fn seen_alive(&self) {
+        self.ends.lock().unwrap_or_else(std::sync::PoisonError::into_inner).away = false;
+    }
+
     /// Sends a request and waits for the head of the answer.
     ///
     /// # Errors
@@ -97,7 +126,11 @@
         &self,
         request: http::Request<Full<Bytes>>,
     ) -> Result<http::Response<Incoming>, Error> {
-        self.http.request(request).await.map_err(|error| match error.is_connect() {
+        let answer = self.http.request(request).await;
+        if answer.is_ok() {
+            self.seen_alive();
+        }
+        answer.map_err(|error| match error.is_connect() {
             true => Error::Connect,
             false => Error::Call(error),
         })
--- a/daemon/src/entry/call.rs
+++ b/daemon/src/entry/call.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use loftcove_bundle::content;
-use loftcove_decision::home;
+use loftcove_decision::{home, poison};
 use serde::Deserialize;
 use sha2::Digest as _;
 use subtle::ConstantTimeEq as _;
@@ -248,6 +248,12 @@
 }
 
 impl Call {
+    /// What it is, whichever try of its caller.
+    pub fn digest(&self) -> poison::Digest {
+        let parts = [self.method.as_str(), &self.pool, &self.path, &self.team].map(str::as_bytes);
+        poison::Digest::of(&[parts[0], parts[1], parts[2], parts[3], &self.body])
+    }
+
     /// Hash of what is asked, to tell one key's requests apart.
     pub fn fingerprint(&self) -> u64 {
         let mut hasher = xxh3::Xxh3::new();
--- a/daemon/src/entry/dispatch.rs
+++ b/daemon/src/entry/dispatch.rs
@@ -1,8 +1,9 @@
 //! One attempt: sent to an agent, with its fate told apart when it fails.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use loftcove_decision::{balancer, clock};
+use loftcove_decision::{balancer, clock, fleet, poison};
 use loftcove_wire as wire;
 use tonic::Streaming;
 
@@ -121,12 +122,43 @@
         }
         Some(wire::frame::Kind::Refused(refused)) => refusal(refused),
         Some(wire::frame::Kind::Broken(broken)) => {
-            Sent::ended(balancer::End::MayHaveRun { answer_begun: false }, broken.reason)
+            let host = attempt.target.host.clone();
+            let subject = Subject { digest: attempt.call.digest(), host };
+            let end = subject.ended(process, &attempt.id(), &broken, false);
+            Sent::ended(end, broken.reason)
         }
         _ => settle(process, attempt, "answer without a head").await,
     }
 }
 
+/// A request, and the host of the backend server that runs it.
+pub struct Subject {
+    /// What it is, whichever try of its caller.
+    pub digest: poison::Digest,
+    /// Id of the host.
+    pub host: Arc<str>,
+}
+
+impl Subject {
+    /// How an attempt ended that broke off. A backend server that ended is
+    /// counted for the request.
+    pub fn ended(
+        &self,
+        process: &process::Process,
+        id: &wire::AttemptId,
+        broken: &wire::Broken,
+        answer_begun: bool,
+    ) -> balancer::End {
+        let Some(number) = broken.server_end else {
+            return balancer::End::MayHaveRun { answer_begun };
+        };
+        // Each run of the agent counts from its own start.
+        let run = fleet::Run { id: self.host.clone(), born: Some(id.incarnation + number) };
+        process.ends.found(&run, self.digest);
+        balancer::End::ServerEnded
+    }
+}
+
 fn refusal(refused: wire::Refused) -> Sent {
     let end = match refused.reason() {
         wire::Refusal::Full => balancer::End::Full,
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -6,7 +6,7 @@
 
 use hyper::body::Incoming;
 use loftcove_clock as boot;
-use loftcove_decision::{balancer, entity};
+use loftcove_decision::{balancer, entity, poison};
 
 use crate::entry::refusal::{Outcome, Refusal};
 use crate::entry::{Entry, call, claim, dispatch, dispatcher, relay};
@@ -50,6 +50,11 @@
     }
     let max_body = process.settings.entry.as_ref().map_or(usize::MAX, |own| own.max_body);
     let call = call::read(id, request, &bundle, max_body).await?;
+    if let poison::Standing::Convicted(ends) = process.ends.standing(call.digest()) {
+        let digest = call.digest();
+        log::info!("request ends servers request={} digest={digest} ends={ends}", call.id);
+        return Err(Refusal::EndsServers);
+    }
     // The deadline runs while the key is claimed, too.
     let began = boot::Instant::now();
     let claim = match call.key {
@@ -219,11 +224,15 @@
         server: entity::Server,
         begun: dispatch::Begun,
     ) -> http::Response<relay::Body> {
+        let target = self.entry.dispatcher.target(server);
+        let host = target.map(|(target, _)| target.host).unwrap_or_default();
+        let subject = dispatch::Subject { digest: self.call.digest(), host };
         let finish = relay::Finish {
             process: self.entry.process.clone(),
             dispatcher: self.entry.dispatcher.clone(),
             server,
             request: self.call.id.to_string(),
+            subject,
             permit: Some(permit),
             claim: self.claim,
             _flight: self.flight,
--- a/daemon/src/entry/refusal.rs
+++ b/daemon/src/entry/refusal.rs
@@ -64,6 +64,9 @@
     /// The balancer gave the request up.
     #[error("given up: {}", .0.reason)]
     Balancer(balancer::Refusal),
+    /// Backend servers ended under it, at earlier tries.
+    #[error("backend servers end under this request")]
+    EndsServers,
     /// An attempt may have run and gave no whole answer.
     #[error("the answer was lost; the request may have run")]
     Lost,
@@ -133,6 +136,7 @@
             Refusal::Home => (StatusCode::SERVICE_UNAVAILABLE, "home-unreachable"),
             Refusal::Balancer(refusal) => balancer_class(refusal),
             Refusal::Lost => (StatusCode::BAD_GATEWAY, "answer-lost"),
+            Refusal::EndsServers => (StatusCode::BAD_GATEWAY, "ends-servers"),
         }
     }
 
@@ -140,7 +144,7 @@
     pub fn outcome(&self) -> Outcome {
         use home::keeper::Standing;
         match self {
-            Refusal::Lost => Outcome::Unknown,
+            Refusal::Lost | Refusal::EndsServers => Outcome::Unknown,
             Refusal::Balancer(refusal) if refusal.outcome == balancer::Outcome::Unknown => {
                 Outcome::Unknown
             }
@@ -164,7 +168,15 @@
 
     /// Whether the request's body may not have been read to its end.
     fn leaves_body(&self) -> bool {
-        !matches!(self, Refusal::Balancer(_) | Refusal::Claim(_) | Refusal::Home | Refusal::Lost)
+        let read_whole = matches!(
+            self,
+            Refusal::Balancer(_)
+                | Refusal::Claim(_)
+                | Refusal::Home
+                | Refusal::Lost
+                | Refusal::EndsServers
+        );
+        !read_whole
     }
 
     /// The whole answer.
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -37,6 +37,8 @@
     pub server: entity::Server,
     /// Id of the request.
     pub request: String,
+    /// What it is, and where it runs.
+    pub subject: dispatch::Subject,
     /// Its place at the dispatcher.
     pub permit: Option<dispatcher::Permit>,
     /// Its claim.
@@ -60,6 +62,7 @@
     }
 
     fn answered(&mut self) {
+        self.process.ends.clear(self.subject.digest);
         self.end(balancer::End::Answered, Outcome::Answered, "whole");
     }
 
@@ -107,7 +110,10 @@
             }
             Some(Part::End)
         }
-        Some(wire::frame::Kind::Broken(_)) => Some(Part::Broken("server-broke-off")),
+        Some(wire::frame::Kind::Broken(broken)) => {
+            finish.subject.ended(&finish.process, id, &broken, true);
+            Some(Part::Broken("server-broke-off"))
+        }
         _ => Some(Part::Broken("out-of-order")),
     }
 }
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -5,6 +5,7 @@
 
 use loftcove_bundle::sign;
 use loftcove_decision::attempt;
+use loftcove_mirror::ends;
 use loftcove_platform::{hosts, records};
 use loftcove_settings::file;
 use loftcove_wire as wire;
@@ -31,6 +32,8 @@
     pub links: link::Table,
     /// Decisions.
     pub history: explain::History,
+    /// Requests under which backend servers ended, as this entry host saw it.
+    pub ends: ends::Ends,
     /// Metrics.
     pub metrics: metrics::Metrics,
 }
@@ -69,6 +72,7 @@
             ),
             links: link::Table::new(key, settings.process.source_address),
             history: explain::History::default(),
+            ends: ends::Ends::default(),
             metrics: metrics::Metrics::default(),
             settings,
         })
--- a/mirror/src/ends.rs
+++ b/mirror/src/ends.rs
@@ -108,12 +108,18 @@
         if *self.changes.borrow() == 0 {
             return Standing::Sound;
         }
-        self.lock().ledger.standing(digest)
+        let now = self.now();
+        let mut state = self.lock();
+        state.ledger.expire(now);
+        state.ledger.standing(digest)
     }
 
     /// Requests that are refused at present.
     pub fn convicted(&self) -> Vec<Digest> {
-        self.lock().ledger.convicted().collect()
+        let now = self.now();
+        let mut state = self.lock();
+        state.ledger.expire(now);
+        state.ledger.convicted().collect()
     }
 
     /// Waits until a request is refused; returns the servers that it ended.
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -2,7 +2,7 @@
 //!
 //! Every call is done and counted under its `idempotency-key`; `GET
 //! /standin/runs` tells the counts. `x-standin-delay-ms` makes a call slow, `x-standin-cross`
-//! has it answered with another request's id.
+//! has it answered with another request's id, `x-standin-end-ms` ends the process after that time.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -48,6 +48,10 @@
             let mut runs = self.runs.lock().expect("no holder of the stand-in's lock panics");
             *runs.entry(key.clone()).or_default() += 1;
         }
+        if let Ok(ms) = header(&crossing, "x-standin-end-ms").parse() {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+            std::process::exit(0);
+        }
         tokio::time::sleep(Duration::from_millis(delay)).await;
         let body = server::read(request.into_body()).await;
         let answer = serde_json::json!({ "delivered": key, "bytes": body.len() });
--- a/tests/tests/refusals.rs
+++ b/tests/tests/refusals.rs
@@ -100,3 +100,38 @@
     assert!(!short.complete && short.body.contains("answer-lost"), "{short:?}");
     until("the late request is cancelled", || async { running().await == Some(0) }).await;
 }
+
+/// A backend server ends under a request that may be repeated: no second attempt
+/// of ours ends another one, and a request that ended two is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_same_request_ends_no_third_server() {
+    let plan = cluster::Plan {
+        zones: vec!["sala-braga"],
+        entries: 1,
+        ranks: 0,
+        services: 3,
+        ..cluster::Plan::default()
+    };
+    let mut cluster = cluster::Cluster::start(plan).await;
+    let caller = cluster.caller(&cluster.entries().remove(0));
+    let key = uuid::Uuid::now_v7().to_string();
+    // The class makes it one that may be repeated; the key only names its runs.
+    let headers =
+        [("loftcove-class", "draft"), ("idempotency-key", &*key), ("x-standin-end-ms", "50")];
+    let path = format!("/services/{}/send", cluster::SERVICE);
+    for ended in 1..=2 {
+        let answer = caller.ask("POST", &path, &headers, "ends its server").await;
+        assert_eq!((answer.status, answer.outcome().as_str()), (502, "unknown"), "{answer:?}");
+        assert_eq!(gone(&mut cluster).await, ended);
+    }
+    let answer = caller.ask("POST", &path, &headers, "ends its server").await;
+    assert_eq!((answer.status, answer.kind()), (502, "ends-servers".to_owned()));
+    assert_eq!(gone(&mut cluster).await, 2);
+    let other = [("loftcove-class", "draft"), ("idempotency-key", &*key)];
+    assert_eq!(caller.ask("POST", &path, &other, "another").await.status, 200);
+}
+
+/// Backend servers that have ended.
+async fn gone(cluster: &mut cluster::Cluster) -> usize {
+    cluster.servers.values_mut().filter_map(|server| server.ended().then_some(())).count()
+}
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -98,6 +98,10 @@
 pub struct Broken {
     #[prost(string, tag = "1")]
     pub reason: ::prost::alloc::string::String,
+    /// Which end of the backend server it was, counted by the agent's run, where it
+    /// takes no connection any more.
+    #[prost(uint64, optional, tag = "2")]
+    pub server_end: ::core::option::Option<u64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Revocation {
