Only an answer with success clears a request of ends

A server that fails a request (500, or 504 at its deadline) may not have come to what ends the others; each such answer let a request end one more server. tests/tests/poison.rs, a_failure_that_a_server_answers_clears_nobody: three servers ended on the code before, two now.

--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -17,9 +17,6 @@
 use crate::state::{Gateway, Target};
 use crate::{drain, request, stream, upstream};
 
-/// Outcome of a request whose answer came to its end.
-pub const ANSWERED: &str = "answered";
-
 /// Precedences that backend servers tell apart.
 const PRIORITIES: u32 = 9;
 
@@ -165,7 +162,8 @@
     }
 
     fn answered(self, whole: answer::Whole) -> Response {
-        self.done(ANSWERED, whole.head.status.as_str());
+        self.gateway.came_to_its_end(&self.request, whole.head.status);
+        self.done("answered", whole.head.status.as_str());
         answer::relay::<P>(&whole.head, Body::whole(whole.body))
     }
 
@@ -256,9 +254,6 @@
         outcome: &'static str,
         reason: &dyn std::fmt::Display,
     ) {
-        if outcome == ANSWERED {
-            self.mirror.ends.clear(request.digest);
-        }
         let time = request.came.elapsed();
         self.metrics.ended(outcome, time);
         log::info!(
@@ -268,6 +263,14 @@
         );
     }
 
+    /// An answer came to its end: the request ended no server, unless the server
+    /// failed before it did what was asked.
+    pub(crate) fn came_to_its_end(&self, request: &Request, status: http::StatusCode) {
+        if status.is_success() {
+            self.mirror.ends.clear(request.digest);
+        }
+    }
+
     /// Logs why an attempt failed.
     pub(crate) fn note(&self, request: &Request, attempt: &dispatch::Attempt<Target>, cause: &str) {
         log::info!(
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -20,7 +20,7 @@
 use crate::body::{Broken, Part};
 use crate::drain;
 use crate::event::Splitter;
-use crate::flow::{ANSWERED, Begun};
+use crate::flow::Begun;
 use crate::request::Request;
 use crate::state::{Gateway, Target};
 
@@ -93,11 +93,12 @@
         let mut splitter = Splitter::default();
         let mut begun = Some(begun);
         while let Some(part) = begun.take() {
-            let (server, target) = (part.server, part.target.clone());
+            let (server, target, status) = (part.server, part.target.clone(), part.head.status);
             match self.pass(part, &mut splitter).await {
                 End::Whole => {
                     self.permit.end(balancer::End::Answered);
-                    return self.done(ANSWERED, "whole");
+                    self.gateway.came_to_its_end(&self.request, status);
+                    return self.done("answered", "whole");
                 }
                 End::Left => {
                     self.permit.end(balancer::End::Abandoned);
@@ -118,7 +119,7 @@
 
     /// Hands an answer that is no stream of events on as it comes.
     pub async fn copy(mut self, begun: Begun, first: Bytes) {
-        let (server, target) = (begun.server, begun.target.clone());
+        let (server, target, status) = (begun.server, begun.target.clone(), begun.head.status);
         let end = match self.hand_on(first).await {
             Some(end) => end,
             None => self.copy_rest(begun).await,
@@ -126,7 +127,8 @@
         match end {
             End::Whole => {
                 self.permit.end(balancer::End::Answered);
-                self.done(ANSWERED, "whole");
+                self.gateway.came_to_its_end(&self.request, status);
+                self.done("answered", "whole");
             }
             End::Left => {
                 self.permit.end(balancer::End::Abandoned);
--- a/tests/tests/poison.rs
+++ b/tests/tests/poison.rs
@@ -133,3 +133,24 @@
     }
     assert_eq!(seen, 2, "servers that ended");
 }
+
+/// A server that fails the request has not done what ends the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_that_a_server_answers_clears_nobody() {
+    let system = System::start(PLAN).await;
+    let mut seen = 0;
+    let receipt = || Request::new("/receipt/").body(BODY);
+    let guilty = |gateway: u8| {
+        let request = receipt().with("x-standin-delay-ms", "1000").with("x-standin-end-ms", "20");
+        let system = &system;
+        async move { system.ask(gateway, &request).await.status }
+    };
+    assert_eq!(guilty(0).await, 502);
+    mend(&system, false, &mut seen).await;
+    let failed = receipt().with("x-standin-status", "500");
+    assert_eq!(system.ask(1, &failed).await.status, 500);
+    assert_eq!(guilty(2).await, 502);
+    mend(&system, false, &mut seen).await;
+    guilty(0).await;
+    assert_eq!(system.ends(None).await.len(), 2);
+}
