A driver's time to prepare counts suspensions; one store in memory for tests

The time in which all ranks must prepare a map was the last deadline on the steady clock: after a suspension a driver went on with a change as if no time had passed. By reading; no test of its own: a driver's change takes real ranks (SIGSTOP, which the soak draws, lets both clocks run).

Tests of ends and of a driver's term had each a store of their own; both use standins/calls now, and wait for a bounded time.

--- a/mirror/tests/ends.rs
+++ b/mirror/tests/ends.rs
@@ -5,19 +5,18 @@
 mod common;
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use loftcove_decision::poison::{Digest, KEPT, Standing};
 use loftcove_decision::{fleet, mirror};
-use loftcove_interface::store::{self, Error, Store};
 use loftcove_mirror::{Mirror, Source, ends, follow};
+use loftcove_standins::calls::{Calls, Plan};
 use loftcove_standins::proxy::Proxy;
 
 use common::host;
 
-/// Time within which all gateways in touch are to know, by the users' pages.
+/// Time within which all gateways that reach each other are to know: the users' bound.
 const BOUND: Duration = Duration::from_millis(3_000);
 
 fn run(number: u32) -> fleet::Run {
@@ -130,74 +129,29 @@
     assert_eq!(refuses(&mirror).await, 2);
 }
 
-/// A store that keeps one write.
-#[derive(Debug, Default)]
-struct Kept {
-    calls: AtomicU32,
-    /// Whether another host was first.
-    taken: bool,
-    written: Mutex<Option<store::Write>>,
-    ended: AtomicU32,
-}
-
-impl Store for Kept {
-    async fn list(&self, _: &str) -> Result<store::Listing, Error> {
-        Err(Error::Refused(503))
-    }
-
-    async fn watch(
-        &self,
-        _: &str,
-        _: store::Revision,
-        _: store::Wait,
-    ) -> Result<store::Changes, Error> {
-        Err(Error::Refused(503))
-    }
-
-    async fn write(&self, write: &store::Write) -> Result<store::Outcome, Error> {
-        *self.written.lock().unwrap() = Some(write.clone());
-        Ok(if self.taken { store::Outcome::Conflict } else { store::Outcome::Done(5) })
-    }
-
-    async fn grant(&self, ttl: Duration) -> Result<store::Lease, Error> {
-        assert_eq!(ttl, KEPT);
-        // The first call is lost.
-        match self.calls.fetch_add(1, Ordering::Relaxed) {
-            0 => Err(Error::Lost("answer".to_owned())),
-            _ => Ok(1),
-        }
-    }
-
-    async fn keep(&self, _: store::Lease) -> Result<bool, Error> {
-        Ok(true)
-    }
-
-    async fn end(&self, _: store::Lease) -> Result<(), Error> {
-        self.ended.fetch_add(1, Ordering::Relaxed);
-        Ok(())
-    }
-}
-
 /// A host that refuses a request writes it to the store, in a second try, and
 /// another one that follows nobody takes it from there.
 #[tokio::test]
 async fn the_store_is_a_second_way() {
-    let (store, mirror): (Arc<Kept>, Arc<Mirror>) = Default::default();
+    let store = Arc::new(Calls::new(Plan { lost_grants: 1, ..Plan::default() }));
+    let mirror: Arc<Mirror> = Arc::default();
     tokio::spawn(ends::run(mirror.clone(), store.clone()));
     mirror.ends.found(&run(1), guilty());
     mirror.ends.found(&run(2), guilty());
-    let written = || store.written.lock().unwrap().clone();
     let write = async {
-        while written().is_none() {
+        loop {
+            if let Some(write) = store.seen().write {
+                return write;
+            }
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
-        written().unwrap()
     };
     let write = tokio::time::timeout(BOUND, write).await.expect("written in time");
     assert_eq!((write.expected, write.lease), (Some(0), Some(1)));
+    assert_eq!(store.seen().grants, [KEPT, KEPT], "the first one is lost");
     let record = mirror::Record { key: write.key, revision: 5, value: write.value };
     let alone: Arc<Mirror> = Arc::default();
-    tokio::spawn(ends::run(alone.clone(), Arc::<Kept>::default()));
+    tokio::spawn(ends::run(alone.clone(), Arc::<Calls>::default()));
     alone.apply(vec![record.clone()], Source::Store);
     assert_eq!(refuses(&alone).await, 2);
     // An entry of another writer names nobody.
@@ -208,12 +162,15 @@
 
 #[tokio::test]
 async fn a_lease_that_is_not_needed_is_ended() {
-    let store = Arc::new(Kept { taken: true, calls: AtomicU32::new(1), ..Kept::default() });
+    let store = Arc::new(Calls::new(Plan { taken: true, ..Plan::default() }));
     let mirror: Arc<Mirror> = Arc::default();
     tokio::spawn(ends::run(mirror.clone(), store.clone()));
     mirror.ends.found(&run(1), guilty());
     mirror.ends.found(&run(2), guilty());
-    while store.ended.load(Ordering::Relaxed) == 0 {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
+    let ended = async {
+        while store.seen().ended == 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(BOUND, ended).await.expect("ended in time");
 }
--- a/sidecar/src/drive/change.rs
+++ b/sidecar/src/drive/change.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Instant;
 
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
+use loftcove_clock as boot;
 use loftcove_decision::map::switch::{self, Switch};
 use loftcove_interface::engine::Engine;
 use loftcove_interface::protocol::Protocol;
@@ -26,7 +26,7 @@
         mut switch: Switch,
         plan: &Plan,
     ) -> Result<switch::Outcome, Stopped> {
-        let begun = Instant::now();
+        let begun = boot::Instant::now();
         let mut holds = 0;
         let mut held = begun;
         let outcome = loop {
@@ -40,7 +40,7 @@
                     break switch::Outcome::Abandoned;
                 }
                 switch.hold(report.pass + known.ahead());
-                held = Instant::now();
+                held = boot::Instant::now();
             }
             self.phase(term, known, &mut switch, plan).await?;
             if !switch.committed() && begun.elapsed() > PREPARE_TIME + known.copying * 2 {
@@ -87,7 +87,7 @@
         let engines: Vec<SocketAddr> = ranks.keys().copied().collect();
         let parts = self.group.parts(&engines).into_iter();
         let parts = parts.map(|part| part.into_iter().map(|place| engines[place]).collect());
-        let begun = Instant::now();
+        let begun = boot::Instant::now();
         let mut running: FuturesUnordered<_> =
             parts.map(|part| self.group.deliver(&self.rank, part, &parcel)).collect();
         while let Some(delivered) = running.next().await {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,7 +3,9 @@
 //!
 //! For tests and the demo only. Each is a program that prints
 //! `listening ADDRESS` once it serves, so that ports come from the system.
+//! [`calls`] is a store in memory, for tests without processes.
 
+pub mod calls;
 pub mod engine;
 pub mod group;
 pub mod proxy;
