An end counts where its port closes late, and where the same run ends again

- A process that ends closes what it has open one after the other; its port may take a connection after others have broken.
A server found alive is now looked at once more after 0.15 s, and nothing waits for that.
- An entry tells a new start some time after a server is back; ends of one run that are told 0.5 s apart and more count as two.

The stand-in did the first by chance and does it on demand now (x-standin-linger-ms); it tells when a server is back, which the tests took from a connection that the old port could still take.

--- a/decision/src/poison.rs
+++ b/decision/src/poison.rs
@@ -36,6 +36,11 @@
 /// last one: the longest lease of the store, which keeps it over a restart of
 /// all gateways.
 pub const KEPT: Duration = Duration::from_secs(600);
+/// Time between two ends of one run, as they are told, from which they are two.
+/// A run is known by what its entry tells, and a server may be back, and end
+/// again, before that is heard of. It takes a second and more to be back; an end
+/// is found within 0.4 s.
+const SAME_END: Duration = Duration::from_millis(500);
 /// Ends that are kept: 128 with [`MOST_REQUESTS`] each are 8,192 marks, some
 /// 0.5 MB. Of more, the oldest that convicts nobody goes first.
 const MOST_ENDS: usize = 128;
@@ -154,7 +159,8 @@
 /// All ends that are known, and what follows from them.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
-    ends: BTreeMap<fleet::Run, End>,
+    /// By the run and the time of its end.
+    ends: BTreeMap<(fleet::Run, clock::Instant), End>,
     /// Ends of each request that is refused.
     convicted: BTreeMap<Digest, u32>,
     /// Ends of each other request that was on a server whose end is not explained.
@@ -167,8 +173,9 @@
         if now.since(item.at) >= KEPT {
             return false;
         }
-        let end = self.ends.entry(item.run.clone());
-        let end = end.or_insert_with(|| End { at: item.at, marks: BTreeMap::new() });
+        let key = self.key(item);
+        let at = key.1;
+        let end = self.ends.entry(key).or_insert_with(|| End { at, marks: BTreeMap::new() });
         let known = end.marks.get(&item.digest);
         if known >= Some(&item.mark) || known.is_none() && end.marks.len() >= MOST_REQUESTS {
             return false;
@@ -179,6 +186,14 @@
         true
     }
 
+    /// The end that an item tells of: a known one, or a further one of its run.
+    fn key(&self, item: &Item) -> (fleet::Run, clock::Instant) {
+        let apart = |at: clock::Instant| at.since(item.at).max(item.at.since(at));
+        let mut known = self.ends.keys().filter(|(run, _)| *run == item.run);
+        let same = known.find(|(_, at)| apart(*at) < SAME_END);
+        same.cloned().unwrap_or_else(|| (item.run.clone(), item.at))
+    }
+
     /// A request came to its end: it ended no server. Returns what others are
     /// to be told.
     pub fn clear(&mut self, digest: Digest) -> Vec<Item> {
@@ -196,7 +211,7 @@
         let items = items.filter(|item| cleared(&item.run, item.digest));
         let items: Vec<Item> = items.map(|item| Item { mark: Mark::Cleared, ..item }).collect();
         for item in &items {
-            if let Some(end) = self.ends.get_mut(&item.run) {
+            if let Some(end) = self.ends.get_mut(&(item.run.clone(), item.at)) {
                 end.marks.insert(item.digest, Mark::Cleared);
             }
         }
@@ -221,7 +236,7 @@
 
     /// All that is known, each request on each server.
     pub fn items(&self) -> impl Iterator<Item = Item> {
-        self.ends.iter().flat_map(|(run, end)| {
+        self.ends.iter().flat_map(|((run, _), end)| {
             let marks = end.marks.iter();
             marks.map(|(digest, mark)| Item {
                 run: run.clone(),
@@ -270,8 +285,8 @@
             let idle =
                 |end: &End| !end.suspects().any(|digest| self.convicted.contains_key(&digest));
             let oldest = self.ends.iter().min_by_key(|(_, end)| (!idle(end), end.at));
-            let Some(run) = oldest.map(|(run, _)| run.clone()) else { return };
-            self.ends.remove(&run);
+            let Some(key) = oldest.map(|(key, _)| key.clone()) else { return };
+            self.ends.remove(&key);
             self.judge();
         }
     }
--- a/decision/tests/poison.rs
+++ b/decision/tests/poison.rs
@@ -96,6 +96,21 @@
     assert_eq!(ledger.standing(request("a")), Standing::Suspect(1));
 }
 
+/// The pattern: a server starts again under its id and ends again, before its
+/// entry has told the new start.
+#[test]
+fn a_run_that_ends_again_later_counts_twice() {
+    let mut ledger = ledger(&[(1, &["guilty", "a"])]);
+    let again = |ms| Item { at: at(ms), ..item(1, "guilty", Mark::Suspect) };
+    // Another gateway found the same end a little later.
+    assert!(!ledger.take(&again(1_400), at(1_400)));
+    assert_eq!(ledger.standing(request("guilty")), Standing::Suspect(1));
+    assert!(ledger.take(&again(2_600), at(2_600)));
+    assert_eq!(ledger.standing(request("guilty")), Standing::Convicted(2));
+    assert_eq!(ledger.standing(request("a")), Standing::Sound);
+    assert_eq!(ledger.clear(request("guilty")).len(), 2);
+}
+
 #[test]
 fn ends_are_forgotten() {
     let mut ledger = ledger(&[(1, &["guilty"]), (2, &["guilty"])]);
--- a/gateway/src/ended.rs
+++ b/gateway/src/ended.rs
@@ -5,15 +5,26 @@
 //! another rank ended. One that has ended itself takes no connection either.
 //! One that was leaving ends by plan, under whatever it still runs. Where the
 //! break was noticed late, another run may take connections at the address by
-//! then: 1.1 s after the end was seen.
+//! then: 1.1 s after the end was seen. Where it was noticed early, the port of a
+//! process that is ending may still be open while its connections are closed one
+//! after the other, so a server that was found alive is looked at once more.
+
+use std::time::Duration;
 
 use loftcove_decision::{balancer, entity};
+use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::Protocol;
 
 use crate::request::Request;
 use crate::state::{Gateway, Target};
 use crate::upstream;
 
+/// Time after which a server that was found alive is looked at once more: far
+/// longer than a process takes to close what it has open, far shorter than a
+/// server takes to be back, which is a second and more. What follows the attempt
+/// does not wait for it.
+const LOOK_AGAIN: Duration = Duration::from_millis(150);
+
 impl<P: Protocol> Gateway<P> {
     /// The connection to a backend server broke under a request: finds out
     /// whether the server ended, and returns how the attempt did.
@@ -25,10 +36,7 @@
         answer_begun: bool,
     ) -> balancer::End {
         let leaving = self.dispatcher.leaving(server);
-        let replaced = self.dispatcher.lists(|other: &Target| {
-            other.address == target.address && other.run.differs(&target.run)
-        });
-        let lives = !replaced && upstream::reaches(target.address).await;
+        let lives = lives(&self.dispatcher, target).await;
         log::info!(
             "connection broke request={} digest={} server={} lives={lives} leaving={leaving} ms={}",
             request.meta.id,
@@ -36,11 +44,38 @@
             target.run.id,
             request.came.elapsed().as_millis()
         );
-        if lives || leaving {
+        if leaving {
+            return balancer::End::MayHaveRun { answer_begun };
+        }
+        if lives {
+            self.look_again(request, target);
             return balancer::End::MayHaveRun { answer_begun };
         }
         self.metrics.servers_ended.inc();
         self.mirror.ends.found(&target.run, request.digest);
         balancer::End::ServerEnded
     }
+
+    /// Looks at a server that was found alive a second time, beside what follows.
+    fn look_again(&self, request: &Request, target: &Target) {
+        let (dispatcher, mirror) = (self.dispatcher.clone(), self.mirror.clone());
+        let (target, digest) = (target.clone(), request.digest);
+        let ended = self.metrics.servers_ended.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(LOOK_AGAIN).await;
+            if lives(&dispatcher, &target).await {
+                return;
+            }
+            log::info!("server ended after all digest={digest} server={}", target.run.id);
+            ended.inc();
+            mirror.ends.found(&target.run, digest);
+        });
+    }
+}
+
+/// Whether the run takes connections, and no other one has its address.
+async fn lives(dispatcher: &dispatch::Dispatcher<Target>, target: &Target) -> bool {
+    let replaced = dispatcher
+        .lists(|other: &Target| other.address == target.address && other.run.differs(&target.run));
+    !replaced && upstream::reaches(target.address).await
 }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -26,9 +26,9 @@
 const POISON_SEED: u64 = 0xde;
 /// Times that such a caller asks, and the time between two: servers that ended
 /// are back after that, and their entries tell a new start.
-pub const POISON_TRIES: u32 = 12;
+pub const POISON_TRIES: u32 = 9;
 /// See [`POISON_TRIES`].
-const POISON_PAUSE: Duration = Duration::from_millis(450);
+const POISON_PAUSE: Duration = Duration::from_millis(850);
 
 /// What runs.
 #[derive(Debug, Clone, Copy)]
--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -175,13 +175,20 @@
     pub fn end(&self, server: &str, body: &str) {
         let mut state = self.lock();
         state.open = false;
-        let end = json!({ "server": server, "body": body, "arrivals": state.requests.len() });
+        let arrivals = state.requests.len();
+        let end = json!({ "server": server, "body": body, "arrivals": arrivals, "back": false });
         state.ends.push(end);
     }
 
-    /// A server that had ended is back: its group forms anew.
-    pub fn restart(&self) {
-        self.lock().form();
+    /// A server that had ended is back; a lock-step group forms anew.
+    pub fn restart(&self, server: &str, lockstep: bool) {
+        let mut state = self.lock();
+        for end in state.ends.iter_mut().filter(|end| end["server"] == server) {
+            end["back"] = json!(true);
+        }
+        if lockstep {
+            state.form();
+        }
     }
 
     /// Report of a rank.
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -6,7 +6,8 @@
 //! (end without an answer), `x-standin-status: N`, `x-standin-foreign` (an
 //! answer that names another request), `x-standin-delay-ms: N`,
 //! `x-standin-end-ms: N` (the server ends N ms after it has begun the request,
-//! and starts again under its id after [`AWAY`]).
+//! and starts again under its id after [`AWAY`]; its port outlives its connections
+//! by `x-standin-linger-ms`).
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -24,7 +25,7 @@
 use crate::server;
 
 /// How long a server is away that has ended.
-pub const AWAY: Duration = Duration::from_millis(300);
+pub const AWAY: Duration = Duration::from_millis(700);
 
 /// One backend server.
 #[derive(Clone)]
@@ -39,8 +40,9 @@
     pub address: Arc<str>,
     /// Whether it is a rank of a lock-step group.
     pub lockstep: bool,
-    /// Times that it has ended.
-    pub ends: watch::Sender<u64>,
+    /// How often it has ended, and for how long its port is open after the last
+    /// time.
+    pub ends: watch::Sender<(u64, Duration)>,
 }
 
 type Body = combinators::BoxBody<Bytes, std::io::Error>;
@@ -85,23 +87,23 @@
             self.live(listener).await;
             tokio::time::sleep(AWAY).await;
             listener = TcpListener::bind(&*self.address).await.expect("its address is its own");
-            if self.lockstep {
-                self.group.restart();
-            }
+            self.group.restart(&self.id, self.lockstep);
         }
     }
 
     /// Serves until it ends, which closes all its connections.
     async fn live(&self, listener: TcpListener) {
         let mut ended = self.ends.subscribe();
+        let cut = watch::Sender::new(());
         loop {
             let accepted = tokio::select! {
-                _ = ended.changed() => return,
-                accepted = listener.accept() => accepted,
+                _ = ended.changed() => None,
+                accepted = listener.accept() => Some(accepted),
             };
+            let Some(accepted) = accepted else { break };
             let Ok((stream, _)) = accepted else { continue };
             stream.set_nodelay(true).ok();
-            let (worker, mut ended) = (self.clone(), self.ends.subscribe());
+            let (worker, mut ended) = (self.clone(), cut.subscribe());
             tokio::spawn(async move {
                 let service =
                     hyper::service::service_fn(move |request| worker.clone().handle(request));
@@ -113,15 +115,23 @@
                 }
             });
         }
+        let linger = ended.borrow().1;
+        if linger.is_zero() {
+            drop(listener);
+            cut.send_replace(());
+        } else {
+            cut.send_replace(());
+            tokio::time::sleep(linger).await;
+        }
     }
 
     /// Ends some time after a request began that ends whoever runs it.
-    fn end_after(&self, time: Duration, body: &[u8]) {
+    fn end_after(&self, time: Duration, linger: Duration, body: &[u8]) {
         let (worker, body) = (self.clone(), String::from_utf8_lossy(body).into_owned());
         tokio::spawn(async move {
             tokio::time::sleep(time).await;
             worker.group.end(&worker.id, &body);
-            worker.ends.send_modify(|count| *count += 1);
+            worker.ends.send_modify(|(count, last)| (*count, *last) = (*count + 1, linger));
         });
     }
 
@@ -202,7 +212,8 @@
             "body": String::from_utf8_lossy(&body),
         }));
         if let Some(ms) = number(headers, "x-standin-end-ms") {
-            self.end_after(Duration::from_millis(ms), &body);
+            let linger = number(headers, "x-standin-linger-ms").unwrap_or(0);
+            self.end_after(Duration::from_millis(ms), Duration::from_millis(linger), &body);
         }
         if let Some(delay) = number(headers, "x-standin-delay-ms") {
             let _work = Work::begin(&self.group, self.rank);
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -441,7 +441,11 @@
             false => (SMS, self.plain_address(number)),
         };
         until("the server is back", || async {
-            tokio::net::TcpStream::connect(address).await.is_ok()
+            let mut ends = self.ends(None).await;
+            for group in 0..self.plan.groups {
+                ends.extend(self.ends(Some(group)).await);
+            }
+            ends.iter().all(|end| end["server"] != id || end["back"] == true)
         })
         .await;
         self.list_run(id, service, address, born).await;
--- a/tests/tests/poison.rs
+++ b/tests/tests/poison.rs
@@ -154,3 +154,17 @@
     guilty(0).await;
     assert_eq!(system.ends(None).await.len(), 2);
 }
+
+/// The port of a server that ends is open for longer than its connections, so
+/// that the first look finds it alive.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_end_that_shows_late_counts() {
+    let system = System::start(PLAN).await;
+    let mut seen = 0;
+    for gateway in 0..PLAN.gateways {
+        let request = request(true).body(BODY).with("x-standin-linger-ms", "40");
+        system.ask(gateway, &request.with("x-standin-end-ms", "50")).await;
+        mend(&system, true, &mut seen).await;
+    }
+    assert_eq!(seen, 2, "servers that ended");
+}
