Log what servers say of their own future: rest and leaving

Cause to be told: the logs of the play say "no room" for each 503 and not what it asked for. The adapter now reads Retry-After and Server-Leaving into typed fields, and an answer that says either is one line. Nothing is decided by it yet. Ruled out: reading Retry-After of successes, where it has no meaning, and either of 421, which another run at the address answers.

--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -333,6 +333,16 @@
         if let Some(load) = answer.load {
             self.dispatcher.report(attempt.server, load);
         }
+        if !answer.notice.is_empty() {
+            log::info!(
+                "server notice request={} server={} status={} rest_ms={} leaving={}",
+                request.meta.id,
+                attempt.target.run.id,
+                head.status.as_u16(),
+                answer.notice.rest,
+                answer.notice.leaving
+            );
+        }
         match answer.verdict {
             Verdict::Answered => {}
             Verdict::Foreign => return may_have_run("answer of another request".to_owned()),
--- a/interface/src/protocol.rs
+++ b/interface/src/protocol.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use loftcove_decision::routing::server;
+use loftcove_decision::routing::{notice, server};
 use loftcove_decision::{fleet, route};
 
 /// What loftcove reads from a client's request.
@@ -76,6 +76,8 @@
     pub keep_alive: Option<Duration>,
     /// Whether the backend server closes the connection after this answer.
     pub close: bool,
+    /// What the run that was meant says of its own near future.
+    pub notice: notice::Notice,
 }
 
 /// Why a record or a request could not be read.
