Reproduce the incident: servers that ask for rest or leave get requests all the same

Stand-in servers can shed a share of their requests with any Retry-After, say that they leave, and record all visits; the check counts as the users do.

--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -7,13 +7,17 @@
 //! [`crate::worker`]. The control address takes `PUT /orders?lost=N&late=N`
 //! (each Nth order is not carried out, or half a second later, and neither is
 //! answered), `PUT /break` and `PUT /mend` (the group breaks, and forms anew),
-//! and tells with `GET /state`, `GET /requests` and `GET /ends` (servers that
-//! ended under a request) what happened.
+//! `PUT /shed?server=ID&each=N&rest=TEXT` (each Nth request of the server, or of
+//! each server without an id, is answered 503 with that `Retry-After`, without one
+//! where the text is empty) and `PUT /leave?server=ID&on=1` (all answers of the
+//! server say that it leaves, until it starts again), and tells with `GET /state`,
+//! `GET /requests`, `GET /ends` (servers that ended under a request) and
+//! `GET /visits` (all that reached the run that it was meant for) what happened.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash as _, Hasher as _};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde_json::{Value, json};
 use tokio::sync::watch;
@@ -55,6 +59,16 @@
     counts: Vec<u64>,
 }
 
+/// How a server sheds requests.
+struct Shed {
+    /// Each so-and-so-many-th is turned away.
+    each: u64,
+    /// Time after which to come back, as the header says it.
+    rest: String,
+    /// Requests that have come.
+    count: u64,
+}
+
 struct State {
     name: String,
     epoch: u64,
@@ -68,9 +82,16 @@
     given: u64,
     requests: Vec<Value>,
     ends: Vec<Value>,
+    /// By server, or by [`ALL`].
+    sheds: BTreeMap<String, Shed>,
+    leaving: BTreeSet<String>,
+    visits: Vec<Value>,
     popular: u16,
 }
 
+/// Stands for all servers.
+const ALL: &str = "*";
+
 /// The group.
 #[derive(Clone)]
 pub struct Group {
@@ -111,6 +132,9 @@
             given: 0,
             requests: Vec::new(),
             ends: Vec::new(),
+            sheds: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            visits: Vec::new(),
             popular: 0,
         };
         state.form();
@@ -180,9 +204,22 @@
         state.ends.push(end);
     }
 
+    /// A request reached the run of a server that it was meant for, which has
+    /// ended so often before. Returns the time after which to come back, as the
+    /// header says it, where the request is to be turned away.
+    pub fn receive(&self, server: &str, run: u64, request: &str) -> Option<String> {
+        self.lock().receive(server, run, request)
+    }
+
+    /// Whether a server says that it leaves.
+    pub fn leaves(&self, server: &str) -> bool {
+        self.lock().leaving.contains(server)
+    }
+
     /// A server that had ended is back; a lock-step group forms anew.
     pub fn restart(&self, server: &str, lockstep: bool) {
         let mut state = self.lock();
+        state.leaving.remove(server);
         for end in state.ends.iter_mut().filter(|end| end["server"] == server) {
             end["back"] = json!(true);
         }
@@ -280,7 +317,10 @@
             "/popular" => state.popular = number("expert") as u16,
             "/break" => state.open = false,
             "/mend" => state.form(),
+            "/shed" => state.set_shed(query),
+            "/leave" => state.set_leaving(query),
             "/requests" => return Value::Array(state.requests.clone()),
+            "/visits" => return Value::Array(state.visits.clone()),
             "/ends" => return Value::Array(state.ends.clone()),
             _ => {}
         }
@@ -303,6 +343,41 @@
 }
 
 impl State {
+    fn set_shed(&mut self, query: &BTreeMap<String, String>) {
+        let text = |name: &str| query.get(name).cloned();
+        let server = text("server").unwrap_or_else(|| ALL.to_owned());
+        let each = text("each").and_then(|text| text.parse().ok()).unwrap_or(0);
+        self.sheds.remove(&server);
+        if each > 0 {
+            let rest = text("rest").unwrap_or_default();
+            self.sheds.insert(server, Shed { each, rest, count: 0 });
+        }
+    }
+
+    fn set_leaving(&mut self, query: &BTreeMap<String, String>) {
+        let Some(server) = query.get("server") else { return };
+        if query.get("on").is_some_and(|on| on == "1") {
+            self.leaving.insert(server.clone());
+        } else {
+            self.leaving.remove(server);
+        }
+    }
+
+    fn receive(&mut self, server: &str, run: u64, request: &str) -> Option<String> {
+        let own = if self.sheds.contains_key(server) { server } else { ALL };
+        let shed = self.sheds.get_mut(own).and_then(|shed| {
+            shed.count += 1;
+            shed.count.is_multiple_of(shed.each).then(|| shed.rest.clone())
+        });
+        let leaving = self.leaving.contains(server);
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.visits.push(json!({
+            "server": server, "run": run, "request": request, "at": at.as_millis() as u64,
+            "shed": shed, "leaving": leaving,
+        }));
+        shed
+    }
+
     fn form(&mut self) {
         let ranks = self.ranks.len();
         self.epoch += 1;
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -167,11 +167,23 @@
         let id = text(&head.headers, "x-attempt-id").unwrap_or_default();
         let foreign = head.headers.contains_key("x-standin-foreign");
         let echo = if foreign { "another-request" } else { id };
-        http::Response::builder()
+        let answer = http::Response::builder()
             .status(status)
             .header("x-attempt-id", echo)
             .header("x-server-stamp", format!("{}.{id}", self.id))
-            .header("x-server-load", "1,0,12")
+            .header("x-server-load", "1,0,12");
+        if self.group.leaves(&self.id) { answer.header("server-leaving", "1") } else { answer }
+    }
+
+    /// Turns a request away, with the time after which to come back.
+    fn shed(
+        &self,
+        head: &http::request::Parts,
+        rest: &str,
+    ) -> Result<http::Response<Body>, Dropped> {
+        let answer = self.answer(head, 503).header("x-not-executed", "1");
+        let answer = if rest.is_empty() { answer } else { answer.header("retry-after", rest) };
+        answer.body(empty()).map_err(std::io::Error::other)
     }
 
     fn not_run(
@@ -198,6 +210,11 @@
         if expected.is_some_and(|id| *id != *self.id) {
             return self.not_run(head, 421);
         }
+        let id = text(headers, "x-attempt-id").unwrap_or_default();
+        let run = self.ends.borrow().0;
+        if let Some(rest) = self.group.receive(&self.id, run, id) {
+            return self.shed(head, &rest);
+        }
         if self.lockstep && !self.group.open() {
             return self.not_run(head, 503);
         }
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt as _, Full};
 use serde_json::{Value, json};
 
-use crate::{caller, process, until};
+use crate::{caller, process, until, visits};
 
 /// Host of all routes.
 pub const HOST: &str = "vale.example";
@@ -425,6 +425,24 @@
         self.rows(group, "/requests").await
     }
 
+    /// Requests that reached the run that they were meant for, over all servers,
+    /// those that were turned away among them.
+    pub async fn visits(&self) -> Vec<visits::Visit> {
+        let mut all = Vec::new();
+        for group in (0..self.plan.groups).map(Some).chain([None]) {
+            let rows = self.rows(group, "/visits").await;
+            all.extend(rows.iter().map(visits::Visit::read));
+        }
+        all
+    }
+
+    /// Tells the servers of a lock-step group, or the plain ones, something.
+    pub async fn servers_control(&self, group: Option<u8>, what: &str) {
+        let control = if group.is_some() { &self.group.1 } else { &self.plain.1 };
+        let path = format!("{what}&group={}", group.unwrap_or(0));
+        assert_eq!(control.ask("PUT", &path, &[], "").await.status, 200);
+    }
+
     async fn rows(&self, group: Option<u8>, what: &str) -> Vec<Value> {
         let control = if group.is_some() { &self.group.1 } else { &self.plain.1 };
         let rows = control.read(&format!("{what}?group={}", group.unwrap_or(0))).await;
--- /dev/null
+++ b/tests/tests/rest.rs
@@ -0,0 +1,111 @@
+//! Backend servers had asked for rest, and got requests all the same.
+//!
+//! Seen: a server turned a gateway away and asked it for 3 s of rest, and got up
+//! to seven requests from it in that time, as did its neighbours.
+//! How: each refusal shut it for a third of a second at the most; then it looked
+//! idle, as it turned all away, and was chosen before servers with room.
+//! Cause: how long to stay away was read as "no room" alone, and a figure of our
+//! own stood in its place.
+//! Proof: `server notice ... rest_ms=3000`, followed by `attempt` lines for the
+//! same server 0.1 to 2.8 s later, with no change of the list between.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::collections::BTreeMap;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use futures_util::future;
+use loftcove_tests::system::{Plan, Request, System};
+use loftcove_tests::visits::{self, Sent};
+
+const PLAN: Plan =
+    Plan { gateways: 3, ranks: 4, groups: 1, plain: 3, sidecars: false, proxied: false };
+
+/// Callers at each gateway, and how often each asks: their requests come for
+/// some three seconds, which is longer than the rest that is asked for.
+const CALLERS: usize = 6;
+/// See [`CALLERS`].
+const REQUESTS: usize = 60;
+
+fn now() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// A request that takes some 50 ms, of a plain service or of the lock-step group.
+fn request(ranks: bool) -> Request {
+    if ranks {
+        Request::new("/draft/").with("x-standin-events", "5")
+    } else {
+        Request::new("/alert/").with("x-standin-delay-ms", "50")
+    }
+}
+
+/// The lock-step group, or the plain servers.
+fn group(ranks: bool) -> Option<u8> {
+    ranks.then_some(0)
+}
+
+/// Asks one request after the other; returns them with their statuses.
+async fn ask(system: &System, gateway: u8, ranks: bool, count: usize) -> Vec<(String, Sent, u16)> {
+    let mut all = Vec::new();
+    for _ in 0..count {
+        let (request, at) = (request(ranks), now());
+        let status = system.ask(gateway, &request).await.status;
+        all.push((request.id, Sent { gateway, at, answered: now() }, status));
+    }
+    all
+}
+
+/// Callers ask at all gateways at the same time; returns what they sent, and how
+/// many were not served.
+async fn load(system: &System, ranks: bool) -> (BTreeMap<String, Sent>, usize) {
+    let callers = (0..PLAN.gateways).flat_map(|gateway| [gateway; CALLERS]);
+    let asked = future::join_all(callers.map(|gateway| ask(system, gateway, ranks, REQUESTS)));
+    let asked: Vec<_> = asked.await.into_iter().flatten().collect();
+    let unserved = asked.iter().filter(|(_, _, status)| *status != 200).count();
+    (asked.into_iter().map(|(id, sent, _)| (id, sent)).collect(), unserved)
+}
+
+/// One server turns every other request away and asks for two seconds of rest.
+async fn rests(ranks: bool) {
+    let system = System::start(PLAN).await;
+    let server = if ranks { "rank-1" } else { "plain-1" };
+    system.servers_control(group(ranks), &format!("/shed?server={server}&each=2&rest=2")).await;
+    let (sent, unserved) = load(&system, ranks).await;
+    let visits = system.visits().await;
+    assert!(visits.iter().any(|visit| visit.shed.is_some()), "nothing was turned away");
+    assert_eq!(visits::worst(visits::unrested(&visits, &sent)), None);
+    assert_eq!(unserved, 0, "requests that were not served while other servers had room");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_server_that_asks_for_rest_gets_it() {
+    rests(false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rank_that_asks_for_rest_gets_it() {
+    rests(true).await;
+}
+
+/// A server says in its answers that it leaves; the store does not tell.
+async fn leaves(ranks: bool) {
+    let system = System::start(PLAN).await;
+    let server = if ranks { "rank-1" } else { "plain-1" };
+    system.servers_control(group(ranks), &format!("/leave?server={server}&on=1")).await;
+    let (sent, unserved) = load(&system, ranks).await;
+    let visits = system.visits().await;
+    assert!(visits.iter().any(|visit| visit.leaving), "no answer told it");
+    assert_eq!(visits::worst(visits::undrained(&visits, &sent)), None);
+    assert_eq!(unserved, 0, "requests that were not served while other servers had room");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_server_that_leaves_gets_nothing_more() {
+    leaves(false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rank_that_leaves_gets_nothing_more() {
+    leaves(true).await;
+}
