Keep what a server says of its own future, and ask it before each send

Cause: the head of a refusal was read as "no room" alone. The server was shut for 20 to 320 ms by a figure of ours, then looked idle, since it turned all away, and was chosen before servers with room; its refusals ate the retry budget. Ruled out by the failing tests: requests chosen before, and records made anew.

Change: each run of a server has a Standing (rest until, leaving) that only its time or its end lifts; every way to a server passes it in Record::open, and the last step before bytes go asks it again (End::Withheld: not charged). After a rest it gets one request alone until it begins to answer, at a moment that gateways spread. Where all rest, who could not be served in time is refused at once with the time of the first return. A run whose entry comes without its start stays the same run, and the floor of ejection counts who rests. Logs, counter, gauges, passed_over in each attempt's line.

--- a/decision/src/admission.rs
+++ b/decision/src/admission.rs
@@ -279,10 +279,18 @@
     pub fn sweep(&mut self, now: clock::Instant) -> Vec<Waiter> {
         let mut late = Vec::new();
         for line in self.pools.values_mut() {
-            let sent = now + line.service();
-            for band in line.bands.values_mut() {
-                band.sweep(now, sent, &mut late);
-            }
+            line.sweep(now, &mut late);
+        }
+        self.waiting -= late.len();
+        late
+    }
+
+    /// Takes out those waiters for a pool that could not make their deadline if
+    /// they were sent at that time.
+    pub fn sweep_for(&mut self, pool: entity::Pool, at: clock::Instant) -> Vec<Waiter> {
+        let mut late = Vec::new();
+        if let Some(line) = self.pools.get_mut(&pool) {
+            line.sweep(at, &mut late);
         }
         self.waiting -= late.len();
         late
@@ -307,13 +315,14 @@
     }
 
     /// When a refused caller should come back: after the present queue is gone,
-    /// and after as long as the pool mostly stays full. Callers are told times
-    /// that differ, so that they do not come back together.
-    pub fn retry_after(&self, pool: entity::Pool) -> Duration {
+    /// after as long as the pool mostly stays full, and not before `least` is
+    /// over. Callers are told times that differ, so that they do not come back together.
+    pub fn retry_after(&self, pool: entity::Pool, least: Duration) -> Duration {
         let line = self.pools.get(&pool);
         let full = line.and_then(|line| line.full.left()).unwrap_or(Duration::ZERO);
         let refused = line.map_or(0, |line| line.refused);
-        let wait = self.expected_wait(pool, u32::MAX).max(full).max(self.shortest_return);
+        let wait = self.expected_wait(pool, u32::MAX).max(full).max(least);
+        let wait = wait.max(self.shortest_return);
         wait.mul_f64(spread(refused)).min(LONGEST_RETURN)
     }
 
@@ -397,6 +406,13 @@
         Duration::from_secs_f64(self.service.unwrap_or(0.0))
     }
 
+    fn sweep(&mut self, at: clock::Instant, late: &mut Vec<Waiter>) {
+        let answered = at + self.service();
+        for band in self.bands.values_mut() {
+            band.sweep(at, answered, late);
+        }
+    }
+
     fn len(&self) -> usize {
         self.bands.values().map(|band| band.len).sum()
     }
--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -9,9 +9,10 @@
 mod follow;
 mod group;
 mod message;
+mod rest;
 mod verify;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 pub use message::{
@@ -88,6 +89,8 @@
     gateways: u32,
     group_return: Duration,
     notes: Vec<Note>,
+    /// Backend servers that rest, and those that have told that they leave.
+    noticed: BTreeSet<entity::Server>,
     next: u32,
     tally: Tally,
 }
@@ -108,6 +111,7 @@
             gateways: 1,
             group_return: options.group_return,
             notes: Vec::new(),
+            noticed: BTreeSet::new(),
             next: 0,
             tally: Tally::default(),
         }
@@ -178,6 +182,7 @@
         arrival: Arrival,
         now: clock::Instant,
     ) -> (entity::Ticket, Vec<Action>) {
+        self.note_rested(now);
         let ticket = entity::Ticket::from_u32(self.next);
         self.next = self.next.wrapping_add(1) & (u32::MAX >> 1);
         let mut actions = Vec::new();
@@ -205,8 +210,9 @@
     ) {
         let pending = self.pending.get(&ticket).filter(|p| p.place == Place::Waiting);
         let waits = pending.is_some();
+        let full = waits || self.rests_until(arrival.pool, now).is_some();
         let waiter = self.waiter(ticket, pending.map_or(arrival, |p| &p.arrival), now);
-        self.queue.set_full(arrival.pool, waits, now);
+        self.queue.set_full(arrival.pool, full, now);
         if waits && waiter.expires <= now && self.queue.remove(&waiter) {
             let reason = Reason::Admission(admission::Refusal::Deadline);
             self.give_up(ticket, Outcome::NotRun, reason, actions);
@@ -262,6 +268,7 @@
         let Place::Sent(server) = place else { return };
         if let Some(sent) = sent {
             self.queue.begun(pool, now.since(sent));
+            self.servers[server].standing.answers(sent);
         }
         self.servers[server].health.answered(after);
         if self.slow(server) {
@@ -277,7 +284,7 @@
         let (sent, group, begun) = (pending.sent, pending.group, pending.begun);
         match pending.place {
             Place::Sent(server) => {
-                self.leave(server, end, now);
+                self.leave(server, end, sent, now);
                 self.leave_group(group);
             }
             Place::Waiting => {
@@ -301,6 +308,7 @@
                 self.finish(ticket);
             }
             End::Full => self.wait_again(ticket, now, &mut actions),
+            End::Withheld => self.take_back(ticket, now, &mut actions),
             End::NeverRan => {
                 self.follow(ticket, retry::Knowledge::NeverRan, false, now, &mut actions);
             }
@@ -322,6 +330,7 @@
 
     /// Time passed: requests that can no longer make their deadline get their answer.
     pub fn tick(&mut self, now: clock::Instant) -> Vec<Action> {
+        self.note_rested(now);
         let mut actions = Vec::new();
         for late in self.queue.sweep(now) {
             let reason = Reason::Admission(admission::Refusal::Deadline);
@@ -332,8 +341,20 @@
     }
 
     /// Accounts for an attempt that left a backend server.
-    fn leave(&mut self, server: entity::Server, end: End, now: clock::Instant) {
+    fn leave(
+        &mut self,
+        server: entity::Server,
+        end: End,
+        sent: Option<clock::Instant>,
+        now: clock::Instant,
+    ) {
         let record = &mut self.servers[server];
+        if let Some(sent) = sent {
+            if end == End::Answered {
+                record.standing.answers(sent);
+            }
+            record.standing.over(sent);
+        }
         match end {
             End::Answered => {
                 record.window.grow(record.in_flight);
@@ -352,7 +373,7 @@
                 self.try_eject(server, now);
                 self.group_unreached(server, now);
             }
-            End::Abandoned | End::GroupDown => {}
+            End::Abandoned | End::GroupDown | End::Withheld => {}
         }
         let record = &mut self.servers[server];
         debug_assert!(record.in_flight > 0, "{server} has no request in flight");
@@ -381,6 +402,9 @@
             }
             self.send(next.ticket, now, actions);
         }
+        if self.queue.waiting_for(pool) > 0 {
+            self.refuse_resting(pool, now, actions);
+        }
         if self.queue.waiting_for(pool) > 0 && self.servers.usable(pool).next().is_none() {
             self.drain(pool, Reason::NoBackend, actions);
         }
--- a/decision/src/balancer/choose.rs
+++ b/decision/src/balancer/choose.rs
@@ -41,6 +41,7 @@
     ) {
         let Some(pending) = self.pending.get(&ticket) else { return };
         let considered = self.open(pending.arrival.pool, &pending.tried, now);
+        let passed_over = self.passed_over(pending.arrival.pool, now);
         let candidates: Vec<entity::Server> = considered.iter().map(|c| c.server).collect();
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
         let request = policy::Request { prefix: pending.arrival.prefix };
@@ -56,6 +57,7 @@
             self.groups[group].enter(now);
         }
         self.servers[choice.server].in_flight += 1;
+        self.servers[choice.server].standing.sent();
         if pending.attempts == 1 {
             self.tally.first += 1;
             self.budget.deposit();
@@ -64,7 +66,7 @@
         }
         self.queue.depart(pending.arrival.pool, now);
         let attempt = pending.attempts;
-        actions.push(Action::Send(Dispatch { ticket, attempt, choice, considered }));
+        actions.push(Action::Send(Dispatch { ticket, attempt, choice, considered, passed_over }));
     }
 
     pub(super) fn slow(&self, server: entity::Server) -> bool {
@@ -83,7 +85,10 @@
     pub(super) fn try_eject(&mut self, server: entity::Server, now: clock::Instant) {
         let pool = self.servers[server].listing.pool;
         let usable: Vec<_> = self.servers.usable(pool).collect();
-        let out = usable.iter().filter(|(_, record)| record.health.ejected(now)).count();
+        // One that rests is out by its own word; the floor is for what is left.
+        let is_out =
+            |record: &server::Record| record.health.ejected(now) || record.standing.rests(now);
+        let out = usable.iter().filter(|(_, record)| is_out(record)).count();
         if eject::floor_allows(usable.len(), out) {
             self.servers[server].health.eject(now);
         }
--- a/decision/src/balancer/follow.rs
+++ b/decision/src/balancer/follow.rs
@@ -1,5 +1,7 @@
 //! What follows an attempt that failed, and final answers without one.
 
+use std::time::Duration;
+
 use crate::balancer::{Action, Arrival, Balancer, NO_BACKEND_RETRY, Outcome, Pending, Place};
 use crate::balancer::{Reason, Refusal};
 use crate::routing::policy;
@@ -123,7 +125,8 @@
         let retry_after = match reason {
             Reason::NoBackend => NO_BACKEND_RETRY,
             Reason::GroupDown => self.group_return,
-            _ => self.queue.retry_after(pool),
+            Reason::Resting(time) => self.queue.retry_after(pool, time),
+            _ => self.queue.retry_after(pool, Duration::ZERO),
         };
         match outcome {
             Outcome::NotRun => self.tally.not_run += 1,
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -105,6 +105,8 @@
     Answered,
     /// The agent refused it for want of a slot: never ran.
     Full,
+    /// Nothing was sent, since the backend server has asked for rest or leaves.
+    Withheld,
     /// It surely never ran, for another cause.
     NeverRan,
     /// No connection to the backend server: it surely never ran, and others
@@ -148,6 +150,8 @@
     GroupDown,
     /// Its backend server ended under it.
     ServerEnded,
+    /// All backend servers of the pool rest, the first one for that time.
+    Resting(Duration),
 }
 
 impl fmt::Display for Reason {
@@ -159,6 +163,7 @@
             Reason::Budget => f.write_str("retry-budget"),
             Reason::GroupDown => f.write_str("group-down"),
             Reason::ServerEnded => f.write_str("server-ended"),
+            Reason::Resting(_) => f.write_str("servers-rest"),
         }
     }
 }
@@ -183,6 +188,8 @@
     pub choice: policy::Choice,
     /// Those that were open and weighed.
     pub considered: Vec<Candidate>,
+    /// Some of those that rest or leave, by what they said themselves.
+    pub passed_over: Vec<entity::Server>,
 }
 
 /// A request to be given its final answer now.
@@ -205,6 +212,8 @@
     GroupDown(entity::Group, outage::Ground),
     /// The group serves again, after that time.
     GroupUp(entity::Group, Duration),
+    /// The backend server's rest is over; it had lasted that long.
+    Rested(entity::Server, Duration),
     /// The group carries as many own streams as its bound allows.
     Bound(entity::Group, pace::Ground),
 }
--- /dev/null
+++ b/decision/src/balancer/rest.rs
@@ -0,0 +1,139 @@
+//! What backend servers say of their own near future, and what follows from it.
+//!
+//! Every way to a backend server passes [`server::Record::open`], which asks
+//! its [`notice::Standing`]; [`Balancer::wants`] asks it once more in the last
+//! step before anything is sent.
+
+use crate::balancer::{Action, Balancer, Note, Outcome, Place, Reason};
+use crate::routing::{notice, policy, server};
+use crate::{admission, clock, entity};
+
+/// Backend servers that a decision names as passed over, at the most: enough for
+/// whoever reads the line to find their own lines.
+const NAMED: usize = 4;
+
+impl<P: policy::Policy> Balancer<P> {
+    /// An answer of a backend server said something of its own near future.
+    pub fn notice(
+        &mut self,
+        server: entity::Server,
+        notice: &notice::Notice,
+        now: clock::Instant,
+    ) -> (Option<notice::Change>, Vec<Action>) {
+        let change = self.servers[server].notice(notice, now);
+        let mut actions = Vec::new();
+        if change.is_some() {
+            self.noticed.insert(server);
+            self.pump(self.servers[server].listing.pool, now, &mut actions);
+        }
+        (change, actions)
+    }
+
+    /// Whether a backend server that was chosen still wants what is to be sent
+    /// now. What was chosen before it asked for rest, and waited for a
+    /// connection meanwhile, would reach it within that.
+    pub fn wants(&self, server: entity::Server, now: clock::Instant) -> bool {
+        let record = &self.servers[server];
+        !record.standing.rests(now) && !record.leaving()
+    }
+
+    /// Backend servers that rest, and listed ones that have told that they leave.
+    pub fn noticed(&self, now: clock::Instant) -> (usize, usize) {
+        let records = || self.noticed.iter().map(|server| &self.servers[*server]);
+        let resting = records().filter(|record| record.standing.rests(now)).count();
+        let leaving = records().filter(|record| record.listed && record.standing.leaving()).count();
+        (resting, leaving)
+    }
+
+    /// Those of a pool that were left out of a choice for what they said.
+    pub(super) fn passed_over(
+        &self,
+        pool: entity::Pool,
+        now: clock::Instant,
+    ) -> Vec<entity::Server> {
+        let left_out = |record: &server::Record| {
+            let said = record.standing.leaving() || record.standing.rests(now);
+            record.listing.pool == pool && record.listed && said
+        };
+        let noticed = self.noticed.iter().copied();
+        noticed.filter(|server| left_out(&self.servers[*server])).take(NAMED).collect()
+    }
+
+    /// When the first backend server of a pool takes requests again, where all
+    /// that could serve it rest.
+    pub(super) fn rests_until(
+        &self,
+        pool: entity::Pool,
+        now: clock::Instant,
+    ) -> Option<clock::Instant> {
+        let mut first = None;
+        for (_, record) in self.servers.usable(pool) {
+            if !record.standing.rests(now) {
+                return None;
+            }
+            let until = record.standing.until();
+            first = Some(first.map_or(until, |first: clock::Instant| first.min(until)));
+        }
+        first
+    }
+
+    /// Refuses those who could not be sent in time even when the first backend
+    /// server takes requests again, where all rest: they learn at once when to
+    /// come back, and no queue builds up that falls over the first one.
+    pub(super) fn refuse_resting(
+        &mut self,
+        pool: entity::Pool,
+        now: clock::Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.noticed.is_empty() {
+            return;
+        }
+        let Some(until) = self.rests_until(pool, now) else { return };
+        for late in self.queue.sweep_for(pool, until) {
+            self.give_up(late.ticket, Outcome::NotRun, Reason::Resting(until.since(now)), actions);
+        }
+    }
+
+    /// Lets a request wait again that was not sent, since the backend server that
+    /// was chosen wants nothing any more: as if it had not been chosen.
+    pub(super) fn take_back(
+        &mut self,
+        ticket: entity::Ticket,
+        now: clock::Instant,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.pending.get_mut(&ticket) else { return };
+        pending.attempts -= 1;
+        pending.tried.pop();
+        pending.place = Place::Waiting;
+        pending.sent = None;
+        pending.group = None;
+        if pending.attempts == 0 {
+            self.tally.first -= 1;
+            self.budget.take_back();
+        } else {
+            self.tally.again -= 1;
+        }
+        let (arrival, since) = (pending.arrival, pending.since);
+        if arrival.deadline <= now {
+            let reason = Reason::Admission(admission::Refusal::Deadline);
+            return self.give_up(ticket, Outcome::NotRun, reason, actions);
+        }
+        let waiter = self.waiter(ticket, &arrival, since);
+        self.queue.push_front(waiter);
+    }
+
+    /// Notes rests that have ended since the last look.
+    pub(super) fn note_rested(&mut self, now: clock::Instant) {
+        let servers = &mut self.servers;
+        let notes = &mut self.notes;
+        self.noticed.retain(|server| {
+            let standing = &mut servers[*server].standing;
+            if let Some(time) = standing.ended(now) {
+                notes.push(Note::Rested(*server, time));
+            }
+            standing.rests(now) || standing.leaving()
+        });
+    }
+}
--- a/decision/src/retry.rs
+++ b/decision/src/retry.rs
@@ -45,6 +45,11 @@
         self.saved = (self.saved + self.ratio).min(self.reserve);
     }
 
+    /// A first attempt that was counted was not sent after all.
+    pub fn take_back(&mut self) {
+        self.saved = (self.saved - self.ratio).max(0.0);
+    }
+
     /// Takes one retry out, if there is one.
     pub fn withdraw(&mut self) -> bool {
         if self.saved < 1.0 {
--- a/decision/src/routing/notice.rs
+++ b/decision/src/routing/notice.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::clock;
+
 /// Longest rest that is kept; a longer one is cut to it. Runs of backend servers last for
 /// hours at the most between two releases, so this is as good as "until its
 /// end", and keeps sums of times far from overflow.
@@ -45,3 +47,121 @@
         }
     }
 }
+
+/// Longest part of a rest by which a gateway comes back later than it may, and
+/// the longest such time: gateways that were turned away together come back one
+/// after the other. 300 of them that were asked for 3 s come over 0.75 s.
+const SPREAD: (f64, Duration) = (0.25, Duration::from_secs(1));
+
+/// What has changed by a notice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// It gets nothing for that time.
+    Rests(Duration),
+    /// It gets nothing more in this run.
+    Leaves,
+}
+
+/// Whether a backend server that rested may take requests again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Trial {
+    /// It may.
+    #[default]
+    Passed,
+    /// It gets one request, to see whether it takes it.
+    Due,
+    /// That one is on its way.
+    Sent,
+}
+
+/// What a run of a backend server has said, as far as it still holds. Only that
+/// run's end or time lifts it: a later answer that says nothing does not.
+#[derive(Debug, Clone, Default)]
+pub struct Standing {
+    /// Until when it rests; past where it does not.
+    until: clock::Instant,
+    /// Since when it has rested without a break.
+    since: clock::Instant,
+    /// Whether a rest is going on that has not been seen to end.
+    resting: bool,
+    trial: Trial,
+    leaving: bool,
+}
+
+impl Standing {
+    /// Takes a notice that was read at that time; `lot`, from 0 to 1, says how
+    /// late within the spread it gets requests again.
+    pub fn take(&mut self, notice: &Notice, lot: f64, now: clock::Instant) -> Option<Change> {
+        let leaves = notice.leaving && !self.leaving;
+        self.leaving |= notice.leaving;
+        let rests = match notice.rest {
+            Rest::For(time) if !time.is_zero() => self.rest(time.min(LONGEST_REST), lot, now),
+            Rest::For(_) | Rest::None | Rest::Unreadable => None,
+        };
+        if leaves { Some(Change::Leaves) } else { rests }
+    }
+
+    /// Returns the change where a rest begins; one that is asked for within
+    /// another only moves its end, and never forward.
+    fn rest(&mut self, time: Duration, lot: f64, now: clock::Instant) -> Option<Change> {
+        let later = time.mul_f64(SPREAD.0).min(SPREAD.1).mul_f64(lot.clamp(0.0, 1.0));
+        self.until = self.until.max(now + time + later);
+        self.trial = Trial::Due;
+        if self.resting {
+            return None;
+        }
+        (self.resting, self.since) = (true, now);
+        Some(Change::Rests(self.until.since(now)))
+    }
+
+    /// Whether it wants nothing at present.
+    pub fn rests(&self, now: clock::Instant) -> bool {
+        self.resting && now < self.until
+    }
+
+    /// Until when it wants nothing.
+    pub fn until(&self) -> clock::Instant {
+        self.until
+    }
+
+    /// Whether it has said that it leaves.
+    pub fn leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether it may get one more request now. After a rest it gets one alone,
+    /// until it has begun to answer it: few at first, and more only if it takes them.
+    pub fn admits(&self, now: clock::Instant) -> bool {
+        !self.leaving && !self.rests(now) && self.trial != Trial::Sent
+    }
+
+    /// A request is sent to it.
+    pub fn sent(&mut self) {
+        if self.trial == Trial::Due {
+            self.trial = Trial::Sent;
+        }
+    }
+
+    /// It answers a request that was sent then.
+    pub fn answers(&mut self, sent: clock::Instant) {
+        if sent >= self.until {
+            self.trial = Trial::Passed;
+        }
+    }
+
+    /// A request that was sent then is over, with an answer or without.
+    pub fn over(&mut self, sent: clock::Instant) {
+        if self.trial == Trial::Sent && sent >= self.until {
+            self.trial = Trial::Due;
+        }
+    }
+
+    /// Notes the end of a rest: how long it lasted, once.
+    pub fn ended(&mut self, now: clock::Instant) -> Option<Duration> {
+        if !self.resting || now < self.until {
+            return None;
+        }
+        self.resting = false;
+        Some(self.until.since(self.since))
+    }
+}
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -8,7 +8,7 @@
 use cranelift_entity::PrimaryMap;
 use xxhash_rust::xxh3;
 
-use crate::routing::eject;
+use crate::routing::{eject, notice};
 use crate::{attempt, clock, entity, limit, outage};
 
 /// Half-life of what a report says of other entry hosts' requests.
@@ -17,6 +17,9 @@
 /// Shortest and longest time without new work after a want of slots.
 pub const SHUT: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(320));
 
+/// Lots that are told apart when gateways come back to one that rested.
+const LOTS: u64 = 1_024;
+
 /// Load that a backend server tells with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Load {
@@ -93,6 +96,8 @@
     refusals: u32,
     /// Record of its failures.
     pub health: eject::Health,
+    /// What it has said of its own near future.
+    pub standing: notice::Standing,
 }
 
 impl Record {
@@ -110,28 +115,50 @@
             shut_until: clock::Instant::ZERO,
             refusals: 0,
             health: eject::Health::default(),
+            standing: notice::Standing::default(),
         }
     }
 
-    /// Whether it is of the run that started then; a run that was listed
-    /// without its start is the same one.
+    /// Whether it may be of the run that started then: a start that is not told,
+    /// before or now, makes it no other one.
     fn is_run(&self, born: Option<u64>) -> bool {
-        self.listing.born.is_none() || self.listing.born == born
+        !matches!((self.listing.born, born), (Some(own), Some(other)) if own != other)
+    }
+
+    /// Takes another listing of the same run.
+    fn relist(&mut self, listing: Listing) {
+        let born = listing.born.or(self.listing.born);
+        self.listing = Listing { born, ..listing };
+        self.listed = true;
     }
 
     /// Whether it may be given new work at all.
     pub fn usable(&self) -> bool {
-        self.listed
-            && self.connected
-            && !self.listing.leaving
-            && !self.report.leaving
-            && self.report.alive
+        self.listed && self.connected && !self.leaving() && self.report.alive
+    }
+
+    /// Whether it is about to end, as far as the host list, its agent or it itself
+    /// has told.
+    pub fn leaving(&self) -> bool {
+        self.listing.leaving || self.report.leaving || self.standing.leaving()
     }
 
-    /// Whether it may be given one more request now.
+    /// Whether it may be given one more request now. What it says itself goes
+    /// before what is guessed: one that turns all away looks idle, and would be
+    /// chosen before those that have room.
     pub fn open(&self, now: clock::Instant) -> bool {
         let shut = now < self.shut_until || self.health.ejected(now);
-        self.usable() && !shut && self.in_flight < self.window.size()
+        self.usable() && !shut && self.standing.admits(now) && self.in_flight < self.window.size()
+    }
+
+    /// Takes what it says of its own near future.
+    pub fn notice(
+        &mut self,
+        notice: &notice::Notice,
+        now: clock::Instant,
+    ) -> Option<notice::Change> {
+        let lot = ((self.hash ^ now.micros()) % LOTS) as f64 / LOTS as f64;
+        self.standing.take(notice, lot, now)
     }
 
     /// It had no slot: it gets nothing more for a while, which doubles with each
@@ -197,7 +224,7 @@
             self.listing.pool,
             self.listed,
             self.connected,
-            self.listing.leaving || self.report.leaving,
+            self.leaving(),
             self.in_flight,
             self.window.size(),
             self.report.running,
@@ -225,11 +252,7 @@
         }
         for listing in listings {
             match self.find(&listing.host).filter(|id| self.records[*id].is_run(listing.born)) {
-                Some(server) => {
-                    let record = &mut self.records[server];
-                    record.listing = listing;
-                    record.listed = true;
-                }
+                Some(server) => self.records[server].relist(listing),
                 None => {
                     let host = listing.host.clone();
                     let server = self.records.push(Record::new(listing));
--- /dev/null
+++ b/decision/tests/rest.rs
@@ -0,0 +1,451 @@
+//! Backend servers that ask for rest, or say that they leave: nothing is chosen
+//! for them, whatever comes between, and no longer than they asked.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use loftcove_decision::routing::notice::{Change, LONGEST_REST, Notice, Rest};
+use loftcove_decision::routing::{policy, server};
+use loftcove_decision::{balancer, clock, entity};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng as _;
+
+/// Longest time by which a server that rested gets requests later than it may.
+const SPREAD: Duration = Duration::from_secs(1);
+const SLOTS: u32 = 4;
+const DEADLINE: Duration = Duration::from_secs(8);
+
+fn pool() -> entity::Pool {
+    entity::Pool::from_u32(0)
+}
+
+fn rest(ms: u64) -> Notice {
+    Notice { rest: Rest::For(Duration::from_millis(ms)), leaving: false }
+}
+
+const LEAVES: Notice = Notice { rest: Rest::None, leaving: true };
+
+struct Setup {
+    balancer: balancer::Balancer<policy::Blend>,
+    now: clock::Instant,
+    /// Requests under way, each with its server and when it was sent.
+    sent: Vec<(entity::Ticket, entity::Server, clock::Instant)>,
+    refused: Vec<balancer::Refusal>,
+    sequence: u64,
+}
+
+impl Setup {
+    fn new(servers: &[(u32, Option<u64>)]) -> Setup {
+        let rng = ChaCha8Rng::seed_from_u64(3);
+        let policy = policy::Blend { rng, sample: 2, affinity_slack: 0.0 };
+        let options = balancer::Options::default().retry_reserve(10.0).charge_full(true);
+        let mut setup = Setup {
+            balancer: balancer::Balancer::new(policy, &options),
+            now: clock::Instant::from_millis(1_000),
+            sent: Vec::new(),
+            refused: Vec::new(),
+            sequence: 0,
+        };
+        setup.list(servers);
+        setup
+    }
+
+    /// Lists servers by number and start.
+    fn list(&mut self, servers: &[(u32, Option<u64>)]) {
+        let listing = |(number, born): &(u32, Option<u64>)| server::Listing {
+            host: format!("server-{number}").into(),
+            born: *born,
+            pool: pool(),
+            group: None,
+            news: None,
+            local: true,
+            leaving: false,
+        };
+        let actions = self.balancer.list(servers.iter().map(listing).collect(), self.now);
+        self.take(actions);
+        for (number, _) in servers {
+            let id = self.find(*number);
+            if self.balancer.servers()[id].connected {
+                continue;
+            }
+            self.sequence += 1;
+            let report = server::Report {
+                incarnation: 1,
+                sequence: self.sequence,
+                slots: SLOTS,
+                alive: true,
+                ..Default::default()
+            };
+            let mut actions = self.balancer.connect(id, true, self.now);
+            actions.extend(self.balancer.report(id, report, self.now));
+            self.take(actions);
+        }
+    }
+
+    fn find(&self, number: u32) -> entity::Server {
+        self.balancer.servers().find(&format!("server-{number}")).unwrap()
+    }
+
+    fn take(&mut self, actions: Vec<balancer::Action>) {
+        for action in actions {
+            match action {
+                balancer::Action::Send(dispatch) => {
+                    assert!(self.balancer.wants(dispatch.choice.server, self.now));
+                    self.sent.push((dispatch.ticket, dispatch.choice.server, self.now));
+                }
+                balancer::Action::Refuse(refusal) => self.refused.push(refusal),
+            }
+        }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now = self.now + Duration::from_millis(ms);
+        let actions = self.balancer.tick(self.now);
+        self.take(actions);
+    }
+
+    /// A request arrives whose answer should begin within that time.
+    fn arrive(&mut self, begin: Duration) -> entity::Ticket {
+        let due = self.now + DEADLINE.max(begin);
+        let arrival = balancer::Arrival {
+            pool: pool(),
+            team: entity::Team::from_u32(0),
+            precedence: 1,
+            repeatable: true,
+            resumable: false,
+            max_attempts: 3,
+            deadline: due,
+            expires: due,
+            begin_by: Some(self.now + begin),
+            prefix: 0,
+        };
+        let (ticket, actions) = self.balancer.arrive(arrival, self.now);
+        self.take(actions);
+        ticket
+    }
+
+    fn notice(&mut self, server: entity::Server, notice: &Notice) -> Option<Change> {
+        let (change, actions) = self.balancer.notice(server, notice, self.now);
+        self.take(actions);
+        change
+    }
+
+    fn end(&mut self, ticket: entity::Ticket, end: balancer::End) {
+        self.sent.retain(|(other, ..)| *other != ticket);
+        let actions = self.balancer.end(ticket, end, self.now);
+        self.take(actions);
+        assert_eq!(self.balancer.verify(), Ok(()));
+    }
+
+    /// Server that the request is at.
+    fn at(&self, ticket: entity::Ticket) -> Option<entity::Server> {
+        self.sent.iter().find(|(other, ..)| *other == ticket).map(|(_, server, _)| *server)
+    }
+
+    /// A refusal with a notice, as the adapter tells it.
+    fn turn_away(&mut self, ticket: entity::Ticket, notice: &Notice) {
+        let server = self.at(ticket).unwrap();
+        self.notice(server, notice);
+        self.end(ticket, balancer::End::Full);
+    }
+}
+
+#[test]
+fn work_goes_to_others_until_the_rest_is_over() {
+    let mut setup = Setup::new(&[(0, None), (1, None)]);
+    let first = setup.arrive(DEADLINE);
+    let resting = setup.at(first).unwrap();
+    setup.turn_away(first, &rest(3_000));
+    assert_ne!(setup.at(first), Some(resting), "it goes to the other one at once");
+    for _ in 0..20 {
+        let ticket = setup.arrive(DEADLINE);
+        assert_ne!(setup.at(ticket), Some(resting));
+        setup.end(ticket, balancer::End::Answered);
+        setup.pass(149);
+    }
+    setup.pass(SPREAD.as_millis() as u64);
+    let back = (0..20).any(|_| {
+        let ticket = setup.arrive(DEADLINE);
+        setup.at(ticket) == Some(resting)
+    });
+    assert!(back, "it gets requests again");
+    assert!(setup.refused.is_empty());
+}
+
+/// All gateways come back to a server at once that turned all away for the same
+/// overload: each tries with one request before it sends more.
+#[test]
+fn a_server_that_rested_is_tried_with_one_request() {
+    let mut setup = Setup::new(&[(0, None)]);
+    let server = setup.find(0);
+    setup.notice(server, &rest(1_000));
+    setup.pass(1_000 + SPREAD.as_millis() as u64);
+    let tickets: Vec<_> = (0..3).map(|_| setup.arrive(DEADLINE)).collect();
+    assert_eq!(setup.sent.len(), 1);
+    // It takes that one only in part: the next one is a trial again.
+    setup.end(tickets[0], balancer::End::MayHaveRun { answer_begun: true });
+    assert_eq!(setup.sent.len(), 1);
+    let trial = setup.sent[0].0;
+    setup.balancer.begin(trial, Duration::from_millis(50), setup.now);
+    setup.pass(10);
+    assert_eq!(setup.sent.len(), 2, "an answer that begins opens it");
+}
+
+#[test]
+fn later_words_and_answers_only_lengthen_a_rest() {
+    let mut setup = Setup::new(&[(0, None), (1, None)]);
+    let server = setup.find(0);
+    let tickets: Vec<_> = (0..4).map(|_| setup.arrive(DEADLINE)).collect();
+    assert!(matches!(setup.notice(server, &rest(3_000)), Some(Change::Rests(_))));
+    setup.pass(100);
+    // A shorter one, one that cannot be read, a whole answer, a load report and a list change nothing.
+    assert_eq!(setup.notice(server, &rest(500)), None);
+    let unreadable = Notice { rest: Rest::Unreadable, leaving: false };
+    assert_eq!(setup.notice(server, &unreadable), None);
+    assert_eq!(setup.notice(server, &rest(0)), None);
+    for ticket in tickets {
+        setup.end(ticket, balancer::End::Answered);
+    }
+    setup.list(&[(0, None), (1, None)]);
+    setup.pass(2_800);
+    assert!(!setup.balancer.wants(server, setup.now));
+    // A longer one moves its end.
+    assert_eq!(setup.notice(server, &rest(2_000)), None);
+    setup.pass(1_900);
+    assert!(!setup.balancer.servers()[server].open(setup.now));
+}
+
+#[test]
+fn a_very_long_rest_is_cut() {
+    let mut setup = Setup::new(&[(0, None)]);
+    let server = setup.find(0);
+    let endless = Notice { rest: Rest::For(Duration::MAX), leaving: false };
+    setup.notice(server, &endless);
+    let until = setup.balancer.servers()[server].standing.until();
+    assert!(until <= setup.now + LONGEST_REST + SPREAD);
+}
+
+#[test]
+fn what_a_run_said_is_kept_while_its_entry_is_away_and_goes_with_the_run() {
+    let mut setup = Setup::new(&[(0, Some(7)), (1, None)]);
+    let server = setup.find(0);
+    setup.notice(server, &rest(5_000));
+    setup.list(&[(1, None)]);
+    setup.pass(100);
+    // It returns without its start, then with it: the same run.
+    for born in [None, Some(7)] {
+        setup.list(&[(0, born), (1, None)]);
+        assert_eq!(setup.find(0), server);
+        assert!(!setup.balancer.servers()[server].open(setup.now));
+    }
+    assert_eq!(setup.notice(server, &LEAVES), Some(Change::Leaves));
+    setup.pass(20_000);
+    assert!(!setup.balancer.servers()[server].open(setup.now), "it leaves, rested or not");
+    setup.list(&[(0, Some(8)), (1, None)]);
+    let new = setup.find(0);
+    assert!(new != server && setup.balancer.servers()[new].open(setup.now));
+}
+
+#[test]
+fn what_was_chosen_before_is_not_sent_and_not_charged() {
+    let mut setup = Setup::new(&[(0, None), (1, None)]);
+    let ticket = setup.arrive(DEADLINE);
+    let server = setup.at(ticket).unwrap();
+    let tally = setup.balancer.tally();
+    setup.notice(server, &rest(3_000));
+    assert!(!setup.balancer.wants(server, setup.now));
+    setup.end(ticket, balancer::End::Withheld);
+    let other = setup.at(ticket).unwrap();
+    assert!(other != server && setup.balancer.wants(other, setup.now));
+    assert_eq!(setup.balancer.tally(), tally, "it counts as its first attempt");
+    assert_eq!(setup.balancer.servers()[server].in_flight, 0);
+    // Where there is no other, it waits for the first that takes requests again.
+    setup.notice(other, &rest(6_000));
+    setup.end(ticket, balancer::End::Withheld);
+    assert_eq!((setup.at(ticket), setup.refused.len()), (None, 0));
+    setup.pass(3_000 + SPREAD.as_millis() as u64);
+    assert_eq!(setup.at(ticket), Some(server));
+}
+
+/// All servers of a pool ask for rest: who could be served after it waits, who
+/// could not learns at once when the first one takes requests again.
+#[test]
+fn where_all_rest_nobody_waits_in_vain() {
+    let mut setup = Setup::new(&[(0, None), (1, None)]);
+    let (zero, one) = (setup.find(0), setup.find(1));
+    setup.notice(zero, &rest(4_000));
+    setup.notice(one, &rest(2_000));
+    setup.pass(500);
+    let early = setup.arrive(Duration::from_millis(400));
+    assert_eq!(setup.refused.iter().map(|r| r.ticket).collect::<Vec<_>>(), [early]);
+    let refusal = setup.refused[0];
+    assert_eq!(refusal.outcome, balancer::Outcome::NotRun);
+    assert!(matches!(refusal.reason, balancer::Reason::Resting(_)));
+    assert!(refusal.retry_after >= Duration::from_millis(1_500), "{:?}", refusal.retry_after);
+    let patient = setup.arrive(Duration::from_secs(7));
+    assert_eq!((setup.refused.len(), setup.at(patient)), (1, None));
+    setup.pass(1_500 + SPREAD.as_millis() as u64);
+    assert_eq!(setup.at(patient), Some(one));
+}
+
+/// Callers that were refused for a rest are told times that differ.
+#[test]
+fn callers_come_back_spread() {
+    let mut setup = Setup::new(&[(0, None)]);
+    let server = setup.find(0);
+    setup.notice(server, &rest(3_000));
+    for _ in 0..50 {
+        setup.arrive(Duration::from_millis(400));
+    }
+    let mut times: Vec<_> = setup.refused.iter().map(|refusal| refusal.retry_after).collect();
+    times.sort();
+    let (first, last) = (times[0], times[times.len() - 1]);
+    assert!(first >= Duration::from_secs(3) && last >= first + Duration::from_secs(2));
+    let largest = times.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap();
+    assert!(largest < Duration::from_millis(300), "{largest:?} without a caller");
+}
+
+/// A request that waits when the last server asks for rest learns it then.
+#[test]
+fn who_waits_when_the_last_one_asks_for_rest_is_told_then() {
+    let mut setup = Setup::new(&[(0, None)]);
+    let running: Vec<_> = (0..SLOTS).map(|_| setup.arrive(DEADLINE)).collect();
+    let waiting = setup.arrive(Duration::from_secs(1));
+    assert_eq!(setup.at(waiting), None);
+    let server = setup.at(running[0]).unwrap();
+    setup.notice(server, &rest(3_000));
+    assert_eq!(setup.refused.iter().map(|r| r.ticket).collect::<Vec<_>>(), [waiting]);
+}
+
+/// A server that rests is no failing one, and counts for the floor of ejection.
+#[test]
+fn a_rest_is_no_failure_and_keeps_others_in() {
+    let mut setup = Setup::new(&[(0, None), (1, None), (2, None), (3, None)]);
+    let (zero, one, two) = (setup.find(0), setup.find(1), setup.find(2));
+    for server in [zero, one] {
+        setup.notice(server, &rest(60_000));
+        assert!(!setup.balancer.servers()[server].health.ejected(setup.now));
+    }
+    // Half of the pool rests: no other one is taken out for its failures.
+    for _ in 0..30 {
+        let ticket = setup.arrive(DEADLINE);
+        let Some(server) = setup.at(ticket) else { continue };
+        let failed = balancer::End::MayHaveRun { answer_begun: true };
+        let end = if server == two { failed } else { balancer::End::Answered };
+        setup.end(ticket, end);
+        setup.pass(10);
+    }
+    assert!(!setup.balancer.servers()[two].health.ejected(setup.now));
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Pass(u64),
+    Arrive,
+    Rest { which: prop::sample::Index, ms: u64, refuse: bool },
+    Leave(prop::sample::Index),
+    End(prop::sample::Index, balancer::End),
+    List(Vec<(bool, Option<u64>)>),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let index = any::<prop::sample::Index>;
+    let end = prop_oneof![
+        4 => Just(balancer::End::Answered),
+        1 => Just(balancer::End::Full),
+        1 => Just(balancer::End::Withheld),
+        1 => Just(balancer::End::Abandoned),
+        1 => Just(balancer::End::Unreachable),
+        1 => Just(balancer::End::MayHaveRun { answer_begun: false }),
+    ];
+    let born = prop_oneof![Just(None), (1..4_u64).prop_map(Some)];
+    prop_oneof![
+        4 => (1..900_u64).prop_map(Event::Pass),
+        6 => Just(Event::Arrive),
+        3 => (index(), 0..6_000_u64, any::<bool>())
+            .prop_map(|(which, ms, refuse)| Event::Rest { which, ms, refuse }),
+        1 => index().prop_map(Event::Leave),
+        4 => (index(), end).prop_map(|(which, end)| Event::End(which, end)),
+        1 => prop::collection::vec((prop::bool::weighted(0.8), born), 3).prop_map(Event::List),
+    ]
+}
+
+/// What a plain reading of the servers' words allows.
+#[derive(Default)]
+struct Model {
+    /// By run: until when it wants nothing at least, and at most.
+    rests: BTreeMap<entity::Server, (clock::Instant, clock::Instant)>,
+    leaving: Vec<entity::Server>,
+}
+
+impl Model {
+    fn rest(&mut self, server: entity::Server, ms: u64, now: clock::Instant) {
+        let until = now + Duration::from_millis(ms);
+        let held = self.rests.entry(server).or_default();
+        *held = (held.0.max(until), held.1.max(until + SPREAD));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_order_of_events_sends_to_one_that_rests_or_keeps_one_out_longer(
+        events in prop::collection::vec(event(), 1..120),
+    ) {
+        let mut setup = Setup::new(&[(0, None), (1, None), (2, None)]);
+        let mut model = Model::default();
+        for event in events {
+            let pick = |which: &prop::sample::Index, setup: &Setup| {
+                (!setup.sent.is_empty()).then(|| setup.sent[which.index(setup.sent.len())])
+            };
+            match event {
+                Event::Pass(ms) => setup.pass(ms),
+                Event::Arrive => { setup.arrive(DEADLINE); }
+                Event::Rest { which, ms, refuse } => {
+                    let Some((ticket, server, _)) = pick(&which, &setup) else { continue };
+                    model.rest(server, ms, setup.now);
+                    if refuse { setup.turn_away(ticket, &rest(ms)); } else { setup.notice(server, &rest(ms)); }
+                }
+                Event::Leave(which) => {
+                    let Some((_, server, _)) = pick(&which, &setup) else { continue };
+                    model.leaving.push(server);
+                    setup.notice(server, &LEAVES);
+                }
+                Event::End(which, end) => {
+                    let Some((ticket, ..)) = pick(&which, &setup) else { continue };
+                    setup.end(ticket, end);
+                }
+                Event::List(servers) => {
+                    let listed = servers.iter().enumerate().filter(|(_, (listed, _))| *listed);
+                    let listed: Vec<_> = listed.map(|(n, (_, born))| (n as u32, *born)).collect();
+                    setup.list(&listed);
+                }
+            }
+            prop_assert_eq!(setup.balancer.verify(), Ok(()));
+            for (server, record) in setup.balancer.servers().iter() {
+                let (least, most) = model.rests.get(&server).copied().unwrap_or_default();
+                if setup.now < least || model.leaving.contains(&server) {
+                    prop_assert!(!record.open(setup.now), "{server} is open");
+                    prop_assert!(!setup.balancer.wants(server, setup.now));
+                }
+                if setup.now >= most {
+                    prop_assert!(!record.standing.rests(setup.now), "{server} rests on");
+                }
+            }
+        }
+        // Nothing is out for good that did not leave.
+        while let Some((ticket, ..)) = setup.sent.first().copied() {
+            setup.end(ticket, balancer::End::Answered);
+        }
+        setup.pass(70_000);
+        // Longer than any answer has taken, so that none is refused for that.
+        setup.arrive(Duration::from_secs(3_600));
+        let usable = setup.balancer.servers().usable(pool()).next().is_some();
+        prop_assert_eq!(!setup.sent.is_empty(), usable);
+    }
+}
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use loftcove_clock as boot;
-use loftcove_decision::routing::{policy, server};
+use loftcove_decision::routing::{notice, policy, server};
 use loftcove_decision::{admission, balancer, clock, entity, fleet, name, outage, pass};
 use rand_chacha::rand_core::SeedableRng as _;
 use tokio::sync::{Notify, mpsc};
@@ -106,6 +106,8 @@
     pub open: usize,
     /// Load of the chosen one, relative to its slots.
     pub score: f64,
+    /// Ids of some that rest or leave, by what they said themselves.
+    pub passed_over: Vec<Arc<str>>,
 }
 
 /// The balancer behind a lock.
@@ -232,6 +234,30 @@
         inner.route(actions);
     }
 
+    /// An answer of a backend server said something of its own near future.
+    /// Returns what has changed by it.
+    pub fn notice(
+        &self,
+        server: entity::Server,
+        notice: &notice::Notice,
+    ) -> Option<notice::Change> {
+        let now = self.now();
+        let mut inner = self.lock();
+        let (change, actions) = inner.balancer.notice(server, notice, now);
+        inner.route(actions);
+        change
+    }
+
+    /// Whether a backend server that was chosen still wants what is to be sent now.
+    pub fn wants(&self, server: entity::Server) -> bool {
+        self.lock().balancer.wants(server, self.now())
+    }
+
+    /// Backend servers that rest, and listed ones that have told that they leave.
+    pub fn noticed(&self) -> (usize, usize) {
+        self.lock().balancer.noticed(self.now())
+    }
+
     /// Whether a backend server is leaving, or has left the list. One that has
     /// started again has not: its earlier run ended.
     pub fn leaving(&self, server: entity::Server) -> bool {
@@ -239,7 +265,7 @@
         let servers = inner.balancer.servers();
         let record = &servers[server];
         let newest = servers.find(&record.listing.host) == Some(server);
-        record.listing.leaving || !record.listed && newest
+        record.leaving() || !record.listed && newest
     }
 
     /// Whether a backend server is listed to which this applies.
@@ -414,6 +440,10 @@
                     let name = self.groups.name(group);
                     log::info!("group up group={name} down_ms={}", time.as_millis());
                 }
+                balancer::Note::Rested(server, time) => {
+                    let id = &self.balancer.servers()[server].listing.host;
+                    log::info!("server rested server={id} ms={}", time.as_millis());
+                }
             }
         }
         for action in actions {
@@ -422,7 +452,10 @@
                     let server = dispatch.choice.server;
                     let Some(target) = self.targets.get(&server).cloned() else { continue };
                     let chosen = dispatch.considered.iter().find(|c| c.server == server);
+                    let host =
+                        |id: &entity::Server| self.balancer.servers()[*id].listing.host.clone();
                     let attempt = Attempt {
+                        passed_over: dispatch.passed_over.iter().map(host).collect(),
                         number: dispatch.attempt,
                         server,
                         target,
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use loftcove_clock as boot;
+use loftcove_decision::routing::notice;
 use loftcove_decision::{balancer, entity, poison, route};
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::{Answer, Forward, NotRun, Protocol, Verdict};
@@ -296,7 +297,7 @@
             return Sent::Failed(balancer::End::NeverRan, None, "overdue before sent".to_owned());
         }
         log::info!(
-            "attempt request={} digest={} number={} server={} reason={} score={:.2} open={} config={} left_ms={}",
+            "attempt request={} digest={} number={} server={} reason={} score={:.2} open={} passed_over={} config={} left_ms={}",
             request.meta.id,
             request.digest,
             attempt.number,
@@ -304,24 +305,66 @@
             attempt.reason,
             attempt.score,
             attempt.open,
+            names(&attempt.passed_over),
             request.version,
             left.as_millis()
         );
         self.metrics.attempts.inc();
         let message = message::<P>(request, &attempt.target, left, resume_after);
         let fresh = !request.grant.route.kind.repeatable();
-        let reply = self.upstream.send(&attempt.target, message, fresh);
+        let wanted = || self.dispatcher.wants(attempt.server);
+        let reply = self.upstream.send(&attempt.target, message, fresh, wanted);
         let reply = match tokio::time::timeout_at(request.due.timer(), reply).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(upstream::Error::NotSent(cause))) => {
                 return Sent::Failed(balancer::End::Unreachable, None, cause);
             }
             Ok(Err(upstream::Error::NoAnswer(cause))) => return Sent::Broken(cause),
+            Ok(Err(error @ upstream::Error::Withheld)) => {
+                return Sent::Failed(balancer::End::Withheld, None, error.to_string());
+            }
             Err(_) => return may_have_run("deadline".to_owned()),
         };
         self.read(request, attempt, reply).await
     }
 
+    /// Takes what an answer says of its backend server's near future.
+    fn take_notice(
+        &self,
+        request: &Request,
+        attempt: &dispatch::Attempt<Target>,
+        status: http::StatusCode,
+        notice: &notice::Notice,
+    ) {
+        if notice.is_empty() {
+            return;
+        }
+        let (server, status) = (attempt.target.run.id.clone(), status.as_u16());
+        if notice.rest == notice::Rest::Unreadable {
+            log::warn!(
+                "rest not understood request={} server={server} status={status}",
+                request.meta.id
+            );
+        }
+        let born = attempt.target.run.born.unwrap_or_default();
+        match self.dispatcher.notice(attempt.server, notice) {
+            None => {}
+            Some(notice::Change::Rests(time)) => {
+                self.metrics.rests.inc();
+                log::info!(
+                    "server rests server={server} born={born} asked_ms={} ms={} request={} status={status}",
+                    notice.rest,
+                    time.as_millis(),
+                    request.meta.id
+                );
+            }
+            Some(notice::Change::Leaves) => log::info!(
+                "server leaves server={server} born={born} request={} status={status}",
+                request.meta.id
+            ),
+        }
+    }
+
     async fn read(
         &self,
         request: &Request,
@@ -333,16 +376,7 @@
         if let Some(load) = answer.load {
             self.dispatcher.report(attempt.server, load);
         }
-        if !answer.notice.is_empty() {
-            log::info!(
-                "server notice request={} server={} status={} rest_ms={} leaving={}",
-                request.meta.id,
-                attempt.target.run.id,
-                head.status.as_u16(),
-                answer.notice.rest,
-                answer.notice.leaving
-            );
-        }
+        self.take_notice(request, attempt, head.status, &answer.notice);
         match answer.verdict {
             Verdict::Answered => {}
             Verdict::Foreign => return may_have_run("answer of another request".to_owned()),
@@ -419,6 +453,11 @@
     }
 }
 
+/// Ids with commas between them.
+fn names(ids: &[Arc<str>]) -> String {
+    if ids.is_empty() { "-".to_owned() } else { ids.join(",") }
+}
+
 /// End of an attempt that may have run, of whose answer the client saw nothing.
 const FAILED: balancer::End = balancer::End::MayHaveRun { answer_begun: false };
 
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -68,6 +68,8 @@
     pub resumed: Counter,
     /// Requests under which their backend server ended.
     pub servers_ended: Counter,
+    /// Times that a backend server asked for rest.
+    pub rests: Counter,
     /// Time to the head of an answer, seconds.
     pub first_byte: Histogram,
     /// Time to the end of an answer, seconds.
@@ -87,6 +89,7 @@
             attempts: Counter::default(),
             resumed: Counter::default(),
             servers_ended: Counter::default(),
+            rests: Counter::default(),
             first_byte: histogram(),
             whole: histogram(),
             config_version: Gauge::default(),
@@ -116,6 +119,14 @@
         registry.register("resumed", "Streams resumed", self.resumed.clone());
         let ended = "Requests under which their backend server ended";
         registry.register("server_ended", ended, self.servers_ended.clone());
+        registry.register("server_rests", "Rests that servers asked for", self.rests.clone());
+        let (resting, leaving): (Gauge, Gauge) = Default::default();
+        let noticed = gateway.dispatcher.noticed();
+        resting.set(noticed.0 as i64);
+        leaving.set(noticed.1 as i64);
+        registry.register("servers_resting", "Servers that rest at present", resting);
+        let told = "Listed servers that told in their answers that they leave";
+        registry.register("servers_leaving", told, leaving);
         let refused: Gauge = Gauge::default();
         refused.set(gateway.mirror.ends.convicted().len() as i64);
         registry.register("requests_that_end_servers", "Requests that are refused for it", refused);
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -55,6 +55,9 @@
     /// The request was sent, at least in part, and no answer came.
     #[error("no answer: {0}")]
     NoAnswer(String),
+    /// Nothing was sent: the backend server wants nothing any more.
+    #[error("the server asked for rest or leaves")]
+    Withheld,
 }
 
 /// An answer whose head has come.
@@ -89,7 +92,9 @@
     }
 
     /// Sends a request and waits for the head of the answer. With `fresh`, it
-    /// goes over a new connection.
+    /// goes over a new connection. Whether it is still `wanted` is asked right
+    /// before it is sent: a connection may take [`CONNECT_TIMEOUT`] to come about,
+    /// and a busy process longer than that.
     ///
     /// # Errors
     ///
@@ -99,8 +104,12 @@
         target: &Target,
         mut request: http::Request<Full<Bytes>>,
         fresh: bool,
+        wanted: impl Fn() -> bool,
     ) -> Result<Reply, Error> {
         while let Some(mut sender) = self.take(&target.run).filter(|_| !fresh) {
+            if !wanted() {
+                return Err(Error::Withheld);
+            }
             let mut doubt = Doubt::new(self, &target.run);
             let answer = sender.try_send_request(request).await;
             doubt.answered = answer.is_ok();
@@ -115,6 +124,9 @@
             }
         }
         let mut sender = connect(target.address).await?;
+        if !wanted() {
+            return Err(Error::Withheld);
+        }
         match sender.try_send_request(request).await {
             Ok(response) => Ok(reply(response, sender, target)),
             Err(mut error) => {
