Soak: servers that ask for rest and servers that leave, checked as the users count

Drawn beside the other faults with a seed of their own, so that kept seeds mean the same: ranks and plain servers that turn each so-and-so-many-th request away and ask for 0.2 to 8 s, for nothing or for nonsense, and plain servers that say in their answers alone that they leave, and start again in the end. Checked: at most two requests from a gateway from half a second on, and none that a client sends 2 s after the gateway passed a leaving answer on; excused where the gateway was stopped or paused, or the way to the server harmed.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -1,9 +1,10 @@
 //! What is promised, checked on what clients and backend servers saw.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use loftcove_tests::system::Arrival;
+use loftcove_tests::visits::{self, Excess, Excuse, Sent, Visit};
 
 use crate::client::{DEADLINE, End, Kind, Seen};
 use crate::inject::Span;
@@ -53,6 +54,9 @@
     /// A request was refused for ends of servers that another one ended.
     #[error("request {0} was refused for ends that are not its own")]
     Blamed(String),
+    /// A server that asked for rest, or said that it leaves, got requests.
+    #[error("server {} had asked gateway {} for {:?} ms of rest, and got {} requests", .0.server, .0.gateway, .0.rest, .0.requests)]
+    Disturbed(Excess),
     /// A pass ran on two maps.
     #[error("{0} passes ran on two maps")]
     Maps(u64),
@@ -103,6 +107,46 @@
     pub arrivals: BTreeMap<String, Vec<Arrival>>,
     /// What was done to processes.
     pub spans: Vec<Span>,
+    /// What reached servers, also where it was turned away.
+    pub visits: Vec<Visit>,
+    /// Times in which the links of servers were harmed.
+    pub harms: Vec<(String, (Instant, Instant))>,
+}
+
+/// Time of day, Unix milliseconds, of an instant of this process.
+struct Clock(Instant, u64);
+
+impl Clock {
+    fn now() -> Clock {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock(Instant::now(), since.as_millis() as u64)
+    }
+
+    fn ms(&self, at: Instant) -> u64 {
+        self.1 - self.0.saturating_duration_since(at).as_millis() as u64
+    }
+}
+
+/// What was done to gateways and to the links of servers.
+struct Done<'a> {
+    evidence: &'a Evidence,
+    clock: Clock,
+}
+
+impl Done<'_> {
+    fn overlaps(&self, (since, until): (Instant, Instant), from: u64, to: u64) -> bool {
+        self.clock.ms(since) <= to && self.clock.ms(until + AFTER) >= from
+    }
+}
+
+impl Excuse for Done<'_> {
+    fn holds(&self, gateway: u8, server: &str, from: u64, to: u64) -> bool {
+        let spans = &self.evidence.spans;
+        let mut own = spans.iter().filter(|span| span.process == Process::Gateway(gateway));
+        let mut harms = self.evidence.harms.iter().filter(|(name, _)| name == server);
+        own.any(|span| self.overlaps(span.time, from, to))
+            || harms.any(|(_, time)| self.overlaps(*time, from, to))
+    }
 }
 
 impl Evidence {
@@ -119,9 +163,23 @@
             breaches.extend(self.late(seen));
         }
         breaches.extend(self.back());
+        breaches.extend(self.disturbed());
         breaches
     }
 
+    /// Servers that got more than they had asked for, the worst of each kind.
+    fn disturbed(&self) -> Vec<Breach> {
+        let done = Done { evidence: self, clock: Clock::now() };
+        let sent = self.seen.iter().map(|seen| {
+            let (at, answered) = (done.clock.ms(seen.time.0), done.clock.ms(seen.time.1));
+            (seen.id.clone(), Sent { gateway: seen.gateway, at, answered })
+        });
+        let sent: BTreeMap<String, Sent> = sent.collect();
+        let unrested = visits::worst(visits::unrested(&self.visits, &sent, &done));
+        let undrained = visits::worst(visits::undrained(&self.visits, &sent, &done));
+        unrested.into_iter().chain(undrained).map(Breach::Disturbed).collect()
+    }
+
     /// Whether something worse than a planned stop was done to a gateway around
     /// that time.
     fn harmed(&self, gateway: u8, (from, to): (Instant, Instant)) -> bool {
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -34,6 +34,10 @@
 pub struct Injector<'a> {
     system: &'a mut System,
     shared: &'a client::Shared,
+    /// Servers whose links are being harmed, since when.
+    harmed: BTreeMap<String, Instant>,
+    /// Times in which the links of servers were harmed.
+    pub harms: Vec<(String, (Instant, Instant))>,
     /// Processes that something is being done to, since when, and whether it is planned.
     busy: BTreeMap<Process, (Instant, bool)>,
     /// What was done.
@@ -56,6 +60,8 @@
         Injector {
             system,
             shared,
+            harmed: BTreeMap::new(),
+            harms: Vec::new(),
             busy: BTreeMap::new(),
             spans: Vec::new(),
             overdue: Vec::new(),
@@ -111,6 +117,7 @@
                     return false;
                 }
                 self.busy.insert(process, (Instant::now(), false));
+                self.harm(server_name(true, rank));
                 self.process(process).signal(libc::SIGSTOP);
                 self.system.link(&server_name(true, rank), "freeze").await;
             }
@@ -121,13 +128,17 @@
                 return false;
             }
             Fault::Server { rank, number, harm } => {
+                self.harm(server_name(rank, number));
                 self.system.link(&server_name(rank, number), &harm.text()).await;
             }
             Fault::StoreLink { gateway, harm } => {
                 self.system.link(&format!("store-gateway-{gateway}"), &harm.text()).await;
             }
             Fault::Silence(link) => {
+                // What is under way at that time is lost or late, and nothing later.
+                self.harm(link.target());
                 self.system.link(&link.target(), "silence").await;
+                self.unharm(&link.target());
                 return false;
             }
             Fault::Store(store) => return self.harm_store(store).await,
@@ -165,6 +176,10 @@
             Fault::Unlist(number) => {
                 self.system.remove(&format!("servers/plain-{number}")).await;
             }
+            Fault::Shed { rank, number, each, rest } => {
+                self.shed(rank, number, each, rest).await;
+            }
+            Fault::Leave(number) => self.leave(number, true).await,
         }
         true
     }
@@ -196,10 +211,17 @@
                 let process = Process::Sidecar(rank);
                 self.process(process).signal(libc::SIGCONT);
                 self.system.link(&server_name(true, rank), "none").await;
+                self.unharm(&server_name(true, rank));
                 self.done(process);
             }
             Fault::Server { rank, number, .. } => {
                 self.system.link(&server_name(rank, number), "none").await;
+                self.unharm(&server_name(rank, number));
+            }
+            Fault::Shed { rank, number, .. } => self.shed(rank, number, 0, "").await,
+            Fault::Leave(number) => {
+                self.leave(number, false).await;
+                self.restart_plain(number).await;
             }
             Fault::StoreLink { gateway, .. } | Fault::Store(Store::Deny(gateway)) => {
                 self.system.link(&format!("store-gateway-{gateway}"), "none").await;
@@ -225,6 +247,36 @@
         }
     }
 
+    /// Has a server turn requests away; none where `each` is zero.
+    async fn shed(&mut self, rank: bool, number: u8, each: u8, rest: &str) {
+        let server = server_name(rank, number);
+        let what = format!("/shed?server={server}&each={each}&rest={rest}");
+        self.system.servers_control(self.group(rank, number), &what).await;
+    }
+
+    /// Has a plain server say that it leaves, or start again.
+    async fn leave(&mut self, number: u8, on: bool) {
+        let server = server_name(false, number);
+        let what = format!("/leave?server={server}&on={}", u8::from(on));
+        self.system.servers_control(None, &what).await;
+    }
+
+    /// The lock-step group of a rank; none of a plain server.
+    fn group(&self, rank: bool, number: u8) -> Option<u8> {
+        let plan = &self.system.plan;
+        rank.then(|| number / plan.ranks.div_ceil(plan.groups))
+    }
+
+    fn harm(&mut self, server: String) {
+        self.harmed.entry(server).or_insert_with(Instant::now);
+    }
+
+    fn unharm(&mut self, server: &str) {
+        if let Some(since) = self.harmed.remove(server) {
+            self.harms.push((server.to_owned(), (since, Instant::now())));
+        }
+    }
+
     /// Lets all gateways lose their watches at once: the store is silent when they open their
     /// watches again after a configuration, and what is open to it falls silent.
     async fn lose_watches(&mut self) {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -30,6 +30,14 @@
 /// See [`POISON_TRIES`].
 const POISON_PAUSE: Duration = Duration::from_millis(850);
 
+/// Time between two servers that ask for rest or say that they leave, on average.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(1_200);
+/// The same for these servers as [`SILENCE_SEED`] for silences.
+const NOTICE_SEED: u64 = 0xb5;
+/// What servers that shed requests ask for: seconds, nonsense, nothing. Some
+/// rests outlast the fault, none the time until all is well again.
+const RESTS: [&str; 8] = ["0.2", "0.7", "1.5", "2", "3", "8", "soon", ""];
+
 /// What runs.
 #[derive(Debug, Clone, Copy)]
 pub struct Size {
@@ -158,6 +166,20 @@
         /// Whether a rank runs it, and not a plain server.
         rank: bool,
     },
+    /// A server turns each so-and-so-many-th request away, and asks for rest.
+    Shed {
+        /// Whether it is a rank of the group.
+        rank: bool,
+        /// Its number.
+        number: u8,
+        /// Which requests it turns away.
+        each: u8,
+        /// What it asks for, as its header says it.
+        rest: &'static str,
+    },
+    /// A plain server says in its answers that it leaves, which the store does not
+    /// tell; in the end it starts again.
+    Leave(u8),
     /// Another writer spoils a plain server's entry, until the server writes it
     /// again.
     Spoil(u8),
@@ -180,6 +202,7 @@
     events.extend(silences(seed, size));
     events.extend(entries(seed, size));
     events.extend(poisons(seed, size));
+    events.extend(notices(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -219,6 +242,26 @@
     events
 }
 
+/// Servers that say something of their own near future.
+fn notices(seed: u64, size: &Size) -> Vec<Event> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ NOTICE_SEED);
+    let count = (size.time.as_secs_f64() / NOTICE_INTERVAL.as_secs_f64()).ceil() as usize;
+    let mut events = Vec::new();
+    for _ in 0..count {
+        let at = size.time.mul_f64(rng.random_range(0.0..1.0));
+        let lasts = Duration::from_millis(rng.random_range(LASTS_MS));
+        let rank = rng.random_bool(0.5);
+        let number = rng.random_range(0..if rank { size.ranks } else { size.plain });
+        let each = rng.random_range(1..5);
+        let rest = RESTS[rng.random_range(0..RESTS.len())];
+        let leaves = !rank && rng.random_ratio(1, 3);
+        let fault =
+            if leaves { Fault::Leave(number) } else { Fault::Shed { rank, number, each, rest } };
+        events.push(Event { at, lasts, fault });
+    }
+    events
+}
+
 /// Callers that ask the same at one gateway after the other.
 fn poisons(seed: u64, size: &Size) -> Vec<Event> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ POISON_SEED);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -59,7 +59,7 @@
         .collect();
     let mut injector = Injector::new(&mut system, &shared);
     injector.run(&events).await;
-    let (spans, overdue) = (injector.spans, injector.overdue);
+    let (spans, harms, overdue) = (injector.spans, injector.harms, injector.overdue);
     let unforced = unforced(&system, &shared).await;
     let unwell = recover(&system, &shared).await;
     shared.stop.store(true, Ordering::Relaxed);
@@ -69,7 +69,8 @@
     let seen = std::mem::take(&mut *shared.seen.lock().expect("no holder of the records panics"));
     let answered = |seen: &&client::Seen| matches!(&seen.end, client::End::Answer { head, whole: true, .. } if head.status == 200);
     let requests = (seen.len(), seen.iter().filter(answered).count());
-    let evidence = Evidence { seen, arrivals: arrivals(&system).await, spans };
+    let (arrivals, visits) = (arrivals(&system).await, system.visits().await);
+    let evidence = Evidence { seen, arrivals, spans, visits, harms };
     let poisoned = poisoned(&system).await;
     let mut states = Vec::new();
     for group in 0..system.plan.groups {
--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -10,7 +10,7 @@
 //! `PUT /shed?server=ID&each=N&rest=TEXT` (each Nth request of the server, or of
 //! each server without an id, is answered 503 with that `Retry-After`, without one
 //! where the text is empty) and `PUT /leave?server=ID&on=1` (all answers of the
-//! server say that it leaves, until it starts again), and tells with `GET /state`,
+//! server say that it leaves; with `on=0` it has started again), and tells with `GET /state`,
 //! `GET /requests`, `GET /ends` (servers that ended under a request) and
 //! `GET /visits` (all that reached the run that it was meant for) what happened.
 
@@ -85,6 +85,8 @@
     /// By server, or by [`ALL`].
     sheds: BTreeMap<String, Shed>,
     leaving: BTreeSet<String>,
+    /// How often each server has started again.
+    starts: BTreeMap<String, u64>,
     visits: Vec<Value>,
     popular: u16,
 }
@@ -134,6 +136,7 @@
             ends: Vec::new(),
             sheds: BTreeMap::new(),
             leaving: BTreeSet::new(),
+            starts: BTreeMap::new(),
             visits: Vec::new(),
             popular: 0,
         };
@@ -204,11 +207,10 @@
         state.ends.push(end);
     }
 
-    /// A request reached the run of a server that it was meant for, which has
-    /// ended so often before. Returns the time after which to come back, as the
+    /// A request reached the run of a server that it was meant for. Returns the time after which to come back, as the
     /// header says it, where the request is to be turned away.
-    pub fn receive(&self, server: &str, run: u64, request: &str) -> Option<String> {
-        self.lock().receive(server, run, request)
+    pub fn receive(&self, server: &str, request: &str) -> Option<String> {
+        self.lock().receive(server, request)
     }
 
     /// Whether a server says that it leaves.
@@ -219,7 +221,7 @@
     /// A server that had ended is back; a lock-step group forms anew.
     pub fn restart(&self, server: &str, lockstep: bool) {
         let mut state = self.lock();
-        state.leaving.remove(server);
+        state.start(server);
         for end in state.ends.iter_mut().filter(|end| end["server"] == server) {
             end["back"] = json!(true);
         }
@@ -359,17 +361,24 @@
         if query.get("on").is_some_and(|on| on == "1") {
             self.leaving.insert(server.clone());
         } else {
-            self.leaving.remove(server);
+            self.start(server);
         }
     }
 
-    fn receive(&mut self, server: &str, run: u64, request: &str) -> Option<String> {
+    /// A server starts again: what it said before is over.
+    fn start(&mut self, server: &str) {
+        self.leaving.remove(server);
+        *self.starts.entry(server.to_owned()).or_default() += 1;
+    }
+
+    fn receive(&mut self, server: &str, request: &str) -> Option<String> {
         let own = if self.sheds.contains_key(server) { server } else { ALL };
         let shed = self.sheds.get_mut(own).and_then(|shed| {
             shed.count += 1;
             shed.count.is_multiple_of(shed.each).then(|| shed.rest.clone())
         });
         let leaving = self.leaving.contains(server);
+        let run = self.starts.get(server).copied().unwrap_or(0);
         let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         self.visits.push(json!({
             "server": server, "run": run, "request": request, "at": at.as_millis() as u64,
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -211,8 +211,7 @@
             return self.not_run(head, 421);
         }
         let id = text(headers, "x-attempt-id").unwrap_or_default();
-        let run = self.ends.borrow().0;
-        if let Some(rest) = self.group.receive(&self.id, run, id) {
+        if let Some(rest) = self.group.receive(&self.id, id) {
             return self.shed(head, &rest);
         }
         if self.lockstep && !self.group.open() {
--- a/tests/src/visits.rs
+++ b/tests/src/visits.rs
@@ -20,7 +20,7 @@
 pub struct Visit {
     /// The server.
     pub server: String,
-    /// How often it had ended before.
+    /// How often it had started again before.
     pub run: u64,
     /// Id of the request.
     pub request: String,
@@ -86,40 +86,67 @@
     excesses.into_iter().max_by_key(|excess| excess.requests)
 }
 
+/// What excuses a gateway: something was done to it, or to its way to a server.
+pub trait Excuse {
+    /// Whether that happened between the two times.
+    fn holds(&self, gateway: u8, server: &str, from: u64, to: u64) -> bool;
+}
+
+/// Nothing was done to anybody.
+pub struct Undisturbed;
+
+impl Excuse for Undisturbed {
+    fn holds(&self, _gateway: u8, _server: &str, _from: u64, _to: u64) -> bool {
+        false
+    }
+}
+
 /// Servers that asked a gateway for rest and got more than [`ALLOWED`] requests
 /// from it in that time.
-pub fn unrested(visits: &[Visit], sent: &BTreeMap<String, Sent>) -> Vec<Excess> {
-    let pairs = by_pair(visits, sent);
-    let check = |(gateway, visits): (u8, &[&Visit])| -> Vec<Excess> {
-        let asked = visits.iter().filter_map(|visit| Some((visit, visit.rest()?)));
-        let excess = asked.filter_map(|(asked, rest)| {
+pub fn unrested(
+    visits: &[Visit],
+    sent: &BTreeMap<String, Sent>,
+    excuse: &impl Excuse,
+) -> Vec<Excess> {
+    let mut excesses = Vec::new();
+    for ((gateway, server, _), visits) in by_pair(visits, sent) {
+        for asked in &visits {
+            let Some(rest) = asked.rest() else { continue };
             let span = (asked.at + SETTLE_MS, asked.at + rest);
             let came = visits.iter().filter(|visit| span.0 <= visit.at && visit.at <= span.1);
+            let came = came.filter(|visit| !excuse.holds(gateway, server, asked.at, visit.at));
             let requests = came.count();
-            let server = asked.server.clone();
-            let excess = Excess { server, gateway, rest: Some(rest), requests, span };
-            (requests > ALLOWED).then_some(excess)
-        });
-        excess.collect()
-    };
-    pairs.iter().flat_map(|((gateway, ..), visits)| check((*gateway, visits))).collect()
+            if requests > ALLOWED {
+                let server = server.to_owned();
+                excesses.push(Excess { server, gateway, rest: Some(rest), requests, span });
+            }
+        }
+    }
+    excesses
 }
 
 /// Servers that had said that they leave, and got requests that clients sent
 /// [`DRAIN_MS`] after their gateway had passed that on.
-pub fn undrained(visits: &[Visit], sent: &BTreeMap<String, Sent>) -> Vec<Excess> {
-    let pairs = by_pair(visits, sent);
-    let check = |(gateway, visits): (u8, &[&Visit])| -> Option<Excess> {
+pub fn undrained(
+    visits: &[Visit],
+    sent: &BTreeMap<String, Sent>,
+    excuse: &impl Excuse,
+) -> Vec<Excess> {
+    let mut excesses = Vec::new();
+    for ((gateway, server, _), visits) in by_pair(visits, sent) {
         let passed_on = visits.iter().filter(|visit| visit.leaving && visit.shed.is_none());
         let told = passed_on.filter_map(|visit| sent.get(&visit.request)).map(|sent| sent.answered);
-        let from = told.min()? + DRAIN_MS;
-        let late = |visit: &&&Visit| sent.get(&visit.request).is_some_and(|sent| sent.at > from);
-        let requests = visits.iter().filter(late).count();
-        let server = visits.first()?.server.clone();
-        let excess = Excess { server, gateway, rest: None, requests, span: (from, u64::MAX) };
-        (requests > 0).then_some(excess)
-    };
-    pairs.iter().filter_map(|((gateway, ..), visits)| check((*gateway, visits))).collect()
+        let Some(told) = told.min() else { continue };
+        let span = (told + DRAIN_MS, u64::MAX);
+        let sent = visits.iter().filter_map(|visit| sent.get(&visit.request));
+        let late = sent.filter(|sent| sent.at > span.0);
+        let requests = late.filter(|sent| !excuse.holds(gateway, server, told, sent.at)).count();
+        if requests > 0 {
+            let server = server.to_owned();
+            excesses.push(Excess { server, gateway, rest: None, requests, span });
+        }
+    }
+    excesses
 }
 
 /// Visits by gateway, server and run.
--- a/tests/tests/rest.rs
+++ b/tests/tests/rest.rs
@@ -16,7 +16,7 @@
 
 use futures_util::future;
 use loftcove_tests::system::{Plan, Request, System};
-use loftcove_tests::visits::{self, Sent};
+use loftcove_tests::visits::{self, Sent, Undisturbed};
 
 const PLAN: Plan =
     Plan { gateways: 3, ranks: 4, groups: 1, plain: 3, sidecars: false, proxied: false };
@@ -74,7 +74,7 @@
     let (sent, unserved) = load(&system, ranks).await;
     let visits = system.visits().await;
     assert!(visits.iter().any(|visit| visit.shed.is_some()), "nothing was turned away");
-    assert_eq!(visits::worst(visits::unrested(&visits, &sent)), None);
+    assert_eq!(visits::worst(visits::unrested(&visits, &sent, &Undisturbed)), None);
     assert_eq!(unserved, 0, "requests that were not served while other servers had room");
 }
 
@@ -96,7 +96,7 @@
     let (sent, unserved) = load(&system, ranks).await;
     let visits = system.visits().await;
     assert!(visits.iter().any(|visit| visit.leaving), "no answer told it");
-    assert_eq!(visits::worst(visits::undrained(&visits, &sent)), None);
+    assert_eq!(visits::worst(visits::undrained(&visits, &sent, &Undisturbed)), None);
     assert_eq!(unserved, 0, "requests that were not served while other servers had room");
 }
 
