Heed how long the store asks its callers to stay away

A refusal of the store (429, 503) was read by its status alone, and each host came back after 0.05 to 0.8 s of its own. The adapter now reads the time; watches wait for it, and up to a quarter longer by lot, at most for the bound within which a change is to be heard of; the registration at most for the slower renewal; a driver's renewal no longer than until the next one, since its term hangs on it.

--- a/interface/src/store.rs
+++ b/interface/src/store.rs
@@ -103,8 +103,14 @@
     Lost(String),
     /// The store refused the call, for its rate or because it is not
     /// available: nothing was done.
-    #[error("store refused the call with status {0}")]
-    Refused(u16),
+    #[error("store refused the call with status {status}, rest_ms={}", .rest.as_millis())]
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// Time for which it wants no further call of this host; zero where it
+        /// does not say.
+        rest: Duration,
+    },
     /// The watch's starting point is no longer in the store's history.
     #[error("history before the watch's revision is gone")]
     HistoryGone,
@@ -118,6 +124,16 @@
     },
 }
 
+impl Error {
+    /// Time for which the store wants no further call of this host.
+    pub fn rest(&self) -> Duration {
+        match self {
+            Error::Refused { rest, .. } => *rest,
+            _ => Duration::ZERO,
+        }
+    }
+}
+
 /// The key-value store.
 pub trait Store: Send + Sync + 'static {
     /// Reads all items below a prefix.
--- a/mirror/src/register.rs
+++ b/mirror/src/register.rs
@@ -146,6 +146,7 @@
 pub async fn run<S: Store>(mirror: Arc<Mirror>, store: Arc<S>, name: Arc<str>, entry: Entry) {
     let mut lease = None;
     loop {
+        let mut rest = Duration::ZERO;
         let result = match lease {
             None => begin(&*store, &name, &entry).await.map(Some),
             Some(lease) => match store.keep(lease).await {
@@ -164,10 +165,15 @@
                     continue;
                 }
             }
-            Err(error) => mirror.store_failed(&error),
+            Err(error) => {
+                mirror.store_failed(&error);
+                // The entry outlasts several renewals of the slower kind.
+                rest = error.rest().min(SLOW_RENEWAL);
+            }
         }
         let slow = mirror.health.up() && mirror.progress.watches().is_empty();
-        tokio::time::sleep(if slow { SLOW_RENEWAL } else { RENEWAL }).await;
+        let pause = if slow { SLOW_RENEWAL } else { RENEWAL };
+        tokio::time::sleep(pause.max(rest)).await;
     }
 }
 
--- a/mirror/src/watch.rs
+++ b/mirror/src/watch.rs
@@ -36,6 +36,10 @@
 /// back at once after an outage, so each waits a part of it by lot.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
+/// Longest part of a rest that the store asks for by which a host comes back later:
+/// all that it turned away together come one after the other.
+const REST_SPREAD: f64 = 0.25;
+
 /// Longest time between two looks whether the watch is wanted.
 const LOOK: Duration = Duration::from_millis(500);
 
@@ -107,15 +111,20 @@
             Err(error) => {
                 mirror.watch_failed(prefix, &error);
                 mirror.store_failed(&error);
-                wait(&mut pause).await;
+                wait(&mut pause, subject, Some(&error)).await;
             }
         }
     }
 }
 
-async fn wait(pause: &mut Duration) {
+/// Waits before the next call, and no less than the store has asked for: its
+/// own word goes before a figure of ours. A host that waited for longer than a
+/// change may take would miss it by that alone, so that bounds what is heeded.
+async fn wait(pause: &mut Duration, subject: Subject, error: Option<&store::Error>) {
     let part = rand::rng().random_range(0.5..1.0);
-    tokio::time::sleep(pause.mul_f64(part)).await;
+    let rest = error.map_or(Duration::ZERO, store::Error::rest).min(subject.bound);
+    let rest = rest.mul_f64(1.0 + REST_SPREAD * part);
+    tokio::time::sleep(pause.mul_f64(part).max(rest)).await;
     *pause = (*pause * 2).min(PAUSE.1);
 }
 
@@ -186,12 +195,12 @@
                     mirror.store_failed(&error);
                 }
                 call = Call::Probe;
-                wait(&mut pause).await;
+                wait(&mut pause, subject, Some(&error)).await;
             }
             Answer::Doubtful => {
                 log::info!("watch doubted prefix={prefix} after={after} reason=other-call-lost");
                 call = Call::Probe;
-                wait(&mut pause).await;
+                wait(&mut pause, subject, None).await;
             }
         }
     }
--- a/sidecar/src/election.rs
+++ b/sidecar/src/election.rs
@@ -156,6 +156,8 @@
             }
             Err(error) => {
                 pause = if away { (pause * 2).min(RENEWAL) } else { RETRY };
+                // Heeded no longer than until the next renewal: the term hangs on it.
+                pause = pause.max(error.rest().min(RENEWAL));
                 if !std::mem::replace(&mut away, true) {
                     log::warn!("dependency lost name=store error=\"{error}\"");
                 }
--- a/standins/src/calls.rs
+++ b/standins/src/calls.rs
@@ -55,7 +55,7 @@
 
 impl Store for Calls {
     async fn list(&self, _: &str) -> Result<store::Listing, Error> {
-        Err(Error::Refused(503))
+        Err(Error::Refused { status: 503, rest: Duration::ZERO })
     }
 
     async fn watch(
@@ -64,7 +64,7 @@
         _: store::Revision,
         _: store::Wait,
     ) -> Result<store::Changes, Error> {
-        Err(Error::Refused(503))
+        Err(Error::Refused { status: 503, rest: Duration::ZERO })
     }
 
     async fn write(&self, write: &store::Write) -> Result<store::Outcome, Error> {
