--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -5,6 +5,9 @@
 //! interface of the decisions and knows nothing of processes or networks but
 //! a fixed delay.
 
+mod plan;
+pub mod shed;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
@@ -17,81 +20,11 @@
 use rand_chacha::rand_core::SeedableRng as _;
 use rand_distr::Distribution as _;
 
+pub use plan::Plan;
+
 /// One-way delay between an entry host and an agent.
 const DELAY: Duration = Duration::from_micros(500);
 
-/// What is run.
-#[derive(Debug, Clone)]
-pub struct Plan {
-    /// Entry hosts.
-    pub entries: usize,
-    /// Backend servers.
-    pub servers: usize,
-    /// Slots of each.
-    pub slots: u32,
-    /// Mean time that a request takes in a slot.
-    pub service: Duration,
-    /// Requests a second, over all entry hosts.
-    pub rate: f64,
-    /// Age of a load report when it arrives, and time between two.
-    pub lag: Duration,
-    /// How long requests arrive.
-    pub length: Duration,
-    /// Time that a request is given.
-    pub patience: Duration,
-    /// Part of the requests that is urgent, precedence 0 instead of 1.
-    pub urgent: f64,
-    /// Requests of team 0 for each one of any of the nine other teams.
-    pub greed: f64,
-    /// Kinds of prompts, each with its own prefix.
-    pub prefixes: u64,
-    /// Prefixes that a server's cache holds.
-    pub cache: usize,
-    /// Servers that take ten times as long.
-    pub slow: usize,
-    /// Servers that break off every attempt.
-    pub failing: usize,
-    /// Waiters of one entry host at the most.
-    pub capacity: usize,
-    /// Retries for each first attempt.
-    pub retry_ratio: f64,
-    /// Whether refusals and whole answers bear the agent's load report.
-    pub piggyback: bool,
-}
-
-impl Default for Plan {
-    fn default() -> Plan {
-        Plan {
-            entries: 7,
-            servers: 16,
-            slots: 8,
-            service: Duration::from_millis(400),
-            rate: 224.0,
-            lag: Duration::from_millis(500),
-            length: Duration::from_secs(60),
-            patience: Duration::from_secs(10),
-            urgent: 0.05,
-            greed: 1.0,
-            prefixes: 64,
-            cache: 8,
-            slow: 0,
-            failing: 0,
-            capacity: 1_024,
-            retry_ratio: 0.1,
-            piggyback: true,
-        }
-    }
-}
-
-impl Plan {
-    /// The plan at a multiple of the rate that the servers can bear.
-    pub fn at_load(mut self, load: f64) -> Plan {
-        let slots = self.servers as f64 * f64::from(self.slots);
-        self.rate = slots / self.service.as_secs_f64() * load;
-        self
-    }
-}
-
 /// What came of a run.
 #[derive(Debug, Clone)]
 pub struct Result {
@@ -101,6 +34,10 @@
     pub sent: u64,
     /// Attempts that an agent refused for want of a slot.
     pub full: u64,
+    /// Attempts that a server turned away asking for rest.
+    pub shed: u64,
+    /// What servers asked for, and what came all the same.
+    pub log: shed::Log,
     /// Requests answered in time.
     pub good: u64,
     /// Requests that arrived and were answered in time, of team 0 and of all others.
@@ -156,6 +93,7 @@
 enum Ended {
     Answered,
     Full,
+    Shed,
     Broken,
 }
 
@@ -208,6 +146,8 @@
         offered: 0,
         sent: 0,
         full: 0,
+        shed: 0,
+        log: shed::Log::default(),
         good: 0,
         by_team: [(0, 0); 2],
         refused: 0,
@@ -289,6 +229,9 @@
                     if self.plan.piggyback {
                         self.learn(server, attempt.entry, load);
                     }
+                    if ended == Ended::Shed {
+                        self.notice(server, attempt.entry);
+                    }
                     self.end(attempt, ended);
                 }
                 Event::Sample => {
@@ -374,6 +317,11 @@
             self.reply(server, attempt, Ended::Broken);
             return;
         }
+        if self.sheds(server, attempt.entry) {
+            self.result.shed += 1;
+            self.reply(server, attempt, Ended::Shed);
+            return;
+        }
         if self.servers[server].running >= self.plan.slots {
             self.result.full += 1;
             self.reply(server, attempt, Ended::Full);
@@ -406,6 +354,20 @@
         self.at(DELAY, Event::End(server, attempt, ended, Load { sequence, running }));
     }
 
+    /// Whether a server turns a request of an entry host away.
+    fn sheds(&mut self, server: usize, entry: usize) -> bool {
+        let Some(plan) = &self.plan.shed else { return false };
+        let lot = self.rng.random_range(0.0..1.0);
+        self.result.log.take(plan, (server, entry), lot, self.now)
+    }
+
+    fn notice(&mut self, server: usize, entry: usize) {
+        let Some(plan) = &self.plan.shed else { return };
+        let server = entity::Server::from_u32(server as u32);
+        let (_, actions) = self.entries[entry].notice(server, &plan.notice(), self.now);
+        self.act(entry, actions);
+    }
+
     fn learn(&mut self, server: usize, entry: usize, load: Load) {
         let report = report(load.sequence, load.running, self.plan.slots);
         let server = entity::Server::from_u32(server as u32);
@@ -424,7 +386,7 @@
                 }
                 balancer::End::Answered
             }
-            Ended::Full => balancer::End::Full,
+            Ended::Full | Ended::Shed => balancer::End::Full,
             Ended::Broken => balancer::End::MayHaveRun { answer_begun: false },
         };
         let ticket = entity::Ticket::from_u32(attempt.ticket);
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -3,8 +3,9 @@
 //! [`fleet`] drives the entry hosts' real decision machines against fake
 //! backend servers, [`routing`] and [`overload`] ask it their questions.
 //! [`drift`] makes loads of experts that change, [`placement`] compares the
-//! policies over them, [`spread`] times the search for a map of a large group. [`poison`] plays a request that ends its servers. [`path`] measures real processes, [`capacity`] the slopes
-//! that `docs/CAPACITY.md` is worked out from. Everything but [`path`] and the
+//! policies over them, [`spread`] times the search for a map of a large group.
+//! [`poison`] plays a request that ends its servers, [`rest`] servers that ask
+//! for rest. [`path`] measures real processes, [`capacity`] the slopes that `docs/CAPACITY.md` is worked out from. Everything but [`path`] and the
 //! times in [`capacity`] is counted work and the same in every run; the bounds
 //! in `bench/tests` hold it there.
 
@@ -15,5 +16,6 @@
 pub mod path;
 pub mod placement;
 pub mod poison;
+pub mod rest;
 pub mod routing;
 pub mod spread;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,7 +1,7 @@
-//! `bench placement|curve|routing|overload|path|capacity|spread|poison`: prints a
+//! `bench placement|curve|routing|overload|rest|path|capacity|spread|poison`: prints a
 //! measurement. `bench poison FILE` also draws it, as SVG.
 
-use loftcove_bench::{capacity, overload, path, placement, poison, routing, spread};
+use loftcove_bench::{capacity, overload, path, placement, poison, rest, routing, spread};
 
 fn main() {
     let mut arguments = pico_args::Arguments::from_env();
@@ -11,6 +11,7 @@
         "curve" => placement::print_curve(),
         "routing" => routing::print(),
         "overload" => overload::print(),
+        "rest" => rest::print(),
         "path" => path::print(),
         "capacity" => capacity::print(),
         "spread" => spread::print(),
@@ -22,6 +23,8 @@
                 }
             }
         }
-        _ => println!("usage: bench placement|curve|routing|overload|path|capacity|spread|poison"),
+        _ => println!(
+            "usage: bench placement|curve|routing|overload|rest|path|capacity|spread|poison"
+        ),
     }
 }
--- a/bench/tests/bounds.rs
+++ b/bench/tests/bounds.rs
@@ -1,6 +1,6 @@
 //! Regression bounds on counted work: the same figures in every run.
 
-use loftcove_bench::{drift, fleet, overload, placement, poison, routing};
+use loftcove_bench::{drift, fleet, overload, placement, poison, rest, routing};
 use loftcove_decision::placement::policy;
 
 /// A group as today, for half a day.
@@ -87,3 +87,18 @@
         }
     }
 }
+
+/// A third of the servers sheds requests for eight seconds and asks for three
+/// seconds of rest each time: they get it, and nobody loses by it.
+#[test]
+fn servers_that_ask_for_rest_get_it_at_any_number_of_gateways() {
+    for size in [(8, 16), (100, 100)] {
+        let at = |heeded| fleet::run(&rest::plan(size, 0.3, 0.5, heeded), routing::chosen);
+        let (guessed, heeded) = (at(false), at(true));
+        assert!(rest::worst(&guessed) > 2, "{size:?}: the load shows nothing");
+        assert!(rest::worst(&heeded) <= 2, "{size:?}: {} in a rest", rest::worst(&heeded));
+        let served = heeded.good as f64 / heeded.offered as f64;
+        assert!(served > 0.99, "{size:?}: {served}");
+        assert!(heeded.shed < guessed.shed, "{size:?}");
+    }
+}
--- a/day/src/summary.rs
+++ b/day/src/summary.rs
@@ -6,6 +6,7 @@
 use crate::ends::{Suspect, Suspects};
 use crate::line::{Line, Time};
 use crate::outage::{Outage, Outages};
+use crate::rest;
 
 /// Zone of hosts of which nothing tells their own.
 const UNKNOWN_ZONE: &str = "?";
@@ -74,6 +75,8 @@
     /// Requests that were refused since servers ended under them, by their
     /// digest, and how many others were suspects.
     pub ended: (Vec<(String, Suspect)>, u64),
+    /// Backend servers that asked for rest or said that they leave.
+    pub said: rest::Servers,
     /// Drivers that began, ended or were deposed.
     pub drivers: Vec<Event>,
     /// Changes of expert maps that were decided.
@@ -142,6 +145,11 @@
             self.suspects.held(digest, server, field("standing"), host, at);
         } else if text.starts_with("request ends servers ") {
             self.suspects.refused(line.field("digest").unwrap_or("?"));
+        } else if text.starts_with("server rests ") {
+            let ms = line.millis("ms").map_or(0, |time| time.as_millis() as u64);
+            self.said(line).rests(host, ms, at);
+        } else if text.starts_with("server leaves ") {
+            self.said(line).leaves(at);
         } else if text.starts_with("driver ") {
             let event = Event { at, host: host.to_owned(), text: text.to_owned() };
             self.day.drivers.push(event);
@@ -158,6 +166,11 @@
         }
     }
 
+    fn said(&mut self, line: &Line<'_>) -> &mut rest::Said {
+        let server = line.field("server").unwrap_or("?").to_owned();
+        self.day.said.entry(server).or_default()
+    }
+
     fn outcome(&mut self, line: &Line<'_>, host: &str, at: f64) {
         let outcome = line.field("outcome").unwrap_or("?");
         let reason = line.field("reason").unwrap_or("?");
--- a/day/src/text.rs
+++ b/day/src/text.rs
@@ -19,6 +19,7 @@
         reasons(f, day)?;
         outages(f, day)?;
         ended(f, day)?;
+        said(f, day)?;
         drivers(f, day)
     }
 }
@@ -124,6 +125,28 @@
     Ok(())
 }
 
+fn said(f: &mut fmt::Formatter<'_>, day: &Day) -> fmt::Result {
+    if day.said.is_empty() {
+        return Ok(());
+    }
+    writeln!(f, "\nservers that asked for rest or leave")?;
+    for (server, said) in &day.said {
+        write!(f, "  {server}:")?;
+        if let Some((first, last)) = said.asked {
+            let (rests, hosts, ms) = (said.rests, said.hosts.len(), said.longest_ms);
+            write!(
+                f,
+                " {rests} rests from {first:.2} to {last:.2} at {hosts} hosts, {ms} ms at the most"
+            )?;
+        }
+        if let Some(at) = said.leaves {
+            write!(f, " leaves from {at:.2}")?;
+        }
+        writeln!(f)?;
+    }
+    Ok(())
+}
+
 fn drivers(f: &mut fmt::Formatter<'_>, day: &Day) -> fmt::Result {
     writeln!(f, "\ndrivers; {} changes of maps", day.changes)?;
     for event in day.drivers.iter().take(MOST_DRIVERS) {
--- a/day/tests/day.rs
+++ b/day/tests/day.rs
@@ -106,3 +106,17 @@
     let shown = text::Text(&day).to_string();
     assert!(shown.contains("aa: 2 servers (s1, s2) from 1.00, refused from 3.00"), "{shown}");
 }
+
+const SAID: &str = "\
+1.0 a 2026-01-01T00:00:01Z [INFO] m: server rests server=s1 born=0 asked_ms=3000 ms=3200 request=q status=503
+1.5 b 2026-01-01T00:00:01Z [INFO] m: server rests server=s1 born=0 asked_ms=3000 ms=3700 request=r status=503
+4.3 a 2026-01-01T00:00:04Z [INFO] m: server rests server=s1 born=0 asked_ms=1000 ms=1100 request=s status=429
+5.0 a 2026-01-01T00:00:05Z [INFO] m: server leaves server=s2 born=7 request=t status=200
+";
+
+#[test]
+fn servers_are_shown_with_what_they_asked_for() {
+    let shown = text::Text(&day(SAID, "")).to_string();
+    let rests = "s1: 3 rests from 1.00 to 4.30 at 2 hosts, 3700 ms at the most\n";
+    assert!(shown.contains(rests) && shown.contains("s2: leaves from 5.00\n"), "{shown}");
+}
