Entry hosts of the own interface heed a backend server's wish for rest

An answer that an agent passes on was read for its status alone. That a backend server leaves is its agent's word there.

--- a/daemon/src/entry/dispatch.rs
+++ b/daemon/src/entry/dispatch.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use loftcove_decision::routing::notice;
 use loftcove_decision::{balancer, clock, fleet, poison};
+use loftcove_platform::rest;
 use loftcove_wire as wire;
 use tonic::Streaming;
 
@@ -25,6 +27,27 @@
     pub id: wire::AttemptId,
 }
 
+impl Begun {
+    /// What the backend server says of its own near future: as on the users'
+    /// machines, failures may ask for rest. That it leaves its agent tells.
+    pub fn notice(&self) -> notice::Notice {
+        let status = u16::try_from(self.head.status).unwrap_or_default();
+        let failed = (400..600).contains(&status);
+        let rest = if failed { rest::read(&headers(&self.head)) } else { notice::Rest::None };
+        notice::Notice { rest, leaving: false }
+    }
+}
+
+/// The headers of an answer; one that is not well formed is left out, as in the
+/// answer to the caller.
+fn headers(head: &wire::Head) -> http::HeaderMap {
+    let read = |header: &wire::Header| {
+        let name = http::HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        Some((name, http::HeaderValue::from_bytes(&header.value).ok()?))
+    };
+    head.headers.iter().filter_map(read).collect()
+}
+
 /// What an attempt came to.
 pub enum Sent {
     /// Its answer has begun.
--- a/daemon/src/entry/dispatcher.rs
+++ b/daemon/src/entry/dispatcher.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use loftcove_bundle::content;
-use loftcove_decision::routing::{policy, server};
+use loftcove_decision::routing::{notice, policy, server};
 use loftcove_decision::{admission, balancer, entity, name, retry};
 use loftcove_platform::hosts;
 use loftcove_settings::file;
@@ -172,6 +172,20 @@
         inner.route(actions);
     }
 
+    /// An answer said something of its backend server's near future. Returns
+    /// what has changed by it.
+    pub fn notice(
+        &self,
+        server: entity::Server,
+        notice: &notice::Notice,
+    ) -> Option<notice::Change> {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let (change, actions) = inner.balancer.notice(server, notice, now);
+        inner.route(actions);
+        change
+    }
+
     /// An agent's report stream opened or closed.
     pub fn connect(&self, server: entity::Server, up: bool) {
         let now = self.clock.now();
@@ -270,9 +284,10 @@
 
 fn state(record: &server::Record, now: loftcove_decision::clock::Instant) -> &'static str {
     match () {
-        _ if record.listing.leaving || record.report.leaving => "leaving",
+        _ if record.leaving() => "leaving",
         _ if !record.usable() => "down",
         _ if record.health.ejected(now) => "ejected",
+        _ if record.standing.rests(now) => "resting",
         _ => "usable",
     }
 }
@@ -280,6 +295,12 @@
 impl Inner {
     /// Hands each action to the request that it is about.
     fn route(&mut self, actions: Vec<balancer::Action>) {
+        for note in self.balancer.take_notes() {
+            if let balancer::Note::Rested(server, time) = note {
+                let host = &self.balancer.servers()[server].listing.host;
+                log::info!("server rested server={host} ms={}", time.as_millis());
+            }
+        }
         for action in actions {
             let ticket = match &action {
                 balancer::Action::Send(dispatch) => dispatch.ticket,
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -6,6 +6,7 @@
 
 use hyper::body::Incoming;
 use loftcove_clock as boot;
+use loftcove_decision::routing::notice;
 use loftcove_decision::{balancer, entity, poison};
 
 use crate::entry::refusal::{Outcome, Refusal};
@@ -139,6 +140,26 @@
         Refusal::Balancer(refusal)
     }
 
+    /// Takes what an answer says of its backend server's near future.
+    fn take_notice(
+        &self,
+        server: entity::Server,
+        target: &dispatcher::Target,
+        notice: &notice::Notice,
+    ) {
+        if notice.rest == notice::Rest::Unreadable {
+            log::warn!("rest not understood request={} server={}", self.call.id, target.host);
+        }
+        if let Some(notice::Change::Rests(time)) = self.entry.dispatcher.notice(server, notice) {
+            let (host, ms) = (&target.host, time.as_millis());
+            log::info!(
+                "server rests server={host} asked_ms={} ms={ms} request={}",
+                notice.rest,
+                self.call.id
+            );
+        }
+    }
+
     /// Sends one attempt; returns its answer if one has begun.
     async fn attempt(
         &mut self,
@@ -167,6 +188,7 @@
         match dispatch::send(&process, &attempt).await {
             dispatch::Sent::Begun(begun) => {
                 permit.begin(sent_at.elapsed());
+                self.take_notice(next.choice.server, &target, &begun.notice());
                 Some(begun)
             }
             dispatch::Sent::Ended(ended) => {
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -2,7 +2,8 @@
 //!
 //! Every call is done and counted under its `idempotency-key`; `GET
 //! /standin/runs` tells the counts. `x-standin-delay-ms` makes a call slow, `x-standin-cross`
-//! has it answered with another request's id, `x-standin-end-ms` ends the process after that time.
+//! has it answered with another request's id, `x-standin-end-ms` ends the process after that time,
+//! `x-standin-shed: SECONDS` has it turned away, which asks for so much rest.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -39,6 +40,11 @@
             }
             _ => {}
         }
+        if let Some(rest) = request.headers().get("x-standin-shed").cloned() {
+            let mut refusal = server::text(503, "no room");
+            refusal.headers_mut().insert(http::header::RETRY_AFTER, rest);
+            return refusal;
+        }
         let key = header(request.headers(), "idempotency-key").to_owned();
         let id = header(request.headers(), "x-request-id").to_owned();
         let delay = header(request.headers(), "x-standin-delay-ms").parse().unwrap_or(0);
--- a/tests/tests/refusals.rs
+++ b/tests/tests/refusals.rs
@@ -131,6 +131,43 @@
     assert_eq!(caller.ask("POST", &path, &other, "another").await.status, 200);
 }
 
+/// A backend server behind its agent asks for rest, and the other one gets all.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_server_that_asks_for_rest_gets_it() {
+    let plan = cluster::Plan {
+        zones: vec!["sala-braga"],
+        entries: 1,
+        ranks: 0,
+        services: 2,
+        ..cluster::Plan::default()
+    };
+    let cluster = cluster::Cluster::start(plan).await;
+    let caller = cluster.caller(&cluster.entries().remove(0));
+    let path = format!("/services/{}/send", cluster::SERVICE);
+    let before = runs(&cluster).await;
+    let answer = caller.ask("POST", &path, &[("x-standin-shed", "600")], "").await;
+    assert_eq!(answer.status, 503, "{answer:?}");
+    for _ in 0..20 {
+        let key = uuid::Uuid::now_v7().to_string();
+        assert_eq!(caller.deliver(cluster::SERVICE, &key, &[]).await.status, 200);
+    }
+    let after = runs(&cluster).await;
+    let mut served: Vec<usize> =
+        after.iter().zip(before).map(|(after, before)| after - before).collect();
+    served.sort_unstable();
+    assert_eq!(served, [0, 20]);
+}
+
+/// Calls that each backend server of the service has done.
+async fn runs(cluster: &cluster::Cluster) -> Vec<usize> {
+    let mut runs = Vec::new();
+    for agent in cluster.agents(cluster::SERVICE) {
+        let counts = cluster.direct(&agent).read("/standin/runs").await;
+        runs.push(counts.as_object().unwrap().len());
+    }
+    runs
+}
+
 /// Backend servers that have ended.
 async fn gone(cluster: &mut cluster::Cluster) -> usize {
     cluster.servers.values_mut().filter_map(|server| server.ended().then_some(())).count()
