Read a failure's time to come back in one place; a rest that ended unseen is followed by another

Found in reading the diff: a rest that had ended while nobody asked was taken to go on where the server asked for another, so that its begin was not logged and its length wrong; the statuses that may ask for rest stood twice.

--- a/daemon/src/entry/dispatch.rs
+++ b/daemon/src/entry/dispatch.rs
@@ -31,10 +31,10 @@
     /// What the backend server says of its own near future: as on the users'
     /// machines, failures may ask for rest. That it leaves its agent tells.
     pub fn notice(&self) -> notice::Notice {
-        let status = u16::try_from(self.head.status).unwrap_or_default();
-        let failed = (400..600).contains(&status);
-        let rest = if failed { rest::read(&headers(&self.head)) } else { notice::Rest::None };
-        notice::Notice { rest, leaving: false }
+        let status = u16::try_from(self.head.status).ok();
+        let status = status.and_then(|status| http::StatusCode::from_u16(status).ok());
+        let rest = status.map(|status| rest::read(status, &headers(&self.head)));
+        notice::Notice { rest: rest.unwrap_or_default(), leaving: false }
     }
 }
 
--- a/decision/src/balancer/rest.rs
+++ b/decision/src/balancer/rest.rs
@@ -20,6 +20,8 @@
         notice: &notice::Notice,
         now: clock::Instant,
     ) -> (Option<notice::Change>, Vec<Action>) {
+        // One that ended unseen is not the same as the one that may begin now.
+        self.note_rested(now);
         let change = self.servers[server].notice(notice, now);
         let mut actions = Vec::new();
         if change.is_some() {
@@ -66,6 +68,9 @@
         pool: entity::Pool,
         now: clock::Instant,
     ) -> Option<clock::Instant> {
+        if self.noticed.is_empty() {
+            return None;
+        }
         let mut first = None;
         for (_, record) in self.servers.usable(pool) {
             if !record.standing.rests(now) {
@@ -86,9 +91,6 @@
         now: clock::Instant,
         actions: &mut Vec<Action>,
     ) {
-        if self.noticed.is_empty() {
-            return;
-        }
         let Some(until) = self.rests_until(pool, now) else { return };
         for late in self.queue.sweep_for(pool, until) {
             self.give_up(late.ticket, Outcome::NotRun, Reason::Resting(until.since(now)), actions);
--- a/decision/tests/rest.rs
+++ b/decision/tests/rest.rs
@@ -219,6 +219,18 @@
     assert!(!setup.balancer.servers()[server].open(setup.now));
 }
 
+/// Nothing was asked between the end of one rest and the next one.
+#[test]
+fn a_rest_that_ended_unseen_is_followed_by_another_one() {
+    let mut setup = Setup::new(&[(0, None)]);
+    let server = setup.find(0);
+    assert!(matches!(setup.notice(server, &rest(1_000)), Some(Change::Rests(_))));
+    setup.now = setup.now + Duration::from_secs(10);
+    assert!(matches!(setup.notice(server, &rest(1_000)), Some(Change::Rests(_))));
+    let ended = |note: &balancer::Note| matches!(note, balancer::Note::Rested(..));
+    assert_eq!(setup.balancer.take_notes().iter().filter(|note| ended(note)).count(), 1);
+}
+
 #[test]
 fn a_very_long_rest_is_cut() {
     let mut setup = Setup::new(&[(0, None)]);
