Soak: a server that starts again by its entry is another run for the check as well

Trace: the server's entry told a new start 3 s after the rest began (gateway-1 learnt it and opened the server again, as it should: another run has asked for nothing), while the stand-in still counted the run of before. The stand-in begins another run now before the entry tells it.

--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -179,7 +179,7 @@
             Fault::Shed { rank, number, each, rest } => {
                 self.shed(rank, number, each, rest).await;
             }
-            Fault::Leave(number) => self.leave(number, true).await,
+            Fault::Leave(number) => self.say_leaving(number, true).await,
         }
         true
     }
@@ -219,10 +219,7 @@
                 self.unharm(&server_name(rank, number));
             }
             Fault::Shed { rank, number, .. } => self.shed(rank, number, 0, "").await,
-            Fault::Leave(number) => {
-                self.leave(number, false).await;
-                self.restart_plain(number).await;
-            }
+            Fault::Leave(number) => self.restart_plain(number).await,
             Fault::StoreLink { gateway, .. } | Fault::Store(Store::Deny(gateway)) => {
                 self.system.link(&format!("store-gateway-{gateway}"), "none").await;
             }
@@ -254,8 +251,8 @@
         self.system.servers_control(self.group(rank, number), &what).await;
     }
 
-    /// Has a plain server say that it leaves, or start again.
-    async fn leave(&mut self, number: u8, on: bool) {
+    /// Has a plain server say that it leaves, or begin another run.
+    async fn say_leaving(&mut self, number: u8, on: bool) {
         let server = server_name(false, number);
         let what = format!("/leave?server={server}&on={}", u8::from(on));
         self.system.servers_control(None, &what).await;
@@ -335,6 +332,8 @@
         *born += 1;
         let born = *born;
         let address = self.system.plain_address(number);
+        // What its earlier run asked for is over before anybody hears of the new one.
+        self.say_leaving(number, false).await;
         self.system.link(&id, "reset").await;
         self.system.list_run(&id, SMS, address, born).await;
         self.system.link(&server_name(false, number), "none").await;
