--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,7 +1,9 @@
-//! `bench placement|curve|routing|overload|rest|path|capacity|spread|poison`: prints a
+//! `bench placement|curve|routing|overload|rest|path|capacity|spread|poison|suspects`: prints a
 //! measurement. `bench poison FILE` also draws it, as SVG.
 
-use loftcove_bench::{capacity, overload, path, placement, poison, rest, routing, spread};
+use loftcove_bench::{
+    capacity, overload, path, placement, poison, rest, routing, spread, suspects,
+};
 
 fn main() {
     let mut arguments = pico_args::Arguments::from_env();
@@ -23,8 +25,9 @@
                 }
             }
         }
+        "suspects" => suspects::print(),
         _ => println!(
-            "usage: bench placement|curve|routing|overload|rest|path|capacity|spread|poison"
+            "usage: bench placement|curve|routing|overload|rest|path|capacity|spread|poison|suspects"
         ),
     }
 }
