--- a/bench/src/suspects.rs
+++ b/bench/src/suspects.rs
@@ -35,6 +35,10 @@
 /// Probability from which a request is refused.
 const SURE: f64 = 0.95;
 
+/// Ends from which a request is refused without proof: three, and one more of the
+/// three tries that may follow.
+const BOUND: u32 = 4;
+
 /// Where a request goes, and who is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Way {
@@ -49,10 +53,15 @@
     Odds,
     /// As [`Way::Alone`], refused by the odds.
     AloneOdds,
+    /// As [`Way::Alone`], and its gateway sends nothing else to that server
+    /// meanwhile; refused is who ends a server as the only suspect there, which
+    /// says nothing of the others, or ends [`BOUND`].
+    Proof,
 }
 
 /// Ways that are compared.
-pub const WAYS: [Way; 5] = [Way::Counting, Way::Apart, Way::Alone, Way::Odds, Way::AloneOdds];
+pub const WAYS: [Way; 6] =
+    [Way::Counting, Way::Apart, Way::Alone, Way::Odds, Way::AloneOdds, Way::Proof];
 
 /// What is played.
 #[derive(Debug, Clone, Copy)]
@@ -108,6 +117,8 @@
     run: u64,
     away: bool,
     requests: BTreeSet<u32>,
+    /// Those of them that were suspects when they were sent, with their gateways.
+    suspects: BTreeMap<u32, usize>,
 }
 
 /// A request over all its tries.
@@ -117,6 +128,9 @@
     cut_at: Option<u64>,
     tries: u64,
     refused: bool,
+    /// Ends since it last survived that nothing else explains.
+    ends: u32,
+    proven: bool,
 }
 
 struct Play {
@@ -180,7 +194,14 @@
     /// A caller asks for something new at that time.
     fn caller(&mut self, guilty: bool, at: u64) {
         let request = self.requests.len() as u32;
-        self.requests.push(Request { guilty, cut_at: None, tries: 0, refused: false });
+        self.requests.push(Request {
+            guilty,
+            cut_at: None,
+            tries: 0,
+            refused: false,
+            ends: 0,
+            proven: false,
+        });
         self.ask(request, at);
     }
 
@@ -216,19 +237,22 @@
         if self.refuses(request) {
             return self.refuse(request, now);
         }
-        let alone = matches!(self.plan.way, Way::Alone | Way::AloneOdds);
+        let alone = matches!(self.plan.way, Way::Alone | Way::AloneOdds | Way::Proof);
         if alone && self.suspect(request) > 0 {
             self.waiting[gateway].push_back(request);
             return;
         }
-        match self.choose(request) {
-            Some(server) => self.send(request, server, now),
+        match self.choose(request, gateway) {
+            Some(server) => self.send(request, server, gateway, now),
             None => self.ask(request, now + RETURN_MS),
         }
     }
 
     /// Ends that a request is suspect of.
     fn suspect(&self, request: u32) -> u32 {
+        if self.plan.way == Way::Proof {
+            return self.requests[request as usize].ends;
+        }
         match self.ledger.standing(digest(request)) {
             Standing::Sound => 0,
             Standing::Suspect(ends) | Standing::Convicted(ends) => ends,
@@ -238,6 +262,10 @@
     fn refuses(&self, request: u32) -> bool {
         match self.plan.way {
             Way::Odds | Way::AloneOdds => self.odds.refuses(request),
+            Way::Proof => {
+                let own = &self.requests[request as usize];
+                own.proven || own.ends >= BOUND
+            }
             _ => matches!(self.ledger.standing(digest(request)), Standing::Convicted(_)),
         }
     }
@@ -273,12 +301,17 @@
             });
             let Some(server) = free.next() else { return };
             self.waiting[gateway].pop_front();
-            self.send(request, server, now);
+            self.send(request, server, gateway, now);
         }
     }
 
-    fn choose(&mut self, request: u32) -> Option<usize> {
-        let open = (0..self.servers.len()).filter(|server| !self.servers[*server].away);
+    fn choose(&mut self, request: u32, gateway: usize) -> Option<usize> {
+        let reserved = |server: usize| {
+            let mut of = self.servers[server].suspects.values();
+            self.plan.way == Way::Proof && of.any(|own| *own == gateway)
+        };
+        let open = (0..self.servers.len())
+            .filter(|server| !self.servers[*server].away && !reserved(*server));
         let open: Vec<usize> = open.collect();
         let ends = self.suspect(request);
         if self.plan.way == Way::Apart && ends > 0 {
@@ -290,7 +323,10 @@
         place.map(|place| open[place])
     }
 
-    fn send(&mut self, request: u32, server: usize, now: u64) {
+    fn send(&mut self, request: u32, server: usize, gateway: usize, now: u64) {
+        if self.suspect(request) > 0 {
+            self.servers[server].suspects.insert(request, gateway);
+        }
         self.requests[request as usize].tries += 1;
         let run = self.servers[server].run;
         self.servers[server].requests.insert(request);
@@ -306,6 +342,7 @@
         if self.servers[server].run != run || !self.servers[server].requests.remove(&request) {
             return;
         }
+        self.servers[server].suspects.remove(&request);
         let Request { cut_at, tries, .. } = self.requests[request as usize];
         if let Some(cut_at) = cut_at {
             self.outcome.tries = self.outcome.tries.max(tries - 1);
@@ -323,17 +360,26 @@
         self.servers[server].away = true;
         self.at(now + AWAY_MS, Event::Back(server));
         let requests = std::mem::take(&mut self.servers[server].requests);
+        let suspects = std::mem::take(&mut self.servers[server].suspects);
+        let proven = suspects.keys().next().copied().filter(|_| suspects.len() == 1);
+        if let Some(proven) = proven {
+            self.requests[proven as usize].proven = true;
+        }
         self.odds.end(&requests);
         for request in requests {
             let own = &mut self.requests[request as usize];
             self.outcome.cut += u64::from(!own.guilty && own.cut_at.is_none());
             own.cut_at.get_or_insert(now);
-            self.at(now + self.plan.news_ms, Event::News(request, run, false));
+            if self.plan.way != Way::Proof || proven.is_none() {
+                self.at(now + self.plan.news_ms, Event::News(request, run, false));
+            }
             self.ask(request, now + RETURN_MS);
         }
     }
 
     fn hear(&mut self, request: u32, run: u64, survived: bool, now: u64) {
+        let own = &mut self.requests[request as usize];
+        own.ends = if survived { 0 } else { own.ends + 1 };
         if survived {
             self.ledger.clear(digest(request));
             self.odds.survived(request);
