A pool without servers has no group that is down; admission and flow split

Cause: "all groups of the pool are down" held for a pool whose last server had just left, so that a request on its way to it was refused as group-down and told 2.6 s in place of no-backend and 2 s. A test failed first.

--- a/decision/src/admission.rs
+++ b/decision/src/admission.rs
@@ -7,11 +7,14 @@
 //! Cheng, 1996, with one request as the unit of cost. A request that cannot
 //! make its deadline at the present rate is refused at once.
 
+mod band;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use cranelift_entity::SecondaryMap;
 
+use crate::admission::band::{Band, End};
 use crate::{clock, entity, episode};
 
 /// One choice in this many goes past the most urgent precedence.
@@ -108,15 +111,6 @@
     refused: u32,
 }
 
-/// The waiters of one precedence.
-#[derive(Debug, Default)]
-struct Band {
-    virtual_time: f64,
-    finish: BTreeMap<entity::Team, f64>,
-    teams: BTreeMap<entity::Team, VecDeque<Waiter>>,
-    len: usize,
-}
-
 impl Queue {
     /// An empty queue that holds at most `capacity` waiters; whoever is refused
     /// is told to stay away for `shortest_return` at the least.
@@ -380,13 +374,6 @@
     1.0 + (f64::from(number) * GOLDEN).fract()
 }
 
-/// End of a team's waiters at which one joins.
-#[derive(Clone, Copy)]
-enum End {
-    Front,
-    Back,
-}
-
 /// A broken invariant of the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
@@ -433,72 +420,3 @@
         self.bands.get_mut(&chosen)?.pop(shares)
     }
 }
-
-impl Band {
-    fn insert(&mut self, waiter: Waiter, end: End) {
-        let line = self.teams.entry(waiter.team).or_default();
-        match end {
-            End::Front => line.push_front(waiter),
-            End::Back => line.push_back(waiter),
-        }
-        self.len += 1;
-    }
-
-    fn oldest(&self) -> Option<clock::Instant> {
-        self.teams.values().filter_map(|line| line.front()).map(|waiter| waiter.since).min()
-    }
-
-    fn pop(&mut self, shares: &SecondaryMap<entity::Team, Share>) -> Option<Waiter> {
-        let start = |team: &entity::Team| {
-            self.finish.get(team).copied().unwrap_or(0.0).max(self.virtual_time)
-        };
-        let (team, begin) = self
-            .teams
-            .keys()
-            .map(|team| (*team, start(team)))
-            .min_by(|a, b| a.1.total_cmp(&b.1))?;
-        self.virtual_time = begin;
-        self.finish.insert(team, begin + 1.0 / f64::from(shares[team].weight));
-        // A team whose finish lies behind the virtual time starts afresh anyway.
-        let now = self.virtual_time;
-        self.finish.retain(|_, finish| *finish > now);
-        let waiter = self.teams.get_mut(&team)?.pop_front();
-        self.shrink(team);
-        waiter
-    }
-
-    fn pop_last(&mut self, team: entity::Team) -> Option<Waiter> {
-        let waiter = self.teams.get_mut(&team)?.pop_back();
-        self.shrink(team);
-        waiter
-    }
-
-    fn remove(&mut self, team: entity::Team, ticket: entity::Ticket) -> Option<Waiter> {
-        let line = self.teams.get_mut(&team)?;
-        let index = line.iter().position(|waiter| waiter.ticket == ticket)?;
-        let waiter = line.remove(index);
-        self.shrink(team);
-        waiter
-    }
-
-    /// Accounts for one waiter less of the team.
-    fn shrink(&mut self, team: entity::Team) {
-        self.len -= 1;
-        if self.teams.get(&team).is_some_and(VecDeque::is_empty) {
-            self.teams.remove(&team);
-        }
-    }
-
-    /// Takes out those that may not wait beyond `now`, or whose answer would be
-    /// late if they were sent and answered by `sent`.
-    fn sweep(&mut self, now: clock::Instant, sent: clock::Instant, late: &mut Vec<Waiter>) {
-        let before = late.len();
-        let over = |waiter: &Waiter| waiter.deadline <= sent || waiter.expires <= now;
-        for line in self.teams.values_mut() {
-            late.extend(line.iter().filter(|waiter| over(waiter)));
-            line.retain(|waiter| !over(waiter));
-        }
-        self.teams.retain(|_, line| !line.is_empty());
-        self.len -= late.len() - before;
-    }
-}
--- a/decision/src/balancer/group.rs
+++ b/decision/src/balancer/group.rs
@@ -241,8 +241,11 @@
 
     /// Whether all groups that serve a pool are known to serve nothing.
     pub(super) fn all_down(&self, pool: entity::Pool, now: clock::Instant) -> bool {
-        let mut groups = self.servers.usable(pool).map(|(_, record)| record.listing.group);
-        groups.all(|group| group.is_some_and(|group| self.groups[group].down(now)))
+        let groups = self.servers.usable(pool).map(|(_, record)| record.listing.group);
+        let mut groups = groups.peekable();
+        // A pool without servers has no group either.
+        groups.peek().is_some()
+            && groups.all(|group| group.is_some_and(|group| self.groups[group].down(now)))
     }
 
     /// Whether a backend server can take one more request, and its group too.
--- a/decision/tests/rest.rs
+++ b/decision/tests/rest.rs
@@ -333,6 +333,19 @@
     assert_eq!(setup.refused.iter().map(|r| r.ticket).collect::<Vec<_>>(), [waiting]);
 }
 
+/// The last server leaves while a request is on its way to it. The pool has no
+/// group, so none is down: its callers are told that there is no server.
+#[test]
+fn a_pool_without_servers_has_no_group_that_is_down() {
+    let mut setup = Setup::new(&[(0, None)]);
+    let ticket = setup.arrive(DEADLINE);
+    let server = setup.at(ticket).unwrap();
+    setup.notice(server, &LEAVES);
+    setup.end(ticket, balancer::End::Unreachable);
+    let reasons: Vec<_> = setup.refused.iter().map(|refusal| refusal.reason).collect();
+    assert_eq!(reasons, [balancer::Reason::NoBackend]);
+}
+
 /// A server that rests is no failing one, and counts for the floor of ejection.
 #[test]
 fn a_rest_is_no_failure_and_keeps_others_in() {
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -7,7 +7,6 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use loftcove_clock as boot;
-use loftcove_decision::routing::notice;
 use loftcove_decision::{balancer, entity, poison, route};
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::{Answer, Forward, NotRun, Protocol, Verdict};
@@ -328,43 +327,6 @@
         self.read(request, attempt, reply).await
     }
 
-    /// Takes what an answer says of its backend server's near future.
-    fn take_notice(
-        &self,
-        request: &Request,
-        attempt: &dispatch::Attempt<Target>,
-        status: http::StatusCode,
-        notice: &notice::Notice,
-    ) {
-        if notice.is_empty() {
-            return;
-        }
-        let (server, status) = (attempt.target.run.id.clone(), status.as_u16());
-        if notice.rest == notice::Rest::Unreadable {
-            log::warn!(
-                "rest not understood request={} server={server} status={status}",
-                request.meta.id
-            );
-        }
-        let born = attempt.target.run.born.unwrap_or_default();
-        match self.dispatcher.notice(attempt.server, notice) {
-            None => {}
-            Some(notice::Change::Rests(time)) => {
-                self.metrics.rests.inc();
-                log::info!(
-                    "server rests server={server} born={born} asked_ms={} ms={} request={} status={status}",
-                    notice.rest,
-                    time.as_millis(),
-                    request.meta.id
-                );
-            }
-            Some(notice::Change::Leaves) => log::info!(
-                "server leaves server={server} born={born} request={} status={status}",
-                request.meta.id
-            ),
-        }
-    }
-
     async fn read(
         &self,
         request: &Request,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //! hands the answer on. [`state`] holds what all requests share; it follows
 //! the configuration and the list of backend servers through the mirror.
 //! [`probe`] finds out when a group can be reached again, [`ended`] whether a
-//! backend server ended under a request.
+//! backend server ended under a request, [`notice`] what servers say of their
+//! own near future.
 //! [`health`] tells the platform whether the gateway is ready, [`drain`] is
 //! the planned stop.
 
@@ -18,6 +19,7 @@
 mod flow;
 mod health;
 mod metrics;
+mod notice;
 mod probe;
 mod request;
 mod server;
--- /dev/null
+++ b/gateway/src/notice.rs
@@ -0,0 +1,48 @@
+//! What backend servers say of their own near future: handed to the dispatcher,
+//! logged where it changes something.
+
+use loftcove_decision::routing::notice;
+use loftcove_dispatch as dispatch;
+use loftcove_interface::protocol::Protocol;
+
+use crate::request::Request;
+use crate::state::{Gateway, Target};
+
+impl<P: Protocol> Gateway<P> {
+    /// Takes what an answer says of its backend server's near future.
+    pub(crate) fn take_notice(
+        &self,
+        request: &Request,
+        attempt: &dispatch::Attempt<Target>,
+        status: http::StatusCode,
+        notice: &notice::Notice,
+    ) {
+        if notice.is_empty() {
+            return;
+        }
+        let (server, status) = (attempt.target.run.id.clone(), status.as_u16());
+        if notice.rest == notice::Rest::Unreadable {
+            log::warn!(
+                "rest not understood request={} server={server} status={status}",
+                request.meta.id
+            );
+        }
+        let born = attempt.target.run.born.map_or_else(|| "-".to_owned(), |born| born.to_string());
+        match self.dispatcher.notice(attempt.server, notice) {
+            None => {}
+            Some(notice::Change::Rests(time)) => {
+                self.metrics.rests.inc();
+                log::info!(
+                    "server rests server={server} born={born} asked_ms={} ms={} request={} status={status}",
+                    notice.rest,
+                    time.as_millis(),
+                    request.meta.id
+                );
+            }
+            Some(notice::Change::Leaves) => log::info!(
+                "server leaves server={server} born={born} request={} status={status}",
+                request.meta.id
+            ),
+        }
+    }
+}
