--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use loftcove_tests::system::Arrival;
+use loftcove_tests::request::Arrival;
 use loftcove_tests::visits::{self, Excess, Excuse, Sent, Visit};
 
 use crate::client::{DEADLINE, End, Kind, Seen};
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -4,7 +4,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use loftcove_tests::system::{self, Client, Head, Request};
+use loftcove_tests::client::{self, Client};
+use loftcove_tests::request::{Head, Request};
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng as _;
@@ -128,7 +129,7 @@
 async fn ask(client: &mut Client, request: &Request) -> End {
     let Some(response) = client.send(request).await else { return End::Closed };
     let head = Head::of(&response);
-    let (body, whole) = system::read(response).await;
+    let (body, whole) = client::read(response).await;
     End::Answer { head, body, whole }
 }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -5,7 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use loftcove_tests::system::{Arrival, BOUND, Plan, Request, System};
+use loftcove_tests::request::{Arrival, Request};
+use loftcove_tests::system::{BOUND, Plan, System};
 
 use crate::check::{self, Breach, Evidence};
 use crate::inject::Injector;
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -4,12 +4,14 @@
 //! [`process`] runs one program, [`cluster`] a deployment of them with the
 //! stand-ins and the fault-injecting proxy between any two, [`caller`] asks
 //! as a caller would; [`system`] is a deployment on the users'
-//! machines, and [`visits`] checks what reached its servers. Nothing waits for a fixed time: [`until`] waits for a
+//! machines, [`client`] sends [`request`]s to it, and [`visits`] checks what reached its servers. Nothing waits for a fixed time: [`until`] waits for a
 //! condition.
 
 pub mod caller;
+pub mod client;
 pub mod cluster;
 pub mod process;
+pub mod request;
 pub mod system;
 pub mod visits;
 
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -8,9 +8,10 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-use http_body_util::{BodyExt as _, Full};
 use serde_json::{Value, json};
 
+use crate::client::Client;
+use crate::request::Request;
 use crate::{caller, process, until, visits};
 
 /// Host of all routes.
@@ -516,164 +517,6 @@
     (group, caller::Caller::new(control, ""))
 }
 
-/// A request as a client of the platform sends it.
-#[derive(Debug, Clone)]
-pub struct Request {
-    /// Its id.
-    pub id: String,
-    method: &'static str,
-    path: String,
-    headers: Vec<(String, String)>,
-    body: String,
-}
-
-impl Request {
-    /// A request with the team's key and a deadline of 3 s.
-    pub fn new(path: &str) -> Request {
-        static NEXT: AtomicU32 = AtomicU32::new(0);
-        let id = format!("req{:08x}", NEXT.fetch_add(1, Ordering::Relaxed));
-        let request = Request {
-            id: id.clone(),
-            method: "POST",
-            path: path.to_owned(),
-            headers: Vec::new(),
-            body: "body".to_owned(),
-        };
-        request
-            .with("host", HOST)
-            .with("x-attempt-id", &id)
-            .with("x-api-key", KEY)
-            .with("x-deadline-ms", "3000")
-    }
-
-    /// Sets a header.
-    pub fn with(mut self, name: &str, value: &str) -> Request {
-        self.headers.retain(|(known, _)| known != name);
-        self.headers.push((name.to_owned(), value.to_owned()));
-        self
-    }
-
-    /// Sets the body.
-    pub fn body(mut self, body: &str) -> Request {
-        body.clone_into(&mut self.body);
-        self
-    }
-
-    /// Sets the team's key.
-    pub fn key(self, key: &str) -> Request {
-        self.with("x-api-key", key)
-    }
-
-    /// Sets how long the client waits.
-    pub fn deadline(self, time: Duration) -> Request {
-        self.with("x-deadline-ms", &time.as_millis().to_string())
-    }
-
-    /// Leaves a header out.
-    pub fn without(mut self, name: &str) -> Request {
-        self.headers.retain(|(known, _)| known != name);
-        self
-    }
-}
-
-/// What the head of an answer tells its client.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Head {
-    /// Status.
-    pub status: u16,
-    /// Signature of the backend server, if there is one.
-    pub signature: Option<String>,
-    /// Id of the request that the answer names.
-    pub request: Option<String>,
-}
-
-impl Head {
-    /// The head of a response.
-    pub fn of<B>(response: &http::Response<B>) -> Head {
-        let text = |name: &str| {
-            let value = response.headers().get(name)?;
-            value.to_str().ok().map(str::to_owned)
-        };
-        Head {
-            status: response.status().as_u16(),
-            signature: text("x-server-stamp"),
-            request: text("x-attempt-id"),
-        }
-    }
-}
-
-/// A request as a backend server got it.
-#[derive(Debug, Clone)]
-pub struct Arrival(pub Value);
-
-impl Arrival {
-    /// Id of the request.
-    pub fn id(&self) -> &str {
-        self.0["headers"]["x-attempt-id"].as_str().unwrap_or_default()
-    }
-
-    /// Whether it came as it was sent to that path, with its team, without the
-    /// key, and to the backend server that it was meant for.
-    pub fn sound(&self, path: &str) -> bool {
-        let headers = &self.0["headers"];
-        self.0["path"] == path
-            && self.0["body"] == "body"
-            && headers["x-tenant"] == "clinica"
-            && headers["x-expect-instance"] == self.0["server"]
-            && headers.get("x-api-key").is_none()
-    }
-}
-
-/// A client that keeps its connection.
-pub struct Client {
-    sender: hyper::client::conn::http1::SendRequest<Full<bytes::Bytes>>,
-}
-
-impl Client {
-    /// Connects to a gateway, if it listens.
-    pub async fn connect(address: SocketAddr) -> Option<Client> {
-        let stream = tokio::net::TcpStream::connect(address).await.ok()?;
-        let io = hyper_util::rt::TokioIo::new(stream);
-        let handshake = hyper::client::conn::http1::handshake(io).await;
-        let (sender, connection) = handshake.ok()?;
-        tokio::spawn(async move {
-            connection.await.ok();
-        });
-        Some(Client { sender })
-    }
-
-    /// Sends a request; returns the answer whose body is still to come, or
-    /// `None` where the connection ended.
-    pub async fn send(
-        &mut self,
-        request: &Request,
-    ) -> Option<http::Response<hyper::body::Incoming>> {
-        self.sender.ready().await.ok()?;
-        let mut builder = http::Request::builder().method(request.method).uri(&request.path);
-        for (name, value) in &request.headers {
-            builder = builder.header(name, value);
-        }
-        let message = builder.body(Full::from(request.body.clone()));
-        self.sender.send_request(message.expect("the request is well formed")).await.ok()
-    }
-}
-
-/// Reads a body to its end; the second is whether it was whole.
-pub async fn read(response: http::Response<hyper::body::Incoming>) -> (String, bool) {
-    let mut body = response.into_body();
-    let mut text = String::new();
-    while let Some(frame) = body.frame().await {
-        match frame {
-            Ok(frame) => {
-                let data = frame.into_data().unwrap_or_default();
-                text.push_str(&String::from_utf8_lossy(&data));
-            }
-            Err(_) => return (text, false),
-        }
-    }
-    (text, true)
-}
-
 /// Longest time that anything may take that the users bound by two seconds, on
 /// a machine that is busy with other things as well.
 pub const BOUND: Duration = Duration::from_secs(10);
--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -2,7 +2,9 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
-use loftcove_tests::system::{HOST, KEY, Plan, Request, SMS, System, read};
+use loftcove_tests::client::read;
+use loftcove_tests::request::Request;
+use loftcove_tests::system::{HOST, KEY, Plan, SMS, System};
 use loftcove_tests::until;
 
 const PLAN: Plan =
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -2,7 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
-use loftcove_tests::system::{Plan, Request, System};
+use loftcove_tests::request::Request;
+use loftcove_tests::system::{Plan, System};
 use loftcove_tests::until;
 
 const PLAN: Plan =
@@ -22,7 +23,7 @@
                 loop {
                     let request = Request::new("/draft/").with("x-standin-events", "100");
                     let Some(response) = client.send(&request).await else { return };
-                    loftcove_tests::system::read(response).await;
+                    loftcove_tests::client::read(response).await;
                 }
             }));
         }
--- a/tests/tests/leaving.rs
+++ b/tests/tests/leaving.rs
@@ -4,7 +4,9 @@
 
 use std::time::{Duration, Instant};
 
-use loftcove_tests::system::{Client, Plan, Request, System};
+use loftcove_tests::client::Client;
+use loftcove_tests::request::Request;
+use loftcove_tests::system::{Plan, System};
 use loftcove_tests::until;
 
 const PLAN: Plan =
@@ -25,7 +27,7 @@
         let request = request.clone();
         Pending(tokio::spawn(async move {
             if let Some(response) = client.send(&request).await {
-                loftcove_tests::system::read(response).await;
+                loftcove_tests::client::read(response).await;
             }
         }))
     }
--- a/tests/tests/rest.rs
+++ b/tests/tests/rest.rs
@@ -15,7 +15,8 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use futures_util::future;
-use loftcove_tests::system::{Plan, Request, System};
+use loftcove_tests::request::Request;
+use loftcove_tests::system::{Plan, System};
 use loftcove_tests::visits::{self, Sent, Undisturbed};
 
 const PLAN: Plan =
--- a/tests/tests/silences.rs
+++ b/tests/tests/silences.rs
@@ -5,7 +5,8 @@
 
 use std::time::{Duration, Instant};
 
-use loftcove_tests::system::{BOUND, Plan, Request, System};
+use loftcove_tests::request::Request;
+use loftcove_tests::system::{BOUND, Plan, System};
 use loftcove_tests::until;
 
 const PLAN: Plan =
@@ -116,7 +117,7 @@
         loop {
             let request = Request::new("/draft/").with("x-standin-events", "100");
             let Some(response) = client.send(&request).await else { return };
-            loftcove_tests::system::read(response).await;
+            loftcove_tests::client::read(response).await;
         }
     });
     let switches =
--- a/tests/tests/stores.rs
+++ b/tests/tests/stores.rs
@@ -2,7 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
-use loftcove_tests::system::{BOUND, KEY, Plan, Request, System};
+use loftcove_tests::request::Request;
+use loftcove_tests::system::{BOUND, KEY, Plan, System};
 use loftcove_tests::until;
 
 const PLAN: Plan =
--- a/tests/tests/suspects.rs
+++ b/tests/tests/suspects.rs
@@ -11,7 +11,8 @@
 use std::collections::BTreeSet;
 
 use futures_util::future;
-use loftcove_tests::system::{Plan, Request, System};
+use loftcove_tests::request::Request;
+use loftcove_tests::system::{Plan, System};
 use loftcove_tests::until;
 
 const PLAN: Plan =
