Tests of the check of rests; bringing ended servers back stands once

The check that the tests and the soak share had no test of its own: bounds at half a second and at the end of a rest, two allowed, other runs and gateways, the drain. System::mend serves both tests in which servers end.

--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -470,6 +470,24 @@
         self.list_run(id, service, address, born).await;
     }
 
+    /// Has the servers of a lock-step group, or the plain ones, that ended since
+    /// the last call start again, and waits until all gateways serve; `seen`
+    /// counts the ends of before.
+    pub async fn mend(&self, group: Option<u8>, seen: &mut usize) {
+        let ends = self.ends(group).await;
+        for end in &ends[*seen..] {
+            *seen += 1;
+            let server = end["server"].as_str().expect("an end names its server");
+            self.restarted(server, *seen as u64).await;
+        }
+        let path = if group.is_some() { "/draft/" } else { "/alert/" };
+        let sound = Request::new(path).with("x-standin-events", "2");
+        for gateway in 0..self.plan.gateways {
+            until("the gateway serves", || async { self.ask(gateway, &sound).await.status == 200 })
+                .await;
+        }
+    }
+
     /// Requests with that id that reached backend servers, over all of them.
     pub async fn arrivals(&self, id: &str) -> Vec<Value> {
         let mut all = self.all_arrivals().await;
--- a/tests/tests/poison.rs
+++ b/tests/tests/poison.rs
@@ -39,22 +39,6 @@
     ranks.then_some(0)
 }
 
-/// Has the servers that ended since the last call start again, and waits until
-/// all gateways serve; `seen` counts the ends of before.
-async fn mend(system: &System, ranks: bool, seen: &mut usize) {
-    let ends = system.ends(group(ranks)).await;
-    for end in &ends[*seen..] {
-        *seen += 1;
-        system.restarted(end["server"].as_str().unwrap(), *seen as u64).await;
-    }
-    let sound =
-        Request::new(if ranks { "/draft/" } else { "/alert/" }).with("x-standin-events", "2");
-    for gateway in 0..system.plan.gateways {
-        until("the gateway serves", || async { system.ask(gateway, &sound).await.status == 200 })
-            .await;
-    }
-}
-
 /// The caller asks at one gateway after the other; returns how many servers
 /// ended, and how often the request reached one after the third of these.
 async fn repeat(system: &System, ranks: bool) -> (usize, usize) {
@@ -62,7 +46,7 @@
     for gateway in (0..system.plan.gateways).cycle().take(TRIES) {
         let request = request(ranks).body(BODY).with("x-standin-end-ms", "50");
         system.ask(gateway, &request).await;
-        mend(system, ranks, &mut seen).await;
+        system.mend(group(ranks), &mut seen).await;
     }
     let ends = system.ends(group(ranks)).await;
     let third = ends.get(2).map_or(u64::MAX, |end| end["arrivals"].as_u64().unwrap());
@@ -127,7 +111,7 @@
         let others = futures_util::future::join_all((0..9).map(|number| other(number, "60")));
         let guilty = request(false).body(BODY).with("x-standin-end-ms", "30");
         tokio::join!(others, system.ask(round, &guilty));
-        mend(&system, false, &mut seen).await;
+        system.mend(group(false), &mut seen).await;
         for number in 0..9 {
             assert_eq!(other(number, "0").await, 200, "round {round}, other {number}");
         }
@@ -147,11 +131,11 @@
         async move { system.ask(gateway, &request).await.status }
     };
     assert_eq!(guilty(0).await, 502);
-    mend(&system, false, &mut seen).await;
+    system.mend(group(false), &mut seen).await;
     let failed = receipt().with("x-standin-status", "500");
     assert_eq!(system.ask(1, &failed).await.status, 500);
     assert_eq!(guilty(2).await, 502);
-    mend(&system, false, &mut seen).await;
+    system.mend(group(false), &mut seen).await;
     guilty(0).await;
     assert_eq!(system.ends(None).await.len(), 2);
 }
@@ -165,7 +149,7 @@
     for gateway in 0..PLAN.gateways {
         let request = request(true).body(BODY).with("x-standin-linger-ms", "40");
         system.ask(gateway, &request.with("x-standin-end-ms", "50")).await;
-        mend(&system, true, &mut seen).await;
+        system.mend(group(true), &mut seen).await;
     }
     assert_eq!(seen, 2, "servers that ended");
 }
--- a/tests/tests/suspects.rs
+++ b/tests/tests/suspects.rs
@@ -13,7 +13,6 @@
 use futures_util::future;
 use loftcove_tests::request::Request;
 use loftcove_tests::system::{Plan, System};
-use loftcove_tests::until;
 
 const PLAN: Plan =
     Plan { gateways: 3, ranks: 4, groups: 1, plain: 3, sidecars: false, proxied: false };
@@ -36,21 +35,6 @@
     (refused && !guilty).then_some(caller)
 }
 
-/// Has the servers that ended since the last call start again, and waits until
-/// all gateways serve; `seen` counts the ends of before.
-async fn mend(system: &System, seen: &mut usize) {
-    let ends = system.ends(None).await;
-    for end in &ends[*seen..] {
-        *seen += 1;
-        system.restarted(end["server"].as_str().unwrap(), *seen as u64).await;
-    }
-    for gateway in 0..PLAN.gateways {
-        let sound = Request::new("/alert/");
-        until("the gateway serves", || async { system.ask(gateway, &sound).await.status == 200 })
-            .await;
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn proper_requests_are_not_refused_for_their_neighbours() {
     let system = System::start(PLAN).await;
@@ -61,7 +45,7 @@
         let proper = (0..PROPER).map(|caller| ask(&system, caller, round, false));
         let (_, proper) = tokio::join!(future::join_all(guilty), future::join_all(proper));
         refused.extend(proper.into_iter().flatten());
-        mend(&system, &mut seen).await;
+        system.mend(None, &mut seen).await;
     }
     assert_eq!(refused, BTreeSet::new(), "of {PROPER}, with {seen} servers ended");
 }
--- /dev/null
+++ b/tests/tests/visits.rs
@@ -0,0 +1,49 @@
+//! The check of rests and of leaving counts as the users do.
+
+use std::collections::BTreeMap;
+
+use loftcove_tests::visits::{self, ALLOWED, DRAIN_MS, Sent, Undisturbed, Visit};
+
+fn visit(request: &str, at: u64) -> Visit {
+    let (server, request) = ("s".to_owned(), request.to_owned());
+    Visit { server, run: 0, request, at, shed: None, leaving: false }
+}
+
+/// Requests that a client sent to gateway 0 and got answers to at once.
+fn sent(visits: &[Visit]) -> BTreeMap<String, Sent> {
+    let sent = |visit: &Visit| Sent { gateway: 0, at: visit.at, answered: visit.at };
+    visits.iter().map(|visit| (visit.request.clone(), sent(visit))).collect()
+}
+
+/// A server asks for 2 s at 1,000 ms, and gets requests at these times.
+fn in_a_rest(times: &[u64]) -> usize {
+    let mut visits = vec![Visit { shed: Some("2".to_owned()), ..visit("asked", 1_000) }];
+    visits.extend(times.iter().map(|at| visit(&format!("r{at}"), *at)));
+    visits::unrested(&visits, &sent(&visits), &Undisturbed).len()
+}
+
+#[test]
+fn two_requests_are_allowed_from_half_a_second_on_until_the_rest_is_over() {
+    assert_eq!(ALLOWED, 2);
+    assert_eq!(in_a_rest(&[1_100, 1_499, 1_500, 3_000, 3_001]), 0);
+    assert_eq!(in_a_rest(&[1_500, 2_000, 3_000]), 1);
+}
+
+#[test]
+fn another_run_and_another_gateway_were_asked_nothing() {
+    let mut visits = vec![Visit { shed: Some("2".to_owned()), ..visit("asked", 1_000) }];
+    visits.extend((0..9).map(|n| Visit { run: 1, ..visit(&format!("r{n}"), 2_000) }));
+    visits.extend((0..9).map(|n| visit(&format!("g{n}"), 2_000)));
+    let mut sent = sent(&visits);
+    sent.iter_mut().filter(|(id, _)| id.starts_with('g')).for_each(|(_, sent)| sent.gateway = 1);
+    assert_eq!(visits::unrested(&visits, &sent, &Undisturbed), []);
+}
+
+#[test]
+fn what_a_client_sends_later_than_the_drain_after_it_was_told_may_not_arrive() {
+    let told = Visit { leaving: true, ..visit("told", 1_000) };
+    let late = |at| [told.clone(), visit("late", at)];
+    let count = |visits: &[Visit]| visits::undrained(visits, &sent(visits), &Undisturbed).len();
+    assert_eq!(count(&late(1_000 + DRAIN_MS)), 0);
+    assert_eq!(count(&late(1_001 + DRAIN_MS)), 1);
+}
