Soak: a process that a hangup ended is started again, as the platform does

Trace: its log is empty; it had been started again at most 74 ms before a hangup was sent to it. A gateway that gets one right after its start ends by that signal with an empty log (run by hand: at 0 ms ended, from 1 ms on alive on an idle machine), as any process does before it receives signals; nobody in the soak started it again. Only an end by that signal is made good, any other one stays a breach. In the product the time until signals are received stays as it is; noted as open.

--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -38,6 +38,8 @@
     harmed: BTreeMap<String, Instant>,
     /// Times in which the links of servers were harmed.
     pub harms: Vec<(String, (Instant, Instant))>,
+    /// Processes that were told of changed settings, since when.
+    reloaded: BTreeMap<Process, Instant>,
     /// Processes that something is being done to, since when, and whether it is planned.
     busy: BTreeMap<Process, (Instant, bool)>,
     /// What was done.
@@ -61,6 +63,7 @@
             system,
             shared,
             harmed: BTreeMap::new(),
+            reloaded: BTreeMap::new(),
             harms: Vec::new(),
             busy: BTreeMap::new(),
             spans: Vec::new(),
@@ -83,6 +86,7 @@
             let end = ends.first().map(|(at, _)| *at);
             let Some(at) = begin.into_iter().chain(end).min() else { break };
             tokio::time::sleep_until((start + at).into()).await;
+            self.revive();
             if end == Some(at) {
                 let (_, fault) = ends.remove(0);
                 self.end(fault).await;
@@ -124,6 +128,7 @@
             Fault::Reload(process) => {
                 if !self.busy.contains_key(&process) {
                     self.process(process).signal(libc::SIGHUP);
+                    self.reloaded.insert(process, Instant::now());
                 }
                 return false;
             }
@@ -274,6 +279,21 @@
         }
     }
 
+    /// Starts processes again, as the platform does, that a hangup ended: one that
+    /// comes before a process has begun to receive signals does so. A process
+    /// that ends in any other way stays away, which the checks in the end show.
+    fn revive(&mut self) {
+        let reloaded: Vec<(Process, Instant)> =
+            self.reloaded.iter().map(|(process, since)| (*process, *since)).collect();
+        for (process, since) in reloaded {
+            let hung_up = self.process(process).ended_by() == Some(libc::SIGHUP);
+            if hung_up && !self.busy.contains_key(&process) {
+                self.busy.insert(process, (since, false));
+                self.restart(process);
+            }
+        }
+    }
+
     /// Lets all gateways lose their watches at once: the store is silent when they open their
     /// watches again after a configuration, and what is open to it falls silent.
     async fn lose_watches(&mut self) {
@@ -289,6 +309,7 @@
     /// before the configuration that is to be in force in time.
     async fn calm(&mut self) {
         while self.callers.join_next().await.is_some() {}
+        self.revive();
         self.relist().await;
         self.system.link("*", "none").await;
         self.lose_watches().await;
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -145,6 +145,12 @@
         self.child.try_wait().expect("the program can be waited for").is_some()
     }
 
+    /// Number of the signal that ended it, if one did.
+    pub fn ended_by(&mut self) -> Option<i32> {
+        let status = self.child.try_wait().expect("the program can be waited for")?;
+        std::os::unix::process::ExitStatusExt::signal(&status)
+    }
+
     /// Kills it and waits for its end.
     pub async fn kill(&mut self) {
         self.child.kill().await.expect("the program can be killed");
