--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -107,6 +107,7 @@
                 expires: now + Duration::from_secs(10),
                 begin_by: None,
                 prefix: u64::from(round % 64) + 1,
+                suspect: None,
             };
             let (ticket, _) = machine.arrive(arrival, now);
             machine.end(ticket, balancer::End::Answered, now);
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -285,6 +285,7 @@
             expires: deadline,
             begin_by: None,
             prefix,
+            suspect: None,
         };
         self.result.offered += 1;
         self.result.by_team[usize::from(team > 0)].0 += 1;
--- a/clock/src/lib.rs
+++ b/clock/src/lib.rs
@@ -63,6 +63,12 @@
     }
 }
 
+/// The time of day, Unix milliseconds. Hosts differ in it by up to seconds.
+pub fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
+
 /// Shortest suspension that is told. Below lie differences of how the system
 /// corrects the two clocks, and no bound of ours is as short.
 const SHORTEST: Duration = Duration::from_millis(100);
--- a/daemon/src/entry/call.rs
+++ b/daemon/src/entry/call.rs
@@ -53,6 +53,8 @@
     pub class: content::Class,
     /// Time that is left for the answer.
     pub budget: Duration,
+    /// Whether it may have ended a backend server, as far as was known when it came.
+    pub suspect: bool,
     /// Its idempotency key.
     pub key: Option<home::key::Key>,
     /// Hash of the prompt's beginning; zero for a service.
@@ -114,6 +116,7 @@
     let budget = budget(&parts.headers, &class)?;
     let key = text(&parts.headers, KEY_HEADER)?.map(home::key::Key::parse).transpose()?;
     Ok(Call {
+        suspect: false,
         id,
         pool: pool.clone(),
         team,
--- a/daemon/src/entry/dispatch.rs
+++ b/daemon/src/entry/dispatch.rs
@@ -145,8 +145,7 @@
         }
         Some(wire::frame::Kind::Refused(refused)) => refusal(refused),
         Some(wire::frame::Kind::Broken(broken)) => {
-            let host = attempt.target.host.clone();
-            let subject = Subject { digest: attempt.call.digest(), host };
+            let subject = Subject::new(attempt.call, attempt.target.host.clone());
             let end = subject.ended(process, &attempt.id(), &broken, false);
             Sent::ended(end, broken.reason)
         }
@@ -158,11 +157,18 @@
 pub struct Subject {
     /// What it is, whichever try of its caller.
     pub digest: poison::Digest,
+    /// Whether it was the only suspect that this process had sent there.
+    pub alone: bool,
     /// Id of the host.
     pub host: Arc<str>,
 }
 
 impl Subject {
+    /// A request on the backend server of that host.
+    pub fn new(call: &call::Call, host: Arc<str>) -> Subject {
+        Subject { digest: call.digest(), alone: call.suspect, host }
+    }
+
     /// How an attempt ended that broke off. A backend server that ended is
     /// counted for the request.
     pub fn ended(
@@ -177,7 +183,7 @@
         };
         // Each run of the agent counts from its own start.
         let run = fleet::Run { id: self.host.clone(), born: Some(id.incarnation + number) };
-        process.ends.found(&run, self.digest);
+        process.ends.found(&run, self.digest, self.alone);
         balancer::End::ServerEnded
     }
 }
--- a/daemon/src/entry/dispatcher.rs
+++ b/daemon/src/entry/dispatcher.rs
@@ -7,7 +7,7 @@
 
 use loftcove_bundle::content;
 use loftcove_decision::routing::{notice, policy, server};
-use loftcove_decision::{admission, balancer, entity, name, retry};
+use loftcove_decision::{admission, balancer, entity, name, poison, retry};
 use loftcove_platform::hosts;
 use loftcove_settings::file;
 use loftcove_wire as wire;
@@ -72,6 +72,8 @@
     pub budget: Duration,
     /// Hash of the prompt's beginning.
     pub prefix: u64,
+    /// What it is, if it may have ended a backend server.
+    pub suspect: Option<poison::Digest>,
 }
 
 impl Dispatcher {
@@ -210,6 +212,7 @@
             expires: now + arrival.budget,
             begin_by: None,
             prefix: arrival.prefix,
+            suspect: arrival.suspect,
         };
         let (ticket, actions) = inner.balancer.arrive(arrival, now);
         inner.permits.insert(ticket, sender);
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -51,11 +51,13 @@
     }
     let max_body = process.settings.entry.as_ref().map_or(usize::MAX, |own| own.max_body);
     let call = call::read(id, request, &bundle, max_body).await?;
+    process.ends.settled(call.digest()).await;
     if let poison::Standing::Convicted(ends) = process.ends.standing(call.digest()) {
         let digest = call.digest();
         log::info!("request ends servers request={} digest={digest} ends={ends}", call.id);
         return Err(Refusal::EndsServers);
     }
+    let call = call::Call { suspect: process.ends.apart(call.digest()), ..call };
     // The deadline runs while the key is claimed, too.
     let began = boot::Instant::now();
     let claim = match call.key {
@@ -114,6 +116,7 @@
             repeatable: self.call.class.repeatable,
             budget,
             prefix: self.call.prefix,
+            suspect: self.call.suspect.then(|| self.call.digest()),
         });
         loop {
             // The dispatcher outlives its permits and always says what follows.
@@ -248,7 +251,7 @@
     ) -> http::Response<relay::Body> {
         let target = self.entry.dispatcher.target(server);
         let host = target.map(|(target, _)| target.host).unwrap_or_default();
-        let subject = dispatch::Subject { digest: self.call.digest(), host };
+        let subject = dispatch::Subject::new(&self.call, host);
         let finish = relay::Finish {
             process: self.entry.process.clone(),
             dispatcher: self.entry.dispatcher.clone(),
--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -10,6 +10,7 @@
 mod group;
 mod message;
 mod rest;
+mod suspect;
 mod verify;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,12 +19,13 @@
 pub use message::{
     Action, Arrival, Candidate, Dispatch, End, Note, Options, Outcome, Reason, Refusal,
 };
+pub use suspect::Share;
 pub use verify::Fault;
 
 use cranelift_entity::SecondaryMap;
 
 use crate::routing::{policy, server};
-use crate::{admission, clock, entity, pass, retry};
+use crate::{admission, clock, entity, pass, poison, retry};
 
 /// Score from which an open backend server of the own availability zone
 /// counts as loaded, so that others are looked at.
@@ -86,7 +88,9 @@
     costs: BTreeMap<entity::Pool, pass::Cost>,
     /// How long the groups of a pool take to form, where that is published.
     forms: BTreeMap<entity::Pool, Duration>,
-    gateways: u32,
+    share: Share,
+    /// Suspects that are on backend servers of this gateway's own.
+    trials: BTreeMap<entity::Server, poison::Digest>,
     group_return: Duration,
     notes: Vec<Note>,
     /// Backend servers that rest, and those that have told that they leave.
@@ -108,7 +112,8 @@
             groups: SecondaryMap::new(),
             costs: BTreeMap::new(),
             forms: BTreeMap::new(),
-            gateways: 1,
+            share: Share::default(),
+            trials: BTreeMap::new(),
             group_return: options.group_return,
             notes: Vec::new(),
             noticed: BTreeSet::new(),
@@ -210,7 +215,8 @@
     ) {
         let pending = self.pending.get(&ticket).filter(|p| p.place == Place::Waiting);
         let waits = pending.is_some();
-        let full = waits || self.rests_until(arrival.pool, now).is_some();
+        let full = waits && arrival.suspect.is_none();
+        let full = full || self.rests_until(arrival.pool, now).is_some();
         let waiter = self.waiter(ticket, pending.map_or(arrival, |p| &p.arrival), now);
         self.queue.set_full(arrival.pool, full, now);
         if waits && waiter.expires <= now && self.queue.remove(&waiter) {
@@ -230,6 +236,10 @@
             return Err(Reason::NoBackend);
         }
         let mut arrival = arrival;
+        if arrival.suspect.is_some() {
+            // It waits for its turn, which is better than to be refused.
+            arrival.begin_by = None;
+        }
         if self.all_down(arrival.pool, now) {
             let until = self.held_until(&arrival, now).ok_or(Reason::GroupDown)?;
             // Its answer begins late in any case.
@@ -284,6 +294,9 @@
         let (sent, group, begun) = (pending.sent, pending.group, pending.begun);
         match pending.place {
             Place::Sent(server) => {
+                if pending.arrival.suspect.is_some() {
+                    self.trials.remove(&server);
+                }
                 self.leave(server, end, sent, now);
                 self.leave_group(group);
             }
@@ -390,6 +403,7 @@
 
     /// Sends waiters while backend servers are open.
     fn pump(&mut self, pool: entity::Pool, now: clock::Instant, actions: &mut Vec<Action>) {
+        let mut held = Vec::new();
         while self.queue.waiting_for(pool) > 0 {
             if !self.servers.usable(pool).any(|(_, record)| self.takes(record, now)) {
                 break;
@@ -400,8 +414,13 @@
                 self.give_up(next.ticket, Outcome::NotRun, reason, actions);
                 continue;
             }
+            if !self.has_place(next.ticket, now) {
+                held.push(next);
+                continue;
+            }
             self.send(next.ticket, now, actions);
         }
+        held.into_iter().rev().for_each(|waiter| self.queue.push_front(waiter));
         if self.queue.waiting_for(pool) > 0 {
             self.refuse_resting(pool, now, actions);
         }
--- a/decision/src/balancer/choose.rs
+++ b/decision/src/balancer/choose.rs
@@ -16,15 +16,21 @@
         tried: &[entity::Server],
         now: clock::Instant,
     ) -> Vec<Candidate> {
-        let open = || self.servers.usable(pool).filter(|(_, record)| self.takes(record, now));
+        let takes = |server: entity::Server| self.takes(&self.servers[server], now);
+        let free = |server: entity::Server| !self.on_trial(server);
+        // A backend server on which a suspect runs gets nothing else.
+        let kept = !self.trials.is_empty()
+            && self.servers.usable(pool).any(|(server, _)| takes(server) && free(server));
+        let open = || {
+            self.servers
+                .usable(pool)
+                .filter(|(server, _)| takes(*server) && (!kept || free(*server)))
+        };
         let fresh = open().any(|(server, _)| !tried.contains(&server));
         let open = open().filter(|(server, _)| !fresh || !tried.contains(server));
-        let (local, remote): (Vec<_>, Vec<_>) = open.partition(|(_, record)| record.listing.local);
-        let weigh = |list: Vec<(entity::Server, &server::Record)>| -> Vec<Candidate> {
-            let weighed = list.into_iter();
-            weighed.map(|(server, record)| Candidate { server, score: record.score(now) }).collect()
-        };
-        let (local, remote) = (weigh(local), weigh(remote));
+        let (local, remote): (Vec<_>, Vec<_>) =
+            open.map(|(server, _)| server).partition(|server| self.servers[*server].listing.local);
+        let (local, remote) = (self.weigh(&local, now), self.weigh(&remote, now));
         let least = |list: &[Candidate]| {
             list.iter().map(|candidate| candidate.score).fold(f64::INFINITY, f64::min)
         };
@@ -33,6 +39,11 @@
         if local.is_empty() || spill { remote } else { local }
     }
 
+    fn weigh(&self, servers: &[entity::Server], now: clock::Instant) -> Vec<Candidate> {
+        let score = |server: &entity::Server| self.servers[*server].score(now);
+        servers.iter().map(|server| Candidate { server: *server, score: score(server) }).collect()
+    }
+
     pub(super) fn send(
         &mut self,
         ticket: entity::Ticket,
@@ -40,14 +51,22 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(pending) = self.pending.get(&ticket) else { return };
-        let considered = self.open(pending.arrival.pool, &pending.tried, now);
-        let passed_over = self.passed_over(pending.arrival.pool, now);
+        let (pool, suspect) = (pending.arrival.pool, pending.arrival.suspect);
+        let considered = match suspect {
+            Some(digest) => self.weigh(&self.open_apart(pool, digest, now), now),
+            None => self.open(pool, &pending.tried, now),
+        };
+        let passed_over = self.passed_over(pool, now);
         let candidates: Vec<entity::Server> = considered.iter().map(|c| c.server).collect();
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
         let request = policy::Request { prefix: pending.arrival.prefix };
-        let Some(choice) = self.policy.choose(&self.servers, &candidates, &request, now) else {
+        let Some(mut choice) = self.policy.choose(&self.servers, &candidates, &request, now) else {
             return;
         };
+        if let Some(digest) = suspect {
+            choice.reason = policy::Reason::Apart;
+            self.trials.insert(choice.server, digest);
+        }
         pending.attempts += 1;
         pending.place = Place::Sent(choice.server);
         pending.sent = Some(now);
@@ -64,7 +83,7 @@
         } else {
             self.tally.again += 1;
         }
-        self.queue.depart(pending.arrival.pool, now);
+        self.queue.depart(pool, now);
         let attempt = pending.attempts;
         actions.push(Action::Send(Dispatch { ticket, attempt, choice, considered, passed_over }));
     }
--- a/decision/src/balancer/group.rs
+++ b/decision/src/balancer/group.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::balancer::{Action, Arrival, Balancer, Note};
+use crate::balancer::{Action, Arrival, Balancer, Note, Share};
 use crate::routing::{policy, server};
 use crate::{clock, entity, outage, pace, pass};
 
@@ -85,11 +85,11 @@
         (served < arrival.deadline).then(|| back + HOLD_SLACK)
     }
 
-    /// Sets how many gateways share the backend servers, this one included.
-    pub fn set_gateways(&mut self, gateways: u32) {
-        self.gateways = gateways;
+    /// Sets this gateway's place among those that share the backend servers.
+    pub fn set_share_of_servers(&mut self, share: Share) {
+        self.share = share;
         for group in self.groups.values_mut() {
-            group.outage.share(gateways);
+            group.outage.share(share.of);
         }
     }
 
@@ -137,7 +137,7 @@
             ranks,
             slots,
             in_flight: self.groups[id].in_flight,
-            gateways: self.gateways,
+            gateways: self.share.of,
             cost: self.costs.get(&pool).copied().unwrap_or_default(),
         }
     }
@@ -198,7 +198,7 @@
             told.entry(group).and_modify(|before| *before = before.with(news)).or_insert(news);
         }
         for (group, news) in told {
-            self.groups[group].outage.share(self.gateways);
+            self.groups[group].outage.share(self.share.of);
             let change = self.groups[group].outage.hear(news, now);
             self.believe(group, change, now);
         }
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::routing::policy;
-use crate::{admission, clock, entity, outage, pace};
+use crate::{admission, clock, entity, outage, pace, poison};
 
 /// A request as it arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +30,8 @@
     pub begin_by: Option<clock::Instant>,
     /// Hash of the prompt's beginning; zero where there is none.
     pub prefix: u64,
+    /// What it is, if it may have ended a backend server.
+    pub suspect: Option<poison::Digest>,
 }
 
 /// Settings of the machine. [`Default`] gives what most callers take; the
--- a/decision/src/balancer/verify.rs
+++ b/decision/src/balancer/verify.rs
@@ -22,6 +22,13 @@
                 return Err(Fault::InFlight(server));
             }
         }
+        let on_trial =
+            |p: &&Pending, server| p.place == Place::Sent(server) && p.arrival.suspect.is_some();
+        for server in self.trials.keys() {
+            if self.pending.values().filter(|p| on_trial(p, *server)).count() != 1 {
+                return Err(Fault::Trial(*server));
+            }
+        }
         for (id, group) in self.groups.iter() {
             let own = |p: &&Pending| matches!(p.place, Place::Sent(_)) && p.group == Some(id);
             if self.pending.values().filter(own).count() != group.in_flight as usize {
@@ -44,6 +51,9 @@
     /// Requests sent to a backend server are those it has in flight.
     #[error("requests in flight at {0} are miscounted")]
     InFlight(entity::Server),
+    /// A backend server that is kept for a suspect runs one.
+    #[error("{0} is kept for a suspect that is not there")]
+    Trial(entity::Server),
     /// Requests sent to a group are those it has in flight.
     #[error("requests in flight at {0} are miscounted")]
     GroupInFlight(entity::Group),
--- a/decision/src/poison.rs
+++ b/decision/src/poison.rs
@@ -8,11 +8,13 @@
 //!
 //! What is counted are servers that ended, by the requests that were on them
 //! ([`Ledger`]). Up to a few dozen are on one at a time, and one of them is to
-//! blame at the most, so a single end makes suspects and no more. A request is
-//! refused when it was on two servers that ended, unless another request was
-//! on both as well; from the third end on in any case. What is blamed on one
-//! request is not counted against others, and a request that comes to its end
-//! anywhere is cleared.
+//! blame at the most, so a single end makes suspects and no more. Where a suspect
+//! runs next is arranged so that it tells more ([`crate::balancer`]): as the only
+//! suspect there. A request is refused when it was on two servers that ended, on
+//! one of them as the only request or the only suspect; from the third end on in
+//! any case. Counting alone would refuse those that were cut by two others. What
+//! is blamed on one request is not counted against others, and a request that
+//! comes to its end anywhere is cleared.
 //!
 //! Gateways tell each other of single [`Item`]s. Merging takes the higher mark,
 //! so that it does not matter in which order and how often they come.
@@ -28,18 +30,20 @@
 /// Bytes of a digest: two requests share one by chance once in 2^64 of them.
 const BYTES: usize = 16;
 
-/// Ends from which a request is refused if it alone was on all these servers.
-const ALONE: u32 = 2;
+/// Ends from which a request is refused that one of them proves.
+const PROVEN: u32 = 2;
 /// Ends from which it is refused whoever else was there.
 const CERTAIN: u32 = 3;
+/// Time from an end until what is known of it proves anything: gateways find it up
+/// to 0.25 s apart, and until all have told, whoever is known to have been there
+/// seems to have been alone.
+pub const SETTLED: Duration = Duration::from_millis(300);
 /// How long an end counts, and so for how long a request is refused after the
 /// last one: the longest lease of the store, which keeps it over a restart of
 /// all gateways.
 pub const KEPT: Duration = Duration::from_secs(600);
-/// Time between two ends of one run, as they are told, from which they are two.
-/// A run is known by what its entry tells, and a server may be back, and end
-/// again, before that is heard of. It takes a second and more to be back; an end
-/// is found within 0.4 s.
+/// Time between two ends of one server, as they are told, from which they are two.
+/// It takes a second and more to be back; an end is found within 0.4 s.
 const SAME_END: Duration = Duration::from_millis(500);
 /// Ends that are kept: 128 with [`MOST_REQUESTS`] each are 8,192 marks, some
 /// 0.5 MB. Of more, the oldest that convicts nobody goes first.
@@ -114,6 +118,8 @@
 pub enum Mark {
     /// It may have ended it.
     Suspect,
+    /// The same, and it was suspect before: its gateway had sent no other suspect there.
+    Alone,
     /// It did not.
     Cleared,
 }
@@ -151,9 +157,24 @@
 
 impl End {
     fn suspects(&self) -> impl Iterator<Item = Digest> {
-        let suspects = self.marks.iter().filter(|(_, mark)| **mark == Mark::Suspect);
+        let suspects = self.marks.iter().filter(|(_, mark)| **mark != Mark::Cleared);
         suspects.map(|(digest, _)| *digest)
     }
+
+    fn settled(&self, now: clock::Instant) -> bool {
+        now.since(self.at) >= SETTLED
+    }
+
+    /// The only request there that may have ended it.
+    fn sole(&self) -> Option<Digest> {
+        only(self.suspects())
+    }
+
+    /// The only one there that was suspect before it was sent.
+    fn alone(&self) -> Option<Digest> {
+        let alone = self.marks.iter().filter(|(_, mark)| **mark == Mark::Alone);
+        only(alone.map(|(digest, _)| *digest))
+    }
 }
 
 /// All ends that are known, and what follows from them.
@@ -165,6 +186,8 @@
     convicted: BTreeMap<Digest, u32>,
     /// Ends of each other request that was on a server whose end is not explained.
     suspected: BTreeMap<Digest, u32>,
+    /// When that was worked out.
+    judged: clock::Instant,
 }
 
 impl Ledger {
@@ -181,15 +204,18 @@
             return false;
         }
         end.marks.insert(item.digest, item.mark);
+        self.judged = self.judged.max(now);
         self.judge();
         self.evict();
         true
     }
 
-    /// The end that an item tells of: a known one, or a further one of its run.
+    /// The end that an item tells of: a known one, or a further one of its server.
+    /// A server that is back is taken for its run of before until its entry tells
+    /// the new one, by some gateways longer than by others.
     fn key(&self, item: &Item) -> (fleet::Run, clock::Instant) {
         let apart = |at: clock::Instant| at.since(item.at).max(item.at.since(at));
-        let mut known = self.ends.keys().filter(|(run, _)| *run == item.run);
+        let mut known = self.ends.keys().filter(|(run, _)| run.id == item.run.id);
         let same = known.find(|(_, at)| apart(*at) < SAME_END);
         same.cloned().unwrap_or_else(|| (item.run.clone(), item.at))
     }
@@ -207,7 +233,7 @@
     }
 
     fn clear_where(&mut self, cleared: impl Fn(&fleet::Run, Digest) -> bool) -> Vec<Item> {
-        let items = self.items().filter(|item| item.mark == Mark::Suspect);
+        let items = self.items().filter(|item| item.mark != Mark::Cleared);
         let items = items.filter(|item| cleared(&item.run, item.digest));
         let items: Vec<Item> = items.map(|item| Item { mark: Mark::Cleared, ..item }).collect();
         for item in &items {
@@ -229,6 +255,13 @@
         self.suspected.get(&digest).map_or(Standing::Sound, |ends| Standing::Suspect(*ends))
     }
 
+    /// Whether a request is to run apart from other suspects: it was on a server
+    /// that ended, and has not come to its end since. That others explain the end
+    /// does not clear it, as several may have been there that end their servers.
+    pub fn apart(&self, digest: Digest) -> bool {
+        self.ends.values().any(|end| end.suspects().any(|suspect| suspect == digest))
+    }
+
     /// Requests that are refused.
     pub fn convicted(&self) -> impl Iterator<Item = Digest> {
         self.convicted.keys().copied()
@@ -247,28 +280,36 @@
         })
     }
 
-    /// Forgets ends that no longer count.
+    /// Forgets ends that no longer count, and takes what has settled.
     pub fn expire(&mut self, now: clock::Instant) {
         let before = self.ends.len();
         self.ends.retain(|_, end| now.since(end.at) < KEPT);
-        if self.ends.len() < before {
+        let settles = self.unsettled(self.judged) && now > self.judged;
+        self.judged = self.judged.max(now);
+        if self.ends.len() < before || settles {
             self.judge();
         }
     }
 
+    /// Whether there is an end that others may still tell of.
+    pub fn unsettled(&self, now: clock::Instant) -> bool {
+        self.ends.values().any(|end| !end.settled(now))
+    }
+
     /// Whether nothing is known.
     pub fn is_empty(&self) -> bool {
         self.ends.is_empty()
     }
 
-    /// Works out who is to blame, from the most ends down. An end is explained
-    /// by a request that is refused for it, and then says nothing of others.
+    /// Works out who is to blame, from the surest ground down. An end is explained
+    /// by a request that is refused for it, and then says nothing of others: what
+    /// was found on a weaker ground before is taken back by a proof that comes later.
     fn judge(&mut self) {
         self.convicted.clear();
         let mut open: Vec<&End> = self.ends.values().collect();
         loop {
             let counts = count(&open);
-            let guilty = guilty(&open, &counts);
+            let guilty = guilty(&open, &counts, self.judged);
             if guilty.is_empty() {
                 self.suspected = counts;
                 return;
@@ -303,7 +344,7 @@
         if self.ends.values().any(|end| end.marks.len() > MOST_REQUESTS) {
             return Err(Fault::Requests);
         }
-        if self.convicted.values().any(|ends| *ends < ALONE) {
+        if self.convicted.values().any(|ends| *ends < PROVEN) {
             return Err(Fault::Grounds);
         }
         Ok(())
@@ -332,23 +373,27 @@
     counts
 }
 
-/// Requests with the most ends of all, if these are enough to refuse them.
-fn guilty(ends: &[&End], counts: &BTreeMap<Digest, u32>) -> BTreeSet<Digest> {
-    let most = counts.values().max().copied().unwrap_or(0);
-    let leads = |digest: &Digest| counts[digest] == most;
-    let leaders: BTreeSet<Digest> = counts.keys().copied().filter(leads).collect();
-    if most >= CERTAIN {
-        return leaders;
-    }
-    if most < ALONE {
-        return BTreeSet::new();
-    }
-    let alone = |digest: &Digest| {
-        let own = ends.iter().filter(|end| end.suspects().any(|other| other == *digest));
-        own.into_iter()
-            .any(|end| end.suspects().filter(|other| leaders.contains(other)).count() == 1)
+fn only<T>(mut all: impl Iterator<Item = T>) -> Option<T> {
+    all.next().filter(|_| all.next().is_none())
+}
+
+/// Requests that are refused on the surest ground there is.
+fn guilty(ends: &[&End], counts: &BTreeMap<Digest, u32>, now: clock::Instant) -> BTreeSet<Digest> {
+    let proven = |of: fn(&End) -> Option<Digest>| -> BTreeSet<Digest> {
+        let found = ends.iter().filter(|end| end.settled(now)).filter_map(|end| of(end));
+        found.filter(|digest| counts[digest] >= PROVEN).collect()
     };
-    leaders.iter().copied().filter(alone).collect()
+    // A mark that others are still to tell of is the weakest of these.
+    let sure = |end: &End| end.alone().filter(|digest| end.sole() == Some(*digest));
+    let grounds = [proven(sure), proven(End::alone), proven(End::sole), leaders(counts)];
+    grounds.into_iter().find(|guilty| !guilty.is_empty()).unwrap_or_default()
+}
+
+/// Requests with the most ends of all, if these are enough whoever else was there.
+fn leaders(counts: &BTreeMap<Digest, u32>) -> BTreeSet<Digest> {
+    let most = counts.values().max().copied().unwrap_or(0);
+    let leads = |digest: &Digest| most >= CERTAIN && counts[digest] == most;
+    counts.keys().copied().filter(leads).collect()
 }
 
 /// Requests that came to their end of late. One that many callers send alike is
--- a/decision/src/routing/policy.rs
+++ b/decision/src/routing/policy.rs
@@ -42,6 +42,8 @@
     Lot,
     /// Its cache should hold the prompt's beginning.
     Affinity,
+    /// No other suspect of servers' ends is there.
+    Apart,
 }
 
 impl fmt::Display for Reason {
@@ -51,6 +53,7 @@
             Reason::LeastScore => "least-score",
             Reason::Lot => "lot",
             Reason::Affinity => "affinity",
+            Reason::Apart => "apart",
         })
     }
 }
--- a/decision/tests/balancer.rs
+++ b/decision/tests/balancer.rs
@@ -84,6 +84,7 @@
         expires: deadline,
         begin_by: None,
         prefix: 0,
+        suspect: None,
     }
 }
 
--- a/decision/tests/outage.rs
+++ b/decision/tests/outage.rs
@@ -159,7 +159,7 @@
         let rng = ChaCha8Rng::seed_from_u64(7);
         let policy = policy::Blend { rng, sample: 2, affinity_slack: 0.0 };
         let mut balancer = balancer::Balancer::new(policy, &balancer::Options::default());
-        balancer.set_gateways(GATEWAYS);
+        balancer.set_share_of_servers(balancer::Share { number: 0, of: GATEWAYS });
         balancer.set_form(entity::Pool::from_u32(0), FORM);
         let mut restart = Restart { balancer };
         restart.list(telling, broken(4), at(0));
@@ -202,6 +202,7 @@
             expires: now + patience,
             begin_by: Some(now + Duration::from_millis(400)),
             prefix: 0,
+            suspect: None,
         };
         self.balancer.arrive(arrival, now).1
     }
@@ -250,7 +251,7 @@
     // What each of 42 gateways has of the users' budget.
     let options = balancer::Options::default().charge_full(true).retry_ratio(0.15);
     let mut balancer = balancer::Balancer::new(policy, &options.retry_reserve(4.2));
-    balancer.set_gateways(GATEWAYS);
+    balancer.set_share_of_servers(balancer::Share { number: 0, of: GATEWAYS });
     let listing = |number: u32, news: News| server::Listing {
         host: format!("host{number}").into(),
         born: None,
@@ -290,6 +291,7 @@
             expires: due,
             begin_by: Some(now + Duration::from_millis(400)),
             prefix: 0,
+            suspect: None,
         };
         let (ticket, mut actions) = balancer.arrive(arrival, now);
         while let [balancer::Action::Send(dispatch)] = &actions[..] {
--- a/decision/tests/poison.rs
+++ b/decision/tests/poison.rs
@@ -2,9 +2,12 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use loftcove_decision::poison::{Digest, Finished, Item, KEPT, Ledger, Lookout, Mark, Standing};
+use loftcove_decision::poison::{
+    Digest, Finished, Item, KEPT, Ledger, Lookout, Mark, SETTLED, Standing,
+};
 use loftcove_decision::{clock, fleet};
 use proptest::prelude::*;
 
@@ -20,16 +23,22 @@
     clock::Instant::from_millis(ms)
 }
 
+/// When most is told: all ends have settled.
+const NOW: clock::Instant = clock::Instant::from_micros(1_400_000);
+
 fn item(server: u32, name: &str, mark: Mark) -> Item {
     Item { run: run(server), digest: request(name), mark, at: at(1_000) }
 }
 
-/// Servers that ended, each with the requests that were on it.
+/// Servers that ended, each with the requests that were on it; a star is before
+/// those that were sent there as the only suspect.
 fn ledger(ends: &[(u32, &[&str])]) -> Ledger {
     let mut ledger = Ledger::default();
     for (server, names) in ends {
         for name in *names {
-            assert!(ledger.take(&item(*server, name, Mark::Suspect), at(1_000)));
+            let mark = if name.starts_with('*') { Mark::Alone } else { Mark::Suspect };
+            let item = item(*server, name.trim_start_matches('*'), mark);
+            assert!(ledger.take(&item, NOW));
         }
     }
     assert_eq!(ledger.verify(), Ok(()));
@@ -45,13 +54,77 @@
 }
 
 #[test]
-fn the_second_end_refuses_who_alone_was_there_both_times() {
-    let ledger = ledger(&[(1, &["guilty", "a", "b"]), (2, &["guilty", "c"])]);
+fn the_second_end_refuses_who_was_the_only_suspect_there() {
+    let ledger = ledger(&[(1, &["guilty", "a", "b"]), (2, &["*guilty", "c"])]);
     assert_eq!(ledger.standing(request("guilty")), Standing::Convicted(2));
-    // The others are no suspects any more: both ends are explained.
+    // The others are no suspects any more: both ends are explained. Until one has
+    // come to its end it runs apart all the same.
     for other in ["a", "b", "c"] {
         assert_eq!(ledger.standing(request(other)), Standing::Sound, "{other}");
+        assert!(ledger.apart(request(other)));
+    }
+    let mut ledger = ledger;
+    ledger.clear(request("a"));
+    assert!(!ledger.apart(request("a")) && !ledger.apart(request("other")));
+}
+
+/// The pattern: two requests end a server each, and a proper one was on both.
+#[test]
+fn who_was_cut_by_two_others_is_not_refused_for_it() {
+    let mut ledger = ledger(&[(1, &["x", "proper", "a"]), (2, &["y", "proper", "b"])]);
+    assert_eq!(ledger.standing(request("proper")), Standing::Suspect(2));
+    assert_eq!(ledger.convicted().count(), 0);
+    // Each of the others ends one more server as the only suspect there.
+    for (server, name) in [(3, "x"), (4, "y")] {
+        ledger.take(&item(server, name, Mark::Alone), NOW);
+        assert_eq!(ledger.standing(request(name)), Standing::Convicted(2));
     }
+    assert_eq!(ledger.standing(request("proper")), Standing::Sound);
+}
+
+/// The pattern: a new request that ends its servers lands beside a proper one
+/// that is tried alone. What looked like a proof is taken back by a better one.
+#[test]
+fn a_better_proof_takes_a_weaker_one_back() {
+    let mut ledger = ledger(&[(1, &["x", "proper"]), (2, &["*proper", "new"])]);
+    assert_eq!(ledger.standing(request("proper")), Standing::Convicted(2));
+    ledger.take(&item(3, "new", Mark::Alone), NOW);
+    assert_eq!(ledger.standing(request("new")), Standing::Convicted(2));
+    assert_eq!(ledger.standing(request("proper")), Standing::Suspect(1));
+}
+
+/// The pattern: a guilty request and a proper one are sent to one server by two
+/// gateways, which know of their own first.
+#[test]
+fn an_end_proves_nothing_before_all_have_told_of_it() {
+    let mut ledger = ledger(&[(1, &["guilty", "proper"])]);
+    let later = |name| Item { at: at(2_000), ..item(2, name, Mark::Alone) };
+    ledger.take(&later("proper"), at(2_010));
+    assert_eq!(ledger.standing(request("proper")), Standing::Suspect(2));
+    ledger.take(&later("guilty"), at(2_020));
+    ledger.expire(at(2_000) + SETTLED);
+    assert_eq!(ledger.convicted().count(), 0);
+    // The guilty one ends a third server.
+    ledger.take(&Item { at: at(3_000), ..item(3, "guilty", Mark::Alone) }, at(3_010));
+    assert_eq!(ledger.standing(request("guilty")), Standing::Convicted(3));
+    assert_eq!(ledger.standing(request("proper")), Standing::Sound);
+}
+
+#[test]
+fn a_proof_holds_once_it_has_settled() {
+    let mut ledger = ledger(&[(1, &["guilty", "a"])]);
+    ledger.take(&Item { at: at(2_000), ..item(2, "guilty", Mark::Alone) }, at(2_010));
+    assert_eq!(ledger.standing(request("guilty")), Standing::Suspect(2));
+    assert!(ledger.unsettled(at(2_100)));
+    ledger.expire(at(2_000) + SETTLED);
+    assert_eq!(ledger.standing(request("guilty")), Standing::Convicted(2));
+}
+
+/// Two gateways each sent one suspect to the same server.
+#[test]
+fn two_that_were_sent_to_one_server_prove_nothing() {
+    let ledger = ledger(&[(1, &["x", "y"]), (2, &["*x", "*y"])]);
+    assert_eq!(ledger.convicted().count(), 0);
 }
 
 #[test]
@@ -59,7 +132,7 @@
     let mut ledger = ledger(&[(1, &["guilty", "a"]), (2, &["guilty", "a"])]);
     assert_eq!(ledger.standing(request("guilty")), Standing::Suspect(2));
     assert_eq!(ledger.standing(request("a")), Standing::Suspect(2));
-    ledger.take(&item(3, "guilty", Mark::Suspect), at(1_000));
+    ledger.take(&item(3, "guilty", Mark::Suspect), NOW);
     assert_eq!(ledger.standing(request("guilty")), Standing::Convicted(3));
     assert_eq!(ledger.standing(request("a")), Standing::Sound);
 }
@@ -75,7 +148,8 @@
 
 #[test]
 fn several_that_end_servers_at_the_same_time_are_each_found() {
-    let ledger = ledger(&[(1, &["x", "a"]), (2, &["y", "b"]), (3, &["y", "c"]), (4, &["x", "d"])]);
+    let ledger =
+        ledger(&[(1, &["x", "a"]), (2, &["y", "b"]), (3, &["*y", "c"]), (4, &["*x", "d"])]);
     for guilty in ["x", "y"] {
         assert_eq!(ledger.standing(request(guilty)), Standing::Convicted(2), "{guilty}");
     }
@@ -96,6 +170,21 @@
     assert_eq!(ledger.standing(request("a")), Standing::Suspect(1));
 }
 
+/// The pattern: a server is back under its id, and one gateway takes it for its run
+/// of before as it ends again.
+#[test]
+fn an_end_is_one_whichever_run_it_is_told_of() {
+    let mut ledger = ledger(&[(1, &["x", "y"])]);
+    let on = |name, born| Item {
+        run: fleet::Run { id: "server-2".into(), born: Some(born) },
+        at: at(2_000),
+        ..item(2, name, Mark::Alone)
+    };
+    ledger.take(&on("x", 1), at(2_400));
+    ledger.take(&on("y", 2), at(2_400));
+    assert_eq!(ledger.convicted().count(), 0);
+}
+
 /// The pattern: a server starts again under its id and ends again, before its
 /// entry has told the new start.
 #[test]
@@ -105,7 +194,7 @@
     // Another gateway found the same end a little later.
     assert!(!ledger.take(&again(1_400), at(1_400)));
     assert_eq!(ledger.standing(request("guilty")), Standing::Suspect(1));
-    assert!(ledger.take(&again(2_600), at(2_600)));
+    assert!(ledger.take(&again(2_600), at(2_600) + SETTLED));
     assert_eq!(ledger.standing(request("guilty")), Standing::Convicted(2));
     assert_eq!(ledger.standing(request("a")), Standing::Sound);
     assert_eq!(ledger.clear(request("guilty")).len(), 2);
@@ -127,10 +216,10 @@
 fn a_flood_of_ends_neither_grows_nor_frees() {
     let mut ledger = ledger(&[(1, &["guilty"]), (2, &["guilty"])]);
     for server in 10..1_000 {
-        ledger.take(&item(server, &format!("new-{server}"), Mark::Suspect), at(1_000));
+        ledger.take(&item(server, &format!("new-{server}"), Mark::Suspect), NOW);
     }
     for number in 0..1_000 {
-        ledger.take(&item(3, &format!("crowd-{number}"), Mark::Suspect), at(1_000));
+        ledger.take(&item(3, &format!("crowd-{number}"), Mark::Suspect), NOW);
     }
     assert_eq!(ledger.verify(), Ok(()));
     assert_eq!(ledger.standing(request("guilty")), Standing::Convicted(2));
@@ -156,7 +245,7 @@
 #[test]
 fn what_came_to_its_end_of_late_is_remembered_for_a_while() {
     let mut finished = Finished::default();
-    finished.add(request("common"), at(1_000));
+    finished.add(request("common"), NOW);
     assert!(finished.contains(request("common"), at(2_000)));
     assert!(!finished.contains(request("rare"), at(2_000)));
     assert!(!finished.contains(request("common"), at(62_000)));
@@ -192,12 +281,12 @@
     /// Gateways hear of the same items in different orders, and repeatedly.
     #[test]
     fn the_order_of_news_does_not_matter(
-        rows in prop::collection::vec((0_u32..6, 0_usize..5, any::<bool>()), 1..40),
+        rows in prop::collection::vec((0_u32..6, 0_usize..5, 0_usize..3), 1..40),
         swaps in prop::collection::vec((0_usize..40, 0_usize..40), 0..40),
     ) {
-        let mark = |cleared| if cleared { Mark::Cleared } else { Mark::Suspect };
-        let row = |(server, name, cleared): &(u32, usize, bool)| {
-            item(*server, ["a", "b", "c", "d", "e"][*name], mark(*cleared))
+        let marks = [Mark::Suspect, Mark::Alone, Mark::Cleared];
+        let row = |(server, name, mark): &(u32, usize, usize)| {
+            item(*server, ["a", "b", "c", "d", "e"][*name], marks[*mark])
         };
         let items: Vec<Item> = rows.iter().map(row).collect();
         let mut other = items.clone();
@@ -207,14 +296,50 @@
         }
         let (mut one, mut two) = (Ledger::default(), Ledger::default());
         for item in &items {
-            one.take(item, at(1_000));
+            one.take(item, NOW);
         }
         for item in other.iter().chain(&items) {
-            two.take(item, at(1_000));
+            two.take(item, NOW);
         }
         prop_assert_eq!(one.verify(), Ok(()));
         for name in ["a", "b", "c", "d", "e"] {
             prop_assert_eq!(one.standing(request(name)), two.standing(request(name)));
         }
     }
+
+    /// Whoever was on three servers that ended, and came to its end nowhere, is
+    /// refused or suspect of ends that others explain; nobody is refused for one
+    /// end, or for ends at which it never was the only one, before the third.
+    #[test]
+    fn refusals_have_grounds(
+        rows in prop::collection::vec((0_u32..6, 0_usize..5, any::<bool>()), 1..40),
+    ) {
+        let mut ledger = Ledger::default();
+        let mut on: BTreeMap<usize, BTreeSet<u32>> = BTreeMap::new();
+        let mut alone: BTreeMap<u32, BTreeSet<usize>> = BTreeMap::new();
+        let mut all: BTreeMap<u32, BTreeSet<usize>> = BTreeMap::new();
+        for (server, name, tried) in rows {
+            let mark = if tried { Mark::Alone } else { Mark::Suspect };
+            ledger.take(&item(server, ["a", "b", "c", "d", "e"][name], mark), NOW);
+            on.entry(name).or_default().insert(server);
+            all.entry(server).or_default().insert(name);
+            if tried {
+                alone.entry(server).or_default().insert(name);
+            }
+        }
+        prop_assert_eq!(ledger.verify(), Ok(()));
+        let only = |marks: &BTreeMap<u32, BTreeSet<usize>>, server: &u32, name: usize| {
+            marks.get(server).is_some_and(|names| names.len() == 1 && names.contains(&name))
+        };
+        for (name, servers) in &on {
+            let standing = ledger.standing(request(["a", "b", "c", "d", "e"][*name]));
+            if let Standing::Convicted(ends) = standing {
+                let proof = |server: &u32| only(&alone, server, *name) || only(&all, server, *name);
+                prop_assert!(ends >= 3 || ends == 2 && servers.iter().any(proof));
+            }
+            if let Standing::Suspect(ends) = standing {
+                prop_assert!(ends < 3);
+            }
+        }
+    }
 }
--- a/decision/tests/rest.rs
+++ b/decision/tests/rest.rs
@@ -122,6 +122,7 @@
             expires: due,
             begin_by: Some(self.now + begin),
             prefix: 0,
+            suspect: None,
         };
         let (ticket, actions) = self.balancer.arrive(arrival, self.now);
         self.take(actions);
--- a/decision/tests/runs.rs
+++ b/decision/tests/runs.rs
@@ -68,6 +68,7 @@
             expires: due,
             begin_by: None,
             prefix: 0,
+            suspect: None,
         };
         self.balancer.arrive(arrival, self.now)
     }
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -13,7 +13,7 @@
 
 use loftcove_clock as boot;
 use loftcove_decision::routing::{notice, policy, server};
-use loftcove_decision::{admission, balancer, clock, entity, fleet, name, outage, pass};
+use loftcove_decision::{admission, balancer, clock, entity, fleet, name, outage, pass, poison};
 use rand_chacha::rand_core::SeedableRng as _;
 use tokio::sync::{Notify, mpsc};
 
@@ -80,6 +80,8 @@
     pub due: boot::Instant,
     /// By when its answer should begin.
     pub begin_by: boot::Instant,
+    /// What it is, if it may have ended a backend server.
+    pub suspect: Option<poison::Digest>,
 }
 
 /// What to do next with a request.
@@ -125,6 +127,10 @@
     teams: name::Table<entity::Team>,
     targets: BTreeMap<entity::Server, T>,
     waiting: BTreeMap<entity::Ticket, mpsc::UnboundedSender<Next<T>>>,
+    /// When each backend server last said that it leaves, Unix milliseconds, by its
+    /// id. It may have started again before and said so before its entry tells the
+    /// start: the word is then of the run that is listed next.
+    left: BTreeMap<Arc<str>, u64>,
     sequence: u64,
     /// Wakes whoever looks for groups out of reach.
     outage: Arc<Notify>,
@@ -143,6 +149,7 @@
             teams: name::Table::default(),
             targets: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            left: BTreeMap::new(),
             sequence: 0,
             outage: outage.clone(),
         };
@@ -175,9 +182,10 @@
             group: listing.rank.as_ref().map(|rank| inner.groups.intern(&rank.group)),
             news: listing.rank.as_ref().and_then(Rank::news),
             local: listing.local,
-            leaving: listing.leaving,
+            leaving: listing.leaving || inner.has_left(&listing.run),
         });
         let rows: Vec<server::Listing> = rows.collect();
+        inner.left.retain(|id, _| rows.iter().any(|row| row.host == *id));
         let mut actions = inner.balancer.list(rows, now);
         for listing in listings {
             let Some(id) = inner.balancer.servers().find(&listing.run.id) else { continue };
@@ -219,10 +227,9 @@
         inner.balancer.set_form(id, time);
     }
 
-    /// Sets how many gateways share the backend servers, this one included.
-    pub fn set_gateways(&self, gateways: usize) {
-        let gateways = u32::try_from(gateways).unwrap_or(u32::MAX);
-        self.lock().balancer.set_gateways(gateways);
+    /// Sets this gateway's place among those that share the backend servers.
+    pub fn set_share_of_servers(&self, share: balancer::Share) {
+        self.lock().balancer.set_share_of_servers(share);
     }
 
     /// A backend server turned out to be another run than the listed one:
@@ -244,6 +251,10 @@
         let now = self.now();
         let mut inner = self.lock();
         let (change, actions) = inner.balancer.notice(server, notice, now);
+        if notice.leaving {
+            let id = inner.balancer.servers()[server].listing.host.clone();
+            inner.left.insert(id, boot::unix_ms());
+        }
         inner.route(actions);
         change
     }
@@ -310,6 +321,7 @@
             expires: self.at(arrival.due),
             begin_by: Some(self.at(arrival.begin_by)),
             prefix: NO_PREFIX,
+            suspect: arrival.suspect,
         };
         let (ticket, actions) = inner.balancer.arrive(arrival, now);
         inner.waiting.insert(ticket, sender);
@@ -409,6 +421,12 @@
         self.balancer.report(server, report, now)
     }
 
+    /// Whether a backend server has said that it leaves since that run began.
+    fn has_left(&self, run: &fleet::Run) -> bool {
+        let left = self.left.get(&run.id);
+        left.zip(run.born).is_some_and(|(left, born)| born <= *left)
+    }
+
     fn out_of_reach(&self) -> Vec<(entity::Group, Vec<T>)> {
         let groups = self.balancer.out_of_reach().into_iter();
         let targets = |ranks: Vec<entity::Server>| {
--- a/dispatch/tests/common/mod.rs
+++ b/dispatch/tests/common/mod.rs
@@ -33,5 +33,6 @@
         max_attempts: 2,
         due,
         begin_by: due,
+        suspect: None,
     }
 }
--- a/dispatch/tests/runs.rs
+++ b/dispatch/tests/runs.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use common::{arrival, listing};
+use loftcove_decision::routing::notice;
 use loftcove_decision::{balancer, entity, fleet};
 use loftcove_dispatch as dispatch;
 
@@ -50,6 +51,24 @@
     assert!(!dispatcher.lists(|other| *other == second));
 }
 
+/// The pattern: a server starts again under its id and says that it leaves, before
+/// its entry tells the new start; the entry then ends the run that was told so.
+#[tokio::test]
+async fn a_word_said_by_the_next_run_holds_for_it() {
+    let first = run("a", Some(1));
+    let (dispatcher, server) = listed(&first).await;
+    let leaves = notice::Notice { leaving: true, ..Default::default() };
+    assert_eq!(dispatcher.notice(server, &leaves), Some(notice::Change::Leaves));
+    let said = loftcove_clock::unix_ms();
+    dispatcher.list(vec![listing(&run("a", Some(said - 100)), SLOTS)]);
+    let mut permit = dispatcher.arrive(&arrival(Duration::from_millis(50)));
+    assert!(matches!(permit.next().await, Some(dispatch::Next::Refuse(_))));
+    // A run that began after the word has not said it.
+    dispatcher.list(vec![listing(&run("a", Some(said + 1_000)), SLOTS)]);
+    let mut permit = dispatcher.arrive(&arrival(Duration::from_secs(60)));
+    assert!(matches!(permit.next().await, Some(dispatch::Next::Send(_))));
+}
+
 #[test]
 fn a_start_that_is_not_told_makes_no_other_run() {
     assert!(!run("a", None).differs(&run("a", Some(1))));
--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -3,9 +3,10 @@
 //! After the signal the gateway calls itself not ready, so that the platform
 //! sends no new connections, and goes on serving what comes over kept ones,
 //! each answer telling the client to close. Once the platform has noticed and
-//! nothing is in flight, idle connections are closed and the process ends. From
-//! [`LAST_REQUEST`] on, a request that still comes is refused as not run, so
-//! that all answers are out before the process is killed.
+//! nothing is in flight, nothing more is taken, idle connections are closed and
+//! the process ends. From then on, and from [`LAST_REQUEST`] on in any case, a
+//! request that still comes is refused as not run, so that all answers are out
+//! before the process is killed.
 
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -50,6 +51,8 @@
     in_flight: usize,
     connections: usize,
     stop: Option<boot::Instant>,
+    /// Whether the process is about to end with nothing in flight.
+    shut: bool,
 }
 
 /// How a request is to be taken.
@@ -67,8 +70,8 @@
     /// A life that begins, of a process that may use so many descriptors. Each
     /// client's connection may need another one to a backend server.
     pub fn new(max_descriptors: usize) -> Life {
-        let inner =
-            Inner { machine: lifecycle::Life::machine(), in_flight: 0, connections: 0, stop: None };
+        let machine = lifecycle::Life::machine();
+        let inner = Inner { machine, in_flight: 0, connections: 0, stop: None, shut: false };
         Life {
             inner: Mutex::new(inner),
             most_connections: (max_descriptors.saturating_sub(KEPT_DESCRIPTORS) / 2).max(1),
@@ -122,19 +125,25 @@
         self.lock().connections
     }
 
-    /// How a request that comes now is to be taken.
-    pub fn entry(&self) -> Entry {
-        match self.lock().stop {
+    /// Counts a request until the guard is dropped, and says how it is to be
+    /// taken: in one step, so that the process does not end between the two.
+    pub fn enter<P>(gateway: &Arc<state::Gateway<P>>) -> (Entry, InFlight<P>) {
+        let mut inner = gateway.life.lock();
+        inner.in_flight += 1;
+        let entry = match inner.stop {
             None => Entry::Open,
-            Some(stop) if stop.elapsed() < LAST_REQUEST => Entry::Closing,
+            Some(stop) if !inner.shut && stop.elapsed() < LAST_REQUEST => Entry::Closing,
             Some(_) => Entry::Shut,
-        }
+        };
+        drop(inner);
+        (entry, InFlight { gateway: gateway.clone() })
     }
 
-    /// Counts a request until the guard is dropped.
-    pub fn enter<P>(gateway: &Arc<state::Gateway<P>>) -> InFlight<P> {
-        gateway.life.lock().in_flight += 1;
-        InFlight { gateway: gateway.clone() }
+    /// Takes nothing more, if nothing is in flight.
+    fn shut_if_idle(&self) -> bool {
+        let mut inner = self.lock();
+        inner.shut |= inner.in_flight == 0;
+        inner.shut
     }
 
     /// Counts a connection until the guard is dropped.
@@ -246,7 +255,7 @@
     let end = begun + grace.saturating_sub(END_MARGIN);
     while boot::Instant::now() < end {
         let noticed = begun.elapsed() >= NOTICE_TIME;
-        if noticed && life.in_flight() == 0 {
+        if noticed && life.shut_if_idle() {
             break;
         }
         tokio::select! {
--- a/gateway/src/ended.rs
+++ b/gateway/src/ended.rs
@@ -38,10 +38,11 @@
         let leaving = self.dispatcher.leaving(server);
         let lives = lives(&self.dispatcher, target).await;
         log::info!(
-            "connection broke request={} digest={} server={} lives={lives} leaving={leaving} ms={}",
+            "connection broke request={} digest={} server={} lives={lives} leaving={leaving} alone={} ms={}",
             request.meta.id,
             request.digest,
             target.run.id,
+            request.suspect,
             request.came.elapsed().as_millis()
         );
         if leaving {
@@ -52,14 +53,14 @@
             return balancer::End::MayHaveRun { answer_begun };
         }
         self.metrics.servers_ended.inc();
-        self.mirror.ends.found(&target.run, request.digest);
+        self.mirror.ends.found(&target.run, request.digest, request.suspect);
         balancer::End::ServerEnded
     }
 
     /// Looks at a server that was found alive a second time, beside what follows.
     fn look_again(&self, request: &Request, target: &Target) {
         let (dispatcher, mirror) = (self.dispatcher.clone(), self.mirror.clone());
-        let (target, digest) = (target.clone(), request.digest);
+        let (target, digest, alone) = (target.clone(), request.digest, request.suspect);
         let ended = self.metrics.servers_ended.clone();
         tokio::spawn(async move {
             tokio::time::sleep(LOOK_AGAIN).await;
@@ -68,7 +69,7 @@
             }
             log::info!("server ended after all digest={digest} server={}", target.run.id);
             ended.inc();
-            mirror.ends.found(&target.run, digest);
+            mirror.ends.found(&target.run, digest, alone);
         });
     }
 }
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -27,8 +27,12 @@
 ) -> Result<Response, Infallible> {
     let came = boot::Instant::now();
     let (head, body) = request.into_parts();
-    let entry = gateway.life.entry();
-    let mut response = match begin(&gateway, head, body, entry).await {
+    let (entry, flight) = drain::Life::enter(&gateway);
+    let begun = match entry {
+        drain::Entry::Shut => Err((Refusal::Stopping, P::request(&head).ok().map(|meta| meta.id))),
+        drain::Entry::Open | drain::Entry::Closing => begin(&gateway, head, body, flight).await,
+    };
+    let mut response = match begun {
         Ok(flow) => flow.run().await,
         Err((refusal, id)) => {
             let (status, retry_after) = refusal.answer();
@@ -51,22 +55,21 @@
     gateway: &Arc<Gateway<P>>,
     head: http::request::Parts,
     body: Incoming,
-    entry: drain::Entry,
+    flight: drain::InFlight<P>,
 ) -> Result<Flow<P>, Refused> {
     let meta = P::request(&head).map_err(|_| (Refusal::Header, None))?;
     let id = meta.id.clone();
     let refused = |refusal| (refusal, Some(id.clone()));
-    if entry == drain::Entry::Shut {
-        return Err(refused(Refusal::Stopping));
-    }
-    let flight = drain::Life::enter(gateway);
     let routes = gateway.routes.load_full().ok_or_else(|| refused(Refusal::NoConfig))?;
     let request = request::read(head, body, meta, &routes).await.map_err(refused)?;
+    gateway.mirror.ends.settled(request.digest).await;
     if let poison::Standing::Convicted(ends) = gateway.mirror.ends.standing(request.digest) {
         log::info!("request ends servers request={id} digest={} ends={ends}", request.digest);
         return Err(refused(Refusal::EndsServers));
     }
-    Ok(Flow { gateway: gateway.clone(), request: Arc::new(request), flight })
+    let suspect = gateway.mirror.ends.apart(request.digest);
+    let request = Arc::new(Request { suspect, ..request });
+    Ok(Flow { gateway: gateway.clone(), request, flight })
 }
 
 /// A request on its way.
@@ -243,6 +246,7 @@
         max_attempts: route.max_attempts,
         due: request.due,
         begin_by: request.came + route.objective,
+        suspect: request.suspect.then_some(request.digest),
     }
 }
 
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -75,6 +75,8 @@
     pub grant: route::Grant,
     /// What it is, whichever try of its caller: path, caller and body.
     pub digest: poison::Digest,
+    /// Whether it may have ended a backend server, as far as was known when it came.
+    pub suspect: bool,
     /// Service that is to answer it.
     pub service: Arc<str>,
     /// When it came.
@@ -104,7 +106,8 @@
     let body = body.await.map_err(|_| Refusal::Truncated)??;
     let service = grant.route.target(rand::random()).clone();
     let digest = digest(&head, &meta, &grant, &body);
-    Ok(Request { head, body, meta, grant, digest, service, came, due, version: routes.version })
+    let (suspect, version) = (false, routes.version);
+    Ok(Request { head, body, meta, grant, digest, suspect, service, came, due, version })
 }
 
 /// What stays the same when a caller asks again: the team stands for the caller,
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -102,7 +102,12 @@
         }
         let servers: Vec<&fleet::Server> = catalog.servers().collect();
         self.metrics.unusable_entries.set(catalog.unusable() as i64);
-        let gateways = register::entries(&self.mirror).len().max(1);
+        let entries = register::entries(&self.mirror);
+        let gateways = entries.len().max(1);
+        let number = entries.iter().position(|(name, _)| *name == self.settings.host.name);
+        let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
+        let share = balancer::Share { number: count(number.unwrap_or(0)), of: count(gateways) };
+        self.dispatcher.set_share_of_servers(share);
         let serving = &self.settings.serving;
         self.dispatcher.set_reserve(serving.retry_slack * RETRY_MARGIN / gateways as f64);
         let usable = !servers.is_empty();
@@ -170,7 +175,6 @@
                 self.dispatcher.set_form(&service.name, engine.form);
             }
         }
-        self.dispatcher.set_gateways(gateways);
         self.dispatcher.list(servers.iter().map(listing).collect());
         let runs: BTreeSet<fleet::Run> = servers.iter().map(|server| server.run()).collect();
         self.upstream.keep(|run| runs.contains(run));
--- a/mirror/src/ends.rs
+++ b/mirror/src/ends.rs
@@ -8,10 +8,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use loftcove_clock as boot;
-use loftcove_decision::poison::{Digest, Finished, Item, Ledger, Lookout, Mark, Standing};
+use loftcove_decision::poison::{Digest, Finished, Item, Ledger, Lookout, Mark, SETTLED, Standing};
 use loftcove_decision::{clock, fleet, mirror};
 use loftcove_interface::store::{self, Store};
 use loftcove_wire as wire;
@@ -74,15 +74,17 @@
         clock::Instant::from_micros(since.as_micros() as u64)
     }
 
-    /// A backend server was found to have ended under a request.
-    pub fn found(&self, run: &fleet::Run, digest: Digest) {
+    /// A backend server was found to have ended under a request, which may have
+    /// been the only suspect that this process had sent there.
+    pub fn found(&self, run: &fleet::Run, digest: Digest, alone: bool) {
         let now = self.now();
         let mut state = self.lock();
         state.own.insert(digest);
         let many = state.lookout.found(run, now);
         drop(state);
         let Some(runs) = many else {
-            let item = Item { run: run.clone(), digest, mark: Mark::Suspect, at: now };
+            let mark = if alone { Mark::Alone } else { Mark::Suspect };
+            let item = Item { run: run.clone(), digest, mark, at: now };
             return self.apply(vec![item], None);
         };
         log::info!("ends not blamed on requests servers={} reason=many-at-once", runs.len());
@@ -114,6 +116,24 @@
         state.ledger.standing(digest)
     }
 
+    fn unsettled(&self) -> bool {
+        let now = self.now();
+        self.lock().ledger.unsettled(now)
+    }
+
+    /// Waits until what is known of a request is also what others know: one that
+    /// may have ended a server a moment ago is not sent again before.
+    pub async fn settled(&self, digest: Digest) {
+        while self.apart(digest) && self.unsettled() {
+            tokio::time::sleep(SETTLED / 10).await;
+        }
+    }
+
+    /// Whether a request is to run apart from other suspects.
+    pub fn apart(&self, digest: Digest) -> bool {
+        *self.changes.borrow() > 0 && self.lock().ledger.apart(digest)
+    }
+
     /// Requests that are refused at present.
     pub fn convicted(&self) -> Vec<Digest> {
         let now = self.now();
@@ -130,8 +150,14 @@
             if let Standing::Convicted(ends) = self.standing(digest) {
                 return ends;
             }
-            if changes.changed().await.is_err() {
-                std::future::pending::<()>().await;
+            let settled = tokio::time::sleep(SETTLED);
+            tokio::select! {
+                changed = changes.changed() => {
+                    if changed.is_err() {
+                        std::future::pending::<()>().await;
+                    }
+                }
+                () = settled, if self.unsettled() => {}
             }
         }
     }
@@ -147,7 +173,7 @@
                 continue;
             }
             let mut told = vec![item.clone()];
-            if item.mark == Mark::Suspect && state.finished.contains(item.digest, now) {
+            if item.mark != Mark::Cleared && state.finished.contains(item.digest, now) {
                 told.extend(state.ledger.clear(item.digest));
             }
             let after = state.ledger.standing(item.digest);
@@ -185,6 +211,7 @@
             born: item.run.born,
             digest: item.digest.bytes().to_vec().into(),
             cleared: item.mark == Mark::Cleared,
+            alone: item.mark == Mark::Alone,
             age_ms: u32::try_from(age).unwrap_or(u32::MAX),
         }
     }
@@ -201,7 +228,7 @@
             items.push(Item {
                 run: fleet::Run { id: mark.server.into(), born: mark.born },
                 digest,
-                mark: if mark.cleared { Mark::Cleared } else { Mark::Suspect },
+                mark: mark_of(mark.alone, mark.cleared),
                 at: now.before(Duration::from_millis(mark.age_ms.into())),
             });
         }
@@ -211,6 +238,14 @@
     }
 }
 
+fn mark_of(alone: bool, cleared: bool) -> Mark {
+    match (cleared, alone) {
+        (true, _) => Mark::Cleared,
+        (false, true) => Mark::Alone,
+        (false, false) => Mark::Suspect,
+    }
+}
+
 /// Time that lies before a process's origin: more than any end is kept.
 const BEFORE: Duration = Duration::from_secs(86_400);
 
@@ -223,9 +258,10 @@
         Standing::Convicted(ends) => ("refused", ends),
     };
     log::info!(
-        "server ended digest={} server={} standing={state} ends={ends} from={from}",
+        "server ended digest={} server={} alone={} standing={state} ends={ends} from={from}",
         item.digest,
-        item.run.id
+        item.run.id,
+        item.mark == Mark::Alone
     );
 }
 
@@ -242,6 +278,9 @@
     born: Option<u64>,
     /// When, Unix milliseconds.
     at: u64,
+    /// Whether it was the only suspect there.
+    #[serde(default)]
+    alone: bool,
 }
 
 fn prefix() -> String {
@@ -270,7 +309,8 @@
                 mirror.ends.write(&*store, digest).await;
             }
         }
-        let look = if due.is_empty() { LOOK_INTERVAL.1 } else { LOOK_INTERVAL.0 };
+        let soon = !due.is_empty() || mirror.ends.unsettled();
+        let look = if soon { LOOK_INTERVAL.0 } else { LOOK_INTERVAL.1 };
         tokio::select! {
             () = tokio::time::sleep(look) => {}
             _ = records.changed() => {}
@@ -306,11 +346,11 @@
                 return Vec::new();
             }
         };
-        let (now, wall) = (self.now(), wall_ms());
+        let (now, wall) = (self.now(), boot::unix_ms());
         let item = |ended: Ended| Item {
             run: fleet::Run { id: ended.server, born: ended.born },
             digest,
-            mark: Mark::Suspect,
+            mark: mark_of(ended.alone, false),
             at: now.before(Duration::from_millis(wall.saturating_sub(ended.at))),
         };
         entry.ends.into_iter().map(item).collect()
@@ -351,13 +391,14 @@
         store: &S,
         digest: Digest,
     ) -> Result<store::Outcome, store::Error> {
-        let (now, wall) = (self.now(), wall_ms());
+        let (now, wall) = (self.now(), boot::unix_ms());
         let items: Vec<Item> = self.lock().ledger.items().collect();
-        let own = items.iter().filter(|item| item.digest == digest && item.mark == Mark::Suspect);
+        let own = items.iter().filter(|item| item.digest == digest && item.mark != Mark::Cleared);
         let ended = own.map(|item| Ended {
             server: item.run.id.clone(),
             born: item.run.born,
             at: wall.saturating_sub(now.since(item.at).as_millis() as u64),
+            alone: item.mark == Mark::Alone,
         });
         let entry = Entry { ends: ended.collect() };
         let value = serde_json::to_vec(&entry)
@@ -378,10 +419,3 @@
         Ok(outcome)
     }
 }
-
-/// The time of day, Unix milliseconds. It may be off by seconds, of the minutes
-/// that ends are kept.
-fn wall_ms() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.unwrap_or_default().as_millis() as u64
-}
--- a/mirror/tests/ends.rs
+++ b/mirror/tests/ends.rs
@@ -55,8 +55,8 @@
     let third: Arc<Mirror> = Arc::default();
     follow(&second, at_first);
     follow(&third, at_second);
-    first.ends.found(&run(1), guilty());
-    second.ends.found(&run(2), guilty());
+    first.ends.found(&run(1), guilty(), false);
+    second.ends.found(&run(2), guilty(), false);
     assert_eq!(refuses(&third).await, 2);
     // Who comes later is told everything.
     let late: Arc<Mirror> = Arc::default();
@@ -71,7 +71,7 @@
 async fn a_host_that_nobody_follows_tells_those_that_it_follows() {
     let (followed, address) = host("norte").await;
     let alone: Arc<Mirror> = Arc::default();
-    alone.ends.found(&run(1), guilty());
+    alone.ends.found(&run(1), guilty(), false);
     let own = follow::Own {
         name: "alone".into(),
         zone: "norte".into(),
@@ -80,7 +80,7 @@
     let peers = Arc::new(follow::Peers::new(own, vec![address]));
     tokio::spawn(follow::run(alone.clone(), peers, 0));
     holds(&followed, Standing::Suspect(1)).await;
-    alone.ends.found(&run(2), guilty());
+    alone.ends.found(&run(2), guilty(), false);
     assert_eq!(refuses(&followed).await, 2);
 }
 
@@ -89,13 +89,13 @@
     let (first, address) = host("norte").await;
     let second: Arc<Mirror> = Arc::default();
     follow(&second, address);
-    first.ends.found(&run(1), guilty());
-    first.ends.found(&run(2), guilty());
+    first.ends.found(&run(1), guilty(), false);
+    first.ends.found(&run(2), guilty(), false);
     refuses(&second).await;
     first.ends.clear(guilty());
     holds(&second, Standing::Sound).await;
     // What is told again does not bring it back.
-    first.ends.found(&run(1), guilty());
+    first.ends.found(&run(1), guilty(), false);
     assert_eq!(first.ends.standing(guilty()), Standing::Sound);
 }
 
@@ -108,7 +108,7 @@
     follow(&second, at_first);
     second.ends.clear(guilty());
     for number in 1..=3 {
-        first.ends.found(&run(number), guilty());
+        first.ends.found(&run(number), guilty(), false);
         holds(&first, Standing::Sound).await;
     }
     assert_eq!(second.ends.standing(guilty()), Standing::Sound);
@@ -122,10 +122,10 @@
     let answer = proxy.obey(&format!("target host norte {address}")).await.unwrap();
     let mirror: Arc<Mirror> = Arc::default();
     follow(&mirror, answer.rsplit(' ').next().unwrap().parse().unwrap());
-    source.ends.found(&run(1), guilty());
+    source.ends.found(&run(1), guilty(), false);
     holds(&mirror, Standing::Suspect(1)).await;
     proxy.obey("link * host silence").await.unwrap();
-    source.ends.found(&run(2), guilty());
+    source.ends.found(&run(2), guilty(), false);
     assert_eq!(refuses(&mirror).await, 2);
 }
 
@@ -136,8 +136,8 @@
     let store = Arc::new(Calls::new(Plan { lost_grants: 1, ..Plan::default() }));
     let mirror: Arc<Mirror> = Arc::default();
     tokio::spawn(ends::run(mirror.clone(), store.clone()));
-    mirror.ends.found(&run(1), guilty());
-    mirror.ends.found(&run(2), guilty());
+    mirror.ends.found(&run(1), guilty(), false);
+    mirror.ends.found(&run(2), guilty(), false);
     let write = async {
         loop {
             if let Some(write) = store.seen().write {
@@ -165,8 +165,8 @@
     let store = Arc::new(Calls::new(Plan { taken: true, ..Plan::default() }));
     let mirror: Arc<Mirror> = Arc::default();
     tokio::spawn(ends::run(mirror.clone(), store.clone()));
-    mirror.ends.found(&run(1), guilty());
-    mirror.ends.found(&run(2), guilty());
+    mirror.ends.found(&run(1), guilty(), false);
+    mirror.ends.found(&run(2), guilty(), false);
     let ended = async {
         while store.seen().ended == 0 {
             tokio::time::sleep(Duration::from_millis(10)).await;
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -338,6 +338,9 @@
     /// Time since the end, milliseconds.
     #[prost(uint32, tag = "5")]
     pub age_ms: u32,
+    /// Whether it was the only suspect that its gateway had sent there.
+    #[prost(bool, tag = "6")]
+    pub alone: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Item {
