Servers of a drained zone get nothing

Cause: nothing knew that operators drain zones; requests went on to their servers. Change: the adapter names the key, the catalog keeps the zones, and the one place that every way to a server passes leaves their servers out; what was chosen before is held back right before its bytes go. Ranks of a drained zone still count for the passes of their group.

--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -73,6 +73,7 @@
         group: None,
         local: true,
         leaving: false,
+        drained: false,
     };
     let now = clock::Instant::ZERO;
     machine.list((0..servers).map(listing).collect(), now);
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -190,6 +190,7 @@
             group: None,
             local: true,
             leaving: false,
+            drained: false,
         };
         let listings: Vec<server::Listing> = (0..self.plan.servers).map(listing).collect();
         let now = self.now;
--- a/daemon/src/entry/dispatcher.rs
+++ b/daemon/src/entry/dispatcher.rs
@@ -126,6 +126,7 @@
                 group: None,
                 local: *host.zone == *zone,
                 leaving: host.leaving || content.leaving.contains(&host.id),
+                drained: false,
             });
             targets.push(Target {
                 host: host.id.clone(),
--- a/decision/src/balancer/group.rs
+++ b/decision/src/balancer/group.rs
@@ -128,8 +128,12 @@
     }
 
     fn view(&self, pool: entity::Pool, id: entity::Group) -> pace::View {
-        let members = self.servers.usable(pool).map(|(_, record)| record);
-        let members = members.filter(|record| record.listing.group == Some(id));
+        // Ranks of a drained zone take part in each pass.
+        let members = self.servers.iter().map(|(_, record)| record);
+        let of_group = |record: &&server::Record| {
+            record.listing.pool == pool && record.listing.group == Some(id)
+        };
+        let members = members.filter(|record| record.present()).filter(of_group);
         let (ranks, slots) = members.fold((0, 0), |(ranks, slots): (u32, u32), record| {
             (ranks + 1, slots.max(record.report.slots))
         });
--- a/decision/src/balancer/rest.rs
+++ b/decision/src/balancer/rest.rs
@@ -31,12 +31,12 @@
         (change, actions)
     }
 
-    /// Whether a backend server that was chosen still wants what is to be sent
-    /// now. What was chosen before it asked for rest, and waited for a
-    /// connection meanwhile, would reach it within that.
+    /// Whether a backend server that was chosen may still get what is to be sent
+    /// now. What was chosen before it asked for rest, or before its zone was
+    /// drained, and waited for a connection meanwhile, would reach it after that.
     pub fn wants(&self, server: entity::Server, now: clock::Instant) -> bool {
         let record = &self.servers[server];
-        !record.standing.rests(now) && !record.leaving()
+        !record.standing.rests(now) && !record.leaving() && !record.listing.drained
     }
 
     /// Backend servers that rest, and listed ones that have told that they leave.
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -67,6 +67,8 @@
     pub local: bool,
     /// Whether the list or the bundle has it leaving.
     pub leaving: bool,
+    /// Whether its availability zone is drained: it lives, and gets nothing.
+    pub drained: bool,
 }
 
 /// One backend server.
@@ -134,6 +136,11 @@
 
     /// Whether it may be given new work at all.
     pub fn usable(&self) -> bool {
+        self.present() && !self.listing.drained
+    }
+
+    /// Whether it serves, though perhaps only what it has and what others send it.
+    pub fn present(&self) -> bool {
         self.listed && self.connected && !self.leaving() && self.report.alive
     }
 
--- a/decision/tests/balancer.rs
+++ b/decision/tests/balancer.rs
@@ -36,6 +36,7 @@
         group: None,
         local: number.is_multiple_of(2),
         leaving: false,
+        drained: false,
     };
     (0..count).map(listing).collect()
 }
--- /dev/null
+++ b/decision/tests/drained.rs
@@ -0,0 +1,103 @@
+//! Backend servers of an availability zone that operators have drained.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::time::Duration;
+
+use loftcove_decision::routing::{policy, server};
+use loftcove_decision::{balancer, clock, entity};
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng as _;
+
+const NOW: clock::Instant = clock::Instant::from_micros(1_000_000);
+
+type Balancer = balancer::Balancer<policy::Blend>;
+
+/// Lists two servers each of two zones.
+fn list(balancer: &mut Balancer, drained: [bool; 2]) -> Vec<balancer::Action> {
+    let listing = |number: usize| server::Listing {
+        host: format!("server-{number}").into(),
+        born: None,
+        pool: entity::Pool::from_u32(0),
+        group: None,
+        news: None,
+        local: number < 2,
+        leaving: false,
+        drained: drained[number / 2],
+    };
+    let mut actions = balancer.list((0..4).map(listing).collect(), NOW);
+    for number in 0..4 {
+        let id = balancer.servers().find(&format!("server-{number}")).unwrap();
+        let report = server::Report { slots: 2, sequence: 1, alive: true, ..Default::default() };
+        actions.extend(balancer.connect(id, true, NOW));
+        actions.extend(balancer.report(id, report, NOW));
+    }
+    actions
+}
+
+fn balancer() -> Balancer {
+    let rng = ChaCha8Rng::seed_from_u64(3);
+    let policy = policy::Blend { rng, sample: 2, affinity_slack: 0.0 };
+    balancer::Balancer::new(policy, &balancer::Options::default())
+}
+
+fn arrive(balancer: &mut Balancer) -> Vec<balancer::Action> {
+    let due = NOW + Duration::from_secs(8);
+    let arrival = balancer::Arrival {
+        pool: entity::Pool::from_u32(0),
+        team: entity::Team::from_u32(0),
+        precedence: 0,
+        repeatable: true,
+        resumable: false,
+        max_attempts: 2,
+        deadline: due,
+        expires: due,
+        begin_by: None,
+        prefix: 0,
+        suspect: None,
+    };
+    balancer.arrive(arrival, NOW).1
+}
+
+fn sent(actions: &[balancer::Action]) -> Vec<u32> {
+    let server = |action: &balancer::Action| match action {
+        balancer::Action::Send(dispatch) => Some(dispatch.choice.server.as_u32()),
+        balancer::Action::Refuse(_) => None,
+    };
+    actions.iter().filter_map(server).collect()
+}
+
+#[test]
+fn a_drained_zone_gets_nothing_and_others_take_its_requests() {
+    let mut balancer = balancer();
+    list(&mut balancer, [true, false]);
+    for _ in 0..4 {
+        assert!(sent(&arrive(&mut balancer)).iter().all(|server| *server >= 2));
+    }
+    // These are full. Who waits is sent as the zone is in use again.
+    assert_eq!(sent(&arrive(&mut balancer)), []);
+    let taken = sent(&list(&mut balancer, [false, false]));
+    assert!(taken.len() == 1 && taken[0] < 2, "{taken:?}");
+}
+
+/// Chosen before the zone was drained, and not yet sent.
+#[test]
+fn what_was_chosen_before_is_not_sent_after() {
+    let mut balancer = balancer();
+    list(&mut balancer, [false, true]);
+    let chosen = entity::Server::from_u32(sent(&arrive(&mut balancer))[0]);
+    assert!(balancer.wants(chosen, NOW));
+    list(&mut balancer, [true, false]);
+    assert!(!balancer.wants(chosen, NOW));
+}
+
+#[test]
+fn where_all_zones_are_drained_callers_are_refused_at_once() {
+    let mut balancer = balancer();
+    list(&mut balancer, [true, true]);
+    let actions = arrive(&mut balancer);
+    assert!(matches!(
+        actions[..],
+        [balancer::Action::Refuse(balancer::Refusal { reason: balancer::Reason::NoBackend, .. })]
+    ));
+}
--- a/decision/tests/groups.rs
+++ b/decision/tests/groups.rs
@@ -33,6 +33,7 @@
             group: Some(entity::Group::from_u32(number / RANKS)),
             local: number < RANKS,
             leaving: false,
+            drained: false,
         };
         balancer.list((0..groups * RANKS).map(listing).collect(), now);
         for number in 0..groups * RANKS {
--- a/decision/tests/outage.rs
+++ b/decision/tests/outage.rs
@@ -186,6 +186,7 @@
             news: Some(if number < telling { news } else { open(news.epoch - 1) }),
             local: true,
             leaving: false,
+            drained: false,
         };
         self.balancer.list((0..3).map(listing).collect(), now)
     }
@@ -260,6 +261,7 @@
         news: Some(news),
         local: true,
         leaving: false,
+        drained: false,
     };
     let list =
         |news: News| (0..20).map(move |n| listing(n, if n % 2 == 0 { open(1) } else { news }));
--- a/decision/tests/rest.rs
+++ b/decision/tests/rest.rs
@@ -64,6 +64,7 @@
             news: None,
             local: true,
             leaving: false,
+            drained: false,
         };
         let actions = self.balancer.list(servers.iter().map(listing).collect(), self.now);
         self.take(actions);
--- a/decision/tests/runs.rs
+++ b/decision/tests/runs.rs
@@ -39,6 +39,7 @@
             group: None,
             local: true,
             leaving: false,
+            drained: false,
         };
         self.balancer.list(vec![listing], self.now);
         let server = self.balancer.servers().find("host").unwrap();
--- a/decision/tests/suspects.rs
+++ b/decision/tests/suspects.rs
@@ -33,6 +33,7 @@
         news: None,
         local: true,
         leaving: false,
+        drained: false,
     };
     balancer.list((0..servers).map(listing).collect(), NOW);
     for number in 0..servers {
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -39,6 +39,8 @@
     pub local: bool,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Whether its availability zone is drained.
+    pub drained: bool,
     /// Requests that it takes at a time from everybody together.
     pub slots: u32,
     /// What the caller needs to reach it.
@@ -183,6 +185,7 @@
             news: listing.rank.as_ref().and_then(Rank::news),
             local: listing.local,
             leaving: listing.leaving || inner.has_left(&listing.run),
+            drained: listing.drained,
         });
         let rows: Vec<server::Listing> = rows.collect();
         inner.left.retain(|id, _| rows.iter().any(|row| row.host == *id));
--- a/dispatch/tests/common/mod.rs
+++ b/dispatch/tests/common/mod.rs
@@ -16,6 +16,7 @@
         rank: None,
         local: true,
         leaving: false,
+        drained: false,
         slots,
         target: run.clone(),
     }
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -78,6 +78,8 @@
     pub config_version: Gauge,
     /// Entries of the store that name no backend server to use.
     pub unusable_entries: Gauge,
+    /// Listed backend servers in availability zones that are drained.
+    pub drained_servers: Gauge,
 }
 
 impl Default for Metrics {
@@ -94,6 +96,7 @@
             whole: histogram(),
             config_version: Gauge::default(),
             unusable_entries: Gauge::default(),
+            drained_servers: Gauge::default(),
         }
     }
 }
@@ -135,6 +138,8 @@
         registry.register("config_version", "Configuration", self.config_version.clone());
         let unusable = "Entries that name no backend server to use";
         registry.register("unusable_entries", unusable, self.unusable_entries.clone());
+        let drained = "Servers in zones that are drained";
+        registry.register("servers_drained", drained, self.drained_servers.clone());
         registry.register("waiting", "Requests that wait", waiting);
         registry.register("in_flight", "Requests in flight", flights);
         registry.register("connections", "Connections of clients", connections);
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -101,6 +101,8 @@
             self.take_config(config);
         }
         let servers: Vec<&fleet::Server> = catalog.servers().collect();
+        let drained = servers.iter().filter(|server| catalog.drained(server)).count();
+        self.metrics.drained_servers.set(drained as i64);
         self.metrics.unusable_entries.set(catalog.unusable() as i64);
         let entries = register::entries(&self.mirror);
         let gateways = entries.len().max(1);
@@ -111,7 +113,7 @@
         let serving = &self.settings.serving;
         self.dispatcher.set_reserve(serving.retry_slack * RETRY_MARGIN / gateways as f64);
         let usable = !servers.is_empty();
-        self.list(&servers, gateways);
+        self.list(catalog, &servers, gateways);
         // Without backend servers it could only refuse.
         if usable && self.routes.load().is_some() {
             self.life.handle(lifecycle::Event::Ready);
@@ -130,7 +132,7 @@
         groups
     }
 
-    fn list(&self, servers: &[&fleet::Server], gateways: usize) {
+    fn list(&self, catalog: &catalog::Catalog<P>, servers: &[&fleet::Server], gateways: usize) {
         let routes = self.routes.load();
         let connections = |service: &str| {
             let service = routes.as_ref().and_then(|table| table.service(service).cloned());
@@ -161,6 +163,7 @@
             rank: lockstep(&server.service).then(|| rank(server)),
             local: *server.zone == *self.settings.host.zone,
             leaving: server.draining,
+            drained: catalog.drained(server),
             slots: server.slots,
             target: Target {
                 run: server.run(),
--- a/interface/src/protocol.rs
+++ b/interface/src/protocol.rs
@@ -114,6 +114,9 @@
     Config,
     /// The entry of the backend server with this id.
     Server(&'a str),
+    /// That this availability zone is drained: its backend servers get nothing
+    /// while the key is there, whatever its value.
+    DrainedZone(&'a str),
     /// Something else.
     Other,
 }
--- a/mirror/src/catalog.rs
+++ b/mirror/src/catalog.rs
@@ -24,6 +24,8 @@
     read: Option<u64>,
     entries: BTreeMap<Arc<str>, Entry>,
     config: Option<Arc<route::Config>>,
+    /// Availability zones whose backend servers get nothing.
+    drained: BTreeSet<Arc<str>>,
     /// Latest start that was told of each id: an entry of an earlier one, which
     /// a run of before may have written late, is old news.
     starts: BTreeMap<Arc<str>, u64>,
@@ -45,6 +47,7 @@
             read: None,
             entries: BTreeMap::new(),
             config: None,
+            drained: BTreeSet::new(),
             starts: BTreeMap::new(),
             lines: lines::Allowance::default(),
             protocol: PhantomData,
@@ -61,6 +64,7 @@
             return;
         }
         let mut listed = BTreeSet::new();
+        let mut drained = BTreeSet::new();
         for record in P::PREFIXES.iter().flat_map(|prefix| mirror.below(prefix)) {
             match P::place(&record.key) {
                 Place::Config => self.read_config(&record),
@@ -68,9 +72,13 @@
                     self.read_server(&record);
                     listed.insert(record.key);
                 }
+                Place::DrainedZone(zone) => {
+                    drained.insert(Arc::from(zone));
+                }
                 Place::Other => {}
             }
         }
+        self.drain(drained);
         self.entries.retain(|key, _| listed.contains(key));
         self.forget_starts();
     }
@@ -80,6 +88,11 @@
         self.config.as_ref()
     }
 
+    /// Whether a backend server's zone is drained: it gets nothing meanwhile.
+    pub fn drained(&self, server: &fleet::Server) -> bool {
+        self.drained.contains(&server.zone)
+    }
+
     /// The backend servers. One that does not tell when it started is used all
     /// the same: a single entry of another writer, which tells it, must not take
     /// out all others.
@@ -92,6 +105,17 @@
         self.entries.len() - self.servers().count()
     }
 
+    /// Takes the zones that are drained.
+    fn drain(&mut self, drained: BTreeSet<Arc<str>>) {
+        for zone in drained.difference(&self.drained) {
+            log::info!("zone drained zone={zone}");
+        }
+        for zone in self.drained.difference(&drained) {
+            log::info!("zone in use again zone={zone}");
+        }
+        self.drained = drained;
+    }
+
     fn read_config(&mut self, record: &mirror::Record) {
         let value = record.value.as_deref().unwrap_or_default();
         match P::record(&record.key, value) {
--- a/mirror/tests/catalog.rs
+++ b/mirror/tests/catalog.rs
@@ -113,6 +113,25 @@
     assert_eq!((setup.ports(), setup.catalog.unusable()), (vec![1, 2, 3], 0));
 }
 
+#[test]
+fn a_zone_is_drained_while_its_key_is_there() {
+    let mut setup = Setup::default();
+    setup.list("i-1", None, 1);
+    let mut key = |value: Option<&'static [u8]>| {
+        setup.revision += 1;
+        let value = value.map(bytes::Bytes::from_static);
+        let record = Record { key: "op/evacuate/norte".into(), revision: setup.revision, value };
+        setup.mirror.apply(vec![record], Source::Store);
+        setup.catalog.update(&setup.mirror);
+        let server = setup.catalog.servers().next().unwrap();
+        setup.catalog.drained(server)
+    };
+    assert!(key(Some(b"{}")));
+    assert!(key(Some(b"\xff")));
+    assert!(!key(None));
+    assert!(key(Some(b"")));
+}
+
 thread_local! {
     /// Records that were read in this thread.
     static READ: Cell<usize> = const { Cell::new(0) };
