Cold servers get no more than they bear, from all gateways together

Cause: servers that come back cold look idle and are preferred, and no gateway sees what the others send. Change: each gateway has turns at a cold server, as far apart as the rate that the configuration tells allows for all gateways; a turn lasts 0.5 s and is lost if it is not used, as turns that are saved up would be spent together. Measured by the new property test: 1 to 119 gateways that would send one request a millisecond, also from a burst on: never above the 26 a second that are allowed of 14 that it bears; with 30 gateways it gets what it bears within 2.

--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -74,6 +74,7 @@
         local: true,
         leaving: false,
         drained: false,
+        cold: None,
     };
     let now = clock::Instant::ZERO;
     machine.list((0..servers).map(listing).collect(), now);
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -191,6 +191,7 @@
             local: true,
             leaving: false,
             drained: false,
+            cold: None,
         };
         let listings: Vec<server::Listing> = (0..self.plan.servers).map(listing).collect();
         let now = self.now;
--- a/daemon/src/entry/dispatcher.rs
+++ b/daemon/src/entry/dispatcher.rs
@@ -127,6 +127,7 @@
                 local: *host.zone == *zone,
                 leaving: host.leaving || content.leaving.contains(&host.id),
                 drained: false,
+                cold: None,
             });
             targets.push(Target {
                 host: host.id.clone(),
--- a/decision/src/balancer/choose.rs
+++ b/decision/src/balancer/choose.rs
@@ -75,8 +75,7 @@
         if let Some(group) = pending.group {
             self.groups[group].enter(now);
         }
-        self.servers[choice.server].in_flight += 1;
-        self.servers[choice.server].standing.sent();
+        self.servers[choice.server].sent(now);
         if pending.attempts == 1 {
             self.tally.first += 1;
             self.budget.deposit();
--- a/decision/src/fleet.rs
+++ b/decision/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// A backend server. One that starts again under its id is another run: it
 /// knows nothing of what the earlier one was told or did.
@@ -20,6 +21,8 @@
     pub zone: Arc<str>,
     /// Requests that it runs at a time.
     pub slots: u32,
+    /// How much longer it was slow when its entry was written.
+    pub cold: Duration,
     /// Whether it is about to leave and must get nothing new.
     pub draining: bool,
     /// Its place in a lock-step group, if it tells one.
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -8,7 +8,8 @@
 use cranelift_entity::PrimaryMap;
 use xxhash_rust::xxh3;
 
-use crate::routing::{eject, notice};
+use crate::balancer::Share;
+use crate::routing::{eject, notice, warmup};
 use crate::{attempt, clock, entity, limit, outage};
 
 /// Half-life of what a report says of other entry hosts' requests.
@@ -51,7 +52,7 @@
 }
 
 /// What the host list says of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Listing {
     /// Id of its host.
     pub host: Arc<str>,
@@ -69,6 +70,8 @@
     pub leaving: bool,
     /// Whether its availability zone is drained: it lives, and gets nothing.
     pub drained: bool,
+    /// What it bears while it is cold.
+    pub cold: Option<warmup::Cold>,
 }
 
 /// One backend server.
@@ -100,6 +103,8 @@
     pub health: eject::Health,
     /// What it has said of its own near future.
     pub standing: notice::Standing,
+    /// Its turns while it is cold.
+    turns: Option<warmup::Turns>,
 }
 
 impl Record {
@@ -118,6 +123,7 @@
             refusals: 0,
             health: eject::Health::default(),
             standing: notice::Standing::default(),
+            turns: None,
         }
     }
 
@@ -155,9 +161,30 @@
     /// chosen before those that have room.
     pub fn open(&self, now: clock::Instant) -> bool {
         let shut = now < self.shut_until || self.health.ejected(now);
+        let shut = shut || self.turns.is_some_and(|turns| !turns.admits(now));
         self.usable() && !shut && self.standing.admits(now) && self.in_flight < self.window.size()
     }
 
+    /// Gives it turns if it has told that it is cold since the last look.
+    pub fn warm_up(&mut self, share: Share, now: clock::Instant) {
+        let Some(cold) = self.listing.cold.filter(|cold| now < cold.until) else {
+            self.turns = None;
+            return;
+        };
+        if self.turns.is_none_or(|turns| turns.cold() != cold) {
+            self.turns = Some(warmup::Turns::new(cold, share, self.hash, now));
+        }
+    }
+
+    /// A request is sent to it.
+    pub fn sent(&mut self, now: clock::Instant) {
+        self.in_flight += 1;
+        self.standing.sent();
+        if let Some(turns) = &mut self.turns {
+            turns.sent(now);
+        }
+    }
+
     /// Takes what it says of its own near future.
     pub fn notice(
         &mut self,
@@ -282,6 +309,12 @@
         }
     }
 
+    /// Gives turns to those that have told that they are cold.
+    pub fn warm_up(&mut self, share: Share, now: clock::Instant) {
+        let listed = self.records.values_mut().filter(|record| record.listed);
+        listed.for_each(|record| record.warm_up(share, now));
+    }
+
     /// All backend servers, in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = (entity::Server, &Record)> {
         self.records.iter()
--- a/decision/tests/balancer.rs
+++ b/decision/tests/balancer.rs
@@ -37,6 +37,7 @@
         local: number.is_multiple_of(2),
         leaving: false,
         drained: false,
+        cold: None,
     };
     (0..count).map(listing).collect()
 }
--- a/decision/tests/drained.rs
+++ b/decision/tests/drained.rs
@@ -24,6 +24,7 @@
         local: number < 2,
         leaving: false,
         drained: drained[number / 2],
+        cold: None,
     };
     let mut actions = balancer.list((0..4).map(listing).collect(), NOW);
     for number in 0..4 {
--- a/decision/tests/groups.rs
+++ b/decision/tests/groups.rs
@@ -34,6 +34,7 @@
             local: number < RANKS,
             leaving: false,
             drained: false,
+            cold: None,
         };
         balancer.list((0..groups * RANKS).map(listing).collect(), now);
         for number in 0..groups * RANKS {
--- a/decision/tests/outage.rs
+++ b/decision/tests/outage.rs
@@ -187,6 +187,7 @@
             local: true,
             leaving: false,
             drained: false,
+            cold: None,
         };
         self.balancer.list((0..3).map(listing).collect(), now)
     }
@@ -262,6 +263,7 @@
         local: true,
         leaving: false,
         drained: false,
+        cold: None,
     };
     let list =
         |news: News| (0..20).map(move |n| listing(n, if n % 2 == 0 { open(1) } else { news }));
--- a/decision/tests/rest.rs
+++ b/decision/tests/rest.rs
@@ -65,6 +65,7 @@
             local: true,
             leaving: false,
             drained: false,
+            cold: None,
         };
         let actions = self.balancer.list(servers.iter().map(listing).collect(), self.now);
         self.take(actions);
--- a/decision/tests/runs.rs
+++ b/decision/tests/runs.rs
@@ -40,6 +40,7 @@
             local: true,
             leaving: false,
             drained: false,
+            cold: None,
         };
         self.balancer.list(vec![listing], self.now);
         let server = self.balancer.servers().find("host").unwrap();
--- a/decision/tests/suspects.rs
+++ b/decision/tests/suspects.rs
@@ -34,6 +34,7 @@
         local: true,
         leaving: false,
         drained: false,
+        cold: None,
     };
     balancer.list((0..servers).map(listing).collect(), NOW);
     for number in 0..servers {
--- /dev/null
+++ b/decision/tests/warmup.rs
@@ -0,0 +1,77 @@
+//! Backend servers that are cold get no more than they bear, from all gateways
+//! together, however uneven the load.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::time::Duration;
+
+use loftcove_decision::balancer::Share;
+use loftcove_decision::clock;
+use loftcove_decision::routing::warmup::{Cold, Turns};
+use proptest::prelude::*;
+
+/// Requests a second that the server bears, and those that the users allow.
+const RATE: f64 = 14.0;
+const ALLOWED: usize = 26;
+const COLD: Duration = Duration::from_secs(4);
+const BEGIN: clock::Instant = clock::Instant::from_micros(10_000_000);
+
+/// When the server gets requests from gateways that would send one each
+/// millisecond, from `rush` on; each heard of it that much later.
+fn arrivals(late_ms: &[u64], rush: Duration) -> Vec<clock::Instant> {
+    let of = late_ms.len() as u32;
+    let cold = Cold { until: BEGIN + COLD, rate: RATE };
+    let turns = |(number, late): (usize, &u64)| {
+        let heard = BEGIN + Duration::from_millis(*late);
+        Turns::new(cold, Share { number: number as u32, of }, 7, heard)
+    };
+    let mut gateways: Vec<Turns> = late_ms.iter().enumerate().map(turns).collect();
+    let mut arrivals = Vec::new();
+    let mut now = BEGIN + rush;
+    while now < cold.until {
+        for turns in gateways.iter_mut().filter(|turns| turns.admits(now)) {
+            turns.sent(now);
+            arrivals.push(now);
+        }
+        now = now + Duration::from_millis(1);
+    }
+    arrivals
+}
+
+fn most_in_a_second(arrivals: &[clock::Instant]) -> usize {
+    let within = |first: &clock::Instant| {
+        arrivals
+            .iter()
+            .filter(|at| *at >= first && at.since(*first) < Duration::from_secs(1))
+            .count()
+    };
+    arrivals.iter().map(within).max().unwrap_or(0)
+}
+
+proptest! {
+    /// A burst after a while without requests finds nothing saved up.
+    #[test]
+    fn all_gateways_together_stay_below_what_is_allowed(
+        late_ms in prop::collection::vec(0_u64..150, 1..120),
+        rush_ms in 0_u64..3_000,
+    ) {
+        let arrivals = arrivals(&late_ms, Duration::from_millis(rush_ms));
+        let most = most_in_a_second(&arrivals);
+        prop_assert!(most <= ALLOWED, "{most} in a second from {} gateways", late_ms.len());
+    }
+}
+
+#[test]
+fn a_cold_server_gets_what_it_bears() {
+    let arrivals = arrivals(&[0; 30], Duration::ZERO);
+    let bears = (RATE * COLD.as_secs_f64()) as usize;
+    assert!((bears - 2..=bears + 2).contains(&arrivals.len()), "{} of {bears}", arrivals.len());
+}
+
+#[test]
+fn a_warm_server_gets_all() {
+    let cold = Cold { until: BEGIN + COLD, rate: RATE };
+    let turns = Turns::new(cold, Share { number: 29, of: 30 }, 7, BEGIN);
+    assert!(!turns.admits(BEGIN));
+    assert!(turns.admits(BEGIN + COLD));
+}
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use loftcove_clock as boot;
-use loftcove_decision::routing::{notice, policy, server};
+use loftcove_decision::routing::{notice, policy, server, warmup};
 use loftcove_decision::{admission, balancer, clock, entity, fleet, name, outage, pass, poison};
 use rand_chacha::rand_core::SeedableRng as _;
 use tokio::sync::{Notify, mpsc};
@@ -41,6 +41,8 @@
     pub leaving: bool,
     /// Whether its availability zone is drained.
     pub drained: bool,
+    /// Until when it is cold, and how many requests a second it bears until then.
+    pub cold: Option<(boot::Instant, f64)>,
     /// Requests that it takes at a time from everybody together.
     pub slots: u32,
     /// What the caller needs to reach it.
@@ -186,6 +188,7 @@
             local: listing.local,
             leaving: listing.leaving || inner.has_left(&listing.run),
             drained: listing.drained,
+            cold: listing.cold.map(|(until, rate)| warmup::Cold { until: self.at(until), rate }),
         });
         let rows: Vec<server::Listing> = rows.collect();
         inner.left.retain(|id, _| rows.iter().any(|row| row.host == *id));
--- a/dispatch/tests/common/mod.rs
+++ b/dispatch/tests/common/mod.rs
@@ -17,6 +17,7 @@
         local: true,
         leaving: false,
         drained: false,
+        cold: None,
         slots,
         target: run.clone(),
     }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use loftcove_clock as boot;
 use loftcove_decision::{balancer, fleet, lifecycle, pass, route};
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::Protocol;
@@ -100,8 +101,8 @@
         if let Some(config) = catalog.config() {
             self.take_config(config);
         }
-        let servers: Vec<&fleet::Server> = catalog.servers().collect();
-        let drained = servers.iter().filter(|server| catalog.drained(server)).count();
+        let servers: Vec<(&fleet::Server, boot::Instant)> = catalog.servers_cold_until().collect();
+        let drained = servers.iter().filter(|(server, _)| catalog.drained(server)).count();
         self.metrics.drained_servers.set(drained as i64);
         self.metrics.unusable_entries.set(catalog.unusable() as i64);
         let entries = register::entries(&self.mirror);
@@ -132,7 +133,12 @@
         groups
     }
 
-    fn list(&self, catalog: &catalog::Catalog<P>, servers: &[&fleet::Server], gateways: usize) {
+    fn list(
+        &self,
+        catalog: &catalog::Catalog<P>,
+        servers: &[(&fleet::Server, boot::Instant)],
+        gateways: usize,
+    ) {
         let routes = self.routes.load();
         let connections = |service: &str| {
             let service = routes.as_ref().and_then(|table| table.service(service).cloned());
@@ -157,13 +163,19 @@
                 dispatch::Rank { group, told: None }
             }
         };
-        let listing = |server: &&fleet::Server| dispatch::Listing {
+        let cold = |server: &fleet::Server, until: boot::Instant| {
+            let service = routes.as_ref().and_then(|table| table.service(&server.service));
+            let rate = service.map_or(0.0, |service| service.cold_rate);
+            (rate > 0.0 && !server.cold.is_zero()).then_some((until, rate))
+        };
+        let listing = |(server, until): &(&fleet::Server, boot::Instant)| dispatch::Listing {
             run: server.run(),
             pool: server.service.clone(),
             rank: lockstep(&server.service).then(|| rank(server)),
             local: *server.zone == *self.settings.host.zone,
             leaving: server.draining,
             drained: catalog.drained(server),
+            cold: cold(server, *until),
             slots: server.slots,
             target: Target {
                 run: server.run(),
@@ -179,7 +191,7 @@
             }
         }
         self.dispatcher.list(servers.iter().map(listing).collect());
-        let runs: BTreeSet<fleet::Run> = servers.iter().map(|server| server.run()).collect();
+        let runs: BTreeSet<fleet::Run> = servers.iter().map(|(server, _)| server.run()).collect();
         self.upstream.keep(|run| runs.contains(run));
     }
 }
--- a/mirror/src/catalog.rs
+++ b/mirror/src/catalog.rs
@@ -9,6 +9,7 @@
 use std::marker::PhantomData;
 use std::sync::Arc;
 
+use loftcove_clock as boot;
 use loftcove_decision::{fleet, mirror, route};
 use loftcove_interface::protocol::{Place, Protocol, Record};
 
@@ -39,6 +40,14 @@
     revision: u64,
     /// None where it cannot be read.
     server: Option<fleet::Server>,
+    /// When it was read.
+    read: boot::Instant,
+}
+
+impl Entry {
+    fn new(revision: u64, server: Option<fleet::Server>) -> Entry {
+        Entry { revision, server, read: boot::Instant::now() }
+    }
 }
 
 impl<P> Default for Catalog<P> {
@@ -100,6 +109,16 @@
         self.entries.values().filter_map(|entry| entry.server.as_ref())
     }
 
+    /// The same, each with the time until which it is cold by its entry, counted
+    /// from when that was read: rather too long than too short.
+    pub fn servers_cold_until(&self) -> impl Iterator<Item = (&fleet::Server, boot::Instant)> {
+        let servers = self.entries.values();
+        servers.filter_map(|entry| {
+            let server = entry.server.as_ref()?;
+            Some((server, entry.read + server.cold))
+        })
+    }
+
     /// Entries that name no backend server to use.
     pub fn unusable(&self) -> usize {
         self.entries.len() - self.servers().count()
@@ -153,13 +172,13 @@
                 self.tell(&format!("start {born} is before {latest}"), record);
                 // The run that is known stays as it is.
                 let known = self.entries.remove(&record.key).and_then(|known| known.server);
-                let entry = Entry { revision: record.revision, server: known };
+                let entry = Entry::new(record.revision, known);
                 self.entries.insert(record.key.clone(), entry);
                 return;
             }
             *latest = born;
         }
-        self.entries.insert(record.key.clone(), Entry { revision: record.revision, server });
+        self.entries.insert(record.key.clone(), Entry::new(record.revision, server));
     }
 
     /// Logs an entry that is not used, once for each change of it, and only
