A host takes 64 followers, and names others to those beyond

Change: a host that has enough followers names up to eight of them, half of the asker's zone, and ends the stream; who was turned away twice insists. With 64 each, three seeds and their followers have places for 12,288 streams at two hops, so that 2,000 hosts, with 4,900 streams, are no farther from the store than 1,000.

--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -140,6 +140,9 @@
         registry.register("unusable_entries", unusable, self.unusable_entries.clone());
         let drained = "Servers in zones that are drained";
         registry.register("servers_drained", drained, self.drained_servers.clone());
+        let followers: Gauge = Gauge::default();
+        followers.set(gateway.mirror.followers.count() as i64);
+        registry.register("followers", "Hosts that follow this one", followers);
         registry.register("waiting", "Requests that wait", waiting);
         registry.register("in_flight", "Requests in flight", flights);
         registry.register("connections", "Connections of clients", connections);
--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -13,6 +13,7 @@
 use tokio::sync::broadcast;
 use tonic::codec::CompressionEncoding;
 
+use crate::followers::Peer;
 use crate::{Mirror, Source, peer, register};
 
 /// Longest wait for a connection, which takes milliseconds. The opening packet to
@@ -53,12 +54,40 @@
     /// Peers that are followed, by the number of the follower.
     used: Mutex<BTreeMap<usize, SocketAddr>>,
     failed: Mutex<BTreeMap<SocketAddr, boot::Instant>>,
+    /// What each follower was told as it was last turned away.
+    turned_away: Mutex<BTreeMap<usize, TurnedAway>>,
+}
+
+/// Followers of ours that hosts had no place for.
+#[derive(Debug, Default)]
+struct TurnedAway {
+    /// How often in a row.
+    times: u32,
+    /// Whom it may follow instead.
+    others: Vec<Peer>,
+}
+
+/// Times in a row after which a follower that is turned away insists.
+const PATIENCE: u32 = 2;
+
+/// How following a peer ended without a failure.
+enum End {
+    /// A better one is known.
+    Better,
+    /// It has enough followers, and named others.
+    Full(Vec<Peer>),
 }
 
 impl Peers {
     /// Peers known from the settings.
     pub fn new(own: Own, seeds: Vec<SocketAddr>) -> Peers {
-        Peers { own, seeds: Mutex::new(seeds), used: Mutex::default(), failed: Mutex::default() }
+        Peers {
+            own,
+            seeds: Mutex::new(seeds),
+            used: Mutex::default(),
+            failed: Mutex::default(),
+            turned_away: Mutex::default(),
+        }
     }
 
     /// Takes other seeds.
@@ -86,6 +115,29 @@
         })
     }
 
+    /// Those that a follower may follow instead of one that turned it away.
+    fn named(&self, follower: usize) -> BTreeMap<SocketAddr, Option<Arc<str>>> {
+        let used: Vec<SocketAddr> = lock(&self.used).values().copied().collect();
+        let turned_away = lock(&self.turned_away);
+        let others = turned_away.get(&follower).map_or(&[][..], |away| &away.others);
+        let free = others
+            .iter()
+            .filter(|peer| Some(peer.address) != self.own.address && !used.contains(&peer.address));
+        free.map(|peer| (peer.address, Some(peer.zone.clone()))).collect()
+    }
+
+    /// A host had no place for a follower.
+    fn turn_away(&self, follower: usize, others: Vec<Peer>) {
+        let mut turned_away = lock(&self.turned_away);
+        let away = turned_away.entry(follower).or_default();
+        *away = TurnedAway { times: away.times + 1, others };
+    }
+
+    /// Whether a follower takes no more for an answer.
+    fn insists(&self, follower: usize) -> bool {
+        lock(&self.turned_away).get(&follower).is_some_and(|away| away.times >= PATIENCE)
+    }
+
     /// A peer for a follower: the first follower prefers the own zone, the
     /// others prefer other zones, so that neither side of a cut is forgotten.
     fn choose(&self, mirror: &Mirror, follower: usize) -> Option<SocketAddr> {
@@ -96,6 +148,10 @@
         for (_, entry) in register::entries(mirror) {
             candidates.insert(entry.address, Some(entry.zone));
         }
+        let named = self.named(follower);
+        if !named.is_empty() {
+            candidates = named;
+        }
         candidates.retain(|peer, _| Some(*peer) != self.own.address && !used.contains(peer));
         let sound = |peer: &SocketAddr| failed.get(peer).is_none_or(|at| at.elapsed() > PENALTY);
         let fits = |zone: &Option<Arc<str>>| {
@@ -128,12 +184,22 @@
         if let Some(peer) = peers.choose(&mirror, follower) {
             lock(&peers.used).insert(follower, peer);
             let better = || peers.better_known(&mirror, follower, peer);
-            let ended = follow(&mirror, &peers.own, peer, better).await;
+            let insists = peers.insists(follower);
+            let ended = follow(&mirror, &peers.own, peer, insists, better).await;
             lock(&peers.used).remove(&follower);
-            if let Err(status) = ended {
-                lock(&peers.failed).insert(peer, boot::Instant::now());
-                log::info!("dependency lost name=peer address={peer} error=\"{status}\"");
+            match ended {
+                Ok(End::Full(others)) => {
+                    log::info!("peer full address={peer} others={}", others.len());
+                    peers.turn_away(follower, others);
+                    continue;
+                }
+                Ok(End::Better) => {}
+                Err(status) => {
+                    lock(&peers.failed).insert(peer, boot::Instant::now());
+                    log::info!("dependency lost name=peer address={peer} error=\"{status}\"");
+                }
             }
+            lock(&peers.turned_away).remove(&follower);
         }
         tokio::time::sleep(PAUSE).await;
     }
@@ -144,15 +210,26 @@
     mirror: &Mirror,
     own: &Own,
     address: SocketAddr,
+    insists: bool,
     better: impl Fn() -> bool,
-) -> Result<(), tonic::Status> {
+) -> Result<End, tonic::Status> {
     let unreachable = |error: &dyn std::error::Error| tonic::Status::unavailable(error.to_string());
     let endpoint = peer::endpoint(address, CONNECT_TIMEOUT).map_err(|error| unreachable(&error))?;
     let channel = endpoint.connect().await.map_err(|error| unreachable(&error))?;
     let mut client = wire::mirror_client::MirrorClient::new(channel);
-    let request = wire::Follower { host: own.name.to_string(), zone: own.zone.to_string() };
+    let request = wire::Follower {
+        host: own.name.to_string(),
+        zone: own.zone.to_string(),
+        address: own.address.map_or_else(String::new, |address| address.to_string()),
+        insists,
+    };
     let fetcher = client.clone().accept_compressed(CompressionEncoding::Gzip);
     let mut batches = client.follow(request).await?.into_inner();
+    let first = batches.message().await?;
+    if let Some(batch) = first.as_ref().filter(|batch| !batch.others.is_empty()) {
+        return Ok(End::Full(batch.others.iter().filter_map(Peer::from_wire).collect()));
+    }
+    let mut first = Some(first);
     log::info!("dependency regained name=peer address={address}");
     let source = address.to_string();
     let _followed = mirror.followed(&source);
@@ -167,7 +244,7 @@
     tokio::pin!(teller);
     loop {
         let batch = tokio::select! {
-            batch = batches.message() => batch?,
+            batch = next(&mut first, &mut batches) => batch?,
             status = &mut teller => return Err(status),
             Some(fetched) = fetches.next() => {
                 match fetched {
@@ -189,11 +266,22 @@
         fetches.extend(offers.into_iter().map(|offer| fetch(mirror, fetcher.clone(), offer)));
         if better() {
             log::info!("peer left address={source} reason=better-zone-known");
-            return Ok(());
+            return Ok(End::Better);
         }
     }
 }
 
+/// The first batch, which has come already, and then one after the other.
+async fn next(
+    first: &mut Option<Option<wire::Batch>>,
+    batches: &mut tonic::Streaming<wire::Batch>,
+) -> Result<Option<wire::Batch>, tonic::Status> {
+    match first.take() {
+        Some(batch) => Ok(batch),
+        None => batches.message().await,
+    }
+}
+
 /// Tells the peer what is known of servers that ended, and what is found out from
 /// then on, until a call fails. Followers draw their peers by lot, and with three
 /// of them one host in twenty is followed by nobody: without this, its own
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A gateway watches the store ([`watch`]) and follows a few peers
 //! ([`follow`]); a sidecar only follows. Whatever one of them learns it hands
-//! on to those who follow it ([`serve`]), so that a host that the store does
+//! on to those who follow it ([`serve`], [`followers`]), so that a host that the store does
 //! not answer hears of changes from others, one hop later. Merging is that of
 //! [`loftcove_decision::mirror`]. Along with it goes what gateways know of
 //! requests under which backend servers end ([`ends`]).
@@ -11,6 +11,7 @@
 pub mod distance;
 pub mod ends;
 pub mod follow;
+pub mod followers;
 mod health;
 mod learnt;
 mod lines;
@@ -55,6 +56,8 @@
     pub progress: progress::Progress,
     /// What is logged of records that are learnt.
     learnt: learnt::Learnt,
+    /// Who follows this host.
+    pub followers: followers::Followers,
     /// Peers that are followed at present.
     followed: AtomicUsize,
     /// When these were last enough to rely on.
@@ -91,6 +94,7 @@
             distance: distance::Distance::default(),
             ends: ends::Ends::default(),
             progress: progress::Progress::default(),
+            followers: followers::Followers::default(),
             followed: AtomicUsize::new(0),
             learnt: learnt::Learnt::default(),
             relied: register::Relied::default(),
--- a/mirror/src/serve.rs
+++ b/mirror/src/serve.rs
@@ -12,7 +12,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status};
 
-use crate::Mirror;
+use crate::{Mirror, followers};
 
 /// Batches that may wait for a slow follower.
 const QUEUE: usize = 4;
@@ -46,11 +46,24 @@
         &self,
         request: Request<wire::Follower>,
     ) -> Result<Response<Self::FollowStream>, Status> {
-        let wire::Follower { host, zone } = request.into_inner();
-        log::debug!("follower came host={host} zone={zone}");
+        let follower = request.into_inner();
         let (sender, receiver) = mpsc::channel(QUEUE);
-        let reach = if *zone == *self.zone { Reach::Near } else { Reach::Far };
-        tokio::spawn(feed(self.mirror.clone(), reach, sender));
+        match followers::Place::take(&self.mirror, &follower) {
+            Ok(place) => {
+                log::debug!("follower came host={} zone={}", follower.host, follower.zone);
+                let near = *follower.zone == *self.zone;
+                let reach = if near { Reach::Near } else { Reach::Far };
+                tokio::spawn(feed(self.mirror.clone(), reach, sender, place));
+            }
+            Err(others) => {
+                log::debug!("follower turned away host={} others={}", follower.host, others.len());
+                let others = others.iter().map(followers::Peer::to_wire).collect();
+                let distance = self.mirror.distance.get();
+                let batch = wire::Batch { others, distance, ..Default::default() };
+                // The queue is empty, and its reader may have left.
+                sender.try_send(Ok(batch)).unwrap_or_default();
+            }
+        }
         Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
@@ -82,6 +95,7 @@
     mirror: Arc<Mirror>,
     reach: Reach,
     sender: mpsc::Sender<Result<wire::Batch, Status>>,
+    _place: followers::Place,
 ) {
     let (mut batch, mut news) = mirror.follow();
     let (mut ends, mut ended) = mirror.ends.follow();
@@ -91,7 +105,12 @@
     loop {
         let items = batch.drain(..).map(|record| item(record, reach)).collect();
         let marks = ends.drain(..).map(|item| mirror.ends.to_wire(&item)).collect();
-        let message = wire::Batch { items, distance: *distance.borrow_and_update(), marks };
+        let message = wire::Batch {
+            items,
+            distance: *distance.borrow_and_update(),
+            marks,
+            others: Vec::new(),
+        };
         if sender.send(Ok(message)).await.is_err() {
             return;
         }
--- a/mirror/tests/offers.rs
+++ b/mirror/tests/offers.rs
@@ -24,7 +24,8 @@
 async fn first_batch(address: SocketAddr, zone: &str) -> wire::Batch {
     let url = format!("http://{address}");
     let mut client = wire::mirror_client::MirrorClient::connect(url).await.unwrap();
-    let follower = wire::Follower { host: "f".to_owned(), zone: zone.to_owned() };
+    let follower =
+        wire::Follower { host: "f".to_owned(), zone: zone.to_owned(), ..Default::default() };
     client.follow(follower).await.unwrap().into_inner().message().await.unwrap().unwrap()
 }
 
@@ -81,7 +82,8 @@
     mirror.apply(vec![record("large", 5, LARGE), record("small", 6, 10)], Source::Store);
     let url = format!("http://{address}");
     let mut client = wire::mirror_client::MirrorClient::connect(url).await.unwrap();
-    let follower = wire::Follower { host: "f".to_owned(), zone: "sul".to_owned() };
+    let follower =
+        wire::Follower { host: "f".to_owned(), zone: "sul".to_owned(), ..Default::default() };
     let mut batches = client.follow(follower).await.unwrap().into_inner();
     batches.message().await.unwrap().unwrap();
     let again = tokio::time::timeout(Duration::from_secs(10), batches.message()).await;
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -294,6 +294,21 @@
     /// Its availability zone: large records are only offered to other zones.
     #[prost(string, tag = "2")]
     pub zone: ::prost::alloc::string::String,
+    /// Its own address for followers; empty where it takes none.
+    #[prost(string, tag = "3")]
+    pub address: ::prost::alloc::string::String,
+    /// Whether it was turned away before and wants a place in any case.
+    #[prost(bool, tag = "4")]
+    pub insists: bool,
+}
+/// A host that can be followed.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Followable {
+    #[prost(string, tag = "1")]
+    pub address: ::prost::alloc::string::String,
+    /// Its availability zone.
+    #[prost(string, tag = "2")]
+    pub zone: ::prost::alloc::string::String,
 }
 /// A record that was offered.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -314,6 +329,9 @@
     /// Requests on backend servers that ended.
     #[prost(message, repeated, tag = "3")]
     pub marks: ::prost::alloc::vec::Vec<Mark>,
+    /// Hosts to follow instead: the sender has enough followers, and ends the stream.
+    #[prost(message, repeated, tag = "4")]
+    pub others: ::prost::alloc::vec::Vec<Followable>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Marks {
