A suspect waits 1.5 s for its own server and no longer; hosts that are gone are not named in vain

Causes, by reading the diff: behind a cut a suspect would wait for a server of its own until its deadline; a request whose ends have not settled waited for any other end too, and beyond its time; a follower that was turned away to hosts that are gone began to count anew at each of them and never insisted. Tests: suspects (goes elsewhere after 1.5 s), followers (named hosts with addresses of their own that refuse).

--- a/decision/src/balancer/suspect.rs
+++ b/decision/src/balancer/suspect.rs
@@ -6,10 +6,16 @@
 //! that, as the only suspect there, and nothing else goes there meanwhile while
 //! there are others. Whoever ends it then is known, see [`crate::poison`].
 
+use std::time::Duration;
+
 use crate::balancer::Balancer;
 use crate::routing::policy;
 use crate::{clock, entity, poison};
 
+/// Time for which a suspect waits for a server of its gateway's own. One that has
+/// ended is back within that; behind a cut, none may be.
+const OWN_WAIT: Duration = Duration::from_millis(1_500);
+
 /// A gateway's place among those that share the backend servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Share {
@@ -35,12 +41,13 @@
 }
 
 impl<P: policy::Policy> Balancer<P> {
-    /// Open backend servers to which a suspect may be sent now: none while
-    /// another try of the same request is on one.
+    /// Open backend servers to which a suspect may be sent now that has waited since
+    /// then: none while another try of the same request is on one.
     pub(super) fn open_apart(
         &self,
         pool: entity::Pool,
         digest: poison::Digest,
+        since: clock::Instant,
         now: clock::Instant,
     ) -> Vec<entity::Server> {
         if self.trials.values().any(|other| *other == digest) {
@@ -54,7 +61,8 @@
         usable.sort_unstable();
         let servers = usable.len();
         let own = usable.into_iter().enumerate();
-        let own = own.filter(|(number, _)| self.share.owns(*number, servers));
+        let any = now.since(since) >= OWN_WAIT;
+        let own = own.filter(|(number, _)| any || self.share.owns(*number, servers));
         own.map(|(_, (_, server))| server)
             .filter(|server| !self.on_trial(*server))
             .filter(|server| self.takes(&self.servers[*server], now))
@@ -71,8 +79,9 @@
     /// Whether a request that waits can be sent now, given that some backend
     /// server of its pool is open.
     pub(super) fn has_place(&self, ticket: entity::Ticket, now: clock::Instant) -> bool {
-        let arrival = self.pending.get(&ticket).map(|pending| pending.arrival);
-        let suspect = arrival.and_then(|arrival| Some((arrival.pool, arrival.suspect?)));
-        suspect.is_none_or(|(pool, digest)| !self.open_apart(pool, digest, now).is_empty())
+        let Some(pending) = self.pending.get(&ticket) else { return true };
+        let (pool, since) = (pending.arrival.pool, pending.since);
+        let suspect = pending.arrival.suspect;
+        suspect.is_none_or(|digest| !self.open_apart(pool, digest, since, now).is_empty())
     }
 }
--- a/decision/src/poison.rs
+++ b/decision/src/poison.rs
@@ -296,6 +296,12 @@
         self.ends.values().any(|end| !end.settled(now))
     }
 
+    /// Whether others may still tell of an end that a request is suspect of.
+    pub fn awaits(&self, digest: Digest, now: clock::Instant) -> bool {
+        let mut recent = self.ends.values().filter(|end| !end.settled(now));
+        recent.any(|end| end.suspects().any(|suspect| suspect == digest))
+    }
+
     /// Whether nothing is known.
     pub fn is_empty(&self) -> bool {
         self.ends.is_empty()
--- a/decision/tests/suspects.rs
+++ b/decision/tests/suspects.rs
@@ -129,6 +129,18 @@
     assert!(after.len() == 1 && after != before);
 }
 
+/// The pattern: a zone is cut off with the servers that are a gateway's own.
+#[test]
+fn a_suspect_whose_own_server_stays_away_goes_elsewhere() {
+    let mut balancer = gateway(0, 3);
+    let (first, before) = arrive(&mut balancer, Some("a"));
+    balancer.end(first, balancer::End::ServerEnded, NOW);
+    assert_eq!(arrive(&mut balancer, Some("b")).1, []);
+    assert_eq!(sent(&balancer.tick(NOW + Duration::from_millis(1_000))), []);
+    let after = sent(&balancer.tick(NOW + Duration::from_millis(1_500)));
+    assert!(after.len() == 1 && after != before, "{after:?}");
+}
+
 /// Nobody waits for a suspect where there is one server alone.
 #[test]
 fn the_only_server_takes_others_beside_a_suspect() {
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -62,7 +62,9 @@
     let refused = |refusal| (refusal, Some(id.clone()));
     let routes = gateway.routes.load_full().ok_or_else(|| refused(Refusal::NoConfig))?;
     let request = request::read(head, body, meta, &routes).await.map_err(refused)?;
-    gateway.mirror.ends.settled(request.digest).await;
+    // A request that is overdue by then is answered by the dispatcher.
+    let settled = gateway.mirror.ends.settled(request.digest);
+    let _in_time = tokio::time::timeout_at(request.due.timer(), settled).await;
     if let poison::Standing::Convicted(ends) = gateway.mirror.ends.standing(request.digest) {
         log::info!("request ends servers request={id} digest={} ends={ends}", request.digest);
         return Err(refused(Refusal::EndsServers));
--- a/mirror/src/ends.rs
+++ b/mirror/src/ends.rs
@@ -116,6 +116,11 @@
         state.ledger.standing(digest)
     }
 
+    fn awaits(&self, digest: Digest) -> bool {
+        let now = self.now();
+        *self.changes.borrow() > 0 && self.lock().ledger.awaits(digest, now)
+    }
+
     fn unsettled(&self) -> bool {
         let now = self.now();
         self.lock().ledger.unsettled(now)
@@ -124,7 +129,7 @@
     /// Waits until what is known of a request is also what others know: one that
     /// may have ended a server a moment ago is not sent again before.
     pub async fn settled(&self, digest: Digest) {
-        while self.apart(digest) && self.unsettled() {
+        while self.awaits(digest) {
             tokio::time::sleep(SETTLED / 10).await;
         }
     }
--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -133,6 +133,17 @@
         *away = TurnedAway { times: away.times + 1, others };
     }
 
+    /// One of those that were named failed: others are tried, and the next host that
+    /// is full is told so sooner. Who had a place after all begins anew.
+    fn forget_named(&self, follower: usize, had_place: bool) {
+        let mut turned_away = lock(&self.turned_away);
+        if had_place {
+            turned_away.remove(&follower);
+        } else if let Some(away) = turned_away.get_mut(&follower) {
+            away.others.clear();
+        }
+    }
+
     /// Whether a follower takes no more for an answer.
     fn insists(&self, follower: usize) -> bool {
         lock(&self.turned_away).get(&follower).is_some_and(|away| away.times >= PATIENCE)
@@ -193,13 +204,15 @@
                     peers.turn_away(follower, others);
                     continue;
                 }
-                Ok(End::Better) => {}
+                Ok(End::Better) => {
+                    lock(&peers.turned_away).remove(&follower);
+                }
                 Err(status) => {
+                    peers.forget_named(follower, insists);
                     lock(&peers.failed).insert(peer, boot::Instant::now());
                     log::info!("dependency lost name=peer address={peer} error=\"{status}\"");
                 }
             }
-            lock(&peers.turned_away).remove(&follower);
         }
         tokio::time::sleep(PAUSE).await;
     }
--- a/mirror/tests/followers.rs
+++ b/mirror/tests/followers.rs
@@ -74,9 +74,9 @@
 async fn who_is_turned_away_to_hosts_that_are_gone_is_taken_in_the_end() {
     let (seed, at) = host("norte").await;
     seed.apply(vec![record(1)], Source::Store);
-    let gone: SocketAddr = "127.0.0.1:9".parse().unwrap();
     let mirrors: Vec<Arc<Mirror>> = (0..followers::MOST + 4).map(|_| Arc::default()).collect();
     for (name, mirror) in mirrors.iter().enumerate() {
+        let gone = ([127, 9, 0, name as u8], 9).into();
         follow(mirror, name, Some(gone), at);
     }
     all_know(&mirrors, 1).await;
