--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -134,16 +134,18 @@
     }
 
     /// One of those that were named failed: others are tried, and the next host that
-    /// is full is told so sooner. Who had a place after all begins anew.
-    fn forget_named(&self, follower: usize, had_place: bool) {
-        let mut turned_away = lock(&self.turned_away);
-        if had_place {
-            turned_away.remove(&follower);
-        } else if let Some(away) = turned_away.get_mut(&follower) {
+    /// is full is told so sooner.
+    fn forget_named(&self, follower: usize) {
+        if let Some(away) = lock(&self.turned_away).get_mut(&follower) {
             away.others.clear();
         }
     }
 
+    /// A follower got a place.
+    fn placed(&self, follower: usize) {
+        lock(&self.turned_away).remove(&follower);
+    }
+
     /// Whether a follower takes no more for an answer.
     fn insists(&self, follower: usize) -> bool {
         lock(&self.turned_away).get(&follower).is_some_and(|away| away.times >= PATIENCE)
@@ -196,7 +198,8 @@
             lock(&peers.used).insert(follower, peer);
             let better = || peers.better_known(&mirror, follower, peer);
             let insists = peers.insists(follower);
-            let ended = follow(&mirror, &peers.own, peer, insists, better).await;
+            let placed = || peers.placed(follower);
+            let ended = follow(&mirror, &peers.own, peer, insists, placed, better).await;
             lock(&peers.used).remove(&follower);
             match ended {
                 Ok(End::Full(others)) => {
@@ -204,11 +207,9 @@
                     peers.turn_away(follower, others);
                     continue;
                 }
-                Ok(End::Better) => {
-                    lock(&peers.turned_away).remove(&follower);
-                }
+                Ok(End::Better) => {}
                 Err(status) => {
-                    peers.forget_named(follower, insists);
+                    peers.forget_named(follower);
                     lock(&peers.failed).insert(peer, boot::Instant::now());
                     log::info!("dependency lost name=peer address={peer} error=\"{status}\"");
                 }
@@ -224,6 +225,7 @@
     own: &Own,
     address: SocketAddr,
     insists: bool,
+    placed: impl Fn(),
     better: impl Fn() -> bool,
 ) -> Result<End, tonic::Status> {
     let unreachable = |error: &dyn std::error::Error| tonic::Status::unavailable(error.to_string());
@@ -242,6 +244,7 @@
     if let Some(batch) = first.as_ref().filter(|batch| !batch.others.is_empty()) {
         return Ok(End::Full(batch.others.iter().filter_map(Peer::from_wire).collect()));
     }
+    placed();
     let mut first = Some(first);
     log::info!("dependency regained name=peer address={address}");
     let source = address.to_string();
