--- a/mirror/src/followers.rs
+++ b/mirror/src/followers.rs
@@ -14,7 +14,8 @@
 
 use crate::Mirror;
 
-/// Followers that a host takes; a fleet of any size has some six for each.
+/// Followers that a host takes: several times its even share, so that few are
+/// turned away once all hosts know each other.
 pub const MOST: usize = 64;
 /// Others that are named to one that is turned away.
 const NAMED: usize = 8;
