--- a/decision/src/route.rs
+++ b/decision/src/route.rs
@@ -95,8 +95,8 @@
     pub name: Arc<str>,
     /// Connections that one of its backend servers takes from everybody together.
     pub max_connections: u32,
-    /// Requests a second that one of them bears while it is cold; zero where cold
-    /// ones bear as many as others.
+    /// Requests a second that one of them can serve while it is cold; zero where cold
+    /// ones can serve as many as others.
     pub cold_rate: f64,
     /// What is known of its model engines, if it has any.
     pub engine: Option<Engine>,
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -70,7 +70,7 @@
     pub leaving: bool,
     /// Whether its availability zone is drained: it lives, and gets nothing.
     pub drained: bool,
-    /// What it bears while it is cold.
+    /// What it can serve while it is cold.
     pub cold: Option<warmup::Cold>,
 }
 
--- a/decision/src/routing/warmup.rs
+++ b/decision/src/routing/warmup.rs
@@ -1,7 +1,7 @@
-//! Backend servers that are cold bear few requests, from all gateways together.
+//! Backend servers that are cold can serve few requests, from all gateways together.
 //!
 //! The pattern: a zone's servers come back cold together, look idle, and are
-//! preferred before those that have work; they fall over at a rate that they bear
+//! preferred before those that have work; they fail at a rate that they can serve
 //! once warm. No gateway sees what the others send, so each has turns of its own:
 //! they are as far apart as the rate allows, and a turn that is not used is lost.
 //! Turns that could be saved up would be spent together in the next burst.
@@ -19,7 +19,7 @@
 pub struct Cold {
     /// Until when, as far as it has told.
     pub until: clock::Instant,
-    /// Requests a second that it bears until then; above zero.
+    /// Requests a second that it can serve until then; above zero.
     pub rate: f64,
 }
 
--- a/decision/tests/warmup.rs
+++ b/decision/tests/warmup.rs
@@ -1,4 +1,4 @@
-//! Backend servers that are cold get no more than they bear, from all gateways
+//! Backend servers that are cold get no more than they can serve, from all gateways
 //! together, however uneven the load.
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
@@ -10,7 +10,7 @@
 use loftcove_decision::routing::warmup::{Cold, Turns};
 use proptest::prelude::*;
 
-/// Requests a second that the server bears, and those that the users allow.
+/// Requests a second that the server can serve, and those that the users allow.
 const RATE: f64 = 14.0;
 const ALLOWED: usize = 26;
 const COLD: Duration = Duration::from_secs(4);
@@ -62,10 +62,14 @@
 }
 
 #[test]
-fn a_cold_server_gets_what_it_bears() {
+fn a_cold_server_gets_what_it_capacity() {
     let arrivals = arrivals(&[0; 30], Duration::ZERO);
-    let bears = (RATE * COLD.as_secs_f64()) as usize;
-    assert!((bears - 2..=bears + 2).contains(&arrivals.len()), "{} of {bears}", arrivals.len());
+    let capacity = (RATE * COLD.as_secs_f64()) as usize;
+    assert!(
+        (capacity - 2..=capacity + 2).contains(&arrivals.len()),
+        "{} of {capacity}",
+        arrivals.len()
+    );
 }
 
 #[test]
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -41,7 +41,7 @@
     pub leaving: bool,
     /// Whether its availability zone is drained.
     pub drained: bool,
-    /// Until when it is cold, and how many requests a second it bears until then.
+    /// Until when it is cold, and how many requests a second it can serve until then.
     pub cold: Option<(boot::Instant, f64)>,
     /// Requests that it takes at a time from everybody together.
     pub slots: u32,
--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -54,20 +54,20 @@
     /// Peers that are followed, by the number of the follower.
     used: Mutex<BTreeMap<usize, SocketAddr>>,
     failed: Mutex<BTreeMap<SocketAddr, boot::Instant>>,
-    /// What each follower was told as it was last turned away.
-    turned_away: Mutex<BTreeMap<usize, TurnedAway>>,
+    /// What each follower was told as it was last redirected.
+    redirected: Mutex<BTreeMap<usize, Redirected>>,
 }
 
 /// Followers of ours that hosts had no place for.
 #[derive(Debug, Default)]
-struct TurnedAway {
+struct Redirected {
     /// How often in a row.
     times: u32,
     /// Whom it may follow instead.
     others: Vec<Peer>,
 }
 
-/// Times in a row after which a follower that is turned away insists.
+/// Times in a row after which a redirected follower insists.
 const PATIENCE: u32 = 2;
 
 /// How following a peer ended without a failure.
@@ -86,7 +86,7 @@
             seeds: Mutex::new(seeds),
             used: Mutex::default(),
             failed: Mutex::default(),
-            turned_away: Mutex::default(),
+            redirected: Mutex::default(),
         }
     }
 
@@ -115,11 +115,11 @@
         })
     }
 
-    /// Those that a follower may follow instead of one that turned it away.
+    /// Those that a follower may follow instead of one that redirected it.
     fn named(&self, follower: usize) -> BTreeMap<SocketAddr, Option<Arc<str>>> {
         let used: Vec<SocketAddr> = lock(&self.used).values().copied().collect();
-        let turned_away = lock(&self.turned_away);
-        let others = turned_away.get(&follower).map_or(&[][..], |away| &away.others);
+        let redirected = lock(&self.redirected);
+        let others = redirected.get(&follower).map_or(&[][..], |away| &away.others);
         let free = others
             .iter()
             .filter(|peer| Some(peer.address) != self.own.address && !used.contains(&peer.address));
@@ -127,28 +127,28 @@
     }
 
     /// A host had no place for a follower.
-    fn turn_away(&self, follower: usize, others: Vec<Peer>) {
-        let mut turned_away = lock(&self.turned_away);
-        let away = turned_away.entry(follower).or_default();
-        *away = TurnedAway { times: away.times + 1, others };
+    fn redirect(&self, follower: usize, others: Vec<Peer>) {
+        let mut redirected = lock(&self.redirected);
+        let away = redirected.entry(follower).or_default();
+        *away = Redirected { times: away.times + 1, others };
     }
 
     /// One of those that were named failed: others are tried, and the next host that
     /// is full is told so sooner.
     fn forget_named(&self, follower: usize) {
-        if let Some(away) = lock(&self.turned_away).get_mut(&follower) {
+        if let Some(away) = lock(&self.redirected).get_mut(&follower) {
             away.others.clear();
         }
     }
 
     /// A follower got a place.
     fn placed(&self, follower: usize) {
-        lock(&self.turned_away).remove(&follower);
+        lock(&self.redirected).remove(&follower);
     }
 
     /// Whether a follower takes no more for an answer.
     fn insists(&self, follower: usize) -> bool {
-        lock(&self.turned_away).get(&follower).is_some_and(|away| away.times >= PATIENCE)
+        lock(&self.redirected).get(&follower).is_some_and(|away| away.times >= PATIENCE)
     }
 
     /// A peer for a follower: the first follower prefers the own zone, the
@@ -204,7 +204,7 @@
             match ended {
                 Ok(End::Full(others)) => {
                     log::info!("peer full address={peer} others={}", others.len());
-                    peers.turn_away(follower, others);
+                    peers.redirect(follower, others);
                     continue;
                 }
                 Ok(End::Better) => {}
--- a/mirror/src/followers.rs
+++ b/mirror/src/followers.rs
@@ -15,9 +15,9 @@
 use crate::Mirror;
 
 /// Followers that a host takes: several times its even share, so that few are
-/// turned away once all hosts know each other.
+/// redirected once all hosts know each other.
 pub const MOST: usize = 64;
-/// Others that are named to one that is turned away.
+/// Others that are named to a redirected one.
 const NAMED: usize = 8;
 
 /// A host that others can follow.
@@ -87,8 +87,8 @@
 }
 
 impl Place {
-    /// A place for a follower, or others that it is to follow. One that was turned
-    /// away often enough insists, and gets a place in any case.
+    /// A place for a follower, or others that it is to follow. One that was redirected
+    /// often enough insists, and gets a place in any case.
     pub(crate) fn take(
         mirror: &Arc<Mirror>,
         follower: &wire::Follower,
--- a/mirror/src/serve.rs
+++ b/mirror/src/serve.rs
@@ -56,7 +56,7 @@
                 tokio::spawn(feed(self.mirror.clone(), reach, sender, place));
             }
             Err(others) => {
-                log::debug!("follower turned away host={} others={}", follower.host, others.len());
+                log::debug!("follower redirected host={} others={}", follower.host, others.len());
                 let others = others.iter().map(followers::Peer::to_wire).collect();
                 let distance = self.mirror.distance.get();
                 let batch = wire::Batch { others, distance, ..Default::default() };
--- a/mirror/tests/followers.rs
+++ b/mirror/tests/followers.rs
@@ -69,9 +69,9 @@
     all_know(&mirrors, 1).await;
 }
 
-/// One that is named may be gone: whoever was turned away comes back, and insists.
+/// One that is named may be gone: whoever was redirected comes back, and insists.
 #[tokio::test(flavor = "multi_thread")]
-async fn who_is_turned_away_to_hosts_that_are_gone_is_taken_in_the_end() {
+async fn who_is_redirected_to_hosts_that_are_gone_is_taken_in_the_end() {
     let (seed, at) = host("norte").await;
     seed.apply(vec![record(1)], Source::Store);
     let mirrors: Vec<Arc<Mirror>> = (0..followers::MOST + 4).map(|_| Arc::default()).collect();
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -297,7 +297,7 @@
     /// Its own address for followers; empty where it takes none.
     #[prost(string, tag = "3")]
     pub address: ::prost::alloc::string::String,
-    /// Whether it was turned away before and wants a place in any case.
+    /// Whether it was redirected before and wants a place in any case.
     #[prost(bool, tag = "4")]
     pub insists: bool,
 }
