Soak: logs of replaced processes, requests of a breach by id, chosen kinds of faults

Cause: three things hid what a failing run had done. The log of a process was dropped when it was started again, so that a request cut off by a stop had no trace; a breach on a server that leaves named no request; and a run was mostly refusals, as clients sent again at once.

The faults that a seed draws are as before.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -55,7 +55,7 @@
     #[error("request {0} was refused for ends that are not its own")]
     Blamed(String),
     /// A server that asked for rest, or said that it leaves, got requests.
-    #[error("server {} had asked gateway {} for {:?} ms of rest, and got {} requests", .0.server, .0.gateway, .0.rest, .0.requests)]
+    #[error("server {} had asked gateway {} for {:?} ms of rest (none: it leaves) in the answer to {}, and got {} requests, the first {}", .0.server, .0.gateway, .0.rest, .0.ids.0, .0.requests, .0.ids.1)]
     Disturbed(Excess),
     /// A pass ran on two maps.
     #[error("{0} passes ran on two maps")]
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -15,6 +15,9 @@
 /// Longest time that a client waits before it takes the gateway to be dead.
 const GIVE_UP: Duration = Duration::from_secs(20);
 
+/// Of so many clients one ignores Retry-After, as some callers do.
+const HASTY: u32 = 4;
+
 /// Kind of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -63,6 +66,21 @@
     pub end: End,
 }
 
+impl Seen {
+    /// Whether it was refused as not run.
+    pub fn refused(&self) -> bool {
+        matches!(&self.end, End::Answer { head, .. } if matches!(head.status, 429 | 503))
+    }
+
+    /// How long its caller waits before the next request, if it heeds Retry-After.
+    fn pause(&self) -> Duration {
+        match &self.end {
+            End::Answer { head, .. } => head.retry_after.unwrap_or_default().min(DEADLINE / 3),
+            _ => Duration::ZERO,
+        }
+    }
+}
+
 /// What all clients share.
 #[derive(Debug, Default)]
 pub struct Shared {
@@ -80,8 +98,14 @@
 }
 
 /// Sends requests until it is told to stop.
-pub async fn run(shared: Arc<Shared>, gateways: Vec<std::net::SocketAddr>, seed: u64) {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+pub async fn run(
+    shared: Arc<Shared>,
+    gateways: Vec<std::net::SocketAddr>,
+    seed: u64,
+    number: u32,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (u64::from(number) << 32));
+    let hasty = number.is_multiple_of(HASTY);
     let mut kept: Option<(u8, Client)> = None;
     while !shared.stop.load(Ordering::Relaxed) {
         let (gateway, client) = match kept.take() {
@@ -97,6 +121,9 @@
         if seen.end == End::NoConnection {
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
+        if !hasty {
+            tokio::time::sleep(seen.pause()).await;
+        }
         shared.seen.lock().expect("no holder of the records panics").push(seen);
     }
 }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,6 +1,4 @@
-//! `loftcove-soak [--seed N] [--runs N] [--seconds N] [--gateways N] [--ranks N]
-//! [--plain N] [--clients N] [--keep FOLDER]`: plays seeds, fresh ones unless one
-//! is given, and prints a line for each; ends with 1 if a promise was broken.
+//! Plays seeds of the fault soak and prints a line for each; see [`HELP`].
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -8,12 +6,37 @@
 
 use loftcove_soak::{plan, run};
 
+const HELP: &str = "\
+loftcove-soak, the fault soak
+
+usage:
+  loftcove-soak [options]
+
+options:
+  --seed N          play this seed; without it, fresh ones
+  --runs N          how many seeds, one after the other (1)
+  --seconds N       time for which faults come (10)
+  --gateways N      gateways (3)
+  --ranks N         ranks of lock-step groups (4)
+  --plain N         plain servers (3)
+  --clients N       clients (12)
+  --faults KIND,..  only faults of these kinds
+  --times N         with --faults: so many times as often (1)
+  --keep FOLDER     write faults, breaches and logs of seeds that broke a promise
+  --keep-all        the same of all seeds
+
+Ends with 1 if a promise was broken, with 2 if it could not run.
+";
+
 /// Why it could not run.
 #[derive(Debug, thiserror::Error)]
 enum Error {
     /// The command line is not understood.
     #[error("{0}")]
     Arguments(#[from] pico_args::Error),
+    /// An argument that there is not.
+    #[error("unknown argument {0}")]
+    Unknown(String),
     /// Logs could not be written.
     #[error("logs cannot be written: {0}")]
     Logs(#[from] std::io::Error),
@@ -22,11 +45,22 @@
 struct Options {
     seeds: Vec<u64>,
     size: plan::Size,
+    /// Kinds of faults, and how many times as often; none for all kinds.
+    kinds: Option<(Vec<String>, u32)>,
     keep: Option<PathBuf>,
+    keep_all: bool,
 }
 
-fn options() -> Result<Options, Error> {
-    let mut arguments = pico_args::Arguments::from_env();
+impl Options {
+    fn events(&self, seed: u64) -> Vec<plan::Event> {
+        match &self.kinds {
+            Some((kinds, times)) => plan::draw_kinds(seed, &self.size, kinds, *times),
+            None => plan::draw(seed, &self.size),
+        }
+    }
+}
+
+fn options(mut arguments: pico_args::Arguments) -> Result<Options, Error> {
     let seed: Option<u64> = arguments.opt_value_from_str("--seed")?;
     let runs: usize = arguments.opt_value_from_str("--runs")?.unwrap_or(1);
     let seconds: u64 = arguments.opt_value_from_str("--seconds")?.unwrap_or(10);
@@ -40,12 +74,20 @@
     let keep = arguments.opt_value_from_os_str("--keep", |text| {
         Ok::<_, std::convert::Infallible>(PathBuf::from(text))
     })?;
+    let kinds: Option<String> = arguments.opt_value_from_str("--faults")?;
+    let times = arguments.opt_value_from_str("--times")?.unwrap_or(1);
+    let kinds = kinds.map(|kinds| (kinds.split(',').map(str::to_owned).collect(), times));
+    let keep_all = arguments.contains("--keep-all");
+    let rest = arguments.finish();
+    if let Some(unknown) = rest.first() {
+        return Err(Error::Unknown(unknown.to_string_lossy().into_owned()));
+    }
     let seeds = match seed {
         Some(seed) => vec![seed],
         // Short enough to be copied by hand.
         None => (0..runs).map(|_| u64::from(rand::random::<u32>())).collect(),
     };
-    Ok(Options { seeds, size, keep })
+    Ok(Options { seeds, size, kinds, keep, keep_all })
 }
 
 fn keep(folder: &Path, seed: u64, report: &run::Report) -> Result<(), Error> {
@@ -62,24 +104,29 @@
 }
 
 async fn soak() -> Result<bool, Error> {
-    let options = options()?;
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(true);
+    }
+    let options = options(arguments)?;
     let mut sound = true;
-    for seed in options.seeds {
-        let report = run::seed(seed, &options.size).await;
+    for &seed in &options.seeds {
+        let report = run::play(seed, &options.size, options.events(seed)).await;
         println!(
-            "seed={seed} faults={} requests={} answered={} switches={} breaches={}",
+            "seed={seed} faults={} requests={} answered={} refused={} switches={} breaches={}",
             report.events.len(),
             report.requests.0,
             report.requests.1,
+            report.refused,
             report.switches,
             report.breaches.len()
         );
         report.breaches.iter().take(10).for_each(|breach| println!("  {breach}"));
-        if !report.breaches.is_empty() {
-            sound = false;
-            if let Some(folder) = &options.keep {
-                keep(folder, seed, &report)?;
-            }
+        let broken = !report.breaches.is_empty();
+        sound &= !broken;
+        if let Some(folder) = options.keep.as_ref().filter(|_| broken || options.keep_all) {
+            keep(folder, seed, &report)?;
         }
     }
     Ok(sound)
@@ -91,7 +138,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => {
-            eprintln!("{error}");
+            eprintln!("loftcove-soak: {error}\n\n{HELP}");
             ExitCode::from(2)
         }
     }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -38,6 +38,10 @@
 /// rests outlast the fault, none the time until all is well again.
 const RESTS: [&str; 8] = ["0.2", "0.7", "1.5", "2", "3", "8", "soon", ""];
 
+/// Where the number of a layer stands in its seed: above the bits of seeds drawn by
+/// the command line, and of what the layers of one seed differ by.
+const LAYER_SHIFT: u32 = 40;
+
 /// What runs.
 #[derive(Debug, Clone, Copy)]
 pub struct Size {
@@ -185,6 +189,35 @@
     Spoil(u8),
 }
 
+impl Fault {
+    /// Name of its kind, as the command line has it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Fault::Kill(_) => "kill",
+            Fault::Pause(_) => "pause",
+            Fault::Stop(_) => "stop",
+            Fault::Freeze(_) => "freeze",
+            Fault::Reload(_) => "reload",
+            Fault::Server { .. } => "server-link",
+            Fault::StoreLink { .. } => "store-link",
+            Fault::Silence(_) => "silence",
+            Fault::Store(_) => "store",
+            Fault::Orders => "orders",
+            Fault::Break => "break",
+            Fault::Shift(_) => "shift",
+            Fault::Configure => "configure",
+            Fault::Drain(_) => "drain",
+            Fault::Unlist(_) => "unlist",
+            Fault::Restart(_) => "restart",
+            Fault::Foreign => "foreign",
+            Fault::Poison { .. } => "poison",
+            Fault::Shed { .. } => "shed",
+            Fault::Leave(_) => "leave",
+            Fault::Spoil(_) => "spoil",
+        }
+    }
+}
+
 /// A fault with its time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Event {
@@ -207,6 +240,16 @@
     events
 }
 
+/// The faults of a seed that are of some kinds, by [`Fault::name`], so many times
+/// as often as in [`draw`].
+pub fn draw_kinds(seed: u64, size: &Size, kinds: &[String], times: u32) -> Vec<Event> {
+    let seeds = (0..times).map(|layer| seed ^ (u64::from(layer) << LAYER_SHIFT));
+    let mut events: Vec<Event> = seeds.flat_map(|seed| draw(seed, size)).collect();
+    events.retain(|event| kinds.iter().any(|kind| kind == event.fault.name()));
+    events.sort_by_key(|event| event.at);
+    events
+}
+
 fn silences(seed: u64, size: &Size) -> Vec<Event> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SILENCE_SEED);
     let count = (size.time.as_secs_f64() / SILENCE_INTERVAL.as_secs_f64()).ceil() as usize;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -23,6 +23,8 @@
     pub events: Vec<plan::Event>,
     /// Requests that were sent, and how many of them were answered with success.
     pub requests: (usize, usize),
+    /// Requests that were refused as not run.
+    pub refused: usize,
     /// Changes of the map, over all ranks.
     pub switches: u64,
     /// Promises that were broken.
@@ -38,7 +40,11 @@
 
 /// Plays a seed.
 pub async fn seed(seed: u64, size: &plan::Size) -> Report {
-    let events = plan::draw(seed, size);
+    play(seed, size, plan::draw(seed, size)).await
+}
+
+/// Plays the requests of a seed under the given faults.
+pub async fn play(seed: u64, size: &plan::Size, events: Vec<plan::Event>) -> Report {
     let mut system = System::start(Plan {
         gateways: size.gateways,
         ranks: size.ranks,
@@ -54,8 +60,7 @@
     let gateways: Vec<_> = (0..size.gateways).map(|number| system.client_address(number)).collect();
     let clients: Vec<_> = (0..size.clients)
         .map(|number| {
-            let seed = seed ^ (u64::from(number) << 32);
-            tokio::spawn(client::run(shared.clone(), gateways.clone(), seed))
+            tokio::spawn(client::run(shared.clone(), gateways.clone(), seed, number))
         })
         .collect();
     let mut injector = Injector::new(&mut system, &shared);
@@ -70,6 +75,7 @@
     let seen = std::mem::take(&mut *shared.seen.lock().expect("no holder of the records panics"));
     let answered = |seen: &&client::Seen| matches!(&seen.end, client::End::Answer { head, whole: true, .. } if head.status == 200);
     let requests = (seen.len(), seen.iter().filter(answered).count());
+    let refused = seen.iter().filter(|seen| seen.refused()).count();
     let (arrivals, visits) = (arrivals(&system).await, system.visits().await);
     let evidence = Evidence { seen, arrivals, spans, visits, harms };
     let poisoned = poisoned(&system).await;
@@ -89,7 +95,7 @@
     }
     let logs = logs(&system);
     breaches.extend(check::blamed(&evidence.seen, &logs));
-    Report { events, requests, switches: number("switches"), breaches, logs }
+    Report { events, requests, refused, switches: number("switches"), breaches, logs }
 }
 
 /// Waits until every gateway goes by the newest configuration, which is written
@@ -164,5 +170,7 @@
     let gateways = gateways.map(|(number, process)| (format!("gateway-{number}"), process.log()));
     let sidecars = system.sidecars.iter().enumerate();
     let sidecars = sidecars.map(|(number, process)| (format!("sidecar-{number}"), process.log()));
-    gateways.chain(sidecars).collect()
+    let earlier = system.earlier.iter().enumerate();
+    let earlier = earlier.map(|(n, (name, log))| (format!("{name}-replaced-{n}"), log.lines()));
+    gateways.chain(sidecars).chain(earlier).collect()
 }
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -22,12 +22,27 @@
     pub memory: u64,
 }
 
+/// Lines that a program has logged so far; it outlives the program.
+#[derive(Debug, Clone, Default)]
+pub struct Log(Arc<Mutex<Vec<String>>>);
+
+impl Log {
+    fn push(&self, line: String) {
+        self.0.lock().expect("no holder of the log panics").push(line);
+    }
+
+    /// The lines.
+    pub fn lines(&self) -> Vec<String> {
+        self.0.lock().expect("no holder of the log panics").clone()
+    }
+}
+
 /// A running program; it is killed when dropped.
 pub struct Process {
     child: tokio::process::Child,
     stdin: ChildStdin,
     stdout: Option<Lines<BufReader<ChildStdout>>>,
-    log: Arc<Mutex<Vec<String>>>,
+    log: Log,
 }
 
 /// Path of a program of this workspace, beside the running test or program.
@@ -48,7 +63,7 @@
             .kill_on_drop(true)
             .spawn()
             .expect("the program starts");
-        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let log = Log::default();
         let stderr = child.stderr.take().expect("standard error is piped");
         let kept = log.clone();
         let name = name.to_owned();
@@ -59,7 +74,7 @@
                 if panicked || std::env::var_os("LOFTCOVE_LOG").is_some() {
                     eprintln!("[{name}] {line}");
                 }
-                kept.lock().expect("no holder of the log panics").push(line);
+                kept.push(line);
             }
         });
         let stdin = child.stdin.take().expect("standard input is piped");
@@ -90,7 +105,7 @@
                 if std::env::var_os("LOFTCOVE_LOG").is_some() {
                     eprintln!("{line}");
                 }
-                kept.lock().expect("no holder of the log panics").push(line);
+                kept.push(line);
             }
         });
     }
@@ -109,7 +124,12 @@
 
     /// What it has logged.
     pub fn log(&self) -> Vec<String> {
-        self.log.lock().expect("no holder of the log panics").clone()
+        self.log.lines()
+    }
+
+    /// A handle to its log.
+    pub fn kept_log(&self) -> Log {
+        self.log.clone()
     }
 
     /// Processor time that it has used, and its memory in use, bytes.
--- a/tests/src/request.rs
+++ b/tests/src/request.rs
@@ -60,6 +60,15 @@
         self.with("x-deadline-ms", &time.as_millis().to_string())
     }
 
+    /// The request as it stands on the wire.
+    pub fn text(&self) -> String {
+        let headers = self.headers.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
+        let headers: String = headers.collect();
+        let (method, path, body) = (self.method, &self.path, &self.body);
+        let length = body.len();
+        format!("{method} {path} HTTP/1.1\r\n{headers}content-length: {length}\r\n\r\n{body}")
+    }
+
     /// Leaves a header out.
     pub fn without(mut self, name: &str) -> Request {
         self.headers.retain(|(known, _)| known != name);
@@ -76,6 +85,8 @@
     pub signature: Option<String>,
     /// Id of the request that the answer names.
     pub request: Option<String>,
+    /// Time after which the client should come back.
+    pub retry_after: Option<Duration>,
 }
 
 impl Head {
@@ -89,6 +100,8 @@
             status: response.status().as_u16(),
             signature: text("x-server-stamp"),
             request: text("x-attempt-id"),
+            retry_after: text("retry-after")
+                .and_then(|text| Duration::try_from_secs_f64(text.parse().ok()?).ok()),
         }
     }
 }
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -68,6 +68,8 @@
     pub gateways: Vec<process::Process>,
     /// Sidecars.
     pub sidecars: Vec<process::Process>,
+    /// Names and logs of processes that were replaced by a later start.
+    pub earlier: Vec<(String, process::Log)>,
     proxy: Option<process::Process>,
     folder: process::Folder,
     net: [u8; 2],
@@ -103,6 +105,7 @@
             plain: servers_of(&plain, None, plan.proxied).await,
             gateways: Vec::new(),
             sidecars: Vec::new(),
+            earlier: Vec::new(),
             proxy,
             folder: process::Folder::new(),
             net,
@@ -334,7 +337,8 @@
         gateway.keep_output();
         let index = usize::from(index);
         if index < self.gateways.len() {
-            self.gateways[index] = gateway;
+            let replaced = std::mem::replace(&mut self.gateways[index], gateway);
+            self.earlier.push((name, replaced.kept_log()));
         } else {
             self.gateways.push(gateway);
         }
@@ -355,7 +359,8 @@
         sidecar.keep_output();
         let rank = usize::from(rank);
         if rank < self.sidecars.len() {
-            self.sidecars[rank] = sidecar;
+            let replaced = std::mem::replace(&mut self.sidecars[rank], sidecar);
+            self.earlier.push((name, replaced.kept_log()));
         } else {
             self.sidecars.push(sidecar);
         }
--- a/tests/src/visits.rs
+++ b/tests/src/visits.rs
@@ -79,6 +79,8 @@
     pub requests: usize,
     /// From when to when they would have counted.
     pub span: (u64, u64),
+    /// Request whose answer said so, and the first one that came all the same.
+    pub ids: (String, String),
 }
 
 /// The one that got most.
@@ -115,10 +117,12 @@
             let span = (asked.at + SETTLE_MS, asked.at + rest);
             let came = visits.iter().filter(|visit| span.0 <= visit.at && visit.at <= span.1);
             let came = came.filter(|visit| !excuse.holds(gateway, server, asked.at, visit.at));
-            let requests = came.count();
+            let came: Vec<&&Visit> = came.collect();
+            let requests = came.len();
             if requests > ALLOWED {
                 let server = server.to_owned();
-                excesses.push(Excess { server, gateway, rest: Some(rest), requests, span });
+                let ids = (asked.request.clone(), came[0].request.clone());
+                excesses.push(Excess { server, gateway, rest: Some(rest), requests, span, ids });
             }
         }
     }
@@ -135,15 +139,18 @@
     let mut excesses = Vec::new();
     for ((gateway, server, _), visits) in by_pair(visits, sent) {
         let passed_on = visits.iter().filter(|visit| visit.leaving && visit.shed.is_none());
-        let told = passed_on.filter_map(|visit| sent.get(&visit.request)).map(|sent| sent.answered);
-        let Some(told) = told.min() else { continue };
+        let told = passed_on.filter_map(|visit| Some((sent.get(&visit.request)?.answered, visit)));
+        let Some((told, first)) = told.min_by_key(|(answered, _)| *answered) else { continue };
         let span = (told + DRAIN_MS, u64::MAX);
-        let sent = visits.iter().filter_map(|visit| sent.get(&visit.request));
-        let late = sent.filter(|sent| sent.at > span.0);
-        let requests = late.filter(|sent| !excuse.holds(gateway, server, told, sent.at)).count();
+        let sent = visits.iter().filter_map(|visit| Some((sent.get(&visit.request)?, visit)));
+        let late = sent.filter(|(sent, _)| sent.at > span.0);
+        let late = late.filter(|(sent, _)| !excuse.holds(gateway, server, told, sent.at));
+        let late: Vec<&Visit> = late.map(|(_, visit)| *visit).collect();
+        let requests = late.len();
         if requests > 0 {
             let server = server.to_owned();
-            excesses.push(Excess { server, gateway, rest: None, requests, span });
+            let ids = (first.request.clone(), late[0].request.clone());
+            excesses.push(Excess { server, gateway, rest: None, requests, span, ids });
         }
     }
     excesses
