A planned stop ends once all answers are written out

What callers saw: a request that had been passed on was cut off as its gateway stopped (soak, once); behind a small window, an answer ended in the middle.

Cause: a request counted as in flight until its answer was handed to the connection. What the connection had not written then was lost with the process 50 ms later: the whole answer where the machine was busy in between, most of it where the client's window is small.

Change: after the closing, the process waits until its clients' connections are closed, at most to the end of the grace, and logs those that it cuts off. It takes no new connections from the closing on. Each connection is closed by the library once it is idle and its bytes are written, so that what was taken is either answered or told to be not run.

--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -3,10 +3,11 @@
 //! After the signal the gateway calls itself not ready, so that the platform
 //! sends no new connections, and goes on serving what comes over kept ones,
 //! each answer telling the client to close. Once the platform has noticed and
-//! nothing is in flight, nothing more is taken, idle connections are closed and
-//! the process ends. From then on, and from [`LAST_REQUEST`] on in any case, a
-//! request that still comes is refused as not run, so that all answers are out
-//! before the process is killed.
+//! nothing is in flight, nothing more is taken and idle connections are closed.
+//! From then on, and from [`LAST_REQUEST`] on in any case, a request that still
+//! comes is refused as not run, so that all answers are out before the process
+//! is killed. The process ends once all connections are closed: an answer that
+//! has come to its end may not be written out yet.
 
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -29,8 +30,8 @@
 const LAST_REQUEST: Duration = Duration::from_millis(3_100);
 /// What is left of the grace when the process ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(250);
-/// Time for the last bytes to leave.
-const FLUSH: Duration = Duration::from_millis(50);
+/// Pause between two looks whether the process may end.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
 /// Descriptors that clients' connections leave free: the platform keeps 200 for
 /// files, and hosts that follow this one, the store and the metrics take some.
@@ -252,22 +253,28 @@
     life.lock().stop = Some(begun);
     life.handle(lifecycle::Event::InFlight(1));
     life.handle(lifecycle::Event::Stop);
-    let end = begun + grace.saturating_sub(END_MARGIN);
+    let mut end = begun + grace.saturating_sub(END_MARGIN);
     while boot::Instant::now() < end {
         let noticed = begun.elapsed() >= NOTICE_TIME;
         if noticed && life.shut_if_idle() {
             break;
         }
         tokio::select! {
-            () = tokio::time::sleep(FLUSH) => {}
+            () = tokio::time::sleep(LOOK_PAUSE) => {}
             () = signals.stop(peers, file) => {
                 log::warn!("second signal in_flight={}", life.in_flight());
+                end = boot::Instant::now() + LOOK_PAUSE;
                 break;
             }
         }
     }
     log::info!("closing in_flight={} connections={}", life.in_flight(), life.connections());
     life.handle(lifecycle::Event::Expired);
-    // Answers that have just ended are still on their way out.
-    tokio::time::sleep(FLUSH).await;
+    while boot::Instant::now() < end && life.connections() > 0 {
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+    if life.connections() > 0 {
+        let (connections, in_flight) = (life.connections(), life.in_flight());
+        log::warn!("connections cut off connections={connections} in_flight={in_flight}");
+    }
 }
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -23,13 +23,22 @@
 /// off holds its connection no longer.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(10);
 
-/// Takes connections until the process ends.
+/// Takes connections until the process is about to end. What comes after that is
+/// refused by the system: nothing of it was read.
 pub async fn run<P: Protocol>(gateway: Arc<state::Gateway<P>>, listener: TcpListener) {
+    let mut closing = gateway.life.closing();
+    tokio::select! {
+        () = accept(&gateway, &listener) => {}
+        () = closing.wait(lifecycle::Phase::Stopped) => {}
+    }
+}
+
+async fn accept<P: Protocol>(gateway: &Arc<state::Gateway<P>>, listener: &TcpListener) {
     loop {
         gateway.life.room().await;
         match listener.accept().await {
             Ok((stream, _)) => {
-                let open = drain::Life::connected(&gateway);
+                let open = drain::Life::connected(gateway);
                 tokio::spawn(serve(gateway.clone(), stream, open));
             }
             Err(error) => {
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -98,12 +98,7 @@
 }
 
 /// Sends requests until it is told to stop.
-pub async fn run(
-    shared: Arc<Shared>,
-    gateways: Vec<std::net::SocketAddr>,
-    seed: u64,
-    number: u32,
-) {
+pub async fn run(shared: Arc<Shared>, gateways: Vec<std::net::SocketAddr>, seed: u64, number: u32) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (u64::from(number) << 32));
     let hasty = number.is_multiple_of(HASTY);
     let mut kept: Option<(u8, Client)> = None;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -59,9 +59,7 @@
     system.configure(2, &[&client::key(2), &client::key(1)]).await;
     let gateways: Vec<_> = (0..size.gateways).map(|number| system.client_address(number)).collect();
     let clients: Vec<_> = (0..size.clients)
-        .map(|number| {
-            tokio::spawn(client::run(shared.clone(), gateways.clone(), seed, number))
-        })
+        .map(|number| tokio::spawn(client::run(shared.clone(), gateways.clone(), seed, number)))
         .collect();
     let mut injector = Injector::new(&mut system, &shared);
     injector.run(&events).await;
