What a server said of its near future holds for the next run until a health check settles it

What callers saw: requests sent to a server seconds after their gateway had passed on that it leaves (soak), cut off as it ended; and the other way round, a sound server left out for its life at gateways that had heard its earlier run leave.

Cause: a server that starts again under its id serves before its entry tells the new start, so that a word is put down to the run of before. The word was carried over where the start, by the server's clock, was before the gateway's clock at the word: clocks of two hosts. It was dropped where the entry was away or spoilt in between, was not applied to a run that was listed when the word came until the next change of the list, and a request chosen for the run of before was still sent to the new one.

Change: a run takes over what was said under its id before. A rest is kept for what is left of it, at most a minute. Whether it leaves is unsettled: it gets nothing until a health check, which servers answer for themselves and the users do not count as a request, says one or the other. No clock is compared. Right before bytes go, a run that has left the list or was replaced is not sent to either.

One test changes: it took a start later than the word, by clock, as proof that the run had not said it. It now asks that this run is not used before the check and is used after it.

Soak: the entries of plain servers tell their starts from the beginning; before, the first start again was no other run for gateways, and the server was out from then on.

--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -149,7 +149,9 @@
 
     /// Takes a new host list.
     pub fn list(&mut self, listings: Vec<server::Listing>, now: clock::Instant) -> Vec<Action> {
-        self.servers.list(listings);
+        for restarted in self.servers.list(listings, now) {
+            self.note_inherited(restarted, now);
+        }
         self.servers.warm_up(self.share, now);
         self.hear(now);
         self.pump_all(now)
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -216,6 +216,9 @@
     GroupUp(entity::Group, Duration),
     /// The backend server's rest is over; it had lasted that long.
     Rested(entity::Server, Duration),
+    /// The backend server gets nothing until it is known whether it leaves: it or an
+    /// earlier run has said so.
+    Unsettled(entity::Server),
     /// The group carries as many own streams as its bound allows.
     Bound(entity::Group, pace::Ground),
 }
--- a/decision/src/balancer/rest.rs
+++ b/decision/src/balancer/rest.rs
@@ -26,17 +26,60 @@
         let mut actions = Vec::new();
         if change.is_some() {
             self.noticed.insert(server);
+            self.tell_later_run(server, now);
             self.pump(self.servers[server].listing.pool, now, &mut actions);
         }
         (change, actions)
     }
 
+    /// An answer to what was sent to one run may be the next one's, where that has
+    /// begun meanwhile.
+    fn tell_later_run(&mut self, server: entity::Server, now: clock::Instant) {
+        let newest = self.servers.find(&self.servers[server].listing.host);
+        let Some(newest) = newest.filter(|newest| *newest != server) else { return };
+        self.servers.inherit(newest, server, now);
+        self.note_inherited(newest, now);
+    }
+
+    /// Notes what a run has taken over from an earlier one.
+    pub(super) fn note_inherited(&mut self, server: entity::Server, now: clock::Instant) {
+        let standing = &self.servers[server].standing;
+        if standing.leaving() || standing.rests(now) {
+            self.noticed.insert(server);
+        }
+        if standing.unsettled() {
+            self.notes.push(Note::Unsettled(server));
+        }
+    }
+
+    /// Those of which it is not known whether they leave.
+    pub fn unsettled(&self) -> impl Iterator<Item = entity::Server> {
+        self.noticed.iter().copied().filter(|server| {
+            let record = &self.servers[*server];
+            record.listed && record.standing.unsettled()
+        })
+    }
+
+    /// A backend server was found to leave, or not to.
+    pub fn settle(
+        &mut self,
+        server: entity::Server,
+        leaving: bool,
+        now: clock::Instant,
+    ) -> Vec<Action> {
+        self.servers[server].standing.settle(leaving);
+        let mut actions = Vec::new();
+        self.pump(self.servers[server].listing.pool, now, &mut actions);
+        actions
+    }
+
     /// Whether a backend server that was chosen may still get what is to be sent
-    /// now. What was chosen before it asked for rest, or before its zone was
-    /// drained, and waited for a connection meanwhile, would reach it after that.
+    /// now. What was chosen before it asked for rest, left the list or started
+    /// again, or before its zone was drained, and waited for a connection
+    /// meanwhile, would reach it after that.
     pub fn wants(&self, server: entity::Server, now: clock::Instant) -> bool {
         let record = &self.servers[server];
-        !record.standing.rests(now) && !record.leaving() && !record.listing.drained
+        record.usable() && !record.standing.rests(now)
     }
 
     /// Backend servers that rest, and listed ones that have told that they leave.
--- a/decision/src/route.rs
+++ b/decision/src/route.rs
@@ -98,6 +98,8 @@
     /// Requests a second that one of them can serve while it is cold; zero where cold
     /// ones can serve as many as others.
     pub cold_rate: f64,
+    /// Path at which its backend servers tell whether they serve.
+    pub health_path: Option<Arc<str>>,
     /// What is known of its model engines, if it has any.
     pub engine: Option<Engine>,
 }
--- a/decision/src/routing/notice.rs
+++ b/decision/src/routing/notice.rs
@@ -74,6 +74,22 @@
     Sent,
 }
 
+/// Whether a run leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Departure {
+    /// It has not said so.
+    #[default]
+    None,
+    /// It or an earlier run under its id has said so.
+    Unsettled,
+    /// It has said so.
+    Told,
+}
+
+/// Longest part of a rest that a run takes over from an earlier one: longer rests
+/// are asked for by mistake, and starting again mends that.
+const LONGEST_INHERITED_REST: Duration = Duration::from_secs(60);
+
 /// What a run of a backend server has said, as far as it still holds. Only that
 /// run's end or time lifts it: a later answer that says nothing does not.
 #[derive(Debug, Clone, Default)]
@@ -85,15 +101,17 @@
     /// Whether a rest is going on that has not been seen to end.
     resting: bool,
     trial: Trial,
-    leaving: bool,
+    departure: Departure,
 }
 
 impl Standing {
     /// Takes a notice that was read at that time; `lot`, from 0 to 1, says how
     /// late within the spread it gets requests again.
     pub fn take(&mut self, notice: &Notice, lot: f64, now: clock::Instant) -> Option<Change> {
-        let leaves = notice.leaving && !self.leaving;
-        self.leaving |= notice.leaving;
+        let leaves = notice.leaving && self.departure != Departure::Told;
+        if notice.leaving {
+            self.departure = Departure::Told;
+        }
         let rests = match notice.rest {
             Rest::For(time) if !time.is_zero() => self.rest(time.min(LONGEST_REST), lot, now),
             Rest::For(_) | Rest::None | Rest::Unreadable => None,
@@ -124,15 +142,41 @@
         self.until
     }
 
-    /// Whether it has said that it leaves.
+    /// Takes over what was said under the same id before, since this run may have
+    /// said it: one that starts again serves before its entry tells the start.
+    pub fn inherit(&mut self, earlier: &Standing, now: clock::Instant) {
+        if earlier.rests(now) {
+            self.until = self.until.max(earlier.until.min(now + LONGEST_INHERITED_REST));
+            self.trial = Trial::Due;
+            self.since = if self.resting { self.since } else { now };
+            self.resting = true;
+        }
+        if earlier.leaving() && self.departure == Departure::None {
+            self.departure = Departure::Unsettled;
+        }
+    }
+
+    /// Whether it has said that it leaves, or may have.
     pub fn leaving(&self) -> bool {
-        self.leaving
+        self.departure != Departure::None
+    }
+
+    /// Whether it is not known which run has said that it leaves.
+    pub fn unsettled(&self) -> bool {
+        self.departure == Departure::Unsettled
+    }
+
+    /// Settles whether it leaves, where that is not known.
+    pub fn settle(&mut self, leaving: bool) {
+        if self.unsettled() {
+            self.departure = if leaving { Departure::Told } else { Departure::None };
+        }
     }
 
     /// Whether it may get one more request now. After a rest it gets one alone,
     /// until it has begun to answer it: few at first, and more only if it takes them.
     pub fn admits(&self, now: clock::Instant) -> bool {
-        !self.leaving && !self.rests(now) && self.trial != Trial::Sent
+        !self.leaving() && !self.rests(now) && self.trial != Trial::Sent
     }
 
     /// A request is sent to it.
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -279,8 +279,10 @@
 impl Table {
     /// Replaces the listings. One that is gone stays known while its requests
     /// are in flight, and gets no new work. One that has started again is
-    /// another record: nothing that was learnt of its earlier run holds.
-    pub fn list(&mut self, listings: Vec<Listing>) {
+    /// another record: nothing that was learnt of its earlier run holds, but for
+    /// what the new one may have said itself. Returns those that started again.
+    pub fn list(&mut self, listings: Vec<Listing>, now: clock::Instant) -> Vec<entity::Server> {
+        let mut restarted = Vec::new();
         for record in self.records.values_mut() {
             record.listed = false;
         }
@@ -289,11 +291,28 @@
                 Some(server) => self.records[server].relist(listing),
                 None => {
                     let host = listing.host.clone();
+                    let earlier = self.find(&host);
                     let server = self.records.push(Record::new(listing));
                     self.newest.insert(host, server);
+                    if let Some(earlier) = earlier {
+                        self.inherit(server, earlier, now);
+                        restarted.push(server);
+                    }
                 }
             }
         }
+        restarted
+    }
+
+    /// Has a run take over what was said under its id before.
+    pub fn inherit(
+        &mut self,
+        server: entity::Server,
+        earlier: entity::Server,
+        now: clock::Instant,
+    ) {
+        let said = self.records[earlier].standing.clone();
+        self.records[server].standing.inherit(&said, now);
     }
 
     /// The newest run of the backend server on that host.
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -121,6 +121,7 @@
     origin: boot::Instant,
     waited: Notify,
     outage: Arc<Notify>,
+    unsettled: Arc<Notify>,
     inner: Mutex<Inner<T>>,
 }
 
@@ -131,13 +132,11 @@
     teams: name::Table<entity::Team>,
     targets: BTreeMap<entity::Server, T>,
     waiting: BTreeMap<entity::Ticket, mpsc::UnboundedSender<Next<T>>>,
-    /// When each backend server last said that it leaves, Unix milliseconds, by its
-    /// id. It may have started again before and said so before its entry tells the
-    /// start: the word is then of the run that is listed next.
-    left: BTreeMap<Arc<str>, u64>,
     sequence: u64,
     /// Wakes whoever looks for groups out of reach.
     outage: Arc<Notify>,
+    /// Wakes whoever finds out which backend servers leave.
+    unsettled: Arc<Notify>,
 }
 
 impl<T: Clone + Send> Dispatcher<T> {
@@ -145,7 +144,7 @@
     pub fn new(options: &balancer::Options) -> Dispatcher<T> {
         let rng = rand_chacha::ChaCha8Rng::seed_from_u64(rand::random());
         let policy = policy::Blend { rng, sample: SAMPLE, affinity_slack: 0.0 };
-        let outage: Arc<Notify> = Arc::default();
+        let (outage, unsettled): (Arc<Notify>, Arc<Notify>) = Default::default();
         let inner = Inner {
             balancer: balancer::Balancer::new(policy, options),
             pools: name::Table::default(),
@@ -153,12 +152,12 @@
             teams: name::Table::default(),
             targets: BTreeMap::new(),
             waiting: BTreeMap::new(),
-            left: BTreeMap::new(),
             sequence: 0,
             outage: outage.clone(),
+            unsettled: unsettled.clone(),
         };
         let (origin, waited) = (boot::Instant::now(), Notify::new());
-        Dispatcher { origin, waited, outage, inner: Mutex::new(inner) }
+        Dispatcher { origin, waited, outage, unsettled, inner: Mutex::new(inner) }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner<T>> {
@@ -186,12 +185,11 @@
             group: listing.rank.as_ref().map(|rank| inner.groups.intern(&rank.group)),
             news: listing.rank.as_ref().and_then(Rank::news),
             local: listing.local,
-            leaving: listing.leaving || inner.has_left(&listing.run),
+            leaving: listing.leaving,
             drained: listing.drained,
             cold: listing.cold.map(|(until, rate)| warmup::Cold { until: self.at(until), rate }),
         });
         let rows: Vec<server::Listing> = rows.collect();
-        inner.left.retain(|id, _| rows.iter().any(|row| row.host == *id));
         let mut actions = inner.balancer.list(rows, now);
         for listing in listings {
             let Some(id) = inner.balancer.servers().find(&listing.run.id) else { continue };
@@ -257,10 +255,6 @@
         let now = self.now();
         let mut inner = self.lock();
         let (change, actions) = inner.balancer.notice(server, notice, now);
-        if notice.leaving {
-            let id = inner.balancer.servers()[server].listing.host.clone();
-            inner.left.insert(id, boot::unix_ms());
-        }
         inner.route(actions);
         change
     }
@@ -275,6 +269,26 @@
         self.lock().balancer.noticed(self.now())
     }
 
+    /// Waits until it is not known of backend servers whether they leave; returns
+    /// them with what is needed to reach them.
+    pub async fn unsettled(&self) -> Vec<(entity::Server, T)> {
+        loop {
+            let unsettled = self.lock().unsettled();
+            if !unsettled.is_empty() {
+                return unsettled;
+            }
+            self.unsettled.notified().await;
+        }
+    }
+
+    /// A backend server was found to leave, or not to.
+    pub fn settle(&self, server: entity::Server, leaving: bool) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let actions = inner.balancer.settle(server, leaving, now);
+        inner.route(actions);
+    }
+
     /// Whether a backend server is leaving, or has left the list. One that has
     /// started again has not: its earlier run ended.
     pub fn leaving(&self, server: entity::Server) -> bool {
@@ -427,10 +441,9 @@
         self.balancer.report(server, report, now)
     }
 
-    /// Whether a backend server has said that it leaves since that run began.
-    fn has_left(&self, run: &fleet::Run) -> bool {
-        let left = self.left.get(&run.id);
-        left.zip(run.born).is_some_and(|(left, born)| born <= *left)
+    fn unsettled(&self) -> Vec<(entity::Server, T)> {
+        let servers = self.balancer.unsettled();
+        servers.filter_map(|server| Some((server, self.targets.get(&server)?.clone()))).collect()
     }
 
     fn out_of_reach(&self) -> Vec<(entity::Group, Vec<T>)> {
@@ -468,6 +481,12 @@
                     let id = &self.balancer.servers()[server].listing.host;
                     log::info!("server rested server={id} ms={}", time.as_millis());
                 }
+                balancer::Note::Unsettled(server) => {
+                    let listing = &self.balancer.servers()[server].listing;
+                    let born = listing.born.unwrap_or_default();
+                    log::info!("server may leave server={} born={born}", listing.host);
+                    self.unsettled.notify_one();
+                }
             }
         }
         for action in actions {
--- a/dispatch/tests/runs.rs
+++ b/dispatch/tests/runs.rs
@@ -63,8 +63,14 @@
     dispatcher.list(vec![listing(&run("a", Some(said - 100)), SLOTS)]);
     let mut permit = dispatcher.arrive(&arrival(Duration::from_millis(50)));
     assert!(matches!(permit.next().await, Some(dispatch::Next::Refuse(_))));
-    // A run that began after the word has not said it.
+    // A run that began after the word has not said it, which it tells itself: the
+    // clocks of hosts do not tell which of the two was first.
     dispatcher.list(vec![listing(&run("a", Some(said + 1_000)), SLOTS)]);
+    let mut permit = dispatcher.arrive(&arrival(Duration::from_millis(50)));
+    assert!(matches!(permit.next().await, Some(dispatch::Next::Refuse(_))));
+    let unsettled = dispatcher.unsettled().await;
+    assert_eq!(unsettled.len(), 1);
+    dispatcher.settle(unsettled[0].0, false);
     let mut permit = dispatcher.arrive(&arrival(Duration::from_secs(60)));
     assert!(matches!(permit.next().await, Some(dispatch::Next::Send(_))));
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! [`upstream`] sends an attempt, and [`answer`] or, for streams, [`stream`]
 //! hands the answer on. [`state`] holds what all requests share; it follows
 //! the configuration and the list of backend servers through the mirror.
-//! [`probe`] finds out when a group can be reached again, [`ended`] whether a
+//! [`probe`] finds out when a group can be reached again, and whether a backend
+//! server that started again leaves, [`ended`] whether a
 //! backend server ended under a request, [`notice`] what servers say of their
 //! own near future.
 //! [`health`] tells the platform whether the gateway is ready, [`drain`] is
@@ -109,6 +110,7 @@
     tokio::spawn(health::serve(gateway.clone(), metrics));
     tokio::spawn(state::follow(gateway.clone()));
     tokio::spawn(probe::run(gateway.clone()));
+    tokio::spawn(probe::settle(gateway.clone()));
     tokio::spawn(notice_suspensions(gateway.mirror.clone()));
     let dispatcher = gateway.dispatcher.clone();
     tokio::spawn(async move { dispatcher.run().await });
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -70,6 +70,8 @@
     pub servers_ended: Counter,
     /// Times that a backend server asked for rest.
     pub rests: Counter,
+    /// Health checks of backend servers of which it was not known whether they leave.
+    pub health_checks: Counter,
     /// Time to the head of an answer, seconds.
     pub first_byte: Histogram,
     /// Time to the end of an answer, seconds.
@@ -92,6 +94,7 @@
             resumed: Counter::default(),
             servers_ended: Counter::default(),
             rests: Counter::default(),
+            health_checks: Counter::default(),
             first_byte: histogram(),
             whole: histogram(),
             config_version: Gauge::default(),
@@ -123,6 +126,8 @@
         let ended = "Requests under which their backend server ended";
         registry.register("server_ended", ended, self.servers_ended.clone());
         registry.register("server_rests", "Rests that servers asked for", self.rests.clone());
+        let checks = "Health checks of servers of which it was not known whether they leave";
+        registry.register("health_checks", checks, self.health_checks.clone());
         let (resting, leaving): (Gauge, Gauge) = Default::default();
         let noticed = gateway.dispatcher.noticed();
         resting.set(noticed.0 as i64);
--- a/gateway/src/probe.rs
+++ b/gateway/src/probe.rs
@@ -1,10 +1,12 @@
-//! Finds out when a group that was out of reach can be reached again, without
-//! a caller's request: a connection is made and closed.
+//! Finds things out about backend servers without a caller's request: when a group
+//! that was out of reach can be reached again, by a connection that is made and
+//! closed, and whether a server that started again leaves, by a health check.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use loftcove_interface::protocol::Protocol;
+use loftcove_decision::entity;
+use loftcove_interface::protocol::{Health, Protocol};
 
 use crate::{state, upstream};
 
@@ -25,3 +27,53 @@
         tokio::time::sleep(PAUSE).await;
     }
 }
+
+/// Pause between two health checks of a backend server that settled nothing.
+const HEALTH_PAUSE: Duration = Duration::from_millis(500);
+/// Health checks of a gateway at a time.
+const HEALTH_CHECKS: usize = 8;
+
+/// Settles whether backend servers leave that started again after their id had said
+/// so, until the process ends. They get nothing meanwhile.
+pub async fn settle<P: Protocol>(gateway: Arc<state::Gateway<P>>) {
+    loop {
+        let unsettled = gateway.dispatcher.unsettled().await;
+        for servers in unsettled.chunks(HEALTH_CHECKS) {
+            let mut checks = tokio::task::JoinSet::new();
+            for (server, target) in servers.iter().cloned() {
+                checks.spawn(check(gateway.clone(), server, target));
+            }
+            checks.join_all().await;
+        }
+        tokio::time::sleep(HEALTH_PAUSE).await;
+    }
+}
+
+async fn check<P: Protocol>(
+    gateway: Arc<state::Gateway<P>>,
+    server: entity::Server,
+    target: state::Target,
+) {
+    let id = &target.run.id;
+    let Some(path) = &target.health_path else {
+        log::info!("server settled server={id} leaving=false reason=no-health-path");
+        return gateway.dispatcher.settle(server, false);
+    };
+    gateway.metrics.health_checks.inc();
+    let leaving = match upstream::check_health(target.address, path).await {
+        Ok(head) => match P::health(&head, id) {
+            Health::Serves => false,
+            Health::Leaves => true,
+            Health::Unknown => {
+                log::info!("health check settled nothing server={id} status={}", head.status);
+                return;
+            }
+        },
+        Err(error) => {
+            log::info!("health check settled nothing server={id} error=\"{error}\"");
+            return;
+        }
+    };
+    log::info!("server settled server={id} leaving={leaving} reason=health-check");
+    gateway.dispatcher.settle(server, leaving);
+}
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -37,6 +37,8 @@
     pub address: SocketAddr,
     /// Connections that this gateway may keep to it.
     pub max_connections: usize,
+    /// Path at which it tells whether it serves.
+    pub health_path: Option<Arc<str>>,
 }
 
 /// The gateway. Lock order, where more than one is held: the dispatcher, then
@@ -151,6 +153,10 @@
                 service.engine.as_ref().is_some_and(|engine| engine.experts.is_some())
             })
         };
+        let health_path = |service: &str| {
+            let service = routes.as_ref().and_then(|table| table.service(service));
+            service.and_then(|service| service.health_path.clone())
+        };
         let groups = self.groups();
         let rank = |server: &fleet::Server| match &server.rank {
             Some(rank) => dispatch::Rank { group: rank.group.clone(), told: Some(rank.clone()) },
@@ -181,6 +187,7 @@
                 run: server.run(),
                 address: server.address,
                 max_connections: connections(&server.service),
+                health_path: health_path(&server.service),
             },
         };
         for service in routes.iter().flat_map(|table| table.services()) {
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -203,6 +203,25 @@
     Reply { response, connection: Connection { sender, run: target.run.clone() } }
 }
 
+/// Longest wait for the answer to a health check.
+const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Asks a backend server on a new connection whether it serves, so that the run
+/// answers that now has its address; returns the head of the answer.
+///
+/// # Errors
+///
+/// An [`Error`].
+pub async fn check_health(address: SocketAddr, path: &str) -> Result<http::response::Parts, Error> {
+    let fault = |error: &dyn std::error::Error| Error::NoAnswer(error.to_string());
+    let request = http::Request::get(path).header(http::header::HOST, address.to_string());
+    let request = request.body(Full::default()).map_err(|error| fault(&error))?;
+    let mut sender = connect(address).await?;
+    let answer = tokio::time::timeout(HEALTH_TIMEOUT, sender.send_request(request)).await;
+    let answer = answer.map_err(|error| fault(&error))?.map_err(|error| fault(&error))?;
+    Ok(answer.into_parts().0)
+}
+
 /// Whether a connection to a backend server comes about. Nothing is sent on it.
 pub async fn reaches(address: SocketAddr) -> bool {
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
--- a/interface/src/protocol.rs
+++ b/interface/src/protocol.rs
@@ -80,6 +80,17 @@
     pub notice: notice::Notice,
 }
 
+/// What a backend server's answer to a health check says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It serves, and does not leave.
+    Serves,
+    /// It leaves.
+    Leaves,
+    /// Neither is known: it fails or is full, or another one answered.
+    Unknown,
+}
+
 /// Why a record or a request could not be read.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -159,6 +170,10 @@
     /// Reads the head of an answer to the request with that id.
     fn answer(head: &http::response::Parts, id: &str) -> Answer;
 
+    /// Reads the head of an answer to a health check of the backend server with
+    /// that id.
+    fn health(head: &http::response::Parts, instance: &str) -> Health;
+
     /// Headers of an answer of a backend server towards the client.
     fn relay(head: &http::response::Parts) -> http::HeaderMap;
 
--- a/mirror/tests/catalog.rs
+++ b/mirror/tests/catalog.rs
@@ -166,6 +166,10 @@
         Adapter::answer(head, id)
     }
 
+    fn health(head: &http::response::Parts, instance: &str) -> protocol::Health {
+        Adapter::health(head, instance)
+    }
+
     fn relay(head: &http::response::Parts) -> http::HeaderMap {
         Adapter::relay(head)
     }
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -416,6 +416,15 @@
     }
 }
 
+/// Writes the entries of all plain servers with the times of their starts, so that
+/// each later start is another run.
+pub async fn tell_starts(system: &System) {
+    for number in 0..system.plan.plain {
+        let (id, address) = (server_name(false, number), system.plain_address(number));
+        system.list_run(&id, SMS, address, FIRST_START).await;
+    }
+}
+
 /// Entries of another writer. Each names the plain service or the group, at an
 /// address where nobody listens, and none is whole.
 fn foreign() -> Vec<serde_json::Value> {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -10,7 +10,7 @@
 
 use crate::check::{self, Breach, Evidence};
 use crate::inject::Injector;
-use crate::{client, plan};
+use crate::{client, inject, plan};
 
 /// Longest time until all is well again after the faults. Leases of drivers and
 /// entries that were held back have run out by then.
@@ -54,6 +54,7 @@
         proxied: true,
     })
     .await;
+    inject::tell_starts(&system).await;
     let shared: Arc<client::Shared> = Arc::default();
     shared.newest.store(2, Ordering::Relaxed);
     system.configure(2, &[&client::key(2), &client::key(1)]).await;
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -159,6 +159,7 @@
                 let status = self.group.order(self.rank, order).await.ok_or_else(dropped)?;
                 Ok(server::text(status, ""))
             }
+            "/healthz" => self.health(),
             _ => self.serve(&head, body).await,
         }
     }
@@ -175,6 +176,16 @@
         if self.group.leaves(&self.id) { answer.header("server-leaving", "1") } else { answer }
     }
 
+    /// Answers a health check.
+    fn health(&self) -> Result<http::Response<Body>, Dropped> {
+        let answer = http::Response::builder().header("x-instance-id", &*self.id);
+        let answer = match self.group.leaves(&self.id) {
+            true => answer.status(503).header("server-leaving", "1"),
+            false => answer.status(200),
+        };
+        answer.body(empty()).map_err(std::io::Error::other)
+    }
+
     /// Refuses a request, with the time after which to come back.
     fn shed(
         &self,
--- a/tests/tests/rest.rs
+++ b/tests/tests/rest.rs
@@ -17,7 +17,8 @@
 
 use futures_util::future;
 use loftcove_tests::request::Request;
-use loftcove_tests::system::{Plan, System};
+use loftcove_tests::system::{Plan, SMS, System};
+use loftcove_tests::until;
 use loftcove_tests::visits::{self, Sent, Undisturbed};
 
 const PLAN: Plan =
@@ -111,3 +112,31 @@
 async fn a_rank_that_leaves_gets_nothing_more() {
     leaves(true).await;
 }
+
+/// Seen: a server that started again was left out for the rest of its life at
+/// gateways that had heard it leave before. Cause: the time of its start, by its
+/// own clock, was held against the time at which a gateway had heard of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_starts_again_serves_whatever_its_clock() {
+    let system = System::start(PLAN).await;
+    // Its clock is far behind.
+    let start = |born| system.list_run("plain-1", SMS, system.plain_address(1), born);
+    start(1).await;
+    let leave = |on: u8| format!("/leave?server=plain-1&on={on}");
+    system.servers_control(None, &leave(1)).await;
+    load(&system, false).await;
+    assert!(system.visits().await.iter().any(|visit| visit.leaving), "no answer told it");
+    system.servers_control(None, &leave(0)).await;
+    start(2).await;
+    until("all gateways send to it again", || async {
+        let (sent, _) = load(&system, false).await;
+        let visits = system.visits().await;
+        let again = |gateway| {
+            let of_run = |visit: &visits::Visit| visit.server == "plain-1" && visit.run == 1;
+            let by = |visit: &visits::Visit| sent.get(&visit.request).map(|sent| sent.gateway);
+            visits.iter().any(|visit| of_run(visit) && by(visit) == Some(gateway))
+        };
+        (0..PLAN.gateways).all(again)
+    })
+    .await;
+}
