Own interface: a test that a stop writes answers out behind a small window

Looked for the fault of the gateway's stop (an answer lost with the process that its connection had not written out) at the entry hosts of loftcove's own interface. It is not there: an answer counts as in flight until its connection has taken all of its body, and the test passes on the code as it is. The stand-in for plain services makes an answer longer where it is asked to.

--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -3,7 +3,8 @@
 //! Every call is done and counted under its `idempotency-key`; `GET
 //! /standin/runs` tells the counts. `x-standin-delay-ms` makes a call slow, `x-standin-cross`
 //! has it answered with another request's id, `x-standin-end-ms` ends the process after that time,
-//! `x-standin-shed: SECONDS` has it refused, with so much rest asked for.
+//! `x-standin-shed: SECONDS` has it refused, with so much rest asked for,
+//! `x-standin-bytes: N` makes its answer longer by so many bytes.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -60,7 +61,9 @@
         }
         tokio::time::sleep(Duration::from_millis(delay)).await;
         let body = server::read(request.into_body()).await;
-        let answer = serde_json::json!({ "delivered": key, "bytes": body.len() });
+        let padding = "x".repeat(header(&crossing, "x-standin-bytes").parse().unwrap_or(0));
+        let answer =
+            serde_json::json!({ "delivered": key, "bytes": body.len(), "padding": padding });
         let mut response = server::json(200, &answer);
         let crossed = !header(&crossing, "x-standin-cross").is_empty();
         let echo = if crossed { "another-request".to_owned() } else { id };
--- a/tests/src/client.rs
+++ b/tests/src/client.rs
@@ -6,6 +6,20 @@
 
 use crate::request::Request;
 
+/// Bytes of a segment, and of the buffer of a client behind a small window: most
+/// of a long answer waits at the sender.
+const SEGMENT: u32 = 536;
+/// See [`SEGMENT`].
+const WINDOW: u32 = 4_096;
+
+/// Connects as a client behind a small window.
+pub async fn behind_small_window(address: SocketAddr) -> tokio::net::TcpStream {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket can be made");
+    socket2::SockRef::from(&socket).set_tcp_mss(SEGMENT).expect("the segments can be small");
+    socket.set_recv_buffer_size(WINDOW).expect("the buffer can be small");
+    socket.connect(address).await.expect("somebody listens")
+}
+
 /// A client that keeps its connection.
 pub struct Client {
     sender: hyper::client::conn::http1::SendRequest<Full<bytes::Bytes>>,
--- a/tests/tests/stopping.rs
+++ b/tests/tests/stopping.rs
@@ -8,6 +8,7 @@
 
 use std::time::Duration;
 
+use loftcove_tests::client;
 use loftcove_tests::request::Request;
 use loftcove_tests::system::{Plan, System};
 use loftcove_tests::until;
@@ -45,11 +46,6 @@
     assert!(system.gateways[0].wait().await);
 }
 
-/// Bytes of a segment, and of the buffer of a client behind a small window: most
-/// of its answer waits at the gateway.
-const SEGMENT: u32 = 536;
-/// See [`SEGMENT`].
-const WINDOW: usize = 4_096;
 /// Events of an answer of some 200 KB: it fits no window, and is held whole.
 const EVENTS: &str = "6000";
 /// Time after the signal at which the answer is asked for: the gateway still serves.
@@ -63,10 +59,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stop_writes_answers_out_to_clients_behind_a_small_window() {
     let mut system = System::start(PLAN).await;
-    let socket = tokio::net::TcpSocket::new_v4().unwrap();
-    socket2::SockRef::from(&socket).set_tcp_mss(SEGMENT).unwrap();
-    socket.set_recv_buffer_size(WINDOW as u32).unwrap();
-    let mut stream = socket.connect(system.client_address(0)).await.unwrap();
+    let mut stream = client::behind_small_window(system.client_address(0)).await;
     system.gateways[0].signal(libc::SIGTERM);
     tokio::time::sleep(ASKED).await;
     let request = Request::new("/alert/").with("x-standin-events", EVENTS);
--- a/tests/tests/stops.rs
+++ b/tests/tests/stops.rs
@@ -4,8 +4,10 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
-use loftcove_tests::{caller, cluster, until};
+use loftcove_tests::{caller, client, cluster, until};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 #[derive(Default)]
 struct Counts {
@@ -134,6 +136,37 @@
     assert!(process.wait().await);
 }
 
+/// Bytes of an answer that fits no small window and is held whole.
+const LONG: usize = 200_000;
+/// Time after the signal at which its client reads on: the entry host is idle.
+const READ_ON: Duration = Duration::from_millis(500);
+
+/// An answer counts as in flight until its connection has taken all of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_writes_answers_out_to_callers_behind_a_small_window() {
+    let mut cluster = cluster::Cluster::start(cluster::Plan::default()).await;
+    let entry = cluster.entries().remove(0);
+    let address = cluster.members[&entry].http.unwrap();
+    let key = uuid::Uuid::now_v7().to_string();
+    let mut stream = client::behind_small_window(address).await;
+    let (service, token) = (cluster::SERVICE, cluster::TOKEN);
+    let request = format!(
+        "POST /services/{service}/send HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {token}\r\n\
+         idempotency-key: {key}\r\nx-standin-bytes: {LONG}\r\ncontent-length: 2\r\n\r\n{{}}"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    until("the call ran", || async { cluster.runs(&key).await == 1 }).await;
+    let mut answer = vec![0; 16];
+    stream.read_exact(&mut answer).await.unwrap();
+    let process = &mut cluster.members.get_mut(&entry).unwrap().process;
+    process.signal(libc::SIGTERM);
+    tokio::time::sleep(READ_ON).await;
+    // A reset is an answer that is not whole, as an early end is.
+    stream.read_to_end(&mut answer).await.ok();
+    assert!(answer.len() > LONG, "cut off after {} bytes", answer.len());
+    assert!(process.wait().await);
+}
+
 async fn state(cluster: &cluster::Cluster, at: &str, host: &str) -> String {
     let status = cluster.status().await;
     let servers = status[at]["servers"].as_array().cloned().unwrap_or_default();
