Check of servers that leave: a request to which the server gave no answer told nothing

Seen: the soak's check reported one request to a server that had said that it leaves (the form in which broke it). Cause, one of two: the stand-in marked a request as told when it arrived, also where the server then lost the answer on purpose, so that its gateway had heard nothing when the next request came more than 2 s later, and passed nothing on.

Trace: tests/rest.rs has one server that leaves, loses an answer and is asked again 2 s later; the check counted that one request before ("requests: 1"), and counts none now. The users' rule begins with an answer that was passed on with the header.

The check stays as strict for every answer that was given: the stand-in now marks a request as it writes the header of its answer.

--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -213,6 +213,11 @@
         self.lock().receive(server, request)
     }
 
+    /// Whether a server says in its answer to a request that it leaves.
+    pub fn answer(&self, server: &str, request: &str) -> bool {
+        self.lock().answer(server, request)
+    }
+
     /// Whether a server says that it leaves.
     pub fn leaves(&self, server: &str) -> bool {
         self.lock().leaving.contains(server)
@@ -377,16 +382,27 @@
             shed.count += 1;
             shed.count.is_multiple_of(shed.each).then(|| shed.rest.clone())
         });
-        let leaving = self.leaving.contains(server);
         let run = self.starts.get(server).copied().unwrap_or(0);
         let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         self.visits.push(json!({
             "server": server, "run": run, "request": request, "at": at.as_millis() as u64,
-            "shed": shed, "leaving": leaving,
+            "shed": shed, "leaving": false,
         }));
         shed
     }
 
+    /// Whether a server says in its answer to a request that it leaves, which is
+    /// kept with the request's visit.
+    fn answer(&mut self, server: &str, request: &str) -> bool {
+        let leaves = self.leaving.contains(server);
+        let mut visits = self.visits.iter_mut().rev();
+        let visit = visits.find(|visit| visit["server"] == server && visit["request"] == request);
+        if let Some(visit) = visit {
+            visit["leaving"] = json!(leaves);
+        }
+        leaves
+    }
+
     fn form(&mut self) {
         let ranks = self.ranks.len();
         self.epoch += 1;
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -173,7 +173,8 @@
             .header("x-attempt-id", echo)
             .header("x-server-stamp", format!("{}.{id}", self.id))
             .header("x-server-load", "1,0,12");
-        if self.group.leaves(&self.id) { answer.header("server-leaving", "1") } else { answer }
+        let leaves = self.group.answer(&self.id, id);
+        if leaves { answer.header("server-leaving", "1") } else { answer }
     }
 
     /// Answers a health check.
--- a/tests/src/visits.rs
+++ b/tests/src/visits.rs
@@ -29,7 +29,7 @@
     /// The rest that the server asked for, as its header said it, where it
     /// refused the request.
     pub shed: Option<String>,
-    /// Whether the answer said that the server leaves.
+    /// Whether its answer said that the server leaves; not where none was given.
     pub leaving: bool,
 }
 
--- a/tests/tests/rest.rs
+++ b/tests/tests/rest.rs
@@ -13,7 +13,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
 use std::collections::BTreeMap;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use futures_util::future;
 use loftcove_tests::request::Request;
@@ -140,3 +140,28 @@
     })
     .await;
 }
+
+/// Asks once; returns whether that reached the server `plain-1`.
+async fn reaches(system: &System, sent: &mut BTreeMap<String, Sent>, request: Request) -> bool {
+    let at = now();
+    system.ask(0, &request).await;
+    let visits = system.visits().await;
+    let reached = visits.iter().any(|v| v.request == request.id && v.server == "plain-1");
+    sent.insert(request.id, Sent { gateway: 0, at, answered: now() });
+    reached
+}
+
+/// Seen: the check counted from a request to which the server had given no answer,
+/// so that its gateway knew nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_whose_answer_is_lost_has_told_nothing() {
+    let system = System::start(PLAN).await;
+    system.servers_control(None, "/leave?server=plain-1&on=1").await;
+    let mut sent = BTreeMap::new();
+    let lose = || Request::new("/alert/").with("x-standin-lose", "1");
+    while !reaches(&system, &mut sent, lose()).await {}
+    tokio::time::sleep(Duration::from_millis(visits::DRAIN_MS)).await;
+    while !reaches(&system, &mut sent, Request::new("/alert/")).await {}
+    let visits = system.visits().await;
+    assert_eq!(visits::worst(visits::undrained(&visits, &sent, &Undisturbed)), None);
+}
