--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -1,5 +1,6 @@
 //! Clients that send requests over kept connections, and write down what they saw.
 
+use std::fmt;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -18,6 +19,9 @@
 /// Of so many clients one ignores Retry-After, as some callers do.
 const HASTY: u32 = 4;
 
+/// Pause of a client whose key its gateway does not know yet.
+const UNKNOWN_KEY_PAUSE: Duration = Duration::from_millis(200);
+
 /// Kind of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -49,6 +53,18 @@
     },
 }
 
+impl fmt::Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            End::NoConnection => f.write_str("no-connection"),
+            End::Closed => f.write_str("closed"),
+            End::Silent => f.write_str("silent"),
+            End::Answer { head, whole: true, .. } => write!(f, "{}", head.status),
+            End::Answer { head, whole: false, .. } => write!(f, "{}-cut", head.status),
+        }
+    }
+}
+
 /// One request as its client saw it.
 #[derive(Debug, Clone)]
 pub struct Seen {
@@ -75,6 +91,7 @@
     /// How long its caller waits before the next request, if it heeds Retry-After.
     fn pause(&self) -> Duration {
         match &self.end {
+            End::Answer { head, .. } if head.status == 401 => UNKNOWN_KEY_PAUSE,
             End::Answer { head, .. } => head.retry_after.unwrap_or_default().min(DEADLINE / 3),
             _ => Duration::ZERO,
         }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -113,12 +113,15 @@
     let mut sound = true;
     for &seed in &options.seeds {
         let report = run::play(seed, &options.size, options.events(seed)).await;
+        let ends: Vec<String> =
+            report.ends.iter().map(|(end, count)| format!("{end}:{count}")).collect();
         println!(
-            "seed={seed} faults={} requests={} answered={} refused={} switches={} breaches={}",
+            "seed={seed} faults={} requests={} answered={} refused={} ends={} switches={} breaches={}",
             report.events.len(),
             report.requests.0,
             report.requests.1,
             report.refused,
+            ends.join(","),
             report.switches,
             report.breaches.len()
         );
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -25,6 +25,8 @@
     pub requests: (usize, usize),
     /// Requests that were refused as not run.
     pub refused: usize,
+    /// All requests by how they ended.
+    pub ends: BTreeMap<String, usize>,
     /// Changes of the map, over all ranks.
     pub switches: u64,
     /// Promises that were broken.
@@ -75,6 +77,8 @@
     let answered = |seen: &&client::Seen| matches!(&seen.end, client::End::Answer { head, whole: true, .. } if head.status == 200);
     let requests = (seen.len(), seen.iter().filter(answered).count());
     let refused = seen.iter().filter(|seen| seen.refused()).count();
+    let mut ends: BTreeMap<String, usize> = BTreeMap::new();
+    seen.iter().for_each(|seen| *ends.entry(seen.end.to_string()).or_default() += 1);
     let (arrivals, visits) = (arrivals(&system).await, system.visits().await);
     let evidence = Evidence { seen, arrivals, spans, visits, harms };
     let poisoned = poisoned(&system).await;
@@ -94,7 +98,7 @@
     }
     let logs = logs(&system);
     breaches.extend(check::blamed(&evidence.seen, &logs));
-    Report { events, requests, refused, switches: number("switches"), breaches, logs }
+    Report { events, requests, refused, ends, switches: number("switches"), breaches, logs }
 }
 
 /// Waits until every gateway goes by the newest configuration, which is written
