Each word of an earlier run reaches the next one, also where it only extends a rest

Cause, in the product: the next run was told only where a word changed what was known of the run before, so that a longer rest within a rest, or a word repeated after a health check had settled it, was lost. Change: it is told each time.

--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -149,8 +149,8 @@
 
     /// Takes a new host list.
     pub fn list(&mut self, listings: Vec<server::Listing>, now: clock::Instant) -> Vec<Action> {
-        for restarted in self.servers.list(listings, now) {
-            self.note_inherited(restarted, now);
+        for (server, unsettled) in self.servers.list(listings, now) {
+            self.note_inherited(server, unsettled, now);
         }
         self.servers.warm_up(self.share, now);
         self.hear(now);
--- a/decision/src/balancer/rest.rs
+++ b/decision/src/balancer/rest.rs
@@ -24,9 +24,9 @@
         self.note_rested(now);
         let change = self.servers[server].notice(notice, now);
         let mut actions = Vec::new();
+        self.tell_later_run(server, now);
         if change.is_some() {
             self.noticed.insert(server);
-            self.tell_later_run(server, now);
             self.pump(self.servers[server].listing.pool, now, &mut actions);
         }
         (change, actions)
@@ -37,17 +37,22 @@
     fn tell_later_run(&mut self, server: entity::Server, now: clock::Instant) {
         let newest = self.servers.find(&self.servers[server].listing.host);
         let Some(newest) = newest.filter(|newest| *newest != server) else { return };
-        self.servers.inherit(newest, server, now);
-        self.note_inherited(newest, now);
+        let unsettled = self.servers.inherit(newest, server, now);
+        self.note_inherited(newest, unsettled, now);
     }
 
     /// Notes what a run has taken over from an earlier one.
-    pub(super) fn note_inherited(&mut self, server: entity::Server, now: clock::Instant) {
+    pub(super) fn note_inherited(
+        &mut self,
+        server: entity::Server,
+        unsettled: bool,
+        now: clock::Instant,
+    ) {
         let standing = &self.servers[server].standing;
         if standing.leaving() || standing.rests(now) {
             self.noticed.insert(server);
         }
-        if standing.unsettled() {
+        if unsettled {
             self.notes.push(Note::Unsettled(server));
         }
     }
--- a/decision/src/routing/notice.rs
+++ b/decision/src/routing/notice.rs
@@ -144,16 +144,19 @@
 
     /// Takes over what was said under the same id before, since this run may have
     /// said it: one that starts again serves before its entry tells the start.
-    pub fn inherit(&mut self, earlier: &Standing, now: clock::Instant) {
+    /// Returns whether it has become unsettled whether it leaves.
+    pub fn inherit(&mut self, earlier: &Standing, now: clock::Instant) -> bool {
         if earlier.rests(now) {
             self.until = self.until.max(earlier.until.min(now + LONGEST_INHERITED_REST));
             self.trial = Trial::Due;
             self.since = if self.resting { self.since } else { now };
             self.resting = true;
         }
-        if earlier.leaving() && self.departure == Departure::None {
+        let unsettled = earlier.leaving() && self.departure == Departure::None;
+        if unsettled {
             self.departure = Departure::Unsettled;
         }
+        unsettled
     }
 
     /// Whether it has said that it leaves, or may have.
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -280,8 +280,13 @@
     /// Replaces the listings. One that is gone stays known while its requests
     /// are in flight, and gets no new work. One that has started again is
     /// another record: nothing that was learnt of its earlier run holds, but for
-    /// what the new one may have said itself. Returns those that started again.
-    pub fn list(&mut self, listings: Vec<Listing>, now: clock::Instant) -> Vec<entity::Server> {
+    /// what the new one may have said itself. Returns those that started again, each
+    /// with whether that leaves unsettled whether it leaves.
+    pub fn list(
+        &mut self,
+        listings: Vec<Listing>,
+        now: clock::Instant,
+    ) -> Vec<(entity::Server, bool)> {
         let mut restarted = Vec::new();
         for record in self.records.values_mut() {
             record.listed = false;
@@ -295,8 +300,7 @@
                     let server = self.records.push(Record::new(listing));
                     self.newest.insert(host, server);
                     if let Some(earlier) = earlier {
-                        self.inherit(server, earlier, now);
-                        restarted.push(server);
+                        restarted.push((server, self.inherit(server, earlier, now)));
                     }
                 }
             }
@@ -304,15 +308,16 @@
         restarted
     }
 
-    /// Has a run take over what was said under its id before.
+    /// Has a run take over what was said under its id before; returns whether it has
+    /// become unsettled whether it leaves.
     pub fn inherit(
         &mut self,
         server: entity::Server,
         earlier: entity::Server,
         now: clock::Instant,
-    ) {
+    ) -> bool {
         let said = self.records[earlier].standing.clone();
-        self.records[server].standing.inherit(&said, now);
+        self.records[server].standing.inherit(&said, now)
     }
 
     /// The newest run of the backend server on that host.
