An estimate by which all requests are refused is forgotten while nothing is under way

Cause: a request that cannot be answered before its deadline at the mean time of the pool's answers is refused at once. The gateway had been paused for five seconds with a stream under way; that stream's answer made the mean 5.2 s, beyond the deadline of 3 s. Refused requests bring no answers, so that nothing ever corrected it.

The property of decision/tests/rest.rs had stepped round it by a deadline of an hour.

Change: where this estimate alone would refuse a request and this gateway has nothing under way in the pool, it is forgotten until the next answer. While something is under way, it holds as before.

The same fault elsewhere: the time until an answer begins bounds waiting alone, a request may always be sent at once; the mean time between departures counts only while others wait, who depart. Both correct themselves.

--- a/decision/src/admission.rs
+++ b/decision/src/admission.rs
@@ -232,6 +232,13 @@
         sent + service >= waiter.deadline
     }
 
+    /// Forgets how long answers of the pool take, until the next one.
+    pub fn forget_service(&mut self, pool: entity::Pool) {
+        if let Some(line) = self.pools.get_mut(&pool) {
+            line.service = None;
+        }
+    }
+
     /// An answer of the pool began that long after it was sent for.
     pub fn begun(&mut self, pool: entity::Pool, time: Duration) {
         let line = self.pools.entry(pool).or_default();
--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -250,6 +250,7 @@
             arrival.expires = arrival.expires.min(until);
         }
         let waiter = self.waiter(ticket, &arrival, now);
+        self.doubt_service(&waiter, now);
         let displaced = self.queue.push(waiter, now).map_err(Reason::Admission)?;
         let pending = Pending {
             arrival,
@@ -271,6 +272,17 @@
         Ok(())
     }
 
+    /// Forgets how long answers take where that alone refuses a request and nothing is
+    /// under way: no answer would come that corrects it, and all would be refused from
+    /// then on.
+    fn doubt_service(&mut self, waiter: &admission::Waiter, now: clock::Instant) {
+        let refused = now < waiter.deadline && self.queue.too_late(waiter, now);
+        let idle = || self.servers.usable(waiter.pool).all(|(_, record)| record.in_flight == 0);
+        if refused && idle() {
+            self.queue.forget_service(waiter.pool);
+        }
+    }
+
     /// The first part of an attempt's answer came.
     pub fn begin(&mut self, ticket: entity::Ticket, after: Duration, now: clock::Instant) {
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
