--- a/decision/src/admission.rs
+++ b/decision/src/admission.rs
@@ -232,7 +232,7 @@
         sent + service >= waiter.deadline
     }
 
-    /// Forgets how long answers of the pool take, until the next one.
+    /// Drops the estimate of how long answers of the pool take, until the next one.
     pub fn forget_service(&mut self, pool: entity::Pool) {
         if let Some(line) = self.pools.get_mut(&pool) {
             line.service = None;
--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -250,7 +250,7 @@
             arrival.expires = arrival.expires.min(until);
         }
         let waiter = self.waiter(ticket, &arrival, now);
-        self.doubt_service(&waiter, now);
+        self.drop_stale_estimate(&waiter, now);
         let displaced = self.queue.push(waiter, now).map_err(Reason::Admission)?;
         let pending = Pending {
             arrival,
@@ -272,10 +272,9 @@
         Ok(())
     }
 
-    /// Forgets how long answers take where that alone refuses a request and nothing is
-    /// under way: no answer would come that corrects it, and all would be refused from
-    /// then on.
-    fn doubt_service(&mut self, waiter: &admission::Waiter, now: clock::Instant) {
+    /// Drops the estimate of how long answers take where it alone would reject a request
+    /// and none is in flight: no answer would ever correct it.
+    fn drop_stale_estimate(&mut self, waiter: &admission::Waiter, now: clock::Instant) {
         let refused = now < waiter.deadline && self.queue.too_late(waiter, now);
         let idle = || self.servers.usable(waiter.pool).all(|(_, record)| record.in_flight == 0);
         if refused && idle() {
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -216,8 +216,8 @@
     GroupUp(entity::Group, Duration),
     /// The backend server's rest is over; it had lasted that long.
     Rested(entity::Server, Duration),
-    /// The backend server gets nothing until it is known whether it leaves: it or an
-    /// earlier run has said so.
+    /// It is uncertain whether the backend server leaves, as it or an earlier run said
+    /// so; it gets nothing until that is settled.
     Unsettled(entity::Server),
     /// The group carries as many own streams as its bound allows.
     Bound(entity::Group, pace::Ground),
--- a/decision/src/balancer/rest.rs
+++ b/decision/src/balancer/rest.rs
@@ -32,8 +32,8 @@
         (change, actions)
     }
 
-    /// An answer to what was sent to one run may be the next one's, where that has
-    /// begun meanwhile.
+    /// Applies what an answer said to the next run as well, where one has started
+    /// meanwhile: it may have given the answer.
     fn tell_later_run(&mut self, server: entity::Server, now: clock::Instant) {
         let newest = self.servers.find(&self.servers[server].listing.host);
         let Some(newest) = newest.filter(|newest| *newest != server) else { return };
@@ -57,7 +57,7 @@
         }
     }
 
-    /// Those of which it is not known whether they leave.
+    /// Listed backend servers of which it is uncertain whether they leave.
     pub fn unsettled(&self) -> impl Iterator<Item = entity::Server> {
         self.noticed.iter().copied().filter(|server| {
             let record = &self.servers[*server];
--- a/decision/src/routing/notice.rs
+++ b/decision/src/routing/notice.rs
@@ -83,11 +83,11 @@
     /// It or an earlier run under its id has said so.
     Unsettled,
     /// It has said so.
-    Told,
+    Announced,
 }
 
-/// Longest part of a rest that a run takes over from an earlier one: longer rests
-/// are asked for by mistake, and starting again mends that.
+/// Longest part of a rest that a run takes over from an earlier one: a restart is how
+/// operators end a longer one that was asked for by mistake.
 const LONGEST_INHERITED_REST: Duration = Duration::from_secs(60);
 
 /// What a run of a backend server has said, as far as it still holds. Only that
@@ -108,9 +108,9 @@
     /// Takes a notice that was read at that time; `lot`, from 0 to 1, says how
     /// late within the spread it gets requests again.
     pub fn take(&mut self, notice: &Notice, lot: f64, now: clock::Instant) -> Option<Change> {
-        let leaves = notice.leaving && self.departure != Departure::Told;
+        let leaves = notice.leaving && self.departure != Departure::Announced;
         if notice.leaving {
-            self.departure = Departure::Told;
+            self.departure = Departure::Announced;
         }
         let rests = match notice.rest {
             Rest::For(time) if !time.is_zero() => self.rest(time.min(LONGEST_REST), lot, now),
@@ -142,9 +142,9 @@
         self.until
     }
 
-    /// Takes over what was said under the same id before, since this run may have
-    /// said it: one that starts again serves before its entry tells the start.
-    /// Returns whether it has become unsettled whether it leaves.
+    /// Takes over what an earlier run under the same id said: this run may have said it
+    /// itself, as a restarted server serves before its entry tells the new start.
+    /// Returns whether it is no longer certain that this run stays.
     pub fn inherit(&mut self, earlier: &Standing, now: clock::Instant) -> bool {
         if earlier.rests(now) {
             self.until = self.until.max(earlier.until.min(now + LONGEST_INHERITED_REST));
@@ -164,15 +164,15 @@
         self.departure != Departure::None
     }
 
-    /// Whether it is not known which run has said that it leaves.
+    /// Whether it is uncertain which run said that it leaves.
     pub fn unsettled(&self) -> bool {
         self.departure == Departure::Unsettled
     }
 
-    /// Settles whether it leaves, where that is not known.
+    /// Settles whether it leaves, where that is uncertain.
     pub fn settle(&mut self, leaving: bool) {
         if self.unsettled() {
-            self.departure = if leaving { Departure::Told } else { Departure::None };
+            self.departure = if leaving { Departure::Announced } else { Departure::None };
         }
     }
 
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -280,8 +280,8 @@
     /// Replaces the listings. One that is gone stays known while its requests
     /// are in flight, and gets no new work. One that has started again is
     /// another record: nothing that was learnt of its earlier run holds, but for
-    /// what the new one may have said itself. Returns those that started again, each
-    /// with whether that leaves unsettled whether it leaves.
+    /// what the new one may have said itself. Returns the restarted ones, each with
+    /// whether it is uncertain that it stays.
     pub fn list(
         &mut self,
         listings: Vec<Listing>,
@@ -308,8 +308,8 @@
         restarted
     }
 
-    /// Has a run take over what was said under its id before; returns whether it has
-    /// become unsettled whether it leaves.
+    /// Has a run take over what an earlier one said; returns whether it is no longer
+    /// certain that it stays.
     pub fn inherit(
         &mut self,
         server: entity::Server,
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -135,7 +135,7 @@
     sequence: u64,
     /// Wakes whoever looks for groups out of reach.
     outage: Arc<Notify>,
-    /// Wakes whoever finds out which backend servers leave.
+    /// Wakes whoever settles which backend servers leave.
     unsettled: Arc<Notify>,
 }
 
@@ -269,7 +269,7 @@
         self.lock().balancer.noticed(self.now())
     }
 
-    /// Waits until it is not known of backend servers whether they leave; returns
+    /// Waits until it is uncertain of some backend servers whether they leave; returns
     /// them with what is needed to reach them.
     pub async fn unsettled(&self) -> Vec<(entity::Server, T)> {
         loop {
--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -30,7 +30,7 @@
 const LAST_REQUEST: Duration = Duration::from_millis(3_100);
 /// What is left of the grace when the process ends by itself.
 const END_MARGIN: Duration = Duration::from_millis(250);
-/// Pause between two looks whether the process may end.
+/// Pause between two checks whether the process may end.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
 /// Descriptors that clients' connections leave free: the platform keeps 200 for
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -70,7 +70,7 @@
     pub servers_ended: Counter,
     /// Times that a backend server asked for rest.
     pub rests: Counter,
-    /// Health checks of backend servers of which it was not known whether they leave.
+    /// Health checks of restarted backend servers whose earlier run left.
     pub health_checks: Counter,
     /// Time to the head of an answer, seconds.
     pub first_byte: Histogram,
@@ -126,7 +126,7 @@
         let ended = "Requests under which their backend server ended";
         registry.register("server_ended", ended, self.servers_ended.clone());
         registry.register("server_rests", "Rests that servers asked for", self.rests.clone());
-        let checks = "Health checks of servers of which it was not known whether they leave";
+        let checks = "Health checks of restarted servers whose earlier run left";
         registry.register("health_checks", checks, self.health_checks.clone());
         let (resting, leaving): (Gauge, Gauge) = Default::default();
         let noticed = gateway.dispatcher.noticed();
--- a/gateway/src/probe.rs
+++ b/gateway/src/probe.rs
@@ -1,6 +1,6 @@
-//! Finds things out about backend servers without a caller's request: when a group
-//! that was out of reach can be reached again, by a connection that is made and
-//! closed, and whether a server that started again leaves, by a health check.
+//! Probes backend servers without a caller's request: whether a group that was out of
+//! reach can be reached again, by a connection that is made and closed, and whether
+//! a restarted server leaves, by a health check.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,13 +28,13 @@
     }
 }
 
-/// Pause between two health checks of a backend server that settled nothing.
+/// Pause between two health checks of a backend server.
 const HEALTH_PAUSE: Duration = Duration::from_millis(500);
 /// Health checks of a gateway at a time.
 const HEALTH_CHECKS: usize = 8;
 
-/// Settles whether backend servers leave that started again after their id had said
-/// so, until the process ends. They get nothing meanwhile.
+/// Settles whether restarted backend servers leave whose earlier run said so, until the
+/// process ends. They get nothing meanwhile.
 pub async fn settle<P: Protocol>(gateway: Arc<state::Gateway<P>>) {
     loop {
         let unsettled = gateway.dispatcher.unsettled().await;
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -23,8 +23,8 @@
 /// off holds its connection no longer.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(10);
 
-/// Takes connections until the process is about to end. What comes after that is
-/// refused by the system: nothing of it was read.
+/// Takes connections until the process is about to end. Later ones are refused by the
+/// system, so that clients know that nothing was read.
 pub async fn run<P: Protocol>(gateway: Arc<state::Gateway<P>>, listener: TcpListener) {
     let mut closing = gateway.life.closing();
     tokio::select! {
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -206,8 +206,8 @@
 /// Longest wait for the answer to a health check.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Asks a backend server on a new connection whether it serves, so that the run
-/// answers that now has its address; returns the head of the answer.
+/// Asks a backend server whether it serves; returns the head of the answer. A new
+/// connection reaches the run that has the address now.
 ///
 /// # Errors
 ///
