Soak: an answer that came to its end at a gateway comes to its end at the client

A check for what a planned stop did to answers: a body that is cut although its gateway's log has the request as answered, with nothing worse than a planned stop done to the gateway. Bodies that are cut for a server's sake have another outcome in the log.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -87,18 +87,20 @@
 /// Requests of clients that gateways refused, by their logs, as if they ended
 /// servers.
 pub fn blamed(seen: &[Seen], logs: &[(String, Vec<String>)]) -> Vec<Breach> {
-    let lines = logs.iter().flat_map(|(_, lines)| lines);
-    let refused = lines.filter(|line| line.contains("reason=ends-servers"));
-    let ids: BTreeSet<&str> = refused
-        .filter_map(|line| {
-            let (_, rest) = line.split_once("request=")?;
-            rest.split(' ').next()
-        })
-        .collect();
+    let ids: BTreeSet<&str> = requests_in(logs, "reason=ends-servers").collect();
     let blamed = seen.iter().filter(|seen| ids.contains(&*seen.id));
     blamed.map(|seen| Breach::Blamed(seen.id.clone())).collect()
 }
 
+/// Ids of the requests of which a line with that text tells.
+fn requests_in<'a>(
+    logs: &'a [(String, Vec<String>)],
+    text: &'a str,
+) -> impl Iterator<Item = &'a str> {
+    let lines = logs.iter().flat_map(|(_, lines)| lines).filter(move |line| line.contains(text));
+    lines.filter_map(|line| line.split_once("request=")?.1.split(' ').next())
+}
+
 /// What is known of a run.
 pub struct Evidence {
     /// What clients saw.
@@ -198,6 +200,16 @@
         lost.then(|| Breach::Lost(seen.id.clone(), seen.gateway))
     }
 
+    /// Answers that came to their end at a gateway, by its log, and not at the client:
+    /// a connection was closed before they were written out.
+    pub fn unwritten(&self, logs: &[(String, Vec<String>)]) -> Vec<Breach> {
+        let answered: BTreeSet<&str> = requests_in(logs, "outcome=answered").collect();
+        let cut = |seen: &&Seen| matches!(seen.end, End::Answer { whole: false, .. });
+        let cut = self.seen.iter().filter(cut).filter(|seen| answered.contains(&*seen.id));
+        let cut = cut.filter(|seen| !self.harmed(seen.gateway, seen.time));
+        cut.map(|seen| Breach::Lost(seen.id.clone(), seen.gateway)).collect()
+    }
+
     fn late(&self, seen: &Seen) -> Option<Breach> {
         let time = seen.time.1 - seen.time.0;
         let late = seen.end != End::NoConnection && time > DEADLINE + LATE;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -98,6 +98,7 @@
     }
     let logs = logs(&system);
     breaches.extend(check::blamed(&evidence.seen, &logs));
+    breaches.extend(evidence.unwritten(&logs));
     Report { events, requests, refused, ends, switches: number("switches"), breaches, logs }
 }
 
