Limits of servers: read, logged and counted; nothing is decided by them yet

The adapter reads Server-Limit once from answers of the run that was asked (not from 421, nor from a late answer to another request); what holds is kept with the server's run, and answers that come out of order lift or raise nothing. Lines server limited, server limit lifted, limit not understood; a counter of changes and a gauge of servers that name a limit. The stand-in names a limit, and the check of visits counts over gateways as the users do, with tests of its own.

Decisions are unchanged: no choice asks the limit.

--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -9,6 +9,7 @@
 mod follow;
 mod group;
 mod message;
+mod rate;
 mod rest;
 mod suspect;
 mod verify;
--- a/decision/src/balancer/choose.rs
+++ b/decision/src/balancer/choose.rs
@@ -85,7 +85,8 @@
         }
         self.queue.depart(pool, now);
         let attempt = pending.attempts;
-        actions.push(Action::Send(Dispatch { ticket, attempt, choice, considered, passed_over }));
+        let dispatch = Dispatch { ticket, attempt, choice, considered, passed_over, at: now };
+        actions.push(Action::Send(dispatch));
     }
 
     pub(super) fn slow(&self, server: entity::Server) -> bool {
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -192,6 +192,8 @@
     pub considered: Vec<Candidate>,
     /// Some of those that rest or leave, by what they said themselves.
     pub passed_over: Vec<entity::Server>,
+    /// When it was chosen.
+    pub at: clock::Instant,
 }
 
 /// A request to be given its final answer now.
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3;
 
 use crate::balancer::Share;
-use crate::routing::{eject, notice, warmup};
+use crate::routing::{eject, notice, rate, warmup};
 use crate::{attempt, clock, entity, limit, outage};
 
 /// Half-life of what a report says of other entry hosts' requests.
@@ -103,6 +103,8 @@
     pub health: eject::Health,
     /// What it has said of its own near future.
     pub standing: notice::Standing,
+    /// The rate limit that it names, where it names one.
+    pub quota: Option<rate::Quota>,
     /// Its turns while it is cold.
     turns: Option<warmup::Turns>,
 }
@@ -123,6 +125,7 @@
             refusals: 0,
             health: eject::Health::default(),
             standing: notice::Standing::default(),
+            quota: None,
             turns: None,
         }
     }
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use loftcove_clock as boot;
-use loftcove_decision::routing::{notice, policy, server, warmup};
+use loftcove_decision::routing::{notice, policy, rate, server, warmup};
 use loftcove_decision::{admission, balancer, clock, entity, fleet, name, outage, pass, poison};
 use rand_chacha::rand_core::SeedableRng as _;
 use tokio::sync::{Notify, mpsc};
@@ -114,6 +114,8 @@
     pub score: f64,
     /// Ids of some that rest or leave, by what they said themselves.
     pub passed_over: Vec<Arc<str>>,
+    /// When it was chosen.
+    pub at: clock::Instant,
 }
 
 /// The balancer behind a lock.
@@ -259,6 +261,26 @@
         change
     }
 
+    /// The answer to a request that was chosen for a backend server at `chosen` said
+    /// something of the server's rate limit. Returns what has changed by it.
+    pub fn limit(
+        &self,
+        server: entity::Server,
+        notice: rate::Notice,
+        chosen: clock::Instant,
+    ) -> Option<rate::Change> {
+        let now = self.now();
+        let mut inner = self.lock();
+        let (change, actions) = inner.balancer.limit(server, notice, chosen, now);
+        inner.route(actions);
+        change
+    }
+
+    /// Listed backend servers that name a rate limit.
+    pub fn limited(&self) -> usize {
+        self.lock().balancer.limited()
+    }
+
     /// Whether a backend server that was chosen still wants what is to be sent now.
     pub fn wants(&self, server: entity::Server) -> bool {
         self.lock().balancer.wants(server, self.now())
@@ -505,6 +527,7 @@
                         reason: dispatch.choice.reason,
                         open: dispatch.considered.len(),
                         score: chosen.map_or(0.0, |candidate| candidate.score),
+                        at: dispatch.at,
                     };
                     (dispatch.ticket, Next::Send(attempt))
                 }
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -345,6 +345,7 @@
             self.dispatcher.report(attempt.server, load);
         }
         self.take_notice(request, attempt, head.status, &answer.notice);
+        self.take_limit(request, attempt, head.status, answer.rate);
         match answer.verdict {
             Verdict::Answered => {}
             Verdict::Foreign => return may_have_run("answer of another request".to_owned()),
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -70,6 +70,8 @@
     pub servers_ended: Counter,
     /// Times that a backend server asked for rest.
     pub rests: Counter,
+    /// Times that a backend server named a rate limit or another one.
+    pub limits: Counter,
     /// Health checks of restarted backend servers whose earlier run left.
     pub health_checks: Counter,
     /// Time to the head of an answer, seconds.
@@ -94,6 +96,7 @@
             resumed: Counter::default(),
             servers_ended: Counter::default(),
             rests: Counter::default(),
+            limits: Counter::default(),
             health_checks: Counter::default(),
             first_byte: histogram(),
             whole: histogram(),
@@ -126,6 +129,11 @@
         let ended = "Requests under which their backend server ended";
         registry.register("server_ended", ended, self.servers_ended.clone());
         registry.register("server_rests", "Rests that servers asked for", self.rests.clone());
+        let named = "Rate limits that servers named, each change of one";
+        registry.register("server_limits", named, self.limits.clone());
+        let limited: Gauge = Gauge::default();
+        limited.set(gateway.dispatcher.limited() as i64);
+        registry.register("servers_limited", "Servers that name a rate limit", limited);
         let checks = "Health checks of restarted servers whose earlier run left";
         registry.register("health_checks", checks, self.health_checks.clone());
         let (resting, leaving): (Gauge, Gauge) = Default::default();
--- a/gateway/src/notice.rs
+++ b/gateway/src/notice.rs
@@ -1,7 +1,7 @@
 //! What backend servers say of their own near future: handed to the dispatcher,
 //! logged where it changes something.
 
-use loftcove_decision::routing::notice;
+use loftcove_decision::routing::{notice, rate};
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::Protocol;
 
@@ -27,7 +27,7 @@
                 request.meta.id
             );
         }
-        let born = attempt.target.run.born.map_or_else(|| "-".to_owned(), |born| born.to_string());
+        let born = born(&attempt.target);
         match self.dispatcher.notice(attempt.server, notice) {
             None => {}
             Some(notice::Change::Rests(time)) => {
@@ -45,4 +45,40 @@
             ),
         }
     }
+
+    /// Takes what an answer says of its backend server's rate limit.
+    pub(crate) fn take_limit(
+        &self,
+        request: &Request,
+        attempt: &dispatch::Attempt<Target>,
+        status: http::StatusCode,
+        notice: rate::Notice,
+    ) {
+        let (id, server, status) = (&request.meta.id, &attempt.target.run.id, status.as_u16());
+        if notice == rate::Notice::Unreadable {
+            log::warn!("limit not understood request={id} server={server} status={status}");
+        }
+        match self.dispatcher.limit(attempt.server, notice, attempt.at) {
+            None => {}
+            Some(rate::Change::Limited(limit, before)) => {
+                self.metrics.limits.inc();
+                let before = before.map_or_else(|| "-".to_owned(), |before| before.to_string());
+                log::info!(
+                    "server limited server={server} born={} per_second={limit} before={before} \
+                     request={id} status={status}",
+                    born(&attempt.target)
+                );
+            }
+            Some(rate::Change::Lifted(time)) => log::info!(
+                "server limit lifted server={server} born={} ms={} request={id} status={status}",
+                born(&attempt.target),
+                time.as_millis()
+            ),
+        }
+    }
+}
+
+/// When a run started, where its entry tells it.
+fn born(target: &Target) -> String {
+    target.run.born.map_or_else(|| "-".to_owned(), |born| born.to_string())
 }
--- a/interface/src/protocol.rs
+++ b/interface/src/protocol.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use loftcove_decision::routing::{notice, server};
+use loftcove_decision::routing::{notice, rate, server};
 use loftcove_decision::{fleet, route};
 
 /// What loftcove reads from a client's request.
@@ -78,6 +78,8 @@
     pub close: bool,
     /// What the run that was meant says of its own near future.
     pub notice: notice::Notice,
+    /// What it says of its rate limit.
+    pub rate: rate::Notice,
 }
 
 /// What a backend server's answer to a health check says.
--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -10,7 +10,9 @@
 //! `PUT /shed?server=ID&each=N&rest=TEXT` (each Nth request of the server, or of
 //! each server without an id, is answered 503 with that `Retry-After`, without one
 //! where the text is empty) and `PUT /leave?server=ID&on=1` (all answers of the
-//! server say that it leaves; with `on=0` it has started again), and tells with `GET /state`,
+//! server say that it leaves; with `on=0` it has started again) and
+//! `PUT /limit?server=ID&rate=TEXT` (all its answers name that rate limit, none where
+//! the text is empty), and tells with `GET /state`,
 //! `GET /requests`, `GET /ends` (servers that ended under a request) and
 //! `GET /visits` (all that reached the run that it was meant for) what happened.
 
@@ -85,12 +87,22 @@
     /// By server, or by [`ALL`].
     sheds: BTreeMap<String, Shed>,
     leaving: BTreeSet<String>,
+    /// The rate limit that each server names, as its header says it.
+    limits: BTreeMap<String, String>,
     /// How often each server has started again.
     starts: BTreeMap<String, u64>,
     visits: Vec<Value>,
     popular: u16,
 }
 
+/// What a server says of itself in an answer.
+pub struct Said {
+    /// Whether it leaves.
+    pub leaves: bool,
+    /// The rate limit that it names, as its header says it.
+    pub limit: Option<String>,
+}
+
 /// Stands for all servers.
 const ALL: &str = "*";
 
@@ -136,6 +148,7 @@
             ends: Vec::new(),
             sheds: BTreeMap::new(),
             leaving: BTreeSet::new(),
+            limits: BTreeMap::new(),
             starts: BTreeMap::new(),
             visits: Vec::new(),
             popular: 0,
@@ -213,8 +226,8 @@
         self.lock().receive(server, request)
     }
 
-    /// Whether a server says in its answer to a request that it leaves.
-    pub fn answer(&self, server: &str, request: &str) -> bool {
+    /// What a server says of itself in its answer to a request.
+    pub fn answer(&self, server: &str, request: &str) -> Said {
         self.lock().answer(server, request)
     }
 
@@ -326,6 +339,7 @@
             "/mend" => state.form(),
             "/shed" => state.set_shed(query),
             "/leave" => state.set_leaving(query),
+            "/limit" => state.set_limit(query),
             "/requests" => return Value::Array(state.requests.clone()),
             "/visits" => return Value::Array(state.visits.clone()),
             "/ends" => return Value::Array(state.ends.clone()),
@@ -370,9 +384,18 @@
         }
     }
 
+    fn set_limit(&mut self, query: &BTreeMap<String, String>) {
+        let Some(server) = query.get("server") else { return };
+        match query.get("rate").filter(|rate| !rate.is_empty()) {
+            Some(rate) => self.limits.insert(server.clone(), rate.clone()),
+            None => self.limits.remove(server),
+        };
+    }
+
     /// A server starts again: what it said before is over.
     fn start(&mut self, server: &str) {
         self.leaving.remove(server);
+        self.limits.remove(server);
         *self.starts.entry(server.to_owned()).or_default() += 1;
     }
 
@@ -386,21 +409,23 @@
         let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         self.visits.push(json!({
             "server": server, "run": run, "request": request, "at": at.as_millis() as u64,
-            "shed": shed, "leaving": false,
+            "shed": shed, "leaving": false, "limit": self.limits.get(server), "told": false,
         }));
         shed
     }
 
-    /// Whether a server says in its answer to a request that it leaves, which is
-    /// kept with the request's visit.
-    fn answer(&mut self, server: &str, request: &str) -> bool {
+    /// What a server says of itself in its answer to a request, which is kept with the
+    /// request's visit.
+    fn answer(&mut self, server: &str, request: &str) -> Said {
         let leaves = self.leaving.contains(server);
+        let limit = self.limits.get(server).cloned();
         let mut visits = self.visits.iter_mut().rev();
         let visit = visits.find(|visit| visit["server"] == server && visit["request"] == request);
         if let Some(visit) = visit {
             visit["leaving"] = json!(leaves);
+            visit["told"] = json!(limit.is_some());
         }
-        leaves
+        Said { leaves, limit }
     }
 
     fn form(&mut self) {
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -173,8 +173,12 @@
             .header("x-attempt-id", echo)
             .header("x-server-stamp", format!("{}.{id}", self.id))
             .header("x-server-load", "1,0,12");
-        let leaves = self.group.answer(&self.id, id);
-        if leaves { answer.header("server-leaving", "1") } else { answer }
+        let said = self.group.answer(&self.id, id);
+        let answer = if said.leaves { answer.header("server-leaving", "1") } else { answer };
+        match said.limit {
+            Some(limit) => answer.header("server-limit", limit),
+            None => answer,
+        }
     }
 
     /// Answers a health check.
--- a/tests/src/visits.rs
+++ b/tests/src/visits.rs
@@ -16,7 +16,7 @@
 pub const DRAIN_MS: u64 = 2_000;
 
 /// A request that reached the run of a server that it was meant for.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Visit {
     /// The server.
     pub server: String,
@@ -31,6 +31,10 @@
     pub shed: Option<String>,
     /// Whether its answer said that the server leaves; not where none was given.
     pub leaving: bool,
+    /// The rate limit that the server named as the request came, requests a second.
+    pub limit: Option<f64>,
+    /// Whether its answer named one.
+    pub told: bool,
 }
 
 impl Visit {
@@ -45,6 +49,8 @@
             at: number("at"),
             shed: text("shed"),
             leaving: row["leaving"] == true,
+            limit: text("limit").and_then(|text| text.parse().ok()),
+            told: row["told"] == true,
         }
     }
 
@@ -168,3 +174,89 @@
     }
     pairs
 }
+
+/// Time from the first answer that names a rate limit on in which requests do not count.
+pub const CONTACT_MS: u64 = 3_000;
+/// Span over which requests at a server that names a limit are counted.
+pub const LIMIT_SPAN_MS: u64 = 4_000;
+
+/// A server that got more requests than the rate limit that it named allows.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Overrun {
+    /// The server.
+    pub server: String,
+    /// The limit, requests a second.
+    pub limit: f64,
+    /// Requests of all gateways that had been told.
+    pub requests: usize,
+    /// Requests that are allowed.
+    pub allowed: f64,
+    /// From when to when.
+    pub span: (u64, u64),
+    /// Those requests, each with its gateway.
+    pub ids: Vec<(String, u8)>,
+}
+
+/// Servers that got more within some [`LIMIT_SPAN_MS`] than one and a half times what
+/// their rate limit allows, and five requests: by all gateways together that had
+/// passed on an answer that names it, half a second before or earlier.
+pub fn overruns(
+    visits: &[Visit],
+    sent: &BTreeMap<String, Sent>,
+    excuse: &impl Excuse,
+) -> Vec<Overrun> {
+    let mut runs: BTreeMap<(&str, u64), Vec<&Visit>> = BTreeMap::new();
+    for visit in visits {
+        runs.entry((&visit.server, visit.run)).or_default().push(visit);
+    }
+    let mut overruns = Vec::new();
+    for mut visits in runs.into_values() {
+        visits.sort_by_key(|visit| visit.at);
+        for period in visits.chunk_by(|one, next| one.limit.is_some() == next.limit.is_some()) {
+            if period[0].limit.is_some() {
+                overruns.extend(overrun(period, sent, excuse));
+            }
+        }
+    }
+    overruns
+}
+
+/// The worst overrun in a time in which a server named a limit all along.
+fn overrun(
+    visits: &[&Visit],
+    sent: &BTreeMap<String, Sent>,
+    excuse: &impl Excuse,
+) -> Option<Overrun> {
+    let first = visits.iter().find(|visit| visit.told)?;
+    let mut told: BTreeMap<u8, u64> = BTreeMap::new();
+    for sent in visits.iter().filter(|visit| visit.told).filter_map(|v| sent.get(&v.request)) {
+        let passed_on = told.entry(sent.gateway).or_insert(u64::MAX);
+        *passed_on = sent.answered.min(*passed_on);
+    }
+    let counts = |visit: &&&Visit| {
+        let gateway = sent.get(&visit.request).map(|sent| sent.gateway);
+        gateway.is_some_and(|gateway| {
+            let told = told.get(&gateway).copied().unwrap_or(u64::MAX);
+            let since = told.saturating_add(SETTLE_MS).max(first.at + CONTACT_MS);
+            visit.at >= since && !excuse.holds(gateway, &visit.server, told, visit.at)
+        })
+    };
+    let counted: Vec<&Visit> = visits.iter().filter(counts).copied().collect();
+    let spans = counted.iter().enumerate().map(|(index, begin)| {
+        let rest = &counted[index..];
+        &rest[..rest.partition_point(|visit| visit.at <= begin.at + LIMIT_SPAN_MS)]
+    });
+    let over = spans.filter_map(|span| {
+        let limit = span.iter().filter_map(|visit| visit.limit).fold(0.0, f64::max);
+        let allowed = limit * 1.5 * LIMIT_SPAN_MS as f64 / 1_000.0 + 5.0;
+        (span.len() as f64 > allowed).then(|| Overrun {
+            server: span[0].server.clone(),
+            limit,
+            requests: span.len(),
+            allowed,
+            span: (span[0].at, span[span.len() - 1].at),
+            ids: span.iter().map(|v| (v.request.clone(), sent[&v.request].gateway)).collect(),
+        })
+    });
+    over.max_by_key(|overrun| overrun.requests)
+}
--- a/tests/tests/visits.rs
+++ b/tests/tests/visits.rs
@@ -6,7 +6,7 @@
 
 fn visit(request: &str, at: u64) -> Visit {
     let (server, request) = ("s".to_owned(), request.to_owned());
-    Visit { server, run: 0, request, at, shed: None, leaving: false }
+    Visit { server, run: 0, request, at, shed: None, leaving: false, limit: None, told: false }
 }
 
 /// Requests that a client sent to gateway 0 and got answers to at once.
@@ -47,3 +47,34 @@
     assert_eq!(count(&late(1_000 + DRAIN_MS)), 0);
     assert_eq!(count(&late(1_001 + DRAIN_MS)), 1);
 }
+
+/// A server names one request a second from 1,000 ms on, in an answer to gateway 0; then requests
+/// come at these times.
+fn over_a_limit(times: &[u64]) -> usize {
+    let named = |request: &str, at| Visit { limit: Some(1.0), told: true, ..visit(request, at) };
+    let mut visits = vec![named("first", 1_000)];
+    visits.extend(times.iter().map(|at| named(&format!("r{at}"), *at)));
+    visits::overruns(&visits, &sent(&visits), &Undisturbed).len()
+}
+
+#[test]
+fn eleven_requests_are_allowed_within_four_seconds_at_one_a_second() {
+    let from = |first: u64, count: u64| -> Vec<u64> { (first..first + count).collect() };
+    // Those of the first three seconds do not count.
+    assert_eq!(over_a_limit(&from(3_900, 100)), 0);
+    assert_eq!(over_a_limit(&from(4_000, 11)), 0);
+    assert_eq!(over_a_limit(&from(4_000, 12)), 1);
+    let spread: Vec<u64> = from(4_000, 11).into_iter().chain([8_001]).collect();
+    assert_eq!(over_a_limit(&spread), 0);
+}
+
+#[test]
+fn only_gateways_that_were_told_half_a_second_before_count() {
+    let named = |request: String, at| Visit { limit: Some(1.0), told: true, ..visit(&request, at) };
+    let mut visits = vec![named("first".to_owned(), 1_000)];
+    visits.extend((0..40).map(|n| named(format!("r{n}"), 5_000 + n)));
+    let mut sent = sent(&visits);
+    // All but the first are of a gateway that passes its first answer on at 5,000 ms.
+    sent.values_mut().filter(|sent| sent.at >= 5_000).for_each(|sent| sent.gateway = 1);
+    assert_eq!(visits::overruns(&visits, &sent, &Undisturbed), []);
+}
