A server's rate limit holds over all gateways: few holders with even intervals

Seen by callers: a server in need that had named one request a second got 12 to 14 within 4 s, 11 allowed, and went on to be preferred as the least loaded of its zone. Class: a word of another that means all gateways, while each of them decides alone.

Change: who uses a limit follows from the names of the gateways alone, by rendezvous hash, those of the server's zone first. A choice made before the limit was heard is held back right before bytes go. Others serve meanwhile; where all are limited, who can't be served in time is refused at once, each with a time of its own by what is allowed.

decision/tests/rest.rs: its setup moved to tests/common, nothing else changed.

--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -71,6 +71,7 @@
         news: None,
         pool: entity::Pool::from_u32(0),
         group: None,
+        zone: "norte".into(),
         local: true,
         leaving: false,
         drained: false,
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -188,6 +188,7 @@
             news: None,
             pool: pool(),
             group: None,
+            zone: "norte".into(),
             local: true,
             leaving: false,
             drained: false,
--- a/daemon/src/entry/dispatch.rs
+++ b/daemon/src/entry/dispatch.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use loftcove_decision::routing::notice;
+use loftcove_decision::routing::{notice, rate as limits};
 use loftcove_decision::{balancer, clock, fleet, poison};
-use loftcove_platform::rest;
+use loftcove_platform::{rate, rest};
 use loftcove_wire as wire;
 use tonic::Streaming;
 
@@ -36,6 +36,11 @@
         let rest = status.map(|status| rest::read(status, &headers(&self.head)));
         notice::Notice { rest: rest.unwrap_or_default(), leaving: false }
     }
+
+    /// What it says of its rate limit.
+    pub fn limit(&self) -> limits::Notice {
+        rate::read(&headers(&self.head))
+    }
 }
 
 /// The headers of an answer; one that is not well formed is left out, as in the
--- a/daemon/src/entry/dispatcher.rs
+++ b/daemon/src/entry/dispatcher.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use loftcove_bundle::content;
-use loftcove_decision::routing::{notice, policy, server};
+use loftcove_decision::routing::{notice, policy, rate, server};
 use loftcove_decision::{admission, balancer, entity, name, poison, retry};
 use loftcove_platform::hosts;
 use loftcove_settings::file;
@@ -102,7 +102,7 @@
     }
 
     /// Takes the bundle in force and the host list.
-    pub fn refresh(&self, content: &content::Content, list: &hosts::Snapshot, zone: &str) {
+    pub fn refresh(&self, content: &content::Content, list: &hosts::Snapshot, own: &rate::Peer) {
         let now = self.clock.now();
         let mut inner = self.lock();
         for team in &content.teams {
@@ -124,7 +124,8 @@
                 news: None,
                 pool: inner.pools.intern(pool),
                 group: None,
-                local: *host.zone == *zone,
+                zone: host.zone.clone(),
+                local: *host.zone == *own.zone,
                 leaving: host.leaving || content.leaving.contains(&host.id),
                 drained: false,
                 cold: None,
@@ -137,7 +138,12 @@
                 rank: host.rank,
             });
         }
-        let actions = inner.balancer.list(listings, now);
+        let entries = list.hosts.iter().filter(|host| host.role == hosts::Role::Entry);
+        let peer =
+            |host: &hosts::Host| rate::Peer { name: host.id.clone(), zone: host.zone.clone() };
+        let peers = rate::Peers::new(own.clone(), entries.map(peer));
+        let mut actions = inner.balancer.set_peers(peers, now);
+        actions.extend(inner.balancer.list(listings, now));
         for target in targets {
             if let Some(server) = inner.balancer.servers().find(&target.host) {
                 inner.targets.insert(server, target);
@@ -190,6 +196,21 @@
         change
     }
 
+    /// The answer to a request that was chosen for a backend server at `chosen` said
+    /// something of the server's rate limit. Returns what has changed by it.
+    pub fn limit(
+        &self,
+        server: entity::Server,
+        notice: rate::Notice,
+        chosen: loftcove_decision::clock::Instant,
+    ) -> Option<rate::Change> {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        let (change, actions) = inner.balancer.limit(server, notice, chosen, now);
+        inner.route(actions);
+        change
+    }
+
     /// An agent's report stream opened or closed.
     pub fn connect(&self, server: entity::Server, up: bool) {
         let now = self.clock.now();
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -6,7 +6,7 @@
 
 use hyper::body::Incoming;
 use loftcove_clock as boot;
-use loftcove_decision::routing::notice;
+use loftcove_decision::routing::{notice, rate};
 use loftcove_decision::{balancer, entity, poison};
 
 use crate::entry::refusal::{Outcome, Refusal};
@@ -163,6 +163,29 @@
         }
     }
 
+    /// Takes what an answer says of its backend server's rate limit.
+    fn take_limit(
+        &self,
+        next: &balancer::Dispatch,
+        target: &dispatcher::Target,
+        notice: rate::Notice,
+    ) {
+        let (id, server) = (&self.call.id, &target.host);
+        if notice == rate::Notice::Unreadable {
+            log::warn!("limit not understood request={id} server={server}");
+        }
+        match self.entry.dispatcher.limit(next.choice.server, notice, next.at) {
+            None => {}
+            Some(rate::Change::Limited(limit, _)) => {
+                log::info!("server limited server={server} per_second={limit} request={id}");
+            }
+            Some(rate::Change::Lifted(time)) => {
+                let ms = time.as_millis();
+                log::info!("server limit lifted server={server} ms={ms} request={id}");
+            }
+        }
+    }
+
     /// Sends one attempt; returns its answer if one has begun.
     async fn attempt(
         &mut self,
@@ -192,6 +215,7 @@
             dispatch::Sent::Begun(begun) => {
                 permit.begin(sent_at.elapsed());
                 self.take_notice(next.choice.server, &target, &begun.notice());
+                self.take_limit(next, &target, begun.limit());
                 Some(begun)
             }
             dispatch::Sent::Ended(ended) => {
--- a/daemon/src/entry/follow.rs
+++ b/daemon/src/entry/follow.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use loftcove_decision::entity;
+use loftcove_decision::routing::rate;
 use loftcove_wire as wire;
 
 use crate::clock;
@@ -39,8 +40,10 @@
 fn refresh(entry: &Arc<Entry>, followed: &Followed) {
     let Some(bundle) = entry.process.gossip.force.bundle() else { return };
     let list = entry.process.gossip.hosts();
-    let zone = &entry.process.settings.process.zone;
-    entry.dispatcher.refresh(&bundle.content, &list, zone);
+    let settings = &entry.process.settings.process;
+    let zone = &settings.zone;
+    let own = rate::Peer { name: settings.host.clone(), zone: zone.clone() };
+    entry.dispatcher.refresh(&bundle.content, &list, &own);
     entry.process.links.keep(|address| list.hosts.iter().any(|host| host.address == address));
     let mut listed = entry.dispatcher.listed();
     listed.sort_by_key(|(server, target)| (target.zone != *zone, *server));
--- a/daemon/src/entry/refusal.rs
+++ b/daemon/src/entry/refusal.rs
@@ -238,6 +238,7 @@
         balancer::Reason::Attempts => (StatusCode::BAD_GATEWAY, "attempts"),
         balancer::Reason::ServerEnded => (StatusCode::BAD_GATEWAY, "server-ended"),
         balancer::Reason::Resting(_) => (StatusCode::SERVICE_UNAVAILABLE, "servers-rest"),
+        balancer::Reason::Limited(_) => (StatusCode::SERVICE_UNAVAILABLE, "rate-limit"),
         balancer::Reason::Budget => (StatusCode::SERVICE_UNAVAILABLE, "retry-budget"),
     }
 }
--- a/decision/src/admission.rs
+++ b/decision/src/admission.rs
@@ -109,6 +109,8 @@
     full: episode::Episode,
     /// Callers that were refused for want of room, for the spread of their returns.
     refused: u32,
+    /// Until when callers were told to come back for what rate limits allow.
+    booked: clock::Instant,
 }
 
 impl Queue {
@@ -286,17 +288,48 @@
         late
     }
 
-    /// Takes out those waiters for a pool that could not make their deadline if
-    /// they were sent at that time.
-    pub fn sweep_for(&mut self, pool: entity::Pool, at: clock::Instant) -> Vec<Waiter> {
-        let mut late = Vec::new();
-        if let Some(line) = self.pools.get_mut(&pool) {
-            line.sweep(at, &mut late);
+    /// Takes out those waiters for a pool that could not make their deadline if the
+    /// first one were sent at that time, and each other one so much later.
+    pub fn sweep_for(
+        &mut self,
+        pool: entity::Pool,
+        first: clock::Instant,
+        spacing: Duration,
+    ) -> Vec<Waiter> {
+        let Some(line) = self.pools.get(&pool) else { return Vec::new() };
+        let (mut late, mut at) = (Vec::new(), first);
+        for band in line.bands.values() {
+            for waiter in band.by_age() {
+                if waiter.deadline <= at + line.service() || waiter.expires <= at {
+                    late.push(waiter);
+                } else {
+                    at = at + spacing;
+                }
+            }
         }
-        self.waiting -= late.len();
+        late.iter().for_each(|waiter| {
+            self.remove(waiter);
+        });
         late
     }
 
+    /// When a refused caller should come back where the pool has room for one each
+    /// `spacing` from `first` on: each is told a time of its own. Who would have to
+    /// stay away for too long is told a time among those of others.
+    pub fn book(
+        &mut self,
+        pool: entity::Pool,
+        first: clock::Instant,
+        spacing: Duration,
+        now: clock::Instant,
+    ) -> Duration {
+        let shortest = self.shortest_return;
+        let line = self.pools.entry(pool).or_default();
+        let free = line.booked.max(first) + spacing;
+        line.booked = if free.since(now) > LONGEST_RETURN { first + spacing } else { free };
+        line.booked.since(now).clamp(shortest, LONGEST_RETURN)
+    }
+
     /// A request of the pool got a backend server; the rate is learnt from this.
     pub fn depart(&mut self, pool: entity::Pool, now: clock::Instant) {
         let line = self.pools.entry(pool).or_default();
--- a/decision/src/admission/band.rs
+++ b/decision/src/admission/band.rs
@@ -37,6 +37,13 @@
         self.teams.values().filter_map(|line| line.front()).map(|waiter| waiter.since).min()
     }
 
+    /// Those who wait, longest first.
+    pub(super) fn by_age(&self) -> Vec<Waiter> {
+        let mut waiters: Vec<Waiter> = self.teams.values().flatten().copied().collect();
+        waiters.sort_by_key(|waiter| waiter.since);
+        waiters
+    }
+
     pub(super) fn pop(&mut self, shares: &SecondaryMap<entity::Team, Share>) -> Option<Waiter> {
         let start = |team: &entity::Team| {
             self.finish.get(team).copied().unwrap_or(0.0).max(self.virtual_time)
--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -25,7 +25,7 @@
 
 use cranelift_entity::SecondaryMap;
 
-use crate::routing::{policy, server};
+use crate::routing::{policy, rate as limits, server};
 use crate::{admission, clock, entity, pass, poison, retry};
 
 /// Score from which an open backend server of the own availability zone
@@ -90,11 +90,14 @@
     /// How long the groups of a pool take to form, where that is published.
     forms: BTreeMap<entity::Pool, Duration>,
     share: Share,
+    /// The gateways that share the rate limits of backend servers.
+    peers: limits::Peers,
     /// Suspects that are on backend servers of this gateway's own.
     trials: BTreeMap<entity::Server, poison::Digest>,
     group_return: Duration,
     notes: Vec<Note>,
-    /// Backend servers that rest, and those that have told that they leave.
+    /// Backend servers that rest, that have told that they leave, or that name a rate
+    /// limit.
     noticed: BTreeSet<entity::Server>,
     next: u32,
     tally: Tally,
@@ -114,6 +117,7 @@
             costs: BTreeMap::new(),
             forms: BTreeMap::new(),
             share: Share::default(),
+            peers: limits::Peers::default(),
             trials: BTreeMap::new(),
             group_return: options.group_return,
             notes: Vec::new(),
@@ -220,7 +224,7 @@
         let pending = self.pending.get(&ticket).filter(|p| p.place == Place::Waiting);
         let waits = pending.is_some();
         let full = waits && arrival.suspect.is_none();
-        let full = full || self.rests_until(arrival.pool, now).is_some();
+        let full = full || self.closed_until(arrival.pool, now).is_some();
         let waiter = self.waiter(ticket, pending.map_or(arrival, |p| &p.arrival), now);
         self.queue.set_full(arrival.pool, full, now);
         if waits && waiter.expires <= now && self.queue.remove(&waiter) {
@@ -437,7 +441,7 @@
         }
         held.into_iter().rev().for_each(|waiter| self.queue.push_front(waiter));
         if self.queue.waiting_for(pool) > 0 {
-            self.refuse_resting(pool, now, actions);
+            self.refuse_closed(pool, now, actions);
         }
         if self.queue.waiting_for(pool) > 0 && self.servers.usable(pool).next().is_none() {
             self.drain(pool, Reason::NoBackend, actions);
--- a/decision/src/balancer/follow.rs
+++ b/decision/src/balancer/follow.rs
@@ -126,6 +126,7 @@
             Reason::NoBackend => NO_BACKEND_RETRY,
             Reason::GroupDown => self.group_return,
             Reason::Resting(time) => self.queue.retry_after(pool, time),
+            Reason::Limited(time) => time,
             _ => self.queue.retry_after(pool, Duration::ZERO),
         };
         match outcome {
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -107,7 +107,8 @@
     Answered,
     /// The agent refused it for want of a slot: never ran.
     Full,
-    /// Nothing was sent, since the backend server has asked for rest or leaves.
+    /// Nothing was sent, since the backend server has asked for rest, leaves or names
+    /// a rate limit.
     Withheld,
     /// It surely never ran, for another cause.
     NeverRan,
@@ -154,6 +155,9 @@
     ServerEnded,
     /// All backend servers of the pool rest, the first one for that time.
     Resting(Duration),
+    /// The rate limits of the pool's backend servers are used up; a caller that comes
+    /// back after that time finds some of them left.
+    Limited(Duration),
 }
 
 impl fmt::Display for Reason {
@@ -166,6 +170,7 @@
             Reason::GroupDown => f.write_str("group-down"),
             Reason::ServerEnded => f.write_str("server-ended"),
             Reason::Resting(_) => f.write_str("servers-rest"),
+            Reason::Limited(_) => f.write_str("rate-limit"),
         }
     }
 }
--- a/decision/src/balancer/rest.rs
+++ b/decision/src/balancer/rest.rs
@@ -4,6 +4,8 @@
 //! its [`notice::Standing`]; [`Balancer::wants`] asks it once more in the last
 //! step before anything is sent.
 
+use std::time::Duration;
+
 use crate::balancer::{Action, Balancer, Note, Outcome, Place, Reason};
 use crate::routing::{notice, policy, server};
 use crate::{admission, clock, entity};
@@ -34,7 +36,7 @@
 
     /// Applies what an answer said to the next run as well, where one has started
     /// meanwhile: it may have given the answer.
-    fn tell_later_run(&mut self, server: entity::Server, now: clock::Instant) {
+    pub(super) fn tell_later_run(&mut self, server: entity::Server, now: clock::Instant) {
         let newest = self.servers.find(&self.servers[server].listing.host);
         let Some(newest) = newest.filter(|newest| *newest != server) else { return };
         let unsettled = self.servers.inherit(newest, server, now);
@@ -48,8 +50,7 @@
         unsettled: bool,
         now: clock::Instant,
     ) {
-        let standing = &self.servers[server].standing;
-        if standing.leaving() || standing.rests(now) {
+        if said_something(&self.servers[server], now) {
             self.noticed.insert(server);
         }
         if unsettled {
@@ -78,13 +79,19 @@
         actions
     }
 
-    /// Whether a backend server that was chosen may still get what is to be sent
-    /// now. What was chosen before it asked for rest, left the list or started
-    /// again, or before its zone was drained, and waited for a connection
-    /// meanwhile, would reach it after that.
-    pub fn wants(&self, server: entity::Server, now: clock::Instant) -> bool {
+    /// Whether a backend server that was chosen then may still get what is to be sent
+    /// now. What was chosen before it asked for rest, named a rate limit, left the
+    /// list or started again, or before its zone was drained, and waited for a
+    /// connection meanwhile, would reach it after that.
+    pub fn wants(
+        &self,
+        server: entity::Server,
+        chosen: clock::Instant,
+        now: clock::Instant,
+    ) -> bool {
         let record = &self.servers[server];
-        record.usable() && !record.standing.rests(now)
+        let counted = record.quota.is_none_or(|quota| chosen >= quota.since());
+        record.usable() && !record.standing.rests(now) && counted
     }
 
     /// Backend servers that rest, and listed ones that have told that they leave.
@@ -102,7 +109,7 @@
         now: clock::Instant,
     ) -> Vec<entity::Server> {
         let left_out = |record: &server::Record| {
-            let said = record.standing.leaving() || record.standing.rests(now);
+            let said = record.standing.leaving() || record.closed_until(now).is_some();
             record.listing.pool == pool && record.listed && said
         };
         let noticed = self.noticed.iter().copied();
@@ -110,8 +117,8 @@
     }
 
     /// When the first backend server of a pool takes requests again, where all
-    /// that could serve it rest.
-    pub(super) fn rests_until(
+    /// that could serve it rest or have had what their rate limits allow.
+    pub(super) fn closed_until(
         &self,
         pool: entity::Pool,
         now: clock::Instant,
@@ -121,27 +128,31 @@
         }
         let mut first = None;
         for (_, record) in self.servers.usable(pool) {
-            if !record.standing.rests(now) {
-                return None;
-            }
-            let until = record.standing.until();
+            let until = record.closed_until(now)?;
             first = Some(first.map_or(until, |first: clock::Instant| first.min(until)));
         }
         first
     }
 
     /// Refuses those who could not be sent in time even when the first backend
-    /// server takes requests again, where all rest: they learn at once when to
-    /// come back, and no queue builds up that falls over the first one.
-    pub(super) fn refuse_resting(
+    /// server takes requests again, where all are closed by their own word: they
+    /// learn at once when to come back, and no queue builds up that falls over the
+    /// first one.
+    pub(super) fn refuse_closed(
         &mut self,
         pool: entity::Pool,
         now: clock::Instant,
         actions: &mut Vec<Action>,
     ) {
-        let Some(until) = self.rests_until(pool, now) else { return };
-        for late in self.queue.sweep_for(pool, until) {
-            self.give_up(late.ticket, Outcome::NotRun, Reason::Resting(until.since(now)), actions);
+        let Some(until) = self.closed_until(pool, now) else { return };
+        let limits = self.limits_of(pool);
+        let spacing = limits.map_or(Duration::ZERO, |limits| limits.spacing);
+        for late in self.queue.sweep_for(pool, until, spacing) {
+            let reason = match limits {
+                Some(limits) => Reason::Limited(self.queue.book(pool, until, limits.share, now)),
+                None => Reason::Resting(until.since(now)),
+            };
+            self.give_up(late.ticket, Outcome::NotRun, reason, actions);
         }
     }
 
@@ -183,7 +194,13 @@
             if let Some(time) = standing.ended(now) {
                 notes.push(Note::Rested(*server, time));
             }
-            standing.rests(now) || standing.leaving()
+            said_something(&servers[*server], now)
         });
     }
 }
+
+/// Whether something that a backend server said of itself is in force.
+fn said_something(record: &server::Record, now: clock::Instant) -> bool {
+    let standing = &record.standing;
+    standing.rests(now) || standing.leaving() || record.quota.is_some()
+}
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -64,7 +64,9 @@
     pub group: Option<entity::Group>,
     /// What its entry tells of the group.
     pub news: Option<outage::News>,
-    /// Whether it is in the entry host's own availability zone.
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Whether that is the entry host's own.
     pub local: bool,
     /// Whether the list or the bundle has it leaving.
     pub leaving: bool,
@@ -165,6 +167,7 @@
     pub fn open(&self, now: clock::Instant) -> bool {
         let shut = now < self.shut_until || self.health.ejected(now);
         let shut = shut || self.turns.is_some_and(|turns| !turns.admits(now));
+        let shut = shut || self.quota.is_some_and(|quota| !quota.admits(now));
         self.usable() && !shut && self.standing.admits(now) && self.in_flight < self.window.size()
     }
 
@@ -186,6 +189,17 @@
         if let Some(turns) = &mut self.turns {
             turns.sent(now);
         }
+        if let Some(quota) = &mut self.quota {
+            quota.sent(now);
+        }
+    }
+
+    /// Until when it is to get nothing by its own word; none where it may get
+    /// something now. Of a rest and a rate limit the later end holds.
+    pub fn closed_until(&self, now: clock::Instant) -> Option<clock::Instant> {
+        let rest = self.standing.rests(now).then(|| self.standing.until());
+        let turn = self.quota.map(|quota| quota.next()).filter(|next| now < *next);
+        rest.max(turn)
     }
 
     /// Takes what it says of its own near future.
@@ -319,8 +333,11 @@
         earlier: entity::Server,
         now: clock::Instant,
     ) -> bool {
-        let said = self.records[earlier].standing.clone();
-        self.records[server].standing.inherit(&said, now)
+        let (said, quota) = (self.records[earlier].standing.clone(), self.records[earlier].quota);
+        let record = &mut self.records[server];
+        // The limit may be the new run's; its first answer tells.
+        record.quota = record.quota.or(quota);
+        record.standing.inherit(&said, now)
     }
 
     /// The newest run of the backend server on that host.
@@ -336,6 +353,15 @@
         }
     }
 
+    /// Takes another list of gateways: who uses the limits of servers changes.
+    pub fn set_peers(&mut self, peers: &rate::Peers, now: clock::Instant) {
+        for record in self.records.values_mut() {
+            if let Some(quota) = &mut record.quota {
+                quota.set_place(peers.place(&record.listing.host, &record.listing.zone), now);
+            }
+        }
+    }
+
     /// Gives turns to those that have told that they are cold.
     pub fn warm_up(&mut self, share: Share, now: clock::Instant) {
         let listed = self.records.values_mut().filter(|record| record.listed);
--- a/decision/tests/balancer.rs
+++ b/decision/tests/balancer.rs
@@ -34,6 +34,7 @@
         news: None,
         pool: pool(),
         group: None,
+        zone: "norte".into(),
         local: number.is_multiple_of(2),
         leaving: false,
         drained: false,
--- a/decision/tests/drained.rs
+++ b/decision/tests/drained.rs
@@ -21,6 +21,7 @@
         pool: entity::Pool::from_u32(0),
         group: None,
         news: None,
+        zone: "norte".into(),
         local: number < 2,
         leaving: false,
         drained: drained[number / 2],
@@ -87,9 +88,9 @@
     let mut balancer = balancer();
     list(&mut balancer, [false, true]);
     let chosen = entity::Server::from_u32(sent(&arrive(&mut balancer))[0]);
-    assert!(balancer.wants(chosen, NOW));
+    assert!(balancer.wants(chosen, NOW, NOW));
     list(&mut balancer, [true, false]);
-    assert!(!balancer.wants(chosen, NOW));
+    assert!(!balancer.wants(chosen, NOW, NOW));
 }
 
 #[test]
--- a/decision/tests/estimates.rs
+++ b/decision/tests/estimates.rs
@@ -36,6 +36,7 @@
             news: None,
             pool: entity::Pool::from_u32(0),
             group: None,
+            zone: "norte".into(),
             local: true,
             leaving: false,
             drained: false,
--- a/decision/tests/groups.rs
+++ b/decision/tests/groups.rs
@@ -31,6 +31,7 @@
             news: None,
             pool: entity::Pool::from_u32(0),
             group: Some(entity::Group::from_u32(number / RANKS)),
+            zone: "norte".into(),
             local: number < RANKS,
             leaving: false,
             drained: false,
--- /dev/null
+++ b/decision/tests/limited.rs
@@ -0,0 +1,194 @@
+//! Backend servers that name a rate limit, before one gateway's balancer: every way to
+//! them counts, others serve what they don't, and who can't be served hears it at once.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+mod common;
+
+use std::time::Duration;
+
+use loftcove_decision::routing::notice;
+use loftcove_decision::routing::rate::{Change, Limit, Notice};
+use loftcove_decision::{balancer, clock, entity};
+use proptest::prelude::*;
+
+use common::{DEADLINE, SLOTS, Setup};
+
+const SPAN: Duration = Duration::from_secs(4);
+
+fn named(rate: f64) -> Notice {
+    Notice::Limited(Limit::per_second(rate).unwrap())
+}
+
+/// A server that has just named a limit in the answer to a first request.
+fn limited(setup: &mut Setup, rate: f64) -> entity::Server {
+    let ticket = setup.arrive(DEADLINE);
+    let server = setup.at(ticket).unwrap();
+    assert!(matches!(setup.limit(ticket, named(rate)), Some(Change::Limited(..))));
+    setup.end(ticket, balancer::End::Answered);
+    server
+}
+
+fn most_in_a_span(sent: &[clock::Instant]) -> usize {
+    let within = |first: &clock::Instant| {
+        sent.partition_point(|at| *at <= *first + SPAN) - sent.partition_point(|at| at < first)
+    };
+    sent.iter().map(within).max().unwrap_or(0)
+}
+
+/// How a request comes to its end.
+fn end() -> impl Strategy<Value = balancer::End> {
+    prop_oneof![
+        Just(balancer::End::Answered),
+        Just(balancer::End::Full),
+        Just(balancer::End::Withheld),
+        Just(balancer::End::NeverRan),
+        Just(balancer::End::MayHaveRun { answer_begun: false }),
+        Just(balancer::End::Unreachable),
+        Just(balancer::End::ServerEnded),
+    ]
+}
+
+proptest! {
+    /// First and later attempts, those that come back to the queue, across lists and starts.
+    #[test]
+    fn every_way_to_a_server_counts_against_its_limit(
+        rate in prop_oneof![Just(0.0), 0.1_f64..20.0],
+        events in prop::collection::vec((0_u8..6, 0_u64..400, end(), 1_u64..3), 1..300),
+    ) {
+        let mut setup = Setup::new(&[(0, Some(1))]);
+        limited(&mut setup, rate);
+        setup.times.clear();
+        let mut born = 1;
+        for (kind, ms, end, start) in events {
+            match kind {
+                0..3 => { setup.arrive(DEADLINE); }
+                3 => setup.pass(ms),
+                4 => {
+                    if let Some((ticket, ..)) = setup.sent.first().copied() {
+                        setup.limit(ticket, named(rate));
+                        setup.end(ticket, end);
+                    }
+                }
+                _ => {
+                    born = born.max(start);
+                    setup.list(&[]);
+                    setup.list(&[(0, Some(born))]);
+                }
+            }
+            prop_assert_eq!(setup.balancer.verify(), Ok(()));
+        }
+        let most = most_in_a_span(&setup.times);
+        prop_assert!(most as f64 <= 6.0 * rate + 5.0, "{most} at {rate}");
+    }
+}
+
+#[test]
+fn others_serve_what_a_limit_does_not_allow() {
+    let mut setup = Setup::new(&[(0, None), (1, None)]);
+    let server = limited(&mut setup, 1.0);
+    let mut of_server = 0;
+    for _ in 0..100 {
+        let ticket = setup.arrive(DEADLINE);
+        of_server += u32::from(setup.at(ticket) == Some(server));
+        setup.end(ticket, balancer::End::Answered);
+        setup.pass(100);
+    }
+    assert!(setup.refused.is_empty());
+    assert!((7..=11).contains(&of_server), "{of_server} in 10 s at one a second");
+}
+
+/// A queue at a limit would grow until its deadlines pass.
+#[test]
+fn who_cannot_be_served_in_time_is_refused_at_once_with_a_time_of_its_own() {
+    let mut setup = Setup::new(&[(0, None)]);
+    limited(&mut setup, 1.0);
+    for _ in 0..30 {
+        setup.arrive(Duration::from_millis(4_500));
+    }
+    let waiting = setup.balancer.queue().waiting();
+    assert!((2..=4).contains(&waiting), "{waiting} wait for turns within 4.5 s");
+    assert_eq!(setup.refused.len(), 30 - waiting);
+    let of_limit =
+        |refusal: &balancer::Refusal| matches!(refusal.reason, balancer::Reason::Limited(_));
+    assert!(setup.refused.iter().all(of_limit));
+    let mut times: Vec<Duration> =
+        setup.refused.iter().map(|refusal| refusal.retry_after).collect();
+    times.sort_unstable();
+    let gaps = times.windows(2).map(|pair| pair[1] - pair[0]);
+    assert!(gaps.min().unwrap() >= Duration::from_millis(900), "{times:?}");
+    // Those who wait are served.
+    for _ in 0..60 {
+        setup.pass(100);
+        while let Some((ticket, ..)) = setup.sent.first().copied() {
+            setup.end(ticket, balancer::End::Answered);
+        }
+    }
+    assert_eq!(setup.refused.len(), 30 - waiting);
+    assert_eq!(setup.balancer.queue().waiting(), 0);
+}
+
+/// A connection takes time to come about, and the limit is heard meanwhile.
+#[test]
+fn what_was_chosen_before_the_limit_was_heard_is_held_back() {
+    let mut setup = Setup::new(&[(0, None), (1, None)]);
+    let tickets: Vec<_> = (0..2 * SLOTS).map(|_| setup.arrive(DEADLINE)).collect();
+    let server = setup.at(tickets[0]).unwrap();
+    let chosen = setup.now;
+    setup.pass(50);
+    setup.limit(tickets[0], named(1.0));
+    assert!(!setup.balancer.wants(server, chosen, setup.now));
+    let other = (0..2).map(|n| setup.find(n)).find(|id| *id != server).unwrap();
+    assert!(setup.balancer.wants(other, chosen, setup.now));
+    setup.pass(10_000);
+    assert!(setup.balancer.wants(server, setup.now, setup.now));
+}
+
+#[test]
+fn neither_a_rest_nor_a_limit_lifts_the_other() {
+    let mut setup = Setup::new(&[(0, None)]);
+    let server = limited(&mut setup, 1.0);
+    let rest = notice::Rest::For(Duration::from_secs(5));
+    setup.notice(server, &notice::Notice { rest, leaving: false });
+    let open = |setup: &Setup| setup.balancer.servers()[server].open(setup.now);
+    setup.pass(4_900);
+    assert!(!open(&setup), "it rests, though its limit would allow one");
+    setup.pass(2_000);
+    let first = setup.arrive(DEADLINE);
+    assert_eq!(setup.at(first), Some(server));
+    setup.balancer.begin(first, Duration::from_millis(10), setup.now);
+    setup.end(first, balancer::End::Answered);
+    assert!(!open(&setup), "the rest is over, and its limit is used up");
+}
+
+#[test]
+fn an_answer_without_a_limit_lifts_it_at_once() {
+    let mut setup = Setup::new(&[(0, None)]);
+    let server = limited(&mut setup, 0.5);
+    let waiting = setup.arrive(DEADLINE);
+    assert_eq!(setup.at(waiting), None);
+    setup.pass(3_000);
+    let ticket = setup.sent[0].0;
+    assert!(matches!(setup.limit(ticket, Notice::Unlimited), Some(Change::Lifted(_))));
+    setup.end(ticket, balancer::End::Answered);
+    for _ in 0..SLOTS {
+        let ticket = setup.arrive(DEADLINE);
+        assert_eq!(setup.at(ticket), Some(server));
+    }
+    assert!(setup.refused.is_empty());
+}
+
+/// A server that starts again serves before its entry tells the new start.
+#[test]
+fn the_next_run_keeps_the_limit_until_its_first_answer() {
+    let mut setup = Setup::new(&[(0, Some(1))]);
+    limited(&mut setup, 1.0);
+    setup.list(&[(0, Some(2))]);
+    let server = setup.find(0);
+    assert!(!setup.balancer.servers()[server].open(setup.now));
+    setup.pass(2_000);
+    let ticket = setup.arrive(DEADLINE);
+    assert_eq!(setup.at(ticket), Some(server));
+    assert!(matches!(setup.limit(ticket, Notice::Unlimited), Some(Change::Lifted(_))));
+    assert!(setup.balancer.servers()[server].open(setup.now));
+}
--- a/decision/tests/rest.rs
+++ b/decision/tests/rest.rs
@@ -3,25 +3,20 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use loftcove_decision::routing::notice::{Change, LONGEST_REST, Notice, Rest};
-use loftcove_decision::routing::{policy, server};
 use loftcove_decision::{balancer, clock, entity};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use rand_chacha::ChaCha8Rng;
-use rand_chacha::rand_core::SeedableRng as _;
+
+use common::{DEADLINE, SLOTS, Setup, pool};
 
 /// Longest time by which a server that rested gets requests later than it may.
 const SPREAD: Duration = Duration::from_secs(1);
-const SLOTS: u32 = 4;
-const DEADLINE: Duration = Duration::from_secs(8);
-
-fn pool() -> entity::Pool {
-    entity::Pool::from_u32(0)
-}
 
 fn rest(ms: u64) -> Notice {
     Notice { rest: Rest::For(Duration::from_millis(ms)), leaving: false }
@@ -29,134 +24,6 @@
 
 const LEAVES: Notice = Notice { rest: Rest::None, leaving: true };
 
-struct Setup {
-    balancer: balancer::Balancer<policy::Blend>,
-    now: clock::Instant,
-    /// Requests under way, each with its server and when it was sent.
-    sent: Vec<(entity::Ticket, entity::Server, clock::Instant)>,
-    refused: Vec<balancer::Refusal>,
-    sequence: u64,
-}
-
-impl Setup {
-    fn new(servers: &[(u32, Option<u64>)]) -> Setup {
-        let rng = ChaCha8Rng::seed_from_u64(3);
-        let policy = policy::Blend { rng, sample: 2, affinity_slack: 0.0 };
-        let options = balancer::Options::default().retry_reserve(10.0).charge_full(true);
-        let mut setup = Setup {
-            balancer: balancer::Balancer::new(policy, &options),
-            now: clock::Instant::from_millis(1_000),
-            sent: Vec::new(),
-            refused: Vec::new(),
-            sequence: 0,
-        };
-        setup.list(servers);
-        setup
-    }
-
-    /// Lists servers by number and start.
-    fn list(&mut self, servers: &[(u32, Option<u64>)]) {
-        let listing = |(number, born): &(u32, Option<u64>)| server::Listing {
-            host: format!("server-{number}").into(),
-            born: *born,
-            pool: pool(),
-            group: None,
-            news: None,
-            local: true,
-            leaving: false,
-            drained: false,
-            cold: None,
-        };
-        let actions = self.balancer.list(servers.iter().map(listing).collect(), self.now);
-        self.take(actions);
-        for (number, _) in servers {
-            let id = self.find(*number);
-            if self.balancer.servers()[id].connected {
-                continue;
-            }
-            self.sequence += 1;
-            let report = server::Report {
-                incarnation: 1,
-                sequence: self.sequence,
-                slots: SLOTS,
-                alive: true,
-                ..Default::default()
-            };
-            let mut actions = self.balancer.connect(id, true, self.now);
-            actions.extend(self.balancer.report(id, report, self.now));
-            self.take(actions);
-        }
-    }
-
-    fn find(&self, number: u32) -> entity::Server {
-        self.balancer.servers().find(&format!("server-{number}")).unwrap()
-    }
-
-    fn take(&mut self, actions: Vec<balancer::Action>) {
-        for action in actions {
-            match action {
-                balancer::Action::Send(dispatch) => {
-                    assert!(self.balancer.wants(dispatch.choice.server, self.now));
-                    self.sent.push((dispatch.ticket, dispatch.choice.server, self.now));
-                }
-                balancer::Action::Refuse(refusal) => self.refused.push(refusal),
-            }
-        }
-    }
-
-    fn pass(&mut self, ms: u64) {
-        self.now = self.now + Duration::from_millis(ms);
-        let actions = self.balancer.tick(self.now);
-        self.take(actions);
-    }
-
-    /// A request arrives whose answer should begin within that time.
-    fn arrive(&mut self, begin: Duration) -> entity::Ticket {
-        let due = self.now + DEADLINE.max(begin);
-        let arrival = balancer::Arrival {
-            pool: pool(),
-            team: entity::Team::from_u32(0),
-            precedence: 1,
-            repeatable: true,
-            resumable: false,
-            max_attempts: 3,
-            deadline: due,
-            expires: due,
-            begin_by: Some(self.now + begin),
-            prefix: 0,
-            suspect: None,
-        };
-        let (ticket, actions) = self.balancer.arrive(arrival, self.now);
-        self.take(actions);
-        ticket
-    }
-
-    fn notice(&mut self, server: entity::Server, notice: &Notice) -> Option<Change> {
-        let (change, actions) = self.balancer.notice(server, notice, self.now);
-        self.take(actions);
-        change
-    }
-
-    fn end(&mut self, ticket: entity::Ticket, end: balancer::End) {
-        self.sent.retain(|(other, ..)| *other != ticket);
-        let actions = self.balancer.end(ticket, end, self.now);
-        self.take(actions);
-        assert_eq!(self.balancer.verify(), Ok(()));
-    }
-
-    /// Server that the request is at.
-    fn at(&self, ticket: entity::Ticket) -> Option<entity::Server> {
-        self.sent.iter().find(|(other, ..)| *other == ticket).map(|(_, server, _)| *server)
-    }
-
-    /// A refusal with a notice, as the adapter tells it.
-    fn turn_away(&mut self, ticket: entity::Ticket, notice: &Notice) {
-        let server = self.at(ticket).unwrap();
-        self.notice(server, notice);
-        self.end(ticket, balancer::End::Full);
-    }
-}
-
 #[test]
 fn work_goes_to_others_until_the_rest_is_over() {
     let mut setup = Setup::new(&[(0, None), (1, None)]);
@@ -215,7 +82,7 @@
     }
     setup.list(&[(0, None), (1, None)]);
     setup.pass(2_800);
-    assert!(!setup.balancer.wants(server, setup.now));
+    assert!(!setup.balancer.wants(server, setup.now, setup.now));
     // A longer one moves its end.
     assert_eq!(setup.notice(server, &rest(2_000)), None);
     setup.pass(1_900);
@@ -290,10 +157,10 @@
     let server = setup.at(ticket).unwrap();
     let tally = setup.balancer.tally();
     setup.notice(server, &rest(3_000));
-    assert!(!setup.balancer.wants(server, setup.now));
+    assert!(!setup.balancer.wants(server, setup.now, setup.now));
     setup.end(ticket, balancer::End::Withheld);
     let other = setup.at(ticket).unwrap();
-    assert!(other != server && setup.balancer.wants(other, setup.now));
+    assert!(other != server && setup.balancer.wants(other, setup.now, setup.now));
     assert_eq!(setup.balancer.tally(), tally, "it counts as its first attempt");
     assert_eq!(setup.balancer.servers()[server].in_flight, 0);
     // Where there is no other, it waits for the first that takes requests again.
@@ -535,7 +402,7 @@
                 let (least, most) = model.rests.get(&server).copied().unwrap_or_default();
                 if setup.now < least || model.leaving.contains(&server) {
                     prop_assert!(!record.open(setup.now), "{server} is open");
-                    prop_assert!(!setup.balancer.wants(server, setup.now));
+                    prop_assert!(!setup.balancer.wants(server, setup.now, setup.now));
                 }
                 if setup.now >= most {
                     prop_assert!(!record.standing.rests(setup.now), "{server} rests on");
--- a/decision/tests/runs.rs
+++ b/decision/tests/runs.rs
@@ -37,6 +37,7 @@
             news: None,
             pool: entity::Pool::from_u32(0),
             group: None,
+            zone: "norte".into(),
             local: true,
             leaving: false,
             drained: false,
--- a/decision/tests/suspects.rs
+++ b/decision/tests/suspects.rs
@@ -31,6 +31,7 @@
         pool: pool(),
         group: None,
         news: None,
+        zone: "norte".into(),
         local: true,
         leaving: false,
         drained: false,
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -35,7 +35,9 @@
     pub pool: Arc<str>,
     /// Its place in a lock-step group, if it is a rank of one.
     pub rank: Option<Rank>,
-    /// Whether it is in this host's availability zone.
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Whether that is this host's own.
     pub local: bool,
     /// Whether it is leaving.
     pub leaving: bool,
@@ -186,6 +188,7 @@
             pool: inner.pools.intern(&listing.pool),
             group: listing.rank.as_ref().map(|rank| inner.groups.intern(&rank.group)),
             news: listing.rank.as_ref().and_then(Rank::news),
+            zone: listing.zone.clone(),
             local: listing.local,
             leaving: listing.leaving,
             drained: listing.drained,
@@ -238,6 +241,14 @@
         self.lock().balancer.set_share_of_servers(share);
     }
 
+    /// Sets the gateways that share the backend servers' rate limits.
+    pub fn set_peers(&self, peers: rate::Peers) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let actions = inner.balancer.set_peers(peers, now);
+        inner.route(actions);
+    }
+
     /// A backend server turned out to be another run than the listed one:
     /// nothing is sent there until the list has it again.
     pub fn unlist(&self, server: entity::Server) {
@@ -281,9 +292,14 @@
         self.lock().balancer.limited()
     }
 
-    /// Whether a backend server that was chosen still wants what is to be sent now.
-    pub fn wants(&self, server: entity::Server) -> bool {
-        self.lock().balancer.wants(server, self.now())
+    /// How often this gateway may send to a backend server that names a rate limit.
+    pub fn pace(&self, server: entity::Server) -> Option<rate::Pace> {
+        self.lock().balancer.servers()[server].quota.map(|quota| quota.pace())
+    }
+
+    /// Whether a backend server that was chosen then still wants what is to be sent now.
+    pub fn wants(&self, server: entity::Server, chosen: clock::Instant) -> bool {
+        self.lock().balancer.wants(server, chosen, self.now())
     }
 
     /// Backend servers that rest, and listed ones that have told that they leave.
--- a/dispatch/tests/common/mod.rs
+++ b/dispatch/tests/common/mod.rs
@@ -14,6 +14,7 @@
         run: run.clone(),
         pool: SERVICE.into(),
         rank: None,
+        zone: "norte".into(),
         local: true,
         leaving: false,
         drained: false,
--- a/dispatch/tests/leaving.rs
+++ b/dispatch/tests/leaving.rs
@@ -134,7 +134,7 @@
         let Some(attempt) = pending.attempt.as_ref().filter(|_| pending.reached.is_none()) else {
             return;
         };
-        if !self.dispatcher.wants(attempt.server) {
+        if !self.dispatcher.wants(attempt.server, attempt.at) {
             pending.attempt = None;
             return pending.permit.end(balancer::End::Withheld);
         }
--- a/gateway/src/notice.rs
+++ b/gateway/src/notice.rs
@@ -63,10 +63,13 @@
             Some(rate::Change::Limited(limit, before)) => {
                 self.metrics.limits.inc();
                 let before = before.map_or_else(|| "-".to_owned(), |before| before.to_string());
+                let pace = self.dispatcher.pace(attempt.server);
                 log::info!(
                     "server limited server={server} born={} per_second={limit} before={before} \
-                     request={id} status={status}",
-                    born(&attempt.target)
+                     holder={} interval_ms={} request={id} status={status}",
+                    born(&attempt.target),
+                    pace.is_some_and(|pace| pace.holder),
+                    pace.map_or(0, |pace| pace.interval.as_millis())
                 );
             }
             Some(rate::Change::Lifted(time)) => log::info!(
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwapOption;
 use loftcove_clock as boot;
+use loftcove_decision::routing::rate;
 use loftcove_decision::{balancer, fleet, lifecycle, pass, route};
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::Protocol;
@@ -113,6 +114,10 @@
         let count = |count: usize| u32::try_from(count).unwrap_or(u32::MAX);
         let share = balancer::Share { number: count(number.unwrap_or(0)), of: count(gateways) };
         self.dispatcher.set_share_of_servers(share);
+        let host = &self.settings.host;
+        let own = rate::Peer { name: host.name.clone(), zone: host.zone.clone() };
+        let listed = entries.into_iter().map(|(name, entry)| rate::Peer { name, zone: entry.zone });
+        self.dispatcher.set_peers(rate::Peers::new(own, listed));
         let serving = &self.settings.serving;
         self.dispatcher.set_reserve(serving.retry_slack * RETRY_MARGIN / gateways as f64);
         let usable = !servers.is_empty();
@@ -178,6 +183,7 @@
             run: server.run(),
             pool: server.service.clone(),
             rank: lockstep(&server.service).then(|| rank(server)),
+            zone: server.zone.clone(),
             local: *server.zone == *self.settings.host.zone,
             leaving: server.draining,
             drained: catalog.drained(server),
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -56,7 +56,7 @@
     #[error("no answer: {0}")]
     NoAnswer(String),
     /// Nothing was sent: the backend server wants nothing any more.
-    #[error("the server asked for rest, leaves or is drained")]
+    #[error("the server asked for rest, names a rate limit, leaves or is drained")]
     Withheld,
 }
 
