Limits that end are told to all gateways; own interface, soak

Most gateways send nothing to a server that names a low limit, so that its end reached them after minutes: 12 gateways beside 4 holders of 0.2 a second share one request in 33 s. Whoever hears it by an answer writes loftcove/lifted/SERVER under a lease of a minute, one gateway for all of them (a lot of 0.4 s, then it looks whether another one has written); the others come back one after the other within 2 s, unless they heard the limit within the last 2 s. Without the store they hear it by their own requests as before.

The soak draws servers that name a limit, nonsense among them, and counts as the users do.

--- a/decision/src/balancer/rate.rs
+++ b/decision/src/balancer/rate.rs
@@ -46,6 +46,23 @@
         (change, actions)
     }
 
+    /// Another gateway found that the rate limit of a run is lifted. Returns for how
+    /// long one was in force here, unless it was heard again since.
+    pub fn lift(
+        &mut self,
+        host: &str,
+        born: Option<u64>,
+        now: clock::Instant,
+    ) -> (Option<Duration>, Vec<Action>) {
+        let Some(server) = self.servers.find(host) else { return (None, Vec::new()) };
+        let time = self.servers[server].lift(born, now);
+        let mut actions = Vec::new();
+        if time.is_some() {
+            self.pump(self.servers[server].listing.pool, now, &mut actions);
+        }
+        (time, actions)
+    }
+
     /// Sets the gateways that share the backend servers' rate limits.
     pub fn set_peers(&mut self, peers: rate::Peers, now: clock::Instant) -> Vec<Action> {
         if peers == self.peers {
--- a/decision/src/routing/rate.rs
+++ b/decision/src/routing/rate.rs
@@ -31,6 +31,10 @@
 /// Part of what the users allow that the holders may send by plan. The rest is for
 /// gateways that take themselves for holders by an older list of gateways.
 const PLANNED: f64 = 0.7;
+/// Time that another gateway's word that a limit is lifted may have been on its way.
+const NEWS_TIME: Duration = Duration::from_secs(2);
+/// Time over which gateways that were told so return to the server.
+const RETURN_TIME: Duration = Duration::from_secs(2);
 /// Least rate that is counted with, requests a second: a server that takes none at all
 /// is asked now and then whether it still says so.
 const LEAST_RATE: f64 = 0.05;
@@ -264,6 +268,17 @@
         self.settle(now);
     }
 
+    /// Whether another gateway's word that it is lifted may be newer than the last one
+    /// that was heard here.
+    pub fn may_be_over(&self, now: clock::Instant) -> bool {
+        now.since(self.heard) >= NEWS_TIME
+    }
+
+    /// How long after it was lifted this gateway sends again.
+    pub fn return_after(&self) -> Duration {
+        RETURN_TIME.mul_f64(f64::from(self.place.rank) / f64::from(self.place.all))
+    }
+
     /// Brings the pace up to limit and place. Who becomes a holder waits as if it had
     /// just heard of the limit: whoever was one before may not know yet.
     fn settle(&mut self, now: clock::Instant) {
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -202,6 +202,15 @@
         rest.max(turn)
     }
 
+    /// Another gateway found that the rate limit of a run that started then is lifted:
+    /// all come back one after the other. Returns for how long there was one.
+    pub fn lift(&mut self, born: Option<u64>, now: clock::Instant) -> Option<Duration> {
+        let quota = self.quota.filter(|quota| self.is_run(born) && quota.may_be_over(now))?;
+        self.quota = None;
+        self.shut_until = self.shut_until.max(now + quota.return_after());
+        Some(now.since(quota.since()))
+    }
+
     /// Takes what it says of its own near future.
     pub fn notice(
         &mut self,
--- a/decision/tests/limited.rs
+++ b/decision/tests/limited.rs
@@ -192,3 +192,17 @@
     assert!(matches!(setup.limit(ticket, Notice::Unlimited), Some(Change::Lifted(_))));
     assert!(setup.balancer.servers()[server].open(setup.now));
 }
+
+#[test]
+fn another_gateways_word_lifts_a_limit_unless_it_was_heard_again_since() {
+    let mut setup = Setup::new(&[(0, Some(1))]);
+    let server = limited(&mut setup, 0.2);
+    setup.pass(1_000);
+    let lift = |setup: &mut Setup, born| setup.balancer.lift("server-0", born, setup.now).0;
+    assert_eq!(lift(&mut setup, Some(1)), None, "it may be older than what was heard");
+    setup.pass(1_000);
+    assert_eq!(lift(&mut setup, Some(2)), None, "another run's");
+    assert_eq!(lift(&mut setup, Some(1)), Some(Duration::from_secs(2)));
+    setup.pass(2_000);
+    assert!(setup.balancer.servers()[server].open(setup.now));
+}
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -287,6 +287,16 @@
         change
     }
 
+    /// Another gateway found that a run's rate limit is lifted. Returns for how long one
+    /// was in force here.
+    pub fn lift(&self, run: &fleet::Run) -> Option<Duration> {
+        let now = self.now();
+        let mut inner = self.lock();
+        let (time, actions) = inner.balancer.lift(&run.id, run.born, now);
+        inner.route(actions);
+        time
+    }
+
     /// Listed backend servers that name a rate limit.
     pub fn limited(&self) -> usize {
         self.lock().balancer.limited()
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -36,7 +36,7 @@
 use loftcove_clock as boot;
 use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
-use loftcove_mirror::{self as mirror, ends, follow, peer, register, serve, watch};
+use loftcove_mirror::{self as mirror, ends, follow, lifts, peer, register, serve, watch};
 use loftcove_settings::gateway as settings;
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
@@ -103,6 +103,7 @@
     }
     let entry = register::Entry { address: listen.peer_address, zone: host.zone.clone() };
     tokio::spawn(ends::run(gateway.mirror.clone(), store.clone()));
+    tokio::spawn(lifts::run(gateway.mirror.clone(), store.clone()));
     tokio::spawn(register::run(gateway.mirror.clone(), store, host.name.clone(), entry));
     tokio::spawn(gateway.mirror.clone().expire());
     tokio::spawn(serve_peers(gateway.mirror.clone(), host.zone.clone(), peers));
--- a/gateway/src/notice.rs
+++ b/gateway/src/notice.rs
@@ -62,6 +62,7 @@
             None => {}
             Some(rate::Change::Limited(limit, before)) => {
                 self.metrics.limits.inc();
+                self.mirror.lifts.limited(&attempt.target.run);
                 let before = before.map_or_else(|| "-".to_owned(), |before| before.to_string());
                 let pace = self.dispatcher.pace(attempt.server);
                 log::info!(
@@ -72,11 +73,14 @@
                     pace.map_or(0, |pace| pace.interval.as_millis())
                 );
             }
-            Some(rate::Change::Lifted(time)) => log::info!(
-                "server limit lifted server={server} born={} ms={} request={id} status={status}",
-                born(&attempt.target),
-                time.as_millis()
-            ),
+            Some(rate::Change::Lifted(time)) => {
+                self.mirror.limit_lifted(&attempt.target.run);
+                log::info!(
+                    "server limit lifted server={server} born={} ms={} request={id} status={status}",
+                    born(&attempt.target),
+                    time.as_millis()
+                );
+            }
         }
     }
 }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -118,6 +118,12 @@
         let own = rate::Peer { name: host.name.clone(), zone: host.zone.clone() };
         let listed = entries.into_iter().map(|(name, entry)| rate::Peer { name, zone: entry.zone });
         self.dispatcher.set_peers(rate::Peers::new(own, listed));
+        for run in self.mirror.lifts.news(&self.mirror) {
+            if let Some(time) = self.dispatcher.lift(&run) {
+                let ms = time.as_millis();
+                log::info!("server limit lifted server={} ms={ms} from=store", run.id);
+            }
+        }
         let serving = &self.settings.serving;
         self.dispatcher.set_reserve(serving.retry_slack * RETRY_MARGIN / gateways as f64);
         let usable = !servers.is_empty();
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -5,7 +5,8 @@
 //! on to those who follow it ([`serve`], [`followers`]), so that a host that the store does
 //! not answer hears of changes from others, one hop later. Merging is that of
 //! [`loftcove_decision::mirror`]. Along with it goes what gateways know of
-//! requests under which backend servers end ([`ends`]).
+//! requests under which backend servers end ([`ends`]), and of rate limits that were
+//! lifted ([`lifts`]).
 
 pub mod catalog;
 pub mod distance;
@@ -14,6 +15,7 @@
 pub mod followers;
 mod health;
 mod learnt;
+pub mod lifts;
 mod lines;
 pub mod membership;
 pub mod peer;
@@ -52,6 +54,8 @@
     pub distance: distance::Distance,
     /// Backend servers that ended under requests.
     pub ends: ends::Ends,
+    /// Rate limits of backend servers that were lifted.
+    pub lifts: lifts::Lifts,
     /// How its watches of the store get on.
     pub progress: progress::Progress,
     /// What is logged of records that are learnt.
@@ -93,6 +97,7 @@
             health: Health::default(),
             distance: distance::Distance::default(),
             ends: ends::Ends::default(),
+            lifts: lifts::Lifts::default(),
             progress: progress::Progress::default(),
             followers: followers::Followers::default(),
             followed: AtomicUsize::new(0),
--- /dev/null
+++ b/mirror/tests/lifts.rs
@@ -0,0 +1,75 @@
+//! Gateways tell each other of rate limits that were lifted.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use loftcove_decision::{fleet, mirror};
+use loftcove_mirror::{Mirror, Source, lifts};
+use loftcove_standins::calls::{Calls, Plan};
+
+fn run(born: u64) -> fleet::Run {
+    fleet::Run { id: "server-1".into(), born: Some(born) }
+}
+
+/// A record as the store tells it.
+fn record(revision: u64, text: &str) -> mirror::Record {
+    let value = Some(text.to_owned().into_bytes().into());
+    mirror::Record { key: "loftcove/lifted/server-1".into(), revision, value }
+}
+
+/// What is written after a while.
+async fn written(store: &Calls) -> Option<String> {
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let value = store.seen().write?.value?;
+    Some(String::from_utf8(value.to_vec()).unwrap())
+}
+
+#[tokio::test]
+async fn whoever_hears_it_writes_it_once_under_a_lease() {
+    let (mirror, store) = (Arc::<Mirror>::default(), Arc::new(Calls::new(Plan::default())));
+    tokio::spawn(lifts::run(mirror.clone(), store.clone()));
+    mirror.limit_lifted(&run(7));
+    assert_eq!(written(&store).await.unwrap(), r#"{"born":7}"#);
+    assert_eq!(store.seen().grants.len(), 1);
+    tokio::time::sleep(Duration::from_millis(2_200)).await;
+    assert_eq!(store.seen().grants.len(), 1, "it is written once");
+}
+
+#[tokio::test]
+async fn what_another_one_wrote_meanwhile_or_is_out_of_date_is_not_written() {
+    let (mirror, store) = (Arc::<Mirror>::default(), Arc::new(Calls::new(Plan::default())));
+    mirror.limit_lifted(&run(7));
+    mirror.apply(vec![record(5, r#"{"born":7}"#)], Source::Store);
+    mirror.limit_lifted(&fleet::Run { id: "server-2".into(), born: None });
+    mirror.lifts.limited(&fleet::Run { id: "server-2".into(), born: None });
+    tokio::spawn(lifts::run(mirror.clone(), store.clone()));
+    assert_eq!(written(&store).await, None);
+}
+
+#[tokio::test]
+async fn a_write_that_fails_is_tried_again() {
+    let plan = Plan { lost_grants: 1, ..Plan::default() };
+    let (mirror, store) = (Arc::<Mirror>::default(), Arc::new(Calls::new(plan)));
+    tokio::spawn(lifts::run(mirror.clone(), store.clone()));
+    mirror.limit_lifted(&run(7));
+    assert_eq!(written(&store).await, None);
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    assert!(store.seen().write.is_some());
+}
+
+#[test]
+fn each_record_is_news_once_and_its_going_is_none() {
+    let mirror = Mirror::default();
+    assert_eq!(mirror.lifts.news(&mirror), []);
+    mirror.apply(vec![record(5, r#"{"born":7}"#)], Source::Store);
+    assert_eq!(mirror.lifts.news(&mirror), [run(7)]);
+    assert_eq!(mirror.lifts.news(&mirror), []);
+    mirror.apply(vec![mirror::Record { value: None, ..record(6, "") }], Source::Store);
+    assert_eq!(mirror.lifts.news(&mirror), []);
+    mirror.apply(vec![record(7, "nonsense")], Source::Store);
+    assert_eq!(mirror.lifts.news(&mirror), []);
+    mirror.apply(vec![record(9, r#"{"born":7}"#)], Source::Store);
+    assert_eq!(mirror.lifts.news(&mirror), [run(7)]);
+}
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use loftcove_tests::request::Arrival;
-use loftcove_tests::visits::{self, Excess, Excuse, Sent, Visit};
+use loftcove_tests::visits::{self, Excess, Excuse, Overrun, Sent, Visit};
 
 use crate::client::{DEADLINE, End, Kind, Seen};
 use crate::inject::Span;
@@ -19,7 +19,7 @@
 const AFTER: Duration = Duration::from_millis(500);
 
 /// A broken promise.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
 pub enum Breach {
     /// An answer is not the request's own or not whole.
     #[error("request {0}: its answer is not its own and whole: {1}")]
@@ -57,6 +57,9 @@
     /// A server that asked for rest, or said that it leaves, got requests.
     #[error("server {} had asked gateway {} for {:?} ms of rest (none: it leaves) in the answer to {}, and got {} requests, the first {}", .0.server, .0.gateway, .0.rest, .0.ids.0, .0.requests, .0.ids.1)]
     Disturbed(Excess),
+    /// A server that named a rate limit got more than that from all gateways together.
+    #[error("server {} had named {} requests a second and got {} within 4 s, {} allowed, the first {:?}", .0.server, .0.limit, .0.requests, .0.allowed, .0.ids[0])]
+    Overrun(Overrun),
     /// A pass ran on two maps.
     #[error("{0} passes ran on two maps")]
     Maps(u64),
@@ -179,7 +182,9 @@
         let sent: BTreeMap<String, Sent> = sent.collect();
         let unrested = visits::worst(visits::unrested(&self.visits, &sent, &done));
         let undrained = visits::worst(visits::undrained(&self.visits, &sent, &done));
-        unrested.into_iter().chain(undrained).map(Breach::Disturbed).collect()
+        let overruns =
+            visits::overruns(&self.visits, &sent, &done).into_iter().map(Breach::Overrun);
+        unrested.into_iter().chain(undrained).map(Breach::Disturbed).chain(overruns).collect()
     }
 
     /// Whether something worse than a planned stop was done to a gateway around
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -184,6 +184,7 @@
             Fault::Shed { rank, number, each, rest } => {
                 self.shed(rank, number, each, rest).await;
             }
+            Fault::Limit { rank, number, rate } => self.limit(rank, number, rate).await,
             Fault::Leave(number) => self.say_leaving(number, true).await,
         }
         true
@@ -224,6 +225,7 @@
                 self.unharm(&server_name(rank, number));
             }
             Fault::Shed { rank, number, .. } => self.shed(rank, number, 0, "").await,
+            Fault::Limit { rank, number, .. } => self.limit(rank, number, "").await,
             Fault::Leave(number) => self.restart_plain(number).await,
             Fault::StoreLink { gateway, .. } | Fault::Store(Store::Deny(gateway)) => {
                 self.system.link(&format!("store-gateway-{gateway}"), "none").await;
@@ -256,6 +258,12 @@
         self.system.servers_control(self.group(rank, number), &what).await;
     }
 
+    /// Has a server name a rate limit; none where it is empty.
+    async fn limit(&mut self, rank: bool, number: u8, rate: &str) {
+        let what = format!("/limit?server={}&rate={rate}", server_name(rank, number));
+        self.system.servers_control(self.group(rank, number), &what).await;
+    }
+
     /// Has a plain server say that it leaves, or begin another run.
     async fn say_leaving(&mut self, number: u8, on: bool) {
         let server = server_name(false, number);
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -38,6 +38,16 @@
 /// rests outlast the fault, none the time until all is well again.
 const RESTS: [&str; 8] = ["0.2", "0.7", "1.5", "2", "3", "8", "soon", ""];
 
+/// Time between two servers that name a rate limit, on average.
+const LIMIT_INTERVAL: Duration = Duration::from_millis(2_500);
+/// The same for these servers as [`SILENCE_SEED`] for silences.
+const LIMIT_SEED: u64 = 0x17;
+/// Shortest and longest time for which they name it: gateways have three seconds, and what
+/// comes within four is counted.
+const LIMIT_LASTS_MS: std::ops::Range<u64> = 3_500..9_000;
+/// What they name: requests a second, nonsense.
+const LIMITS: [&str; 8] = ["0.2", "1", "1", "3", "10", "0", "1e9", "soon"];
+
 /// Where the number of a layer stands in its seed: above the bits of seeds drawn by
 /// the command line, and of what the layers of one seed differ by.
 const LAYER_SHIFT: u32 = 40;
@@ -181,6 +191,15 @@
         /// What it asks for, as its header says it.
         rest: &'static str,
     },
+    /// A server names a rate limit in its answers.
+    Limit {
+        /// Whether it is a rank of the group.
+        rank: bool,
+        /// Its number.
+        number: u8,
+        /// The limit, as its header says it.
+        rate: &'static str,
+    },
     /// A plain server says in its answers that it leaves, which the store does not
     /// tell; in the end it starts again.
     Leave(u8),
@@ -212,6 +231,7 @@
             Fault::Foreign => "foreign",
             Fault::Poison { .. } => "poison",
             Fault::Shed { .. } => "shed",
+            Fault::Limit { .. } => "limit",
             Fault::Leave(_) => "leave",
             Fault::Spoil(_) => "spoil",
         }
@@ -236,6 +256,7 @@
     events.extend(entries(seed, size));
     events.extend(poisons(seed, size));
     events.extend(notices(seed, size));
+    events.extend(limits(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -305,6 +326,22 @@
     events
 }
 
+/// Servers that name a rate limit.
+fn limits(seed: u64, size: &Size) -> Vec<Event> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ LIMIT_SEED);
+    let count = (size.time.as_secs_f64() / LIMIT_INTERVAL.as_secs_f64()).ceil() as usize;
+    let mut events = Vec::new();
+    for _ in 0..count {
+        let at = size.time.mul_f64(rng.random_range(0.0..1.0));
+        let lasts = Duration::from_millis(rng.random_range(LIMIT_LASTS_MS));
+        let rank = rng.random_bool(0.5);
+        let number = rng.random_range(0..if rank { size.ranks } else { size.plain });
+        let rate = LIMITS[rng.random_range(0..LIMITS.len())];
+        events.push(Event { at, lasts, fault: Fault::Limit { rank, number, rate } });
+    }
+    events
+}
+
 /// Callers that ask the same at one gateway after the other.
 fn poisons(seed: u64, size: &Size) -> Vec<Event> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ POISON_SEED);
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -4,6 +4,7 @@
 //! /standin/runs` tells the counts. `x-standin-delay-ms` makes a call slow, `x-standin-cross`
 //! has it answered with another request's id, `x-standin-end-ms` ends the process after that time,
 //! `x-standin-shed: SECONDS` has it refused, with so much rest asked for,
+//! `x-standin-limit: TEXT` has its answer name that rate limit,
 //! `x-standin-bytes: N` makes its answer longer by so many bytes.
 
 use std::collections::BTreeMap;
@@ -70,6 +71,9 @@
         if let Ok(id) = echo.parse() {
             response.headers_mut().insert("x-request-id", id);
         }
+        if let Some(limit) = crossing.get("x-standin-limit").cloned() {
+            response.headers_mut().insert("server-limit", limit);
+        }
         response
     }
 }
--- a/tests/tests/limits.rs
+++ b/tests/tests/limits.rs
@@ -90,3 +90,28 @@
 async fn a_rank_that_names_a_limit_gets_no_more() {
     limited(true).await;
 }
+
+/// Most gateways send nothing to a server that names a low limit, and its next answers go
+/// to others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_that_ends_ends_at_all_gateways() {
+    let plan = Plan { gateways: 8, plain: 1, ..PLAN };
+    let system = System::start(plan).await;
+    set_limit(&system, false, "plain-0", "0.2").await;
+    let ask_all = || async {
+        let asked = (0..plan.gateways).map(|gateway| {
+            let system = &system;
+            async move { system.ask(gateway, &request(false)).await.status }
+        });
+        future::join_all(asked).await
+    };
+    ask_all().await;
+    let statuses = ask_all().await;
+    assert!(statuses.contains(&503), "the limit is heeded: {statuses:?}");
+    set_limit(&system, false, "plain-0", "").await;
+    let begun = now();
+    while ask_all().await.iter().any(|status| *status != 200) {
+        assert!(now() < begun + 45_000, "the limit has ended, and is heeded on");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
