--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -5,10 +5,13 @@
 //! would, `PUT /standin/hosts` sets the host list (a JSON list),
 //! `PUT /standin/fault/NAME` sets a [`Fault`], `PUT /standin/deny?from=IP`
 //! turns one caller away (`allow` takes it back), `PUT /standin/compact`
-//! forgets the history, and `GET /standin/calls` tells how many calls came.
+//! forgets the history, `PUT /standin/copy` takes a copy of everything, `PUT
+//! /standin/restore` has the store come back from it, which begins its next era, and
+//! `GET /standin/calls` tells how many calls came.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
+use std::ops::{Deref, DerefMut};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -23,6 +26,8 @@
 
 /// Items of one page; small, so that tests meet several pages.
 const PAGE: usize = 20;
+/// Header that tells the era.
+const STORE_ERA: &str = "store-era";
 /// Largest value, bytes.
 const MAX_VALUE: usize = 1_048_576;
 
@@ -43,6 +48,7 @@
     LoseWrite,
 }
 
+#[derive(Clone)]
 struct Item {
     value: Bytes,
     revision: u64,
@@ -50,8 +56,9 @@
     lease: u64,
 }
 
-#[derive(Default)]
-struct State {
+/// What a copy has.
+#[derive(Clone, Default)]
+struct Content {
     revision: u64,
     items: BTreeMap<String, Item>,
     /// Changes by revision: the item as JSON.
@@ -59,6 +66,14 @@
     /// Revisions up to this one are no longer in the history.
     compacted: u64,
     leases: BTreeMap<u64, (Duration, Instant)>,
+}
+
+#[derive(Default)]
+struct State {
+    content: Content,
+    copy: Content,
+    /// Times that the store came back from a copy.
+    era: u64,
     fault: Fault,
     denied: BTreeSet<IpAddr>,
     calls: u64,
@@ -82,8 +97,16 @@
 type Response = http::Response<server::Body>;
 
 impl Store {
-    /// Answers one call.
+    /// Answers one call; each answer tells the era in which it was made.
     pub async fn handle(self, request: http::Request<Incoming>) -> Response {
+        let store = self.clone();
+        let mut answer = self.answer(request).await;
+        let era = store.lock().era;
+        answer.headers_mut().entry(STORE_ERA).or_insert(era.into());
+        answer
+    }
+
+    async fn answer(self, request: http::Request<Incoming>) -> Response {
         let path = request.uri().path().to_owned();
         let query = query(request.uri().query().unwrap_or_default());
         let caller = request.extensions().get::<SocketAddr>().map(SocketAddr::ip);
@@ -131,15 +154,16 @@
         let after = number("after_rev").unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
         let mut changed = self.changed.subscribe();
+        let era = self.lock().era;
         loop {
             let over = Instant::now() >= until;
             {
                 let mut state = self.lock();
                 state.expire();
-                if state.fault == Fault::Down {
+                if state.fault == Fault::Down || state.era != era {
                     return server::text(503, "down");
                 }
-                if after < state.compacted {
+                if after < state.compacted || after > state.revision {
                     return server::text(410, "history is gone");
                 }
                 let later = state.history.range(after + 1..);
@@ -183,6 +207,20 @@
     }
 }
 
+impl Deref for State {
+    type Target = Content;
+
+    fn deref(&self) -> &Content {
+        &self.content
+    }
+}
+
+impl DerefMut for State {
+    fn deref_mut(&mut self) -> &mut Content {
+        &mut self.content
+    }
+}
+
 impl State {
     fn control(
         &mut self,
@@ -206,6 +244,11 @@
                 self.compacted = self.revision;
                 self.history.clear();
             }
+            "copy" => self.copy = self.content.clone(),
+            "restore" => {
+                self.content = self.copy.clone();
+                self.era += 1;
+            }
             "deny" => self.denied.extend::<Option<IpAddr>>(address()),
             "allow" => self.denied.clear(),
             "fault/none" => self.fault = Fault::None,
