Revisions are ordered by the store's era first: what it says after a loss is newer

Seen by callers: after the store had come back from a copy, requests with a revoked key were served for more than two seconds after the revocation was acknowledged. Cause: records, terms and conditions were ordered by revision alone, which was taken to rise for ever; after the loss all records were dropped until the store had given out as many revisions as before. Class: a number of another system is taken to rise for ever.

Change: a revision is a place in the store's history, era and number, ordered as a pair, in the mirror, between peers, in conditions and in terms (one ordinal of both); leases bear their era. Entries that the store came back with and that contradict what was known are held for the time in which owners write again. A driver whose term is of the era before stands again; it writes the members of its group again.

--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -38,5 +38,6 @@
 pub mod poison;
 pub mod rendezvous;
 pub mod retry;
+pub mod revision;
 pub mod route;
 pub mod routing;
--- a/decision/tests/mirror.rs
+++ b/decision/tests/mirror.rs
@@ -8,13 +8,18 @@
 use bytes::Bytes;
 use loftcove_decision::clock::Instant;
 use loftcove_decision::mirror::{Mirror, Record};
+use loftcove_decision::revision::Revision;
 
 fn put(key: &str, revision: u64, value: &'static str) -> Record {
-    Record { key: key.into(), revision, value: Some(Bytes::from_static(value.as_bytes())) }
+    Record {
+        key: key.into(),
+        revision: Revision::new(0, revision),
+        value: Some(Bytes::from_static(value.as_bytes())),
+    }
 }
 
 fn gone(key: &str, revision: u64) -> Record {
-    Record { key: key.into(), revision, value: None }
+    Record { key: key.into(), revision: Revision::new(0, revision), value: None }
 }
 
 const NOW: Instant = Instant::from_millis(1_000);
@@ -38,7 +43,7 @@
     mirror.apply(&put("servers/b", 2, "x"), NOW);
     let due = NOW + Duration::from_secs(2);
     let keys: [Arc<str>; 2] = ["servers/a".into(), "servers/b".into()];
-    keys.iter().for_each(|key| mirror.suspect(key, 7, due));
+    keys.iter().for_each(|key| mirror.suspect(key, Revision::new(0, 7), due));
     assert!(mirror.expire(NOW + Duration::from_millis(1_999)).is_empty());
     mirror.apply(&put("servers/b", 8, "back"), NOW);
     assert_eq!(mirror.expire(due), [gone("servers/a", 7)]);
@@ -49,7 +54,7 @@
 fn a_removal_that_a_peer_is_sure_of_goes_before_a_suspicion() {
     let mut mirror = Mirror::default();
     mirror.apply(&put("servers/a", 1, "x"), NOW);
-    mirror.suspect(&"servers/a".into(), 7, NOW + Duration::from_secs(2));
+    mirror.suspect(&"servers/a".into(), Revision::new(0, 7), NOW + Duration::from_secs(2));
     assert!(mirror.apply(&gone("servers/a", 7), NOW));
     assert!(mirror.expire(NOW + Duration::from_secs(3)).is_empty());
 }
@@ -60,7 +65,7 @@
     mirror.apply(&put("servers/a", 1, "x"), NOW);
     mirror.apply(&put("servers/b", 9, "x"), NOW);
     mirror.apply(&put("op/config", 2, "x"), NOW);
-    assert_eq!(mirror.missing("servers/", &[], 5), [Arc::from("servers/a")]);
+    assert_eq!(mirror.missing("servers/", &[], Revision::new(0, 5)), [Arc::from("servers/a")]);
 }
 
 #[test]
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -131,9 +131,17 @@
 fn subjects<P: Protocol>(serving: &settings::Serving) -> [watch::Subject; 3] {
     let ms = |ms: f64| Duration::from_secs_f64(ms / 1_000.0);
     [
-        watch::Subject { prefix: P::CONFIG_PREFIX, bound: ms(serving.config_bound_ms) },
-        watch::Subject { prefix: P::SERVERS_PREFIX, bound: ms(serving.drain_bound_ms) },
-        watch::Subject { prefix: mirror::OWN_PREFIX, bound: OWN_BOUND },
+        watch::Subject {
+            prefix: P::CONFIG_PREFIX,
+            bound: ms(serving.config_bound_ms),
+            entries: false,
+        },
+        watch::Subject {
+            prefix: P::SERVERS_PREFIX,
+            bound: ms(serving.drain_bound_ms),
+            entries: true,
+        },
+        watch::Subject { prefix: mirror::OWN_PREFIX, bound: OWN_BOUND, entries: false },
     ]
 }
 
--- a/interface/src/store.rs
+++ b/interface/src/store.rs
@@ -7,11 +7,16 @@
 
 use bytes::Bytes;
 
-/// Number of a change of the store; rises with each, over all keys.
-pub type Revision = u64;
+pub use loftcove_decision::revision::Revision;
 
-/// Id of a lease.
-pub type Lease = u64;
+/// A lease. The store may give its id out again in its next era, in which it is over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lease {
+    /// Era in which it was given.
+    pub era: u32,
+    /// Its id.
+    pub id: u64,
+}
 
 /// A key with its value.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/mirror/src/catalog.rs
+++ b/mirror/src/catalog.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use loftcove_clock as boot;
+use loftcove_decision::revision::Revision;
 use loftcove_decision::{fleet, mirror, route};
 use loftcove_interface::protocol::{Place, Protocol, Record};
 
@@ -37,7 +38,7 @@
 /// A backend server's entry, as it was last read.
 #[derive(Debug)]
 struct Entry {
-    revision: u64,
+    revision: Revision,
     /// None where it cannot be read.
     server: Option<fleet::Server>,
     /// When it was read.
@@ -45,7 +46,7 @@
 }
 
 impl Entry {
-    fn new(revision: u64, server: Option<fleet::Server>) -> Entry {
+    fn new(revision: Revision, server: Option<fleet::Server>) -> Entry {
         Entry { revision, server, read: boot::Instant::now() }
     }
 }
--- a/mirror/src/ends.rs
+++ b/mirror/src/ends.rs
@@ -12,6 +12,7 @@
 
 use loftcove_clock as boot;
 use loftcove_decision::poison::{Digest, Finished, Item, Ledger, Lookout, Mark, SETTLED, Standing};
+use loftcove_decision::revision::Revision;
 use loftcove_decision::{clock, fleet, mirror};
 use loftcove_interface::store::{self, Store};
 use loftcove_wire as wire;
@@ -297,7 +298,7 @@
 pub async fn run<S: Store>(mirror: Arc<Mirror>, store: Arc<S>) {
     let mut records = mirror.subscribe();
     let mut changes = mirror.ends.changes.subscribe();
-    let mut read: BTreeMap<Arc<str>, u64> = BTreeMap::new();
+    let mut read: BTreeMap<Arc<str>, Revision> = BTreeMap::new();
     // When each request is to be written that the store lacks.
     let mut due: BTreeMap<Digest, boot::Instant> = BTreeMap::new();
     loop {
@@ -326,7 +327,7 @@
 
 impl Ends {
     /// Reads from the mirror what others have written.
-    fn import(&self, mirror: &Mirror, read: &mut BTreeMap<Arc<str>, u64>) {
+    fn import(&self, mirror: &Mirror, read: &mut BTreeMap<Arc<str>, Revision>) {
         let records = mirror.below(&prefix());
         read.retain(|key, _| records.iter().any(|record| record.key == *key));
         for record in records {
@@ -412,7 +413,7 @@
         let write = store::Write {
             key: format!("{}{digest}", prefix()).into(),
             value: Some(value.into()),
-            expected: Some(0),
+            expected: Some(Revision::ZERO),
             lease: Some(lease),
         };
         let outcome = store.write(&write).await?;
--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -8,6 +8,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use loftcove_clock as boot;
 use loftcove_decision::mirror::Record;
+use loftcove_decision::revision::Revision;
 use loftcove_wire as wire;
 use rand::seq::IndexedRandom as _;
 use tokio::sync::broadcast;
@@ -337,12 +338,13 @@
 ) -> Result<Option<Record>, tonic::Status> {
     // Peers of many followers are not asked by all of them at the same time.
     tokio::time::sleep(OFFER_WAIT.mul_f64(1.0 + rand::random::<f64>())).await;
-    let known = mirror.newest_of(&offer.key).map_or(0, |record| record.revision);
-    if known >= offer.revision {
+    let known = mirror.newest_of(&offer.key).map_or(Revision::ZERO, |record| record.revision);
+    let offered = Revision::new(offer.era, offer.revision);
+    if known >= offered {
         return Ok(None);
     }
-    log::info!("fetching key={} revision={} known={known}", offer.key, offer.revision);
-    let wanted = wire::Wanted { key: offer.key, revision: offer.revision };
+    log::info!("fetching key={} revision={offered} known={known}", offer.key);
+    let wanted = wire::Wanted { key: offer.key, revision: offer.revision, era: offer.era };
     let call = tokio::time::timeout(FETCH_TIMEOUT, client.fetch(wanted));
     let item = call.await.map_err(|_| tonic::Status::deadline_exceeded("fetch"))??;
     Ok(Some(record(item.into_inner())))
@@ -350,5 +352,5 @@
 
 fn record(item: wire::Item) -> Record {
     let value = (!item.removed).then_some(item.value);
-    Record { key: item.key.into(), revision: item.revision, value }
+    Record { key: item.key.into(), revision: Revision::new(item.era, item.revision), value }
 }
--- a/mirror/src/health.rs
+++ b/mirror/src/health.rs
@@ -11,7 +11,7 @@
 /// How long after an outage entries may take to come back: twice the interval
 /// at which backend servers renew theirs, and less than the two seconds after
 /// which users take a missing one to be gone.
-const RETURN_TIME: Duration = Duration::from_millis(1_900);
+pub const RETURN_TIME: Duration = Duration::from_millis(1_900);
 
 /// What is known of the store.
 #[derive(Debug, Default)]
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -48,6 +48,8 @@
     changes: channel::Sender<u64>,
     /// Times at which a call to the store got no answer after one that was answered.
     silences: channel::Sender<u64>,
+    /// The store's newest era that a listing told, and when it was first told.
+    era: Mutex<Option<(u32, boot::Instant)>>,
     /// Whether the store answers this host.
     pub health: Health,
     /// How far it is from the store over peers.
@@ -94,6 +96,7 @@
             news: broadcast::Sender::new(BACKLOG),
             changes: channel::Sender::new(0),
             silences: channel::Sender::new(0),
+            era: Mutex::default(),
             health: Health::default(),
             distance: distance::Distance::default(),
             ends: ends::Ends::default(),
@@ -117,6 +120,23 @@
         clock::Instant::from_micros(self.origin.elapsed().as_micros() as u64)
     }
 
+    /// A listing was of that era of the store.
+    fn note_era(&self, era: u32) {
+        // Each change is one assignment.
+        let mut known = self.era.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        if known.is_none_or(|(before, _)| before < era) {
+            *known = Some((era, boot::Instant::now()));
+        }
+    }
+
+    /// For how much longer owners may still have to write again what the store lost as
+    /// its era began.
+    fn era_grace(&self) -> Option<std::time::Duration> {
+        let known = *self.era.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let (_, since) = known.filter(|(era, _)| *era > 0)?;
+        health::RETURN_TIME.checked_sub(since.elapsed())
+    }
+
     /// Takes records; those that are news are handed on.
     pub fn apply(&self, records: Vec<mirror::Record>, source: Source<'_>) {
         let now = self.now();
@@ -266,7 +286,7 @@
         self.lock().below(prefix).collect()
     }
 
-    /// Lets removals take effect that were suspected for long enough; runs
+    /// Lets removals and older values take effect that were held for long enough; runs
     /// until the process ends.
     pub async fn expire(self: Arc<Mirror>) {
         let mut changes = self.subscribe();
@@ -274,7 +294,8 @@
             let now = self.now();
             let removed = self.lock().expire(now);
             for record in &removed {
-                log::info!("removal held back is over key={}", record.key);
+                let what = if record.value.is_some() { "value" } else { "removal" };
+                log::info!("{what} held back is over key={}", record.key);
                 self.news.send(record.clone()).unwrap_or_default();
             }
             if !removed.is_empty() {
--- a/mirror/src/lifts.rs
+++ b/mirror/src/lifts.rs
@@ -11,6 +11,7 @@
 
 use loftcove_clock as boot;
 use loftcove_decision::fleet;
+use loftcove_decision::revision::Revision;
 use loftcove_interface::store::{self, Store};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -37,7 +38,7 @@
     /// Runs whose limits were lifted and which are to be written.
     pending: BTreeMap<fleet::Run, Pending>,
     /// Revisions of the records that were read, by server.
-    read: BTreeMap<Arc<str>, u64>,
+    read: BTreeMap<Arc<str>, Revision>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -46,7 +47,7 @@
     /// When it is to be written.
     due: boot::Instant,
     /// Revision of the server's record at that time, zero where there was none.
-    revision: u64,
+    revision: Revision,
 }
 
 /// A record.
@@ -98,7 +99,7 @@
 impl Mirror {
     /// An answer of a run showed that its rate limit is lifted.
     pub fn limit_lifted(&self, run: &fleet::Run) {
-        let revision = self.record(&key(&run.id)).map_or(0, |record| record.revision);
+        let revision = self.record(&key(&run.id)).map_or(Revision::ZERO, |record| record.revision);
         let heard = boot::Instant::now();
         let due = heard + WAIT.mul_f64(rand::random());
         self.lifts.lock().pending.insert(run.clone(), Pending { heard, due, revision });
@@ -109,7 +110,8 @@
     fn next_lift(&self) -> Result<fleet::Run, Option<Duration>> {
         let mut state = self.lifts.lock();
         state.pending.retain(|run, pending| {
-            let record = self.record(&key(&run.id)).map_or(0, |record| record.revision);
+            let record =
+                self.record(&key(&run.id)).map_or(Revision::ZERO, |record| record.revision);
             pending.heard.elapsed() < RETRY.1 && record == pending.revision
         });
         let next = state.pending.iter_mut().min_by_key(|(_, pending)| pending.due);
--- a/mirror/src/membership.rs
+++ b/mirror/src/membership.rs
@@ -72,7 +72,7 @@
     let write = store::Write {
         key,
         value: Some(value.into()),
-        expected: Some(before.map_or(0, |record| record.revision)),
+        expected: Some(before.map_or(store::Revision::ZERO, |record| record.revision)),
         lease: None,
     };
     match store.write(&write).await {
--- a/mirror/src/serve.rs
+++ b/mirror/src/serve.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use loftcove_decision::mirror::Record;
+use loftcove_decision::revision::Revision;
 use loftcove_wire as wire;
 use tokio::sync::{broadcast, mpsc};
 use tokio_stream::wrappers::ReceiverStream;
@@ -76,7 +77,8 @@
     async fn fetch(&self, request: Request<wire::Wanted>) -> Result<Response<wire::Item>, Status> {
         let wanted = request.into_inner();
         let record = self.mirror.newest_of(&wanted.key);
-        let record = record.filter(|record| record.revision >= wanted.revision);
+        let least = Revision::new(wanted.era, wanted.revision);
+        let record = record.filter(|record| record.revision >= least);
         let record = record.ok_or_else(|| Status::not_found("no such record"))?;
         Ok(Response::new(item(record, Reach::Near)))
     }
@@ -153,7 +155,8 @@
     let offered = reach == Reach::Far && value.len() >= LARGE;
     wire::Item {
         key: record.key.to_string(),
-        revision: record.revision,
+        revision: record.revision.number,
+        era: record.revision.era,
         removed,
         value: if offered { Default::default() } else { value },
         offered,
--- a/mirror/src/watch.rs
+++ b/mirror/src/watch.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use loftcove_decision::clock;
 use loftcove_decision::mirror::Record;
 use loftcove_interface::store::{self, Store};
 use rand::Rng as _;
@@ -50,6 +51,9 @@
     pub prefix: &'static str,
     /// Longest time within which a change is to be in force.
     pub bound: Duration,
+    /// Whether the keys are entries that their owners write again where the store has
+    /// lost them: what is older is held until then.
+    pub entries: bool,
 }
 
 impl Subject {
@@ -105,7 +109,7 @@
                 mirror.watch_answered(prefix);
                 pause = PAUSE.0;
                 let revision = listing.revision;
-                take(&mirror, prefix, listing);
+                take(&mirror, subject, listing);
                 changes(&mirror, &*store, subject, revision, &wanted).await;
             }
             Err(error) => {
@@ -129,13 +133,31 @@
 }
 
 /// Takes a listing: what is not on it is gone.
-fn take(mirror: &Mirror, prefix: &str, listing: store::Listing) {
+fn take(mirror: &Mirror, subject: Subject, listing: store::Listing) {
+    mirror.note_era(listing.revision.era);
     let keys: Vec<Arc<str>> = listing.items.iter().map(|item| item.key.clone()).collect();
-    let gone = mirror.lock().missing(prefix, &keys, listing.revision);
-    mirror.apply(listing.items.into_iter().map(put).collect(), Source::Store);
+    let gone = mirror.lock().missing(subject.prefix, &keys, listing.revision);
+    let mut records: Vec<Record> = listing.items.into_iter().map(put).collect();
+    if let Some(grace) = mirror.era_grace().filter(|_| subject.entries) {
+        let due = mirror.now() + grace;
+        records.retain(|record| !hold(mirror, record, due));
+    }
+    mirror.apply(records, Source::Store);
     for key in gone {
         remove(mirror, key, listing.revision);
     }
+    mirror.lock().set_listed(subject.prefix, listing.revision);
+}
+
+/// Holds an entry back that the store may have come back with, while its owner knows
+/// better. Returns whether it is held.
+fn hold(mirror: &Mirror, record: &Record, due: clock::Instant) -> bool {
+    let held = mirror.lock().hold(record, due);
+    if held {
+        log::info!("value held back key={} revision={}", record.key, record.revision);
+        mirror.changes.send_modify(|version| *version += 1);
+    }
+    held
 }
 
 fn put(item: store::Item) -> Record {
@@ -144,8 +166,8 @@
 
 /// Takes a removal, at once or held back for as long as the entry may lapse
 /// for an outage alone.
-fn remove(mirror: &Mirror, key: Arc<str>, revision: u64) {
-    match mirror.health.grace() {
+fn remove(mirror: &Mirror, key: Arc<str>, revision: store::Revision) {
+    match mirror.health.grace().max(mirror.era_grace()) {
         Some(grace) => {
             log::info!("removal held back key={key} revision={revision} ms={}", grace.as_millis());
             let due = mirror.now() + grace;
@@ -161,7 +183,7 @@
     mirror: &Mirror,
     store: &S,
     subject: Subject,
-    mut after: u64,
+    mut after: store::Revision,
     wanted: &(impl Fn(&Mirror) -> bool + Send),
 ) {
     let prefix = subject.prefix;
@@ -221,7 +243,7 @@
     mirror: &Mirror,
     store: &S,
     subject: Subject,
-    after: u64,
+    after: store::Revision,
     call: Call,
 ) -> Answer {
     let _waiting = mirror.progress.wait(subject.prefix);
--- a/mirror/tests/catalog.rs
+++ b/mirror/tests/catalog.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use loftcove_decision::mirror::Record;
+use loftcove_decision::revision::Revision;
 use loftcove_interface::protocol::{self, Protocol};
 use loftcove_mirror::catalog::Catalog;
 use loftcove_mirror::{Mirror, Source};
@@ -29,7 +30,7 @@
         self.revision += 1;
         let key = format!("servers/{id}").into();
         let value = value.map(bytes::Bytes::from);
-        let record = Record { key, revision: self.revision, value };
+        let record = Record { key, revision: Revision::new(0, self.revision), value };
         self.mirror.apply(vec![record], Source::Store);
         self.catalog.update(&self.mirror);
     }
@@ -78,7 +79,7 @@
     let strange: Vec<Record> = (0..3_000)
         .map(|number| Record {
             key: format!("servers/x-{number}").into(),
-            revision: 10 + number,
+            revision: Revision::new(0, 10 + number),
             value: Some("{\"service\":7}".into()),
         })
         .collect();
@@ -120,7 +121,11 @@
     let mut key = |value: Option<&'static [u8]>| {
         setup.revision += 1;
         let value = value.map(bytes::Bytes::from_static);
-        let record = Record { key: "op/evacuate/norte".into(), revision: setup.revision, value };
+        let record = Record {
+            key: "op/evacuate/norte".into(),
+            revision: Revision::new(0, setup.revision),
+            value,
+        };
         setup.mirror.apply(vec![record], Source::Store);
         setup.catalog.update(&setup.mirror);
         let server = setup.catalog.servers().next().unwrap();
@@ -186,7 +191,7 @@
     let mut catalog: Catalog<Counting> = Catalog::default();
     let record = |number: u64, revision: u64| Record {
         key: format!("servers/i-{number}").into(),
-        revision,
+        revision: Revision::new(0, revision),
         value: Some(entry(None, 1).to_string().into()),
     };
     mirror.apply((0..200).map(|number| record(number, 1)).collect(), Source::Store);
--- a/mirror/tests/ends.rs
+++ b/mirror/tests/ends.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use loftcove_decision::poison::{Digest, KEPT, Standing};
+use loftcove_decision::revision::Revision;
 use loftcove_decision::{fleet, mirror};
+use loftcove_interface::store::Lease;
 use loftcove_mirror::{Mirror, Source, ends, follow};
 use loftcove_standins::calls::{Calls, Plan};
 use loftcove_standins::proxy::Proxy;
@@ -147,15 +149,20 @@
         }
     };
     let write = tokio::time::timeout(BOUND, write).await.expect("written in time");
-    assert_eq!((write.expected, write.lease), (Some(0), Some(1)));
+    assert_eq!(
+        (write.expected, write.lease),
+        (Some(Revision::ZERO), Some(Lease { era: 0, id: 1 }))
+    );
     assert_eq!(store.seen().grants, [KEPT, KEPT], "the first one is lost");
-    let record = mirror::Record { key: write.key, revision: 5, value: write.value };
+    let record =
+        mirror::Record { key: write.key, revision: Revision::new(0, 5), value: write.value };
     let alone: Arc<Mirror> = Arc::default();
     tokio::spawn(ends::run(alone.clone(), Arc::<Calls>::default()));
     alone.apply(vec![record.clone()], Source::Store);
     assert_eq!(refuses(&alone).await, 2);
     // An entry of another writer names nobody.
-    let spoilt = mirror::Record { value: Some("{".into()), revision: 6, ..record };
+    let spoilt =
+        mirror::Record { value: Some("{".into()), revision: Revision::new(0, 6), ..record };
     alone.apply(vec![spoilt], Source::Store);
     assert_eq!(alone.ends.standing(guilty()), Standing::Convicted(2));
 }
--- a/mirror/tests/followers.rs
+++ b/mirror/tests/followers.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use loftcove_decision::mirror::Record;
+use loftcove_decision::revision::Revision;
 use loftcove_mirror::{Mirror, Source, follow, followers};
 
 use common::host;
@@ -19,7 +20,11 @@
 const BOUND: Duration = Duration::from_millis(2_000);
 
 fn record(revision: u64) -> Record {
-    Record { key: "servers/i-1".into(), revision, value: Some("{}".into()) }
+    Record {
+        key: "servers/i-1".into(),
+        revision: Revision::new(0, revision),
+        value: Some("{}".into()),
+    }
 }
 
 fn follow(mirror: &Arc<Mirror>, name: usize, address: Option<SocketAddr>, seed: SocketAddr) {
@@ -30,7 +35,7 @@
 
 async fn all_know(mirrors: &[Arc<Mirror>], revision: u64) {
     let known = |mirror: &Arc<Mirror>| {
-        mirror.record("servers/i-1").is_some_and(|record| record.revision >= revision)
+        mirror.record("servers/i-1").is_some_and(|record| record.revision.number >= revision)
     };
     let all = async {
         while !mirrors.iter().all(known) {
--- a/mirror/tests/lifts.rs
+++ b/mirror/tests/lifts.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use loftcove_decision::revision::Revision;
 use loftcove_decision::{fleet, mirror};
 use loftcove_mirror::{Mirror, Source, lifts};
 use loftcove_standins::calls::{Calls, Plan};
@@ -16,7 +17,11 @@
 /// A record as the store tells it.
 fn record(revision: u64, text: &str) -> mirror::Record {
     let value = Some(text.to_owned().into_bytes().into());
-    mirror::Record { key: "loftcove/lifted/server-1".into(), revision, value }
+    mirror::Record {
+        key: "loftcove/lifted/server-1".into(),
+        revision: Revision::new(0, revision),
+        value,
+    }
 }
 
 /// What is written after a while.
--- a/mirror/tests/offers.rs
+++ b/mirror/tests/offers.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use loftcove_decision::mirror::Record;
+use loftcove_decision::revision::Revision;
 use loftcove_mirror::{Mirror, Source, follow};
 use loftcove_wire as wire;
 
@@ -17,7 +18,11 @@
 const LARGE: usize = 50_000;
 
 fn record(key: &str, revision: u64, bytes: usize) -> Record {
-    Record { key: key.into(), revision, value: Some(vec![b'x'; bytes].into()) }
+    Record {
+        key: key.into(),
+        revision: Revision::new(0, revision),
+        value: Some(vec![b'x'; bytes].into()),
+    }
 }
 
 /// The first batch that a follower in a zone gets.
@@ -60,7 +65,7 @@
         }
     };
     tokio::time::timeout(Duration::from_secs(10), heard).await.unwrap();
-    assert_eq!(follower.newest_of("large").unwrap().revision, 9);
+    assert_eq!(follower.newest_of("large").unwrap().revision.number, 9);
 }
 
 #[tokio::test]
@@ -70,7 +75,7 @@
     let url = format!("http://{address}");
     let mut client = wire::mirror_client::MirrorClient::connect(url).await.unwrap();
     for (key, revision) in [("large", 6), ("other", 1)] {
-        let wanted = wire::Wanted { key: key.to_owned(), revision };
+        let wanted = wire::Wanted { key: key.to_owned(), revision, era: 0 };
         let status = client.fetch(wanted).await.unwrap_err();
         assert_eq!(status.code(), tonic::Code::NotFound);
     }
--- a/mirror/tests/rest.rs
+++ b/mirror/tests/rest.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 const SUBJECT: watch::Subject =
-    watch::Subject { prefix: "news/", bound: Duration::from_millis(1_000) };
+    watch::Subject { prefix: "news/", bound: Duration::from_millis(1_000), entries: false };
 
 /// Time that is played, of a clock that runs ahead while nothing happens.
 const PLAYED: Duration = Duration::from_secs(30);
--- a/mirror/tests/silence.rs
+++ b/mirror/tests/silence.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use loftcove_decision::mirror::Record;
+use loftcove_decision::revision::Revision;
 use loftcove_mirror::{Mirror, Source, follow};
 use loftcove_standins::proxy::Proxy;
 
@@ -35,7 +36,7 @@
 }
 
 fn record(key: &str, revision: u64) -> Record {
-    Record { key: key.into(), revision, value: Some("x".into()) }
+    Record { key: key.into(), revision: Revision::new(0, revision), value: Some("x".into()) }
 }
 
 /// Connections that were accepted at an address and are open, by the system's
--- a/mirror/tests/watch.rs
+++ b/mirror/tests/watch.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 const SUBJECT: watch::Subject =
-    watch::Subject { prefix: "news/", bound: Duration::from_millis(2_000) };
+    watch::Subject { prefix: "news/", bound: Duration::from_millis(2_000), entries: false };
 
 /// A store with one change, at revision 2. It can lose the calls of watches,
 /// and never answers those that it lost. Other calls it answers all the same.
@@ -36,16 +36,17 @@
         while Instant::now() < end && !self.changed.load(Ordering::Relaxed) {
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
-        let changed = self.changed.load(Ordering::Relaxed) && after < 2;
-        let item = Item { key: "news/x".into(), value: "new".into(), revision: 2 };
+        let changed = self.changed.load(Ordering::Relaxed) && after.number < 2;
+        let item =
+            Item { key: "news/x".into(), value: "new".into(), revision: Revision::new(0, 2) };
         let events = changed.then_some(Event::Put(item)).into_iter().collect();
-        Changes { events, revision: if changed { 2 } else { after } }
+        Changes { events, revision: if changed { Revision::new(0, 2) } else { after } }
     }
 }
 
 impl Store for Fake {
     async fn list(&self, _prefix: &str) -> Result<Listing, Error> {
-        Ok(Listing { items: Vec::new(), revision: 1 })
+        Ok(Listing { items: Vec::new(), revision: Revision::new(0, 1) })
     }
 
     async fn watch(&self, _prefix: &str, after: Revision, wait: Wait) -> Result<Changes, Error> {
@@ -62,11 +63,11 @@
     }
 
     async fn write(&self, _write: &Write) -> Result<Outcome, Error> {
-        Ok(Outcome::Done(1))
+        Ok(Outcome::Done(Revision::new(0, 1)))
     }
 
     async fn grant(&self, _ttl: Duration) -> Result<Lease, Error> {
-        Ok(1)
+        Ok(Lease { era: 0, id: 1 })
     }
 
     async fn keep(&self, _lease: Lease) -> Result<bool, Error> {
--- a/mirror/tests/watchers.rs
+++ b/mirror/tests/watchers.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use loftcove_decision::mirror::Record;
+use loftcove_decision::revision::Revision;
 use loftcove_mirror::{Mirror, OWN_PREFIX, Source, register};
 
 const START_TIME: Duration = Duration::from_millis(1_500);
@@ -15,7 +16,7 @@
     let entry = register::Entry { address, zone: zone.into() };
     let value = serde_json::to_vec(&entry).unwrap();
     let key = format!("{OWN_PREFIX}gateways/{name}").into();
-    Record { key, revision, value: Some(value.into()) }
+    Record { key, revision: Revision::new(0, revision), value: Some(value.into()) }
 }
 
 fn own(name: &str, zone: &str, seed: bool) -> register::Own {
--- a/mirror/tests/zones.rs
+++ b/mirror/tests/zones.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use loftcove_decision::mirror::Record;
+use loftcove_decision::revision::Revision;
 use loftcove_mirror::{Mirror, OWN_PREFIX, Source, follow, register};
 
 use common::host;
@@ -18,7 +19,7 @@
     let entry = register::Entry { address, zone: zone.into() };
     let value = serde_json::to_vec(&entry).unwrap();
     let key = format!("{OWN_PREFIX}gateways/{name}").into();
-    Record { key, revision, value: Some(value.into()) }
+    Record { key, revision: Revision::new(0, revision), value: Some(value.into()) }
 }
 
 /// Starts a follower of a host in `norte` with one seed, which knows all hosts,
@@ -31,7 +32,8 @@
         entry("wanted", wanted_zone, wanted_address, 2),
     ];
     seed.apply(entries, Source::Store);
-    let news = Record { key: "news".into(), revision: 3, value: Some("x".into()) };
+    let news =
+        Record { key: "news".into(), revision: Revision::new(0, 3), value: Some("x".into()) };
     wanted.apply(vec![news], Source::Store);
     let mirror: Arc<Mirror> = Arc::default();
     let own = follow::Own { name: "f".into(), zone: "norte".into(), address: None };
--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -37,6 +37,8 @@
 /// Slowness from which a rank counts as slow; what is below is left to the
 /// spread of the load.
 const SLOW: f64 = 1.2;
+/// Least time between two writes of a group's members.
+const PUBLISH_PAUSE: Duration = Duration::from_secs(2);
 /// Time that a sidecar stays out after it stood for election in vain.
 const ELECTION_PAUSE: Duration = Duration::from_millis(1_500);
 /// Longest wait for the renewal after a suspension: it takes milliseconds, and a
@@ -93,6 +95,8 @@
     catalog: catalog::Catalog<P>,
     /// When it stood for election in vain.
     defeated: Option<boot::Instant>,
+    /// When it last wrote the members of its group.
+    published: Option<boot::Instant>,
 }
 
 /// Why a change was left as it is.
@@ -123,6 +127,7 @@
             settings,
             catalog: catalog::Catalog::default(),
             defeated: None,
+            published: None,
         }
     }
 
@@ -156,10 +161,10 @@
         let place = report.group.clone().filter(|place| place.open)?;
         let key = election::key(&place.name);
         let known = election::revision(&self.mirror, &key);
-        let stalled = stall.look(&report, known);
+        let stalled = stall.look(&report, known.ordinal());
         let defeated = self.defeated.is_some_and(|at| at.elapsed() < ELECTION_PAUSE);
         let own = election::was_own(&self.mirror, &key, &self.name);
-        if (known != 0 && !stalled && !own) || defeated {
+        if (!known.is_zero() && !stalled && !own) || defeated {
             return None;
         }
         self.catalog.update(&self.mirror);
@@ -176,7 +181,7 @@
         }
         if own {
             log::info!("earlier run drove group={} term={known}", place.name);
-        } else if known != 0 {
+        } else if !known.is_zero() {
             log::warn!("driver deposed group={} term={known} pass={}", place.name, report.pass);
             self.metrics.deposed.inc();
         }
@@ -240,6 +245,8 @@
                 return Ok(());
             }
         }
+        // The store may have lost them.
+        self.publish(&place, &known.view.ranks);
         self.count(term, engine.slots, known).await;
         plan::notice_shift(known, &experts);
         let stage = plan::decide(known, &engine, &experts).await;
--- a/sidecar/src/drive/learn.rs
+++ b/sidecar/src/drive/learn.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use loftcove_clock as boot;
 use loftcove_decision::map::switch::{self, Switch};
 use loftcove_decision::route;
 use loftcove_interface::engine::{self, Engine};
@@ -12,7 +13,7 @@
 use loftcove_mirror::membership;
 use loftcove_wire as wire;
 
-use crate::drive::{Driver, Plan, SAMPLE, SLOW, SLOWNESS_ROUNDS, Stopped};
+use crate::drive::{Driver, PUBLISH_PAUSE, Plan, SAMPLE, SLOW, SLOWNESS_ROUNDS, Stopped};
 use crate::group::{self, View};
 use crate::known::{self, Known};
 
@@ -107,11 +108,16 @@
     }
 
     /// Tells the gateways, through the store, which engines belong to the
-    /// group. Nothing waits for it.
-    fn publish(&self, place: &engine::Group, ranks: &[SocketAddr]) {
+    /// group, unless they know. Nothing waits for it.
+    pub(super) fn publish(&mut self, place: &engine::Group, ranks: &[SocketAddr]) {
         let mut members = ranks.to_vec();
         members.sort();
         let entry = membership::Entry { service: self.settings.engine.service.clone(), members };
+        let recent = self.published.is_some_and(|at| at.elapsed() < PUBLISH_PAUSE);
+        if recent || membership::of(&self.mirror, &place.name) == entry {
+            return;
+        }
+        self.published = Some(boot::Instant::now());
         let (mirror, store) = (self.mirror.clone(), self.store.clone());
         let group = place.name.clone();
         tokio::spawn(async move { membership::publish(&*store, &mirror, &group, &entry).await });
--- a/sidecar/src/election.rs
+++ b/sidecar/src/election.rs
@@ -1,7 +1,7 @@
 //! Which sidecar drives a group: whoever holds the group's key in the store.
 //!
 //! The key goes with a lease, and its revision is the driver's term, which
-//! only rises. A driver that has lost the key without knowing it does no harm:
+//! only rises, also where the store has lost the key. A driver that has lost the key without knowing it does no harm:
 //! sidecars refuse orders of a lower term than they have seen.
 
 use std::sync::Arc;
@@ -32,7 +32,7 @@
 /// A term as driver.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Term {
-    /// Its number.
+    /// Its number, the ordinal of the key's revision.
     pub number: u64,
     /// Lease of its key.
     pub lease: store::Lease,
@@ -43,18 +43,18 @@
     format!("{host}{RUN_MARK}{:08x}", rand::random::<u32>())
 }
 
-/// Whether a group's driver was an earlier run of this host's sidecar, which is
-/// gone then: its term need not run out.
+/// Whether a group's driver was this host's sidecar, in an earlier run or in a term that
+/// it has left: its term need not run out.
 pub fn was_own(mirror: &Mirror, key: &str, name: &str) -> bool {
     let Some(value) = mirror.record(key).and_then(|record| record.value) else { return false };
     let host = |name: &str| name.rsplit_once(RUN_MARK).map(|(host, _)| host.to_owned());
     let driver = std::str::from_utf8(&value).unwrap_or_default();
-    driver != name && host(driver).is_some() && host(driver) == host(name)
+    host(driver).is_some() && host(driver) == host(name)
 }
 
 /// Revision of a key, zero where it does not exist.
-pub fn revision(mirror: &Mirror, key: &str) -> u64 {
-    mirror.record(key).map_or(0, |record| record.revision)
+pub fn revision(mirror: &Mirror, key: &str) -> store::Revision {
+    mirror.record(key).map_or(store::Revision::ZERO, |record| record.revision)
 }
 
 /// Tries to become driver, once, in the place of the one whose key has the
@@ -65,7 +65,7 @@
     mirror: &Mirror,
     group: &str,
     name: &str,
-    known: u64,
+    known: store::Revision,
 ) -> Result<Option<Term>, store::Error> {
     let lease = store.grant(TTL).await?;
     let write = store::Write {
@@ -75,7 +75,9 @@
         lease: Some(lease),
     };
     match store.write(&write).await {
-        Ok(store::Outcome::Done(number)) => return Ok(Some(Term { number, lease })),
+        Ok(store::Outcome::Done(revision)) => {
+            return Ok(Some(Term { number: revision.ordinal(), lease }));
+        }
         Ok(_) => {}
         // The write may have been done: the copy of the store will show it.
         Err(store::Error::Lost(reason)) => {
@@ -85,7 +87,7 @@
                 record.value.as_ref().is_some_and(|value| value == name.as_bytes())
             });
             if let Some(record) = own {
-                return Ok(Some(Term { number: record.revision, lease }));
+                return Ok(Some(Term { number: record.revision.ordinal(), lease }));
             }
         }
         Err(error) => return Err(error),
@@ -138,7 +140,7 @@
     let mut away = false;
     let mut pause = RENEWAL;
     loop {
-        if revision(mirror, &key(group)) > term.number {
+        if revision(mirror, &key(group)).ordinal() > term.number {
             return;
         }
         let sent = boot::Mark::now();
--- a/sidecar/tests/suspension.rs
+++ b/sidecar/tests/suspension.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use loftcove_clock as boot;
+use loftcove_interface::store;
 use loftcove_mirror::Mirror;
 use loftcove_sidecar::election::{self, Renewals, Term};
 use loftcove_standins::calls::{Calls, Plan};
@@ -19,7 +20,7 @@
     let kept = tokio::spawn({
         let (store, renewals) = (store.clone(), renewals.clone());
         async move {
-            let term = Term { number: 1, lease: 1 };
+            let term = Term { number: 1, lease: store::Lease { era: 0, id: 1 } };
             election::keep(&*store, &Mirror::default(), "g0", term, &renewals).await;
         }
     });
--- a/standins/src/calls.rs
+++ b/standins/src/calls.rs
@@ -69,14 +69,18 @@
 
     async fn write(&self, write: &store::Write) -> Result<store::Outcome, Error> {
         self.lock().write = Some(write.clone());
-        Ok(if self.plan.taken { store::Outcome::Conflict } else { store::Outcome::Done(5) })
+        Ok(if self.plan.taken {
+            store::Outcome::Conflict
+        } else {
+            store::Outcome::Done(store::Revision::new(0, 5))
+        })
     }
 
     async fn grant(&self, ttl: Duration) -> Result<store::Lease, Error> {
         let mut seen = self.lock();
         seen.grants.push(ttl);
         match seen.grants.len() as u32 > self.plan.lost_grants {
-            true => Ok(1),
+            true => Ok(store::Lease { era: 0, id: 1 }),
             false => Err(Error::Lost("answer".to_owned())),
         }
     }
--- a/wire/src/generated.rs
+++ b/wire/src/generated.rs
@@ -317,6 +317,9 @@
     pub key: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub revision: u64,
+    /// The store's era that the revision counts in.
+    #[prost(uint32, tag = "3")]
+    pub era: u32,
 }
 /// Records of the store, in the order of their keys or as they were learnt.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -375,6 +378,9 @@
     /// Whether the value is left out, and can be fetched.
     #[prost(bool, tag = "5")]
     pub offered: bool,
+    /// The store's era that the revision counts in.
+    #[prost(uint32, tag = "6")]
+    pub era: u32,
 }
 /// What a relay does at several ranks.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
