Soak: the store comes back from a copy; operator and servers write again

Faults lose: a copy is taken, and 0.3 to 3 s later the store is away for 0.4 s and comes back from it with its next era; half a second after that all that the platform wrote is written again.

--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -16,6 +16,9 @@
 /// First start that an entry tells, Unix milliseconds; later ones are higher.
 const FIRST_START: u64 = 1_764_720_000_000;
 
+/// Time for which the store is away before it comes back from a copy.
+const AWAY: Duration = Duration::from_millis(400);
+
 /// Time in which all gateways open their watches again after a change.
 const REOPEN_TIME: Duration = Duration::from_millis(500);
 
@@ -147,6 +150,7 @@
                 return false;
             }
             Fault::Store(store) => return self.harm_store(store).await,
+            Fault::Lose => self.system.store_control("copy").await,
             Fault::Orders => self.system.group_control("/orders?lost=5&late=7").await,
             Fault::Break => {
                 self.broken = true;
@@ -231,6 +235,7 @@
                 self.system.link(&format!("store-gateway-{gateway}"), "none").await;
             }
             Fault::Store(_) => self.system.store_control("fault/none").await,
+            Fault::Lose => self.system.lose(AWAY).await,
             Fault::Orders => self.system.group_control("/orders").await,
             Fault::Break if self.broken => self.mend().await,
             Fault::Drain(number) | Fault::Unlist(number) | Fault::Spoil(number) => {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -48,6 +48,14 @@
 /// What they name: requests a second, nonsense.
 const LIMITS: [&str; 8] = ["0.2", "1", "1", "3", "10", "0", "1e9", "soon"];
 
+/// Time between two losses of a part of the store's history, on average, and how far back
+/// the copy is that it comes back from.
+const LOSS_INTERVAL: Duration = Duration::from_millis(5_000);
+/// See [`LOSS_INTERVAL`].
+const LOSS_MS: std::ops::Range<u64> = 300..3_000;
+/// The same for losses as [`SILENCE_SEED`] for silences.
+const LOSS_SEED: u64 = 0x3a;
+
 /// Where the number of a layer stands in its seed: above the bits of seeds drawn by
 /// the command line, and of what the layers of one seed differ by.
 const LAYER_SHIFT: u32 = 40;
@@ -154,6 +162,8 @@
     Silence(Link),
     /// The store misbehaves.
     Store(Store),
+    /// A copy of the store is taken, from which it comes back.
+    Lose,
     /// Of the orders to engines, each so-and-so-many-th is lost or late.
     Orders,
     /// The group breaks, and forms anew.
@@ -221,6 +231,7 @@
             Fault::StoreLink { .. } => "store-link",
             Fault::Silence(_) => "silence",
             Fault::Store(_) => "store",
+            Fault::Lose => "lose",
             Fault::Orders => "orders",
             Fault::Break => "break",
             Fault::Shift(_) => "shift",
@@ -257,6 +268,7 @@
     events.extend(poisons(seed, size));
     events.extend(notices(seed, size));
     events.extend(limits(seed, size));
+    events.extend(losses(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -342,6 +354,18 @@
     events
 }
 
+/// Losses of a part of the store's history.
+fn losses(seed: u64, size: &Size) -> Vec<Event> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ LOSS_SEED);
+    let count = (size.time.as_secs_f64() / LOSS_INTERVAL.as_secs_f64()).ceil() as usize;
+    let mut event = |_| {
+        let at = size.time.mul_f64(rng.random_range(0.0..1.0));
+        let lasts = Duration::from_millis(rng.random_range(LOSS_MS));
+        Event { at, lasts, fault: Fault::Lose }
+    };
+    (0..count).map(&mut event).collect()
+}
+
 /// Callers that ask the same at one gateway after the other.
 fn poisons(seed: u64, size: &Size) -> Vec<Event> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ POISON_SEED);
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Mutex;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
@@ -29,6 +30,9 @@
 const METRICS_PORT: u16 = 9_464;
 const SERVER_PORT: u16 = 8_100;
 
+/// Time after which operator and backend servers write again what the store has lost.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(500);
+
 /// Last part of the address of the first rank's host, and of its sidecar where
 /// the proxy listens in its place.
 const FIRST_RANK: u8 = 100;
@@ -74,6 +78,8 @@
     folder: process::Folder,
     net: [u8; 2],
     store_address: SocketAddr,
+    /// What the platform last wrote, or removed, by key.
+    written: Mutex<BTreeMap<String, Option<Value>>>,
     /// Addresses at which hosts reach the store through the proxy.
     stores: BTreeMap<String, SocketAddr>,
     version: u64,
@@ -110,6 +116,7 @@
             folder: process::Folder::new(),
             net,
             store_address,
+            written: Mutex::default(),
             stores: BTreeMap::new(),
             version: 1,
         };
@@ -257,12 +264,37 @@
         let path = format!("/standin/put?key={key}");
         let answer = self.control.ask("PUT", &path, &[], &value.to_string()).await;
         assert_eq!(answer.status, 200);
+        self.wrote(key, Some(value.clone()));
+    }
+
+    fn wrote(&self, key: &str, value: Option<Value>) {
+        let mut written = self.written.lock().expect("no holder of the keys panics");
+        written.insert(key.to_owned(), value);
+    }
+
+    /// Has the store come back from the copy that was taken last, after it was away for
+    /// that time; operator and backend servers write again what they wrote, half a second
+    /// later.
+    pub async fn lose(&self, away: Duration) {
+        self.store_control("fault/down").await;
+        tokio::time::sleep(away).await;
+        self.store_control("restore").await;
+        self.store_control("fault/none").await;
+        tokio::time::sleep(WRITTEN_AGAIN).await;
+        let written = self.written.lock().expect("no holder of the keys panics").clone();
+        for (key, value) in written {
+            match value {
+                Some(value) => self.put(&key, &value).await,
+                None => self.remove(&key).await,
+            }
+        }
     }
 
     /// Removes a key as the platform does.
     pub async fn remove(&self, key: &str) {
         let path = format!("/standin/put?key={key}");
         assert_eq!(self.control.ask("DELETE", &path, &[], "").await.status, 200);
+        self.wrote(key, None);
     }
 
     /// Tells the store's stand-in something.
--- a/tests/tests/eras.rs
+++ b/tests/tests/eras.rs
@@ -10,6 +10,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+use std::time::Duration;
+
 use loftcove_tests::request::Request;
 use loftcove_tests::system::{BOUND, KEY, Plan, System};
 use loftcove_tests::until;
@@ -18,6 +20,8 @@
     Plan { gateways: 3, ranks: 4, groups: 1, plain: 2, sidecars: true, proxied: false };
 /// Configurations that the store loses.
 const LOST: u64 = 8;
+/// Time for which the store is away.
+const AWAY: Duration = Duration::from_millis(700);
 
 async fn status(system: &System, gateway: u8, key: &str) -> u16 {
     system.ask(gateway, &Request::new("/alert/").with("x-api-key", key)).await.status
@@ -41,11 +45,7 @@
     }
     let key = format!("key-{version}");
     taken(system, &key).await;
-    system.store_control("fault/down").await;
-    tokio::time::sleep(std::time::Duration::from_millis(700)).await;
-    system.store_control("restore").await;
-    system.store_control("fault/none").await;
-    system.configure(version, &[&key]).await;
+    system.lose(AWAY).await;
     (version, key)
 }
 
@@ -84,11 +84,7 @@
     for version in 2..2 + LOST {
         system.configure(version, &[KEY]).await;
     }
-    system.store_control("fault/down").await;
-    tokio::time::sleep(std::time::Duration::from_millis(700)).await;
-    system.store_control("restore").await;
-    system.store_control("fault/none").await;
-    system.configure(1 + LOST, &[KEY]).await;
+    system.lose(AWAY).await;
     let switches = || async { system.group_state().await["switches"].as_u64().unwrap() };
     let before = switches().await;
     system.group_control("/popular?expert=3").await;
