--- a/decision/src/revision.rs
+++ b/decision/src/revision.rs
@@ -10,7 +10,7 @@
 const NUMBER_BITS: u32 = 36;
 
 /// A place in the store's history; the first one is before any change.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Revision {
     /// How often the store had lost a part of its history.
     pub era: u32,
@@ -45,6 +45,13 @@
     }
 }
 
+/// The same as [`fmt::Display`]: lines of the log have it within outcomes.
+impl fmt::Debug for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
 impl fmt::Display for Revision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.era {
