--- a/decision/src/admission.rs
+++ b/decision/src/admission.rs
@@ -314,19 +314,13 @@
     }
 
     /// When a refused caller should come back where the pool has room for one each
-    /// `spacing` from `first` on: each is told a time of its own. Who would have to
-    /// stay away for too long is told a time among those of others.
-    pub fn book(
-        &mut self,
-        pool: entity::Pool,
-        first: clock::Instant,
-        spacing: Duration,
-        now: clock::Instant,
-    ) -> Duration {
+    /// `spacing`, whichever gateway it asks then: each is told a time of its own. Who
+    /// would have to stay away for too long is told a time among those of others.
+    pub fn book(&mut self, pool: entity::Pool, spacing: Duration, now: clock::Instant) -> Duration {
         let shortest = self.shortest_return;
         let line = self.pools.entry(pool).or_default();
-        let free = line.booked.max(first) + spacing;
-        line.booked = if free.since(now) > LONGEST_RETURN { first + spacing } else { free };
+        let free = line.booked.max(now) + spacing;
+        line.booked = if free.since(now) > LONGEST_RETURN { now + spacing } else { free };
         line.booked.since(now).clamp(shortest, LONGEST_RETURN)
     }
 
--- a/decision/src/balancer/rest.rs
+++ b/decision/src/balancer/rest.rs
@@ -149,7 +149,7 @@
         let spacing = limits.map_or(Duration::ZERO, |limits| limits.spacing);
         for late in self.queue.sweep_for(pool, until, spacing) {
             let reason = match limits {
-                Some(limits) => Reason::Limited(self.queue.book(pool, until, limits.share, now)),
+                Some(limits) => Reason::Limited(self.queue.book(pool, limits.share, now)),
                 None => Reason::Resting(until.since(now)),
             };
             self.give_up(late.ticket, Outcome::NotRun, reason, actions);
--- a/mirror/src/lib.rs
+++ b/mirror/src/lib.rs
@@ -48,8 +48,9 @@
     changes: channel::Sender<u64>,
     /// Times at which a call to the store got no answer after one that was answered.
     silences: channel::Sender<u64>,
-    /// The store's newest era that a listing told, and when it was first told.
-    era: Mutex<Option<(u32, boot::Instant)>>,
+    /// The store's newest era that a listing told, and when it began to differ from what
+    /// was known, if it did.
+    era: Mutex<Option<(u32, Option<boot::Instant>)>>,
     /// Whether the store answers this host.
     pub health: Health,
     /// How far it is from the store over peers.
@@ -122,10 +123,13 @@
 
     /// A listing was of that era of the store.
     fn note_era(&self, era: u32) {
+        let newest = self.lock().newest("");
         // Each change is one assignment.
         let mut known = self.era.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        if known.is_none_or(|(before, _)| before < era) {
-            *known = Some((era, boot::Instant::now()));
+        let of_peers = (!newest.is_zero()).then_some(newest.era);
+        let before = known.map(|(before, _)| before).or(of_peers);
+        if before.is_none_or(|before| before < era) {
+            *known = Some((era, before.map(|_| boot::Instant::now())));
         }
     }
 
@@ -133,8 +137,8 @@
     /// its era began.
     fn era_grace(&self) -> Option<std::time::Duration> {
         let known = *self.era.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        let (_, since) = known.filter(|(era, _)| *era > 0)?;
-        health::RETURN_TIME.checked_sub(since.elapsed())
+        let (_, since) = known?;
+        health::RETURN_TIME.checked_sub(since?.elapsed())
     }
 
     /// Takes records; those that are news are handed on.
--- a/mirror/src/lifts.rs
+++ b/mirror/src/lifts.rs
@@ -26,7 +26,8 @@
 /// Time between two tries to write the same, and until it is given up.
 const RETRY: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(60));
 
-/// What a gateway has heard and read.
+/// What a gateway has heard and read. Its lock is taken before that of the copy of the
+/// store, never within it.
 #[derive(Debug, Default)]
 pub struct Lifts {
     state: Mutex<State>,
--- a/tests/src/request.rs
+++ b/tests/src/request.rs
@@ -37,6 +37,14 @@
             .with("x-deadline-ms", "3000")
     }
 
+    /// A request that takes some 50 ms, of the lock-step group or of a plain service.
+    pub fn brief(ranks: bool) -> Request {
+        match ranks {
+            true => Request::new("/draft/").with("x-standin-events", "5"),
+            false => Request::new("/alert/").with("x-standin-delay-ms", "50"),
+        }
+    }
+
     /// Sets a header.
     pub fn with(mut self, name: &str, value: &str) -> Request {
         self.headers.retain(|(known, _)| known != name);
--- a/tests/tests/limits.rs
+++ b/tests/tests/limits.rs
@@ -28,15 +28,6 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
-/// A request that takes some 50 ms, of a plain service or of the lock-step group.
-fn request(ranks: bool) -> Request {
-    if ranks {
-        Request::new("/draft/").with("x-standin-events", "5")
-    } else {
-        Request::new("/alert/").with("x-standin-delay-ms", "50")
-    }
-}
-
 /// Asks one request after the other for that time; returns them with their statuses.
 async fn ask(
     system: &System,
@@ -46,7 +37,7 @@
 ) -> Vec<(String, Sent, u16)> {
     let (mut all, begun) = (Vec::new(), now());
     while now() < begun + time.as_millis() as u64 {
-        let (request, at) = (request(ranks), now());
+        let (request, at) = (Request::brief(ranks), now());
         let status = system.ask(gateway, &request).await.status;
         all.push((request.id, Sent { gateway, at, answered: now() }, status));
     }
@@ -101,7 +92,7 @@
     let ask_all = || async {
         let asked = (0..plan.gateways).map(|gateway| {
             let system = &system;
-            async move { system.ask(gateway, &request(false)).await.status }
+            async move { system.ask(gateway, &Request::brief(false)).await.status }
         });
         future::join_all(asked).await
     };
--- a/tests/tests/refusals.rs
+++ b/tests/tests/refusals.rs
@@ -131,9 +131,9 @@
     assert_eq!(caller.ask("POST", &path, &other, "another").await.status, 200);
 }
 
-/// A backend server behind its agent asks for rest, and the other one gets all.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_backend_server_that_asks_for_rest_gets_it() {
+/// A backend server behind its agent says something of itself in an answer with that
+/// status, and the other one gets all.
+async fn others_serve_after(said: (&str, &str), status: u16) {
     let plan = cluster::Plan {
         zones: vec!["sala-braga"],
         entries: 1,
@@ -143,10 +143,12 @@
     };
     let cluster = cluster::Cluster::start(plan).await;
     let caller = cluster.caller(&cluster.entries().remove(0));
+    let key = uuid::Uuid::now_v7().to_string();
+    let headers = [said, ("idempotency-key", &*key)];
     let path = format!("/services/{}/send", cluster::SERVICE);
+    let answer = caller.ask("POST", &path, &headers, "").await;
+    assert_eq!(answer.status, status, "{answer:?}");
     let before = runs(&cluster).await;
-    let answer = caller.ask("POST", &path, &[("x-standin-shed", "600")], "").await;
-    assert_eq!(answer.status, 503, "{answer:?}");
     for _ in 0..20 {
         let key = uuid::Uuid::now_v7().to_string();
         assert_eq!(caller.deliver(cluster::SERVICE, &key, &[]).await.status, 200);
@@ -158,32 +160,14 @@
     assert_eq!(served, [0, 20]);
 }
 
-/// A backend server behind its agent names a rate limit, and the other one gets the rest.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backend_server_that_asks_for_rest_gets_it() {
+    others_serve_after(("x-standin-shed", "600"), 503).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_backend_server_that_names_a_limit_gets_no_more() {
-    let plan = cluster::Plan {
-        zones: vec!["sala-braga"],
-        entries: 1,
-        ranks: 0,
-        services: 2,
-        ..cluster::Plan::default()
-    };
-    let cluster = cluster::Cluster::start(plan).await;
-    let caller = cluster.caller(&cluster.entries().remove(0));
-    let path = format!("/services/{}/send", cluster::SERVICE);
-    let key = uuid::Uuid::now_v7().to_string();
-    let headers = [("x-standin-limit", "0.1"), ("idempotency-key", &*key)];
-    assert_eq!(caller.ask("POST", &path, &headers, "").await.status, 200);
-    let before = runs(&cluster).await;
-    for _ in 0..20 {
-        let key = uuid::Uuid::now_v7().to_string();
-        assert_eq!(caller.deliver(cluster::SERVICE, &key, &[]).await.status, 200);
-    }
-    let after = runs(&cluster).await;
-    let mut served: Vec<usize> =
-        after.iter().zip(before).map(|(after, before)| after - before).collect();
-    served.sort_unstable();
-    assert_eq!(served, [0, 20]);
+    others_serve_after(("x-standin-limit", "0.1"), 200).await;
 }
 
 /// Calls that each backend server of the service has done.
--- a/tests/tests/rest.rs
+++ b/tests/tests/rest.rs
@@ -34,15 +34,6 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
-/// A request that takes some 50 ms, of a plain service or of the lock-step group.
-fn request(ranks: bool) -> Request {
-    if ranks {
-        Request::new("/draft/").with("x-standin-events", "5")
-    } else {
-        Request::new("/alert/").with("x-standin-delay-ms", "50")
-    }
-}
-
 /// The lock-step group, or the plain servers.
 fn group(ranks: bool) -> Option<u8> {
     ranks.then_some(0)
@@ -52,7 +43,7 @@
 async fn ask(system: &System, gateway: u8, ranks: bool, count: usize) -> Vec<(String, Sent, u16)> {
     let mut all = Vec::new();
     for _ in 0..count {
-        let (request, at) = (request(ranks), now());
+        let (request, at) = (Request::brief(ranks), now());
         let status = system.ask(gateway, &request).await.status;
         all.push((request.id, Sent { gateway, at, answered: now() }, status));
     }
