Gateway: log each client's connection that ends while it owes an answer

A request that ended without an answer left no line that told which connection it was on nor why that ended: the end was one debug line without a request's id. Now one line tells the request, whether it was being handled or answered, since when, and the reason: the client left, the library's error, a panic, the end of the grace.

--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -9,6 +9,7 @@
 //! is killed. The process ends once all connections are closed: an answer that
 //! has come to its end may not be written out yet.
 
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -22,7 +23,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::state;
+use crate::{exchange, state};
 
 /// The platform asks each second and takes a gateway out after two misses.
 const NOTICE_TIME: Duration = Duration::from_millis(2_300);
@@ -50,7 +51,10 @@
 struct Inner {
     machine: StateMachine<lifecycle::Life>,
     in_flight: usize,
-    connections: usize,
+    /// What each open connection answers, by its number.
+    connections: BTreeMap<u64, exchange::Exchange>,
+    /// Connections so far.
+    connected: u64,
     stop: Option<boot::Instant>,
     /// Whether the process is about to end with nothing in flight.
     shut: bool,
@@ -72,7 +76,14 @@
     /// client's connection may need another one to a backend server.
     pub fn new(max_descriptors: usize) -> Life {
         let machine = lifecycle::Life::machine();
-        let inner = Inner { machine, in_flight: 0, connections: 0, stop: None, shut: false };
+        let inner = Inner {
+            machine,
+            in_flight: 0,
+            connections: BTreeMap::new(),
+            connected: 0,
+            stop: None,
+            shut: false,
+        };
         Life {
             inner: Mutex::new(inner),
             most_connections: (max_descriptors.saturating_sub(KEPT_DESCRIPTORS) / 2).max(1),
@@ -123,7 +134,7 @@
 
     /// Clients' connections that are open.
     pub fn connections(&self) -> usize {
-        self.lock().connections
+        self.lock().connections.len()
     }
 
     /// Counts a request until the guard is dropped, and says how it is to be
@@ -149,8 +160,13 @@
 
     /// Counts a connection until the guard is dropped.
     pub fn connected<P>(gateway: &Arc<state::Gateway<P>>) -> Open<P> {
-        gateway.life.lock().connections += 1;
-        Open { gateway: gateway.clone() }
+        let exchange = exchange::Exchange::default();
+        let mut inner = gateway.life.lock();
+        inner.connected += 1;
+        let number = inner.connected;
+        inner.connections.insert(number, exchange.clone());
+        drop(inner);
+        Open { gateway: gateway.clone(), number, exchange }
     }
 
     /// Follows the phase.
@@ -186,11 +202,20 @@
 /// An open connection.
 pub struct Open<P> {
     gateway: Arc<state::Gateway<P>>,
+    number: u64,
+    exchange: exchange::Exchange,
+}
+
+impl<P> Open<P> {
+    /// What it answers.
+    pub fn exchange(&self) -> &exchange::Exchange {
+        &self.exchange
+    }
 }
 
 impl<P> Drop for Open<P> {
     fn drop(&mut self) {
-        self.gateway.life.lock().connections -= 1;
+        self.gateway.life.lock().connections.remove(&self.number);
     }
 }
 
@@ -276,5 +301,7 @@
     if life.connections() > 0 {
         let (connections, in_flight) = (life.connections(), life.in_flight());
         log::warn!("connections cut off connections={connections} in_flight={in_flight}");
+        let open: Vec<exchange::Exchange> = life.lock().connections.values().cloned().collect();
+        open.iter().for_each(|exchange| exchange.abandon(&"end of the grace"));
     }
 }
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -15,7 +15,7 @@
 use crate::body::Body;
 use crate::request::{Refusal, Request};
 use crate::state::{Gateway, Target};
-use crate::{drain, request, stream, upstream};
+use crate::{drain, exchange, request, stream, upstream};
 
 /// Precedences that backend servers tell apart.
 const PRIORITIES: u32 = 9;
@@ -23,14 +23,18 @@
 /// Answers one request.
 pub async fn handle<P: Protocol>(
     gateway: Arc<Gateway<P>>,
+    exchange: exchange::Exchange,
     request: http::Request<Incoming>,
 ) -> Result<Response, Infallible> {
     let came = boot::Instant::now();
+    exchange.begin();
     let (head, body) = request.into_parts();
     let (entry, flight) = drain::Life::enter(&gateway);
     let begun = match entry {
         drain::Entry::Shut => Err((Refusal::Stopping, P::request(&head).ok().map(|meta| meta.id))),
-        drain::Entry::Open | drain::Entry::Closing => begin(&gateway, head, body, flight).await,
+        drain::Entry::Open | drain::Entry::Closing => {
+            begin(&gateway, &exchange, head, body, flight).await
+        }
     };
     let mut response = match begun {
         Ok(flow) => flow.run().await,
@@ -46,6 +50,7 @@
         let close = http::HeaderValue::from_static("close");
         response.headers_mut().insert(http::header::CONNECTION, close);
     }
+    exchange.answer();
     Ok(response)
 }
 
@@ -53,12 +58,14 @@
 
 async fn begin<P: Protocol>(
     gateway: &Arc<Gateway<P>>,
+    exchange: &exchange::Exchange,
     head: http::request::Parts,
     body: Incoming,
     flight: drain::InFlight<P>,
 ) -> Result<Flow<P>, Refused> {
     let meta = P::request(&head).map_err(|_| (Refusal::Header, None))?;
     let id = meta.id.clone();
+    exchange.name(&id);
     let refused = |refusal| (refusal, Some(id.clone()));
     let routes = gateway.routes.load_full().ok_or_else(|| refused(Refusal::NoConfig))?;
     let request = request::read(head, body, meta, &routes).await.map_err(refused)?;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! server that started again leaves, [`ended`] whether a
 //! backend server ended under a request, [`notice`] what servers say of their
 //! own near future.
+//! [`exchange`] logs which request a client's connection leaves without an answer.
 //! [`health`] tells the platform whether the gateway is ready, [`drain`] is
 //! the planned stop.
 
@@ -17,6 +18,7 @@
 mod drain;
 mod ended;
 mod event;
+mod exchange;
 mod flow;
 mod health;
 mod metrics;
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -9,7 +9,7 @@
 use loftcove_interface::protocol::Protocol;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{drain, flow, state};
+use crate::{drain, exchange, flow, state};
 
 /// Longest time that a connection is idle before the configuration's limit is
 /// known, and what is added to that limit, so that we never close first on a
@@ -53,7 +53,7 @@
 async fn serve<P: Protocol>(
     gateway: Arc<state::Gateway<P>>,
     stream: TcpStream,
-    _open: drain::Open<P>,
+    open: drain::Open<P>,
 ) {
     let options = stream
         .set_nodelay(true)
@@ -66,9 +66,12 @@
     let idle = limits.map_or(IDLE_TIME, |limits| limits.idle_timeout) + IDLE_MARGIN;
     let head = limits.map_or(MIN_HEAD, |limits| limits.header_bytes.max(MIN_HEAD));
     let mut closing = gateway.life.closing();
+    let report = exchange::Report(open.exchange().clone());
     let service = {
-        let gateway = gateway.clone();
-        hyper::service::service_fn(move |request| flow::handle(gateway.clone(), request))
+        let (gateway, exchange) = (gateway.clone(), open.exchange().clone());
+        hyper::service::service_fn(move |request| {
+            flow::handle(gateway.clone(), exchange.clone(), request)
+        })
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -85,7 +88,5 @@
             connection.await
         }
     };
-    if let Err(error) = ended {
-        log::debug!("client's connection ended error=\"{error}\"");
-    }
+    report.ended(ended);
 }
