Refusals for ends of servers are logged with their ground and evidence

A request that was refused as one that ends its servers could not be traced: refusals that follow from another request's end, or from an end that settles, had no line at all, and none told the rule. Now each refusal that begins or is taken back is logged with its ground and, for each end that is held against it, the server, its age and who else was there.

--- a/decision/src/poison.rs
+++ b/decision/src/poison.rs
@@ -148,6 +148,61 @@
     Convicted(u32),
 }
 
+/// On what a refusal is based, the surest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ground {
+    /// The only request on a server that ended, and sent there as a suspect.
+    OnlyRequestOnTrial,
+    /// The only one there that was sent as a suspect.
+    OnlySuspect,
+    /// The only request there.
+    OnlyRequest,
+    /// No other request was on as many servers that ended.
+    Count,
+}
+
+impl fmt::Display for Ground {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Ground::OnlyRequestOnTrial => "only-request-on-trial",
+            Ground::OnlySuspect => "only-suspect",
+            Ground::OnlyRequest => "only-request",
+            Ground::Count => "count",
+        })
+    }
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Verdict {
+    /// Servers that ended under it.
+    pub ends: u32,
+    /// What the refusal is based on.
+    pub ground: Ground,
+}
+
+/// One end that is held against a request, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Evidence {
+    /// Run of the backend server.
+    pub run: fleet::Run,
+    /// Time since its end.
+    pub age: Duration,
+    /// What is held of the request itself.
+    pub mark: Mark,
+    /// Others that were there, by what is held of them: suspect, alone, cleared.
+    pub others: [usize; 3],
+}
+
+impl fmt::Display for Evidence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let [suspects, alone, cleared] = self.others;
+        let (server, age) = (&self.run.id, self.age.as_millis());
+        let own = if self.mark == Mark::Alone { "alone" } else { "suspect" };
+        write!(f, "{server}@{age}ms:{own}+{suspects}s{alone}a{cleared}c")
+    }
+}
+
 /// The end of one backend server.
 #[derive(Debug, Clone)]
 struct End {
@@ -182,8 +237,8 @@
 pub struct Ledger {
     /// By the run and the time of its end.
     ends: BTreeMap<(fleet::Run, clock::Instant), End>,
-    /// Ends of each request that is refused.
-    convicted: BTreeMap<Digest, u32>,
+    /// Why each request that is refused is.
+    convicted: BTreeMap<Digest, Verdict>,
     /// Ends of each other request that was on a server whose end is not explained.
     suspected: BTreeMap<Digest, u32>,
     /// When that was worked out.
@@ -249,8 +304,8 @@
 
     /// What is held of a request.
     pub fn standing(&self, digest: Digest) -> Standing {
-        if let Some(ends) = self.convicted.get(&digest) {
-            return Standing::Convicted(*ends);
+        if let Some(verdict) = self.convicted.get(&digest) {
+            return Standing::Convicted(verdict.ends);
         }
         self.suspected.get(&digest).map_or(Standing::Sound, |ends| Standing::Suspect(*ends))
     }
@@ -267,6 +322,24 @@
         self.convicted.keys().copied()
     }
 
+    /// Why a request is refused, if it is.
+    pub fn verdict(&self, digest: Digest) -> Option<Verdict> {
+        self.convicted.get(&digest).copied()
+    }
+
+    /// The ends that are held against a request, and who else was there.
+    pub fn evidence(&self, digest: Digest, now: clock::Instant) -> Vec<Evidence> {
+        let held = self.ends.iter().filter_map(|((run, _), end)| {
+            let mark = *end.marks.get(&digest).filter(|mark| **mark != Mark::Cleared)?;
+            let others = [Mark::Suspect, Mark::Alone, Mark::Cleared].map(|kind| {
+                let same = |(other, mark): &(&Digest, &Mark)| **other != digest && **mark == kind;
+                end.marks.iter().filter(same).count()
+            });
+            Some(Evidence { run: run.clone(), age: now.since(end.at), mark, others })
+        });
+        held.collect()
+    }
+
     /// All that is known, each request on each server.
     pub fn items(&self) -> impl Iterator<Item = Item> {
         self.ends.iter().flat_map(|((run, _), end)| {
@@ -315,14 +388,13 @@
         let mut open: Vec<&End> = self.ends.values().collect();
         loop {
             let counts = count(&open);
-            let guilty = guilty(&open, &counts, self.judged);
-            if guilty.is_empty() {
+            let Some((ground, guilty)) = guilty(&open, &counts, self.judged) else {
                 self.suspected = counts;
                 return;
-            }
+            };
             open.retain(|end| !end.suspects().any(|digest| guilty.contains(&digest)));
             for digest in guilty {
-                self.convicted.insert(digest, counts[&digest]);
+                self.convicted.insert(digest, Verdict { ends: counts[&digest], ground });
             }
         }
     }
@@ -350,7 +422,7 @@
         if self.ends.values().any(|end| end.marks.len() > MOST_REQUESTS) {
             return Err(Fault::Requests);
         }
-        if self.convicted.values().any(|ends| *ends < PROVEN) {
+        if self.convicted.values().any(|verdict| verdict.ends < PROVEN) {
             return Err(Fault::Grounds);
         }
         Ok(())
@@ -384,15 +456,24 @@
 }
 
 /// Requests that are refused on the surest ground there is.
-fn guilty(ends: &[&End], counts: &BTreeMap<Digest, u32>, now: clock::Instant) -> BTreeSet<Digest> {
+fn guilty(
+    ends: &[&End],
+    counts: &BTreeMap<Digest, u32>,
+    now: clock::Instant,
+) -> Option<(Ground, BTreeSet<Digest>)> {
     let proven = |of: fn(&End) -> Option<Digest>| -> BTreeSet<Digest> {
         let found = ends.iter().filter(|end| end.settled(now)).filter_map(|end| of(end));
         found.filter(|digest| counts[digest] >= PROVEN).collect()
     };
     // A mark that others are still to tell of is the weakest of these.
     let sure = |end: &End| end.alone().filter(|digest| end.sole() == Some(*digest));
-    let grounds = [proven(sure), proven(End::alone), proven(End::sole), leaders(counts)];
-    grounds.into_iter().find(|guilty| !guilty.is_empty()).unwrap_or_default()
+    let grounds = [
+        (Ground::OnlyRequestOnTrial, proven(sure)),
+        (Ground::OnlySuspect, proven(End::alone)),
+        (Ground::OnlyRequest, proven(End::sole)),
+        (Ground::Count, leaders(counts)),
+    ];
+    grounds.into_iter().find(|(_, guilty)| !guilty.is_empty())
 }
 
 /// Requests with the most ends of all, if these are enough whoever else was there.
--- a/decision/tests/poison.rs
+++ b/decision/tests/poison.rs
@@ -8,7 +8,7 @@
 use loftcove_decision::poison::{
     Digest, Finished, Item, KEPT, Ledger, Lookout, Mark, SETTLED, Standing,
 };
-use loftcove_decision::{clock, fleet};
+use loftcove_decision::{clock, fleet, poison};
 use proptest::prelude::*;
 
 fn run(number: u32) -> fleet::Run {
@@ -343,3 +343,16 @@
         }
     }
 }
+
+/// A refusal tells what it is based on: without that, a proper request that is refused
+/// cannot be traced.
+#[test]
+fn a_refusal_names_its_ground_and_the_ends_that_it_goes_by() {
+    let ledger = ledger(&[(1, &["x", "guilty", "a"]), (2, &["*guilty", "b"])]);
+    let verdict = ledger.verdict(request("guilty")).unwrap();
+    assert_eq!((verdict.ends, verdict.ground), (2, poison::Ground::OnlySuspect));
+    let evidence = ledger.evidence(request("guilty"), NOW);
+    let evidence: Vec<String> = evidence.iter().map(ToString::to_string).collect();
+    assert_eq!(evidence, ["server-1@400ms:suspect+2s0a0c", "server-2@400ms:alone+1s0a0c"]);
+    assert_eq!(ledger.verdict(request("a")), None);
+}
--- a/mirror/src/ends.rs
+++ b/mirror/src/ends.rs
@@ -49,6 +49,34 @@
     finished: Finished,
     /// Requests under which this process itself saw a server end.
     own: BTreeSet<Digest>,
+    /// Requests whose refusal is logged.
+    refused: BTreeSet<Digest>,
+}
+
+impl State {
+    /// Takes what has settled and forgets what no longer counts.
+    fn expire(&mut self, now: clock::Instant) {
+        self.ledger.expire(now);
+        self.log_refusals(now);
+    }
+
+    /// Logs each request that is refused from now on or no longer, with the evidence.
+    fn log_refusals(&mut self, now: clock::Instant) {
+        let convicted: BTreeSet<Digest> = self.ledger.convicted().collect();
+        for digest in convicted.difference(&self.refused) {
+            let Some(verdict) = self.ledger.verdict(*digest) else { continue };
+            let evidence = self.ledger.evidence(*digest, now);
+            let evidence: Vec<String> = evidence.iter().map(ToString::to_string).collect();
+            let (ends, ground, evidence) = (verdict.ends, verdict.ground, evidence.join(","));
+            log::info!(
+                "request refused digest={digest} ends={ends} ground={ground} evidence={evidence}"
+            );
+        }
+        for digest in self.refused.difference(&convicted) {
+            log::info!("request no longer refused digest={digest}");
+        }
+        self.refused = convicted;
+    }
 }
 
 impl Default for Ends {
@@ -89,7 +117,10 @@
             return self.apply(vec![item], None);
         };
         log::info!("ends not blamed on requests servers={} reason=many-at-once", runs.len());
-        let cleared = self.lock().ledger.explain(&runs);
+        let mut state = self.lock();
+        let cleared = state.ledger.explain(&runs);
+        state.log_refusals(now);
+        drop(state);
         self.tell(cleared);
     }
 
@@ -99,6 +130,7 @@
         let mut state = self.lock();
         state.finished.add(digest, now);
         let cleared = state.ledger.clear(digest);
+        state.log_refusals(now);
         drop(state);
         if !cleared.is_empty() {
             log::info!("request cleared digest={digest} ends={}", cleared.len());
@@ -113,7 +145,7 @@
         }
         let now = self.now();
         let mut state = self.lock();
-        state.ledger.expire(now);
+        state.expire(now);
         state.ledger.standing(digest)
     }
 
@@ -144,7 +176,7 @@
     pub fn convicted(&self) -> Vec<Digest> {
         let now = self.now();
         let mut state = self.lock();
-        state.ledger.expire(now);
+        state.expire(now);
         state.ledger.convicted().collect()
     }
 
@@ -188,6 +220,7 @@
             }
             news.extend(told);
         }
+        state.log_refusals(now);
         drop(state);
         self.tell(news);
     }
@@ -366,7 +399,7 @@
     fn expire(&self) {
         let now = self.now();
         let mut state = self.lock();
-        state.ledger.expire(now);
+        state.expire(now);
         let State { ledger, own, .. } = &mut *state;
         own.retain(|digest| ledger.standing(*digest) != Standing::Sound);
     }
