Failed runs keep their logs; the soak plays a seed as it once was

A test whose system is dropped by a panic writes the logs of all processes, replaced ones included, below the folder of built programs; the soak keeps faults, breaches, logs, version and callers' rules of each failure without being asked.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -22,6 +22,42 @@
 /// Pause of a client whose key its gateway does not know yet.
 const UNKNOWN_KEY_PAUSE: Duration = Duration::from_millis(200);
 
+/// What callers keep to.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Rules {
+    /// Most of them wait for Retry-After, and after a 401.
+    #[default]
+    Patient,
+    /// They ask again at once, whatever they were told.
+    Immediate,
+}
+
+impl std::str::FromStr for Rules {
+    type Err = UnknownRules;
+
+    fn from_str(text: &str) -> Result<Rules, UnknownRules> {
+        match text {
+            "patient" => Ok(Rules::Patient),
+            "immediate" => Ok(Rules::Immediate),
+            _ => Err(UnknownRules(text.to_owned())),
+        }
+    }
+}
+
+impl fmt::Display for Rules {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Rules::Patient => "patient",
+            Rules::Immediate => "immediate",
+        })
+    }
+}
+
+/// Rules of callers that there are not.
+#[derive(Debug, thiserror::Error)]
+#[error("callers are patient or immediate, not {0}")]
+pub struct UnknownRules(String);
+
 /// Kind of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -115,9 +151,15 @@
 }
 
 /// Sends requests until it is told to stop.
-pub async fn run(shared: Arc<Shared>, gateways: Vec<std::net::SocketAddr>, seed: u64, number: u32) {
+pub async fn run(
+    shared: Arc<Shared>,
+    gateways: Vec<std::net::SocketAddr>,
+    rules: Rules,
+    seed: u64,
+    number: u32,
+) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (u64::from(number) << 32));
-    let hasty = number.is_multiple_of(HASTY);
+    let hasty = rules == Rules::Immediate || number.is_multiple_of(HASTY);
     let mut kept: Option<(u8, Client)> = None;
     while !shared.stop.load(Ordering::Relaxed) {
         let (gateway, client) = match kept.take() {
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,10 +1,10 @@
 //! Plays seeds of the fault soak and prints a line for each; see [`HELP`].
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
-use loftcove_soak::{plan, run};
+use loftcove_soak::{client, plan, run};
 
 const HELP: &str = "\
 loftcove-soak, the fault soak
@@ -22,7 +22,10 @@
   --clients N       clients (12)
   --faults KIND,..  only faults of these kinds
   --times N         with --faults: so many times as often (1)
-  --keep FOLDER     write faults, breaches and logs of seeds that broke a promise
+  --without KIND,.. all faults but those of these kinds
+  --callers RULES   patient: most wait for Retry-After; immediate: none does (patient)
+  --keep FOLDER     write faults, breaches and logs of seeds that broke a promise there
+                    (soak-failures)
   --keep-all        the same of all seeds
 
 Ends with 1 if a promise was broken, with 2 if it could not run.
@@ -42,20 +45,28 @@
     Logs(#[from] std::io::Error),
 }
 
+/// Which faults of a seed are played.
+enum Faults {
+    /// Those of some kinds, so many times as often.
+    Only(Vec<String>, u32),
+    /// All but those of some kinds.
+    Without(Vec<String>),
+}
+
 struct Options {
     seeds: Vec<u64>,
     size: plan::Size,
-    /// Kinds of faults, and how many times as often; none for all kinds.
-    kinds: Option<(Vec<String>, u32)>,
-    keep: Option<PathBuf>,
+    faults: Faults,
+    callers: client::Rules,
+    keep: PathBuf,
     keep_all: bool,
 }
 
 impl Options {
     fn events(&self, seed: u64) -> Vec<plan::Event> {
-        match &self.kinds {
-            Some((kinds, times)) => plan::draw_kinds(seed, &self.size, kinds, *times),
-            None => plan::draw(seed, &self.size),
+        match &self.faults {
+            Faults::Only(kinds, times) => plan::draw_kinds(seed, &self.size, kinds, *times),
+            Faults::Without(kinds) => plan::draw_without(seed, &self.size, kinds),
         }
     }
 }
@@ -74,9 +85,15 @@
     let keep = arguments.opt_value_from_os_str("--keep", |text| {
         Ok::<_, std::convert::Infallible>(PathBuf::from(text))
     })?;
-    let kinds: Option<String> = arguments.opt_value_from_str("--faults")?;
+    let keep = keep.unwrap_or_else(|| PathBuf::from("soak-failures"));
+    let callers = arguments.opt_value_from_str("--callers")?.unwrap_or_default();
     let times = arguments.opt_value_from_str("--times")?.unwrap_or(1);
-    let kinds = kinds.map(|kinds| (kinds.split(',').map(str::to_owned).collect(), times));
+    let only = kinds(&mut arguments, "--faults")?;
+    let without = kinds(&mut arguments, "--without")?;
+    let faults = match only {
+        Some(only) => Faults::Only(only, times),
+        None => Faults::Without(without.unwrap_or_default()),
+    };
     let keep_all = arguments.contains("--keep-all");
     let rest = arguments.finish();
     if let Some(unknown) = rest.first() {
@@ -87,20 +104,16 @@
         // Short enough to be copied by hand.
         None => (0..runs).map(|_| u64::from(rand::random::<u32>())).collect(),
     };
-    Ok(Options { seeds, size, kinds, keep, keep_all })
+    Ok(Options { seeds, size, faults, callers, keep, keep_all })
 }
 
-fn keep(folder: &Path, seed: u64, report: &run::Report) -> Result<(), Error> {
-    let folder = folder.join(format!("seed-{seed}"));
-    std::fs::create_dir_all(&folder)?;
-    let events: Vec<String> = report.events.iter().map(|event| format!("{event:?}")).collect();
-    std::fs::write(folder.join("events.txt"), events.join("\n"))?;
-    let breaches: Vec<String> = report.breaches.iter().map(ToString::to_string).collect();
-    std::fs::write(folder.join("breaches.txt"), breaches.join("\n"))?;
-    for (name, lines) in &report.logs {
-        std::fs::write(folder.join(format!("{name}.log")), lines.join("\n"))?;
-    }
-    Ok(())
+/// The kinds of faults that an option names.
+fn kinds(
+    arguments: &mut pico_args::Arguments,
+    option: &'static str,
+) -> Result<Option<Vec<String>>, Error> {
+    let text: Option<String> = arguments.opt_value_from_str(option)?;
+    Ok(text.map(|text| text.split(',').map(str::to_owned).collect()))
 }
 
 async fn soak() -> Result<bool, Error> {
@@ -112,7 +125,8 @@
     let options = options(arguments)?;
     let mut sound = true;
     for &seed in &options.seeds {
-        let report = run::play(seed, &options.size, options.events(seed)).await;
+        let events = options.events(seed);
+        let report = run::play(seed, &options.size, options.callers, events).await;
         let ends: Vec<String> =
             report.ends.iter().map(|(end, count)| format!("{end}:{count}")).collect();
         println!(
@@ -128,8 +142,10 @@
         report.breaches.iter().take(10).for_each(|breach| println!("  {breach}"));
         let broken = !report.breaches.is_empty();
         sound &= !broken;
-        if let Some(folder) = options.keep.as_ref().filter(|_| broken || options.keep_all) {
-            keep(folder, seed, &report)?;
+        if broken || options.keep_all {
+            let folder = options.keep.join(format!("seed-{seed}-{}", std::process::id()));
+            report.keep(&folder)?;
+            println!("  kept in {}", folder.display());
         }
     }
     Ok(sound)
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -283,6 +283,14 @@
     events
 }
 
+/// The faults of a seed without those of some kinds, by [`Fault::name`]: kinds that were
+/// added later are left out so that a seed is played as it once was.
+pub fn draw_without(seed: u64, size: &Size, kinds: &[String]) -> Vec<Event> {
+    let mut events = draw(seed, size);
+    events.retain(|event| !kinds.iter().any(|kind| kind == event.fault.name()));
+    events
+}
+
 fn silences(seed: u64, size: &Size) -> Vec<Event> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SILENCE_SEED);
     let count = (size.time.as_secs_f64() / SILENCE_INTERVAL.as_secs_f64()).ceil() as usize;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,10 +1,12 @@
 //! One run of a seed.
 
 use std::collections::BTreeMap;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use loftcove_tests::failure;
 use loftcove_tests::request::{Arrival, Request};
 use loftcove_tests::system::{BOUND, Plan, System};
 
@@ -19,6 +21,12 @@
 /// What came of a run.
 #[derive(Debug)]
 pub struct Report {
+    /// The seed.
+    pub seed: u64,
+    /// What ran.
+    pub size: plan::Size,
+    /// What the callers kept to.
+    pub callers: client::Rules,
     /// Faults that were drawn.
     pub events: Vec<plan::Event>,
     /// Requests that were sent, and how many of them were answered with success.
@@ -40,13 +48,14 @@
     if seed % 2 == 1 && size.ranks >= 4 { 2 } else { 1 }
 }
 
-/// Plays a seed.
-pub async fn seed(seed: u64, size: &plan::Size) -> Report {
-    play(seed, size, plan::draw(seed, size)).await
-}
-
-/// Plays the requests of a seed under the given faults.
-pub async fn play(seed: u64, size: &plan::Size, events: Vec<plan::Event>) -> Report {
+/// Plays the requests of a seed, by callers that keep to the given rules, under the given
+/// faults.
+pub async fn play(
+    seed: u64,
+    size: &plan::Size,
+    callers: client::Rules,
+    events: Vec<plan::Event>,
+) -> Report {
     let mut system = System::start(Plan {
         gateways: size.gateways,
         ranks: size.ranks,
@@ -62,7 +71,9 @@
     system.configure(2, &[&client::key(2), &client::key(1)]).await;
     let gateways: Vec<_> = (0..size.gateways).map(|number| system.client_address(number)).collect();
     let clients: Vec<_> = (0..size.clients)
-        .map(|number| tokio::spawn(client::run(shared.clone(), gateways.clone(), seed, number)))
+        .map(|number| {
+            tokio::spawn(client::run(shared.clone(), gateways.clone(), callers, seed, number))
+        })
         .collect();
     let mut injector = Injector::new(&mut system, &shared);
     injector.run(&events).await;
@@ -96,10 +107,45 @@
     if number("violations") > 0 {
         breaches.push(Breach::Maps(number("violations")));
     }
-    let logs = logs(&system);
+    let logs = system.logs();
     breaches.extend(check::blamed(&evidence.seen, &logs));
     breaches.extend(evidence.unwritten(&logs));
-    Report { events, requests, refused, ends, switches: number("switches"), breaches, logs }
+    let switches = number("switches");
+    Report { seed, size: *size, callers, events, requests, refused, ends, switches, breaches, logs }
+}
+
+impl Report {
+    /// Writes all that is needed to trace the run, or to play it again, to a folder.
+    ///
+    /// # Errors
+    ///
+    /// What the system said.
+    pub fn keep(&self, folder: &Path) -> std::io::Result<()> {
+        let lines = |lines: Vec<String>| lines.join("\n");
+        let run = format!(
+            "version={}\nseed={}\n{:?}\ncallers={}\nends={:?}",
+            version(),
+            self.seed,
+            self.size,
+            self.callers,
+            self.ends
+        );
+        let files = [
+            ("run.txt", run),
+            ("events.txt", lines(self.events.iter().map(|event| format!("{event:?}")).collect())),
+            ("breaches.txt", lines(self.breaches.iter().map(ToString::to_string).collect())),
+        ];
+        failure::write(folder, &self.logs, &files)
+    }
+}
+
+/// The commit that is played, where the soak runs in a clone.
+fn version() -> String {
+    let mut command = std::process::Command::new("git");
+    command.args(["describe", "--always", "--dirty"]);
+    let output = command.output().ok().filter(|output| output.status.success());
+    let text = output.map(|output| String::from_utf8_lossy(&output.stdout).trim().to_owned());
+    text.unwrap_or_else(|| env!("CARGO_PKG_VERSION").to_owned())
 }
 
 /// Waits until every gateway goes by the newest configuration, which is written
@@ -168,13 +214,3 @@
     }
     breaches
 }
-
-fn logs(system: &System) -> Vec<(String, Vec<String>)> {
-    let gateways = system.gateways.iter().enumerate();
-    let gateways = gateways.map(|(number, process)| (format!("gateway-{number}"), process.log()));
-    let sidecars = system.sidecars.iter().enumerate();
-    let sidecars = sidecars.map(|(number, process)| (format!("sidecar-{number}"), process.log()));
-    let earlier = system.earlier.iter().enumerate();
-    let earlier = earlier.map(|(n, (name, log))| (format!("{name}-replaced-{n}"), log.lines()));
-    gateways.chain(sidecars).chain(earlier).collect()
-}
--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -2,38 +2,45 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+use std::path::Path;
 use std::time::Duration;
 
-use loftcove_soak::{plan, run};
+use loftcove_soak::{client, plan, run};
 
 const SIZE: plan::Size =
     plan::Size { gateways: 3, ranks: 4, plain: 3, clients: 12, time: Duration::from_secs(8) };
 
-/// A seed that is kept, with the size that it is played at.
+/// A seed that is kept, with the size that it is played at, and what else differs from a
+/// play of today.
 #[derive(Debug, PartialEq)]
 struct Kept {
     seed: u64,
     size: (u8, u8, u8, u32, Duration),
+    callers: client::Rules,
+    without: Vec<String>,
 }
 
 impl Kept {
-    /// Reads `SEED [NAME=NUMBER..] CAUSE`; a name is that of the command line's option.
+    /// Reads `SEED [NAME=VALUE..] CAUSE`; a name is that of the command line's option.
     fn read(line: &str) -> Kept {
         let mut words = line.split_whitespace();
         let seed = words.next().unwrap().parse().unwrap();
         let mut size = SIZE;
-        for (name, number) in words.map_while(|word| word.split_once('=')) {
-            let number: u32 = number.parse().unwrap();
+        let (mut callers, mut without) = (client::Rules::default(), Vec::new());
+        for (name, value) in words.map_while(|word| word.split_once('=')) {
             match name {
-                "gateways" => size.gateways = number as u8,
-                "ranks" => size.ranks = number as u8,
-                "plain" => size.plain = number as u8,
-                "clients" => size.clients = number,
-                "seconds" => size.time = Duration::from_secs(number.into()),
-                _ => panic!("no size {name}"),
+                "gateways" => size.gateways = value.parse().unwrap(),
+                "ranks" => size.ranks = value.parse().unwrap(),
+                "plain" => size.plain = value.parse().unwrap(),
+                "clients" => size.clients = value.parse().unwrap(),
+                "seconds" => size.time = Duration::from_secs(value.parse().unwrap()),
+                "callers" => callers = value.parse().unwrap(),
+                "without" => without = value.split(',').map(str::to_owned).collect(),
+                _ => panic!("no setting {name}"),
             }
         }
-        Kept { seed, size: (size.gateways, size.ranks, size.plain, size.clients, size.time) }
+        let size = (size.gateways, size.ranks, size.plain, size.clients, size.time);
+        Kept { seed, size, callers, without }
     }
 
     fn size(&self) -> plan::Size {
@@ -53,7 +60,13 @@
     let kept = kept();
     assert!(!kept.is_empty());
     for kept in kept {
-        let report = run::seed(kept.seed, &kept.size()).await;
+        let events = plan::draw_without(kept.seed, &kept.size(), &kept.without);
+        let report = run::play(kept.seed, &kept.size(), kept.callers, events).await;
+        if !report.breaches.is_empty() {
+            let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("seed-{}", kept.seed));
+            report.keep(&folder).unwrap();
+            eprintln!("logs of seed {} are in {}", kept.seed, folder.display());
+        }
         assert!(report.requests.1 > 100, "{:?} requests", report.requests);
         assert_eq!(report.breaches, [], "seed {}: {:?}", kept.seed, report.events);
     }
@@ -63,7 +76,17 @@
 fn a_kept_seed_may_have_a_size_of_its_own() {
     let kept = Kept::read("7 gateways=16 seconds=20 a cause with x=y in it");
     let size = (16, SIZE.ranks, SIZE.plain, SIZE.clients, Duration::from_secs(20));
-    assert_eq!(kept, Kept { seed: 7, size });
+    let (callers, without) = (client::Rules::Patient, Vec::new());
+    assert_eq!(kept, Kept { seed: 7, size, callers, without });
+}
+
+#[test]
+fn a_kept_seed_may_be_played_as_it_once_was() {
+    let kept = Kept::read("7 callers=immediate without=limit,lose a cause");
+    assert_eq!(kept.callers, client::Rules::Immediate);
+    let events = plan::draw_without(kept.seed, &kept.size(), &kept.without);
+    let newer = ["limit", "lose"];
+    assert!(!events.is_empty() && events.iter().all(|event| !newer.contains(&event.fault.name())));
 }
 
 #[test]
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -5,11 +5,12 @@
 //! stand-ins and the fault-injecting proxy between any two, [`caller`] asks
 //! as a caller would; [`system`] is a deployment on the users'
 //! machines, [`client`] sends [`request`]s to it, and [`visits`] checks what reached its servers. Nothing waits for a fixed time: [`until`] waits for a
-//! condition.
+//! condition. [`failure`] keeps the logs of a run that failed.
 
 pub mod caller;
 pub mod client;
 pub mod cluster;
+pub mod failure;
 pub mod process;
 pub mod request;
 pub mod system;
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -13,7 +13,7 @@
 
 use crate::client::Client;
 use crate::request::Request;
-use crate::{caller, process, until, visits};
+use crate::{caller, failure, process, until, visits};
 
 /// Host of all routes.
 pub const HOST: &str = "vale.example";
@@ -93,7 +93,33 @@
     [16 + (number / 256 % 200) as u8, (number % 256) as u8]
 }
 
+impl Drop for System {
+    /// Keeps the logs of a test that fails: the failure may not come again.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        match failure::keep(&self.logs(), &[]) {
+            Ok(folder) => eprintln!("logs of the failed run are in {}", folder.display()),
+            Err(error) => eprintln!("logs of the failed run were not kept: {error}"),
+        }
+    }
+}
+
 impl System {
+    /// What all processes of ours have logged, those included that were replaced.
+    pub fn logs(&self) -> Vec<(String, Vec<String>)> {
+        let gateways = self.gateways.iter().enumerate();
+        let gateways =
+            gateways.map(|(number, process)| (format!("gateway-{number}"), process.log()));
+        let sidecars = self.sidecars.iter().enumerate();
+        let sidecars =
+            sidecars.map(|(number, process)| (format!("sidecar-{number}"), process.log()));
+        let earlier = self.earlier.iter().enumerate();
+        let earlier = earlier.map(|(n, (name, log))| (format!("{name}-replaced-{n}"), log.lines()));
+        gateways.chain(sidecars).chain(earlier).collect()
+    }
+
     /// Starts everything, with a first configuration.
     pub async fn start(plan: Plan) -> System {
         let mut store = process::Process::start("standin-platform", &[]);
