An answer that breaks off has its head and what came before the break

Cause: a body's error ends the client's connection with all that is not written yet. A stream that broke off, with no attempt left, before the connection had written the head left its client with nothing; parts that came right before the break were lost the same way.

Change: a body's error is held back for one poll, in which the connection writes what it holds.

--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -32,6 +32,56 @@
     }
 }
 
+/// A body whose error is held back until the connection has been asked to write: an error
+/// ends the connection with whatever it has not written yet, which can be the answer's head.
+pub struct Flushed<B: http_body::Body> {
+    body: B,
+    error: Option<B::Error>,
+}
+
+impl<B: http_body::Body> Flushed<B> {
+    /// The body with its error held back.
+    pub fn new(body: B) -> Flushed<B> {
+        Flushed { body, error: None }
+    }
+}
+
+impl<B> http_body::Body for Flushed<B>
+where
+    B: http_body::Body + Unpin,
+    B::Error: Unpin,
+{
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        let this = self.get_mut();
+        if let Some(error) = this.error.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match std::task::ready!(Pin::new(&mut this.body).poll_frame(context)) {
+            Some(Err(error)) => {
+                this.error = Some(error);
+                // The connection writes before it polls again.
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            frame => Poll::Ready(frame),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.error.is_none() && self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
 impl http_body::Body for Body {
     type Data = Bytes;
     type Error = Broken;
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -12,7 +12,7 @@
 use loftcove_interface::protocol::{Answer, Forward, NotRun, Protocol, Verdict};
 
 use crate::answer::{self, Response};
-use crate::body::Body;
+use crate::body::{self, Body};
 use crate::request::{Refusal, Request};
 use crate::state::{Gateway, Target};
 use crate::{drain, exchange, request, stream, upstream};
@@ -25,7 +25,7 @@
     gateway: Arc<Gateway<P>>,
     exchange: exchange::Exchange,
     request: http::Request<Incoming>,
-) -> Result<Response, Infallible> {
+) -> Result<http::Response<body::Flushed<Body>>, Infallible> {
     let came = boot::Instant::now();
     exchange.begin();
     let (head, body) = request.into_parts();
@@ -51,7 +51,7 @@
         response.headers_mut().insert(http::header::CONNECTION, close);
     }
     exchange.answer();
-    Ok(response)
+    Ok(response.map(body::Flushed::new))
 }
 
 type Refused = (Refusal, Option<Arc<str>>);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,7 +14,7 @@
 //! the planned stop.
 
 mod answer;
-mod body;
+pub mod body;
 mod drain;
 mod ended;
 mod event;
--- /dev/null
+++ b/gateway/tests/body.rs
@@ -0,0 +1,57 @@
+//! A streamed answer that breaks off, over a connection of the library that serves clients.
+//!
+//! Seen: a request that had reached a backend server ended without an answer at a gateway
+//! that nothing was done to. How: the stream broke off before the connection wrote its head,
+//! and a body's error drops whatever is not written yet.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use loftcove_gateway::body;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::sync::mpsc;
+
+/// What a client reads of an answer whose parts are all there before it is first written.
+async fn read(parts: Vec<body::Part>) -> String {
+    let (sender, receiver) = mpsc::channel(parts.len().max(1));
+    for part in parts {
+        sender.send(part).await.unwrap();
+    }
+    drop(sender);
+    let answer = body::Flushed::new(body::Body::Stream(receiver));
+    let response = Arc::new(Mutex::new(Some(http::Response::new(answer))));
+    let service = hyper::service::service_fn(move |_| {
+        let response = response.lock().unwrap().take().unwrap();
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let (mut client, server) = tokio::io::duplex(64 * 1024);
+    let serve = http1::Builder::new().serve_connection(TokioIo::new(server), service);
+    let served = tokio::spawn(async move { serve.await.is_ok() });
+    client.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await.unwrap();
+    let mut text = String::new();
+    client.read_to_string(&mut text).await.unwrap();
+    assert!(!served.await.unwrap(), "the connection ends with an error: {text}");
+    text
+}
+
+/// The client learns that its request ran, and that the answer is not whole.
+#[tokio::test]
+async fn an_answer_that_breaks_off_before_its_head_is_written_has_a_head() {
+    let text = read(vec![Err(body::Broken)]).await;
+    assert!(text.starts_with("HTTP/1.1 200 OK\r\n"), "{text:?}");
+    assert!(!text.contains("0\r\n\r\n"), "{text:?}");
+}
+
+/// Parts that came before the break are delivered.
+#[tokio::test]
+async fn parts_before_a_break_are_written() {
+    let parts = ["first", "second"].map(|part| Ok(Bytes::from_static(part.as_bytes())));
+    let text = read(parts.into_iter().chain([Err(body::Broken)]).collect()).await;
+    assert!(text.contains("5\r\nfirst\r\n") && text.contains("6\r\nsecond\r\n"), "{text:?}");
+    assert!(!text.contains("0\r\n\r\n"), "{text:?}");
+}
