A suspect is not refused for a server that a new request may have ended

What callers saw: a proper request was refused with 502 and no time to come back, for ten minutes, without having been sent (the listed test, once: one of 12, 12 servers ended).

Cause: who was the only suspect on a server that ended was refused at its second end, whoever else was there. What its own gateway sends is kept away from that server, what others send is not: a request that had ended nothing yet came there by another gateway and ended it.

Change: the second end refuses who was the only request there that has not come to its end since. Until the others have shown what they are, 1.5 s at the most, the suspect is not sent again.

--- a/decision/src/poison.rs
+++ b/decision/src/poison.rs
@@ -11,8 +11,9 @@
 //! blame at the most, so a single end makes suspects and no more. Where a suspect
 //! runs next is arranged so that it tells more ([`crate::balancer`]): as the only
 //! suspect there. A request is refused when it was on two servers that ended, on
-//! one of them as the only request or the only suspect; from the third end on in
-//! any case. Counting alone would refuse those that were cut by two others. What
+//! one of them as the only request that has not come to its end elsewhere; from the
+//! third end on in any case. Counting alone would refuse those that were cut by two
+//! others. What
 //! is blamed on one request is not counted against others, and a request that
 //! comes to its end anywhere is cleared.
 //!
@@ -38,6 +39,9 @@
 /// to 0.25 s apart, and until all have told, whoever is known to have been there
 /// seems to have been alone.
 pub const SETTLED: Duration = Duration::from_millis(300);
+/// Time for which a request is held back while it is open whether it or another one
+/// ended a server: the others' callers ask again within it.
+const UNDECIDED_TIME: Duration = Duration::from_millis(1_500);
 /// How long an end counts, and so for how long a request is refused after the
 /// last one: the longest lease of the store, which keeps it over a restart of
 /// all gateways.
@@ -153,8 +157,6 @@
 pub enum Ground {
     /// The only request on a server that ended, and sent there as a suspect.
     OnlyRequestOnTrial,
-    /// The only one there that was sent as a suspect.
-    OnlySuspect,
     /// The only request there.
     OnlyRequest,
     /// No other request was on as many servers that ended.
@@ -165,7 +167,6 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Ground::OnlyRequestOnTrial => "only-request-on-trial",
-            Ground::OnlySuspect => "only-suspect",
             Ground::OnlyRequest => "only-request",
             Ground::Count => "count",
         })
@@ -241,6 +242,9 @@
     convicted: BTreeMap<Digest, Verdict>,
     /// Ends of each other request that was on a server whose end is not explained.
     suspected: BTreeMap<Digest, u32>,
+    /// Until when requests are not sent again that were tried beside others: these
+    /// may come to their end before, and leave it as the only one, or end a server.
+    undecided: BTreeMap<Digest, clock::Instant>,
     /// When that was worked out.
     judged: clock::Instant,
 }
@@ -369,8 +373,12 @@
         self.ends.values().any(|end| !end.settled(now))
     }
 
-    /// Whether others may still tell of an end that a request is suspect of.
+    /// Whether others may still tell of an end that a request is suspect of, or may
+    /// show soon whether it was that one.
     pub fn awaits(&self, digest: Digest, now: clock::Instant) -> bool {
+        if self.undecided.get(&digest).is_some_and(|until| now < *until) {
+            return true;
+        }
         let mut recent = self.ends.values().filter(|end| !end.settled(now));
         recent.any(|end| end.suspects().any(|suspect| suspect == digest))
     }
@@ -389,6 +397,7 @@
         loop {
             let counts = count(&open);
             let Some((ground, guilty)) = guilty(&open, &counts, self.judged) else {
+                self.undecided = undecided(&open, &counts);
                 self.suspected = counts;
                 return;
             };
@@ -469,13 +478,25 @@
     let sure = |end: &End| end.alone().filter(|digest| end.sole() == Some(*digest));
     let grounds = [
         (Ground::OnlyRequestOnTrial, proven(sure)),
-        (Ground::OnlySuspect, proven(End::alone)),
         (Ground::OnlyRequest, proven(End::sole)),
         (Ground::Count, leaders(counts)),
     ];
     grounds.into_iter().find(|(_, guilty)| !guilty.is_empty())
 }
 
+/// Until when each request is held back that was the only suspect on a server that ended,
+/// beside requests that had ended none: one of these may have ended it.
+fn undecided(ends: &[&End], counts: &BTreeMap<Digest, u32>) -> BTreeMap<Digest, clock::Instant> {
+    let mut until = BTreeMap::new();
+    for end in ends {
+        let Some(digest) = end.alone().filter(|digest| counts[digest] >= PROVEN) else { continue };
+        let at = until.entry(digest).or_insert(end.at);
+        *at = end.at.max(*at);
+    }
+    until.values_mut().for_each(|at| *at = *at + UNDECIDED_TIME);
+    until
+}
+
 /// Requests with the most ends of all, if these are enough whoever else was there.
 fn leaders(counts: &BTreeMap<Digest, u32>) -> BTreeSet<Digest> {
     let most = counts.values().max().copied().unwrap_or(0);
--- a/tests/tests/suspects.rs
+++ b/tests/tests/suspects.rs
@@ -9,6 +9,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use futures_util::future;
 use loftcove_tests::request::Request;
@@ -49,3 +50,34 @@
     }
     assert_eq!(refused, BTreeSet::new(), "of {PROPER}, with {seen} servers ended");
 }
+
+/// Rounds after a new guilty request has come, in which the proper ones ask again.
+const LATER_ROUNDS: u8 = 3;
+/// Time after which new guilty requests come: suspects run by then, one at a time each.
+const LATER: Duration = Duration::from_millis(100);
+
+/// Seen: a proper request was refused that ran apart from other suspects. How: a request
+/// that was no suspect yet came to the same server by another gateway, and ended it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_request_that_ends_its_server_does_not_convict_the_suspect_there() {
+    let system = System::start(PLAN).await;
+    let (mut refused, mut seen) = (BTreeSet::new(), 0);
+    let system = &system;
+    let proper =
+        |round| future::join_all((0..PROPER).map(move |caller| ask(system, caller, round, false)));
+    let (_, cut) = tokio::join!(ask(system, PROPER, 0, true), proper(0));
+    refused.extend(cut.into_iter().flatten());
+    system.mend(None, &mut seen).await;
+    let new = async {
+        tokio::time::sleep(LATER).await;
+        let asks = (1..=PLAN.gateways).map(|number| ask(system, PROPER + number, 1, true));
+        future::join_all(asks).await;
+    };
+    let ((), cut) = tokio::join!(new, proper(1));
+    refused.extend(cut.into_iter().flatten());
+    system.mend(None, &mut seen).await;
+    for round in 2..2 + LATER_ROUNDS {
+        refused.extend(proper(round).await.into_iter().flatten());
+    }
+    assert_eq!(refused, BTreeSet::new(), "of {PROPER}, with {seen} servers ended");
+}
