Nobody is refused for as many ends as another request

Cause: at the third end whoever had the most was refused, also where two had as many, and before all gateways had told of the third. Suspects of different gateways meet: one that has waited for 1.5 s goes to any server, and gateways differ for a moment in which server is whose while some are away.

Change: the count decides at the third end where nobody else was on as many, at the fourth in any case, and goes by ends that all gateways have told of. The users' bound, three retries after the third end, is kept: tests/tests/poison.rs and the check of the soak are unchanged.

--- a/decision/src/poison.rs
+++ b/decision/src/poison.rs
@@ -11,8 +11,8 @@
 //! blame at the most, so a single end makes suspects and no more. Where a suspect
 //! runs next is arranged so that it tells more ([`crate::balancer`]): as the only
 //! suspect there. A request is refused when it was on two servers that ended, on
-//! one of them as the only request that has not come to its end elsewhere; from the
-//! third end on in any case. Counting alone would refuse those that were cut by two
+//! one of them as the only request that has not come to its end elsewhere; at the
+//! third if nobody else was on as many, at the fourth in any case. Counting alone would refuse those that were cut by two
 //! others. What
 //! is blamed on one request is not counted against others, and a request that
 //! comes to its end anywhere is cleared.
@@ -33,8 +33,10 @@
 
 /// Ends from which a request is refused that one of them proves.
 const PROVEN: u32 = 2;
-/// Ends from which it is refused whoever else was there.
-const CERTAIN: u32 = 3;
+/// Ends from which it is refused whoever else was there, if nobody was on as many.
+const LEADING: u32 = 3;
+/// Ends from which it is refused in any case.
+const CERTAIN: u32 = 4;
 /// Time from an end until what is known of it proves anything: gateways find it up
 /// to 0.25 s apart, and until all have told, whoever is known to have been there
 /// seems to have been alone.
@@ -470,8 +472,9 @@
     counts: &BTreeMap<Digest, u32>,
     now: clock::Instant,
 ) -> Option<(Ground, BTreeSet<Digest>)> {
+    let settled: Vec<&End> = ends.iter().copied().filter(|end| end.settled(now)).collect();
     let proven = |of: fn(&End) -> Option<Digest>| -> BTreeSet<Digest> {
-        let found = ends.iter().filter(|end| end.settled(now)).filter_map(|end| of(end));
+        let found = settled.iter().filter_map(|end| of(end));
         found.filter(|digest| counts[digest] >= PROVEN).collect()
     };
     // A mark that others are still to tell of is the weakest of these.
@@ -479,7 +482,7 @@
     let grounds = [
         (Ground::OnlyRequestOnTrial, proven(sure)),
         (Ground::OnlyRequest, proven(End::sole)),
-        (Ground::Count, leaders(counts)),
+        (Ground::Count, leaders(&count(&settled))),
     ];
     grounds.into_iter().find(|(_, guilty)| !guilty.is_empty())
 }
@@ -497,11 +500,14 @@
     until
 }
 
-/// Requests with the most ends of all, if these are enough whoever else was there.
+/// Requests with the most ends of all, if these are enough whoever else was there. Two that
+/// were on the same servers look alike: the next end, of one of them alone, tells them apart.
 fn leaders(counts: &BTreeMap<Digest, u32>) -> BTreeSet<Digest> {
     let most = counts.values().max().copied().unwrap_or(0);
-    let leads = |digest: &Digest| most >= CERTAIN && counts[digest] == most;
-    counts.keys().copied().filter(leads).collect()
+    let leaders: BTreeSet<Digest> =
+        counts.iter().filter(|(_, ends)| **ends == most).map(|(digest, _)| *digest).collect();
+    let enough = most >= CERTAIN || most >= LEADING && leaders.len() == 1;
+    if enough { leaders } else { BTreeSet::new() }
 }
 
 /// Requests that came to their end of late. One that many callers send alike is
