Tests: a system's addresses are reserved

Systems of two test processes could have the same loopback addresses: a process with more than four systems used those of the next process id.

--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -76,7 +76,7 @@
     pub earlier: Vec<(String, process::Log)>,
     proxy: Option<process::Process>,
     folder: process::Folder,
-    net: [u8; 2],
+    net: Net,
     store_address: SocketAddr,
     /// What the platform last wrote, or removed, by key.
     written: Mutex<BTreeMap<String, Option<Value>>>,
@@ -85,12 +85,29 @@
     version: u64,
 }
 
-/// Addresses below 127.0.0.0/8 that no other system of this or of another test
-/// process has.
-fn net() -> [u8; 2] {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let number = std::process::id() * 4 + NEXT.fetch_add(1, Ordering::Relaxed);
-    [16 + (number / 256 % 200) as u8, (number % 256) as u8]
+/// Addresses below 127.0.0.0/8 that no other system has, of this process or of another one,
+/// while this is held.
+struct Net {
+    bytes: [u8; 2],
+    /// Bound for as long as the addresses are taken.
+    _reservation: std::net::UdpSocket,
+}
+
+/// Host and port whose binding reserves a net's addresses; no program uses them.
+const RESERVED: (u8, u16) = (254, 21_000);
+
+impl Net {
+    fn reserve() -> Net {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        loop {
+            let number = std::process::id() * 4 + NEXT.fetch_add(1, Ordering::Relaxed);
+            let bytes = [16 + (number / 256 % 200) as u8, (number % 256) as u8];
+            let address = Ipv4Addr::new(127, bytes[0], bytes[1], RESERVED.0);
+            if let Ok(reservation) = std::net::UdpSocket::bind((address, RESERVED.1)) {
+                return Net { bytes, _reservation: reservation };
+            }
+        }
+    }
 }
 
 impl Drop for System {
@@ -124,10 +141,10 @@
     pub async fn start(plan: Plan) -> System {
         let mut store = process::Process::start("standin-platform", &[]);
         let store_address = store.address().await;
-        let net = net();
+        let net = Net::reserve();
         assert!(plan.ranks <= FIRST_PROXIED - FIRST_RANK, "addresses for so many ranks");
-        let lockstep = servers(net, FIRST_RANK, plan.ranks, "rank");
-        let plain = servers(net, 50, plan.plain, "plain");
+        let lockstep = servers(net.bytes, FIRST_RANK, plan.ranks, "rank");
+        let plain = servers(net.bytes, 50, plan.plain, "plain");
         let proxy = plan.proxied.then(|| process::Process::start("fault-proxy", &[]));
         let mut system = System {
             plan,
@@ -190,14 +207,14 @@
 
     /// Address of a rank's host.
     fn rank_ip(&self, rank: u8) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.net[0], self.net[1], FIRST_RANK + rank)
+        Ipv4Addr::new(127, self.net.bytes[0], self.net.bytes[1], FIRST_RANK + rank)
     }
 
     /// Address that a rank's sidecar listens on: another one if the proxy listens
     /// on its own.
     fn sidecar_ip(&self, rank: u8) -> Ipv4Addr {
         let first = if self.proxy.is_some() { FIRST_PROXIED } else { FIRST_RANK };
-        Ipv4Addr::new(127, self.net[0], self.net[1], first + rank)
+        Ipv4Addr::new(127, self.net.bytes[0], self.net.bytes[1], first + rank)
     }
 
     /// Puts the proxy between a host and the store, as the target `store-HOST`.
@@ -245,7 +262,7 @@
 
     /// Address of a gateway's host.
     pub fn gateway_ip(&self, index: u8) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.net[0], self.net[1], 10 + index)
+        Ipv4Addr::new(127, self.net.bytes[0], self.net.bytes[1], 10 + index)
     }
 
     /// Id of a rank's backend server.
@@ -282,7 +299,7 @@
 
     /// Address of a plain server.
     pub fn plain_address(&self, index: u8) -> SocketAddr {
-        (Ipv4Addr::new(127, self.net[0], self.net[1], 50 + index), SERVER_PORT).into()
+        (Ipv4Addr::new(127, self.net.bytes[0], self.net.bytes[1], 50 + index), SERVER_PORT).into()
     }
 
     /// Writes a key as the platform does.
