A suspect does not use up its attempts on a server that it does not reach

What callers saw: a request that ran on a server that ended was refused as not run (503, reason attempts) though other servers had room.

Cause: a suspect goes to servers of its gateway's own alone; where one of these had ended and others were out already, it was not taken out, and all attempts went there.

Evidence: the kept log of a failed run of the suspects test: three requests with four attempts each on plain-0 within 0.2 ms, each with "Connection refused", outcome not-run.

Change: a server that failed a suspect is left out until that has waited for 1.5 s, from when on it may go anywhere. The test of decision/tests/suspects.rs failed before: a second attempt on the same server.

--- a/decision/src/balancer/choose.rs
+++ b/decision/src/balancer/choose.rs
@@ -52,9 +52,8 @@
     ) {
         let Some(pending) = self.pending.get(&ticket) else { return };
         let (pool, suspect) = (pending.arrival.pool, pending.arrival.suspect);
-        let since = pending.since;
         let considered = match suspect {
-            Some(digest) => self.weigh(&self.open_apart(pool, digest, since, now), now),
+            Some(digest) => self.weigh(&self.open_apart(pending, digest, now), now),
             None => self.open(pool, &pending.tried, now),
         };
         let passed_over = self.passed_over(pool, now);
--- a/decision/src/balancer/suspect.rs
+++ b/decision/src/balancer/suspect.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use crate::balancer::Balancer;
+use crate::balancer::{Balancer, Pending};
 use crate::routing::policy;
 use crate::{clock, entity, poison};
 
@@ -41,19 +41,18 @@
 }
 
 impl<P: policy::Policy> Balancer<P> {
-    /// Open backend servers to which a suspect may be sent now that has waited since
-    /// then: none while another try of the same request is on one.
+    /// Open backend servers to which a suspect may be sent now: none while another try
+    /// of the same request is on one, nor those that have failed it, until it has waited.
     pub(super) fn open_apart(
         &self,
-        pool: entity::Pool,
+        pending: &Pending,
         digest: poison::Digest,
-        since: clock::Instant,
         now: clock::Instant,
     ) -> Vec<entity::Server> {
         if self.trials.values().any(|other| *other == digest) {
             return Vec::new();
         }
-        let usable = self.servers.usable(pool);
+        let usable = self.servers.usable(pending.arrival.pool);
         let mut usable: Vec<(u64, entity::Server)> =
             usable.map(|(server, record)| (record.hash, server)).collect();
         // In the same order at all gateways. One that has ended keeps its place while
@@ -61,9 +60,10 @@
         usable.sort_unstable();
         let servers = usable.len();
         let own = usable.into_iter().enumerate();
-        let any = now.since(since) >= OWN_WAIT;
+        let any = now.since(pending.since) >= OWN_WAIT;
         let own = own.filter(|(number, _)| any || self.share.owns(*number, servers));
         own.map(|(_, (_, server))| server)
+            .filter(|server| any || !pending.tried.contains(server))
             .filter(|server| !self.on_trial(*server))
             .filter(|server| self.takes(&self.servers[*server], now))
             .collect()
@@ -80,8 +80,7 @@
     /// server of its pool is open.
     pub(super) fn has_place(&self, ticket: entity::Ticket, now: clock::Instant) -> bool {
         let Some(pending) = self.pending.get(&ticket) else { return true };
-        let (pool, since) = (pending.arrival.pool, pending.since);
         let suspect = pending.arrival.suspect;
-        suspect.is_none_or(|digest| !self.open_apart(pool, digest, since, now).is_empty())
+        suspect.is_none_or(|digest| !self.open_apart(pending, digest, now).is_empty())
     }
 }
--- a/decision/tests/suspects.rs
+++ b/decision/tests/suspects.rs
@@ -142,6 +142,22 @@
     assert!(after.len() == 1 && after != before, "{after:?}");
 }
 
+/// Seen: suspects used up all their attempts within a millisecond, each on the same server,
+/// which had ended a moment ago and took no connection: of three servers no second one is
+/// taken out.
+#[test]
+fn a_suspect_that_does_not_reach_its_server_waits_for_another_one() {
+    let mut balancer = gateway(0, 3);
+    let (first, before) = arrive(&mut balancer, Some("a"));
+    let (other, _) = arrive(&mut balancer, None);
+    balancer.end(other, balancer::End::ServerEnded, NOW);
+    let actions = balancer.end(first, balancer::End::Unreachable, NOW);
+    assert_eq!(actions, [], "neither sent there again nor refused");
+    let after = sent(&balancer.tick(NOW + Duration::from_millis(1_500)));
+    assert!(after.len() == 1 && after != before, "{after:?}");
+    assert_eq!(balancer.verify(), Ok(()));
+}
+
 /// Nobody waits for a suspect where there is one server alone.
 #[test]
 fn the_only_server_takes_others_beside_a_suspect() {
