Own interface: an answer that breaks off has its head and what came before the break

The same fault as at gateways: an answer that is no event stream and too long to be held ended its caller's connection with whatever was not written yet. Found by reading, not seen: event streams had a pause of their own before the error, other answers none. Both go by the one body that holds its error back (gateway/body, gateway/tests/body.rs). tests/tests/refusals.rs passes.

--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -8,6 +8,7 @@
 use loftcove_clock as boot;
 use loftcove_decision::routing::{notice, rate};
 use loftcove_decision::{balancer, entity, poison};
+use loftcove_gateway::body;
 
 use crate::entry::refusal::{Outcome, Refusal};
 use crate::entry::{Entry, call, claim, dispatch, dispatcher, relay};
@@ -17,10 +18,11 @@
 pub async fn handle(
     entry: Arc<Entry>,
     request: http::Request<Incoming>,
-) -> Result<http::Response<relay::Body>, Infallible> {
+) -> Result<http::Response<body::Flushed<relay::Body>>, Infallible> {
     let path = request.uri().path();
     if admin::is_path(path) {
-        return Ok(admin::answer(&entry.process, path).map(relay::Body::whole));
+        let answer = admin::answer(&entry.process, path).map(relay::Body::whole);
+        return Ok(answer.map(body::Flushed::new));
     }
     let id = uuid::Uuid::now_v7();
     let answer = match serve(&entry, id, request).await {
@@ -35,7 +37,7 @@
             refusal.response(&id.to_string()).map(relay::Body::whole)
         }
     };
-    Ok(answer)
+    Ok(answer.map(body::Flushed::new))
 }
 
 async fn serve(
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -230,8 +230,6 @@
     Open,
     /// The last comment was sent; the trailers follow.
     Trailers,
-    /// The last event told of the break; it must leave before the error.
-    Flush,
     /// The error follows.
     Error,
     Done,
@@ -246,13 +244,6 @@
                     self.state = State::Done;
                     return Poll::Ready(Some(Ok(trailers(Outcome::Answered))));
                 }
-                State::Flush => {
-                    // The connection is dropped with whatever it has not sent
-                    // yet when a body fails; a pause lets it send.
-                    self.state = State::Error;
-                    context.waker().wake_by_ref();
-                    return Poll::Pending;
-                }
                 State::Error => {
                     self.state = State::Done;
                     return Poll::Ready(Some(Err(Error::Broken)));
@@ -292,7 +283,7 @@
             self.state = State::Done;
             return Some(Err(Error::Broken));
         }
-        self.state = State::Flush;
+        self.state = State::Error;
         let error = serde_json::json!({
             "error": {
                 "type": "answer-lost",
