--- a/decision/src/poison.rs
+++ b/decision/src/poison.rs
@@ -12,20 +12,23 @@
 //! runs next is arranged so that it tells more ([`crate::balancer`]): as the only
 //! suspect there. A request is refused when it was on two servers that ended, on
 //! one of them as the only request that has not come to its end elsewhere; at the
-//! third if nobody else was on as many, at the fourth in any case. Counting alone would refuse those that were cut by two
-//! others. What
-//! is blamed on one request is not counted against others, and a request that
-//! comes to its end anywhere is cleared.
+//! third if nobody else was on as many, at the fourth in any case. Counting alone
+//! would refuse those that were cut by two others. What is blamed on one request
+//! is not counted against others, and a request that comes to its end anywhere is
+//! cleared.
 //!
 //! Gateways tell each other of single [`Item`]s. Merging takes the higher mark,
 //! so that it does not matter in which order and how often they come.
 
+mod verdict;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::time::Duration;
 
 use sha2::Digest as _;
 
+pub use self::verdict::{Evidence, Ground, Verdict};
 use crate::{clock, fleet};
 
 /// Bytes of a digest: two requests share one by chance once in 2^64 of them.
@@ -154,58 +157,6 @@
     Convicted(u32),
 }
 
-/// On what a refusal is based, the surest first.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Ground {
-    /// The only request on a server that ended, and sent there as a suspect.
-    OnlyRequestOnTrial,
-    /// The only request there.
-    OnlyRequest,
-    /// No other request was on as many servers that ended.
-    Count,
-}
-
-impl fmt::Display for Ground {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Ground::OnlyRequestOnTrial => "only-request-on-trial",
-            Ground::OnlyRequest => "only-request",
-            Ground::Count => "count",
-        })
-    }
-}
-
-/// Why a request is refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Verdict {
-    /// Servers that ended under it.
-    pub ends: u32,
-    /// What the refusal is based on.
-    pub ground: Ground,
-}
-
-/// One end that is held against a request, for the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Evidence {
-    /// Run of the backend server.
-    pub run: fleet::Run,
-    /// Time since its end.
-    pub age: Duration,
-    /// What is held of the request itself.
-    pub mark: Mark,
-    /// Others that were there, by what is held of them: suspect, alone, cleared.
-    pub others: [usize; 3],
-}
-
-impl fmt::Display for Evidence {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let [suspects, alone, cleared] = self.others;
-        let (server, age) = (&self.run.id, self.age.as_millis());
-        let own = if self.mark == Mark::Alone { "alone" } else { "suspect" };
-        write!(f, "{server}@{age}ms:{own}+{suspects}s{alone}a{cleared}c")
-    }
-}
-
 /// The end of one backend server.
 #[derive(Debug, Clone)]
 struct End {
