A server that ends under a request that was given up there is held against that one

Cause: a request that is refused while a server runs it is given up: its connection is closed, and the next suspect is sent to the server, which goes on with the first one and ends under it. Nobody looked for that any more, so that the second one was the only request there.

Change: a gateway remembers a request that it gave up, with the server, until its deadline; if that server ends, the request is told as having been there.

--- a/decision/src/poison.rs
+++ b/decision/src/poison.rs
@@ -20,6 +20,7 @@
 //! Gateways tell each other of single [`Item`]s. Merging takes the higher mark,
 //! so that it does not matter in which order and how often they come.
 
+mod abandoned;
 mod verdict;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -28,6 +29,7 @@
 
 use sha2::Digest as _;
 
+pub use self::abandoned::Abandoned;
 pub use self::verdict::{Evidence, Ground, Verdict};
 use crate::{clock, fleet};
 
--- a/decision/tests/poison.rs
+++ b/decision/tests/poison.rs
@@ -414,3 +414,19 @@
     assert_eq!(evidence, ["server-1@400ms:suspect+2s0a0c", "server-2@400ms:alone+0s0a1c"]);
     assert_eq!(ledger.verdict(request("a")), None);
 }
+
+#[test]
+fn a_request_that_was_given_up_is_blamed_until_its_deadline_and_once() {
+    let mut abandoned = poison::Abandoned::default();
+    abandoned.add(&run(1), request("given-up"), at(2_000));
+    abandoned.add(&run(2), request("given-up"), at(500));
+    assert_eq!(abandoned.blame(&item(3, "other", Mark::Suspect)), []);
+    assert_eq!(abandoned.blame(&item(1, "other", Mark::Cleared)), []);
+    // What others tell of the same request says nothing new.
+    assert_eq!(abandoned.blame(&item(1, "given-up", Mark::Suspect)), []);
+    let blamed = item(1, "given-up", Mark::Suspect);
+    assert_eq!(abandoned.blame(&item(1, "other", Mark::Alone)), [blamed]);
+    assert_eq!(abandoned.blame(&item(1, "third", Mark::Suspect)), []);
+    // Its deadline had passed as the server ended.
+    assert_eq!(abandoned.blame(&item(2, "other", Mark::Alone)), []);
+}
--- a/gateway/src/ended.rs
+++ b/gateway/src/ended.rs
@@ -11,6 +11,7 @@
 
 use std::time::Duration;
 
+use loftcove_clock as boot;
 use loftcove_decision::{balancer, entity};
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::Protocol;
@@ -57,6 +58,13 @@
         balancer::End::ServerEnded
     }
 
+    /// A request is refused as one that ends servers while a backend server runs it: the
+    /// server may end under it all the same, beside others.
+    pub(crate) fn abandon(&self, request: &Request, target: &Target) {
+        let left = request.due.saturating_duration_since(boot::Instant::now());
+        self.mirror.ends.abandon(&target.run, request.digest, left);
+    }
+
     /// Looks at a server that was found alive a second time, beside what follows.
     fn look_again(&self, request: &Request, target: &Target) {
         let (dispatcher, mirror) = (self.dispatcher.clone(), self.mirror.clone());
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -146,7 +146,10 @@
             };
             let sent = tokio::select! {
                 biased;
-                _ = &mut refused => return self.ends_servers(),
+                _ = &mut refused => {
+                    gateway.abandon(&request, &attempt.target);
+                    return self.ends_servers();
+                }
                 sent = self.gateway.send(&request, &attempt, None) => sent,
             };
             match sent {
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -111,7 +111,10 @@
                     let end = broke.await;
                     begun = self.resume(&mut splitter, end).await;
                 }
-                End::Refused => return self.break_off("ends-servers").await,
+                End::Refused => {
+                    self.gateway.abandon(&self.request, &target);
+                    return self.break_off("ends-servers").await;
+                }
             }
         }
         self.break_off("backend-server-broke-off").await;
@@ -142,7 +145,10 @@
                 }
                 self.break_off("backend-server-broke-off").await;
             }
-            End::Refused => self.break_off("ends-servers").await,
+            End::Refused => {
+                self.gateway.abandon(&self.request, &target);
+                self.break_off("ends-servers").await;
+            }
         }
     }
 
@@ -259,7 +265,10 @@
             };
             let sent = tokio::select! {
                 () = self.sender.closed() => return None,
-                _ = &mut refused => return None,
+                _ = &mut refused => {
+                    self.gateway.abandon(&self.request, &attempt.target);
+                    return None;
+                }
                 sent = self.gateway.resume(&self.request, &attempt, after.clone()) => sent,
             };
             match sent {
--- a/mirror/src/ends.rs
+++ b/mirror/src/ends.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 use loftcove_clock as boot;
-use loftcove_decision::poison::{Digest, Finished, Item, Ledger, Lookout, Mark, SETTLED, Standing};
+use loftcove_decision::poison::{
+    Abandoned, Digest, Finished, Item, Ledger, Lookout, Mark, SETTLED, Standing,
+};
 use loftcove_decision::revision::Revision;
 use loftcove_decision::{clock, fleet, mirror};
 use loftcove_interface::store::{self, Store};
@@ -47,6 +49,7 @@
     ledger: Ledger,
     lookout: Lookout,
     finished: Finished,
+    abandoned: Abandoned,
     /// Requests under which this process itself saw a server end.
     own: BTreeSet<Digest>,
     /// Requests whose refusal is logged.
@@ -124,6 +127,13 @@
         self.tell(cleared);
     }
 
+    /// A request is given up that a backend server may run for so long.
+    pub fn abandon(&self, run: &fleet::Run, digest: Digest, left: Duration) {
+        let until = self.now() + left;
+        log::info!("request abandoned digest={digest} server={} ms={}", run.id, left.as_millis());
+        self.lock().abandoned.add(run, digest, until);
+    }
+
     /// A request came to its end.
     pub fn clear(&self, digest: Digest) {
         let now = self.now();
@@ -211,6 +221,16 @@
                 continue;
             }
             let mut told = vec![item.clone()];
+            for blamed in state.abandoned.blame(&item) {
+                log::info!(
+                    "server ended under an abandoned request digest={} server={}",
+                    blamed.digest,
+                    blamed.run.id
+                );
+                if state.ledger.take(&blamed, now) {
+                    told.push(blamed);
+                }
+            }
             if item.mark != Mark::Cleared && state.finished.contains(item.digest, now) {
                 told.extend(state.ledger.clear(item.digest));
             }
--- a/mirror/tests/ends.rs
+++ b/mirror/tests/ends.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use loftcove_decision::poison::{Digest, KEPT, Standing};
+use loftcove_decision::poison::{Digest, KEPT, SETTLED, Standing};
 use loftcove_decision::revision::Revision;
 use loftcove_decision::{fleet, mirror};
 use loftcove_interface::store::Lease;
@@ -181,3 +181,26 @@
     };
     tokio::time::timeout(BOUND, ended).await.expect("ended in time");
 }
+
+/// Seen: a proper request was refused whose server ended under another one. How: that one had
+/// been refused 15 ms after it was sent, its connection closed, and the next suspect sent to
+/// the same server, which went on with it.
+#[tokio::test]
+async fn a_server_that_ends_under_a_request_that_was_given_up_is_held_against_that_one() {
+    let ((first, at_first), second) = (host("norte").await, Arc::<Mirror>::default());
+    follow(&second, at_first);
+    let proper = Digest::of(&[b"proper"]);
+    for number in [1, 2] {
+        first.ends.found(&run(number), guilty(), true);
+    }
+    first.ends.found(&run(1), proper, false);
+    assert_eq!(refuses(&second).await, 2);
+    first.ends.abandon(&run(3), guilty(), Duration::from_secs(2));
+    first.ends.found(&run(3), proper, true);
+    holds(&second, Standing::Convicted(3)).await;
+    tokio::time::sleep(SETTLED).await;
+    for host in [&first, &second] {
+        assert_eq!(host.ends.standing(proper), Standing::Sound);
+        assert_eq!(host.ends.standing(guilty()), Standing::Convicted(3));
+    }
+}
