--- a/bench/src/poison.rs
+++ b/bench/src/poison.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeSet, BinaryHeap};
 use std::path::Path;
 
-use loftcove_decision::poison::{Digest, Item, Ledger, Mark, Standing};
+use loftcove_decision::poison::{Digest, Item, Ledger, Mark, SETTLED, Standing};
 use loftcove_decision::{clock, fleet};
 use plotters::prelude::*;
 use rand::Rng as _;
@@ -82,6 +82,8 @@
     News(usize, u64, Digest, Mark, u64),
     Return(Digest),
     Finish(Digest, usize, usize, u64),
+    /// An end that a gateway heard of can be judged.
+    Settle(usize),
 }
 
 #[derive(Debug, Clone, Default)]
@@ -180,6 +182,10 @@
             Event::News(gateway, run, digest, mark, at) => {
                 self.tell(gateway, run, digest, mark, at, now);
             }
+            Event::Settle(gateway) => {
+                self.ledgers[gateway].expire(clock::Instant::from_millis(now));
+                self.note_refusal(gateway, now);
+            }
             Event::Return(digest) => match self.send(digest) {
                 Some((server, gateway)) => {
                     let run = self.servers[server].run;
@@ -246,6 +252,12 @@
             return;
         }
         self.spread(gateway, run, digest, mark, at, now);
+        self.at((at + SETTLED.as_millis() as u64).max(now), Event::Settle(gateway));
+        self.note_refusal(gateway, now);
+    }
+
+    /// Notes when the last gateway refuses the request.
+    fn note_refusal(&mut self, gateway: usize, now: u64) {
         let refuses = matches!(self.ledgers[gateway].standing(guilty()), Standing::Convicted(_));
         if refuses && self.refusing.insert(gateway) && self.refusing.len() == self.plan.gateways {
             self.outcome.known_ms = self.second_end.map(|end| now - end);
--- a/tests/tests/stop_steps.rs
+++ b/tests/tests/stop_steps.rs
@@ -77,9 +77,9 @@
     all
 }
 
-/// Whether a request that reached a server has no answer, or one that says that it did not run.
-fn check(system_arrivals: &[serde_json::Value], seen: &[Seen]) {
-    let arrived = |id: &str| system_arrivals.iter().any(|it| it["headers"]["x-attempt-id"] == id);
+/// Fails if a request that reached a server has no answer, or one that says that it did not run.
+fn check(arrivals: &[serde_json::Value], seen: &[Seen]) {
+    let arrived = |id: &str| arrivals.iter().any(|it| it["headers"]["x-attempt-id"] == id);
     for Seen { id, status, at } in seen {
         let refused = matches!(status, None | Some(503));
         assert!(!(refused && arrived(id)), "{id}, sent {at:?} from the begin: {status:?}");
