--- a/decision/src/poison.rs
+++ b/decision/src/poison.rs
@@ -21,15 +21,19 @@
 //! so that it does not matter in which order and how often they come.
 
 mod abandoned;
+mod finished;
+mod lookout;
 mod verdict;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
 use sha2::Digest as _;
 
 pub use self::abandoned::Abandoned;
+pub use self::finished::Finished;
+pub use self::lookout::Lookout;
 pub use self::verdict::{Evidence, Ground, Verdict};
 use crate::{clock, fleet};
 
@@ -61,19 +65,6 @@
 const MOST_ENDS: usize = 128;
 /// Requests that are kept of one end: a backend server runs and queues fewer.
 const MOST_REQUESTS: usize = 64;
-/// Time within which ends of several servers count as one event.
-const AT_ONCE: Duration = Duration::from_millis(100);
-/// Servers that may end within [`AT_ONCE`] before one gateway by their
-/// requests' doing. More have one cause, such as a path that is cut: three
-/// requests that each ended a server within 73 ms were seen.
-const MOST_AT_ONCE: usize = 4;
-
-/// Requests that a gateway remembers to have come to their end: 4,096 of some
-/// 50 bytes, the last 40 seconds of one that answers a hundred a second.
-const MOST_FINISHED: usize = 4_096;
-/// For how long they are remembered. A request that many callers send alike
-/// comes to its end far more often.
-const FINISHED_TIME: Duration = Duration::from_secs(60);
 
 /// Names what a caller asks for, whichever of its tries it is: the same at all
 /// gateways. Made by a cryptographic hash, so that no caller can choose a
@@ -462,52 +453,3 @@
     let enough = most >= CERTAIN || most >= LEADING && leaders.len() == 1;
     if enough { leaders } else { BTreeSet::new() }
 }
-
-/// Requests that came to their end of late. One that many callers send alike is
-/// on most servers that end, and must not be blamed for it: refused everywhere,
-/// it could not come to its end any more.
-#[derive(Debug, Default)]
-pub struct Finished {
-    /// When each last did, and which of all that was.
-    last: BTreeMap<Digest, (clock::Instant, u64)>,
-    /// All of them, oldest first; some have done so again.
-    order: VecDeque<(Digest, u64)>,
-    count: u64,
-}
-
-impl Finished {
-    /// A request came to its end.
-    pub fn add(&mut self, digest: Digest, now: clock::Instant) {
-        self.count += 1;
-        self.last.insert(digest, (now, self.count));
-        self.order.push_back((digest, self.count));
-        if self.order.len() <= MOST_FINISHED {
-            return;
-        }
-        let Some((oldest, number)) = self.order.pop_front() else { return };
-        if self.last.get(&oldest).is_some_and(|(_, last)| *last == number) {
-            self.last.remove(&oldest);
-        }
-    }
-
-    /// Whether a request came to its end of late.
-    pub fn contains(&self, digest: Digest, now: clock::Instant) -> bool {
-        self.last.get(&digest).is_some_and(|(at, _)| now.since(*at) < FINISHED_TIME)
-    }
-}
-
-/// The servers that one gateway found ended of late.
-#[derive(Debug, Default)]
-pub struct Lookout {
-    recent: BTreeMap<fleet::Run, clock::Instant>,
-}
-
-impl Lookout {
-    /// A server was found to have ended. Returns the servers that ended at once
-    /// with it if they are too many to have been ended by requests.
-    pub fn found(&mut self, run: &fleet::Run, now: clock::Instant) -> Option<Vec<fleet::Run>> {
-        self.recent.retain(|_, at| now.since(*at) < AT_ONCE);
-        self.recent.insert(run.clone(), now);
-        (self.recent.len() > MOST_AT_ONCE).then(|| self.recent.keys().cloned().collect())
-    }
-}
