--- a/mirror/src/register.rs
+++ b/mirror/src/register.rs
@@ -55,7 +55,7 @@
 
 /// Gateways that watch the store over all zones, and the least and most of one
 /// zone. Each costs calls of the store, for every change. With nine, a store
-/// that turns away a third of all hosts turns all of them away once in 20,000
+/// that rejects a third of all hosts rejects all of them once in 20,000
 /// times; with two of a zone it takes both, and their peers in other zones, for
 /// a change not to be heard of at once, and who lacks peers watches as well.
 const WATCHERS: usize = 9;
--- a/mirror/tests/distance.rs
+++ b/mirror/tests/distance.rs
@@ -43,7 +43,7 @@
     let links = [(0, 1), (0, 2), (1, 2), (2, 3), (3, 1), (2, 1), (3, 2)];
     settle(&hosts, &links);
     assert!(hosts[1..].iter().all(Distance::peers_reach));
-    // The watcher is turned down.
+    // The store rejects the watcher.
     hosts[0].set_answered(false);
     settle(&hosts, &links);
     assert!(hosts.iter().all(|host| host.get() == FAR));
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -125,7 +125,7 @@
     LoseWrite,
     /// It forgets its history.
     Compact,
-    /// It turns one gateway down.
+    /// It rejects the calls of one gateway.
     Deny(u8),
 }
 
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -4,7 +4,7 @@
 //! `DELETE /standin/put?key=K` write and remove a key as the platform itself
 //! would, `PUT /standin/hosts` sets the host list (a JSON list),
 //! `PUT /standin/fault/NAME` sets a [`Fault`], `PUT /standin/deny?from=IP`
-//! turns one caller away (`allow` takes it back), `PUT /standin/compact`
+//! rejects one caller (`allow` takes it back), `PUT /standin/compact`
 //! forgets the history, `PUT /standin/copy` takes a copy of everything, `PUT
 //! /standin/restore` has the store come back from it, which begins its next era, and
 //! `GET /standin/calls` tells how many calls came.
