gateway: report the number of server records and the time of a dispatch

No metric or log line showed how many records of runs a gateway holds, or what they cost a request. Adds the gauges server_records and servers_listed and the histogram dispatch_seconds, which covers Dispatcher::arrive.

--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -465,6 +465,13 @@
         self.lock().balancer.queue().waiting()
     }
 
+    /// Returns the number of runs of backend servers with a record, and of those that are listed.
+    pub fn record_counts(&self) -> (usize, usize) {
+        let inner = self.lock();
+        let servers = inner.balancer.servers();
+        (servers.iter().count(), servers.iter().filter(|(_, record)| record.listed).count())
+    }
+
     /// Returns the counts since the start.
     pub fn tally(&self) -> balancer::Tally {
         self.lock().balancer.tally()
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -134,7 +134,9 @@
 impl<P: Protocol> Flow<P> {
     async fn run(self, progress: Arc<client::Progress>) -> Response {
         let request = self.request.clone();
+        let arrived = boot::Instant::now();
         let mut permit = self.gateway.dispatcher.arrive(&arrival(&request));
+        self.gateway.metrics.dispatch.observe(arrived.elapsed().as_secs_f64());
         let mut failure: Option<answer::Whole> = None;
         let gateway = self.gateway.clone();
         // While the request waits or is being sent, others may find that it ends servers.
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -112,6 +112,8 @@
     pub health_checks: Counter,
     /// Number of clients that were disconnected because they took nothing.
     pub clients_stalled: Counter,
+    /// Time that the dispatcher takes to accept a request, in seconds.
+    pub dispatch: Histogram,
     /// Time to the head of a response, in seconds.
     pub first_byte: Histogram,
     /// Time to the end of a response, in seconds.
@@ -139,6 +141,8 @@
             limits: Counter::default(),
             health_checks: Counter::default(),
             clients_stalled: Counter::default(),
+            // Buckets from 1 us to 33 ms, doubling.
+            dispatch: Histogram::new(exponential_buckets(0.000_001, 2.0, 16)),
             first_byte: histogram(),
             whole: histogram(),
             config_version: Gauge::default(),
@@ -189,9 +193,17 @@
         registry.register("servers_resting", "Servers that rest at present", resting);
         let reported = "Listed servers that told in their answers that they leave";
         registry.register("servers_leaving", reported, leaving);
+        let (records, listed): (Gauge, Gauge) = Default::default();
+        let counts = gateway.dispatcher.record_counts();
+        records.set(counts.0 as i64);
+        listed.set(counts.1 as i64);
+        registry.register("server_records", "Runs of servers with a record", records);
+        registry.register("servers_listed", "Runs of servers that are listed", listed);
         let refused: Gauge = Gauge::default();
         refused.set(gateway.mirror.ends.refused_requests().len() as i64);
         registry.register("requests_that_end_servers", "Requests that are refused for it", refused);
+        let dispatch = "Time that the dispatcher takes to accept a request";
+        registry.register("dispatch_seconds", dispatch, self.dispatch.clone());
         registry.register("first_byte_seconds", "Time to the head", self.first_byte.clone());
         registry.register("whole_seconds", "Time to the end", self.whole.clone());
         registry.register("config_version", "Configuration", self.config_version.clone());
