decision: bound the records of runs by the servers that are listed

Seen by callers: every dispatch took longer the more servers a gateway had ever listed.

Cause: the last run of an id that is never listed again kept its record, its key in `newest` and its target in the dispatcher for the life of the process. Only a newer run of the same id released an earlier one, and a host that replaces another one has a new id. Records were removed only as a list was applied. Each dispatch walked the records of all pools several times.

Change: - A record of an unlisted run without requests in flight is removed 60 s after a newer run was listed, or an hour after the run was last listed. The hour covers entries that expire during an outage of the store. - Of the runs that may be listed again, and of those that were replaced, as many records are kept as servers were ever listed at a time. - Removals are due at each list, and every 10 s at arrivals and ticks. - The table indexes the listed runs of each pool, and dispatches walk these. Records are dense again, in the order of their ids. - The dispatcher removes the target with the record, and logs and counts removals. - `IndexMut` of a removed id no longer discards a write silently: calls from outside use `get_mut` and do nothing, and others fail in debug builds. The rank to which a cancelled move returns counted as idle; it is now kept. - A run that is listed again while it is uncertain whether it leaves is checked again; no event woke the check before. - Earlier runs no longer count as ranks in the mean streams of a group.

A failed try: one bound for all unlisted runs together removed a resting run that was listed again later (decision/tests/rest.rs found it), as runs with requests in flight took its place. The two kinds are bounded separately.

--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -187,6 +187,7 @@
         for (server, unsettled) in self.servers.list(listings, now) {
             self.note_inherited(server, unsettled, now);
         }
+        self.remove_records(now);
         self.servers.warm_up(self.share, now);
         self.refresh_all_weights(now);
         self.apply_group_reports(now);
@@ -202,7 +203,8 @@
         up: bool,
         now: clock::Instant,
     ) -> Vec<Action> {
-        self.servers[server].connected = up;
+        let Some(record) = self.servers.get_mut(server) else { return Vec::new() };
+        record.connected = up;
         self.refresh_weights_of(server, now);
         self.dispatch_all_waiting(now)
     }
@@ -214,8 +216,9 @@
         report: server::Report,
         now: clock::Instant,
     ) -> Vec<Action> {
-        let present = self.servers[server].present();
-        if !self.servers[server].apply_report(report, now) {
+        let Some(record) = self.servers.get_mut(server) else { return Vec::new() };
+        let present = record.present();
+        if !record.apply_report(report, now) {
             return Vec::new();
         }
         if self.servers[server].present() != present {
@@ -233,6 +236,7 @@
         arrival: Arrival,
         now: clock::Instant,
     ) -> (entity::Ticket, Vec<Action>) {
+        self.remove_due_records(now);
         self.note_rested(now);
         let weight = self.queue.weight(arrival.team);
         let gate = self.gates.entry(arrival.pool).or_default();
@@ -408,6 +412,7 @@
     /// Advances time: rejects waiting requests that can no longer meet their deadline and
     /// dispatches those that can be dispatched now.
     pub fn tick(&mut self, now: clock::Instant) -> Vec<Action> {
+        self.remove_due_records(now);
         self.note_rested(now);
         let mut actions = Vec::new();
         for late in self.queue.remove_expired(now) {
@@ -420,6 +425,20 @@
         actions
     }
 
+    /// Removes the records of runs that are no longer listed, if this is due.
+    fn remove_due_records(&mut self, now: clock::Instant) {
+        if self.servers.removal_due(now) {
+            self.remove_records(now);
+        }
+    }
+
+    fn remove_records(&mut self, now: clock::Instant) {
+        let origins = self.pending.values().filter_map(|pending| pending.origin.as_ref());
+        let held: BTreeSet<entity::Server> = origins.map(moves::Origin::server).collect();
+        let removed = self.servers.remove_expired(&held, now);
+        self.notes.extend(removed.into_iter().map(Note::Removed));
+    }
+
     /// Updates the record of a backend server after an attempt on it has ended.
     fn record_end(
         &mut self,
--- a/decision/src/balancer/group.rs
+++ b/decision/src/balancer/group.rs
@@ -184,11 +184,9 @@
     /// Returns the number of a group's ranks and the maximum number of their slots.
     pub(super) fn members(&self, pool: entity::Pool, id: entity::Group) -> (u32, u32) {
         // Ranks of a drained zone still take part in each pass.
-        let members = self.servers.iter().map(|(_, record)| record);
-        let of_group = |record: &&server::Record| {
-            record.listing.pool == pool && record.listing.group == Some(id)
-        };
-        let members = members.filter(|record| record.present()).filter(of_group);
+        let members = self.servers.listed(pool).map(|(_, record)| record);
+        let members = members.filter(|record| record.listing.group == Some(id));
+        let members = members.filter(|record| record.present());
         members.fold((0, 0), |(ranks, slots): (u32, u32), record| {
             (ranks + 1, slots.max(record.report.slots))
         })
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -251,6 +251,8 @@
     GroupUp(entity::Group, Duration),
     /// The rest of the backend server ended after the given time.
     Rested(entity::Server, Duration),
+    /// The record of a run that is no longer listed was removed.
+    Removed(entity::Server),
     /// It is uncertain whether the backend server leaves, because either it or an earlier
     /// run announced it. The server gets no requests until this is settled.
     Unsettled(entity::Server),
--- a/decision/src/balancer/moves.rs
+++ b/decision/src/balancer/moves.rs
@@ -20,6 +20,13 @@
     streams: bool,
 }
 
+impl Origin {
+    /// Returns the backend server to which the request returns if its move is cancelled.
+    pub(super) fn server(&self) -> entity::Server {
+        self.server
+    }
+}
+
 impl Pending {
     /// Returns whether the request may be moved to another backend server.
     fn movable(&self) -> bool {
--- a/decision/src/balancer/rate.rs
+++ b/decision/src/balancer/rate.rs
@@ -33,11 +33,11 @@
         chosen: clock::Instant,
         now: clock::Instant,
     ) -> (Option<rate::Change>, Vec<Action>) {
-        let record = &mut self.servers[server];
+        let mut actions = Vec::new();
+        let Some(record) = self.servers.get_mut(server) else { return (None, actions) };
         let listing = &record.listing;
         let place = || self.peers.place(&listing.host, &listing.zone);
         let change = rate::Quota::update(&mut record.quota, notice, place, (chosen, now));
-        let mut actions = Vec::new();
         if change.is_some() {
             self.noticed.insert(server);
             self.apply_to_newest_run(server, now);
--- a/decision/src/balancer/rest.rs
+++ b/decision/src/balancer/rest.rs
@@ -25,8 +25,9 @@
     ) -> (Option<notice::Change>, Vec<Action>) {
         // A rest that has ended unnoticed is distinct from one that may begin now.
         self.note_rested(now);
-        let change = self.servers[server].apply_notice(notice, now);
         let mut actions = Vec::new();
+        let Some(record) = self.servers.get_mut(server) else { return (None, actions) };
+        let change = record.apply_notice(notice, now);
         self.apply_to_newest_run(server, now);
         if change.is_some() {
             self.noticed.insert(server);
@@ -44,7 +45,7 @@
         self.note_inherited(newest, unsettled, now);
     }
 
-    /// Records that a run has inherited notices from an earlier one.
+    /// Records that a run has inherited notices from an earlier one, or is listed again.
     pub(super) fn note_inherited(
         &mut self,
         server: entity::Server,
@@ -74,8 +75,9 @@
         leaving: bool,
         now: clock::Instant,
     ) -> Vec<Action> {
-        self.servers[server].standing.settle(leaving);
         let mut actions = Vec::new();
+        let Some(record) = self.servers.get_mut(server) else { return actions };
+        record.standing.settle(leaving);
         self.dispatch_waiting(self.servers[server].listing.pool, now, &mut actions);
         actions
     }
@@ -199,17 +201,18 @@
         let servers = &mut self.servers;
         let notes = &mut self.notes;
         self.noticed.retain(|server| {
-            let standing = &mut servers[*server].standing;
-            if let Some(time) = standing.end_rest(now) {
+            let Some(record) = servers.get_mut(*server) else { return false };
+            if let Some(time) = record.standing.end_rest(now) {
                 notes.push(Note::Rested(*server, time));
             }
-            has_notice(&servers[*server], now)
+            has_notice(record, now)
         });
     }
 }
 
-/// Returns whether a notice or rate limit of a backend server is in force.
+/// Returns whether a notice or rate limit of a backend server is in force. Those without an end
+/// count only while the server is listed.
 fn has_notice(record: &server::Record, now: clock::Instant) -> bool {
     let standing = &record.standing;
-    standing.rests(now) || standing.leaving() || record.quota.is_some()
+    standing.rests(now) || record.listed && (standing.leaving() || record.quota.is_some())
 }
--- a/decision/src/balancer/speed.rs
+++ b/decision/src/balancer/speed.rs
@@ -116,7 +116,9 @@
         }
         speeds.avoided.clear();
         for server in std::mem::take(&mut speeds.weighted) {
-            self.servers[server].weight = 1.0;
+            if let Some(record) = self.servers.get_mut(server) {
+                record.weight = 1.0;
+            }
         }
         let streams = self.mean_streams(id);
         let speeds = &self.groups[id].speeds;
@@ -163,7 +165,8 @@
     fn mean_streams(&self, id: entity::Group) -> f64 {
         let group = &self.groups[id];
         group.pace.streams().unwrap_or_else(|| {
-            let of_group = |record: &server::Record| record.listing.group == Some(id);
+            let of_group =
+                |record: &server::Record| record.listed && record.listing.group == Some(id);
             let ranks = self.servers.iter().filter(|(_, record)| of_group(record)).count();
             f64::from(group.in_flight * self.share.of) / ranks.max(1) as f64
         })
--- a/decision/src/routing/server.rs
+++ b/decision/src/routing/server.rs
@@ -2,12 +2,14 @@
 //!
 //! Each run of a server's process has a record of its own, also under the same id.
 
-use std::collections::{BTreeMap, HashMap};
+mod table;
+
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
-use cranelift_entity::EntityRef as _;
+pub use table::Table;
+
 use xxhash_rust::xxh3;
 
 use crate::balancer::Share;
@@ -24,10 +26,14 @@
 /// Shortest and longest back-off after a server reported that it had no free slot.
 pub const BACK_OFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(320));
 
-/// Time for which the record of an earlier run without requests in flight is kept. Answers,
-/// notices and reports of that run arrive within seconds of its end.
+/// Time for which a record is kept after a newer run of the same server was listed. Answers,
+/// notices and reports of the earlier run arrive within seconds of its end.
 pub const EARLIER_RUN_RETENTION: Duration = Duration::from_secs(60);
 
+/// Time for which the record of a run is kept that is no longer listed. The entry of a run that
+/// continues may expire during an outage of the store, and the run is listed again after it.
+pub const UNLISTED_RETENTION: Duration = Duration::from_secs(60 * 60);
+
 /// Number of distinct jitter values for gateways that return to a server after a rest.
 const JITTER_STEPS: u64 = 1_024;
 
@@ -95,8 +101,8 @@
     pub hash: u64,
     /// Whether the host list still contains the run.
     pub listed: bool,
-    /// Time at which a newer run of the same server was listed.
-    replaced: Option<clock::Instant>,
+    /// Time after which the record may be removed. `None` while the run is listed.
+    expires: Option<clock::Instant>,
     /// Whether the agent's report stream is open.
     pub connected: bool,
     /// Newest report.
@@ -133,7 +139,7 @@
             hash: xxh3::xxh3_64(listing.host.as_bytes()),
             listing,
             listed: true,
-            replaced: None,
+            expires: None,
             connected: false,
             report: Report::default(),
             reported: clock::Instant::ZERO,
@@ -167,10 +173,9 @@
         Record { listed: false, ..Record::new(listing) }
     }
 
-    /// Returns whether the record of an earlier run is no longer needed.
-    fn removable(&self, now: clock::Instant) -> bool {
-        let expired = |replaced: clock::Instant| now.since(replaced) > EARLIER_RUN_RETENTION;
-        self.replaced.is_some_and(expired) && self.in_flight == 0
+    /// Moves the time after which the record may be removed to `at` if that is earlier.
+    fn expire_by(&mut self, at: clock::Instant) {
+        self.expires = Some(self.expires.map_or(at, |expires| expires.min(at)));
     }
 
     /// Returns whether the record may be of the run that started at `born`. An unknown
@@ -179,11 +184,13 @@
         !matches!((self.listing.born, born), (Some(own), Some(other)) if own != other)
     }
 
-    /// Replaces the listing by a newer one of the same run.
-    fn relist(&mut self, listing: Listing) {
+    /// Replaces the listing by a newer one of the same run. Returns whether the run was not
+    /// listed before.
+    fn relist(&mut self, listing: Listing) -> bool {
         let born = listing.born.or(self.listing.born);
         self.listing = Listing { born, ..listing };
         self.listed = true;
+        self.expires.take().is_some()
     }
 
     /// Returns whether the server may get new requests, regardless of its load and limits.
@@ -354,142 +361,3 @@
         )
     }
 }
-
-/// All backend servers that the entry host knows.
-///
-/// Callers may hold the id of a run whose record has been removed. Indexing by such an id
-/// gives a record that is not listed, and changes of that record have no effect.
-#[derive(Debug)]
-pub struct Table {
-    records: BTreeMap<entity::Server, Record>,
-    /// Number of records created. Ids are not reused.
-    created: usize,
-    /// Newest run of the backend server on each host.
-    newest: HashMap<Arc<str>, entity::Server>,
-    /// Stands for every run whose record has been removed.
-    unknown: Record,
-}
-
-impl Default for Table {
-    fn default() -> Table {
-        Table {
-            records: BTreeMap::new(),
-            created: 0,
-            newest: HashMap::new(),
-            unknown: Record::unknown(),
-        }
-    }
-}
-
-impl Table {
-    /// Replaces the listings. A server that is no longer listed keeps its record for its
-    /// requests in flight and gets no new requests. The record of an earlier run is removed
-    /// after [`EARLIER_RUN_RETENTION`] once none of its requests is in flight. A restarted server gets a new record:
-    /// nothing learned of its earlier run applies, except announcements that may come from
-    /// the new one. Returns the restarted servers, each with whether it has become uncertain
-    /// whether it leaves.
-    pub fn list(
-        &mut self,
-        listings: Vec<Listing>,
-        now: clock::Instant,
-    ) -> Vec<(entity::Server, bool)> {
-        self.records.retain(|_, record| !record.removable(now));
-        let mut restarted = Vec::new();
-        for record in self.records.values_mut() {
-            record.listed = false;
-        }
-        for listing in listings {
-            match self.find(&listing.host).filter(|id| self[*id].is_run(listing.born)) {
-                Some(server) => self[server].relist(listing),
-                None => {
-                    let host = listing.host.clone();
-                    let earlier = self.find(&host);
-                    let server = self.push(Record::new(listing));
-                    self.newest.insert(host, server);
-                    if let Some(earlier) = earlier {
-                        self[earlier].replaced = Some(now);
-                        restarted.push((server, self.inherit(server, earlier, now)));
-                    }
-                }
-            }
-        }
-        restarted
-    }
-
-    fn push(&mut self, record: Record) -> entity::Server {
-        let server = entity::Server::new(self.created);
-        self.created += 1;
-        self.records.insert(server, record);
-        server
-    }
-
-    /// Makes a run inherit the announcements of an earlier run. Returns whether this makes
-    /// it uncertain whether the run leaves.
-    pub fn inherit(
-        &mut self,
-        server: entity::Server,
-        earlier: entity::Server,
-        now: clock::Instant,
-    ) -> bool {
-        let (standing, quota) = (self[earlier].standing.clone(), self[earlier].quota);
-        let record = &mut self[server];
-        // The limit may have been reported by the new run; its first response settles this.
-        record.quota = record.quota.or(quota);
-        record.standing.inherit(&standing, now)
-    }
-
-    /// Returns the newest run of the backend server on this host.
-    pub fn find(&self, host: &str) -> Option<entity::Server> {
-        self.newest.get(host).copied()
-    }
-
-    /// Readmits the ranks of a group that were ejected for their failures.
-    pub fn restore(&mut self, group: entity::Group, now: clock::Instant) {
-        let ranks = self.records.values_mut().filter(|record| record.listing.group == Some(group));
-        for record in ranks.filter(|record| record.health.ejected(now)) {
-            record.health = eject::Health::default();
-        }
-    }
-
-    /// Applies a new list of gateways, which changes the holders of rate limits.
-    pub fn set_peers(&mut self, peers: &rate::Peers, now: clock::Instant) {
-        for record in self.records.values_mut() {
-            if let Some(quota) = &mut record.quota {
-                quota.set_place(peers.place(&record.listing.host, &record.listing.zone), now);
-            }
-        }
-    }
-
-    /// Updates the schedules of all listed servers that are or were cold.
-    pub fn warm_up(&mut self, share: Share, now: clock::Instant) {
-        let listed = self.records.values_mut().filter(|record| record.listed);
-        listed.for_each(|record| record.warm_up(share, now));
-    }
-
-    /// Returns all backend servers in the order of their ids.
-    pub fn iter(&self) -> impl Iterator<Item = (entity::Server, &Record)> {
-        self.records.iter().map(|(server, record)| (*server, record))
-    }
-
-    /// Returns the usable servers of a pool in the order of their ids.
-    pub fn usable(&self, pool: entity::Pool) -> impl Iterator<Item = (entity::Server, &Record)> {
-        self.iter().filter(move |(_, record)| record.listing.pool == pool && record.usable())
-    }
-}
-
-impl std::ops::Index<entity::Server> for Table {
-    type Output = Record;
-
-    fn index(&self, server: entity::Server) -> &Record {
-        self.records.get(&server).unwrap_or(&self.unknown)
-    }
-}
-
-impl std::ops::IndexMut<entity::Server> for Table {
-    fn index_mut(&mut self, server: entity::Server) -> &mut Record {
-        self.records.get_mut(&server).unwrap_or_else(|| {
-            self.unknown = Record::unknown();
-            &mut self.unknown
-        })
-    }
-}
--- a/decision/tests/moves.rs
+++ b/decision/tests/moves.rs
@@ -343,6 +343,27 @@
     assert_eq!(gateway.refused.len(), 1);
 }
 
+/// Guards against a request that returns to a rank whose record has been removed.
+#[test]
+fn a_move_may_be_cancelled_long_after_the_slow_rank_has_left() {
+    let now = clock::Instant::from_millis(1_000);
+    let (mut gateway, tickets) = with_streams(&[stream(now)], 20);
+    let slow = gateway.id(SLOW);
+    gateway.set_speeds(&[(SLOW, 4.0)]);
+    assert_eq!((gateway.moved.len(), gateway.on(SLOW)), (1, 0));
+    for _ in 0..2 {
+        gateway.list((0..20).filter(|rank| *rank != SLOW));
+        gateway.tick(server::UNLISTED_RETENTION.as_millis() as u64 * 2);
+    }
+    gateway.balancer.cancel_move(tickets[0], gateway.now);
+    gateway.streams.insert(tickets[0], SLOW);
+    assert_eq!((gateway.id(SLOW), gateway.on(SLOW)), (slow, 1));
+    assert_eq!(gateway.balancer.verify(), Ok(()));
+    gateway.end(tickets[0], balancer::End::Answered);
+    gateway.tick(60_000);
+    assert_eq!(gateway.balancer.servers().find(&host(SLOW)), None);
+}
+
 /// Guards against more runs than `max_attempts`, against a moved request that is rejected as not
 /// run, and against a failure or an ejection that is charged to the slow rank.
 #[test]
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -102,6 +102,19 @@
     pub suspect: Option<poison::Digest>,
 }
 
+/// Numbers of records of runs of backend servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Records {
+    /// Runs with a record.
+    pub held: usize,
+    /// Those of them that are listed.
+    pub listed: usize,
+    /// Targets of runs.
+    pub targets: usize,
+    /// Records that were removed since the start.
+    pub removed: u64,
+}
+
 /// Next step of a request.
 #[derive(Debug, Clone)]
 pub enum Next<T> {
@@ -130,6 +143,8 @@
     targets: BTreeMap<entity::Server, T>,
     waiting: BTreeMap<entity::Ticket, mpsc::UnboundedSender<Next<T>>>,
     sequence: u64,
+    /// Number of records of runs that were removed.
+    removed: u64,
     /// Wakes the task that checks unreachable groups.
     outage: Arc<Notify>,
     /// Wakes the task that determines which backend servers leave.
@@ -150,6 +165,7 @@
             targets: BTreeMap::new(),
             waiting: BTreeMap::new(),
             sequence: 0,
+            removed: 0,
             outage: outage.clone(),
             unsettled: unsettled.clone(),
         };
@@ -465,11 +481,9 @@
         self.lock().balancer.queue().waiting()
     }
 
-    /// Returns the number of runs of backend servers with a record, and of those that are listed.
-    pub fn record_counts(&self) -> (usize, usize) {
-        let inner = self.lock();
-        let servers = inner.balancer.servers();
-        (servers.iter().count(), servers.iter().filter(|(_, record)| record.listed).count())
+    /// Returns the number of records of runs of backend servers.
+    pub fn records(&self) -> Records {
+        self.lock().records()
     }
 
     /// Returns the counts since the start.
@@ -525,6 +539,16 @@
         self.balancer.report(server, report, now)
     }
 
+    fn records(&self) -> Records {
+        let servers = self.balancer.servers();
+        Records {
+            held: servers.iter().count(),
+            listed: servers.listed_count(),
+            targets: self.targets.len(),
+            removed: self.removed,
+        }
+    }
+
     fn unsettled(&self) -> Vec<(entity::Server, T)> {
         let servers = self.balancer.unsettled();
         servers.filter_map(|server| Some((server, self.targets.get(&server)?.clone()))).collect()
@@ -540,6 +564,7 @@
 
     /// Sends each action to its request, and logs the balancer's notes.
     fn route(&mut self, actions: Vec<balancer::Action>) {
+        let mut removed = 0;
         for note in self.balancer.take_notes() {
             match note {
                 balancer::Note::GroupDown(group, ground) => {
@@ -576,6 +601,10 @@
                     let id = &self.balancer.servers()[server].listing.host;
                     log::info!("server rested server={id} ms={}", time.as_millis());
                 }
+                balancer::Note::Removed(server) => {
+                    self.targets.remove(&server);
+                    removed += 1;
+                }
                 balancer::Note::Unsettled(server) => {
                     let listing = &self.balancer.servers()[server].listing;
                     let born = listing.born.unwrap_or_default();
@@ -584,6 +613,15 @@
                 }
             }
         }
+        if removed > 0 {
+            self.removed += removed;
+            let records = self.records();
+            log::info!(
+                "server records removed count={removed} kept={} listed={}",
+                records.held,
+                records.listed
+            );
+        }
         for action in actions {
             let (ticket, next) = match action {
                 balancer::Action::Send(dispatch) => {
