decision: look up no record twice while the open servers are collected

`open_servers` walked the usable servers up to six times, and looked up each record again by its id for its limits, its zone and its score. It now collects the servers that accept a request once and narrows them down. The selection is the same.

--- a/decision/src/balancer/choose.rs
+++ b/decision/src/balancer/choose.rs
@@ -17,28 +17,26 @@
         tried: &[entity::Server],
         now: clock::Instant,
     ) -> Vec<Candidate> {
-        let can_accept = |server: entity::Server| self.can_accept(&self.servers[server], now);
-        let without_suspect = |server: entity::Server| !self.runs_suspect(server);
+        let usable = self.servers.usable(pool);
+        let mut open: Vec<(entity::Server, &server::Record)> =
+            usable.filter(|(_, record)| self.can_accept(record, now)).collect();
         // A backend server that runs a suspect gets no other request while others are open.
-        let avoid_suspects = !self.suspects.is_empty()
-            && self
-                .servers
-                .usable(pool)
-                .any(|(server, _)| can_accept(server) && without_suspect(server));
-        let open = || {
-            self.servers.usable(pool).filter(|(server, _)| {
-                can_accept(*server) && (!avoid_suspects || without_suspect(*server))
-            })
-        };
+        if !self.suspects.is_empty() {
+            prefer(&mut open, |server, _| !self.runs_suspect(server));
+        }
         // A rank that is too slow for a single stream would hold up all streams of its group.
-        let avoid_slow = self.groups.values().any(|group| group.speeds.excluded > 0)
-            && open().any(|(_, record)| record.weight > 0.0);
-        let open = || open().filter(|(_, record)| !avoid_slow || record.weight > 0.0);
-        let fresh = open().any(|(server, _)| !tried.contains(&server));
-        let open = open().filter(|(server, _)| !fresh || !tried.contains(server));
-        let (local, remote): (Vec<_>, Vec<_>) =
-            open.map(|(server, _)| server).partition(|server| self.servers[*server].listing.local);
-        let (local, remote) = (self.with_scores(&local, now), self.with_scores(&remote, now));
+        if self.groups.values().any(|group| group.speeds.excluded > 0) {
+            prefer(&mut open, |_, record| record.weight > 0.0);
+        }
+        prefer(&mut open, |server, _| !tried.contains(&server));
+        let scored = open.into_iter().map(|(server, record)| {
+            (record.listing.local, Candidate { server, score: record.score(now) })
+        });
+        let (local, remote): (Vec<_>, Vec<_>) = scored.partition(|(local, _)| *local);
+        let candidates = |list: Vec<(bool, Candidate)>| {
+            list.into_iter().map(|(_, candidate)| candidate).collect::<Vec<Candidate>>()
+        };
+        let (local, remote) = (candidates(local), candidates(remote));
         let least = |list: &[Candidate]| {
             list.iter().map(|candidate| candidate.score).fold(f64::INFINITY, f64::min)
         };
@@ -134,3 +132,13 @@
         }
     }
 }
+
+/// Keeps the backend servers that satisfy `wanted`, if any does.
+fn prefer(
+    open: &mut Vec<(entity::Server, &server::Record)>,
+    wanted: impl Fn(entity::Server, &server::Record) -> bool,
+) {
+    if open.iter().any(|(server, record)| wanted(*server, record)) {
+        open.retain(|(server, record)| wanted(*server, record));
+    }
+}
