decision: verify the indices of the records

`Balancer::verify` now also checks that the index of listed runs matches the records, that each host's newest run has a record, and that each run with a request, or to which a request may return, has one. A test covers a run that is listed again while it is uncertain whether it leaves.

--- a/decision/src/balancer/verify.rs
+++ b/decision/src/balancer/verify.rs
@@ -1,6 +1,6 @@
 //! Consistency checks of the balancer's counters.
 
-use crate::balancer::{Balancer, Pending, State};
+use crate::balancer::{Balancer, Pending, State, moves};
 use crate::{admission, entity};
 
 impl<P> Balancer<P> {
@@ -15,6 +15,19 @@
         if waiting != self.queue.waiting() {
             return Err(Fault::Waiting);
         }
+        if !self.servers.is_consistent() {
+            return Err(Fault::Records);
+        }
+        let sent = self.pending.values().filter_map(|pending| match pending.state {
+            State::Sent(server) => Some(server),
+            State::Waiting => None,
+        });
+        let origins = self.pending.values().filter_map(|pending| pending.origin.as_ref());
+        for server in sent.chain(origins.map(moves::Origin::server)) {
+            if !self.servers.contains(server) {
+                return Err(Fault::Record(server));
+            }
+        }
         for (server, record) in self.servers.iter() {
             let sent = State::Sent(server);
             let in_flight = self.pending.values().filter(|p| p.state == sent).count();
@@ -60,6 +73,12 @@
     /// The number of waiting requests differs from the length of the queue.
     #[error("number of waiting requests differs from the length of the queue")]
     Waiting,
+    /// The table of backend servers is inconsistent.
+    #[error("the indices of the records differ from the records")]
+    Records,
+    /// A backend server to which a request was dispatched or may return has no record.
+    #[error("{0} has a request but no record")]
+    Record(entity::Server),
     /// The number of requests dispatched to a backend server differs from its counter.
     #[error("wrong count of requests in flight at {0}")]
     InFlight(entity::Server),
--- a/decision/src/routing/server/table.rs
+++ b/decision/src/routing/server/table.rs
@@ -22,7 +22,7 @@
 /// All backend servers that the entry host knows.
 ///
 /// Callers may hold the id of a run whose record has been removed. Indexing by such an id
-/// gives a record that is not listed. [`Table::get_mut`] tells whether the record exists.
+/// gives a record that is not listed; [`Table::get_mut`] returns `None`.
 #[derive(Debug)]
 pub struct Table {
     /// Ids of the records, in ascending order. Ids are not reused.
@@ -189,6 +189,11 @@
         self.ids.binary_search(&server).ok()
     }
 
+    /// Returns whether the run has a record.
+    pub fn contains(&self, server: entity::Server) -> bool {
+        self.position(server).is_some()
+    }
+
     /// Returns the record of a run, or `None` if it has been removed.
     pub fn get_mut(&mut self, server: entity::Server) -> Option<&mut Record> {
         let position = self.position(server)?;
@@ -235,6 +240,21 @@
         self.listed.values().map(Vec::len).sum()
     }
 
+    /// Returns whether the indices match the records.
+    pub fn is_consistent(&self) -> bool {
+        let positions = self
+            .listed
+            .iter()
+            .flat_map(|(pool, positions)| positions.iter().map(move |position| (*position, pool)));
+        let mut indexed: Vec<(usize, entity::Pool)> = positions.collect();
+        indexed.sort_unstable();
+        let listed = self.records.iter().enumerate().filter(|(_, record)| record.listed);
+        self.ids.len() == self.records.len()
+            && self.ids.is_sorted_by(|a, b| a < b)
+            && listed.map(|(position, record)| (position, record.listing.pool)).eq(indexed)
+            && self.newest.values().all(|server| self.contains(*server))
+    }
+
     /// Returns the usable servers of a pool in the order of their ids.
     pub fn usable(&self, pool: entity::Pool) -> impl Iterator<Item = (entity::Server, &Record)> {
         self.listed(pool).filter(|(_, record)| record.usable())
--- a/decision/tests/records.rs
+++ b/decision/tests/records.rs
@@ -4,7 +4,6 @@
 
 mod common;
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use common::{DEADLINE, SLOTS, Setup, pool};
@@ -82,6 +81,26 @@
     assert_eq!(usable(&setup), [setup.find(1)]);
 }
 
+/// Guards against a server that gets no requests for good because nothing checks whether it leaves.
+#[test]
+fn a_run_that_is_listed_again_is_checked_if_it_may_leave() {
+    let mut setup = Setup::new(&[(0, Some(0))]);
+    let leaves = notice::Notice { leaving: true, ..Default::default() };
+    setup.balancer.apply_notice(setup.find(0), &leaves, setup.now);
+    setup.list(&[(0, Some(1))]);
+    let server = setup.find(0);
+    let unsettled = || vec![balancer::Note::Unsettled(server)];
+    assert_eq!(setup.balancer.take_notes(), unsettled());
+    setup.list(&[]);
+    setup.advance(10_000);
+    assert_eq!(setup.balancer.unsettled().next(), None);
+    setup.list(&[(0, Some(1))]);
+    assert_eq!(setup.balancer.take_notes(), unsettled());
+    assert_eq!(setup.balancer.unsettled().collect::<Vec<_>>(), [server]);
+    setup.balancer.settle(server, false, setup.now);
+    assert_eq!(usable(&setup), [server]);
+}
+
 /// All entries may expire at once.
 #[test]
 fn an_empty_list_removes_no_record_at_once() {
@@ -186,9 +205,8 @@
                 Event::Wait(ms) => setup.advance(ms),
             }
             let servers = setup.balancer.servers();
-            let kept: BTreeSet<entity::Server> = servers.iter().map(|(server, _)| server).collect();
             for (_, server, _) in &setup.sent {
-                prop_assert!(kept.contains(server), "{server} was removed");
+                prop_assert!(servers.contains(*server), "{server} was removed");
             }
             let unlisted = || servers.iter().filter(|(_, record)| !record.listed);
             let idle = unlisted().filter(|(_, record)| record.in_flight == 0);
@@ -206,7 +224,7 @@
             prop_assert_eq!(listed.len(), servers.listed_count());
             for number in 0..12 {
                 let found = servers.find(&format!("server-{number}"));
-                prop_assert!(found.is_none_or(|server| kept.contains(&server)));
+                prop_assert!(found.is_none_or(|server| servers.contains(server)));
             }
             prop_assert_eq!(setup.balancer.verify(), Ok(()));
         }
