--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod moves;
 mod permit;
+mod records;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -25,6 +26,7 @@
 pub use attempt::Attempt;
 pub use moves::Move;
 pub use permit::Permit;
+pub use records::Records;
 
 /// Number of candidates that one selection compares; see `docs/design/routing.md`.
 const SAMPLE: usize = 2;
@@ -102,19 +104,6 @@
     pub suspect: Option<poison::Digest>,
 }
 
-/// Numbers of records of runs of backend servers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Records {
-    /// Runs with a record.
-    pub held: usize,
-    /// Those of them that are listed.
-    pub listed: usize,
-    /// Targets of runs.
-    pub targets: usize,
-    /// Records that were removed since the start.
-    pub removed: u64,
-}
-
 /// Next step of a request.
 #[derive(Debug, Clone)]
 pub enum Next<T> {
@@ -481,11 +470,6 @@
         self.lock().balancer.queue().waiting()
     }
 
-    /// Returns the number of records of runs of backend servers.
-    pub fn records(&self) -> Records {
-        self.lock().records()
-    }
-
     /// Returns the counts since the start.
     pub fn tally(&self) -> balancer::Tally {
         self.lock().balancer.tally()
@@ -539,16 +523,6 @@
         self.balancer.report(server, report, now)
     }
 
-    fn records(&self) -> Records {
-        let servers = self.balancer.servers();
-        Records {
-            held: servers.iter().count(),
-            listed: servers.listed_count(),
-            targets: self.targets.len(),
-            removed: self.removed,
-        }
-    }
-
     fn unsettled(&self) -> Vec<(entity::Server, T)> {
         let servers = self.balancer.unsettled();
         servers.filter_map(|server| Some((server, self.targets.get(&server)?.clone()))).collect()
@@ -613,15 +587,7 @@
                 }
             }
         }
-        if removed > 0 {
-            self.removed += removed;
-            let records = self.records();
-            log::info!(
-                "server records removed count={removed} kept={} listed={}",
-                records.held,
-                records.listed
-            );
-        }
+        self.log_removals(removed);
         for action in actions {
             let (ticket, next) = match action {
                 balancer::Action::Send(dispatch) => {
