--- a/decision/src/routing/server/table.rs
+++ b/decision/src/routing/server/table.rs
@@ -95,7 +95,7 @@
         for record in self.records.iter_mut().filter(|record| !record.listed) {
             record.expires.get_or_insert(now + UNLISTED_RETENTION);
         }
-        self.index();
+        self.update_listed();
         changed
     }
 
@@ -109,7 +109,7 @@
     }
 
     /// Updates the positions of the listed runs.
-    fn index(&mut self) {
+    fn update_listed(&mut self) {
         self.listed.values_mut().for_each(Vec::clear);
         let mut count = 0;
         for (position, record) in self.records.iter().enumerate() {
@@ -162,7 +162,7 @@
         let mut ids = self.ids.iter();
         self.records.retain(|_| ids.next().is_some_and(|id| !removed.contains(id)));
         self.ids.retain(|id| !removed.contains(id));
-        self.index();
+        self.update_listed();
     }
 
     /// Makes a run inherit the announcements of an earlier run. Returns whether this makes
