gateway: log and count how responses of backend servers end, by framing

The new crate loftcove-response reads the framing from a head, finds the boundaries between events, and checks a body that ended in order. Its event splitter is the gateway's, which read LF and CRLF line ends but neither CR nor a mix, searched all buffered bytes at each part, and took the id of an incomplete long event for that of a complete one.

Each response is counted in loftcove_response_ends{framing,end}, and a line "response ended" is logged for those that are not complete or whose framing does not show that they are. Nothing else is decided from it yet.

--- a/gateway/src/answer.rs
+++ b/gateway/src/answer.rs
@@ -8,6 +8,7 @@
 use loftcove_clock as boot;
 use loftcove_decision::balancer;
 use loftcove_interface::protocol::Protocol;
+use loftcove_response::ending;
 
 use crate::body::Body;
 
@@ -29,17 +30,6 @@
     pub body: Bytes,
 }
 
-/// Why a response could not be read completely.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-pub enum Error {
-    /// The connection broke.
-    #[error("broken-off")]
-    Broken,
-    /// The response was not complete at the deadline.
-    #[error("deadline")]
-    TimedOut,
-}
-
 /// Result of reading a response.
 pub enum Read {
     /// The complete body.
@@ -52,14 +42,14 @@
 ///
 /// # Errors
 ///
-/// Returns an [`Error`] if the connection breaks or the deadline passes.
-pub async fn read(mut body: Incoming, due: boot::Instant) -> Result<Read, Error> {
+/// Returns an [`ending::Error`] if the connection breaks or the deadline passes.
+pub async fn read(mut body: Incoming, due: boot::Instant) -> Result<Read, ending::Error> {
     let mut buffer = BytesMut::new();
     loop {
         let frame = tokio::time::timeout_at(due.timer(), body.frame()).await;
-        match frame.map_err(|_| Error::TimedOut)? {
+        match frame.map_err(|_| ending::Error::TimedOut)? {
             None => return Ok(Read::Whole(buffer.freeze())),
-            Some(Err(_)) => return Err(Error::Broken),
+            Some(Err(_)) => return Err(ending::Error::Broken),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     buffer.extend_from_slice(&data);
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -8,6 +8,8 @@
 use loftcove_decision::{balancer, entity, poison, route};
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::{Answer, NotRun, Protocol, Verdict};
+use loftcove_response::ending;
+use loftcove_response::framing::Framing;
 
 use crate::answer::{self, Response};
 use crate::body::{self, Body};
@@ -119,6 +121,8 @@
 pub struct Stream {
     /// Head of the response.
     pub head: http::response::Parts,
+    /// Framing of the body.
+    pub framing: Framing,
     /// Remaining body.
     pub body: Incoming,
     /// What the protocol reads from the head.
@@ -413,10 +417,12 @@
             }
         }
         let (target, server) = (attempt.target.clone(), attempt.server);
+        let framing = Framing::of(&request.head.method, &head);
         if request.grant.route.kind.streaming() && head.status.is_success() {
             let connection = reply.connection;
             return Outcome::Stream(Box::new(Stream {
                 head,
+                framing,
                 body,
                 answer,
                 connection,
@@ -424,7 +430,13 @@
                 server,
             }));
         }
-        match answer::read(body, request.due).await {
+        let read = answer::read(body, request.due).await;
+        match &read {
+            Ok(answer::Read::Whole(_)) => self.record_ending(request, &target, framing, Ok(())),
+            Ok(answer::Read::Long(..)) => {}
+            Err(error) => self.record_ending(request, &target, framing, Err(*error)),
+        }
+        match read {
             Ok(answer::Read::Whole(body)) => {
                 reply.connection.complete();
                 if !answer.close {
@@ -441,12 +453,12 @@
             Ok(answer::Read::Long(first, body)) => {
                 let connection = reply.connection;
                 Outcome::Long(
-                    Box::new(Stream { head, body, answer, connection, target, server }),
+                    Box::new(Stream { head, framing, body, answer, connection, target, server }),
                     first,
                 )
             }
-            Err(error @ answer::Error::Broken) => Outcome::Broken(error.to_string()),
-            Err(error @ answer::Error::TimedOut) => may_have_run(error.to_string()),
+            Err(error @ ending::Error::TimedOut) => may_have_run(error.to_string()),
+            Err(error) => Outcome::Broken(error.to_string()),
         }
     }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -20,7 +20,6 @@
 pub mod client;
 mod drain;
 mod ended;
-mod event;
 mod exchange;
 mod flow;
 mod health;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -5,6 +5,8 @@
 
 use loftcove_interface::protocol::Protocol;
 use loftcove_mirror::progress;
+use loftcove_response::ending;
+use loftcove_response::framing::Framing;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -22,6 +24,14 @@
     outcome: &'static str,
 }
 
+/// Labels for the end of a backend server's response.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ending {
+    framing: &'static str,
+    /// `complete`, or why the response is not complete.
+    end: String,
+}
+
 /// Highest urgency that is counted by itself; less urgent requests count as this one.
 const MAX_URGENCY: u32 = 9;
 
@@ -96,6 +106,8 @@
     requests: Family<Requests, Counter>,
     /// Number of requests, by outcome, reason, urgency and class of the team.
     outcomes: Family<Outcome, Counter>,
+    /// Number of responses of backend servers, by framing and end.
+    endings: Family<Ending, Counter>,
     /// Number of attempts that were sent.
     pub attempts: Counter,
     /// Number of streams that were resumed on another backend server.
@@ -133,6 +145,7 @@
         Metrics {
             requests: Family::default(),
             outcomes: Family::default(),
+            endings: Family::default(),
             attempts: Counter::default(),
             resumed: Counter::default(),
             moved: Counter::default(),
@@ -160,6 +173,12 @@
         self.whole.observe(after.as_secs_f64());
     }
 
+    /// Counts the end of a backend server's response.
+    pub fn response_ended(&self, framing: Framing, ending: Result<(), ending::Error>) {
+        let end = ending.err().map_or_else(|| "complete".to_owned(), |error| error.to_string());
+        self.endings.get_or_create(&Ending { framing: framing.as_str(), end }).inc();
+    }
+
     /// Returns all metrics in the text format.
     pub fn encode<P: Protocol>(&self, gateway: &state::Gateway<P>) -> String {
         let waiting: Gauge = Gauge::default();
@@ -172,6 +191,8 @@
         registry.register("requests", "Requests by outcome", self.requests.clone());
         let outcomes = "Requests by outcome, reason, urgency and class of the team";
         registry.register("outcomes", outcomes, self.outcomes.clone());
+        let endings = "Responses of backend servers by framing and end";
+        registry.register("response_ends", endings, self.endings.clone());
         registry.register("attempts", "Attempts sent", self.attempts.clone());
         registry.register("resumed", "Streams resumed", self.resumed.clone());
         let moved = "Streams moved away from slow ranks";
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -1,14 +1,16 @@
-//! Records of final answers, in the log and in the metrics.
+//! Records of the ends of responses and of final answers, in the log and in the metrics.
 
 use std::fmt;
 
 use loftcove_clock as boot;
 use loftcove_decision::route;
 use loftcove_interface::protocol::Protocol;
+use loftcove_response::ending;
+use loftcove_response::framing::Framing;
 
 use crate::metrics;
 use crate::request::{Origin, Refusal, Request};
-use crate::state::Gateway;
+use crate::state::{Gateway, Target};
 
 impl<P: Protocol> Gateway<P> {
     /// Returns team and urgency of an arriving request, and counts it for the shares of the teams.
@@ -38,6 +40,29 @@
         );
     }
 
+    /// Counts how a backend server's response ended, and logs it unless its framing shows that it
+    /// is complete.
+    pub(crate) fn record_ending(
+        &self,
+        request: &Request,
+        target: &Target,
+        framing: Framing,
+        ending: Result<(), ending::Error>,
+    ) {
+        self.metrics.response_ended(framing, ending);
+        let framed = matches!(framing, Framing::Empty | Framing::Length | Framing::Chunked);
+        if framed && ending.is_ok() {
+            return;
+        }
+        let end = ending.err().map_or_else(|| "complete".to_owned(), |error| error.to_string());
+        log::info!(
+            "response ended request={} server={} framing={framing} end={end} ms={}",
+            request.meta.id,
+            target.run.id,
+            request.received.elapsed().as_millis()
+        );
+    }
+
     /// Logs and counts a request that is rejected without an attempt.
     pub(crate) fn log_refusal(
         &self,
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -15,8 +15,10 @@
 use loftcove_decision::balancer;
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::Protocol;
+use loftcove_response::ending;
+use loftcove_response::event::Splitter;
+use loftcove_response::framing::Framing;
 
-use crate::event::Splitter;
 use crate::flow::Stream;
 use crate::queue;
 use crate::request::Request;
@@ -182,10 +184,15 @@
             let data = match frame {
                 Err(_) => return End::TimedOut,
                 Ok(None) => {
+                    self.record_ending(&stream.target, stream.framing, Ok(()));
                     stream.connection.complete();
                     return End::Whole;
                 }
-                Ok(Some(Err(_))) => return End::Broken,
+                Ok(Some(Err(_))) => {
+                    let broken = Err(ending::Error::Broken);
+                    self.record_ending(&stream.target, stream.framing, broken);
+                    return End::Broken;
+                }
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             if let Some(end) = self.send(data).await {
@@ -196,7 +203,7 @@
 
     /// Relays one backend server's part of the event stream.
     async fn forward_events(&mut self, stream: Stream, splitter: &mut Splitter) -> End {
-        let Stream { mut body, answer, connection, target, .. } = stream;
+        let Stream { mut body, framing, answer, connection, target, .. } = stream;
         // The time until the first event does not count as a pause.
         let mut last: Option<boot::Instant> = None;
         let gateway = self.gateway.clone();
@@ -219,7 +226,10 @@
             let data = match frame {
                 Err(_) => return End::TimedOut,
                 Ok(None) => break,
-                Ok(Some(Err(_))) => return End::Broken,
+                Ok(Some(Err(_))) => {
+                    self.record_ending(&target, framing, Err(ending::Error::Broken));
+                    return End::Broken;
+                }
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             if let Some(events) = splitter.push(&data) {
@@ -230,6 +240,7 @@
                 }
             }
         }
+        self.record_ending(&target, framing, ending::check(framing, splitter.position()));
         if let Some(rest) = splitter.finish()
             && let Some(end) = self.send(rest).await
         {
@@ -242,6 +253,11 @@
         End::Whole
     }
 
+    /// Counts and logs how a backend server's part of the response ended.
+    fn record_ending(&self, target: &Target, framing: Framing, ending: Result<(), ending::Error>) {
+        self.gateway.record_ending(&self.request, target, framing, ending);
+    }
+
     /// Logs and counts the stream's outcome.
     fn done(&self, outcome: &'static str, reason: &str) {
         self.gateway.done(&self.request, outcome, reason, &format_args!(" {}", self.timing));
--- /dev/null
+++ b/response/src/event.rs
@@ -0,0 +1,236 @@
+//! Server-sent events: the boundaries between them, and their ids.
+//!
+//! Lines end with LF, CR or CRLF. A blank line ends an event. A line that begins with a colon is a
+//! comment and belongs to no event.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+
+/// Media type of event streams.
+const MEDIA_TYPE: &[u8] = b"text/event-stream";
+
+/// Maximum size of an event that is reassembled. A longer event is passed on in pieces, and its
+/// stream cannot be resumed within it.
+pub const MAX_EVENT_BYTES: usize = 64 * 1024;
+
+/// Returns whether the headers declare an event stream, or `None` if they declare no media type.
+pub fn declared(headers: &http::HeaderMap) -> Option<bool> {
+    let value = headers.get(http::header::CONTENT_TYPE)?.as_bytes();
+    let media = value.split(|byte| *byte == b';').next().unwrap_or_default();
+    Some(media.trim_ascii().eq_ignore_ascii_case(MEDIA_TYPE))
+}
+
+/// Where the received part of an event stream ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Position {
+    /// Before the first event.
+    Start,
+    /// After an event, and before the next one.
+    Between,
+    /// Inside an event or a line.
+    Inside,
+}
+
+/// Finds the boundaries between events in a byte stream.
+#[derive(Debug, Default)]
+pub struct Scanner {
+    line: Line,
+    /// Whether the last byte was a CR, which a LF may complete.
+    after_cr: bool,
+    /// Whether a field of an event has begun since the last boundary.
+    in_event: bool,
+    /// Whether an event has ended.
+    any: bool,
+}
+
+/// What the current line is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Line {
+    /// The line has no byte yet.
+    #[default]
+    Blank,
+    Comment,
+    Field,
+}
+
+/// What a byte completes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    Nothing,
+    /// A line that is a field of an event.
+    Field,
+    /// An event.
+    Event,
+    /// A blank line or a comment between events.
+    Separator,
+}
+
+impl Scanner {
+    fn step(&mut self, byte: u8) -> Step {
+        let after_cr = std::mem::replace(&mut self.after_cr, byte == b'\r');
+        match byte {
+            b'\n' if after_cr => {
+                if self.in_event {
+                    Step::Nothing
+                } else {
+                    Step::Separator
+                }
+            }
+            b'\n' | b'\r' => match std::mem::take(&mut self.line) {
+                Line::Field => Step::Field,
+                Line::Blank if self.in_event => {
+                    (self.in_event, self.any) = (false, true);
+                    Step::Event
+                }
+                Line::Comment if self.in_event => Step::Nothing,
+                Line::Blank | Line::Comment => Step::Separator,
+            },
+            b':' if self.line == Line::Blank => {
+                self.line = Line::Comment;
+                Step::Nothing
+            }
+            _ if self.line == Line::Blank => {
+                (self.line, self.in_event) = (Line::Field, true);
+                Step::Nothing
+            }
+            _ => Step::Nothing,
+        }
+    }
+
+    /// Adds bytes of the stream.
+    pub fn push(&mut self, data: &[u8]) {
+        for byte in data {
+            self.step(*byte);
+        }
+    }
+
+    /// Returns where the bytes added so far end.
+    pub fn position(&self) -> Position {
+        match (self.in_event || self.line != Line::Blank, self.any) {
+            (true, _) => Position::Inside,
+            (false, true) => Position::Between,
+            (false, false) => Position::Start,
+        }
+    }
+
+    /// Continues after an interrupted event with the next event.
+    fn skip_event(&mut self) {
+        *self = Scanner { any: self.any, ..Scanner::default() };
+    }
+}
+
+/// Reassembles events. Its output ends between events, so that another backend server can resume
+/// the stream from there.
+#[derive(Debug)]
+pub struct Splitter {
+    scanner: Scanner,
+    buffer: BytesMut,
+    /// Start of the current line in the buffer, unless it has been passed on.
+    line_start: Option<usize>,
+    /// The event that has not ended yet.
+    event: Event,
+    last_id: Option<Arc<str>>,
+    /// Whether the output ends with something after which no stream can be resumed: an event
+    /// without an id, or a piece of one.
+    unmarked: bool,
+}
+
+#[derive(Debug, Default)]
+struct Event {
+    id: Option<Arc<str>>,
+    has_data: bool,
+}
+
+impl Default for Splitter {
+    fn default() -> Splitter {
+        Splitter {
+            scanner: Scanner::default(),
+            buffer: BytesMut::new(),
+            line_start: Some(0),
+            event: Event::default(),
+            last_id: None,
+            unmarked: false,
+        }
+    }
+}
+
+impl Splitter {
+    /// Adds bytes, and returns the events that they complete.
+    pub fn push(&mut self, data: &Bytes) -> Option<Bytes> {
+        let begin = self.buffer.len();
+        self.buffer.extend_from_slice(data);
+        let mut end = 0;
+        for index in begin..self.buffer.len() {
+            match self.scanner.step(self.buffer[index]) {
+                Step::Nothing => {}
+                Step::Field => self.end_field(index),
+                Step::Event => {
+                    self.end_event();
+                    end = index + 1;
+                }
+                Step::Separator => end = index + 1,
+            }
+            if matches!(self.buffer[index], b'\n' | b'\r') {
+                self.line_start = Some(index + 1);
+            }
+        }
+        if self.buffer.len() - end > MAX_EVENT_BYTES {
+            end = self.buffer.len();
+            self.unmarked = true;
+        }
+        self.line_start = self.line_start.and_then(|start| start.checked_sub(end));
+        (end > 0).then(|| self.buffer.split_to(end).freeze())
+    }
+
+    fn end_field(&mut self, index: usize) {
+        let Some(start) = self.line_start else {
+            self.event.has_data = true;
+            return;
+        };
+        let line = &self.buffer[start..index];
+        if let Some(id) = line.strip_prefix(b"id:") {
+            let id = std::str::from_utf8(id).ok().map(str::trim);
+            self.event.id = id.filter(|id| !id.is_empty()).map(Arc::from);
+        }
+        self.event.has_data |= line.starts_with(b"data");
+    }
+
+    fn end_event(&mut self) {
+        let event = std::mem::take(&mut self.event);
+        match event.id {
+            Some(id) => (self.last_id, self.unmarked) = (Some(id), false),
+            None => self.unmarked |= event.has_data,
+        }
+    }
+
+    /// Returns where the received part of the stream ends.
+    pub fn position(&self) -> Position {
+        self.scanner.position()
+    }
+
+    /// Returns whether another backend server can resume the stream exactly after the output, or
+    /// repeat it if there was none.
+    pub fn can_resume(&self) -> bool {
+        !self.unmarked
+    }
+
+    /// Returns the id of the last complete event.
+    pub fn last_id(&self) -> Option<&Arc<str>> {
+        self.last_id.as_ref()
+    }
+
+    /// Returns the remaining bytes when the stream has ended.
+    pub fn finish(&mut self) -> Option<Bytes> {
+        let buffer = self.buffer.split().freeze();
+        (!buffer.is_empty()).then_some(buffer)
+    }
+
+    /// Discards the incomplete event of a broken stream.
+    pub fn discard(&mut self) {
+        self.buffer.clear();
+        self.line_start = Some(0);
+        self.event = Event::default();
+        self.scanner.skip_event();
+    }
+}
