tests: streams that end in any way, with any framing

The stand-in servers can write a response byte by byte: with a length, in chunks, with neither, or as HTTP/1.0, cut anywhere, and ended by the mark of the framing, a close, a reset or silence.

--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -220,6 +220,12 @@
         }
     }
 
+    /// Returns how often a request was executed by any server.
+    pub fn attempts(&self, id: &str) -> usize {
+        let is_attempt = |request: &&Value| request["headers"]["x-attempt-id"] == id;
+        self.lock().requests.iter().filter(is_attempt).count()
+    }
+
     /// Records a request that is executed.
     pub fn record_request(&self, request: Value) {
         self.lock().requests.push(request);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod group;
 pub mod proxy;
+pub mod raw;
 pub mod server;
 pub mod service;
 pub mod store;
--- /dev/null
+++ b/standins/src/raw.rs
@@ -0,0 +1,177 @@
+//! Responses that are written byte by byte, with any framing and any end.
+//!
+//! Headers of a request select one:
+//!
+//! - `x-standin-framing: length|chunked|close|http-1.0`: how the end of the body is marked. With
+//!   `close` and `http-1.0`, only the end of the connection marks it.
+//! - `x-standin-cut: PLACE`: where the response ends early: `before-head`, `in-head`, and within
+//!   the piece that `x-standin-break` numbers, which is the first one by default: `before`, `in-line`,
+//!   `after-line` (before the blank line) or `after`. Only the first attempt is cut.
+//! - `x-standin-end: mark|close|reset|silence`: what follows there: the end mark of the framing,
+//!   an orderly close, which is the default, a reset, or nothing until the peer disconnects.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+/// How the end of the body is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    Length,
+    Chunked,
+    Close,
+    Http10,
+}
+
+/// Where a response ends early, within the piece of that number if it is inside the body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    BeforeHead,
+    InHead,
+    Before,
+    InLine,
+    AfterLine,
+    After,
+}
+
+/// What follows where a response ends early.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Mark,
+    Close,
+    Reset,
+    Silence,
+}
+
+/// Framing and end of a response.
+#[derive(Debug, Clone, Copy)]
+pub struct Script {
+    framing: Framing,
+    cut: Option<(Place, usize, End)>,
+}
+
+fn text<'a>(headers: &'a http::HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
+
+impl Script {
+    /// Reads the script from the headers of a request, if they have one. `first` is whether this is
+    /// the first attempt.
+    pub fn read(headers: &http::HeaderMap, first: bool) -> Option<Script> {
+        let framing = match text(headers, "x-standin-framing") {
+            "length" => Framing::Length,
+            "chunked" => Framing::Chunked,
+            "close" => Framing::Close,
+            "http-1.0" => Framing::Http10,
+            _ => return None,
+        };
+        let place = match text(headers, "x-standin-cut") {
+            "before-head" => Some(Place::BeforeHead),
+            "in-head" => Some(Place::InHead),
+            "before" => Some(Place::Before),
+            "in-line" => Some(Place::InLine),
+            "after-line" => Some(Place::AfterLine),
+            "after" => Some(Place::After),
+            _ => None,
+        };
+        let end = match text(headers, "x-standin-end") {
+            "mark" => End::Mark,
+            "reset" => End::Reset,
+            "silence" => End::Silence,
+            _ => End::Close,
+        };
+        let place = place.filter(|_| first);
+        let number = text(headers, "x-standin-break").parse().unwrap_or(1);
+        Some(Script { framing, cut: place.map(|place| (place, number, end)) })
+    }
+
+    /// Writes a response with these pieces of the body, the first of which has the number `first`.
+    /// Each piece waits for a pass, if there are passes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer has disconnected.
+    pub async fn play(
+        self,
+        mut stream: TcpStream,
+        head: &http::response::Parts,
+        (first, pieces): (usize, Vec<Bytes>),
+        mut passes: Option<watch::Receiver<u64>>,
+    ) -> std::io::Result<()> {
+        let head = self.serialize(head, pieces.iter().map(Bytes::len).sum());
+        match self.cut {
+            Some((Place::BeforeHead, _, end)) => return finish(stream, end).await,
+            Some((Place::InHead, _, end)) => {
+                stream.write_all(&head[..head.len() / 2]).await?;
+                return finish(stream, end).await;
+            }
+            _ => stream.write_all(&head).await?,
+        }
+        for (index, piece) in pieces.iter().enumerate() {
+            if let Some(passes) = &mut passes {
+                passes.changed().await.ok();
+            }
+            let cut = self.cut.filter(|(_, number, _)| *number == first + index);
+            let Some((place, _, end)) = cut else {
+                self.write(&mut stream, piece).await?;
+                continue;
+            };
+            let length = match place {
+                Place::InLine => piece.len() * 2 / 3,
+                Place::AfterLine => piece.len() - 1,
+                Place::After => piece.len(),
+                Place::BeforeHead | Place::InHead | Place::Before => 0,
+            };
+            self.write(&mut stream, &piece[..length]).await?;
+            if end == End::Mark {
+                self.write_mark(&mut stream).await?;
+            }
+            return finish(stream, end).await;
+        }
+        self.write_mark(&mut stream).await?;
+        finish(stream, End::Close).await
+    }
+
+    fn serialize(self, head: &http::response::Parts, length: usize) -> Vec<u8> {
+        let version = if self.framing == Framing::Http10 { "1.0" } else { "1.1" };
+        let mut text = format!("HTTP/{version} {}\r\n", head.status);
+        for (name, value) in &head.headers {
+            text += &format!("{name}: {}\r\n", String::from_utf8_lossy(value.as_bytes()));
+        }
+        match self.framing {
+            Framing::Length => text += &format!("content-length: {length}\r\n"),
+            Framing::Chunked => text += "transfer-encoding: chunked\r\n",
+            Framing::Close | Framing::Http10 => {}
+        }
+        (text + "\r\n").into_bytes()
+    }
+
+    async fn write(self, stream: &mut TcpStream, data: &[u8]) -> std::io::Result<()> {
+        if self.framing != Framing::Chunked || data.is_empty() {
+            return stream.write_all(data).await;
+        }
+        let size = format!("{:x}\r\n", data.len());
+        stream.write_all(&[size.as_bytes(), data, b"\r\n"].concat()).await
+    }
+
+    async fn write_mark(self, stream: &mut TcpStream) -> std::io::Result<()> {
+        match self.framing {
+            Framing::Chunked => stream.write_all(b"0\r\n\r\n").await,
+            Framing::Length | Framing::Close | Framing::Http10 => Ok(()),
+        }
+    }
+}
+
+async fn finish(mut stream: TcpStream, end: End) -> std::io::Result<()> {
+    match end {
+        End::Mark | End::Close => stream.shutdown().await,
+        End::Reset => socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)),
+        End::Silence => {
+            while stream.read(&mut [0; 64]).await? > 0 {}
+            Ok(())
+        }
+    }
+}
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -13,9 +13,11 @@
 //!   its id after [`RESTART_DELAY`].
 //! - `x-standin-linger-ms: N`: with `x-standin-end-ms`, the port stays open for N ms after the
 //!   connections were closed.
+//!
+//! The headers of [`raw`] select the framing and the end of the response.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,11 +25,11 @@
 use hyper::body::Incoming;
 use hyper_util::rt::TokioIo;
 use serde_json::json;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::group::Group;
-use crate::server;
+use crate::{raw, server};
 
 /// Time between the end of a server and its restart.
 pub const RESTART_DELAY: Duration = Duration::from_millis(700);
@@ -54,6 +56,18 @@
 /// Error that closes the connection without a response.
 type NoResponse = std::io::Error;
 
+/// A response that is not left to the HTTP library.
+struct Raw {
+    script: raw::Script,
+    head: http::response::Parts,
+    /// Number of the first piece.
+    first: usize,
+    /// Pieces of the body.
+    pieces: Vec<Bytes>,
+    /// Whether each piece takes a pass.
+    paced: bool,
+}
+
 /// A guard that counts an active request of a rank until it is dropped.
 struct Active<'a> {
     group: &'a Group,
@@ -112,13 +126,9 @@
             stream.set_nodelay(true).ok();
             let (worker, mut ended) = (self.clone(), cut.subscribe());
             tokio::spawn(async move {
-                let service =
-                    hyper::service::service_fn(move |request| worker.clone().handle(request));
-                let http = hyper::server::conn::http1::Builder::new();
                 tokio::select! {
                     _ = ended.changed() => {}
-                    // Also ends if the handler closes the connection without a response.
-                    _ = http.serve_connection(TokioIo::new(stream), service) => {}
+                    () = worker.serve_connection(stream) => {}
                 }
             });
         }
@@ -132,6 +142,34 @@
         }
     }
 
+    /// Serves a connection until it ends.
+    async fn serve_connection(self, stream: TcpStream) {
+        let taken = Arc::new(Mutex::new(None));
+        let service = {
+            let (worker, taken) = (self.clone(), taken.clone());
+            hyper::service::service_fn(move |request| worker.clone().handle(request, taken.clone()))
+        };
+        let http = hyper::server::conn::http1::Builder::new();
+        let mut connection = http.serve_connection(TokioIo::new(stream), service);
+        // Also ends if the handler closes the connection without a response.
+        (&mut connection).await.ok();
+        let taken = taken.lock().expect("no holder of the response panics").take();
+        if let Some(response) = taken {
+            let stream = connection.into_parts().io.into_inner();
+            self.write_raw(stream, response).await;
+        }
+    }
+
+    /// Writes a response that is not left to the HTTP library.
+    async fn write_raw(&self, stream: TcpStream, response: Raw) {
+        let Raw { script, head, first, pieces, paced } = response;
+        let _active = Active::begin(&self.group, self.rank);
+        // Only a rank of a lock-step group waits for passes.
+        let passes = (paced && self.lockstep).then(|| self.group.passes());
+        // A peer that disconnects needs no more of the response.
+        script.play(stream, &head, (first, pieces), passes).await.ok();
+    }
+
     /// Ends the server after `time`, as the effect of the request with that body.
     fn end_after(&self, time: Duration, linger: Duration, body: &[u8]) {
         let (worker, body) = (self.clone(), String::from_utf8_lossy(body).into_owned());
@@ -142,14 +180,15 @@
         });
     }
 
-    /// Handles one request.
+    /// Handles one request. A response that is not left to the HTTP library is stored in `taken`.
     ///
     /// # Errors
     ///
-    /// Returns an error if the request is to get no response.
-    pub async fn handle(
+    /// Returns an error if the request is to get no response from the HTTP library.
+    async fn handle(
         self,
         request: http::Request<Incoming>,
+        taken: Arc<Mutex<Option<Raw>>>,
     ) -> Result<http::Response<Body>, NoResponse> {
         let (head, body) = request.into_parts();
         let body = server::read(body).await;
@@ -167,7 +206,7 @@
                 Ok(server::text(status, ""))
             }
             "/healthz" => self.health(),
-            _ => self.execute(&head, body).await,
+            _ => self.execute(&head, body, &taken).await,
         }
     }
 
@@ -228,6 +267,7 @@
         &self,
         head: &http::request::Parts,
         body: Bytes,
+        taken: &Mutex<Option<Raw>>,
     ) -> Result<http::Response<Body>, NoResponse> {
         let headers = &head.headers;
         let expected = text(headers, "x-expect-instance");
@@ -262,6 +302,11 @@
         if headers.contains_key("x-standin-lose") {
             return Err(no_response());
         }
+        if let Some(script) = raw::Script::read(headers, self.group.attempts(id) == 1) {
+            let response = self.raw(head, script)?;
+            *taken.lock().expect("no holder of the response panics") = Some(response);
+            return Err(no_response());
+        }
         if let Some(events) = number(headers, "x-standin-events") {
             return self.stream(head, events);
         }
@@ -270,16 +315,31 @@
         answer.map_err(std::io::Error::other)
     }
 
+    fn raw(&self, head: &http::request::Parts, script: raw::Script) -> Result<Raw, NoResponse> {
+        let Some(events) = number(&head.headers, "x-standin-events") else {
+            let answer = self.answer(head, 200).body(()).map_err(std::io::Error::other)?;
+            let (pieces, parts) = (vec![format!("answer of {}", self.id).into()], answer);
+            let head = parts.into_parts().0;
+            return Ok(Raw { script, head, first: 1, pieces, paced: false });
+        };
+        let first = first_event(&head.headers);
+        let padding = padding(&head.headers);
+        let event = |event| Bytes::from(event_text(event, &padding));
+        let pieces = (first..=events).map(event).collect();
+        let answer = self.answer(head, 200).header("content-type", "text/event-stream");
+        let head = answer.body(()).map_err(std::io::Error::other)?.into_parts().0;
+        Ok(Raw { script, head, first: first as usize, pieces, paced: true })
+    }
+
     fn stream(
         &self,
         head: &http::request::Parts,
         events: u64,
     ) -> Result<http::Response<Body>, NoResponse> {
-        let resumed = number(&head.headers, "last-event-id");
-        let first = resumed.map_or(1, |last| last + 1);
-        let end = number(&head.headers, "x-standin-break").filter(|_| resumed.is_none());
-        let padding =
-            "x".repeat(number(&head.headers, "x-standin-event-bytes").unwrap_or(0) as usize);
+        let first = first_event(&head.headers);
+        let resumed = head.headers.contains_key("last-event-id");
+        let end = number(&head.headers, "x-standin-break").filter(|_| !resumed);
+        let padding = padding(&head.headers);
         let (sender, body) = server::channel();
         let worker = self.clone();
         tokio::spawn(async move {
@@ -295,7 +355,7 @@
                 let text = if broken {
                     format!("id: {event}\ndata: half an ev")
                 } else {
-                    format!("id: {event}\ndata: piece {event}{padding}\n\n")
+                    event_text(event, &padding)
                 };
                 let mut closed = sender.send(Ok(text.into())).await.is_err();
                 if broken {
@@ -316,6 +376,19 @@
     }
 }
 
+/// Returns the number of the first event of a stream.
+fn first_event(headers: &http::HeaderMap) -> u64 {
+    number(headers, "last-event-id").map_or(1, |last| last + 1)
+}
+
+fn padding(headers: &http::HeaderMap) -> String {
+    "x".repeat(number(headers, "x-standin-event-bytes").unwrap_or(0) as usize)
+}
+
+fn event_text(event: u64, padding: &str) -> String {
+    format!("id: {event}\ndata: piece {event}{padding}\n\n")
+}
+
 fn whole(text: String) -> Body {
     Full::new(Bytes::from(text)).map_err(|never| match never {}).boxed()
 }
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -358,7 +358,7 @@
                 "name": name, "host": HOST, "path_prefix": format!("/{name}/"),
                 "route_kind": kind, "timeout_ms": 4_000, "goal_ms": 2_000, "priority": 1,
                 "service": service, "max_attempts": 2, "anonymous": name == "open",
-                "sticky": true, "resumable": true, "gap_target_ms": 1_000,
+                "sticky": true, "resumable": name != "reply", "gap_target_ms": 1_000,
             })
         };
         let (sets, experts, placements, spare) = loftcove_standins::group::SHAPE;
@@ -366,6 +366,7 @@
             "version": version,
             "routes": [
                 route("draft", "streaming", MODEL),
+                route("reply", "streaming", MODEL),
                 route("receipt", "non_idempotent", SMS),
                 route("alert", "idempotent", SMS),
                 route("open", "idempotent", SMS),
--- /dev/null
+++ b/tests/tests/endings.rs
@@ -0,0 +1,183 @@
+//! What clients get of responses that end in any way, with any framing.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::time::Duration;
+
+use loftcove_tests::client::{Client, read};
+use loftcove_tests::request::Request;
+use loftcove_tests::system::{Plan, System};
+
+const PLAN: Plan =
+    Plan { gateways: 1, ranks: 3, groups: 1, plain: 2, sidecars: false, proxied: false };
+/// Events of each stream, and the one within which the stream is cut.
+const EVENTS: usize = 6;
+const CUT_EVENT: usize = 3;
+/// Deadline of requests whose server falls silent.
+const SHORT_DEADLINE: Duration = Duration::from_millis(700);
+/// More than the gateway reassembles of one event.
+const LONG_EVENT: usize = 80_000;
+
+const ENDS: [&str; 4] = ["mark", "close", "reset", "silence"];
+const PLACES: [&str; 7] =
+    ["before-head", "in-head", "first", "before", "in-line", "after-line", "after"];
+
+/// A response that ends early.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    framing: &'static str,
+    place: &'static str,
+    end: &'static str,
+    resumable: bool,
+}
+
+/// What a client gets.
+#[derive(Debug, PartialEq, Eq)]
+struct Seen {
+    status: u16,
+    body: String,
+    complete: bool,
+}
+
+fn events(first: usize, last: usize) -> String {
+    let text = |event| format!("id: {event}\ndata: piece {event}\n\n");
+    (first..=last).map(text).collect()
+}
+
+impl Case {
+    fn request(self) -> Request {
+        let path = if self.resumable { "/draft/" } else { "/reply/" };
+        let (place, cut) = match self.place {
+            "first" => ("before", 1),
+            place => (place, CUT_EVENT),
+        };
+        let request = Request::new(path)
+            .with("x-standin-events", &EVENTS.to_string())
+            .with("x-standin-framing", self.framing)
+            .with("x-standin-cut", place)
+            .with("x-standin-break", &cut.to_string())
+            .with("x-standin-end", self.end);
+        if self.end == "silence" { request.deadline(SHORT_DEADLINE) } else { request }
+    }
+
+    /// Number of complete events before the cut.
+    fn before(self) -> usize {
+        match self.place {
+            "before-head" | "in-head" | "first" => 0,
+            "after" => CUT_EVENT,
+            _ => CUT_EVENT - 1,
+        }
+    }
+
+    /// Whether nothing distinguishes the response from a complete one.
+    fn looks_complete(self) -> bool {
+        let between = matches!(self.place, "before" | "after");
+        match (self.framing, self.end) {
+            ("chunked", "mark") => between || self.place == "first",
+            ("close" | "http-1.0", "mark" | "close") => between,
+            _ => false,
+        }
+    }
+
+    fn expected(self) -> Seen {
+        let seen = |status, last, complete| Seen { status, body: events(1, last), complete };
+        let headless = matches!(self.place, "before-head" | "in-head");
+        match self.end {
+            _ if self.looks_complete() => seen(200, self.before(), true),
+            "silence" if headless => seen(502, 0, true),
+            "silence" => seen(200, self.before(), false),
+            _ if self.resumable => seen(200, EVENTS, true),
+            _ if headless => seen(502, 0, true),
+            _ => seen(200, self.before(), false),
+        }
+    }
+}
+
+/// Sends requests over one connection for as long as it lasts.
+struct Connection<'a> {
+    system: &'a System,
+    client: Option<Client>,
+}
+
+impl Connection<'_> {
+    async fn send(&mut self, request: &Request) -> Seen {
+        let mut client = match self.client.take() {
+            Some(client) => client,
+            None => self.system.client(0).await,
+        };
+        let response = client.send(request).await.expect("the gateway answers");
+        let status = response.status().as_u16();
+        let (body, complete) = read(response).await;
+        self.client = complete.then_some(client);
+        Seen { status, body, complete }
+    }
+}
+
+/// Sends a request for each case, and one of a complete response after it over the same connection.
+async fn check(framing: &'static str) {
+    let system = System::start(PLAN).await;
+    let mut connection = Connection { system: &system, client: None };
+    let mut wrong = Vec::new();
+    for place in PLACES {
+        for (end, resumable) in ENDS.into_iter().flat_map(|end| [(end, true), (end, false)]) {
+            let case = Case { framing, place, end, resumable };
+            let request = case.request();
+            let seen = connection.send(&request).await;
+            let expected = case.expected();
+            if seen != expected {
+                wrong.push(format!("{case:?}\n  expected {expected:?}\n  got      {seen:?}"));
+            }
+            // No server gets more of a request than its route allows.
+            let arrivals = system.arrivals(&request.id).await.len();
+            assert!(arrivals <= if resumable { 2 } else { 1 }, "{case:?} {arrivals}");
+            let whole = Request::new("/reply/")
+                .with("x-standin-events", "2")
+                .with("x-standin-framing", framing);
+            let seen = connection.send(&whole).await;
+            assert_eq!(seen, Seen { status: 200, body: events(1, 2), complete: true }, "{case:?}");
+        }
+    }
+    assert!(wrong.is_empty(), "{} cases:\n{}", wrong.len(), wrong.join("\n"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_with_a_length_that_breaks_off_never_looks_complete() {
+    check("length").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_in_chunks_that_breaks_off_never_looks_complete() {
+    check("chunked").await;
+}
+
+// Guards against a stream that is cut inside an event and ends at its client as complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_without_framing_that_breaks_off_inside_an_event_never_looks_complete() {
+    check("close").await;
+}
+
+// Guards against the same from a server that speaks HTTP/1.0.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_over_http_1_0_that_breaks_off_inside_an_event_never_looks_complete() {
+    check("http-1.0").await;
+}
+
+// Guards against a stream that is resumed after a piece of an event.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_not_resumed_inside_an_event_that_was_passed_on_in_pieces() {
+    let system = System::start(PLAN).await;
+    for (framing, end) in [("chunked", "close"), ("close", "close"), ("close", "reset")] {
+        let request = Request::new("/draft/")
+            .with("x-standin-events", "4")
+            .with("x-standin-event-bytes", &LONG_EVENT.to_string())
+            .with("x-standin-framing", framing)
+            .with("x-standin-cut", "after-line")
+            .with("x-standin-break", "2")
+            .with("x-standin-end", end);
+        let answer = system.request(0, &request).await;
+        assert!(!answer.complete, "{framing} {end}");
+        assert_eq!(answer.body.matches("id: 2\n").count(), 1, "{framing} {end}");
+        assert!(!answer.body.contains("id: 3\n"), "{framing} {end}");
+        assert_eq!(system.arrivals(&request.id).await.len(), 1, "{framing} {end}");
+    }
+}
