gateway: a stream that ends inside an event is not complete

Callers got a complete response of a stream that its server had broken off.

Cause: the gateway took the orderly end of a body for the end of the response, and forwarded what was left of an event before its own end. A response without a length or chunks ends with its connection, so that a server that stops between two lines and closes the connection ends its body in order.

Evidence: in the logs of the incident, streams that the servers had broken off are outcome=answered reason=whole, beside breaks of others at the same servers that were noticed.

An event stream is now complete if its body ended in order and between events, and, without framing, after at least one event (loftcove_response::ending). Otherwise the attempt counts as broken off: the stream is resumed after the last complete event where its route allows it, and the response is broken off where not. The connection of a response without framing is never kept. A response of a streaming route that declares another media type is relayed by its framing alone.

--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -9,6 +9,7 @@
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::{Answer, NotRun, Protocol, Verdict};
 use loftcove_response::ending;
+use loftcove_response::event::Media;
 use loftcove_response::framing::Framing;
 
 use crate::answer::{self, Response};
@@ -418,7 +419,9 @@
         }
         let (target, server) = (attempt.target.clone(), attempt.server);
         let framing = Framing::of(&request.head.method, &head);
-        if request.grant.route.kind.streaming() && head.status.is_success() {
+        let media = Media::of(&head.headers);
+        let streams = request.grant.route.kind.streaming() && media != Media::Other;
+        if streams && head.status.is_success() {
             let connection = reply.connection;
             return Outcome::Stream(Box::new(Stream {
                 head,
@@ -439,7 +442,7 @@
         match read {
             Ok(answer::Read::Whole(body)) => {
                 reply.connection.complete();
-                if !answer.close {
+                if !answer.close && framing != Framing::Close {
                     self.upstream.put(&target, reply.connection, answer.keep_alive);
                 }
                 let whole = answer::Whole { head, body };
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -16,7 +16,7 @@
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::Protocol;
 use loftcove_response::ending;
-use loftcove_response::event::Splitter;
+use loftcove_response::event::{Media, Splitter};
 use loftcove_response::framing::Framing;
 
 use crate::flow::Stream;
@@ -84,7 +84,7 @@
 enum End {
     /// The stream is complete.
     Whole,
-    /// The connection to the backend server broke.
+    /// The backend server broke off the response.
     Broken,
     /// The client disconnected.
     Disconnected,
@@ -203,7 +203,7 @@
 
     /// Relays one backend server's part of the event stream.
     async fn forward_events(&mut self, stream: Stream, splitter: &mut Splitter) -> End {
-        let Stream { mut body, framing, answer, connection, target, .. } = stream;
+        let Stream { head, framing, mut body, answer, connection, target, .. } = stream;
         // The time until the first event does not count as a pause.
         let mut last: Option<boot::Instant> = None;
         let gateway = self.gateway.clone();
@@ -240,14 +240,18 @@
                 }
             }
         }
-        self.record_ending(&target, framing, ending::check(framing, splitter.position()));
+        let ending = ending::check(framing, Media::of(&head.headers), splitter.position());
+        self.record_ending(&target, framing, ending);
+        if ending.is_err() {
+            return End::Broken;
+        }
         if let Some(rest) = splitter.finish()
             && let Some(end) = self.send(rest).await
         {
             return end;
         }
         connection.complete();
-        if !answer.close {
+        if !answer.close && framing != Framing::Close {
             self.gateway.upstream.put(&target, connection, answer.keep_alive);
         }
         End::Whole
--- a/response/src/ending.rs
+++ b/response/src/ending.rs
@@ -1,19 +1,20 @@
 //! Whether a response is complete.
 //!
-//! For a body that ended in order:
+//! A body that ended before the length or last chunk of its framing is not. Of a body that ended in
+//! order:
 //!
 //! | framing | event stream that ends between events | inside an event | without an event | other body |
 //! | --- | --- | --- | --- | --- |
 //! | a length or chunks | complete | cut | complete | complete |
 //! | the connection | complete | cut | cut | complete |
 //!
-//! With a length or chunks, the server itself marks the end of the body. An event stream can still
-//! end inside an event if the server lost its source, and readers discard that event.
+//! A server that marks the end of the body can still have lost the source of its stream inside an
+//! event, and readers discard that event. Without a declared media type, the mark is decisive.
 //!
-//! Without framing, a body that was cut right after an event, and any cut body that is no event
-//! stream, is not distinguishable from a complete one if the server closed the connection in order.
+//! If the connection alone ends the body and was closed in order, a body that was cut right after
+//! an event is not distinguishable from a complete one, nor is any cut body that is no event stream.
 
-use crate::event::Position;
+use crate::event::{Media, Position};
 use crate::framing::Framing;
 
 /// Why a response is not complete.
@@ -33,15 +34,21 @@
     NoEvent,
 }
 
-/// Checks the end of an event stream whose last byte is at `position`.
+/// Checks a body that ended in order, with its last byte at `position` if it is read as an event
+/// stream.
 ///
 /// # Errors
 ///
 /// Returns an [`Error`] if the stream is not complete.
-pub fn check(framing: Framing, position: Position) -> Result<(), Error> {
+pub fn check(framing: Framing, media: Media, position: Position) -> Result<(), Error> {
+    let events = match media {
+        Media::Events => true,
+        Media::Unknown => framing == Framing::Close,
+        Media::Other => false,
+    };
     match position {
-        Position::Inside => Err(Error::InsideEvent),
-        Position::Start if framing == Framing::Close => Err(Error::NoEvent),
-        Position::Start | Position::Between => Ok(()),
+        Position::Inside if events => Err(Error::InsideEvent),
+        Position::Start if events && framing == Framing::Close => Err(Error::NoEvent),
+        Position::Start | Position::Between | Position::Inside => Ok(()),
     }
 }
--- a/response/src/event.rs
+++ b/response/src/event.rs
@@ -14,11 +14,27 @@
 /// stream cannot be resumed within it.
 pub const MAX_EVENT_BYTES: usize = 64 * 1024;
 
-/// Returns whether the headers declare an event stream, or `None` if they declare no media type.
-pub fn declared(headers: &http::HeaderMap) -> Option<bool> {
-    let value = headers.get(http::header::CONTENT_TYPE)?.as_bytes();
-    let media = value.split(|byte| *byte == b';').next().unwrap_or_default();
-    Some(media.trim_ascii().eq_ignore_ascii_case(MEDIA_TYPE))
+/// What the headers of a response declare its body to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Media {
+    /// An event stream.
+    Events,
+    /// Something else.
+    Other,
+    /// No media type is declared.
+    Unknown,
+}
+
+impl Media {
+    /// Reads the media type.
+    pub fn of(headers: &http::HeaderMap) -> Media {
+        let Some(value) = headers.get(http::header::CONTENT_TYPE) else { return Media::Unknown };
+        let name = value.as_bytes().split(|byte| *byte == b';').next().unwrap_or_default();
+        match name.trim_ascii().eq_ignore_ascii_case(MEDIA_TYPE) {
+            true => Media::Events,
+            false => Media::Other,
+        }
+    }
 }
 
 /// Where the received part of an event stream ends.
--- a/response/tests/ending.rs
+++ b/response/tests/ending.rs
@@ -1,7 +1,7 @@
 //! Framing of responses, and whether one that ended in order is complete.
 
 use loftcove_response::ending::{self, Error};
-use loftcove_response::event::Position;
+use loftcove_response::event::{Media, Position};
 use loftcove_response::framing::Framing;
 
 fn framing(method: http::Method, status: u16, headers: &[(&str, &str)]) -> Framing {
@@ -31,18 +31,36 @@
     }
 }
 
+const FRAMED: [Framing; 3] = [Framing::Empty, Framing::Length, Framing::Chunked];
+
 #[test]
 fn a_stream_that_ends_inside_an_event_is_not_complete() {
     for framing in [Framing::Length, Framing::Chunked, Framing::Close] {
-        assert_eq!(ending::check(framing, Position::Inside), Err(Error::InsideEvent));
-        assert_eq!(ending::check(framing, Position::Between), Ok(()));
+        let check = |position| ending::check(framing, Media::Events, position);
+        assert_eq!(check(Position::Inside), Err(Error::InsideEvent));
+        assert_eq!(check(Position::Between), Ok(()));
     }
 }
 
 #[test]
 fn a_stream_without_framing_that_ends_before_its_first_event_is_not_complete() {
-    assert_eq!(ending::check(Framing::Close, Position::Start), Err(Error::NoEvent));
-    for framing in [Framing::Empty, Framing::Length, Framing::Chunked] {
-        assert_eq!(ending::check(framing, Position::Start), Ok(()));
+    let check = |framing| ending::check(framing, Media::Events, Position::Start);
+    assert_eq!(check(Framing::Close), Err(Error::NoEvent));
+    assert_eq!(FRAMED.map(check), [Ok(()); 3]);
+}
+
+#[test]
+fn a_body_without_a_media_type_is_complete_by_its_framing_if_it_has_one() {
+    let check = |framing| ending::check(framing, Media::Unknown, Position::Inside);
+    assert_eq!(check(Framing::Close), Err(Error::InsideEvent));
+    assert_eq!(FRAMED.map(check), [Ok(()); 3]);
+}
+
+#[test]
+fn events_do_not_matter_in_other_bodies() {
+    for framing in FRAMED.into_iter().chain([Framing::Close]) {
+        for position in [Position::Start, Position::Between, Position::Inside] {
+            assert_eq!(ending::check(framing, Media::Other, position), Ok(()));
+        }
     }
 }
--- a/response/tests/event.rs
+++ b/response/tests/event.rs
@@ -1,7 +1,7 @@
 //! Boundaries between server-sent events, and where a stream can be resumed.
 
 use bytes::Bytes;
-use loftcove_response::event::{self, MAX_EVENT_BYTES, Position, Scanner, Splitter};
+use loftcove_response::event::{MAX_EVENT_BYTES, Media, Position, Scanner, Splitter};
 use proptest::prelude::{Just, Strategy, any, prop, prop_assert, prop_assert_eq, prop_oneof};
 
 /// Adds a text, and returns the events that it completes.
@@ -105,10 +105,10 @@
         headers.insert(http::header::CONTENT_TYPE, value.expect("a valid header"));
         headers
     };
-    assert_eq!(event::declared(&http::HeaderMap::new()), None);
-    assert_eq!(event::declared(&headers("application/json")), Some(false));
-    assert_eq!(event::declared(&headers("text/event-stream")), Some(true));
-    assert_eq!(event::declared(&headers("Text/Event-Stream; charset=utf-8")), Some(true));
+    assert_eq!(Media::of(&http::HeaderMap::new()), Media::Unknown);
+    assert_eq!(Media::of(&headers("application/json")), Media::Other);
+    assert_eq!(Media::of(&headers("text/event-stream")), Media::Events);
+    assert_eq!(Media::of(&headers("Text/Event-Stream; charset=utf-8")), Media::Events);
 }
 
 /// Returns streams of fields, comments and blank lines with all line ends.
