gateway: do not resume a stream inside an event

Callers got a part of an event, and then that event again as if both were one stream.

Cause: an event of more than 64 KiB is passed on in pieces. After a break the stream was resumed after the last complete event, whatever had been passed on since; only moves checked that. The same holds after an event without an id, which would come twice.

Such a response is broken off instead. balancer::End::BrokenOff counts the break against the server and makes no further attempt.

--- a/daemon/src/entry/dispatcher.rs
+++ b/daemon/src/entry/dispatcher.rs
@@ -366,10 +366,10 @@
         self.dispatcher.lock().balancer.begin(self.ticket, after, now);
     }
 
-    /// Records how the attempt ended. Unless the request was answered or abandoned,
-    /// [`Permit::next`] returns what follows.
+    /// Records how the attempt ended. Unless the end is final, [`Permit::next`] returns what
+    /// follows.
     pub fn end(&mut self, end: balancer::End) {
-        if matches!(end, balancer::End::Answered | balancer::End::Abandoned) {
+        if end.is_final() {
             self.open = false;
         }
         let now = self.dispatcher.clock.now();
--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -373,7 +373,7 @@
                 }
                 self.finish(ticket);
             }
-            End::Abandoned => {
+            End::Abandoned | End::BrokenOff { .. } => {
                 self.finish(ticket);
             }
             End::Full => self.requeue(ticket, now, &mut actions),
@@ -463,12 +463,12 @@
                 record.window.shrink(now);
                 record.back_off(now);
             }
-            End::NeverRan | End::MayHaveRun { .. } => {
+            End::NeverRan | End::MayHaveRun { .. } | End::BrokenOff { server_ended: false } => {
                 if record.health.failed() {
                     self.try_eject(server, now);
                 }
             }
-            End::Unreachable | End::ServerEnded => {
+            End::Unreachable | End::ServerEnded | End::BrokenOff { server_ended: true } => {
                 self.try_eject(server, now);
                 self.group_unreached(server, now);
             }
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -129,10 +129,22 @@
     },
     /// The backend server ended while it ran the attempt.
     ServerEnded,
+    /// The answer broke off, and no other backend server can continue it.
+    BrokenOff {
+        /// Whether the backend server ended while it ran the attempt.
+        server_ended: bool,
+    },
     /// The client has disconnected, so there is nobody to answer.
     Abandoned,
 }
 
+impl End {
+    /// Returns whether nothing follows for the request.
+    pub fn is_final(self) -> bool {
+        matches!(self, End::Answered | End::Abandoned | End::BrokenOff { .. })
+    }
+}
+
 /// The final outcome of a request without a complete answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Outcome {
--- a/decision/tests/balancer.rs
+++ b/decision/tests/balancer.rs
@@ -111,6 +111,7 @@
         1 => Just(balancer::End::GroupDown),
         1 => any::<bool>().prop_map(|answer_begun| balancer::End::MayHaveRun { answer_begun }),
         1 => any::<bool>().prop_map(|answer_begun| balancer::End::Unacknowledged { answer_begun }),
+        1 => any::<bool>().prop_map(|server_ended| balancer::End::BrokenOff { server_ended }),
     ];
     prop_oneof![
         3 => (1..50_u64).prop_map(Event::Pass),
@@ -177,7 +178,7 @@
                         end,
                         balancer::End::MayHaveRun { .. } | balancer::End::Unacknowledged { .. }
                     );
-                    if end == balancer::End::Answered { state.finals += 1 }
+                    if end.is_final() { state.finals += 1 }
                     balancer.end(ticket, end, now)
                 }
                 Event::Leave(which) => {
@@ -229,6 +230,29 @@
     }
 }
 
+/// Guards against servers whose long responses break off and that get as many requests as before,
+/// and against attempts for a response that no server can continue.
+#[test]
+fn a_response_that_breaks_off_counts_against_its_server_and_is_not_sent_again() {
+    for (server_ended, breaks) in [(false, 20), (true, 1)] {
+        let mut balancer = new(8);
+        let now = clock::Instant::ZERO;
+        balancer.list(listings(4), now);
+        for server in 0..4 {
+            bring_up(&mut balancer, server, 1, now);
+        }
+        for _ in 0..breaks {
+            let deadline = now + Duration::from_secs(9);
+            let (ticket, _) = balancer.arrive(arrival(0, 1, true, deadline), now);
+            let actions = balancer.end(ticket, balancer::End::BrokenOff { server_ended }, now);
+            assert!(actions.is_empty(), "{actions:?}");
+            assert_eq!(balancer.verify(), Ok(()));
+        }
+        let ejected = balancer.servers().iter().any(|(_, record)| record.health.ejected(now));
+        assert!(ejected, "server_ended={server_ended}");
+    }
+}
+
 fn waiter(number: u32, team: u32, precedence: u32) -> admission::Waiter {
     admission::Waiter {
         ticket: entity::Ticket::from_u32(number),
--- a/dispatch/src/permit.rs
+++ b/dispatch/src/permit.rs
@@ -54,10 +54,10 @@
         self.dispatcher.event(self.ticket, pause, wanted);
     }
 
-    /// Reports the end of the attempt. Unless the attempt was answered or abandoned,
-    /// [`Permit::next`] returns the next step.
+    /// Reports the end of the attempt. Unless the end is final, [`Permit::next`] returns the next
+    /// step.
     pub fn end(&mut self, end: balancer::End) {
-        if matches!(end, balancer::End::Answered | balancer::End::Abandoned) {
+        if end.is_final() {
             self.open = false;
         }
         self.dispatcher.end(self.ticket, end, &mut self.receiver);
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -124,8 +124,11 @@
                     let answer_begun = splitter.last_id().is_some();
                     let classification =
                         self.gateway.classify_break(&self.request, server, &target, answer_begun);
-                    let cause = Cause::Ended(classification.await);
-                    stream = self.resume(&mut splitter, cause).await;
+                    let end = classification.await;
+                    if !splitter.can_resume() {
+                        return self.broken_off(end);
+                    }
+                    stream = self.resume(&mut splitter, Cause::Ended(end)).await;
                 }
                 End::Moved(moved) => {
                     self.gateway.record_move(&self.request, &moved);
@@ -313,6 +316,14 @@
         self.abort("cut-off-unread");
     }
 
+    /// Ends the relay of a response that the backend server broke off and no other one can
+    /// continue. `end` is how the attempt ended.
+    fn broken_off(mut self, end: balancer::End) {
+        let server_ended = end == balancer::End::ServerEnded;
+        self.permit.end(balancer::End::BrokenOff { server_ended });
+        self.abort("backend-server-broke-off");
+    }
+
     /// Ends the relay of a response whose client has disconnected or was disconnected.
     fn disconnected(mut self) {
         self.permit.end(balancer::End::Abandoned);
