gateway: count breaks of long responses against their servers

A server whose long responses, those that are no event streams, broke off got as many requests as before: the gateway dropped the permit, which counts as an abandoned request, unless the server had ended. In that case the balancer made another attempt for a repeatable request, which nobody read.

--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -163,10 +163,7 @@
             // Only event streams are moved.
             End::Broken | End::Moved(_) => {
                 let end = self.gateway.classify_break(&self.request, server, &target, true).await;
-                if end == balancer::End::ServerEnded {
-                    self.permit.end(end);
-                }
-                self.abort("backend-server-broke-off");
+                self.broken_off(end);
             }
             End::Refused => {
                 self.gateway.abandon(&self.request, &target);
