gateway: check event streams on all routes

On a route that is not a streaming one, callers got a complete response of an event stream that its server had broken off inside an event, both if the body was buffered until its end and if it was relayed as it arrived.

Cause: the same as on streaming routes, in the two other places that read a body. Both now check a body that is declared as an event stream.

The test fails on the code before: the caller got three events of six, the last one without its blank line, as a complete response.

--- a/gateway/src/answer.rs
+++ b/gateway/src/answer.rs
@@ -9,6 +9,8 @@
 use loftcove_decision::balancer;
 use loftcove_interface::protocol::Protocol;
 use loftcove_response::ending;
+use loftcove_response::event::{self, Media};
+use loftcove_response::framing::Framing;
 
 use crate::body::Body;
 
@@ -42,13 +44,22 @@
 ///
 /// # Errors
 ///
-/// Returns an [`ending::Error`] if the connection breaks or the deadline passes.
-pub async fn read(mut body: Incoming, due: boot::Instant) -> Result<Read, ending::Error> {
+/// Returns an [`ending::Error`] if the response is not complete, or not by the deadline.
+pub async fn read(
+    mut body: Incoming,
+    (framing, media): (Framing, Media),
+    due: boot::Instant,
+) -> Result<Read, ending::Error> {
     let mut buffer = BytesMut::new();
     loop {
         let frame = tokio::time::timeout_at(due.timer(), body.frame()).await;
         match frame.map_err(|_| ending::Error::TimedOut)? {
-            None => return Ok(Read::Whole(buffer.freeze())),
+            None => {
+                if media == Media::Events {
+                    ending::check(framing, media, event::position(&buffer))?;
+                }
+                return Ok(Read::Whole(buffer.freeze()));
+            }
             Some(Err(_)) => return Err(ending::Error::Broken),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -124,6 +124,8 @@
     pub head: http::response::Parts,
     /// Framing of the body.
     pub framing: Framing,
+    /// What the body is.
+    pub media: Media,
     /// Remaining body.
     pub body: Incoming,
     /// What the protocol reads from the head.
@@ -419,13 +421,18 @@
         }
         let (target, server) = (attempt.target.clone(), attempt.server);
         let framing = Framing::of(&request.head.method, &head);
-        let media = Media::of(&head.headers);
-        let streams = request.grant.route.kind.streaming() && media != Media::Other;
-        if streams && head.status.is_success() {
+        let streams = request.grant.route.kind.streaming() && head.status.is_success();
+        // Only on streaming routes are events expected without being declared.
+        let media = match Media::of(&head.headers) {
+            Media::Unknown if !streams => Media::Other,
+            media => media,
+        };
+        if streams && media != Media::Other {
             let connection = reply.connection;
             return Outcome::Stream(Box::new(Stream {
                 head,
                 framing,
+                media,
                 body,
                 answer,
                 connection,
@@ -433,7 +440,7 @@
                 server,
             }));
         }
-        let read = answer::read(body, request.due).await;
+        let read = answer::read(body, (framing, media), request.due).await;
         match &read {
             Ok(answer::Read::Whole(_)) => self.record_ending(request, &target, framing, Ok(())),
             Ok(answer::Read::Long(..)) => {}
@@ -456,7 +463,16 @@
             Ok(answer::Read::Long(first, body)) => {
                 let connection = reply.connection;
                 Outcome::Long(
-                    Box::new(Stream { head, framing, body, answer, connection, target, server }),
+                    Box::new(Stream {
+                        head,
+                        framing,
+                        media,
+                        body,
+                        answer,
+                        connection,
+                        target,
+                        server,
+                    }),
                     first,
                 )
             }
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -16,7 +16,7 @@
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::Protocol;
 use loftcove_response::ending;
-use loftcove_response::event::{Media, Splitter};
+use loftcove_response::event::{Media, Scanner, Splitter};
 use loftcove_response::framing::Framing;
 
 use crate::flow::Stream;
@@ -147,9 +147,13 @@
     /// Relays a response that is not an event stream, as it arrives.
     pub async fn run_long(mut self, stream: Stream, first: Bytes) {
         let (server, target, status) = (stream.server, stream.target.clone(), stream.head.status);
+        let mut scanner = Scanner::default();
+        if stream.media == Media::Events {
+            scanner.push(&first);
+        }
         let end = match self.send(first).await {
             Some(end) => end,
-            None => self.forward_rest(stream).await,
+            None => self.forward_rest(stream, scanner).await,
         };
         match end {
             End::Whole => {
@@ -172,7 +176,8 @@
         }
     }
 
-    async fn forward_rest(&mut self, mut stream: Stream) -> End {
+    /// Relays the remaining body, whose events `scanner` finds if it has any.
+    async fn forward_rest(&mut self, mut stream: Stream, mut scanner: Scanner) -> End {
         loop {
             let frame = tokio::select! {
                 biased;
@@ -184,7 +189,12 @@
             let data = match frame {
                 Err(_) => return End::TimedOut,
                 Ok(None) => {
-                    self.record_ending(&stream.target, stream.framing, Ok(()));
+                    let position = scanner.position();
+                    let ending = ending::check(stream.framing, stream.media, position);
+                    self.record_ending(&stream.target, stream.framing, ending);
+                    if ending.is_err() {
+                        return End::Broken;
+                    }
                     stream.connection.complete();
                     return End::Whole;
                 }
@@ -195,6 +205,9 @@
                 }
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
+            if stream.media == Media::Events {
+                scanner.push(&data);
+            }
             if let Some(end) = self.send(data).await {
                 return end;
             }
@@ -203,7 +216,7 @@
 
     /// Relays one backend server's part of the event stream.
     async fn forward_events(&mut self, stream: Stream, splitter: &mut Splitter) -> End {
-        let Stream { head, framing, mut body, answer, connection, target, .. } = stream;
+        let Stream { framing, media, mut body, answer, connection, target, .. } = stream;
         // The time until the first event does not count as a pause.
         let mut last: Option<boot::Instant> = None;
         let gateway = self.gateway.clone();
@@ -240,7 +253,7 @@
                 }
             }
         }
-        let ending = ending::check(framing, Media::of(&head.headers), splitter.position());
+        let ending = ending::check(framing, media, splitter.position());
         self.record_ending(&target, framing, ending);
         if ending.is_err() {
             return End::Broken;
--- a/response/src/event.rs
+++ b/response/src/event.rs
@@ -48,6 +48,13 @@
     Inside,
 }
 
+/// Returns where a whole body ends if it is read as an event stream.
+pub fn position(body: &[u8]) -> Position {
+    let mut scanner = Scanner::default();
+    scanner.push(body);
+    scanner.position()
+}
+
 /// Finds the boundaries between events in a byte stream.
 #[derive(Debug, Default)]
 pub struct Scanner {
--- a/response/tests/event.rs
+++ b/response/tests/event.rs
@@ -1,7 +1,7 @@
 //! Boundaries between server-sent events, and where a stream can be resumed.
 
 use bytes::Bytes;
-use loftcove_response::event::{MAX_EVENT_BYTES, Media, Position, Scanner, Splitter};
+use loftcove_response::event::{self, MAX_EVENT_BYTES, Media, Position, Splitter};
 use proptest::prelude::{Just, Strategy, any, prop, prop_assert, prop_assert_eq, prop_oneof};
 
 /// Adds a text, and returns the events that it completes.
@@ -11,9 +11,7 @@
 }
 
 fn position(text: &str) -> Position {
-    let mut scanner = Scanner::default();
-    scanner.push(text.as_bytes());
-    scanner.position()
+    event::position(text.as_bytes())
 }
 
 #[test]
--- a/tests/tests/endings.rs
+++ b/tests/tests/endings.rs
@@ -181,3 +181,28 @@
         assert_eq!(system.arrivals(&request.id).await.len(), 1, "{framing} {end}");
     }
 }
+
+// Guards against an event stream on a route that is not a streaming one, which is cut inside an
+// event and ends at its client as complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_event_stream_on_any_route_that_breaks_off_inside_an_event_never_looks_complete() {
+    let system = System::start(PLAN).await;
+    for framing in ["chunked", "close", "http-1.0"] {
+        let cut = |path: &str, last: usize, bytes: usize| {
+            Request::new(path)
+                .with("x-standin-events", &EVENTS.to_string())
+                .with("x-standin-event-bytes", &bytes.to_string())
+                .with("x-standin-framing", framing)
+                .with("x-standin-cut", "after-line")
+                .with("x-standin-break", &last.to_string())
+                .with("x-standin-end", "mark")
+        };
+        let again = system.request(0, &cut("/alert/", CUT_EVENT, 0)).await;
+        assert_eq!((again.status, again.body), (200, events(1, EVENTS)), "{framing}");
+        let once = system.request(0, &cut("/receipt/", CUT_EVENT, 0)).await;
+        assert_eq!((once.status, &*once.body), (502, ""), "{framing}");
+        // More than is buffered until it is complete.
+        let long = system.request(0, &cut("/alert/", EVENTS, LONG_EVENT)).await;
+        assert_eq!((long.status, long.complete), (200, false), "{framing}");
+    }
+}
