gateway: reset broken responses of clients that speak HTTP/1.0

A client that speaks HTTP/1.0 got a stream without a length, and a close in order where the stream had broken off, so that it took it for complete.

Cause: the gateway ends a broken response by dropping the connection. With HTTP/1.1 the last chunk is missing then; with HTTP/1.0 only the end of the connection marks the end of the body, and it looked the same as after a complete response.

A test sends streams that are cut to an HTTP/1.0 client; it failed before with an orderly close after two events of six.

--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -1,13 +1,14 @@
 //! Bodies of responses to clients.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http_body::Frame;
 use http_body_util::Full;
 
-use crate::queue;
+use crate::{client, queue};
 
 /// The response ended early, and the client must not take it to be complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -34,12 +35,22 @@
 pub struct Flushed<B: http_body::Body> {
     body: B,
     error: Option<B::Error>,
+    /// Connection to reset unless the body ends.
+    connection: Option<Arc<client::Progress>>,
 }
 
 impl<B: http_body::Body> Flushed<B> {
     /// Wraps a body to defer its error.
     pub fn new(body: B) -> Flushed<B> {
-        Flushed { body, error: None }
+        Flushed { body, error: None, connection: None }
+    }
+
+    /// Resets the connection unless the body ends. A client would take an orderly close for the end
+    /// of a body that has neither a length nor chunks.
+    pub fn reset_unless_ended(mut self, connection: Arc<client::Progress>) -> Flushed<B> {
+        connection.set_unmarked(true);
+        self.connection = Some(connection);
+        self
     }
 }
 
@@ -66,6 +77,12 @@
                 context.waker().wake_by_ref();
                 Poll::Pending
             }
+            None => {
+                if let Some(connection) = &this.connection {
+                    connection.set_unmarked(false);
+                }
+                Poll::Ready(None)
+            }
             frame => Poll::Ready(frame),
         }
     }
--- a/gateway/src/client.rs
+++ b/gateway/src/client.rs
@@ -1,6 +1,7 @@
-//! Sockets of clients' connections, which are reset if the client takes nothing.
+//! Sockets of clients' connections, which are reset if the client takes nothing, or if only the end
+//! of the connection would mark the end of a response that broke off.
 //!
-//! The time runs while bytes wait and the operating system accepts none of them. A backend server
+//! The time in which a client takes nothing runs while bytes wait and the operating system accepts none of them. A backend server
 //! that is slow leaves nothing waiting, so it does not count against the client.
 
 use std::io::{self, IoSlice};
@@ -30,6 +31,8 @@
     /// Start of the time in which the connection has accepted nothing.
     blocked: Mutex<Option<boot::Instant>>,
     stalled: AtomicBool,
+    /// Whether a response is outstanding whose end only the end of the connection marks.
+    unmarked: AtomicBool,
 }
 
 impl Progress {
@@ -43,6 +46,17 @@
         self.lock().map_or(Duration::ZERO, |since| since.elapsed())
     }
 
+    /// Records whether a response is outstanding whose end only the end of the connection marks. If
+    /// one is when the connection ends, the connection is reset.
+    pub fn set_unmarked(&self, unmarked: bool) {
+        self.unmarked.store(unmarked, Ordering::Release);
+    }
+
+    /// Returns whether the connection ends with a reset.
+    fn resets(&self) -> bool {
+        self.stalled() || self.unmarked.load(Ordering::Acquire)
+    }
+
     /// Returns whether the client was disconnected because it took nothing.
     pub fn stalled(&self) -> bool {
         self.stalled.load(Ordering::Acquire)
@@ -87,13 +101,21 @@
         if timer.as_mut().poll(context).is_pending() {
             return Poll::Pending;
         }
-        self.progress.stalled.store(true, Ordering::Release);
         // A reset discards the unread bytes. A normal close would keep them in the operating
         // system.
+        self.progress.stalled.store(true, Ordering::Release);
+        Poll::Ready(Err(io::Error::other(Stalled)))
+    }
+}
+
+impl Drop for Socket {
+    fn drop(&mut self) {
+        if !self.progress.resets() {
+            return;
+        }
         if let Err(error) = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
-            log::debug!("connection of stalled client not reset error=\"{error}\"");
+            log::debug!("connection of client not reset error=\"{error}\"");
         }
-        Poll::Ready(Err(io::Error::other(Stalled)))
     }
 }
 
@@ -138,7 +160,7 @@
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        if this.progress.stalled() {
+        if this.progress.resets() {
             // A normal end must not precede the reset.
             return Poll::Ready(Ok(()));
         }
--- a/tests/tests/endings.rs
+++ b/tests/tests/endings.rs
@@ -7,6 +7,7 @@
 use loftcove_tests::client::{Client, read};
 use loftcove_tests::request::Request;
 use loftcove_tests::system::{Plan, System};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 const PLAN: Plan =
     Plan { gateways: 1, ranks: 3, groups: 1, plain: 2, sidecars: false, proxied: false };
@@ -206,3 +207,35 @@
         assert_eq!((long.status, long.complete), (200, false), "{framing}");
     }
 }
+
+/// Sends a request as HTTP/1.0. Returns the response's bytes, and whether the connection closed in
+/// order.
+async fn send_http_1_0(system: &System, request: &Request) -> (String, bool) {
+    let text = request.text().replacen("HTTP/1.1", "HTTP/1.0", 1);
+    let mut stream = tokio::net::TcpStream::connect(system.client_address(0)).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    let ended = stream.read_to_end(&mut bytes).await;
+    (String::from_utf8(bytes).unwrap(), ended.is_ok())
+}
+
+// Guards against a broken response that ends in order at a client for which only the end of the
+// connection marks the end of the body.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_that_breaks_off_is_reset_for_clients_that_speak_http_1_0() {
+    let system = System::start(PLAN).await;
+    let stream = |framing| {
+        let request = Request::new("/reply/").with("x-standin-events", &EVENTS.to_string());
+        request.with("x-standin-framing", framing)
+    };
+    for framing in ["chunked", "close"] {
+        let (text, in_order) = send_http_1_0(&system, &stream(framing)).await;
+        assert!(in_order && text.ends_with(&events(1, EVENTS)), "{framing}: {text}");
+        for end in ["close", "reset"] {
+            let cut = stream(framing).with("x-standin-cut", "in-line").with("x-standin-end", end);
+            let (text, in_order) = send_http_1_0(&system, &cut.with("x-standin-break", "3")).await;
+            assert!(!in_order, "{framing} {end}: {text}");
+            assert!(text.ends_with(&events(1, 2)), "{framing} {end}: {text}");
+        }
+    }
+}
