gateway: a queue that is dropped does not end its response

A response was complete for its client if the task that relays it was dropped: after a panic, or when the process exits before the connection has ended.

Cause: the end of the queue was the end of the response, so that a source that is gone looked like one that is done.

The relay now ends a complete response with a message of its own, and a queue that is dropped without it breaks the response off. The test failed before: the client got the last chunk. That it happened in a running process is only suspected.

--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -19,7 +19,7 @@
 pub enum Body {
     /// The complete body.
     Whole(Full<Bytes>),
-    /// A body that is received in parts. The end of the queue is the end of the response.
+    /// A body that is received in parts.
     Stream(queue::Receiver),
 }
 
--- a/gateway/src/queue.rs
+++ b/gateway/src/queue.rs
@@ -55,14 +55,24 @@
 #[error("the client's connection has ended")]
 pub struct Closed;
 
-/// Sending end of a queue.
+/// What a queue carries.
+#[derive(Debug)]
+enum Message {
+    Part(Part),
+    /// The response is complete.
+    End,
+    /// The response ends early.
+    Broken,
+}
+
+/// Sending end of a queue. The response breaks off if it is dropped before [`Sender::finish`].
 #[derive(Debug)]
 pub struct Sender {
     /// Bound of this queue, and the bytes that it may still take.
     client: (usize, Arc<Semaphore>),
     /// Bound of all queues, and the bytes that they may still take.
     clients: (usize, Arc<Semaphore>),
-    parts: mpsc::UnboundedSender<Result<Part, Broken>>,
+    parts: mpsc::UnboundedSender<Message>,
 }
 
 impl Sender {
@@ -79,9 +89,10 @@
         let held = take(&self.client).zip(take(&self.clients));
         let Some((client, clients)) = held else { return Err(bytes) };
         let held = Some(Held { _client: client, _clients: clients });
-        self.parts.send(Ok(Part { bytes, _held: held })).map_err(|error| match error.0 {
-            Ok(part) => part.bytes,
-            Err(Broken) => Bytes::new(),
+        let part = Message::Part(Part { bytes, _held: held });
+        self.parts.send(part).map_err(|error| match error.0 {
+            Message::Part(part) => part.bytes,
+            Message::End | Message::Broken => Bytes::new(),
         })
     }
 
@@ -104,13 +115,20 @@
             held = acquire => held?,
             () = self.closed() => return Err(Closed),
         };
-        self.parts.send(Ok(Part { bytes, _held: Some(held) })).map_err(|_| Closed)
+        let part = Message::Part(Part { bytes, _held: Some(held) });
+        self.parts.send(part).map_err(|_| Closed)
+    }
+
+    /// Ends the complete response.
+    pub fn finish(&self) {
+        // The client may have disconnected meanwhile.
+        self.parts.send(Message::End).unwrap_or_default();
     }
 
     /// Ends the response early, without waiting for the parts before it.
     pub fn fail(&self) {
         // The client may have disconnected meanwhile.
-        self.parts.send(Err(Broken)).unwrap_or_default();
+        self.parts.send(Message::Broken).unwrap_or_default();
     }
 
     /// Waits until the client's connection has ended.
@@ -133,19 +151,23 @@
     free.clone().acquire_many_owned(share(size, *bound)).await.map_err(|_| Closed)
 }
 
-/// Receiving end of a queue. The end of the queue is the end of the response.
+/// Receiving end of a queue.
 #[derive(Debug)]
 pub struct Receiver {
-    parts: mpsc::UnboundedReceiver<Result<Part, Broken>>,
+    parts: mpsc::UnboundedReceiver<Message>,
 }
 
 impl Receiver {
-    /// Polls for the next part of the response.
+    /// Polls for the next part of the response, or `None` at its end.
     pub fn poll_recv(
         &mut self,
         context: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<Part, Broken>>> {
-        self.parts.poll_recv(context)
+        self.parts.poll_recv(context).map(|message| match message {
+            Some(Message::Part(part)) => Some(Ok(part)),
+            Some(Message::End) => None,
+            Some(Message::Broken) | None => Some(Err(Broken)),
+        })
     }
 }
 
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -112,11 +112,7 @@
         while let Some(part) = stream.take() {
             let (server, target, status) = (part.server, part.target.clone(), part.head.status);
             match self.forward_events(part, &mut splitter).await {
-                End::Whole => {
-                    self.permit.end(balancer::End::Answered);
-                    self.gateway.clear_suspicion(&self.request, status);
-                    return self.done("answered", "whole");
-                }
+                End::Whole => return self.answered(status),
                 End::Disconnected => return self.disconnected(),
                 End::TimedOut => return self.abort("deadline"),
                 End::Broken if self.left_unread() => return self.cut_off(),
@@ -156,11 +152,7 @@
             None => self.forward_rest(stream, scanner).await,
         };
         match end {
-            End::Whole => {
-                self.permit.end(balancer::End::Answered);
-                self.gateway.clear_suspicion(&self.request, status);
-                self.done("answered", "whole");
-            }
+            End::Whole => self.answered(status),
             End::Disconnected => self.disconnected(),
             End::TimedOut => self.abort("deadline"),
             End::Broken if self.left_unread() => self.cut_off(),
@@ -319,6 +311,14 @@
         held_up || self.progress.blocked() >= limit / UNREAD_DIVISOR
     }
 
+    /// Ends the relay of a complete response with this status.
+    fn answered(mut self, status: http::StatusCode) {
+        self.permit.end(balancer::End::Answered);
+        self.gateway.clear_suspicion(&self.request, status);
+        self.done("answered", "whole");
+        self.sender.finish();
+    }
+
     /// Ends the relay of a response that the backend server cut off while it was left unread. The
     /// server is not counted as failing.
     fn cut_off(mut self) {
--- a/gateway/tests/body.rs
+++ b/gateway/tests/body.rs
@@ -9,6 +9,7 @@
 
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::server::conn::http1;
@@ -58,3 +59,14 @@
     assert!(text.contains("5\r\nfirst\r\n") && text.contains("6\r\nsecond\r\n"), "{text:?}");
     assert!(!text.contains("0\r\n\r\n"), "{text:?}");
 }
+
+/// Guards against a response that looks complete because its source ended without saying so, such
+/// as a task that panicked or was dropped when the process exits.
+#[tokio::test]
+async fn a_response_whose_source_is_dropped_is_not_complete() {
+    let response = read(vec![Ok(Bytes::from_static(b"first"))]);
+    // A client that takes the response to be complete waits for the next one.
+    let text = tokio::time::timeout(Duration::from_secs(5), response).await.unwrap();
+    assert!(text.contains("5\r\nfirst\r\n"), "{text:?}");
+    assert!(!text.contains("0\r\n\r\n"), "{text:?}");
+}
