gateway: check the server behind a response that only its connection ends

Callers got a complete response where the server's process had ended between two events: the operating system closes the connections of a process that ends, in order if all that it was sent was read.

An event that is cut shows the break, a body that ends between events or has none does not.

After such a response the gateway now connects to the server, unless it is leaving. If its port is closed, or another run is listed at its address, the response is not complete (end=server-ended). Any other failure to connect says nothing about the response.

What remains is a server that lives, has lost the source of its response, and closes the connection in order between two events.

--- a/gateway/src/answer.rs
+++ b/gateway/src/answer.rs
@@ -9,8 +9,6 @@
 use loftcove_decision::balancer;
 use loftcove_interface::protocol::Protocol;
 use loftcove_response::ending;
-use loftcove_response::event::{self, Media};
-use loftcove_response::framing::Framing;
 
 use crate::body::Body;
 
@@ -34,8 +32,8 @@
 
 /// Result of reading a response.
 pub enum Read {
-    /// The complete body.
-    Whole(Bytes),
+    /// A body that ended in order.
+    Ended(Bytes),
     /// A body that is too long to be buffered: the bytes received so far, and the remainder.
     Long(Bytes, Incoming),
 }
@@ -44,22 +42,13 @@
 ///
 /// # Errors
 ///
-/// Returns an [`ending::Error`] if the response is not complete, or not by the deadline.
-pub async fn read(
-    mut body: Incoming,
-    (framing, media): (Framing, Media),
-    due: boot::Instant,
-) -> Result<Read, ending::Error> {
+/// Returns an [`ending::Error`] if the connection breaks or the deadline passes.
+pub async fn read(mut body: Incoming, due: boot::Instant) -> Result<Read, ending::Error> {
     let mut buffer = BytesMut::new();
     loop {
         let frame = tokio::time::timeout_at(due.timer(), body.frame()).await;
         match frame.map_err(|_| ending::Error::TimedOut)? {
-            None => {
-                if media == Media::Events {
-                    ending::check(framing, media, event::position(&buffer))?;
-                }
-                return Ok(Read::Whole(buffer.freeze()));
-            }
+            None => return Ok(Read::Ended(buffer.freeze())),
             Some(Err(_)) => return Err(ending::Error::Broken),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
--- a/gateway/src/ended.rs
+++ b/gateway/src/ended.rs
@@ -16,6 +16,9 @@
 use loftcove_decision::{balancer, entity};
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::Protocol;
+use loftcove_response::ending;
+use loftcove_response::event::{Media, Position};
+use loftcove_response::framing::Framing;
 
 use crate::request::Request;
 use crate::state::{Gateway, Target};
@@ -59,6 +62,27 @@
         balancer::End::ServerEnded
     }
 
+    /// Returns why a response whose body ended in order is not complete.
+    ///
+    /// If only the end of the connection marks the end of the body, the backend server must still
+    /// run, unless it is leaving. A server that does not accept a connection for another reason
+    /// than a closed port may have completed the response.
+    pub(crate) async fn check_ending(
+        &self,
+        server: entity::Server,
+        target: &Target,
+        (framing, media): (Framing, Media),
+        position: Position,
+    ) -> Result<(), ending::Error> {
+        ending::check(framing, media, position)?;
+        if framing != Framing::Close || self.dispatcher.leaving(server) {
+            return Ok(());
+        }
+        let gone = is_replaced(&self.dispatcher, target)
+            || upstream::refuses_connections(target.address).await;
+        if gone { Err(ending::Error::ServerEnded) } else { Ok(()) }
+    }
+
     /// Finds out how an attempt ended whose request the host did not acknowledge in time. A host
     /// that accepts connections and no bytes, such as a suspended one, gets no further requests for
     /// a while. The request may have run all the same.
@@ -103,8 +127,12 @@
 
 /// Returns whether the run accepts connections and no other run is listed at its address.
 async fn lives(dispatcher: &dispatch::Dispatcher<Target>, target: &Target) -> bool {
-    let replaced = dispatcher.any_listed(|other: &Target| {
+    !is_replaced(dispatcher, target) && upstream::can_connect(target.address).await
+}
+
+/// Returns whether another run is listed at the run's address.
+fn is_replaced(dispatcher: &dispatch::Dispatcher<Target>, target: &Target) -> bool {
+    dispatcher.any_listed(|other: &Target| {
         other.address == target.address && other.run.differs(&target.run)
-    });
-    !replaced && upstream::can_connect(target.address).await
+    })
 }
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -9,7 +9,7 @@
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::{Answer, NotRun, Protocol, Verdict};
 use loftcove_response::ending;
-use loftcove_response::event::Media;
+use loftcove_response::event::{self, Media};
 use loftcove_response::framing::Framing;
 
 use crate::answer::{self, Response};
@@ -448,14 +448,25 @@
                 server,
             }));
         }
-        let read = answer::read(body, (framing, media), request.due).await;
+        let read = match answer::read(body, request.due).await {
+            Ok(answer::Read::Ended(body)) => {
+                let position = match media {
+                    Media::Events => event::position(&body),
+                    Media::Other | Media::Unknown => event::Position::Between,
+                };
+                let marks = (framing, media);
+                let ending = self.check_ending(server, &target, marks, position).await;
+                ending.map(|()| answer::Read::Ended(body))
+            }
+            read => read,
+        };
         match &read {
-            Ok(answer::Read::Whole(_)) => self.record_ending(request, &target, framing, Ok(())),
+            Ok(answer::Read::Ended(_)) => self.record_ending(request, &target, framing, Ok(())),
             Ok(answer::Read::Long(..)) => {}
             Err(error) => self.record_ending(request, &target, framing, Err(*error)),
         }
         match read {
-            Ok(answer::Read::Whole(body)) => {
+            Ok(answer::Read::Ended(body)) => {
                 reply.connection.complete();
                 if !answer.close && framing != Framing::Close {
                     self.upstream.put(&target, reply.connection, answer.keep_alive);
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -181,8 +181,14 @@
             let data = match frame {
                 Err(_) => return End::TimedOut,
                 Ok(None) => {
-                    let position = scanner.position();
-                    let ending = ending::check(stream.framing, stream.media, position);
+                    let marks = (stream.framing, stream.media);
+                    let ending = self.gateway.check_ending(
+                        stream.server,
+                        &stream.target,
+                        marks,
+                        scanner.position(),
+                    );
+                    let ending = ending.await;
                     self.record_ending(&stream.target, stream.framing, ending);
                     if ending.is_err() {
                         return End::Broken;
@@ -208,7 +214,7 @@
 
     /// Relays one backend server's part of the event stream.
     async fn forward_events(&mut self, stream: Stream, splitter: &mut Splitter) -> End {
-        let Stream { framing, media, mut body, answer, connection, target, .. } = stream;
+        let Stream { framing, media, mut body, answer, connection, target, server, .. } = stream;
         // The time until the first event does not count as a pause.
         let mut last: Option<boot::Instant> = None;
         let gateway = self.gateway.clone();
@@ -245,7 +251,8 @@
                 }
             }
         }
-        let ending = ending::check(framing, media, splitter.position());
+        let position = splitter.position();
+        let ending = gateway.check_ending(server, &target, (framing, media), position).await;
         self.record_ending(&target, framing, ending);
         if ending.is_err() {
             return End::Broken;
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -292,6 +292,14 @@
     matches!(connected, Ok(Ok(_)))
 }
 
+/// Returns whether the host of the backend server at an address refuses connections, because no
+/// process listens there.
+pub async fn refuses_connections(address: SocketAddr) -> bool {
+    let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let refused = |error: &std::io::Error| error.kind() == std::io::ErrorKind::ConnectionRefused;
+    connected.is_ok_and(|connected| connected.as_ref().is_err_and(refused))
+}
+
 async fn connect(address: SocketAddr) -> Result<Link, Error> {
     let to_error = |error: &dyn std::error::Error| Error::NotSent(error.to_string());
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
--- a/response/src/ending.rs
+++ b/response/src/ending.rs
@@ -13,6 +13,8 @@
 //!
 //! If the connection alone ends the body and was closed in order, a body that was cut right after
 //! an event is not distinguishable from a complete one, nor is any cut body that is no event stream.
+//! The operating system also closes the connections of a process that ends, so the caller of
+//! [`check`] has to find out whether the server's process is gone.
 
 use crate::event::{Media, Position};
 use crate::framing::Framing;
@@ -32,6 +34,9 @@
     /// The event stream ended with its connection before the first event.
     #[error("no-event")]
     NoEvent,
+    /// The server's process ended as it closed the connection, which was all that marked the end.
+    #[error("server-ended")]
+    ServerEnded,
 }
 
 /// Checks a body that ended in order, with its last byte at `position` if it is read as an event
--- a/tests/tests/endings.rs
+++ b/tests/tests/endings.rs
@@ -208,6 +208,30 @@
     }
 }
 
+// Guards against a response that ends at its client as complete after the server's process ended:
+// the operating system closes the connections of a process in order.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_without_framing_whose_server_ends_after_an_event_never_looks_complete() {
+    let system = System::start(PLAN).await;
+    let cut = |path: &str| {
+        Request::new(path)
+            .with("x-standin-events", &EVENTS.to_string())
+            .with("x-standin-framing", "close")
+            .with("x-standin-cut", "after")
+            .with("x-standin-break", &CUT_EVENT.to_string())
+            .with("x-standin-end", "silence")
+            .with("x-standin-end-ms", "300")
+    };
+    let once = system.request(0, &cut("/receipt/")).await;
+    assert_eq!((once.status, &*once.body), (502, ""));
+    let long = cut("/receipt/").with("x-standin-event-bytes", &(2 * LONG_EVENT).to_string());
+    let long = system.request(0, &long).await;
+    assert_eq!((long.status, long.complete), (200, false));
+    let stream = system.request(0, &cut("/reply/")).await;
+    assert_eq!((stream.status, stream.complete), (200, false));
+    assert_eq!(stream.body, events(1, CUT_EVENT));
+}
+
 /// Sends a request as HTTP/1.0. Returns the response's bytes, and whether the connection closed in
 /// order.
 async fn send_http_1_0(system: &System, request: &Request) -> (String, bool) {
