daemon: a stream that ends inside an event is not complete

Callers of an entry host got a part of an event, glued to the final comment or to the error event that follows, and loftcove-outcome: answered, of a stream that ended inside an event.

The agent passed the parts of a body on and took its orderly end for the end of the response; the entry host relayed parts without regard to events, so that its own error event continued the one that was cut.

The agent now checks the end as the gateway does, also whether the server's process is gone after a response without framing, and reports a break. The entry host relays complete events alone, and breaks a stream off whose end mark comes inside an event, as agents of an earlier version send it. Its error event is left out where it would continue a long event that was passed on in pieces.

The new part of the test in tests/tests/refusals.rs failed before.

--- a/daemon/src/agent/run.rs
+++ b/daemon/src/agent/run.rs
@@ -7,6 +7,9 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use loftcove_decision::{attempt, clock};
+use loftcove_response::ending;
+use loftcove_response::event::{Media, Scanner};
+use loftcove_response::framing::Framing;
 use loftcove_wire as wire;
 use tokio::sync::mpsc;
 
@@ -137,8 +140,9 @@
             self.send_refusal(wire::Refusal::Backend).await;
             return;
         };
+        let method = request.method().clone();
         match self.agent.server.send(request).await {
-            Ok(response) => self.relay_response(response).await,
+            Ok(response) => self.relay_response(method, response).await,
             Err(server::Error::Connect) => {
                 lock(&self.agent).withdraw(self.guard.id);
                 self.send_refusal(wire::Refusal::Unreachable).await;
@@ -165,7 +169,7 @@
         Some(request)
     }
 
-    async fn relay_response(&self, response: http::Response<Incoming>) {
+    async fn relay_response(&self, method: http::Method, response: http::Response<Incoming>) {
         if !self.matches_request(&response) {
             self.send_broken("the backend server answered another request", None).await;
             return;
@@ -180,10 +184,15 @@
             headers: kept.map(header).collect(),
         };
         self.send(wire::frame::Kind::Head(head)).await;
-        let mut body = response.into_body();
+        let (head, mut body) = response.into_parts();
+        let framing = Framing::of(&method, &head);
+        let mut events = (Media::of(&head.headers) == Media::Events).then(Scanner::default);
         while let Some(frame) = body.frame().await {
             match frame.map(hyper::body::Frame::into_data) {
                 Ok(Ok(data)) if !data.is_empty() => {
+                    if let Some(events) = &mut events {
+                        events.push(&data);
+                    }
                     self.send(wire::frame::Kind::Data(data)).await;
                 }
                 Ok(_) => {}
@@ -194,10 +203,37 @@
                 }
             }
         }
+        if let Err((error, server_end)) = self.check_ending(framing, events).await {
+            self.send_broken(&error.to_string(), server_end).await;
+            return;
+        }
         let end = wire::End { report: Some(self.agent.load.report()) };
         self.send(wire::frame::Kind::End(end)).await;
     }
 
+    /// Returns why a response whose body ended in order is not complete, and the end of the backend
+    /// server if it has ended. `events` is given for an event stream.
+    async fn check_ending(
+        &self,
+        framing: Framing,
+        events: Option<Scanner>,
+    ) -> Result<(), (ending::Error, Option<u64>)> {
+        let ended = match events {
+            Some(events) => ending::check(framing, Media::Events, events.position()),
+            None => Ok(()),
+        };
+        if ended.is_ok() && framing != Framing::Close {
+            return Ok(());
+        }
+        // The connections of a process that ends are closed in order.
+        let server_end = self.agent.server.detect_end().await;
+        match (ended, server_end) {
+            (Err(error), _) => Err((error, server_end)),
+            (Ok(()), Some(_)) => Err((ending::Error::ServerEnded, server_end)),
+            (Ok(()), None) => Ok(()),
+        }
+    }
+
     /// Returns whether the response belongs to this request. A backend server need not echo the
     /// request's id, but must not echo another one.
     fn matches_request(&self, response: &http::Response<Incoming>) -> bool {
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -4,7 +4,7 @@
 //! outcome. A longer answer or an event stream is relayed as it arrives. Its outcome is stated in a
 //! trailer, and for server-sent events also in a final comment. If the end mark is missing, the
 //! response does not look complete: a streamed body ends with an error, and a buffered answer is
-//! replaced by an error response.
+//! replaced by an error response. Of an event stream, only complete events are relayed.
 
 use std::collections::VecDeque;
 use std::pin::Pin;
@@ -16,6 +16,7 @@
 use http_body_util::Full;
 use loftcove_clock as boot;
 use loftcove_decision::{balancer, entity};
+use loftcove_response::event::{Media, Position, Splitter};
 use loftcove_wire as wire;
 use tokio_stream::Stream as _;
 
@@ -26,8 +27,6 @@
 /// Maximum size of an answer that is buffered until it is complete, in bytes. A longer one is
 /// relayed as it arrives.
 const MAX_BUFFERED: usize = 64 * 1024;
-/// Media type of server-sent events.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// What to release and record when an answer ends. If it is dropped earlier, the client has
 /// disconnected.
@@ -144,10 +143,9 @@
     if let Ok(id) = http::HeaderValue::from_str(&completion.request) {
         headers.insert(call::REQUEST_ID_HEADER, id);
     }
-    let content_type = headers.get(http::header::CONTENT_TYPE);
-    let event_stream = content_type.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM));
+    let events = (Media::of(headers) == Media::Events).then(Splitter::default);
     let mut buffered = VecDeque::new();
-    if !event_stream {
+    if events.is_none() {
         match buffer(&mut answer, &completion, &mut buffered, due).await {
             Buffered::Whole => {
                 completion.record_answer();
@@ -166,7 +164,7 @@
     response.headers_mut().insert(http::header::TRAILER, trailer);
     let sleep = Box::pin(tokio::time::sleep_until(due.timer()));
     let stream =
-        Stream { answer, completion, event_stream, buffered, deadline: sleep, state: State::Open };
+        Stream { answer, completion, events, buffered, deadline: sleep, state: State::Open };
     response.map(|()| Body { inner: Inner::Stream(Box::new(stream)) })
 }
 
@@ -229,7 +227,8 @@
 struct Stream {
     answer: dispatch::Answer,
     completion: Completion,
-    event_stream: bool,
+    /// Finds the complete events, if the answer is an event stream.
+    events: Option<Splitter>,
     buffered: VecDeque<Bytes>,
     deadline: Pin<Box<tokio::time::Sleep>>,
     state: State,
@@ -274,14 +273,29 @@
                 Poll::Ready(frame) => frame.transpose(),
             };
             match read_part(&self.completion, &self.answer.id, frame) {
-                Some(Part::Data(data)) => return Poll::Ready(Some(Ok(Frame::data(data)))),
-                Some(Part::End) => {
-                    self.completion.record_answer();
-                    self.state = State::Trailers;
-                    if self.event_stream {
-                        return Poll::Ready(Some(Ok(Frame::data(outcome_comment()))));
+                Some(Part::Data(data)) => {
+                    let data = match &mut self.events {
+                        Some(events) => events.push(&data),
+                        None => Some(data),
+                    };
+                    if let Some(data) = data {
+                        return Poll::Ready(Some(Ok(Frame::data(data))));
                     }
                 }
+                Some(Part::End) => match &self.events {
+                    // An agent of an earlier version does not check this.
+                    Some(events) if events.position() == Position::Inside => {
+                        return Poll::Ready(self.break_off("inside-event"));
+                    }
+                    events => {
+                        let comment = events.as_ref().map(|_| outcome_comment());
+                        self.completion.record_answer();
+                        self.state = State::Trailers;
+                        if let Some(comment) = comment {
+                            return Poll::Ready(Some(Ok(Frame::data(comment))));
+                        }
+                    }
+                },
                 Some(Part::Broken(reason)) => return Poll::Ready(self.break_off(reason)),
                 None => {}
             }
@@ -289,10 +303,10 @@
     }
 
     /// Ends the body with an error. In an event stream an error event precedes it, so that the
-    /// reader knows that the answer is not complete.
+    /// reader knows that the answer is not complete, unless it would continue another event.
     fn break_off(&mut self, reason: &'static str) -> Option<Result<Frame<Bytes>, Error>> {
         self.completion.record_break(reason);
-        if !self.event_stream {
+        if !self.events.as_ref().is_some_and(Splitter::is_between) {
             self.state = State::Done;
             return Some(Err(Error::Broken));
         }
--- a/response/src/event.rs
+++ b/response/src/event.rs
@@ -154,6 +154,8 @@
     /// The event that has not ended yet.
     event: Event,
     last_id: Option<Arc<str>>,
+    /// Whether the output ends inside an event.
+    piece: bool,
     /// Whether the output ends with something after which no stream can be resumed: an event
     /// without an id, or a piece of one.
     unmarked: bool,
@@ -173,6 +175,7 @@
             line_start: Some(0),
             event: Event::default(),
             last_id: None,
+            piece: false,
             unmarked: false,
         }
     }
@@ -200,7 +203,7 @@
         }
         if self.buffer.len() - end > MAX_EVENT_BYTES {
             end = self.buffer.len();
-            self.unmarked = true;
+            (self.piece, self.unmarked) = (true, true);
         }
         self.line_start = self.line_start.and_then(|start| start.checked_sub(end));
         (end > 0).then(|| self.buffer.split_to(end).freeze())
@@ -220,6 +223,7 @@
     }
 
     fn end_event(&mut self) {
+        self.piece = false;
         let event = std::mem::take(&mut self.event);
         match event.id {
             Some(id) => (self.last_id, self.unmarked) = (Some(id), false),
@@ -232,6 +236,11 @@
         self.scanner.position()
     }
 
+    /// Returns whether the output ends between events.
+    pub fn is_between(&self) -> bool {
+        !self.piece
+    }
+
     /// Returns whether another backend server can resume the stream exactly after the output, or
     /// repeat it if there was none.
     pub fn can_resume(&self) -> bool {
--- a/response/tests/event.rs
+++ b/response/tests/event.rs
@@ -78,7 +78,9 @@
     let mut splitter = Splitter::default();
     push(&mut splitter, "id: 1\ndata: a\n\n");
     let long = format!("id: 2\ndata: {}", "x".repeat(MAX_EVENT_BYTES));
+    assert!(splitter.is_between());
     assert_eq!(push(&mut splitter, &long).len(), long.len());
+    assert!(!splitter.is_between());
     // The rest of a line is no line of its own.
     push(&mut splitter, "id: 7\n");
     splitter.discard();
@@ -91,7 +93,7 @@
     let mut splitter = Splitter::default();
     push(&mut splitter, &format!("id: 2\ndata: {}", "x".repeat(MAX_EVENT_BYTES)));
     assert_eq!(push(&mut splitter, "id: 7\n\n"), "id: 7\n\n");
-    assert!(splitter.can_resume());
+    assert!(splitter.can_resume() && splitter.is_between());
     assert_eq!(splitter.last_id().map(|id| &**id), Some("2"));
 }
 
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -5,6 +5,10 @@
 //! rejects the step, and rank 0 retries. Each rank records the epoch of each step that it ran
 //! (`GET /standin/steps`), which lets a test compare the ranks. A running request emits one token
 //! per step. `/standin/drift` shifts the popularity to other experts.
+//!
+//! Headers of a request control its stream: `x-standin-break-after: N` aborts it after N tokens,
+//! `x-standin-cut-after: N` ends its body in order inside the event after N tokens, and
+//! `x-standin-framing: close` sends it without chunks.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -277,6 +281,7 @@
         let id = service::header(headers, "x-request-id").to_owned();
         let key = service::header(headers, "idempotency-key").to_owned();
         let break_after = service::header(headers, "x-standin-break-after").parse::<u64>().ok();
+        let cut_after = service::header(headers, "x-standin-cut-after").parse::<u64>().ok();
         {
             let mut state = self.lock();
             state.running += 1;
@@ -285,12 +290,16 @@
         let running = Running { engine: self.clone(), finished: false };
         let tokens = prompt.max_tokens.unwrap_or(16);
         let mut response = match prompt.stream {
-            true => self.complete_stream(running, id.clone(), tokens, break_after),
+            true => self.complete_stream(running, id.clone(), tokens, (break_after, cut_after)),
             false => self.complete_whole(running, &id, tokens).await,
         };
         if let Ok(id) = id.parse() {
             response.headers_mut().insert("x-request-id", id);
         }
+        if service::header(headers, "x-standin-framing") == "close" {
+            // HTTP/1.0 has no chunks.
+            *response.version_mut() = http::Version::HTTP_10;
+        }
         response
     }
 
@@ -324,7 +333,7 @@
         running: Running,
         id: String,
         tokens: u64,
-        break_after: Option<u64>,
+        (break_after, cut_after): (Option<u64>, Option<u64>),
     ) -> http::Response<server::Body> {
         let (sender, body) = server::channel();
         let engine = self.clone();
@@ -344,6 +353,12 @@
                 let choice = serde_json::json!({ "index": 0, "delta": delta });
                 let chunk = serde_json::json!({ "id": id, "choices": [choice] });
                 let event = format!("data: {chunk}\n\n");
+                if cut_after == Some(number) {
+                    // The body ends in order after a part of an event.
+                    let half = event[..event.len() / 2].to_owned();
+                    sender.send(Ok(half.into())).await.ok();
+                    return;
+                }
                 if sender.send(Ok(event.into())).await.is_err() {
                     return;
                 }
--- a/tests/tests/refusals.rs
+++ b/tests/tests/refusals.rs
@@ -85,6 +85,19 @@
     let broken = caller.request("POST", CHAT, &[("x-standin-break-after", "5")], &prompt).await;
     assert!(!broken.complete, "{broken:?}");
     assert!(broken.body.contains("event: error") && !broken.body.contains("[DONE]"), "{broken:?}");
+    // Guards against a part of an event that reaches the caller as an event, and against a stream
+    // that ended inside an event and is reported as answered.
+    for framing in ["chunked", "close"] {
+        let headers = [("x-standin-cut-after", "5"), ("x-standin-framing", framing)];
+        let cut = caller.request("POST", CHAT, &headers, &prompt).await;
+        assert!(!cut.complete && cut.outcome() != "answered", "{framing} {cut:?}");
+        assert_eq!(cut.tokens(), 5, "{framing} {cut:?}");
+        let events: Vec<&str> = cut.body.split_terminator("\n\n").collect();
+        assert!(events[5].starts_with("event: error\n"), "{framing} {cut:?}");
+        assert_eq!(events.len(), 6, "{framing} {cut:?}");
+        let whole = caller.request("POST", CHAT, &headers[1..], &prompt).await;
+        assert!(whole.complete && whole.outcome() == "answered", "{framing} {whole:?}");
+    }
     let endless = caller::prompt(cluster::MODEL, true, 1_000_000);
     let mut response = caller.open("POST", CHAT, &[], &endless).await.unwrap();
     assert!(response.body_mut().frame().await.is_some());
