daemon: reset broken answers of callers that speak HTTP/1.0

The same as at the gateway: a caller of an entry host that speaks HTTP/1.0 got an orderly close after an answer that had broken off. The decision is shared with the gateway (body::flushed). The test failed before.

--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -8,17 +8,20 @@
 use loftcove_clock as boot;
 use loftcove_decision::routing::{notice, rate};
 use loftcove_decision::{balancer, entity, poison};
-use loftcove_gateway::body;
+use loftcove_gateway::{body, client};
 
 use crate::entry::refusal::{Outcome, Refusal};
 use crate::entry::{Entry, call, claim, dispatch, dispatcher, relay};
 use crate::{admin, force, life};
 
-/// Answers one request. If it cannot be served, the client gets a final response immediately.
+/// Answers one request that arrived over `connection`. If it cannot be served, the client gets a
+/// final response immediately.
 pub async fn handle(
     entry: Arc<Entry>,
+    connection: Arc<client::Progress>,
     request: http::Request<Incoming>,
 ) -> Result<http::Response<body::Flushed<relay::Body>>, Infallible> {
+    let (version, method) = (request.version(), request.method().clone());
     let path = request.uri().path();
     if admin::is_path(path) {
         let answer = admin::answer(&entry.process, path).map(relay::Body::whole);
@@ -37,7 +40,7 @@
             refusal.response(&id.to_string()).map(relay::Body::whole)
         }
     };
-    Ok(answer.map(body::Flushed::new))
+    Ok(body::flushed(answer, (version, &method), &connection))
 }
 
 /// Validates the request, claims its key, and makes attempts until it is answered or rejected.
--- a/daemon/src/entry/server.rs
+++ b/daemon/src/entry/server.rs
@@ -6,6 +6,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use loftcove_decision::lifecycle;
+use loftcove_gateway::client;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::entry::{Entry, flow};
@@ -38,7 +39,11 @@
     // Tokens are small, and Nagle's algorithm would delay them.
     stream.set_nodelay(true).unwrap_or_default();
     let mut phase = entry.process.lifecycle.subscribe();
-    let service = hyper::service::service_fn(move |request| flow::handle(entry.clone(), request));
+    let progress = Arc::<client::Progress>::default();
+    let stream = client::Socket::without_limit(stream, progress.clone());
+    let service = hyper::service::service_fn(move |request| {
+        flow::handle(entry.clone(), progress.clone(), request)
+    });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body::Frame;
 use http_body_util::Full;
+use loftcove_response::framing::Framing;
 
 use crate::{client, queue};
 
@@ -45,15 +46,34 @@
         Flushed { body, error: None, connection: None }
     }
 
-    /// Resets the connection unless the body ends. A client would take an orderly close for the end
-    /// of a body that has neither a length nor chunks.
-    pub fn reset_unless_ended(mut self, connection: Arc<client::Progress>) -> Flushed<B> {
+    /// Resets the connection unless the body ends.
+    fn reset_unless_ended(mut self, connection: Arc<client::Progress>) -> Flushed<B> {
         connection.set_unmarked(true);
         self.connection = Some(connection);
         self
     }
 }
 
+/// Returns a response whose body is [`Flushed`], for the client of `connection` whose request had
+/// this version and method.
+///
+/// The connection is reset unless the body ends, if only its close marks the end of the body. A
+/// client would take an orderly close for that end.
+pub fn flushed<B: http_body::Body>(
+    response: http::Response<B>,
+    (version, method): (http::Version, &http::Method),
+    connection: &Arc<client::Progress>,
+) -> http::Response<Flushed<B>> {
+    let (head, body) = response.into_parts();
+    // HTTP/1.0 has no chunks.
+    let unmarked = version < http::Version::HTTP_11
+        && body.size_hint().exact().is_none()
+        && Framing::of(method, &head) == Framing::Close;
+    let body = Flushed::new(body);
+    let body = if unmarked { body.reset_unless_ended(connection.clone()) } else { body };
+    http::Response::from_parts(head, body)
+}
+
 impl<B> http_body::Body for Flushed<B>
 where
     B: http_body::Body + Unpin,
@@ -77,13 +97,17 @@
                 context.waker().wake_by_ref();
                 Poll::Pending
             }
-            None => {
-                if let Some(connection) = &this.connection {
+            frame => {
+                let ended = match &frame {
+                    Some(Ok(frame)) => frame.is_trailers(),
+                    Some(Err(_)) => false,
+                    None => true,
+                };
+                if let Some(connection) = this.connection.as_ref().filter(|_| ended) {
                     connection.set_unmarked(false);
                 }
-                Poll::Ready(None)
+                Poll::Ready(frame)
             }
-            frame => Poll::Ready(frame),
         }
     }
 
--- a/gateway/src/client.rs
+++ b/gateway/src/client.rs
@@ -66,7 +66,7 @@
 /// A client's socket.
 pub struct Socket {
     stream: TcpStream,
-    limit: Duration,
+    limit: Option<Duration>,
     progress: Arc<Progress>,
     /// Timer that runs while the operating system accepts no bytes.
     timer: Option<Pin<Box<tokio::time::Sleep>>>,
@@ -75,10 +75,17 @@
 impl Socket {
     /// Wraps a connected stream. A client that takes nothing for `limit` is disconnected.
     pub fn new(stream: TcpStream, limit: Duration, progress: Arc<Progress>) -> Socket {
+        let mut socket = Socket::without_limit(stream, progress);
+        socket.limit = Some(limit);
+        socket
+    }
+
+    /// Wraps a connected stream. A client that takes nothing stays connected.
+    pub fn without_limit(stream: TcpStream, progress: Arc<Progress>) -> Socket {
         if let Err(error) = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT) {
             log::debug!("unsent bytes of client's connection not bounded error=\"{error}\"");
         }
-        Socket { stream, limit, progress, timer: None }
+        Socket { stream, limit: None, progress, timer: None }
     }
 
     /// Observes the result of a write, and fails it if the client has stalled.
@@ -93,7 +100,8 @@
             }
             return written;
         }
-        let (limit, progress) = (self.limit, &self.progress);
+        let Some(limit) = self.limit else { return Poll::Pending };
+        let progress = &self.progress;
         let timer = self.timer.get_or_insert_with(|| {
             *progress.lock() = Some(boot::Instant::now());
             Box::pin(tokio::time::sleep(limit))
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -27,9 +27,7 @@
     let received = boot::Instant::now();
     exchange.begin();
     let (head, body) = request.into_parts();
-    // HTTP/1.0 has no chunks.
-    let chunks = head.version >= http::Version::HTTP_11;
-    let method = head.method.clone();
+    let (version, method) = (head.version, head.method.clone());
     let (admission, in_flight) = drain::Lifecycle::admit(&gateway);
     let accepted = match admission {
         drain::Admission::Rejected => {
@@ -54,12 +52,7 @@
         response.headers_mut().insert(http::header::CONNECTION, close);
     }
     exchange.answer();
-    let (head, body) = response.into_parts();
-    let by_close = !chunks && Framing::of(&method, &head) == Framing::Close;
-    let unmarked = by_close && matches!(body, Body::Stream(_));
-    let body = body::Flushed::new(body);
-    let body = if unmarked { body.reset_unless_ended(exchange.progress.clone()) } else { body };
-    Ok(http::Response::from_parts(head, body))
+    Ok(body::flushed(response, (version, &method), &exchange.progress))
 }
 
 /// A request that is rejected without an attempt.
--- a/tests/tests/refusals.rs
+++ b/tests/tests/refusals.rs
@@ -4,6 +4,7 @@
 
 use http_body_util::BodyExt as _;
 use loftcove_tests::{caller, cluster, until};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 const CHAT: &str = "/v1/chat/completions";
 
@@ -98,6 +99,22 @@
         let whole = caller.request("POST", CHAT, &headers[1..], &prompt).await;
         assert!(whole.complete && whole.outcome() == "answered", "{framing} {whole:?}");
     }
+    // Guards against a broken answer that ends in order at a caller that speaks HTTP/1.0.
+    for (header, broken) in [("x-standin-cut-after: 5", true), ("x-none: 1", false)] {
+        let text = format!(
+            "POST {CHAT} HTTP/1.0\r\nauthorization: Bearer {}\r\n{header}\r\n\
+             content-length: {}\r\n\r\n{prompt}",
+            cluster::TOKEN,
+            prompt.len()
+        );
+        let address = cluster.members[&host].http_address.unwrap();
+        let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut bytes = Vec::new();
+        let ended = stream.read_to_end(&mut bytes).await;
+        let text = String::from_utf8_lossy(&bytes);
+        assert!(text.contains("\"t4 \"") && ended.is_err() == broken, "{header} {text}");
+    }
     let endless = caller::prompt(cluster::MODEL, true, 1_000_000);
     let mut response = caller.open("POST", CHAT, &[], &endless).await.unwrap();
     assert!(response.body_mut().frame().await.is_some());
