standins: the proxy passes resets on

The fault proxy closed a connection in order whose other side had been reset, so that a response without a length or chunks looked complete behind it.

--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -260,11 +260,13 @@
             () = cut.wait_for(|fault| matches!(fault, Fault::Cut | Fault::Reset)) => {
                 cut.current_fault()
             }
-            () = pump(client_read, server_write, Direction::Request, link.clone()) => Fault::None,
-            () = pump(server_read, client_write, Direction::Response, link) => Fault::None,
+            ended = pump(client_read, server_write, Direction::Request, link.clone()) => {
+                fault_of(&ended)
+            }
+            ended = pump(server_read, client_write, Direction::Response, link) => fault_of(&ended),
         }
     };
-    if ended == Fault::None {
+    if !matches!(cut.current_fault(), Fault::Cut | Fault::Reset) {
         port.close_if_target_ended(&target).await;
     }
     if ended == Fault::Reset {
@@ -273,23 +275,31 @@
     }
 }
 
+/// Returns the fault that passes the end of one side on to the other.
+fn fault_of(ended: &std::io::Result<()>) -> Fault {
+    if ended.is_ok() { Fault::None } else { Fault::Reset }
+}
+
+/// Forwards bytes until the connection ends. Returns an error if it ended by a reset.
 async fn pump(
     mut from: tcp::ReadHalf<'_>,
     mut to: tcp::WriteHalf<'_>,
     direction: Direction,
     mut link: Link,
-) {
+) -> std::io::Result<()> {
     let mut buffer = vec![0; 64 * 1024];
     // Nothing is forwarded behind bytes that were dropped.
     let mut lost = false;
     loop {
-        let Ok(count @ 1..) = from.read(&mut buffer).await else {
+        let read = from.read(&mut buffer).await;
+        if !matches!(read, Ok(1..)) && link.silenced() {
             // The end of a silenced connection is not forwarded either.
-            if link.silenced() {
-                std::future::pending().await
-            }
-            return;
-        };
+            std::future::pending::<()>().await;
+        }
+        let count = read?;
+        if count == 0 {
+            return Ok(());
+        }
         link.wait_for(|fault| fault != Fault::Freeze).await;
         lost |= link.silenced();
         match link.current_fault() {
@@ -297,8 +307,8 @@
             Fault::Delay(time) => tokio::time::sleep(time).await,
             _ => {}
         }
-        if !lost && to.write_all(&buffer[..count]).await.is_err() {
-            return;
+        if !lost {
+            to.write_all(&buffer[..count]).await?;
         }
     }
 }
