soak: responses that end in any way, with any framing

Ends that nothing distinguishes from a complete response are not drawn, and a response without framing may look complete after an event if the proxy cut the way to its server meanwhile.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -160,7 +160,7 @@
         let mut breaches: Vec<Breach> = Vec::new();
         for record in &self.records {
             let arrivals = self.arrivals.get(&record.id).map_or(&[][..], Vec::as_slice);
-            breaches.extend(wrong_answer(record));
+            breaches.extend(wrong_answer(record, self.was_cut(record, arrivals)));
             breaches.extend(too_many_attempts(record, arrivals.len()));
             breaches.extend(ran_but_rejected(record, arrivals.len()));
             breaches.extend(arrivals.iter().find_map(|arrival| changed(record, arrival)));
@@ -188,6 +188,16 @@
         unrested.into_iter().chain(undrained).map(Breach::NoticeIgnored).chain(overruns).collect()
     }
 
+    /// Returns whether a link fault may have closed the connection of a response that only the end
+    /// of the connection marks. If it closed between two events, nothing shows that the response
+    /// is not complete.
+    fn was_cut(&self, record: &Record, arrivals: &[Arrival]) -> bool {
+        let reached = |name: &str| arrivals.iter().any(|arrival| arrival.0["server"] == name);
+        let (from, to) = record.time;
+        let mut harms = self.harms.iter().filter(|(name, _)| reached(name));
+        record.unframed && harms.any(|(_, time)| time.0 <= to && time.1 >= from)
+    }
+
     /// Returns whether a gateway had a fault other than a planned stop around a time.
     fn had_fault(&self, gateway: u8, (from, to): (Instant, Instant)) -> bool {
         self.spans.iter().any(|span| {
@@ -261,8 +271,9 @@
     }
 }
 
-/// Returns a breach if the answer belongs to another request or is incomplete.
-fn wrong_answer(record: &Record) -> Option<Breach> {
+/// Returns a breach if the answer belongs to another request or is incomplete. With `was_cut`, it may
+/// look complete after any event.
+fn wrong_answer(record: &Record, was_cut: bool) -> Option<Breach> {
     let End::Answer { head, body, whole } = &record.end else { return None };
     let breach = |reason: String| Some(Breach::WrongAnswer(record.id.clone(), reason));
     if head.request.as_ref().is_some_and(|id| *id != record.id) {
@@ -279,11 +290,13 @@
         return breach(format!("signed {signature}"));
     };
     match record.kind {
-        Kind::Receipt | Kind::Alert if *whole && *body != format!("answer of {server}") => {
+        Kind::Receipt | Kind::Alert
+            if *whole && !was_cut && *body != format!("answer of {server}") =>
+        {
             breach(format!("body {body}"))
         }
         Kind::Draft(events) if head.status == 200 => {
-            stream_fault(events, body, *whole).and_then(breach)
+            stream_fault(events, body, *whole && !was_cut).and_then(breach)
         }
         _ => None,
     }
@@ -295,7 +308,9 @@
     if whole && body != all {
         return Some(format!("{} of {} bytes, and complete", body.len(), all.len()));
     }
-    (!all.starts_with(body)).then(|| "events are not in order".to_owned())
+    let inside = !body.is_empty() && !body.ends_with("\n\n");
+    let fault = if inside { "a part of an event" } else { "events are not in order" };
+    (inside || !all.starts_with(body)).then(|| fault.to_owned())
 }
 
 /// Returns a breach if the request reached too many backend servers.
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -1,7 +1,7 @@
 //! Clients that send requests over persistent connections and record the results.
 
 use std::fmt;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -114,6 +114,8 @@
     pub key: u64,
     /// Times at which it was sent and at which it ended.
     pub time: (Instant, Instant),
+    /// Whether only the end of the connection marked the end of its backend server's response.
+    pub unframed: bool,
     /// How it ended.
     pub end: End,
 }
@@ -139,6 +141,8 @@
 pub struct Shared {
     /// Number of the newest configuration.
     pub newest: AtomicU64,
+    /// Number of faults under which servers end responses early.
+    pub endings: AtomicU32,
     /// Whether the clients stop.
     pub stop: AtomicBool,
     /// Requests that have ended.
@@ -159,6 +163,8 @@
     number: u32,
 ) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (u64::from(number) << 32));
+    // Endings are drawn from a separate generator, so that older seeds still draw the same requests.
+    let mut endings = ChaCha8Rng::seed_from_u64(!seed ^ (u64::from(number) << 32));
     let immediate = policy == Policy::Immediate || number.is_multiple_of(IMMEDIATE_INTERVAL);
     let mut reusable: Option<(u8, Client)> = None;
     while !shared.stop.load(Ordering::Relaxed) {
@@ -169,7 +175,8 @@
                 (gateway as u8, Client::connect(gateways[gateway]).await)
             }
         };
-        let (record, client) = send_one(&shared, &mut rng, gateway, client).await;
+        let generators = (&mut rng, &mut endings);
+        let (record, client) = send_one(&shared, generators, gateway, client).await;
         let ended = !matches!(record.end, End::Answer { whole: true, .. });
         reusable = client.filter(|_| !ended).map(|client| (gateway, client));
         if record.end == End::NoConnection {
@@ -185,7 +192,7 @@
 /// Sends one request. Returns its record and the connection.
 async fn send_one(
     shared: &Shared,
-    rng: &mut ChaCha8Rng,
+    (rng, endings): (&mut ChaCha8Rng, &mut ChaCha8Rng),
     gateway: u8,
     client: Option<Client>,
 ) -> (Record, Option<Client>) {
@@ -194,6 +201,10 @@
     let back = if rng.random_ratio(1, 10) { rng.random_range(0..3) } else { 0 };
     let number = newest.saturating_sub(back).max(1);
     let (kind, request) = draw(rng);
+    let (request, unframed) = match shared.endings.load(Ordering::Relaxed) {
+        0 => (request, false),
+        _ => draw_ending(endings, kind, request),
+    };
     let request = request.key(&key(number));
     let sent = Instant::now();
     let (end, client) = match client {
@@ -204,7 +215,7 @@
         }
     };
     let time = (sent, Instant::now());
-    (Record { id: request.id, kind, gateway, key: number, time, end }, client)
+    (Record { id: request.id, kind, gateway, key: number, time, unframed, end }, client)
 }
 
 /// Sends a request and reads its answer.
@@ -263,3 +274,36 @@
     };
     (kind, request)
 }
+
+/// Draws the framing of a response, and an early end for some. Returns whether the response has
+/// neither a length nor chunks.
+///
+/// No end is drawn that is not distinguishable from that of a complete response.
+fn draw_ending(rng: &mut ChaCha8Rng, kind: Kind, request: Request) -> (Request, bool) {
+    const PLACES: [&str; 6] =
+        ["before-head", "in-head", "before", "in-line", "after-line", "after"];
+    const ENDS: [&str; 8] =
+        ["mark", "mark", "close", "close", "close", "reset", "reset", "silence"];
+    let framing = ["length", "chunked", "close", "http-1.0"][rng.random_range(0..4)];
+    let unframed = matches!(framing, "close" | "http-1.0");
+    let request = request.with("x-standin-framing", framing);
+    let place = PLACES[rng.random_range(0..PLACES.len())];
+    let end = ENDS[rng.random_range(0..ENDS.len())];
+    let events = if let Kind::Draft(events) = kind { events } else { 1 };
+    let number = rng.random_range(1..=events);
+    if rng.random_bool(0.5) {
+        return (request, unframed);
+    }
+    let inside = matches!(kind, Kind::Draft(_)) && matches!(place, "in-line" | "after-line");
+    let headless = matches!(place, "before-head" | "in-head");
+    let end = match end {
+        "mark" | "close" if unframed && !inside && !headless => "reset",
+        "mark" if framing == "chunked" && !inside => "close",
+        end => end,
+    };
+    let request = request
+        .with("x-standin-cut", place)
+        .with("x-standin-break", &number.to_string())
+        .with("x-standin-end", end);
+    (request, unframed)
+}
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -193,6 +193,9 @@
             }
             Fault::Limit { rank, number, rate } => self.limit(rank, number, rate).await,
             Fault::Leave(number) => self.announce_leaving(number, true).await,
+            Fault::Endings => {
+                self.shared.endings.fetch_add(1, Ordering::Relaxed);
+            }
         }
         true
     }
@@ -235,6 +238,9 @@
             Fault::Shed { rank, number, .. } => self.shed(rank, number, 0, "").await,
             Fault::Limit { rank, number, .. } => self.limit(rank, number, "").await,
             Fault::Leave(number) => self.restart_plain(number).await,
+            Fault::Endings => {
+                self.shared.endings.fetch_sub(1, Ordering::Relaxed);
+            }
             Fault::StoreLink { gateway, .. } | Fault::Store(Store::Deny(gateway)) => {
                 self.system.link(&format!("store-gateway-{gateway}"), "none").await;
             }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -54,6 +54,11 @@
 /// Value like [`SILENCE_SEED`] for losses.
 const LOSS_SEED: u64 = 0x3a;
 
+/// Mean time between two spans in which servers end responses early.
+const ENDING_INTERVAL: Duration = Duration::from_millis(2_500);
+/// Value like [`SILENCE_SEED`] for these spans.
+const ENDING_SEED: u64 = 0x62;
+
 /// Position of the layer number in the seed of a layer. It is above the bits of the seeds that the
 /// command line draws, and above those of the XORed values such as [`SILENCE_SEED`].
 const LAYER_SHIFT: u32 = 40;
@@ -210,6 +215,8 @@
     /// A plain server announces in its answers that it is leaving, but not by its entry in the
     /// store. At the end of the fault it restarts.
     Leave(u8),
+    /// Servers send responses with any framing, and end some of them early in any way.
+    Endings,
     /// Another writer replaces the entry of a plain server by an invalid one, until the server
     /// writes it again.
     Spoil(u8),
@@ -241,6 +248,7 @@
             Fault::Shed { .. } => "shed",
             Fault::Limit { .. } => "limit",
             Fault::Leave(_) => "leave",
+            Fault::Endings => "endings",
             Fault::Spoil(_) => "spoil",
         }
     }
@@ -266,6 +274,7 @@
     events.extend(notices(seed, size));
     events.extend(limits(seed, size));
     events.extend(losses(seed, size));
+    events.extend(endings(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -371,6 +380,18 @@
     (0..count).map(&mut event).collect()
 }
 
+/// Draws spans in which servers end responses early.
+fn endings(seed: u64, size: &Size) -> Vec<Event> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ ENDING_SEED);
+    let count = (size.time.as_secs_f64() / ENDING_INTERVAL.as_secs_f64()).ceil() as usize;
+    let mut event = |_| {
+        let at = size.time.mul_f64(rng.random_range(0.0..1.0));
+        let lasts = Duration::from_millis(rng.random_range(DURATION_MS));
+        Event { at, lasts, fault: Fault::Endings }
+    };
+    (0..count).map(&mut event).collect()
+}
+
 /// Draws callers that send the same request to one gateway after the other.
 fn poisons(seed: u64, size: &Size) -> Vec<Event> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ POISON_SEED);
