--- a/gateway/src/client.rs
+++ b/gateway/src/client.rs
@@ -1,8 +1,9 @@
 //! Sockets of clients' connections, which are reset if the client takes nothing, or if only the end
 //! of the connection would mark the end of a response that broke off.
 //!
-//! The time in which a client takes nothing runs while bytes wait and the operating system accepts none of them. A backend server
-//! that is slow leaves nothing waiting, so it does not count against the client.
+//! The time in which a client takes nothing runs while bytes wait and the operating system accepts
+//! none of them. A backend server that is slow leaves nothing waiting, so it does not count against
+//! the client.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,16 +2,17 @@
 //!
 //! Path of a request: [`server`] accepts the connection, [`request`] reads the request and finds
 //! its route, and [`flow`] makes one attempt after another until the request has a final response.
-//! [`upstream`] sends an attempt over a [`socket`] that is reset if its response is not complete. [`answer`] relays the response to the client or, for event
-//! streams, [`stream`] does. [`state`] holds what all requests share and keeps it up to date with
-//! the configuration and the list of backend servers, which the mirror provides.
+//! [`upstream`] sends an attempt over a [`socket`] that is reset if its response is not complete.
+//! [`answer`] relays the response to the client or, for event streams, [`stream`] does. [`state`]
+//! holds what all requests share and keeps it up to date with the configuration and the list of
+//! backend servers, which the mirror provides.
 //!
 //! Supporting modules: [`probe`] finds out whether an unreachable group is reachable again and
 //! whether a restarted backend server is leaving. [`ended`] finds out whether a backend server
-//! ended under a request. [`notice`] applies what servers report about leaving, resting and rate
-//! limits. [`queue`] bounds the bytes that wait for clients, and [`client`] disconnects a client
-//! that takes none of them. [`exchange`] logs each request that a client's connection leaves without a complete
-//! response. [`shares`] classifies teams for the
+//! ended under a request, and whether a response is complete. [`notice`] applies what servers
+//! report about leaving, resting and rate limits. [`queue`] bounds the bytes that wait for clients,
+//! and [`client`] disconnects a client that takes none of them. [`exchange`] logs each request that
+//! a client's connection leaves without a complete response. [`shares`] classifies teams for the
 //! metrics. [`health`] reports to the platform whether the gateway is ready, and [`drain`]
 //! implements the planned stop.
 
--- a/gateway/src/outcome.rs
+++ b/gateway/src/outcome.rs
@@ -50,8 +50,7 @@
         ending: Result<(), ending::Error>,
     ) {
         self.metrics.response_ended(framing, ending);
-        let framed = matches!(framing, Framing::Empty | Framing::Length | Framing::Chunked);
-        if framed && ending.is_ok() {
+        if framing != Framing::Close && ending.is_ok() {
             return;
         }
         let end = ending.err().map_or_else(|| "complete".to_owned(), |error| error.to_string());
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -179,7 +179,11 @@
                 }
             };
             let data = match frame {
-                Err(_) => return End::TimedOut,
+                Err(_) => {
+                    let late = Err(ending::Error::TimedOut);
+                    self.record_ending(&stream.target, stream.framing, late);
+                    return End::TimedOut;
+                }
                 Ok(None) => {
                     let marks = (stream.framing, stream.media);
                     let ending = self.gateway.check_ending(
@@ -235,7 +239,10 @@
                 }
             };
             let data = match frame {
-                Err(_) => return End::TimedOut,
+                Err(_) => {
+                    self.record_ending(&target, framing, Err(ending::Error::TimedOut));
+                    return End::TimedOut;
+                }
                 Ok(None) => break,
                 Ok(Some(Err(_))) => {
                     self.record_ending(&target, framing, Err(ending::Error::Broken));
