gateway: do not trust a close that was noticed late

A client got a complete response that lacks its end: the server's process had ended, and another one accepted connections when the gateway checked.

Cause: the gateway was stopped meanwhile (SIGSTOP for 0.77 s). It found the orderly close 0.73 s after the end, 0.02 s after the restart and 4 ms before it learnt the entry of the new run.

The gateway now keeps a pulse. If it was stopped for longer than half a second since the last part of a response that only the end of its connection marks, the response is not complete (end=noticed-late). A test stops a gateway while a server ends and restarts; it failed before.

--- a/gateway/src/ended.rs
+++ b/gateway/src/ended.rs
@@ -66,18 +66,23 @@
     ///
     /// If only the end of the connection marks the end of the body, the backend server must still
     /// run, unless it is leaving. A server that does not accept a connection for another reason
-    /// than a closed port may have completed the response.
+    /// than a closed port may have completed the response. `received` is when the last part of the
+    /// body arrived: if this process was stopped since, the server may have ended and restarted.
     pub(crate) async fn check_ending(
         &self,
         server: entity::Server,
         target: &Target,
         (framing, media): (Framing, Media),
         position: Position,
+        received: boot::Instant,
     ) -> Result<(), ending::Error> {
         ending::check(framing, media, position)?;
         if framing != Framing::Close || self.dispatcher.leaving(server) {
             return Ok(());
         }
+        if self.pulse.stopped_since(received) {
+            return Err(ending::Error::NoticedLate);
+        }
         let gone = is_replaced(&self.dispatcher, target)
             || upstream::refuses_connections(target.address).await;
         if gone { Err(ending::Error::ServerEnded) } else { Ok(()) }
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -441,6 +441,7 @@
                 server,
             }));
         }
+        let begun = boot::Instant::now();
         let read = match answer::read(body, request.due).await {
             Ok(answer::Read::Ended(body)) => {
                 let position = match media {
@@ -448,7 +449,7 @@
                     Media::Other | Media::Unknown => event::Position::Between,
                 };
                 let marks = (framing, media);
-                let ending = self.check_ending(server, &target, marks, position).await;
+                let ending = self.check_ending(server, &target, marks, position, begun).await;
                 ending.map(|()| answer::Read::Ended(body))
             }
             read => read,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,7 +13,7 @@
 //! report about leaving, resting and rate limits. [`queue`] bounds the bytes that wait for clients,
 //! and [`client`] disconnects a client that takes none of them. [`exchange`] logs each request that
 //! a client's connection leaves without a complete response. [`shares`] classifies teams for the
-//! metrics. [`health`] reports to the platform whether the gateway is ready, and [`drain`]
+//! metrics. [`pulse`] finds out whether the process was stopped for a while. [`health`] reports to the platform whether the gateway is ready, and [`drain`]
 //! implements the planned stop.
 
 mod answer;
@@ -30,6 +30,7 @@
 mod notice;
 mod outcome;
 mod probe;
+pub mod pulse;
 pub mod queue;
 mod request;
 mod server;
@@ -125,6 +126,10 @@
     tokio::spawn(state::follow(gateway.clone()));
     tokio::spawn(probe::run(gateway.clone()));
     tokio::spawn(probe::check_restarted(gateway.clone()));
+    {
+        let gateway = gateway.clone();
+        tokio::spawn(async move { gateway.pulse.run().await });
+    }
     tokio::spawn(resync_after_suspension(gateway.mirror.clone()));
     let dispatcher = gateway.dispatcher.clone();
     tokio::spawn(async move { dispatcher.run().await });
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -15,7 +15,7 @@
 use loftcove_mirror::{self as mirror, catalog, membership, register};
 use loftcove_settings::gateway as settings;
 
-use crate::{drain, metrics, moves, queue, shares, speed, upstream};
+use crate::{drain, metrics, moves, pulse, queue, shares, speed, upstream};
 
 /// Fraction of the configured retry allowance that is used. The remainder covers clients whose
 /// requests cross on the way, and counts that differ by timing.
@@ -65,6 +65,8 @@
     pub shares: shares::Shares,
     /// Bound on the log lines about moved streams.
     pub moves: moves::Log,
+    /// Tells whether the process was stopped for a while.
+    pub pulse: pulse::Pulse,
     protocol: PhantomData<P>,
 }
 
@@ -97,6 +99,7 @@
             metrics: metrics::Metrics::default(),
             shares: shares::Shares::default(),
             moves: moves::Log::default(),
+            pulse: pulse::Pulse::default(),
             protocol: PhantomData,
         }
     }
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -170,6 +170,7 @@
 
     /// Relays the remaining body, whose events `scanner` finds if it has any.
     async fn forward_rest(&mut self, mut stream: Stream, mut scanner: Scanner) -> End {
+        let mut received = boot::Instant::now();
         loop {
             let frame = tokio::select! {
                 biased;
@@ -191,6 +192,7 @@
                         &stream.target,
                         marks,
                         scanner.position(),
+                        received,
                     );
                     let ending = ending.await;
                     self.record_ending(&stream.target, stream.framing, ending);
@@ -207,6 +209,7 @@
                 }
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
+            received = boot::Instant::now();
             if stream.media == Media::Events {
                 scanner.push(&data);
             }
@@ -221,6 +224,7 @@
         let Stream { framing, media, mut body, answer, connection, target, server, .. } = stream;
         // The time until the first event does not count as a pause.
         let mut last: Option<boot::Instant> = None;
+        let mut received = boot::Instant::now();
         let gateway = self.gateway.clone();
         let refused = gateway.mirror.ends.wait_until_refused(self.request.digest);
         tokio::pin!(refused);
@@ -250,6 +254,7 @@
                 }
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
+            received = boot::Instant::now();
             if let Some(events) = splitter.push(&data) {
                 self.observe(last.map_or(Duration::ZERO, |last: boot::Instant| last.elapsed()));
                 last = Some(boot::Instant::now());
@@ -259,7 +264,8 @@
             }
         }
         let position = splitter.position();
-        let ending = gateway.check_ending(server, &target, (framing, media), position).await;
+        let marks = (framing, media);
+        let ending = gateway.check_ending(server, &target, marks, position, received).await;
         self.record_ending(&target, framing, ending);
         if ending.is_err() {
             return End::Broken;
--- a/response/src/ending.rs
+++ b/response/src/ending.rs
@@ -37,6 +37,10 @@
     /// The server's process ended as it closed the connection, which was all that marked the end.
     #[error("server-ended")]
     ServerEnded,
+    /// Only the end of the connection marked the end, and it was noticed so late that another
+    /// process of the server may run meanwhile.
+    #[error("noticed-late")]
+    NoticedLate,
 }
 
 /// Checks a body that ended in order, with its last byte at `position` if it is read as an event
--- a/tests/tests/endings.rs
+++ b/tests/tests/endings.rs
@@ -4,9 +4,11 @@
 
 use std::time::Duration;
 
+use http_body_util::BodyExt as _;
 use loftcove_tests::client::{Client, read};
 use loftcove_tests::request::Request;
 use loftcove_tests::system::{Plan, System};
+use loftcove_tests::until;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 const PLAN: Plan =
@@ -114,8 +116,23 @@
     }
 }
 
+/// Waits until the gateway has logged the outcome that the client saw.
+async fn assert_logged(system: &System, id: &str, seen: &Seen) {
+    let outcome = match seen {
+        Seen { status: 200, complete: true, .. } => "answered",
+        Seen { status: 200, .. } => "broken-off",
+        _ => "unknown",
+    };
+    let start = format!("outcome request={id} outcome={outcome} ");
+    until("the outcome is in the log", || async {
+        system.gateways[0].log().iter().any(|line| line.contains(&start))
+    })
+    .await;
+}
+
 /// Sends a request for each case, and one of a complete response after it over the same connection.
 async fn check(framing: &'static str) {
+    let label = if framing == "http-1.0" { "close" } else { framing };
     let system = System::start(PLAN).await;
     let mut connection = Connection { system: &system, client: None };
     let mut wrong = Vec::new();
@@ -125,6 +142,7 @@
             let request = case.request();
             let seen = connection.send(&request).await;
             let expected = case.expected();
+            assert_logged(&system, &request.id, &seen).await;
             if seen != expected {
                 wrong.push(format!("{case:?}\n  expected {expected:?}\n  got      {seen:?}"));
             }
@@ -138,6 +156,15 @@
             assert_eq!(seen, Seen { status: 200, body: events(1, 2), complete: true }, "{case:?}");
         }
     }
+    let metrics = system.metrics(0).await;
+    let ends = |end: &str| {
+        let labels = format!("loftcove_response_ends_total{{framing=\"{label}\",end=\"{end}\"}}");
+        assert!(metrics.contains(&labels), "{labels} {metrics}");
+    };
+    ["complete", "broken-off", "deadline"].map(ends);
+    if framing != "length" {
+        ends("inside-event");
+    }
     assert!(wrong.is_empty(), "{} cases:\n{}", wrong.len(), wrong.join("\n"));
 }
 
@@ -232,6 +259,51 @@
     assert_eq!(stream.body, events(1, CUT_EVENT));
 }
 
+// Guards against the same at a gateway that was stopped while the server ended and restarted, so
+// that a process accepts connections there when the gateway notices the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_without_framing_whose_end_is_noticed_late_never_looks_complete() {
+    let system = System::start(PLAN).await;
+    let mut client = system.client(0).await;
+    let request = Request::new("/reply/")
+        .with("x-standin-events", &EVENTS.to_string())
+        .with("x-standin-framing", "close")
+        .with("x-standin-cut", "after")
+        .with("x-standin-break", &CUT_EVENT.to_string())
+        .with("x-standin-end", "silence")
+        .with("x-standin-end-ms", "500");
+    let response = client.send(&request).await.unwrap();
+    let (sender, received) = tokio::sync::oneshot::channel();
+    let reading = tokio::spawn(async move {
+        let (mut body, mut text) = (response.into_body(), String::new());
+        let mut sender = Some(sender);
+        let complete = loop {
+            match body.frame().await {
+                Some(Ok(frame)) => {
+                    let data = frame.into_data().unwrap_or_default();
+                    text += &String::from_utf8_lossy(&data);
+                }
+                Some(Err(_)) => break false,
+                None => break true,
+            }
+            if text == events(1, CUT_EVENT)
+                && let Some(sender) = sender.take()
+            {
+                sender.send(()).unwrap();
+            }
+        };
+        (text, complete)
+    });
+    received.await.unwrap();
+    system.gateways[0].signal(libc::SIGSTOP);
+    until("the server has restarted", || async {
+        system.ends(Some(0)).await.iter().any(|end| end["back"] == true)
+    })
+    .await;
+    system.gateways[0].signal(libc::SIGCONT);
+    assert_eq!(reading.await.unwrap(), (events(1, CUT_EVENT), false));
+}
+
 /// Sends a request as HTTP/1.0. Returns the response's bytes, and whether the connection closed in
 /// order.
 async fn send_http_1_0(system: &System, request: &Request) -> (String, bool) {
