--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -88,6 +88,11 @@
         Some(Script { framing, cut: place.map(|place| (place, number, end)) })
     }
 
+    /// Returns whether the peer receives the head.
+    pub fn delivers_head(self) -> bool {
+        !matches!(self.cut, Some((Place::BeforeHead | Place::InHead, _, _)))
+    }
+
     /// Writes a response with these pieces of the body, the first of which has the number `first`.
     /// Each piece waits for a pass, if there are passes.
     ///
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -316,8 +316,13 @@
     }
 
     fn raw(&self, head: &http::request::Parts, script: raw::Script) -> Result<Raw, NoResponse> {
+        let answer = match script.delivers_head() {
+            true => self.answer(head, 200),
+            // A notice in a head that does not arrive binds nobody.
+            false => http::Response::builder().status(200),
+        };
         let Some(events) = number(&head.headers, "x-standin-events") else {
-            let answer = self.answer(head, 200).body(()).map_err(std::io::Error::other)?;
+            let answer = answer.body(()).map_err(std::io::Error::other)?;
             let (pieces, parts) = (vec![format!("answer of {}", self.id).into()], answer);
             let head = parts.into_parts().0;
             return Ok(Raw { script, head, first: 1, pieces, paced: false });
@@ -326,7 +331,7 @@
         let padding = padding(&head.headers);
         let event = |event| Bytes::from(event_text(event, &padding));
         let pieces = (first..=events).map(event).collect();
-        let answer = self.answer(head, 200).header("content-type", "text/event-stream");
+        let answer = answer.header("content-type", "text/event-stream");
         let head = answer.body(()).map_err(std::io::Error::other)?.into_parts().0;
         Ok(Raw { script, head, first: first as usize, pieces, paced: true })
     }
