gateway: check the server behind a response also if it is leaving

Clients got empty and half bodies as complete responses, without framing, from a server whose process ended while it was leaving.

Cause: the check of the process left out servers that are leaving, as they exit by plan. They may exit with requests running.

The last response of a leaving server without framing counts as cut if its process is gone at once, even if it was complete. The test passes with the check and fails with it taken out.

--- a/gateway/src/ended.rs
+++ b/gateway/src/ended.rs
@@ -65,19 +65,19 @@
     /// Returns why a response whose body ended in order is not complete.
     ///
     /// If only the end of the connection marks the end of the body, the backend server must still
-    /// run, unless it is leaving. A server that does not accept a connection for another reason
-    /// than a closed port may have completed the response. `received` is when the last part of the
-    /// body arrived: if this process was stopped since, the server may have ended and restarted.
+    /// run, also if it is leaving, because it may exit with requests running. A server that does
+    /// not accept a connection for another reason than a closed port may have completed the
+    /// response. `received` is when the last part of the body arrived: if this process was stopped
+    /// since, the server may have ended and restarted.
     pub(crate) async fn check_ending(
         &self,
-        server: entity::Server,
         target: &Target,
         (framing, media): (Framing, Media),
         position: Position,
         received: boot::Instant,
     ) -> Result<(), ending::Error> {
         ending::check(framing, media, position)?;
-        if framing != Framing::Close || self.dispatcher.leaving(server) {
+        if framing != Framing::Close {
             return Ok(());
         }
         if self.pulse.stopped_since(received) {
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -449,7 +449,7 @@
                     Media::Other | Media::Unknown => event::Position::Between,
                 };
                 let marks = (framing, media);
-                let ending = self.check_ending(server, &target, marks, position, begun).await;
+                let ending = self.check_ending(&target, marks, position, begun).await;
                 ending.map(|()| answer::Read::Ended(body))
             }
             read => read,
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -188,7 +188,6 @@
                 Ok(None) => {
                     let marks = (stream.framing, stream.media);
                     let ending = self.gateway.check_ending(
-                        stream.server,
                         &stream.target,
                         marks,
                         scanner.position(),
@@ -221,7 +220,7 @@
 
     /// Relays one backend server's part of the event stream.
     async fn forward_events(&mut self, stream: Stream, splitter: &mut Splitter) -> End {
-        let Stream { framing, media, mut body, answer, connection, target, server, .. } = stream;
+        let Stream { framing, media, mut body, answer, connection, target, .. } = stream;
         // The time until the first event does not count as a pause.
         let mut last: Option<boot::Instant> = None;
         let mut received = boot::Instant::now();
@@ -265,7 +264,7 @@
         }
         let position = splitter.position();
         let marks = (framing, media);
-        let ending = gateway.check_ending(server, &target, marks, position, received).await;
+        let ending = gateway.check_ending(&target, marks, position, received).await;
         self.record_ending(&target, framing, ending);
         if ending.is_err() {
             return End::Broken;
--- a/tests/tests/endings.rs
+++ b/tests/tests/endings.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt as _;
 use loftcove_tests::client::{Client, read};
 use loftcove_tests::request::Request;
-use loftcove_tests::system::{Plan, System};
+use loftcove_tests::system::{Plan, SMS, System};
 use loftcove_tests::until;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
@@ -261,6 +261,32 @@
     assert_eq!(stream.body, events(1, CUT_EVENT));
 }
 
+// Guards against the same from a server that is leaving, which may exit with requests running.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_without_framing_whose_leaving_server_ends_never_looks_complete() {
+    let system = System::start(Plan { plain: 1, ..PLAN }).await;
+    let request = Request::new("/receipt/")
+        .with("x-standin-events", &EVENTS.to_string())
+        .with("x-standin-framing", "close")
+        .with("x-standin-cut", "after")
+        .with("x-standin-end", "silence")
+        .with("x-standin-end-ms", "1000");
+    let leaves = async {
+        until("the server runs the request", || async {
+            !system.arrivals(&request.id).await.is_empty()
+        })
+        .await;
+        system.put_entry("plain-0", SMS, system.plain_address(0), "draining").await;
+    };
+    let (answer, ()) = tokio::join!(system.request(0, &request), leaves);
+    assert_eq!((answer.status, &*answer.body), (502, ""));
+    let logged = |line: &String| line.contains("connection broke") && line.contains("leaving=true");
+    until("the gateway has logged that the server was leaving", || async {
+        system.gateways[0].log().iter().any(logged)
+    })
+    .await;
+}
+
 // Guards against the same at a gateway that was stopped while the server ended and restarted, so
 // that a process accepts connections there when the gateway notices the end.
 #[tokio::test(flavor = "multi_thread")]
