--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -65,7 +65,7 @@
     pub shares: shares::Shares,
     /// Bound on the log lines about moved streams.
     pub moves: moves::Log,
-    /// Tells whether the process was stopped for a while.
+    /// Whether the process was stopped for a while.
     pub pulse: pulse::Pulse,
     protocol: PhantomData<P>,
 }
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -318,7 +318,7 @@
     fn raw(&self, head: &http::request::Parts, script: raw::Script) -> Result<Raw, NoResponse> {
         let answer = match script.delivers_head() {
             true => self.answer(head, 200),
-            // A notice in a head that does not arrive binds nobody.
+            // The gateway never receives a notice in a head that is cut.
             false => http::Response::builder().status(200),
         };
         let Some(events) = number(&head.headers, "x-standin-events") else {
