decision: count a moved stream in the group of its dispatch

What callers saw: in a debug build, one run of `a_moved_stream_is_complete_and_without_repeated_events` panicked and the stream stayed on its slow rank. A release build would wrap the count instead, so that the group seems to have streams with events and may be taken for stalled early (by reading; not seen).

Cause: `begun`, the number of a group's streams that have had an event, is increased in the group that a stream's rank belonged to when the stream was dispatched. A move decreased it in the group that the rank belongs to now. A rank changes its group when the driver's record becomes known to the gateway: until then, a service counts as one group.

Evidence: the new test lists the rank in another group between the first event and the move. The test of random events now also lists the ranks in other groups and delivers events; without the fix it fails at `GroupBegun` too.

The count is now decreased in the group where it was increased, which is how `cancel_move`, `record_stream_end` and `verify` take it.

Still so: a stream in flight stays counted in its first group until it ends, so the bound of the new group does not include it.

--- a/decision/src/balancer/moves.rs
+++ b/decision/src/balancer/moves.rs
@@ -108,8 +108,11 @@
         pending.sent = Some(now);
         pending.tried.push(choice.server);
         let attempt = pending.attempts;
-        self.groups[id].begun -= u32::from(streams);
-        // The group's count is unchanged, so that the stream keeps its place under the bound.
+        // The rank may have been listed in another group since the dispatch. The group's count of
+        // streams in flight is unchanged, so that the stream keeps its place under the bound.
+        if let Some(group) = pending.group {
+            self.groups[group].begun -= u32::from(streams);
+        }
         self.record_end(from, End::Abandoned, sent, now);
         self.servers[choice.server].sent(now);
         self.tally.retries += 1;
--- a/decision/tests/moves.rs
+++ b/decision/tests/moves.rs
@@ -70,12 +70,16 @@
     }
 
     fn list(&mut self, ranks: impl Iterator<Item = usize>) {
+        self.list_in(group(), ranks);
+    }
+
+    fn list_in(&mut self, group: entity::Group, ranks: impl Iterator<Item = usize>) {
         let ranks: Vec<usize> = ranks.collect();
         let listing = |rank: &usize| server::Listing {
             host: host(*rank),
             born: None,
             pool: pool(),
-            group: Some(group()),
+            group: Some(group),
             status: None,
             zone: "norte".into(),
             local: true,
@@ -314,6 +318,24 @@
     assert_eq!(gateway.balancer.queue().waiting(), 1);
 }
 
+/// Guards against a count that is taken from the group to which the rank belongs by now, while the
+/// stream was counted in the rank's group at its dispatch.
+#[test]
+fn a_stream_is_moved_after_its_rank_is_listed_in_another_group() {
+    let now = clock::Instant::from_millis(1_000);
+    let mut gateway = Gateway::new(0, 1);
+    gateway.list_in(entity::Group::from_u32(1), SLOW..=SLOW);
+    let ticket = gateway.arrive(stream(now));
+    let pause = Duration::ZERO;
+    let actions = gateway.balancer.stream_event(ticket, pause, Duration::from_millis(100), now);
+    gateway.apply(actions);
+    gateway.list(0..10);
+    gateway.set_speeds(&[(SLOW, 4.0)]);
+    assert_eq!(gateway.moved, [ticket]);
+    gateway.end(ticket, balancer::End::Answered);
+    assert!(gateway.refused.is_empty());
+}
+
 /// Guards against a count at a wrong rank, and a lost retry, if the old attempt ends before the
 /// move is carried out.
 #[test]
@@ -393,7 +415,7 @@
             let tickets: Vec<entity::Ticket> = gateway.streams.keys().copied().collect();
             let ticket = tickets.get(rng.random_range(0..tickets.len().max(1))).copied();
             let moves = gateway.moved.len();
-            match (rng.random_range(0..10), ticket) {
+            match (rng.random_range(0..12), ticket) {
                 (0..4, _) => {
                     let suspect = (rng.random_range(0..9) == 0)
                         .then(|| poison::Digest::of(&[&rng.random::<u64>().to_be_bytes()]));
@@ -413,6 +435,12 @@
                     gateway.set_speeds(if rng.random() { &slow } else { &[] });
                 }
                 (8, _) => gateway.connect(rng.random_range(0..6), rng.random()),
+                (9, _) => gateway.list_in(entity::Group::from_u32(rng.random_range(0..2)), 0..6),
+                (10, Some(ticket)) => {
+                    let (pause, wanted) = (Duration::from_millis(60), Duration::from_millis(100));
+                    let actions = gateway.balancer.stream_event(ticket, pause, wanted, gateway.now);
+                    gateway.apply(actions);
+                }
                 _ => gateway.tick(rng.random_range(1..200)),
             }
             for ticket in gateway.moved.clone().split_off(moves) {
