sidecar: let the loser of an election depose the winner

A group was held for 1.59 s after its driver froze; docs/design/hard-load.md allows 1.5 s. All streams of the group pause meanwhile.

Cause: a sidecar that has lost an election stands for none for 1.5 s, so that it does not stand again before it learns who won. The pause went on after the winner's key was known. A winner that froze within it could not be deposed by the losers, although they found the group held after 0.5 s.

Evidence: 4 of 16 runs of the test failed (1.50 s to 1.59 s) and two more took 1.48 s and 1.49 s, always in the first trial, right after the first election. In a run with the watchdog's state in the log, the sidecar that held the group counted it as stalled from 0.51 s on and deposed the driver after 1.02 s, which was 1.5 s after the lost election.

The pause now ends with the first revision of the driver's key after the one that the sidecar tried to replace. The new unit test states the rule; the code had no place to test it before, so the end-to-end test is the one that failed.

--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -36,8 +36,6 @@
 /// Rounds between two reads of the slowness of all ranks if counts are read from a sample only. The
 /// interval is one second and costs a small message per rank.
 const SLOWNESS_ROUNDS: u32 = 5;
-/// Time that a sidecar stands for no election after it lost one.
-const ELECTION_PAUSE: Duration = Duration::from_millis(1_500);
 /// Longest wait for the renewal after a suspension. A renewal takes milliseconds, and a store that
 /// does not respond does not end the term.
 const RENEWAL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -93,8 +91,8 @@
     group: Arc<Group<E>>,
     name: String,
     catalog: catalog::Catalog<P>,
-    /// Time of the last lost election.
-    lost_election: Option<boot::Instant>,
+    /// The last election, if it was lost.
+    lost_election: Option<election::Loss>,
     /// Record of the group that is to be in the store.
     wanted: watch::Sender<Option<publish::Wanted>>,
 }
@@ -162,7 +160,7 @@
         let key = election::key(&place.name);
         let held_revision = election::revision(&self.mirror, &key);
         let stalled = watchdog.observe(&report, held_revision.ordinal());
-        let lost_election = self.lost_election.is_some_and(|at| at.elapsed() < ELECTION_PAUSE);
+        let lost_election = self.lost_election.is_some_and(|loss| loss.pauses(held_revision));
         let own = election::is_own(&self.mirror, &key, &self.name);
         if (!held_revision.is_zero() && !stalled && !own) || lost_election {
             return None;
@@ -199,7 +197,7 @@
                 None
             }
         };
-        self.lost_election = term.is_none().then(boot::Instant::now);
+        self.lost_election = term.is_none().then(|| election::Loss::new(held_revision));
         term.map(|term| (place.name, term))
     }
 
--- a/sidecar/src/election.rs
+++ b/sidecar/src/election.rs
@@ -22,6 +22,9 @@
 /// the key outlasts the one before.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time that a sidecar which lost an election waits for the winner's key before it stands again.
+const LOSS_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Separator between the name of a host and the identifier of a run.
 const RUN_SEPARATOR: char = '#';
 
@@ -39,6 +42,28 @@
     pub lease: store::Lease,
 }
 
+/// An election that this sidecar has lost.
+#[derive(Debug, Clone, Copy)]
+pub struct Loss {
+    /// Revision of the driver's key that this sidecar tried to replace.
+    revision: store::Revision,
+    at: boot::Instant,
+}
+
+impl Loss {
+    /// Records that the election to replace the key of this revision was lost now.
+    pub fn new(revision: store::Revision) -> Loss {
+        Loss { revision, at: boot::Instant::now() }
+    }
+
+    /// Returns whether this sidecar waits before it stands again, if the driver's key has the given
+    /// revision in the local copy of the store. Once the winner's key is known, the sidecar waits
+    /// no longer: that driver, too, may have to be replaced.
+    pub fn pauses(&self, revision: store::Revision) -> bool {
+        revision == self.revision && self.at.elapsed() < LOSS_PAUSE
+    }
+}
+
 /// Returns a name, unique to each run of a sidecar, under which that run drives.
 pub fn run_name(host: &str) -> String {
     format!("{host}{RUN_SEPARATOR}{:08x}", rand::random::<u32>())
--- a/sidecar/tests/elections.rs
+++ b/sidecar/tests/elections.rs
@@ -6,7 +6,7 @@
 use loftcove_decision::mirror::Record;
 use loftcove_interface::store::{Error, Lease, Revision};
 use loftcove_mirror::{Mirror, Source};
-use loftcove_sidecar::election::{self, Renewals, Term};
+use loftcove_sidecar::election::{self, Loss, Renewals, Term};
 use loftcove_standins::calls::{Plan, Recorder};
 
 #[tokio::test]
@@ -26,6 +26,14 @@
     assert_eq!(store.recording().revocations, 1);
 }
 
+/// A sidecar that lost an election must not wait before it replaces a winner that froze at once.
+#[test]
+fn stands_again_once_the_key_of_the_winner_is_known() {
+    let loss = Loss::new(Revision::new(0, 3));
+    assert!(loss.pauses(Revision::new(0, 3)), "the winner is not known");
+    assert!(!loss.pauses(Revision::new(0, 4)));
+}
+
 fn put(mirror: &Mirror, value: &str, number: u64) {
     let record = Record {
         key: election::key("g0"),
