decision: test a start time that becomes known later

Cause: `relisting_the_same_run_keeps_its_state` was meant to cover it, but listed a known start time from the beginning, so it tested nothing new.

The part moves to a test of its own, which lists the server without a start time first, keeps a request in flight, and also lists it without one again.

--- a/decision/tests/runs.rs
+++ b/decision/tests/runs.rs
@@ -18,6 +18,11 @@
 impl Setup {
     /// Creates a pool with one backend server, listed with the start time 1,000.
     fn new() -> Setup {
+        Setup::with_start(Some(1_000))
+    }
+
+    /// Creates a pool with one backend server, listed with this start time.
+    fn with_start(born: Option<u64>) -> Setup {
         let rng = ChaCha8Rng::seed_from_u64(7);
         let policy = policy::Blend { rng, sample: 2, affinity_slack: 0.0 };
         let options = balancer::Options::default().retry_reserve(10.0);
@@ -25,7 +30,7 @@
             balancer: balancer::Balancer::new(policy, &options),
             now: clock::Instant::from_millis(1_000),
         };
-        setup.list(Some(1_000));
+        setup.list(born);
         setup
     }
 
@@ -118,10 +123,21 @@
     setup.arrive();
     assert_eq!(setup.list(Some(1_000)), before);
     assert_eq!(setup.balancer.servers()[before].in_flight, 1);
-    // A start time that becomes known later is no new run.
-    let mut unknown_start = Setup::new();
-    let id = unknown_start.list(Some(1_000));
-    assert_eq!(unknown_start.list(Some(1_000)), id);
+    assert_eq!(setup.balancer.verify(), Ok(()));
+}
+
+/// Guards against a new run, without the state of the present one, as its start time becomes known.
+#[test]
+fn a_start_time_that_becomes_known_later_is_no_new_run() {
+    let mut setup = Setup::with_start(None);
+    let before = setup.balancer.servers().find("host").unwrap();
+    setup.arrive();
+    assert_eq!(setup.list(Some(1_000)), before);
+    assert_eq!(setup.balancer.servers()[before].in_flight, 1);
+    // An entry without a start time does not discard the known one.
+    assert_eq!(setup.list(None), before);
+    assert_ne!(setup.list(Some(2_000)), before);
+    assert_eq!(setup.balancer.verify(), Ok(()));
 }
 
 /// Guards against a table that grows by one record with each restart of a server, which
