standins: count the orders that a rank accepts

Cause: a rank of the stand-in reported `seq` 0 forever and compared `expected_rev` with it, so no test could see a stale count rejected.

Accepted orders are counted now, rejected ones are not, and the count survives a new epoch of the group.

--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -65,6 +65,7 @@
     highest: u64,
     armed: Option<(u64, u64)>,
     held: Option<u64>,
+    /// Number of accepted orders.
     orders: u64,
     active: u32,
     /// Slowness that the rank reports, or zero for the usual one.
@@ -466,9 +467,9 @@
         self.open = true;
         for (rank, own) in self.ranks.iter_mut().enumerate() {
             let counts = std::mem::take(&mut own.counts);
-            let (active, slowness) = (own.active, own.slowness);
+            let (orders, active, slowness) = (own.orders, own.active, own.slowness);
             let map = Map { experts: round_robin(rank, ranks), ..Map::default() };
-            *own = Rank { map, counts, active, slowness, ..Rank::default() };
+            *own = Rank { map, counts, orders, active, slowness, ..Rank::default() };
             own.counts.resize(SHAPE.0 * SHAPE.1, 0);
         }
     }
@@ -528,6 +529,7 @@
         }
         own.highest = version;
         own.prepared = None;
+        own.orders += 1;
         let mut hasher = std::hash::DefaultHasher::new();
         map.hash(&mut hasher);
         Ok(Map { version, experts, content: hasher.finish() })
@@ -565,6 +567,7 @@
             }
             _ => return 400,
         };
+        own.orders += u64::from(accepted);
         if accepted { 202 } else { 409 }
     }
 }
