tests: kill the present driver before the store is restored

Cause: the test took the lowest rank that had ever been elected for the present driver, which holds only while one sidecar was elected.

Elected sidecars are ordered by their last term now. The last one is killed, and the test waits until another one is the last.

--- a/tests/tests/eras.rs
+++ b/tests/tests/eras.rs
@@ -64,12 +64,16 @@
     assert!(began.elapsed() < BOUND, "{:?}", began.elapsed());
 }
 
-/// Returns the ranks whose sidecars were elected, in the order of the ranks.
+/// Returns the ranks whose sidecars were elected, in the order of their last terms.
 fn drivers(system: &System) -> Vec<u8> {
-    let elected = |rank: &u8| {
-        system.sidecars[usize::from(*rank)].log().iter().any(|line| line.contains("driver elected"))
+    let term = |rank: &u8| {
+        let log = system.sidecars[usize::from(*rank)].log();
+        let elected = log.iter().filter(|line| line.contains("driver elected"));
+        elected.filter_map(|line| line.rsplit("term=").next()?.trim().parse::<u64>().ok()).max()
     };
-    (0..PLAN.ranks).filter(elected).collect()
+    let mut drivers: Vec<u8> = (0..PLAN.ranks).filter(|rank| term(rank).is_some()).collect();
+    drivers.sort_by_key(term);
+    drivers
 }
 
 /// Covers a copy whose driver has been killed. The restore loses the key of the present driver
@@ -79,9 +83,12 @@
     let mut system = System::start(PLAN).await;
     until("a driver is elected", || async { !drivers(&system).is_empty() }).await;
     system.store_control("copy").await;
-    let first = drivers(&system)[0];
+    let first = *drivers(&system).last().unwrap();
     system.sidecars[usize::from(first)].kill().await;
-    until("another driver is elected", || async { drivers(&system).len() > 1 }).await;
+    until("another driver is elected", || async {
+        drivers(&system).last().is_some_and(|driver| *driver != first)
+    })
+    .await;
     system.start_sidecar(first);
     for version in 2..2 + LOST {
         system.configure(version, &[KEY]).await;
