tool: pass over a seed that does not answer

What operators saw (by reading; never reported): while the platform is out, `loftcove status` and `loftcove explain` hang on a seed that accepts the connection and sends nothing.

Cause: of the tool's calls, only the exchange with a seed had no timeout; the timeout of the connection covers its establishment alone.

--- a/tool/src/report.rs
+++ b/tool/src/report.rs
@@ -47,13 +47,16 @@
     Err(error.into())
 }
 
-/// Returns the host list of one process, or `None` if the process does not return one.
+/// Returns the host list of one process, or `None` if the process does not return one in time.
 async fn fetch_hosts(
     seed: SocketAddr,
     request: tonic::Request<wire::Offer>,
 ) -> Option<hosts::Snapshot> {
-    let mut client = connect(seed).await?;
-    let update = client.exchange(request).await.ok()?.into_inner();
+    let call = async {
+        let mut client = connect(seed).await?;
+        Some(client.exchange(request).await.ok()?.into_inner())
+    };
+    let update = tokio::time::timeout(PROCESS_TIMEOUT, call).await.ok()??;
     let record = update.records.into_iter().find(|record| record.kind() == wire::Kind::Hosts)?;
     serde_json::from_slice(&record.value).ok()
 }
