daemon: check a backend server again whose connection broke

Cause: the agent takes a server for alive that accepts a connection. The connections of an exiting process are closed one after the other, and its port may still be open when the agent checks. The agent then reports no end (MayHaveRun), after which the request is retried.

A server that accepts a connection after a break is checked once more after 150 ms, as gateways do. Only calls that broke while their server lives wait for that. A response that ends in order without framing is still checked once: an exiting server may be taken for alive there.

--- a/daemon/src/agent/run.rs
+++ b/daemon/src/agent/run.rs
@@ -148,7 +148,7 @@
                 self.send_refusal(wire::Refusal::Unreachable).await;
             }
             Err(error) => {
-                let server_end = self.agent.server.detect_end().await;
+                let server_end = self.agent.server.detect_end_after_break().await;
                 self.send_broken(&error.to_string(), server_end).await;
             }
         }
@@ -197,7 +197,7 @@
                 }
                 Ok(_) => {}
                 Err(error) => {
-                    let server_end = self.agent.server.detect_end().await;
+                    let server_end = self.agent.server.detect_end_after_break().await;
                     self.send_broken(&error.to_string(), server_end).await;
                     return;
                 }
--- a/daemon/src/agent/server.rs
+++ b/daemon/src/agent/server.rs
@@ -17,6 +17,9 @@
 
 /// Time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Delay before a backend server that accepts a connection is checked again. It is far longer than a
+/// process takes to close its connections, and far shorter than a server takes to restart.
+const RECHECK_DELAY: Duration = Duration::from_millis(150);
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -115,6 +118,17 @@
         (!connects).then_some(ends.count)
     }
 
+    /// Checks after the connection of a call broke whether the backend server has ended, as
+    /// [`Client::detect_end`] does. The port of an exiting process may still be open while its
+    /// connections are closed, so a server that accepts a connection is checked once more.
+    pub async fn detect_end_after_break(&self) -> Option<u64> {
+        if let Some(end) = self.detect_end().await {
+            return Some(end);
+        }
+        tokio::time::sleep(RECHECK_DELAY).await;
+        self.detect_end().await
+    }
+
     /// Records that the backend server has responded. Its next end gets a new number.
     fn record_response(&self) {
         self.ends.lock().unwrap_or_else(std::sync::PoisonError::into_inner).unreachable = false;
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -6,6 +6,8 @@
 //! - `x-standin-delay-ms: N` delays the response by N milliseconds.
 //! - `x-standin-cross` answers with the id of another request.
 //! - `x-standin-end-ms: N` exits the process N milliseconds after the call was executed.
+//! - `x-standin-linger-ms: N`: with `x-standin-end-ms`, the call's connection is aborted N
+//!   milliseconds before the process exits.
 //! - `x-standin-shed: SECONDS` rejects the call before it is executed, with `Retry-After: SECONDS`.
 //! - `x-standin-limit: TEXT` adds the rate limit TEXT to the response, as `server-limit`.
 //! - `x-standin-bytes: N` pads the response by N bytes.
@@ -61,7 +63,8 @@
         }
         if let Ok(ms) = header(&headers, "x-standin-end-ms").parse() {
             tokio::time::sleep(Duration::from_millis(ms)).await;
-            std::process::exit(0);
+            let linger = header(&headers, "x-standin-linger-ms").parse().unwrap_or(0);
+            return exit_after(Duration::from_millis(linger)).await;
         }
         tokio::time::sleep(Duration::from_millis(delay)).await;
         let body = server::read(request.into_body()).await;
@@ -80,3 +83,17 @@
         response
     }
 }
+
+/// Aborts the response, and exits the process after the given time.
+async fn exit_after(time: Duration) -> http::Response<server::Body> {
+    if time.is_zero() {
+        std::process::exit(0);
+    }
+    tokio::spawn(async move {
+        tokio::time::sleep(time).await;
+        std::process::exit(0);
+    });
+    let (sender, body) = server::channel();
+    sender.send(Err(std::io::ErrorKind::ConnectionAborted.into())).await.ok();
+    http::Response::new(body)
+}
--- a/tests/tests/refusals.rs
+++ b/tests/tests/refusals.rs
@@ -139,6 +139,16 @@
 /// retry it, so that no other server ends, and rejects it after it has ended two servers.
 #[tokio::test(flavor = "multi_thread")]
 async fn rejects_a_request_that_ended_two_servers() {
+    check_rejected_after_two_ends(&[]).await;
+}
+
+/// Covers servers whose port is still open when the connection of the request breaks.
+#[tokio::test(flavor = "multi_thread")]
+async fn rejects_a_request_that_ended_two_servers_slowly() {
+    check_rejected_after_two_ends(&[("x-standin-linger-ms", "40")]).await;
+}
+
+async fn check_rejected_after_two_ends(extra: &[(&str, &str)]) {
     let plan = cluster::Plan {
         zones: vec!["sala-braga"],
         entries: 1,
@@ -152,6 +162,7 @@
     // The class `draft` allows repeats. The key only identifies the runs of the request.
     let headers =
         [("loftcove-class", "draft"), ("idempotency-key", &*key), ("x-standin-end-ms", "50")];
+    let headers = [&headers, extra].concat();
     let path = format!("/services/{}/send", cluster::SERVICE);
     for ended in 1..=2 {
         let answer = caller.request("POST", &path, &headers, "ends its server").await;
