gateway: check twice whether the server of an unframed response is there

Cause: such a response is complete if its server is still there. The gateway checked that once, as the connection closed. The port of an exiting process may still be open then.

Evidence: the new test has a server whose port closes 10 ms after its connections. Without the fix its caller gets 200 and three of eight events, complete.

The server is now checked again 20 ms later, and either check can find it gone. Only responses whose end nothing but the connection marks are delayed by that. A process that keeps its port open for longer is still taken for alive.

--- a/gateway/src/ended.rs
+++ b/gateway/src/ended.rs
@@ -28,6 +28,9 @@
 /// takes to close its connections, and far shorter than a server takes to restart, which is a
 /// second or more. The request's next attempt does not wait for this check.
 const RECHECK_DELAY: Duration = Duration::from_millis(150);
+/// Time that an exiting process may take from closing its first connection to closing its port.
+/// Each response whose end only its connection marks is delayed by it.
+const CLOSE_TIME: Duration = Duration::from_millis(20);
 
 impl<P: Protocol> Gateway<P> {
     /// Finds out whether a backend server ended when its connection broke under a request. Returns
@@ -83,9 +86,16 @@
         if self.pulse.stopped_since(received) {
             return Err(ending::Error::NoticedLate);
         }
-        let gone = is_replaced(&self.dispatcher, target)
-            || upstream::refuses_connections(target.address).await;
-        if gone { Err(ending::Error::ServerEnded) } else { Ok(()) }
+        if self.is_gone(target).await {
+            return Err(ending::Error::ServerEnded);
+        }
+        tokio::time::sleep(CLOSE_TIME).await;
+        if self.is_gone(target).await { Err(ending::Error::ServerEnded) } else { Ok(()) }
+    }
+
+    /// Returns whether the run's port is closed or another run is listed at its address.
+    async fn is_gone(&self, target: &Target) -> bool {
+        is_replaced(&self.dispatcher, target) || upstream::refuses_connections(target.address).await
     }
 
     /// Finds out how an attempt ended whose request the host did not acknowledge in time. A host
--- a/tests/tests/endings.rs
+++ b/tests/tests/endings.rs
@@ -261,6 +261,27 @@
     assert_eq!(stream.body, events(1, CUT_EVENT));
 }
 
+// Guards against the same from a server whose port is still open as its connections are closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_without_framing_whose_server_ends_slowly_never_looks_complete() {
+    let system = System::start(PLAN).await;
+    let cut = |path: &str| {
+        Request::new(path)
+            .with("x-standin-events", &EVENTS.to_string())
+            .with("x-standin-framing", "close")
+            .with("x-standin-cut", "after")
+            .with("x-standin-break", &CUT_EVENT.to_string())
+            .with("x-standin-end", "silence")
+            .with("x-standin-end-ms", "300")
+            .with("x-standin-linger-ms", "10")
+    };
+    let once = system.request(0, &cut("/receipt/")).await;
+    assert_eq!((once.status, &*once.body), (502, ""));
+    let stream = system.request(0, &cut("/reply/")).await;
+    assert_eq!((stream.status, stream.complete), (200, false));
+    assert_eq!(stream.body, events(1, CUT_EVENT));
+}
+
 // Guards against the same from a server that is leaving, which may exit with requests running.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_response_without_framing_whose_leaving_server_ends_never_looks_complete() {
