daemon: check twice whether the server of an unframed response is there

A part of a response without framing reached its caller as complete, with the outcome `answered`, though its server's process had ended.

Cause: the agent checked once, as the connection closed, whether its server accepts connections. The port of an exiting process may still be open then.

Evidence: the new test has a service that ends a part of a response in order, 10 ms before its process exits.

The agent checks again after 20 ms, as gateways do; the check after a call that broke keeps its 150 ms. Only responses whose end nothing but the connection marks wait for it.

--- a/daemon/src/agent/run.rs
+++ b/daemon/src/agent/run.rs
@@ -148,7 +148,7 @@
                 self.send_refusal(wire::Refusal::Unreachable).await;
             }
             Err(error) => {
-                let server_end = self.agent.server.detect_end_after_break().await;
+                let server_end = self.agent.server.detect_end_twice(server::BREAK_RECHECK).await;
                 self.send_broken(&error.to_string(), server_end).await;
             }
         }
@@ -197,7 +197,8 @@
                 }
                 Ok(_) => {}
                 Err(error) => {
-                    let server_end = self.agent.server.detect_end_after_break().await;
+                    let server_end =
+                        self.agent.server.detect_end_twice(server::BREAK_RECHECK).await;
                     self.send_broken(&error.to_string(), server_end).await;
                     return;
                 }
@@ -226,7 +227,7 @@
             return Ok(());
         }
         // The connections of a process that ends are closed in order.
-        let server_end = self.agent.server.detect_end().await;
+        let server_end = self.agent.server.detect_end_twice(server::ENDING_RECHECK).await;
         match (ended, server_end) {
             (Err(error), _) => Err((error, server_end)),
             (Ok(()), Some(_)) => Err((ending::Error::ServerEnded, server_end)),
--- a/daemon/src/agent/server.rs
+++ b/daemon/src/agent/server.rs
@@ -17,9 +17,12 @@
 
 /// Time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Delay before a backend server that accepts a connection is checked again. It is far longer than a
-/// process takes to close its connections, and far shorter than a server takes to restart.
-const RECHECK_DELAY: Duration = Duration::from_millis(150);
+/// Delay before a backend server that accepts a connection is checked again after a call broke. It
+/// is far longer than a process takes to close its connections, and far shorter than a server takes
+/// to restart.
+pub const BREAK_RECHECK: Duration = Duration::from_millis(150);
+/// The same after a response whose end only its connection marks. Each such response waits for it.
+pub const ENDING_RECHECK: Duration = Duration::from_millis(20);
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -105,10 +108,8 @@
             .ok()
     }
 
-    /// Checks after a failed call whether the backend server has ended. Returns the number of the
-    /// end if the backend server accepts no connection. Calls that failed with the same end get the
-    /// same number.
-    pub async fn detect_end(&self) -> Option<u64> {
+    /// Returns the number of the end if the backend server accepts no connection.
+    async fn detect_end(&self) -> Option<u64> {
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
         let connects = matches!(connected.await, Ok(Ok(_)));
         // The state is valid after a panic of another task: each field changes by one assignment.
@@ -118,14 +119,15 @@
         (!connects).then_some(ends.count)
     }
 
-    /// Checks after the connection of a call broke whether the backend server has ended, as
-    /// [`Client::detect_end`] does. The port of an exiting process may still be open while its
-    /// connections are closed, so a server that accepts a connection is checked once more.
-    pub async fn detect_end_after_break(&self) -> Option<u64> {
+    /// Checks after a call whether the backend server has ended. Returns the number of the end if
+    /// it accepts no connection, now or after `delay`: the port of an exiting process may still be
+    /// open while its connections are closed. Calls that failed with the same end get the same
+    /// number.
+    pub async fn detect_end_twice(&self, delay: Duration) -> Option<u64> {
         if let Some(end) = self.detect_end().await {
             return Some(end);
         }
-        tokio::time::sleep(RECHECK_DELAY).await;
+        tokio::time::sleep(delay).await;
         self.detect_end().await
     }
 
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -7,7 +7,8 @@
 //! - `x-standin-cross` answers with the id of another request.
 //! - `x-standin-end-ms: N` exits the process N milliseconds after the call was executed.
 //! - `x-standin-linger-ms: N`: with `x-standin-end-ms`, the call's connection is aborted N
-//!   milliseconds before the process exits.
+//!   milliseconds before the process exits. With `x-standin-framing: close` it is closed in order
+//!   instead, after a part of a response without a length or chunks.
 //! - `x-standin-shed: SECONDS` rejects the call before it is executed, with `Retry-After: SECONDS`.
 //! - `x-standin-limit: TEXT` adds the rate limit TEXT to the response, as `server-limit`.
 //! - `x-standin-bytes: N` pads the response by N bytes.
@@ -64,7 +65,8 @@
         if let Ok(ms) = header(&headers, "x-standin-end-ms").parse() {
             tokio::time::sleep(Duration::from_millis(ms)).await;
             let linger = header(&headers, "x-standin-linger-ms").parse().unwrap_or(0);
-            return exit_after(Duration::from_millis(linger)).await;
+            let in_order = header(&headers, "x-standin-framing") == "close";
+            return exit_after(Duration::from_millis(linger), in_order).await;
         }
         tokio::time::sleep(Duration::from_millis(delay)).await;
         let body = server::read(request.into_body()).await;
@@ -84,8 +86,8 @@
     }
 }
 
-/// Aborts the response, and exits the process after the given time.
-async fn exit_after(time: Duration) -> http::Response<server::Body> {
+/// Ends the response early, in order or not, and exits the process after the given time.
+async fn exit_after(time: Duration, in_order: bool) -> http::Response<server::Body> {
     if time.is_zero() {
         std::process::exit(0);
     }
@@ -94,6 +96,13 @@
         std::process::exit(0);
     });
     let (sender, body) = server::channel();
-    sender.send(Err(std::io::ErrorKind::ConnectionAborted.into())).await.ok();
-    http::Response::new(body)
+    let mut response = http::Response::new(body);
+    if in_order {
+        sender.send(Ok("{\"delivered\"".into())).await.ok();
+        // HTTP/1.0 has no chunks.
+        *response.version_mut() = http::Version::HTTP_10;
+    } else {
+        sender.send(Err(std::io::ErrorKind::ConnectionAborted.into())).await.ok();
+    }
+    response
 }
--- a/tests/tests/refusals.rs
+++ b/tests/tests/refusals.rs
@@ -176,6 +176,32 @@
     assert_eq!(caller.request("POST", &path, &other, "another").await.status, 200);
 }
 
+/// Guards against a response without framing that looks complete at its caller though the process of
+/// its server ended, because the port was still open as its connections were closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_without_framing_whose_server_ends_slowly_never_looks_complete() {
+    let plan = cluster::Plan {
+        zones: vec!["sala-braga"],
+        entries: 1,
+        ranks: 0,
+        services: 1,
+        ..cluster::Plan::default()
+    };
+    let cluster = cluster::Cluster::start(plan).await;
+    let caller = cluster.caller(&cluster.entries().remove(0));
+    let key = uuid::Uuid::now_v7().to_string();
+    let headers = [
+        ("idempotency-key", &*key),
+        ("x-standin-end-ms", "50"),
+        ("x-standin-linger-ms", "10"),
+        ("x-standin-framing", "close"),
+    ];
+    let path = format!("/services/{}/send", cluster::SERVICE);
+    let answer = caller.request("POST", &path, &headers, "ends its server").await;
+    assert!(!answer.complete || answer.status == 502, "{answer:?}");
+    assert_ne!(answer.outcome(), "answered", "{answer:?}");
+}
+
 /// Checks that an answer with the given status, in which one backend server reports a state of its
 /// own, moves all further calls to the other server.
 async fn check_others_serve(header: (&str, &str), status: u16) {
