--- a/daemon/src/agent/server.rs
+++ b/daemon/src/agent/server.rs
@@ -21,7 +21,8 @@
 /// is far longer than a process takes to close its connections, and far shorter than a server takes
 /// to restart.
 pub const BREAK_RECHECK: Duration = Duration::from_millis(150);
-/// The same after a response whose end only its connection marks. Each such response waits for it.
+/// Delay before a backend server that accepts a connection is checked again after a response whose
+/// end only its connection marks. Each such response waits for it.
 pub const ENDING_RECHECK: Duration = Duration::from_millis(20);
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
