gateway: report the retry budget

Neither logs nor metrics told how many retries a gateway has left, by how many gateways it divides the allowance, and for which service the budget ran out, so that the hypotheses of the incident could not be told apart. Adds the gauges retry_budget_available, retry_budget_reserve and gateways, the counters retries_charged, retries_refunded and retries_denied, a line at each change of the number of gateways, and a line, at most one a second, when the budget denies a retry. Nothing is decided differently.

--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -21,6 +21,7 @@
 mod progress;
 mod rate;
 mod rest;
+mod retries;
 mod speed;
 mod suspect;
 mod verify;
@@ -111,6 +112,8 @@
     servers: server::Table,
     queue: admission::Queue,
     budget: retry::Budget,
+    /// Time of the last [`Note::BudgetUsedUp`].
+    denial_noted: Option<clock::Instant>,
     charge_full: bool,
     policy: P,
     pending: BTreeMap<entity::Ticket, Pending>,
@@ -139,6 +142,7 @@
             servers: server::Table::default(),
             queue: admission::Queue::new(options.capacity, options.min_retry_after),
             budget: retry::Budget::new(options.retry_ratio, options.retry_reserve),
+            denial_noted: None,
             charge_full: options.charge_full,
             policy,
             pending: BTreeMap::new(),
--- a/decision/src/balancer/failure.rs
+++ b/decision/src/balancer/failure.rs
@@ -26,14 +26,16 @@
         now: clock::Instant,
         actions: &mut Vec<Action>,
     ) {
-        let Some(pending) = self.pending.get_mut(&ticket) else { return };
+        let Some(pending) = self.pending.get(&ticket) else { return };
         if pending.arrival.deadline <= now {
             let reason = Reason::Admission(admission::Refusal::Deadline);
             return self.reject_pending(ticket, Outcome::NotRun, reason, now, actions);
         }
-        if self.charge_full && !self.budget.withdraw() {
+        let pool = pending.arrival.pool;
+        if self.charge_full && !self.charge_retry(pool, now) {
             return self.reject_pending(ticket, Outcome::NotRun, Reason::Budget, now, actions);
         }
+        let Some(pending) = self.pending.get_mut(&ticket) else { return };
         pending.state = State::Waiting;
         pending.tried.clear();
         let (arrival, since) = (pending.arrival, pending.since);
@@ -84,18 +86,18 @@
             max_runs: pending.arrival.max_attempts,
             failures: pending.failures,
         };
-        let outcome = outcome(pending.runs);
+        let (outcome, arrival, since) = (outcome(pending.runs), pending.arrival, pending.since);
         let reason = if execution == retry::Execution::ServerEnded {
             Reason::ServerEnded
         } else if !retry::is_safe(&failure) {
             Reason::Attempts
-        } else if pending.arrival.deadline <= now {
+        } else if arrival.deadline <= now {
             Reason::Admission(admission::Refusal::Deadline)
-        } else if !self.budget.withdraw() {
+        } else if !self.charge_retry(arrival.pool, now) {
             Reason::Budget
         } else {
+            let Some(pending) = self.pending.get_mut(&ticket) else { return };
             pending.state = State::Waiting;
-            let (arrival, since) = (pending.arrival, pending.since);
             let waiter = self.waiter(ticket, &arrival, since);
             self.queue.push_front(waiter);
             return;
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::routing::policy;
-use crate::{admission, clock, entity, outage, pace, poison, shortage};
+use crate::{admission, clock, entity, outage, pace, poison, retry, shortage};
 
 /// A request that arrives at the balancer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -270,6 +270,9 @@
     Unsettled(entity::Server),
     /// The group carries as many streams of this gateway as its bound allows.
     Bound(entity::Group, pace::Bound),
+    /// The retry budget did not allow a retry of a request to the pool. Noted at most once
+    /// per second.
+    BudgetUsedUp(entity::Pool, retry::Status),
     /// The limit of a precedence or team holds requests for the group's pool back although the
     /// bound has room.
     Shortage(entity::Group, shortage::Limit),
--- a/decision/src/balancer/moves.rs
+++ b/decision/src/balancer/moves.rs
@@ -93,7 +93,8 @@
         let considered = self.open_for_move(pending, id, now);
         let candidates: Vec<entity::Server> = considered.iter().map(|c| c.server).collect();
         let choice = self.policy.choose(&self.servers, &candidates, &request, now)?;
-        if !self.budget.withdraw() {
+        // A stream that stays is considered again later, so that this counts as no denial.
+        if !self.budget.allows() || !self.budget.withdraw() {
             return None;
         }
         let passed_over = self.passed_over(self.servers[from].listing.pool, now);
--- a/decision/src/retry.rs
+++ b/decision/src/retry.rs
@@ -16,19 +16,53 @@
 /// Default maximum number of attempts of one request.
 pub const MAX_ATTEMPTS: u32 = 4;
 
+/// Retries that were charged to a budget, and those that it did not allow.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Retries that were withdrawn.
+    pub charged: u64,
+    /// Withdrawn retries that were returned because nothing was sent.
+    pub refunded: u64,
+    /// Retries that the budget did not allow.
+    pub denied: u64,
+}
+
+/// State of a retry budget, for metrics and logs.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Status {
+    /// Retries that are available.
+    pub available: f64,
+    /// Maximum number of retries that the budget accumulates.
+    pub reserve: f64,
+    /// Counts since the start of the process.
+    pub counts: Counts,
+}
+
 /// Retry budget of a process.
 #[derive(Debug, Clone)]
 pub struct Budget {
     ratio: f64,
     reserve: f64,
     available: f64,
+    counts: Counts,
 }
 
 impl Budget {
     /// Returns a budget of at most `reserve` retries, part of which is available
     /// initially. Each first attempt adds `ratio` of a retry.
     pub fn new(ratio: f64, reserve: f64) -> Budget {
-        Budget { ratio, reserve, available: reserve * INITIAL_FRACTION }
+        let available = reserve * INITIAL_FRACTION;
+        Budget { ratio, reserve, available, counts: Counts::default() }
+    }
+
+    /// Returns the state for metrics and logs.
+    pub fn status(&self) -> Status {
+        Status { available: self.available, reserve: self.reserve, counts: self.counts }
+    }
+
+    /// Returns whether [`withdraw`](Budget::withdraw) would succeed.
+    pub fn allows(&self) -> bool {
+        self.available >= 1.0
     }
 
     /// Sets the maximum number of retries in the budget. If it was zero before, part
@@ -54,14 +88,17 @@
     /// Returns a withdrawn retry that was not sent after all.
     pub fn refund(&mut self) {
         self.available = (self.available + 1.0).min(self.reserve);
+        self.counts.refunded += 1;
     }
 
     /// Withdraws one retry. Returns whether there was one.
     pub fn withdraw(&mut self) -> bool {
-        if self.available < 1.0 {
+        if !self.allows() {
+            self.counts.denied += 1;
             return false;
         }
         self.available -= 1.0;
+        self.counts.charged += 1;
         true
     }
 }
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -19,7 +19,7 @@
 
 use loftcove_clock as boot;
 use loftcove_decision::routing::{notice, policy, rate, server, warmup};
-use loftcove_decision::{admission, balancer, clock, entity, fleet, name, outage, pass, poison};
+use loftcove_decision::{admission, balancer, clock, entity, fleet, name, outage, pass, poison, retry};
 use rand_chacha::rand_core::SeedableRng as _;
 use tokio::sync::{Notify, mpsc};
 
@@ -207,6 +207,11 @@
         inner.route(actions);
     }
 
+    /// Returns the state of the retry budget.
+    pub fn retry_budget(&self) -> retry::Status {
+        self.lock().balancer.retry_budget()
+    }
+
     /// Sets the number of retries that the retry budget may accumulate.
     pub fn set_reserve(&self, reserve: f64) {
         self.lock().balancer.set_reserve(reserve);
@@ -556,6 +561,16 @@
                     ground.skew,
                     ground.allowed
                 ),
+                balancer::Note::BudgetUsedUp(pool, budget) => log::info!(
+                    "retry budget used up service={} available={:.2} reserve={:.2} charged={} \
+                     refunded={} denied={}",
+                    self.pools.name(pool),
+                    budget.available,
+                    budget.reserve,
+                    budget.counts.charged,
+                    budget.counts.refunded,
+                    budget.counts.denied
+                ),
                 balancer::Note::Shortage(group, limit) => log::info!(
                     "shortage limit group={} precedence={} team={} limit={:.1} in_flight={} \
                      capacity={:.1} age_ms={}",
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -99,6 +99,40 @@
     }
 }
 
+/// Metrics of the retry budget at one moment.
+#[derive(Debug, Default)]
+struct Retries {
+    available: Gauge<f64, AtomicU64>,
+    reserve: Gauge<f64, AtomicU64>,
+    charged: Counter,
+    refunded: Counter,
+    denied: Counter,
+}
+
+impl Retries {
+    fn of<P: Protocol>(gateway: &state::Gateway<P>) -> Retries {
+        let retries = Retries::default();
+        let budget = gateway.dispatcher.retry_budget();
+        retries.available.set(budget.available);
+        retries.reserve.set(budget.reserve);
+        retries.charged.inc_by(budget.counts.charged);
+        retries.refunded.inc_by(budget.counts.refunded);
+        retries.denied.inc_by(budget.counts.denied);
+        retries
+    }
+
+    fn register(self, registry: &mut Registry) {
+        let available = "Retries that the budget allows at present";
+        registry.register("retry_budget_available", available, self.available);
+        let reserve = "Maximum number of retries that the budget accumulates";
+        registry.register("retry_budget_reserve", reserve, self.reserve);
+        registry.register("retries_charged", "Retries charged to the budget", self.charged);
+        let refunded = "Charged retries of which nothing was sent";
+        registry.register("retries_refunded", refunded, self.refunded);
+        registry.register("retries_denied", "Retries that the budget denied", self.denied);
+    }
+}
+
 /// Metrics of a gateway.
 #[derive(Debug)]
 pub struct Metrics {
@@ -136,6 +170,8 @@
     pub unusable_entries: Gauge,
     /// Number of listed backend servers in drained availability zones.
     pub drained_servers: Gauge,
+    /// Number of gateways among which the retry budget is divided.
+    pub gateways: Gauge,
 }
 
 impl Default for Metrics {
@@ -161,6 +197,7 @@
             config_version: Gauge::default(),
             unusable_entries: Gauge::default(),
             drained_servers: Gauge::default(),
+            gateways: Gauge::default(),
         }
     }
 }
@@ -222,6 +259,7 @@
         registry.register("server_records", "Runs of servers with a record", held);
         registry.register("servers_listed", "Runs of servers that are listed", listed);
         registry.register("server_records_removed", "Records of runs removed", removed);
+        Retries::of(gateway).register(&mut registry);
         let refused: Gauge = Gauge::default();
         refused.set(gateway.mirror.ends.refused_requests().len() as i64);
         registry.register("requests_that_end_servers", "Requests that are refused for it", refused);
@@ -234,6 +272,8 @@
         registry.register("unusable_entries", unusable, self.unusable_entries.clone());
         let drained = "Servers in zones that are drained";
         registry.register("servers_drained", drained, self.drained_servers.clone());
+        let gateways = "Gateways among which the retry budget is divided";
+        registry.register("gateways", gateways, self.gateways.clone());
         let slow: Gauge = Gauge::default();
         slow.set(gateway.dispatcher.slow_ranks() as i64);
         registry.register("slow_ranks", "Ranks that count as slow at present", slow);
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -142,8 +142,7 @@
                 log::info!("server limit lifted server={} ms={ms} from=store", run.id);
             }
         }
-        let serving = &self.settings.serving;
-        self.dispatcher.set_reserve(serving.retry_slack * RETRY_MARGIN / gateways as f64);
+        self.set_retry_reserve(gateways);
         let usable = !servers.is_empty();
         self.update_servers(catalog, &servers, gateways);
         // A gateway without backend servers could only reject requests.
@@ -152,6 +151,16 @@
         }
     }
 
+    /// Divides the fixed part of the retry allowance among the gateways.
+    fn set_retry_reserve(&self, gateways: usize) {
+        let reserve = self.settings.serving.retry_slack * RETRY_MARGIN / gateways as f64;
+        let before = self.metrics.gateways.set(gateways as i64);
+        if before != gateways as i64 {
+            log::info!("retry budget reserve={reserve:.2} gateways={gateways} before={before}");
+        }
+        self.dispatcher.set_reserve(reserve);
+    }
+
     /// Returns service and group of each engine, as the drivers have written them. They are used
     /// for engines whose entries don't name their group.
     fn groups_by_member(&self) -> BTreeMap<SocketAddr, (Arc<str>, Arc<str>)> {
