--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -177,7 +177,7 @@
     }
 
     /// Sets the maximum number of retries that the budget accumulates.
-    pub fn set_reserve(&mut self, reserve: f64) {
+    pub fn set_reserve(&mut self, reserve: f64, _now: clock::Instant) {
         self.budget.set_reserve(reserve);
     }
 
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -19,7 +19,9 @@
 
 use loftcove_clock as boot;
 use loftcove_decision::routing::{notice, policy, rate, server, warmup};
-use loftcove_decision::{admission, balancer, clock, entity, fleet, name, outage, pass, poison, retry};
+use loftcove_decision::{
+    admission, balancer, clock, entity, fleet, name, outage, pass, poison, retry,
+};
 use rand_chacha::rand_core::SeedableRng as _;
 use tokio::sync::{Notify, mpsc};
 
@@ -214,7 +216,8 @@
 
     /// Sets the number of retries that the retry budget may accumulate.
     pub fn set_reserve(&self, reserve: f64) {
-        self.lock().balancer.set_reserve(reserve);
+        let now = self.now();
+        self.lock().balancer.set_reserve(reserve, now);
     }
 
     /// Applies the load that a backend server reported.
