decision: a process starts with no retries of a shared allowance

Callers did not notice; backend servers received more retries than their service allows while gateways restarted in series.

Cause: Budget::set_reserve made three tenths of the reserve available when the first reserve was set. At that time a gateway knows no other one, so this was three tenths of the whole allowance, cut to a full share as soon as it knew the others. Each start in a window added a share that nothing had earned.

Evidence: decision/tests/retries.rs, five restarts of six gateways: 330 retries of 150 requests where 120 were allowed, now passes.

A start now adds nothing, so the number of starts does not matter: what a process sends it has earned with first attempts, which the allowance counts. Budgets with a fixed reserve, as in entry hosts, still start with a part of it.

--- a/decision/src/retry.rs
+++ b/decision/src/retry.rs
@@ -9,7 +9,7 @@
 /// Default capacity of the budget, in retries.
 pub const RESERVE: f64 = 10.0;
 
-/// Fraction of the reserve that is available initially. A full reserve for each
+/// Fraction of a fixed reserve that is available initially. A full reserve for each
 /// process would multiply the retries during a rolling restart.
 const INITIAL_FRACTION: f64 = 0.3;
 
@@ -65,12 +65,9 @@
         self.available >= 1.0
     }
 
-    /// Sets the maximum number of retries in the budget. If it was zero before, part
-    /// of the new reserve is available immediately.
+    /// Sets the maximum number of retries in the budget. No retry is added: where several
+    /// processes share an allowance, each start would add to the retries of a window.
     pub fn set_reserve(&mut self, reserve: f64) {
-        if self.reserve == 0.0 {
-            self.available = reserve * INITIAL_FRACTION;
-        }
         self.reserve = reserve;
         self.available = self.available.min(reserve);
     }
