decision: a retry budget for each service

Backend servers of a service with little traffic received more retries than it allows, without any restart and with all gateways known.

Cause: a process had one budget. Requests to one service earned retries that another one received, and the fixed part was spent wherever retries were wanted. The allowance is one for each service.

Evidence: decision/tests/retries.rs: 238 retries of 25 requests at a service that rejects, beside one that answers, where 95 are allowed; now passes.

Accounts keeps one budget for each pool, made at its first request. Metrics of the budgets have the label service, and the log line of a denied retry is bounded for each service.

--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -111,9 +111,7 @@
 pub struct Balancer<P> {
     servers: server::Table,
     queue: admission::Queue,
-    budget: retry::Budget,
-    /// Time of the last [`Note::BudgetUsedUp`].
-    denial_noted: Option<clock::Instant>,
+    retries: retries::Accounts,
     charge_full: bool,
     policy: P,
     pending: BTreeMap<entity::Ticket, Pending>,
@@ -141,8 +139,10 @@
         Balancer {
             servers: server::Table::default(),
             queue: admission::Queue::new(options.capacity, options.min_retry_after),
-            budget: retry::Budget::new(options.retry_ratio, options.retry_reserve),
-            denial_noted: None,
+            retries: retries::Accounts::new(retry::Budget::new(
+                options.retry_ratio,
+                options.retry_reserve,
+            )),
             charge_full: options.charge_full,
             policy,
             pending: BTreeMap::new(),
@@ -176,9 +176,9 @@
         self.tally
     }
 
-    /// Sets the maximum number of retries that the budget accumulates.
+    /// Sets the maximum number of retries that the budget of each pool accumulates.
     pub fn set_reserve(&mut self, reserve: f64, _now: clock::Instant) {
-        self.budget.set_reserve(reserve);
+        self.retries.set_reserve(reserve);
     }
 
     /// Sets the weight and the request limit of a team.
--- a/decision/src/balancer/choose.rs
+++ b/decision/src/balancer/choose.rs
@@ -93,7 +93,7 @@
         self.servers[choice.server].sent(now);
         if pending.attempts == 1 {
             self.tally.first_attempts += 1;
-            self.budget.deposit();
+            self.retries.budget(pool).deposit();
         } else {
             self.tally.retries += 1;
         }
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -270,8 +270,8 @@
     Unsettled(entity::Server),
     /// The group carries as many streams of this gateway as its bound allows.
     Bound(entity::Group, pace::Bound),
-    /// The retry budget did not allow a retry of a request to the pool. Noted at most once
-    /// per second.
+    /// The retry budget of the pool did not allow a retry. Noted at most once per second for
+    /// each pool.
     BudgetUsedUp(entity::Pool, retry::Status),
     /// The limit of a precedence or team holds requests for the group's pool back although the
     /// bound has room.
--- a/decision/src/balancer/moves.rs
+++ b/decision/src/balancer/moves.rs
@@ -94,7 +94,8 @@
         let candidates: Vec<entity::Server> = considered.iter().map(|c| c.server).collect();
         let choice = self.policy.choose(&self.servers, &candidates, &request, now)?;
         // A stream that stays is considered again later, so that this counts as no denial.
-        if !self.budget.allows() || !self.budget.withdraw() {
+        let budget = self.retries.budget(pending.arrival.pool);
+        if !budget.allows() || !budget.withdraw() {
             return None;
         }
         let passed_over = self.passed_over(self.servers[from].listing.pool, now);
@@ -149,6 +150,7 @@
         let (Some(origin), State::Sent(server)) = (pending.origin.take(), pending.state) else {
             return;
         };
+        let pool = pending.arrival.pool;
         let sent = std::mem::replace(&mut pending.sent, origin.sent);
         let streams = std::mem::replace(&mut pending.streams, origin.streams);
         if let Some(group) = pending.group {
@@ -161,7 +163,7 @@
         pending.tried.pop();
         self.record_end(server, End::Withheld, sent, now);
         self.servers[origin.server].in_flight += 1;
-        self.budget.refund();
+        self.retries.budget(pool).refund();
         self.tally.retries -= 1;
         self.tally.moved -= 1;
     }
--- a/decision/src/balancer/rest.rs
+++ b/decision/src/balancer/rest.rs
@@ -181,13 +181,13 @@
         pending.state = State::Waiting;
         pending.sent = None;
         pending.group = None;
+        let (arrival, since) = (pending.arrival, pending.since);
         if pending.attempts == 0 {
             self.tally.first_attempts -= 1;
-            self.budget.cancel_deposit();
+            self.retries.budget(arrival.pool).cancel_deposit();
         } else {
             self.tally.retries -= 1;
         }
-        let (arrival, since) = (pending.arrival, pending.since);
         if arrival.deadline <= now {
             let reason = Reason::Admission(admission::Refusal::Deadline);
             return self.reject_pending(ticket, Outcome::NotRun, reason, now, actions);
--- a/decision/src/retry.rs
+++ b/decision/src/retry.rs
@@ -4,7 +4,8 @@
 //! started can always be retried, one that may have started only if the class
 //! is repeatable and the client has received nothing of the answer. And the
 //! retry budget must allow it: first attempts add to the budget and retries
-//! draw on it, so that an outage does not multiply the load that caused it.
+//! draw on it, so that an outage does not multiply the load that caused it. Each service has
+//! a budget of its own: requests to one service don't add to the retries of another one.
 
 /// Default capacity of the budget, in retries.
 pub const RESERVE: f64 = 10.0;
@@ -38,7 +39,7 @@
     pub counts: Counts,
 }
 
-/// Retry budget of a process.
+/// Retry budget of a process for the requests to one service.
 #[derive(Debug, Clone)]
 pub struct Budget {
     ratio: f64,
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -209,12 +209,14 @@
         inner.route(actions);
     }
 
-    /// Returns the state of the retry budget.
-    pub fn retry_budget(&self) -> retry::Status {
-        self.lock().balancer.retry_budget()
+    /// Returns the states of the retry budgets of all pools that have had requests.
+    pub fn retry_budgets(&self) -> Vec<(Arc<str>, retry::Status)> {
+        let inner = self.lock();
+        let budgets = inner.balancer.retry_budgets();
+        budgets.map(|(pool, status)| (inner.pools.name(pool).clone(), status)).collect()
     }
 
-    /// Sets the number of retries that the retry budget may accumulate.
+    /// Sets the number of retries that the retry budget of each pool may accumulate.
     pub fn set_reserve(&self, reserve: f64) {
         let now = self.now();
         self.lock().balancer.set_reserve(reserve, now);
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use loftcove_decision::retry;
 use loftcove_interface::protocol::Protocol;
 use loftcove_mirror::progress;
 use loftcove_response::ending;
@@ -99,30 +100,39 @@
     }
 }
 
-/// Metrics of the retry budget at one moment.
+/// Label for the service that a retry budget belongs to.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Service {
+    service: String,
+}
+
+/// Metrics of the retry budgets at one moment.
 #[derive(Debug, Default)]
 struct Retries {
-    available: Gauge<f64, AtomicU64>,
-    reserve: Gauge<f64, AtomicU64>,
-    charged: Counter,
-    refunded: Counter,
-    denied: Counter,
+    available: Family<Service, Gauge<f64, AtomicU64>>,
+    reserve: Family<Service, Gauge<f64, AtomicU64>>,
+    charged: Family<Service, Counter>,
+    refunded: Family<Service, Counter>,
+    denied: Family<Service, Counter>,
 }
 
 impl Retries {
     fn of<P: Protocol>(gateway: &state::Gateway<P>) -> Retries {
         let retries = Retries::default();
-        let budget = gateway.dispatcher.retry_budget();
-        retries.available.set(budget.available);
-        retries.reserve.set(budget.reserve);
-        retries.charged.inc_by(budget.counts.charged);
-        retries.refunded.inc_by(budget.counts.refunded);
-        retries.denied.inc_by(budget.counts.denied);
+        for (service, budget) in gateway.dispatcher.retry_budgets() {
+            let label = Service { service: service.to_string() };
+            let retry::Status { available, reserve, counts } = budget;
+            retries.available.get_or_create(&label).set(available);
+            retries.reserve.get_or_create(&label).set(reserve);
+            retries.charged.get_or_create(&label).inc_by(counts.charged);
+            retries.refunded.get_or_create(&label).inc_by(counts.refunded);
+            retries.denied.get_or_create(&label).inc_by(counts.denied);
+        }
         retries
     }
 
     fn register(self, registry: &mut Registry) {
-        let available = "Retries that the budget allows at present";
+        let available = "Retries that the budget of a service allows at present";
         registry.register("retry_budget_available", available, self.available);
         let reserve = "Maximum number of retries that the budget accumulates";
         registry.register("retry_budget_reserve", reserve, self.reserve);
@@ -170,7 +180,7 @@
     pub unusable_entries: Gauge,
     /// Number of listed backend servers in drained availability zones.
     pub drained_servers: Gauge,
-    /// Number of gateways among which the retry budget is divided.
+    /// Number of gateways among which the retry budgets are divided.
     pub gateways: Gauge,
 }
 
@@ -272,7 +282,7 @@
         registry.register("unusable_entries", unusable, self.unusable_entries.clone());
         let drained = "Servers in zones that are drained";
         registry.register("servers_drained", drained, self.drained_servers.clone());
-        let gateways = "Gateways among which the retry budget is divided";
+        let gateways = "Gateways among which the retry budgets are divided";
         registry.register("gateways", gateways, self.gateways.clone());
         let slow: Gauge = Gauge::default();
         slow.set(gateway.dispatcher.slow_ranks() as i64);
