decision: hold a smaller share of the retry allowance for ten minutes

Backend servers could receive more retries than their service allows after registrations of gateways had expired or been revoked.

Cause: each gateway divides the fixed part of the allowance by the gateways that are registered at the moment. A registration that has expired does not show that its gateway has ended: it may be cut off, or the store may have been down. Until it is back, each gateway that still runs saves up a larger share, up to the whole.

Evidence: decision/tests/retries.rs, registrations that are missing for 30 s at six gateways: 390 retries of 120 requests where 114 are allowed; now passes.

A share now grows only if no smaller one was in force within ten minutes. Where gateways really were removed, this costs a part of the saved retries for that time; what requests earn does not depend on it.

--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -176,9 +176,11 @@
         self.tally
     }
 
-    /// Sets the maximum number of retries that the budget of each pool accumulates.
-    pub fn set_reserve(&mut self, reserve: f64, _now: clock::Instant) {
-        self.retries.set_reserve(reserve);
+    /// Sets the maximum number of retries that the budget of each pool accumulates, as a share by
+    /// the number of processes that are known now. Returns the number in force: a smaller one
+    /// stays for [`retry::SHARE_HOLD`].
+    pub fn set_reserve(&mut self, reserve: f64, now: clock::Instant) -> f64 {
+        self.retries.set_reserve(reserve, now)
     }
 
     /// Sets the weight and the request limit of a team.
--- a/decision/src/balancer/retries.rs
+++ b/decision/src/balancer/retries.rs
@@ -17,6 +17,7 @@
 pub(super) struct Accounts {
     /// Budget of a pool that has had no request yet.
     initial: retry::Budget,
+    share: retry::Share,
     accounts: BTreeMap<entity::Pool, Account>,
 }
 
@@ -30,7 +31,7 @@
 impl Accounts {
     /// Creates accounts that all begin with a budget.
     pub(super) fn new(initial: retry::Budget) -> Accounts {
-        Accounts { initial, accounts: BTreeMap::new() }
+        Accounts { initial, share: retry::Share::default(), accounts: BTreeMap::new() }
     }
 
     fn account(&mut self, pool: entity::Pool) -> &mut Account {
@@ -44,10 +45,12 @@
         &mut self.account(pool).budget
     }
 
-    /// Sets the maximum number of retries in each budget.
-    pub(super) fn set_reserve(&mut self, reserve: f64) {
+    /// Sets the maximum number of retries in each budget to the smallest one of recent time.
+    pub(super) fn set_reserve(&mut self, reserve: f64, now: clock::Instant) -> f64 {
+        let reserve = self.share.update(reserve, now);
         self.initial.set_reserve(reserve);
         self.accounts.values_mut().for_each(|account| account.budget.set_reserve(reserve));
+        reserve
     }
 }
 
--- a/decision/src/retry.rs
+++ b/decision/src/retry.rs
@@ -7,6 +7,11 @@
 //! draw on it, so that an outage does not multiply the load that caused it. Each service has
 //! a budget of its own: requests to one service don't add to the retries of another one.
 
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::clock;
+
 /// Default capacity of the budget, in retries.
 pub const RESERVE: f64 = 10.0;
 
@@ -101,6 +106,38 @@
     }
 }
 
+/// Time for which a share of the allowance stays as small as it was. A gateway whose registration
+/// has expired may still run, cut off or without the store, and use its share. A cut rarely lasts
+/// longer, and a share that is too small for this time costs only a part of the saved retries.
+pub const SHARE_HOLD: Duration = Duration::from_secs(600);
+
+/// Smallest share of recent time in an allowance that several processes divide by the number of
+/// processes that they know.
+#[derive(Debug, Clone, Default)]
+pub struct Share {
+    /// Shares in ascending order, each with the last time at which it was in force.
+    smallest: VecDeque<(f64, clock::Instant)>,
+}
+
+impl Share {
+    /// Records that `share` is in force from `now`, by the processes that are known now. Returns
+    /// the smallest share that was in force within [`SHARE_HOLD`].
+    pub fn update(&mut self, share: f64, now: clock::Instant) -> f64 {
+        if let Some((_, until)) = self.smallest.back_mut() {
+            // The newest share was in force until now.
+            *until = now;
+        }
+        while self.smallest.back().is_some_and(|(other, _)| *other >= share) {
+            self.smallest.pop_back();
+        }
+        self.smallest.push_back((share, now));
+        while self.smallest.front().is_some_and(|(_, until)| now.since(*until) > SHARE_HOLD) {
+            self.smallest.pop_front();
+        }
+        self.smallest.front().map_or(share, |(smallest, _)| *smallest)
+    }
+}
+
 /// Whether a failed attempt was executed, as far as is known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Execution {
--- a/decision/tests/retries.rs
+++ b/decision/tests/retries.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use loftcove_decision::routing::{policy, server};
-use loftcove_decision::{balancer, clock, entity};
+use loftcove_decision::{balancer, clock, entity, retry};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng as _;
 
@@ -225,6 +227,32 @@
     assert!(retries as f64 <= allowed(requests), "{retries} retries of {requests} requests");
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(17), ..ProptestConfig::default() })]
+
+    /// Guards against a share that grows before the hold time is over, and against one that never
+    /// grows again.
+    #[test]
+    fn a_share_is_the_smallest_one_in_force_within_the_hold_time(
+        updates in prop::collection::vec((1..9_u64, 0..400_u64), 1..40),
+    ) {
+        let mut share = retry::Share::default();
+        let mut now = start_time();
+        // Each share with the time until which it was in force.
+        let mut all: Vec<(f64, clock::Instant)> = Vec::new();
+        for (gateways, seconds) in updates {
+            now = now + Duration::from_secs(seconds);
+            if let Some((_, until)) = all.last_mut() {
+                *until = now;
+            }
+            all.push((SLACK / gateways as f64, now));
+            let recent = all.iter().filter(|(_, until)| now.since(*until) <= retry::SHARE_HOLD);
+            let smallest = recent.map(|(share, _)| *share).fold(f64::INFINITY, f64::min);
+            prop_assert_eq!(share.update(SLACK / gateways as f64, now), smallest);
+        }
+    }
+}
+
 /// Guards against a request that earns retries once for each time that it is withheld from a server
 /// that takes no more requests.
 #[test]
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -217,9 +217,10 @@
     }
 
     /// Sets the number of retries that the retry budget of each pool may accumulate.
-    pub fn set_reserve(&self, reserve: f64) {
+    /// See [`balancer::Balancer::set_reserve`].
+    pub fn set_reserve(&self, reserve: f64) -> f64 {
         let now = self.now();
-        self.lock().balancer.set_reserve(reserve, now);
+        self.lock().balancer.set_reserve(reserve, now)
     }
 
     /// Applies the load that a backend server reported.
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -154,11 +154,11 @@
     /// Divides the fixed part of the retry allowance among the gateways.
     fn set_retry_reserve(&self, gateways: usize) {
         let reserve = self.settings.serving.retry_slack * RETRY_MARGIN / gateways as f64;
+        let reserve = self.dispatcher.set_reserve(reserve);
         let before = self.metrics.gateways.set(gateways as i64);
         if before != gateways as i64 {
             log::info!("retry budget reserve={reserve:.2} gateways={gateways} before={before}");
         }
-        self.dispatcher.set_reserve(reserve);
     }
 
     /// Returns service and group of each engine, as the drivers have written them. They are used
