decision: a request adds to the retry budget once

Retries that nothing had earned: a gateway could send more of them after attempts were withheld from servers that rest or leave.

Cause: a first attempt added its share when it was dispatched and took it back when it was withheld, but the budget did not go below zero. A share that was spent in between was not taken back, and the request added another one when it was dispatched again.

A request now adds its share at its first dispatch, and never takes it back. The allowance counts requests whether they reach a server or not.

--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -60,6 +60,8 @@
     failures: u32,
     /// Failed attempts that ran or may have run.
     runs: u32,
+    /// Whether the request has added to the retry budget of its pool.
+    deposited: bool,
     state: State,
     /// Group of the backend server that runs the current attempt.
     group: Option<entity::Group>,
@@ -297,6 +299,7 @@
             attempts: 0,
             failures: 0,
             runs: 0,
+            deposited: false,
             state: State::Waiting,
             group: None,
             sent: None,
--- a/decision/src/balancer/rest.rs
+++ b/decision/src/balancer/rest.rs
@@ -184,7 +184,6 @@
         let (arrival, since) = (pending.arrival, pending.since);
         if pending.attempts == 0 {
             self.tally.first_attempts -= 1;
-            self.retries.budget(arrival.pool).cancel_deposit();
         } else {
             self.tally.retries -= 1;
         }
--- a/decision/src/retry.rs
+++ b/decision/src/retry.rs
@@ -78,16 +78,11 @@
         self.available = self.available.min(reserve);
     }
 
-    /// Adds the share of a first attempt.
+    /// Adds the share of a request, once for each request.
     pub fn deposit(&mut self) {
         self.available = (self.available + self.ratio).min(self.reserve);
     }
 
-    /// Takes back the share of a first attempt that was not sent after all.
-    pub fn cancel_deposit(&mut self) {
-        self.available = (self.available - self.ratio).max(0.0);
-    }
-
     /// Returns a withdrawn retry that was not sent after all.
     pub fn refund(&mut self) {
         self.available = (self.available + 1.0).min(self.reserve);
