tests, soak: count the retries of all gateways at the servers

visits::overspend counts arrivals beyond the first one of each request in sliding windows, as the users do.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use loftcove_tests::request::Arrival;
-use loftcove_tests::visits::{self, Excess, Exemption, Overrun, Sent, Visit};
+use loftcove_tests::visits::{self, Allowance, Excess, Exemption, Overrun, Overspend, Sent, Visit};
 
 use crate::client::{DEADLINE, End, Kind, Record};
 use crate::inject::Span;
@@ -60,6 +60,9 @@
     /// A server received more requests from all gateways together than its rate limit allows.
     #[error("server {} had a limit of {} requests per second and received {} within 4 s, {} allowed, the first {:?}", .0.server, .0.limit, .0.requests, .0.allowed, .0.ids[0])]
     LimitExceeded(Overrun),
+    /// The servers of a service received more retries from all gateways together than it allows.
+    #[error("{} received {} retries of {} requests within 10 s, {} allowed", .0, .1.retries, .1.requests, .1.allowed)]
+    TooManyRetries(&'static str, Overspend),
     /// Passes ran on two maps.
     #[error("{0} passes ran on two maps")]
     MixedMaps(u64),
@@ -188,6 +191,22 @@
         unrested.into_iter().chain(undrained).map(Breach::NoticeIgnored).chain(overruns).collect()
     }
 
+    /// Returns the services whose servers received more retries than they allow. No fault excuses
+    /// them: the allowance is one for all processes of a window.
+    pub fn overspent(&self, allowance: Allowance) -> Vec<Breach> {
+        let clock = Clock::now();
+        let check = |(service, ranks): (&'static str, bool)| {
+            let of_service = |visit: &&Visit| visit.server.starts_with("rank") == ranks;
+            let visits: Vec<Visit> = self.visits.iter().filter(of_service).cloned().collect();
+            let to_service = |record: &&Record| matches!(record.kind, Kind::Draft(_)) == ranks;
+            let sent = self.records.iter().filter(to_service);
+            let sent: Vec<u64> = sent.map(|record| clock.ms(record.time.0)).collect();
+            let over = visits::overspend(&visits, &sent, allowance)?;
+            Some(Breach::TooManyRetries(service, over))
+        };
+        [("ranks", true), ("plain servers", false)].into_iter().filter_map(check).collect()
+    }
+
     /// Returns whether a link fault may have closed the connection of a response that only the end
     /// of the connection marks. If it closed between two events, nothing shows that the response
     /// is not complete.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -8,7 +8,8 @@
 
 use loftcove_tests::failure;
 use loftcove_tests::request::{Arrival, Request};
-use loftcove_tests::system::{BOUND, Plan, System};
+use loftcove_tests::system::{BOUND, Plan, RETRIES, System};
+use loftcove_tests::visits::Allowance;
 
 use crate::check::{self, Breach, Evidence};
 use crate::inject::Injector;
@@ -49,6 +50,9 @@
     if seed % 2 == 1 && size.ranks >= 4 { 2 } else { 1 }
 }
 
+/// Retries beyond a part of the requests that each service allows, for each gateway.
+const SLACK_PER_GATEWAY: f64 = 5.0;
+
 /// Runs a seed: starts a system, sends requests by callers with a policy, and injects the events.
 pub async fn play(
     seed: u64,
@@ -56,15 +60,17 @@
     callers: client::Policy,
     events: Vec<plan::Event>,
 ) -> Report {
-    let mut system = System::start(Plan {
+    // Few enough that the faults use them up.
+    let slack = SLACK_PER_GATEWAY * f64::from(size.gateways);
+    let plan = Plan {
         gateways: size.gateways,
         ranks: size.ranks,
         groups: groups(seed, size),
         plain: size.plain,
         sidecars: true,
         proxied: true,
-    })
-    .await;
+    };
+    let mut system = System::start_with(plan, Allowance { slack, ..RETRIES }).await;
     inject::write_starts(&system).await;
     let shared: Arc<client::Shared> = Arc::default();
     shared.newest.store(2, Ordering::Relaxed);
@@ -101,6 +107,7 @@
     let number =
         |name: &str| -> u64 { states.iter().map(|state| state[name].as_u64().unwrap_or(0)).sum() };
     let mut breaches = evidence.breaches();
+    breaches.extend(evidence.overspent(system.retries));
     breaches.extend(overdue.into_iter().map(Breach::Overdue));
     breaches.extend(not_applied);
     breaches.extend(poisoned);
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -38,6 +38,9 @@
 /// Last byte of the address of the first sidecar if the proxy listens on the host's address.
 const FIRST_SIDECAR_BEHIND_PROXY: u8 = 170;
 
+/// Retries that each service allows.
+pub const RETRIES: visits::Allowance = visits::Allowance { ratio: 0.2, slack: 90.0 };
+
 /// Numbers and kinds of processes to start.
 #[derive(Debug, Clone, Copy)]
 pub struct Plan {
@@ -83,6 +86,8 @@
     /// Proxy addresses of the store, by the host that connects through them.
     stores: BTreeMap<String, SocketAddr>,
     version: u64,
+    /// Retries that each service allows.
+    pub retries: visits::Allowance,
 }
 
 /// A subnet of 127.0.0.0/8 that is reserved until this value is dropped. No other system of this
@@ -140,6 +145,11 @@
 
     /// Starts all processes with an initial configuration and waits until all gateways are ready.
     pub async fn start(plan: Plan) -> System {
+        System::start_with(plan, RETRIES).await
+    }
+
+    /// Starts a system whose services allow the given retries.
+    pub async fn start_with(plan: Plan, retries: visits::Allowance) -> System {
         let mut store = process::Process::start("standin-platform", &[]);
         let store_address = store.read_address().await;
         let subnet = Subnet::reserve();
@@ -166,6 +176,7 @@
             written: Mutex::default(),
             stores: BTreeMap::new(),
             version: 1,
+            retries,
         };
         system.interpose(lockstep.iter().chain(&plain)).await;
         system.configure(1, &[KEY]).await;
@@ -408,8 +419,10 @@
         let text = format!(
             "{}[listen]\nclient_address = \"{ip}:{CLIENT_PORT}\"\n\
              ready_address = \"{ip}:{READY_PORT}\"\npeer_address = \"{ip}:{PEER_PORT}\"\n\
-             [serving]\ngrace_s = 8\nretry_ratio = 0.2\nretry_slack = 90\n",
-            self.host_section(&name, ip)
+             [serving]\ngrace_s = 8\nretry_ratio = {:?}\nretry_slack = {:?}\n",
+            self.host_section(&name, ip),
+            self.retries.ratio,
+            self.retries.slack
         );
         let file = self.folder.write(&format!("{name}.toml"), &text);
         let arguments = ["gateway".to_owned(), file];
--- a/tests/src/visits.rs
+++ b/tests/src/visits.rs
@@ -5,7 +5,7 @@
 //! count requests in the way that the users count them. Times are Unix milliseconds of one
 //! machine's clock.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde_json::Value;
 
@@ -264,3 +264,53 @@
     });
     over.max_by_key(|overrun| overrun.requests)
 }
+
+/// Length of the window over which retries are counted.
+pub const RETRY_WINDOW_MS: u64 = 10_000;
+
+/// Retries that a service allows within a window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Allowance {
+    /// Part of the requests to the service.
+    pub ratio: f64,
+    /// Retries beyond that part.
+    pub slack: f64,
+}
+
+/// More retries at the servers of a service within a window than it allows.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Overspend {
+    /// Number of arrivals beyond the first one of each request.
+    pub retries: usize,
+    /// Number of requests of clients to the service.
+    pub requests: usize,
+    /// Number of retries that are allowed.
+    pub allowed: f64,
+    /// Start of the window.
+    pub from: u64,
+}
+
+/// Returns the window with the most retries above the allowance, over all gateways. `visits` are
+/// the requests that reached servers of the service, and `sent` the times of all requests to it.
+/// The requests are those of the window, of the one before it, or of the one half a window before
+/// it, whichever are most.
+pub fn overspend(visits: &[Visit], sent: &[u64], allowance: Allowance) -> Option<Overspend> {
+    let mut visits: Vec<&Visit> = visits.iter().collect();
+    visits.sort_by_key(|visit| visit.at);
+    let mut seen = BTreeSet::new();
+    let retries: Vec<u64> =
+        visits.iter().filter(|visit| !seen.insert(&visit.request)).map(|visit| visit.at).collect();
+    let requests_from =
+        |from: u64| sent.iter().filter(|at| (from..from + RETRY_WINDOW_MS).contains(at)).count();
+    let windows = retries.iter().enumerate().map(|(index, from)| {
+        let end = retries.partition_point(|at| *at < from + RETRY_WINDOW_MS);
+        let starts = [0, RETRY_WINDOW_MS / 2, RETRY_WINDOW_MS];
+        let starts = starts.into_iter().map(|before| from.saturating_sub(before));
+        let requests = starts.map(requests_from).max().unwrap_or_default();
+        let allowed = allowance.ratio * requests as f64 + allowance.slack;
+        Overspend { retries: end - index, requests, allowed, from: *from }
+    });
+    let excess = |window: &Overspend| window.retries as f64 - window.allowed;
+    let worst = windows.max_by(|one, other| excess(one).total_cmp(&excess(other)));
+    worst.filter(|window| excess(window) > 0.0)
+}
--- a/tests/tests/visits.rs
+++ b/tests/tests/visits.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use loftcove_tests::visits::{self, DRAIN_MS, MAX_REQUESTS_DURING_REST, NoExemption, Sent, Visit};
+use loftcove_tests::visits::{
+    self, Allowance, DRAIN_MS, MAX_REQUESTS_DURING_REST, NoExemption, Sent, Visit,
+};
 
 fn visit(request: &str, at: u64) -> Visit {
     let (server, request) = ("s".to_owned(), request.to_owned());
@@ -80,3 +82,25 @@
     sent.values_mut().filter(|sent| sent.at >= 5_000).for_each(|sent| sent.gateway = 1);
     assert_eq!(visits::overruns(&visits, &sent, &NoExemption), []);
 }
+
+/// Guards against windows that are counted with the requests of another time, and against first
+/// arrivals that are counted as retries.
+#[test]
+fn counts_retries_of_a_window_against_its_requests_or_earlier_ones() {
+    let allowance = Allowance { ratio: 0.2, slack: 3.0 };
+    let twice = |from: u64, count: u64| {
+        (from..from + count)
+            .flat_map(|at| [visit(&format!("r{at}"), at), visit(&format!("r{at}"), at)])
+    };
+    let sent: Vec<u64> = (20_000..20_010).collect();
+    let found = |visits: Vec<Visit>| visits::overspend(&visits, &sent, allowance);
+    assert_eq!(found(twice(20_000, 5).collect()), None);
+    let over =
+        found(twice(20_000, 6).collect()).map(|over| (over.retries, over.requests, over.from));
+    assert_eq!(over, Some((6, 10, 20_000)));
+    // The requests of the window before count, but not those of an earlier one.
+    assert_eq!(found(twice(30_000, 5).collect()), None);
+    assert_eq!(found(twice(30_100, 5).collect()).map(|over| over.requests), Some(0));
+    // Retries of two windows are not added up.
+    assert_eq!(found(twice(20_000, 3).chain(twice(30_100, 3)).collect()), None);
+}
