--- a/decision/tests/retries.rs
+++ b/decision/tests/retries.rs
@@ -227,6 +227,39 @@
     assert!(retries as f64 <= allowed(requests), "{retries} retries of {requests} requests");
 }
 
+/// Returns the retries that gateways send in a window in which all attempts fail, after a long time
+/// without failures, as a part of what the service allows. Each gateway receives `load` requests.
+fn used(slack: f64, load: &[u64]) -> f64 {
+    let mut retries = 0;
+    for requests in load {
+        let mut budget = retry::Budget::new(RATIO * MARGIN, 0.0);
+        budget.set_reserve(slack * MARGIN / load.len() as f64);
+        (0..10 * requests).for_each(|_| budget.deposit());
+        for _ in 0..*requests {
+            budget.deposit();
+            while budget.withdraw() {
+                retries += 1;
+            }
+        }
+    }
+    f64::from(retries) / (RATIO * load.iter().sum::<u64>() as f64 + slack)
+}
+
+/// Guards against shares that are rounded away: a gateway whose share is a few retries can still
+/// use most of them.
+#[test]
+fn most_of_the_allowance_can_be_used_by_any_number_of_gateways() {
+    for (gateways, slack) in [(6, 88.0), (42, 234.0), (430, 1_040.0)] {
+        let even = vec![100; gateways];
+        let uneven: Vec<u64> =
+            (0..gateways).map(|number| if number % 6 == 0 { 500 } else { 20 }).collect();
+        let (even, uneven) = (used(slack, &even), used(slack, &uneven));
+        println!("{gateways} gateways: {even:.3} under even load, {uneven:.3} under uneven load");
+        assert!(even >= 0.6 && even <= MARGIN, "{gateways} gateways use {even}");
+        assert!(uneven >= 0.5 && uneven <= MARGIN, "{gateways} gateways use {uneven}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(17), ..ProptestConfig::default() })]
 
