gateway: log the shared parts of the prompt of a request that broke

The logs of the incident name requests and digests, but nothing that the requests under which servers ended have in common. The line 'connection broke' has parts=. Nothing is decided differently.

--- a/gateway/src/ended.rs
+++ b/gateway/src/ended.rs
@@ -46,11 +46,12 @@
         let lives = lives(&self.dispatcher, target).await;
         log::info!(
             "connection broke request={} digest={} server={} lives={lives} \
-             leaving={leaving} alone={} ms={}",
+             leaving={leaving} alone={} parts={} ms={}",
             request.meta.id,
             request.digest,
             target.run.id,
             request.suspect,
+            request.part_ids(),
             request.received.elapsed().as_millis()
         );
         if leaving {
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -102,6 +102,21 @@
     pub version: u64,
 }
 
+/// Maximum number of parts of a prompt that are logged, and maximum length of the id of each.
+const MAX_LOGGED_PARTS: (usize, usize) = (8, 32);
+
+impl Request {
+    /// Returns the ids of the first shared parts of the prompt for the log.
+    pub fn part_ids(&self) -> String {
+        let (count, length) = MAX_LOGGED_PARTS;
+        // Clients choose the ids, which must not look like other fields of the line.
+        let printable = |char: char| if char.is_ascii_alphanumeric() { char } else { '_' };
+        let id = |id: &Arc<str>| id.chars().take(length).map(printable).collect::<String>();
+        let ids: Vec<String> = self.meta.parts.iter().take(count).map(id).collect();
+        if ids.is_empty() { "-".to_owned() } else { ids.join(",") }
+    }
+}
+
 /// Reads a complete request whose route has been found.
 ///
 /// # Errors
--- a/interface/src/protocol.rs
+++ b/interface/src/protocol.rs
@@ -24,6 +24,8 @@
     pub tokens: Option<(u32, u32)>,
     /// The client's estimate of the number of tokens in the response.
     pub length_hint: Option<u32>,
+    /// Ids of the parts of the prompt that other requests may share, in order.
+    pub parts: Vec<Arc<str>>,
 }
 
 /// The data that loftcove adds to a request that it forwards to a backend server.
