gateway: try a refused part of a prompt again

A part that is refused wrongly, or whose cause is gone, was refused for ten minutes after its last end: no request with it was sent, so that no answer could revoke the refusal.

One gateway, chosen by the names of the registered ones, sends one request with the part a minute after the last end, two after four ends, and so on; all others refuse it meanwhile. An answer that begins revokes the refusal everywhere; an end doubles the time. A request with two refused parts is no trial.

decision/tests/parts.rs has the times, mirror/tests/ends.rs that one gateway does it, once.

--- a/decision/src/poison.rs
+++ b/decision/src/poison.rs
@@ -77,6 +77,9 @@
 /// end. Equal to the longest lease of the store, which preserves refusals across a
 /// restart of all gateways.
 pub const RETENTION: Duration = Duration::from_secs(600);
+/// Time after the last end of a refused part until one request with it is sent as a trial.
+/// Doubles with each end beyond those that got it refused.
+pub const TRIAL_DELAY: Duration = Duration::from_secs(60);
 /// Shortest time between two reported ends of one server for them to count as two. A
 /// server takes at least a second to restart, and an end is detected within 0.4 s.
 const SAME_END_TIME: Duration = Duration::from_millis(500);
@@ -328,6 +331,17 @@
         self.refused.get(&digest).copied()
     }
 
+    /// Returns the time from which one request with a refused part may be sent as a trial, or
+    /// `None` if the part is not refused. If an answer begins, the refusal was wrong or its
+    /// cause is gone; without a trial, none would begin until the ends are forgotten.
+    pub fn trial_time(&self, digest: Digest) -> Option<clock::Instant> {
+        let verdict = self.refused.get(&digest)?;
+        let held = |end: &&End| end.suspects().any(|suspect| suspect == digest);
+        let last = self.ends.values().filter(held).map(|end| end.at).max()?;
+        let more = verdict.ends.saturating_sub(self.thresholds.leading);
+        Some(last + TRIAL_DELAY * 2_u32.saturating_pow(more))
+    }
+
     /// Returns the ends that count against a request, each with the number of other
     /// requests on that server.
     pub fn evidence(&self, digest: Digest, now: clock::Instant) -> Vec<Evidence> {
--- a/decision/tests/parts.rs
+++ b/decision/tests/parts.rs
@@ -91,6 +91,20 @@
     assert!(setup.is_refused("one") && setup.is_refused("other"));
 }
 
+/// Guards against a wrong refusal that no answer can revoke, as no request with the part is sent,
+/// and against trials that end servers often.
+#[test]
+fn a_trial_is_due_later_with_each_further_end() {
+    let mut setup = Setup::new();
+    assert_eq!(setup.ledger.trial_time(part("bad")), None);
+    for delay in [None, None, Some(60), Some(120), Some(240)] {
+        let at = setup.now;
+        setup.end(&["bad"]);
+        let due = delay.map(|seconds| at + Duration::from_secs(seconds));
+        assert_eq!(setup.ledger.trial_time(part("bad")), due);
+    }
+}
+
 /// Guards against a refusal that never ends, and against memory that grows with made-up parts.
 #[test]
 fn forgets_ends_and_keeps_a_bounded_number() {
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -90,11 +90,12 @@
         log::info!("request ends servers request={id} digest={} ends={ends}", request.digest);
         return Err(refused(Refusal::EndsServers));
     }
+    let trial = gateway.begins_trial(&request);
+    let suspect = gateway.mirror.ends.apart(request.digest);
+    let request = Arc::new(Request { suspect, trial, ..request });
     if gateway.has_refused_part(&request) {
         return Err(refused(Refusal::PartEndsServers));
     }
-    let suspect = gateway.mirror.ends.apart(request.digest);
-    let request = Arc::new(Request { suspect, ..request });
     Ok(Flow { gateway: gateway.clone(), request, in_flight })
 }
 
@@ -154,7 +155,7 @@
         let refused = gateway.mirror.ends.wait_until_refused(request.digest);
         tokio::pin!(refused);
         // A request that was already sent goes on: it may show that its parts are sound.
-        let part_refused = gateway.mirror.ends.wait_until_part_refused(&request.parts);
+        let part_refused = gateway.mirror.ends.wait_until_part_refused(request.refusable_parts());
         tokio::pin!(part_refused);
         loop {
             if gateway.has_refused_part(&request) {
@@ -329,10 +330,20 @@
         }
     }
 
+    /// Returns whether the request is to be sent as a trial of a refused part of its prompt.
+    fn begins_trial(&self, request: &Request) -> bool {
+        let (ends, name) = (&self.mirror.ends, &self.settings.host.name);
+        let Some((part, _)) = ends.refused_part(&request.parts) else { return false };
+        let others = request.parts.iter().copied().filter(|other| *other != part);
+        let others: Vec<poison::Digest> = others.collect();
+        // An answer would tell nothing if another part ends the server.
+        ends.refused_part(&others).is_none() && ends.begins_trial(part, name, &self.mirror)
+    }
+
     /// Returns whether a part of the request's prompt is refused because servers ended under
     /// requests with it. Logs the part.
     pub(crate) fn has_refused_part(&self, request: &Request) -> bool {
-        let found = self.mirror.ends.refused_part(&request.parts);
+        let found = self.mirror.ends.refused_part(request.refusable_parts());
         if let Some(found) = found {
             self.log_refused_part(request, found);
         }
@@ -396,7 +407,7 @@
         let fresh = !request.grant.route.kind.repeatable();
         let wanted = || {
             self.dispatcher.still_accepts(attempt.server, attempt.at)
-                && self.mirror.ends.refused_part(&request.parts).is_none()
+                && self.mirror.ends.refused_part(request.refusable_parts()).is_none()
         };
         let reply = self.upstream.send(&attempt.target, message, fresh, left, wanted);
         let reply = match tokio::time::timeout_at(request.due.timer(), reply).await {
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -96,6 +96,8 @@
     pub digest: poison::Digest,
     /// Digests of the first shared parts of the prompt. They differ between services.
     pub parts: Vec<poison::Digest>,
+    /// Whether the request is sent although a part is refused, to find out whether an answer begins.
+    pub trial: bool,
     /// Whether the request may have ended a backend server, as far as was known when it was
     /// received.
     pub suspect: bool,
@@ -122,6 +124,11 @@
         if ids.is_empty() { "-".to_owned() } else { ids.join(",") }
     }
 
+    /// Returns the parts for which the request is refused if servers ended under them.
+    pub fn refusable_parts(&self) -> &[poison::Digest] {
+        if self.trial { &[] } else { &self.parts }
+    }
+
     /// Returns the id of a part for the log.
     pub fn part_id(&self, digest: poison::Digest) -> String {
         let mut parts = self.meta.parts.iter().zip(&self.parts);
@@ -157,7 +164,7 @@
     let service = grant.route.target(rand::random()).clone();
     let digest = digest(&head, &meta, &grant, &body);
     let parts = part_digests(&service, &meta);
-    let (suspect, version) = (false, routes.version);
+    let (suspect, trial, version) = (false, false, routes.version);
     Ok(Request {
         head,
         body,
@@ -166,6 +173,7 @@
         origin,
         digest,
         parts,
+        trial,
         suspect,
         service,
         received,
--- a/mirror/src/ends.rs
+++ b/mirror/src/ends.rs
@@ -18,16 +18,16 @@
 
 use loftcove_clock as boot;
 use loftcove_decision::poison::{
-    Abandoned, Burst, Digest, Finished, Item, Ledger, Mark, SETTLE_TIME, Standing,
+    Abandoned, Burst, Digest, Finished, Item, Ledger, Mark, SETTLE_TIME, Standing, TRIAL_DELAY,
 };
 use loftcove_decision::revision::Revision;
-use loftcove_decision::{clock, fleet, mirror};
+use loftcove_decision::{clock, fleet, mirror, rendezvous};
 use loftcove_interface::store::{self, Store};
 use loftcove_wire as wire;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{broadcast, watch as channel};
 
-use crate::{Mirror, OWN_PREFIX, Source};
+use crate::{Mirror, OWN_PREFIX, Source, register};
 
 /// Maximum number of items that a follower may lag behind. Past that, it receives all items again.
 const BACKLOG: usize = 256;
@@ -118,12 +118,14 @@
     own: BTreeSet<Digest>,
     /// Digests whose refusal has been logged.
     refused: BTreeSet<Digest>,
+    /// Times at which this process has last sent a request with a refused part as a trial.
+    trials: BTreeMap<Digest, clock::Instant>,
 }
 
 impl Cases {
     fn new(kind: Kind, ledger: Ledger) -> Cases {
-        let (finished, own, refused) = Default::default();
-        Cases { kind, ledger, finished, own, refused }
+        let (finished, own, refused, trials) = Default::default();
+        Cases { kind, ledger, finished, own, refused, trials }
     }
 
     /// Applies items that have settled and removes expired ones.
@@ -286,6 +288,33 @@
         })
     }
 
+    /// Returns whether a request with a refused part is to be sent as a trial. Only one gateway does
+    /// this for a part, by the names of the registered ones, and only at long intervals.
+    pub fn begins_trial(&self, part: Digest, own: &str, mirror: &Mirror) -> bool {
+        let now = self.now();
+        let due = |state: &State| {
+            let recent = |at: &clock::Instant| now.since(*at) < TRIAL_DELAY;
+            state.parts.ledger.trial_time(part).is_some_and(|due| due <= now)
+                && !state.parts.trials.get(&part).is_some_and(recent)
+        };
+        if !due(&self.lock()) {
+            return false;
+        }
+        let names: Vec<Arc<str>> =
+            register::entries(mirror).into_iter().map(|(name, _)| name).collect();
+        let order = rendezvous::order(&part.to_string(), &names);
+        if order.first().is_none_or(|first| ***first != *own) {
+            return false;
+        }
+        let mut state = self.lock();
+        let begins = due(&state);
+        if begins {
+            state.parts.trials.insert(part, now);
+            log::info!("prompt part on trial digest={part}");
+        }
+        begins
+    }
+
     /// Waits until one of some parts of a prompt is refused. Returns it with the number of servers
     /// that it ended.
     pub async fn wait_until_part_refused(&self, parts: &[Digest]) -> (Digest, u32) {
@@ -592,8 +621,9 @@
         let mut state = self.lock();
         for cases in state.all() {
             cases.expire(now);
-            let Cases { ledger, own, .. } = cases;
+            let Cases { ledger, own, trials, .. } = cases;
             own.retain(|digest| ledger.standing(*digest) != Standing::Sound);
+            trials.retain(|digest, _| ledger.standing(*digest) != Standing::Sound);
         }
     }
 
--- a/mirror/tests/ends.rs
+++ b/mirror/tests/ends.rs
@@ -279,6 +279,46 @@
     assert_eq!(wait_until_part_refused_by(&alone, bad).await, 3);
 }
 
+/// Guards against a wrong refusal of a part that stays for as long as its ends count, as no request
+/// with it is sent any more, and against trials by all gateways.
+#[tokio::test]
+async fn one_gateway_tries_a_refused_part_again() {
+    let mirror: Arc<Mirror> = Arc::default();
+    tokio::spawn(ends::run(mirror.clone(), Arc::<Recorder>::default()));
+    let (fresh, old) = (Digest::of(&[b"fresh"]), Digest::of(&[b"old"]));
+    let record = |key: String, value: String| mirror::Record {
+        key: key.into(),
+        revision: Revision::new(0, 5),
+        value: Some(value.into()),
+    };
+    let ended = |seconds: u64| {
+        let at = loftcove_clock::unix_ms() - seconds * 1_000;
+        let end = |server| format!("{{\"server\":\"s{server}\",\"born\":null,\"at\":{at}}}");
+        format!("{{\"ends\":[{},{},{}]}}", end(1), end(2), end(3))
+    };
+    let gateway = |name: &str| {
+        let entry = r#"{"address":"127.0.0.1:9","zone":"norte"}"#;
+        record(format!("loftcove/gateways/{name}"), entry.to_owned())
+    };
+    let names = ["a", "b", "c"];
+    let mut records: Vec<mirror::Record> = names.into_iter().map(gateway).collect();
+    records.push(record(format!("loftcove/parts/{fresh}"), ended(30)));
+    records.push(record(format!("loftcove/parts/{old}"), ended(61)));
+    mirror.apply(records, Source::Store);
+    for part in [fresh, old] {
+        assert_eq!(wait_until_part_refused_by(&mirror, part).await, 3);
+    }
+    let begun = |part| {
+        let begins = |name: &&&str| mirror.ends.begins_trial(part, name, &mirror);
+        names.iter().filter(begins).count()
+    };
+    assert_eq!(begun(fresh), 0, "the last end is too recent");
+    assert_eq!(begun(old), 1, "by one gateway");
+    assert_eq!(begun(old), 0, "once");
+    mirror.ends.clear_parts(&[old]);
+    assert_eq!(mirror.ends.refused_part(&[old]), None);
+}
+
 /// Guards against a common cause of many ends that is held against a part.
 #[tokio::test]
 async fn many_ends_at_once_are_not_held_against_a_part() {
