--- a/day/src/ends.rs
+++ b/day/src/ends.rs
@@ -1,12 +1,13 @@
-//! Requests that were on backend servers that ended, combined from the logs of all hosts.
+//! Requests that were on backend servers that ended, and parts of their prompts, combined from the
+//! logs of all hosts.
 //!
 //! The *end* of a server is the unplanned exit of one run of its process. Each request that was on
-//! the server is a suspect. The *standing* of a suspect at a host is `refused` once the host
+//! the server is a suspect, and so is each part of its prompt that other requests may share. The *standing* of a suspect at a host is `refused` once the host
 //! rejects the request because servers ended under it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A request that was on a backend server that ended.
+/// A request that was on a backend server that ended, or a part of its prompt.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Suspect {
     /// Backend servers that ended while the request was on them.
@@ -21,7 +22,11 @@
     pub refusals: u64,
 }
 
-/// Suspects by the digest of their request.
+/// Suspects that were rejected, each with its digest, by the time at which they became suspects, and
+/// the number of the others.
+pub type Summary = (Vec<(String, Suspect)>, u64);
+
+/// Suspects by the digest of their request or part.
 #[derive(Debug, Default)]
 pub struct Suspects(BTreeMap<String, Suspect>);
 
@@ -35,9 +40,16 @@
         host: &str,
         at: f64,
     ) {
+        self.suspect(digest, at).servers.insert(server.to_owned());
+        if standing == "refused" {
+            self.record_verdict(digest, host, at);
+        }
+    }
+
+    /// Records that a host began to reject requests.
+    pub fn record_verdict(&mut self, digest: &str, host: &str, at: f64) {
         let suspect = self.suspect(digest, at);
-        suspect.servers.insert(server.to_owned());
-        if standing != "refused" || !suspect.hosts.insert(host.to_owned()) {
+        if !suspect.hosts.insert(host.to_owned()) {
             return;
         }
         let (first, last) = suspect.refused.unwrap_or((at, at));
@@ -59,9 +71,8 @@
         suspect
     }
 
-    /// Returns the suspects that were rejected, by the time at which they became suspects, and the
-    /// number of the others.
-    pub fn finish(self) -> (Vec<(String, Suspect)>, u64) {
+    /// Returns the summary.
+    pub fn finish(self) -> Summary {
         let was_refused = |suspect: &Suspect| suspect.refused.is_some() || suspect.refusals > 0;
         let (mut refused, others): (Vec<_>, Vec<_>) =
             self.0.into_iter().partition(|(_, suspect)| was_refused(suspect));
--- a/day/src/summary.rs
+++ b/day/src/summary.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::SystemTime;
 
-use crate::ends::{Suspect, Suspects};
+use crate::ends;
 use crate::line::{Line, Time};
 use crate::outage::{Outage, Outages};
 use crate::{demand, rest};
@@ -76,7 +76,10 @@
     pub outages: Vec<Outage>,
     /// Requests that were rejected because servers ended under them, by their digest, and the
     /// number of other suspects.
-    pub suspects: (Vec<(String, Suspect)>, u64),
+    pub suspects: ends::Summary,
+    /// Parts of prompts that were refused because servers ended under requests with them, and the
+    /// number of other parts on such servers.
+    pub parts: ends::Summary,
     /// Backend servers that requested rest or announced that they are leaving.
     pub rests: rest::Servers,
     /// Lines about drivers, such as that one was elected or deposed.
@@ -97,7 +100,8 @@
     day: Day,
     zones: BTreeMap<String, String>,
     outages: Outages,
-    suspects: Suspects,
+    suspects: ends::Suspects,
+    parts: ends::Suspects,
     /// Time of day of the first line, from which seconds are counted.
     start: Option<SystemTime>,
 }
@@ -122,6 +126,7 @@
     pub fn finish(mut self) -> Day {
         self.day.outages = self.outages.finish();
         self.day.suspects = self.suspects.finish();
+        self.day.parts = self.parts.finish();
         self.day
     }
 
@@ -150,6 +155,14 @@
             self.suspects.record_standing(digest, server, field("standing"), host, at);
         } else if text.starts_with("request ends servers ") {
             self.suspects.record_refusal(line.field("digest").unwrap_or("?"), at);
+        } else if text.starts_with("server ended under prompt part ") {
+            let field = |name| line.field(name).unwrap_or("?");
+            let (digest, server) = (field("digest"), field("server"));
+            self.parts.record_standing(digest, server, field("standing"), host, at);
+        } else if text.starts_with("prompt part refused ") {
+            self.parts.record_verdict(line.field("digest").unwrap_or("?"), host, at);
+        } else if text.starts_with("prompt part ends servers ") {
+            self.parts.record_refusal(line.field("digest").unwrap_or("?"), at);
         } else if text.starts_with("server rests ") {
             let ms = line.millis("ms").map_or(0, |time| time.as_millis() as u64);
             self.server(line).record_rest(host, ms, at);
--- a/day/src/text.rs
+++ b/day/src/text.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use crate::demand::Tally;
+use crate::ends;
 use crate::summary::{Day, Row, quantile};
 
 /// Displays a day: counts by second and zone and by reason, outages, suspects, rests and drivers.
@@ -21,7 +22,11 @@
         tallies(f, "urgency", &day.demand.urgencies)?;
         tallies(f, "team", &day.demand.teams)?;
         outages(f, day)?;
-        suspects(f, day)?;
+        let requests = ("requests that ended servers", "requests");
+        suspects(f, requests, &day.suspects)?;
+        if day.parts != ends::Summary::default() {
+            suspects(f, ("parts of prompts that ended servers", "parts"), &day.parts)?;
+        }
         rests(f, day)?;
         drivers(f, day)
     }
@@ -125,12 +130,12 @@
     Ok(())
 }
 
-fn suspects(f: &mut fmt::Formatter<'_>, day: &Day) -> fmt::Result {
-    let (refused, others) = &day.suspects;
-    writeln!(
-        f,
-        "\nrequests that ended servers; {others} other requests were on servers that ended"
-    )?;
+fn suspects(
+    f: &mut fmt::Formatter<'_>,
+    (title, subject): (&str, &str),
+    (refused, others): &ends::Summary,
+) -> fmt::Result {
+    writeln!(f, "\n{title}; {others} other {subject} were on servers that ended")?;
     for (digest, suspect) in refused {
         let servers: Vec<&str> = suspect.servers.iter().map(String::as_str).collect();
         let refused = suspect.refused.map_or_else(
--- a/day/tests/day.rs
+++ b/day/tests/day.rs
@@ -110,6 +110,28 @@
     assert!(printed.contains("aa: 2 servers (s1, s2) from 1.00, refused from 3.00"), "{printed}");
 }
 
+/// Guards against a part of a prompt that the summary leaves out, so that its refusals seem to have no
+/// cause.
+#[test]
+fn prints_a_part_of_a_prompt_that_ended_servers() {
+    let log = "\
+1.0 a 2026-01-01T00:00:01Z [INFO] m: server ended under prompt part digest=cc server=s1 alone=false standing=suspect ends=1 from=own
+2.0 a 2026-01-01T00:00:02Z [INFO] m: server ended under prompt part digest=cc server=s2 alone=false standing=suspect ends=2 from=own
+2.0 a 2026-01-01T00:00:02Z [INFO] m: server ended under prompt part digest=dd server=s2 alone=false standing=suspect ends=1 from=own
+3.0 b 2026-01-01T00:00:03Z [INFO] m: prompt part refused digest=cc ends=3 ground=count evidence=-
+3.4 a 2026-01-01T00:00:03Z [INFO] m: prompt part refused digest=cc ends=3 ground=count evidence=-
+4.0 a 2026-01-01T00:00:04Z [INFO] m: prompt part ends servers request=r part=5c1e digest=cc ends=3
+";
+    let day = day(log, "");
+    let (refused, others) = &day.parts;
+    assert_eq!((refused.len(), *others, day.suspects.1), (1, 1, 0));
+    let (digest, part) = &refused[0];
+    assert_eq!((&**digest, part.since, part.refused), ("cc", 1.0, Some((3.0, 3.4))));
+    assert_eq!((part.servers.len(), part.hosts.len(), part.refusals), (2, 2, 1));
+    let printed = text::Text(&day).to_string();
+    assert!(printed.contains("cc: 2 servers (s1, s2) from 1.00, refused from 3.00"), "{printed}");
+}
+
 const RESTS: &str = "\
 1.0 a 2026-01-01T00:00:01Z [INFO] m: server rests server=s1 born=0 asked_ms=3000 ms=3200 request=q status=503
 1.5 b 2026-01-01T00:00:01Z [INFO] m: server rests server=s1 born=0 asked_ms=3000 ms=3700 request=r status=503
