soak: callers whose requests share a part that ends servers

Each sends nine requests, no two alike, to gateways by lot while other faults go on; the check counts what reaches servers after the fifth end.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -48,9 +48,10 @@
     /// A process did not exit in time after a planned stop.
     #[error("{0:?} did not exit in time after a planned stop")]
     Overdue(Process),
-    /// A request that ends servers reached too many servers after it had ended three.
-    #[error("{0} ended {1} servers, and reached {2} more after the third")]
-    Poisoned(String, usize, usize),
+    /// A request that ends servers, or requests with a part that does, reached too many servers
+    /// after they had ended the number that users allow.
+    #[error("{0} ended {1} servers, and reached {2} more after the first {3}")]
+    Poisoned(String, usize, usize, usize),
     /// A request was rejected for ends of servers that another request caused.
     #[error("request {0} was rejected for ends that another request caused")]
     Blamed(String),
@@ -71,23 +72,37 @@
     NotRecovered(String),
 }
 
-/// Maximum number of retries that may reach a server after a request has ended three servers. The
-/// users' bound applies from some seconds after the third end; this check applies it at once.
+/// Maximum number of retries that may reach a server after a request has ended [`REQUEST_ENDS`]
+/// servers, or requests with one part [`PART_ENDS`]. The users' bound applies from some seconds after
+/// that end; this check applies it at once.
 const MAX_RETRIES: usize = 3;
+const REQUEST_ENDS: usize = 3;
+const PART_ENDS: usize = 5;
 
-/// Returns the requests that reached too many servers after their third end. `ends` and `arrivals`
-/// are the ends of one kind of servers and the requests that reached these.
+/// Returns what ends servers under a request with this body, and the number of ends after which
+/// its retries are bounded.
+fn cause(body: &str) -> (&str, usize) {
+    match body.strip_prefix("part ").and_then(|rest| rest.split_once(' ')) {
+        Some((caller, _)) => (&body[.."part ".len() + caller.len()], PART_ENDS),
+        None => (body, REQUEST_ENDS),
+    }
+}
+
+/// Returns the requests and parts that reached too many servers after these ends. `ends` and
+/// `arrivals` are the ends of one kind of servers and the requests that reached these.
 pub fn poisoned(ends: &[serde_json::Value], arrivals: &[serde_json::Value]) -> Vec<Breach> {
-    let mut bodies: Vec<&str> = ends.iter().filter_map(|end| end["body"].as_str()).collect();
-    bodies.sort_unstable();
-    bodies.dedup();
-    let check = |body: &str| {
-        let own: Vec<_> = ends.iter().filter(|end| end["body"] == body).collect();
-        let third = own.get(2)?["arrivals"].as_u64()? as usize;
-        let later = arrivals.iter().skip(third).filter(|arrival| arrival["body"] == body).count();
-        (later > MAX_RETRIES).then(|| Breach::Poisoned(body.to_owned(), own.len(), later))
+    let of = |row: &serde_json::Value| row["body"].as_str().map(|body| cause(body).0.to_owned());
+    let bodies = ends.iter().filter_map(|end| end["body"].as_str());
+    let causes: BTreeSet<(&str, usize)> = bodies.map(cause).collect();
+    let check = |(cause, allowed): (&str, usize)| {
+        let is_own = |row: &&serde_json::Value| of(row).as_deref() == Some(cause);
+        let own: Vec<_> = ends.iter().filter(is_own).collect();
+        let last = own.get(allowed - 1)?["arrivals"].as_u64()? as usize;
+        let later = arrivals.iter().skip(last).filter(is_own).count();
+        let breach = || Breach::Poisoned(cause.to_owned(), own.len(), later, allowed);
+        (later > MAX_RETRIES).then(breach)
     };
-    bodies.into_iter().filter_map(check).collect()
+    causes.into_iter().filter_map(check).collect()
 }
 
 /// Returns the requests of clients that gateways rejected, by their logs, as requests that end
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -233,13 +233,39 @@
 
 /// Sends a gateway one request that ends the server on which it runs.
 pub async fn poison(gateway: std::net::SocketAddr, caller: u8, rank: bool, key: String) {
-    let request = if rank {
+    let request = poison_request(rank).with("x-standin-end-ms", "40").body(&poison_body(caller));
+    send_poison(gateway, request.key(&key)).await;
+}
+
+/// Returns the body of a caller's request with a part that ends servers.
+pub fn part_body((caller, number): (u8, u32)) -> String {
+    format!("part {caller} {number}")
+}
+
+/// Sends a gateway a request with a part of a prompt that ends the server before it begins to
+/// answer. The caller's other requests share the part, and no two are alike.
+pub async fn poison_part(
+    gateway: std::net::SocketAddr,
+    (caller, number): (u8, u32),
+    rank: bool,
+    key: String,
+) {
+    let prefix = format!("aa:800,bad{caller:x}:40,{caller:x}{number:x}:25");
+    let request = poison_request(rank).with("x-standin-end-ms", "1");
+    let request = request.with("x-prompt-prefix", &prefix).body(&part_body((caller, number)));
+    send_poison(gateway, request.key(&key)).await;
+}
+
+fn poison_request(rank: bool) -> Request {
+    if rank {
         Request::new("/draft/poison").with("x-standin-events", "200")
     } else {
         Request::new("/alert/poison").with("x-standin-delay-ms", "1000")
-    };
-    let request = request.with("x-standin-end-ms", "40").body(&poison_body(caller));
-    let request = request.key(&key).deadline(DEADLINE);
+    }
+}
+
+async fn send_poison(gateway: std::net::SocketAddr, request: Request) {
+    let request = request.deadline(DEADLINE);
     // The result is ignored: the servers record the requests that reach them.
     if let Some(mut client) = Client::connect(gateway).await {
         tokio::time::timeout(ANSWER_TIMEOUT, send(&mut client, &request)).await.ok();
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -185,6 +185,13 @@
                 self.callers.spawn(client::poison(address, caller, rank, key));
                 return false;
             }
+            Fault::Part { caller, number, gateway, rank } => {
+                self.relist().await;
+                let address = self.system.client_address(gateway);
+                let key = client::key(self.shared.newest.load(Ordering::Relaxed));
+                self.callers.spawn(client::poison_part(address, (caller, number), rank, key));
+                return false;
+            }
             Fault::Unlist(number) => {
                 self.system.remove(&format!("servers/plain-{number}")).await;
             }
@@ -261,6 +268,7 @@
             | Fault::Shift(_)
             | Fault::Silence(_)
             | Fault::Poison { .. }
+            | Fault::Part { .. }
             | Fault::Restart(_)
             | Fault::Configure => {}
         }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -23,6 +23,10 @@
 const POISON_INTERVAL: Duration = Duration::from_millis(4_000);
 /// Value like [`SILENCE_SEED`] for these callers.
 const POISON_SEED: u64 = 0xde;
+/// Mean time between two callers whose requests share a part of their prompts that ends servers.
+const PART_INTERVAL: Duration = Duration::from_millis(6_000);
+/// Value like [`SILENCE_SEED`] for these callers.
+const PART_SEED: u64 = 0x9c;
 /// Number of requests of such a caller. [`POISON_PAUSE`] is the time between two of them: by then,
 /// servers that ended have restarted, and their entries have the new start.
 pub const POISON_TRIES: u32 = 9;
@@ -192,6 +196,18 @@
         /// Whether the request runs on a rank, and not on a plain server.
         rank: bool,
     },
+    /// A caller sends a gateway a request with a part of a prompt that ends the server on which it
+    /// runs. No two of its requests are alike.
+    Part {
+        /// Number of the caller.
+        caller: u8,
+        /// Number of the request.
+        number: u32,
+        /// Gateway to which it sends this request.
+        gateway: u8,
+        /// Whether the request runs on a rank, and not on a plain server.
+        rank: bool,
+    },
     /// A server sheds every `each`-th request, and requests rest.
     Shed {
         /// Whether the server is a rank of the group, and not a plain server.
@@ -245,6 +261,7 @@
             Fault::Restart(_) => "restart",
             Fault::Foreign => "foreign",
             Fault::Poison { .. } => "poison",
+            Fault::Part { .. } => "part",
             Fault::Shed { .. } => "shed",
             Fault::Limit { .. } => "limit",
             Fault::Leave(_) => "leave",
@@ -275,6 +292,7 @@
     events.extend(limits(seed, size));
     events.extend(losses(seed, size));
     events.extend(endings(seed, size));
+    events.extend(parts(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -410,6 +428,24 @@
     events
 }
 
+/// Draws callers that send requests with one part in their prompts to one gateway after the other.
+fn parts(seed: u64, size: &Size) -> Vec<Event> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ PART_SEED);
+    let count = (size.time.as_secs_f64() / PART_INTERVAL.as_secs_f64()).ceil() as u8;
+    let mut events = Vec::new();
+    for caller in 0..count {
+        let mut at = size.time.mul_f64(rng.random_range(0.0..0.3));
+        let rank = rng.random_bool(0.5);
+        for number in 0..POISON_TRIES {
+            let gateway = rng.random_range(0..size.gateways);
+            let fault = Fault::Part { caller, number, gateway, rank };
+            events.push(Event { at, lasts: Duration::ZERO, fault });
+            at += POISON_PAUSE;
+        }
+    }
+    events
+}
+
 fn silence(rng: &mut ChaCha8Rng, size: &Size) -> Fault {
     match rng.random_range(0..6) {
         0 | 1 => Fault::Store(Store::Silent),
