--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -52,7 +52,7 @@
     /// after they had ended the number that users allow.
     #[error("{0} ended {1} servers, and reached {2} more after the first {3}")]
     Poisoned(String, usize, usize, usize),
-    /// A request was rejected for ends of servers that another request caused.
+    /// A request was rejected for ends of servers that another request or part caused.
     #[error("request {0} was rejected for ends that another request caused")]
     Blamed(String),
     /// A server received requests after it had requested rest or announced that it is leaving.
@@ -106,9 +106,11 @@
 }
 
 /// Returns the requests of clients that gateways rejected, by their logs, as requests that end
-/// servers.
+/// servers or have a part that does.
 pub fn blamed(records: &[Record], logs: &[(String, Vec<String>)]) -> Vec<Breach> {
-    let ids: BTreeSet<&str> = requests_in(logs, "reason=ends-servers").collect();
+    let ids = requests_in(logs, "reason=ends-servers");
+    let by_part = requests_in(logs, "reason=prompt-part-ends-servers");
+    let ids: BTreeSet<&str> = ids.chain(by_part).collect();
     let blamed = records.iter().filter(|record| ids.contains(&*record.id));
     blamed.map(|record| Breach::Blamed(record.id.clone())).collect()
 }
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -226,6 +226,9 @@
     End::Answer { head, body, whole }
 }
 
+/// First part of the prompts of all requests that name any.
+const SHARED_PART: &str = "aa";
+
 /// Returns the body of a caller's request that ends servers.
 pub fn poison_body(caller: u8) -> String {
     format!("poison {caller}")
@@ -250,7 +253,7 @@
     rank: bool,
     key: String,
 ) {
-    let prefix = format!("aa:800,bad{caller:x}:40,{caller:x}{number:x}:25");
+    let prefix = format!("{SHARED_PART}:800,bad{caller:x}:40,{caller:x}{number:x}:25");
     let request = poison_request(rank).with("x-standin-end-ms", "1");
     let request = request.with("x-prompt-prefix", &prefix).body(&part_body((caller, number)));
     send_poison(gateway, request.key(&key)).await;
@@ -283,7 +286,9 @@
             (Kind::Draft(events), request)
         }
     };
-    let request = request.deadline(DEADLINE);
+    // Sound requests share the first part with those of callers that end servers.
+    let prefix = format!("{SHARED_PART}:800,c0:40,{}:25", request.id);
+    let request = request.with("x-prompt-prefix", &prefix).deadline(DEADLINE);
     // Faults of the backend server.
     let request = match (rng.random_range(0..25), kind) {
         (0, Kind::Draft(events)) => {
