standins: servers that end by a part of a prompt

A control of the stand-in names a part; a server ends before it begins to answer a request that has it, whatever else the request holds. The end-to-end test and the soak use it in place of a header of each request.

--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -336,7 +336,7 @@
         let Some((part, _)) = ends.refused_part(&request.parts) else { return false };
         let others = request.parts.iter().copied().filter(|other| *other != part);
         let others: Vec<poison::Digest> = others.collect();
-        // An answer would tell nothing if another part ends the server.
+        // An end would not show which of two refused parts caused it.
         ends.refused_part(&others).is_none() && ends.begins_trial(part, name, &self.mirror)
     }
 
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -196,7 +196,7 @@
     poison::Digest::of(&[parts[0], parts[1], parts[2], parts[3], body])
 }
 
-/// Maximum number of parts of a prompt that are told apart.
+/// Maximum number of parts of a prompt that are distinguished.
 const MAX_PARTS: usize = 32;
 
 fn part_digests(service: &str, meta: &protocol::Request) -> Vec<poison::Digest> {
--- a/mirror/tests/ends.rs
+++ b/mirror/tests/ends.rs
@@ -254,8 +254,8 @@
     tokio::time::timeout(BOUND, revoked).await.expect("revoked in time");
 }
 
-/// Guards against a refused part that a host without peers does not hear of, and that is forgotten
-/// when all hosts restart.
+/// Guards against a refused part that does not reach a host without peers, and that is forgotten when
+/// all hosts restart.
 #[tokio::test]
 async fn a_refused_part_reaches_a_host_without_peers_through_the_store() {
     let store = Arc::<Recorder>::default();
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -240,22 +240,26 @@
     send_poison(gateway, request.key(&key)).await;
 }
 
+/// Returns the part that ends servers of a caller's requests.
+pub fn part(caller: u8) -> String {
+    format!("bad{caller}")
+}
+
 /// Returns the body of a caller's request with a part that ends servers.
 pub fn part_body((caller, number): (u8, u32)) -> String {
     format!("part {caller} {number}")
 }
 
-/// Sends a gateway a request with a part of a prompt that ends the server before it begins to
-/// answer. The caller's other requests share the part, and no two are alike.
+/// Sends a gateway a request with a part of a prompt that ends the server on which it runs. The caller's other requests share the part, and no two are alike.
 pub async fn poison_part(
     gateway: std::net::SocketAddr,
     (caller, number): (u8, u32),
     rank: bool,
     key: String,
 ) {
-    let prefix = format!("{SHARED_PART}:800,bad{caller:x}:40,{caller:x}{number:x}:25");
-    let request = poison_request(rank).with("x-standin-end-ms", "1");
-    let request = request.with("x-prompt-prefix", &prefix).body(&part_body((caller, number)));
+    let prefix = format!("{SHARED_PART}:800,{}:40,{caller:x}{number:x}:25", part(caller));
+    let request =
+        poison_request(rank).with("x-prompt-prefix", &prefix).body(&part_body((caller, number)));
     send_poison(gateway, request.key(&key)).await;
 }
 
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -187,6 +187,10 @@
             }
             Fault::Part { caller, number, gateway, rank } => {
                 self.relist().await;
+                let harmful = format!("/harmful?part={}", client::part(caller));
+                for group in (0..self.system.plan.groups).map(Some).chain([None]) {
+                    self.system.servers_control(group, &harmful).await;
+                }
                 let address = self.system.client_address(gateway);
                 let key = client::key(self.shared.newest.load(Ordering::Relaxed));
                 self.callers.spawn(client::poison_part(address, (caller, number), rank, key));
--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -20,6 +20,8 @@
 //!   the server has restarted.
 //! - `PUT /limit?server=ID&rate=TEXT`: all responses of the server carry that rate limit, or none
 //!   if the text is empty.
+//! - `PUT /harmful?part=ID`: from now on, a server ends before it begins to answer a request whose
+//!   prompt has that part, unless it is the last one.
 //! - `GET /state`: counters and map versions.
 //! - `GET /requests`: the requests that were executed.
 //! - `GET /ends`: the servers that ended while they ran a request.
@@ -100,6 +102,8 @@
     /// Load shedding by server id, or for [`ALL`].
     sheds: BTreeMap<String, Shed>,
     leaving: BTreeSet<String>,
+    /// Parts of prompts under which servers end.
+    harmful: BTreeSet<String>,
     /// Rate limit of each server, as its `server-limit` header has it.
     limits: BTreeMap<String, String>,
     /// Number of restarts of each server.
@@ -162,6 +166,7 @@
             ends: Vec::new(),
             sheds: BTreeMap::new(),
             leaving: BTreeSet::new(),
+            harmful: BTreeSet::new(),
             limits: BTreeMap::new(),
             starts: BTreeMap::new(),
             visits: Vec::new(),
@@ -253,6 +258,14 @@
         self.lock().notice(server, request)
     }
 
+    /// Returns whether a server ends under a request with that list of the parts of its prompt.
+    pub fn is_harmful(&self, parts: &str) -> bool {
+        let Some((shared, _)) = parts.rsplit_once(',') else { return false };
+        let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
+        let state = self.lock();
+        ids.any(|id| state.harmful.contains(id))
+    }
+
     /// Returns whether a server is leaving.
     pub fn is_leaving(&self, server: &str) -> bool {
         self.lock().leaving.contains(server)
@@ -363,6 +376,7 @@
             "/shed" => state.set_shed(query),
             "/leave" => state.set_leaving(query),
             "/limit" => state.set_limit(query),
+            "/harmful" => state.harmful.extend(query.get("part").cloned()),
             "/requests" => return Value::Array(state.requests.clone()),
             "/visits" => return Value::Array(state.visits.clone()),
             "/ends" => return Value::Array(state.ends.clone()),
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -291,6 +291,11 @@
             "headers": recorded,
             "body": String::from_utf8_lossy(&body),
         }));
+        if text(headers, "x-prompt-prefix").is_some_and(|parts| self.group.is_harmful(parts)) {
+            self.end_after(Duration::ZERO, Duration::ZERO, &body);
+            // The server ends before it begins to answer.
+            return std::future::pending().await;
+        }
         if let Some(ms) = number(headers, "x-standin-end-ms") {
             let linger = number(headers, "x-standin-linger-ms").unwrap_or(0);
             self.end_after(Duration::from_millis(ms), Duration::from_millis(linger), &body);
--- a/tests/tests/parts.rs
+++ b/tests/tests/parts.rs
@@ -39,14 +39,10 @@
 /// the number of servers that ended.
 async fn end_servers(system: &System, ranks: bool) -> usize {
     let group = ranks.then_some(0);
+    system.servers_control(group, "/harmful?part=bad").await;
     let mut seen = 0;
     for (number, gateway) in (0..HARMFUL).zip((0..PLAN.gateways).cycle()) {
-        let request = request(ranks, "bad", 1_000 + number).with("x-standin-end-ms", "1");
-        let request = match ranks {
-            true => request.with("x-standin-events", "100"),
-            false => request.with("x-standin-delay-ms", "1000"),
-        };
-        system.request(gateway, &request).await;
+        system.request(gateway, &request(ranks, "bad", 1_000 + number)).await;
         system.recover_servers(group, &mut seen).await;
     }
     system.ends(group).await.len()
