mirror, decision: split the files of ends and of poison by subject

ends keeps the state and its interface; cases has what is known of digests of one kind, and record what the store keeps. poison/evaluation has the grounds of a refusal. Nothing is decided differently: tests of poison, parts, suspects and ends pass.

--- a/decision/src/poison.rs
+++ b/decision/src/poison.rs
@@ -34,10 +34,11 @@
 
 mod abandoned;
 mod burst;
+mod evaluation;
 mod finished;
 mod verdict;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
 
@@ -52,27 +53,10 @@
 /// Length of a digest in bytes; 2^64 requests are expected before two share a digest.
 const DIGEST_BYTES: usize = 16;
 
-/// Numbers of ends at which a digest is refused.
-#[derive(Debug, Clone, Copy)]
-struct Thresholds {
-    /// If one of the ends proves that it is the cause.
-    proven: u32,
-    /// If no other one was on as many, whichever others were on these servers.
-    leading: u32,
-    /// In any case.
-    certain: u32,
-}
-
-const REQUEST_THRESHOLDS: Thresholds = Thresholds { proven: 2, leading: 3, certain: 4 };
-/// A refused part affects all requests that share it, so that two ends are not enough.
-const PART_THRESHOLDS: Thresholds = Thresholds { proven: 3, leading: 3, certain: 4 };
 /// Time after an end before it counts as proof. Gateways detect an end up to 0.25 s
 /// apart; until all of them have reported, a request that is known to have been on the
 /// server looks like the only one.
 pub const SETTLE_TIME: Duration = Duration::from_millis(300);
-/// Time for which a request is deferred while it is undecided whether it or another
-/// request ended a server. The clients of the other requests retry within this time.
-const UNDECIDED_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which an end counts, and so for which a request is refused after its last
 /// end. Equal to the longest lease of the store, which preserves refusals across a
 /// restart of all gateways.
@@ -197,20 +181,20 @@
 
     /// Returns the only request that may have ended the server.
     fn sole(&self) -> Option<Digest> {
-        single(self.suspects())
+        evaluation::single(self.suspects())
     }
 
     /// Returns the only request that was already suspect when it was dispatched there.
     fn alone(&self) -> Option<Digest> {
         let alone = self.marks.iter().filter(|(_, mark)| **mark == Mark::Alone);
-        single(alone.map(|(digest, _)| *digest))
+        evaluation::single(alone.map(|(digest, _)| *digest))
     }
 }
 
 /// All recorded ends of servers and the refusals that follow from them.
 #[derive(Debug, Clone)]
 pub struct Ledger {
-    thresholds: Thresholds,
+    thresholds: evaluation::Thresholds,
     /// Recorded ends by run and time.
     ends: BTreeMap<(fleet::Run, clock::Instant), End>,
     /// Refused requests, each with the reason.
@@ -228,12 +212,12 @@
 impl Default for Ledger {
     /// Returns an empty ledger of requests.
     fn default() -> Ledger {
-        Ledger::new(REQUEST_THRESHOLDS)
+        Ledger::new(evaluation::REQUEST_THRESHOLDS)
     }
 }
 
 impl Ledger {
-    fn new(thresholds: Thresholds) -> Ledger {
+    fn new(thresholds: evaluation::Thresholds) -> Ledger {
         Ledger {
             thresholds,
             ends: BTreeMap::new(),
@@ -246,7 +230,7 @@
 
     /// Returns an empty ledger of parts of prompts.
     pub fn of_parts() -> Ledger {
-        Ledger::new(PART_THRESHOLDS)
+        Ledger::new(evaluation::PART_THRESHOLDS)
     }
 
     /// Merges an item. Returns whether it changed the ledger.
@@ -408,10 +392,11 @@
         self.refused.clear();
         let mut open: Vec<&End> = self.ends.values().collect();
         loop {
-            let counts = count(&open);
-            let Some((ground, guilty)) = guilty(&open, &counts, self.thresholds, self.evaluated_at)
+            let counts = evaluation::count(&open);
+            let Some((ground, guilty)) =
+                evaluation::guilty(&open, &counts, self.thresholds, self.evaluated_at)
             else {
-                self.undecided = undecided(&open, &counts, self.thresholds);
+                self.undecided = evaluation::undecided(&open, &counts, self.thresholds);
                 self.suspected = counts;
                 return;
             };
@@ -465,70 +450,3 @@
     #[error("a request is refused after a single end")]
     Grounds,
 }
-
-fn count(ends: &[&End]) -> BTreeMap<Digest, u32> {
-    let mut counts = BTreeMap::new();
-    for digest in ends.iter().flat_map(|end| end.suspects()) {
-        *counts.entry(digest).or_insert(0) += 1;
-    }
-    counts
-}
-
-fn single<T>(mut all: impl Iterator<Item = T>) -> Option<T> {
-    all.next().filter(|_| all.next().is_none())
-}
-
-/// Returns the strongest ground that applies to any request, with the requests that it
-/// refuses.
-fn guilty(
-    ends: &[&End],
-    counts: &BTreeMap<Digest, u32>,
-    thresholds: Thresholds,
-    now: clock::Instant,
-) -> Option<(Ground, BTreeSet<Digest>)> {
-    let settled: Vec<&End> = ends.iter().copied().filter(|end| end.settled(now)).collect();
-    let proven = |of: fn(&End) -> Option<Digest>| -> BTreeSet<Digest> {
-        let found = settled.iter().filter_map(|end| of(end));
-        found.filter(|digest| counts[digest] >= thresholds.proven).collect()
-    };
-    // An `Alone` mark is weak evidence by itself, as other gateways may still report suspects
-    // on that server. It counts only if the request is also the only suspect there.
-    let sure = |end: &End| end.alone().filter(|digest| end.sole() == Some(*digest));
-    let grounds = [
-        (Ground::OnlyRequestOnTrial, proven(sure)),
-        (Ground::OnlyRequest, proven(End::sole)),
-        (Ground::Count, leaders(&count(&settled), thresholds)),
-    ];
-    grounds.into_iter().find(|(_, guilty)| !guilty.is_empty())
-}
-
-/// Returns the time until which each request is deferred that was the only earlier suspect
-/// on a server that ended, beside requests not suspected before. One of those may have
-/// ended the server.
-fn undecided(
-    ends: &[&End],
-    counts: &BTreeMap<Digest, u32>,
-    thresholds: Thresholds,
-) -> BTreeMap<Digest, clock::Instant> {
-    let mut until = BTreeMap::new();
-    for end in ends {
-        let Some(digest) = end.alone().filter(|digest| counts[digest] >= thresholds.proven) else {
-            continue;
-        };
-        let at = until.entry(digest).or_insert(end.at);
-        *at = end.at.max(*at);
-    }
-    until.values_mut().for_each(|at| *at = *at + UNDECIDED_TIME);
-    until
-}
-
-/// Returns the requests with the most ends, if that number suffices without other proof.
-/// Requests that were on the same servers cannot be distinguished until one of them ends a
-/// server without the other.
-fn leaders(counts: &BTreeMap<Digest, u32>, thresholds: Thresholds) -> BTreeSet<Digest> {
-    let most = counts.values().max().copied().unwrap_or(0);
-    let leaders: BTreeSet<Digest> =
-        counts.iter().filter(|(_, ends)| **ends == most).map(|(digest, _)| *digest).collect();
-    let enough = most >= thresholds.certain || most >= thresholds.leading && leaders.len() == 1;
-    if enough { leaders } else { BTreeSet::new() }
-}
--- a/mirror/src/ends.rs
+++ b/mirror/src/ends.rs
@@ -11,36 +11,28 @@
 //!
 //! [`poison`]: loftcove_decision::poison
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
+mod cases;
+mod record;
+
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use loftcove_clock as boot;
 use loftcove_decision::poison::{
-    Abandoned, Burst, Digest, Finished, Item, Ledger, Mark, SETTLE_TIME, Standing, TRIAL_DELAY,
+    Abandoned, Burst, Digest, Item, Ledger, Mark, SETTLE_TIME, Standing, TRIAL_DELAY,
 };
-use loftcove_decision::revision::Revision;
-use loftcove_decision::{clock, fleet, mirror, rendezvous};
-use loftcove_interface::store::{self, Store};
+use loftcove_decision::{clock, fleet, rendezvous};
 use loftcove_wire as wire;
-use serde::{Deserialize, Serialize};
 use tokio::sync::{broadcast, watch as channel};
 
-use crate::{Mirror, OWN_PREFIX, Source, register};
+pub(crate) use cases::Update;
+use cases::{Cases, Kind};
+pub use record::run;
+
+use crate::{Mirror, Source, register};
 
 /// Maximum number of items that a follower may lag behind. Past that, it receives all items again.
 const BACKLOG: usize = 256;
-/// Fixed delay and maximum random delay before a gateway writes a refusal that rests on ends that
-/// other gateways found. The gateway that found them may have exited, or the store may not answer
-/// it. The fixed delay is the time that a write takes to come back through the store. With the
-/// random one, a single gateway writes and the others read its record.
-const WRITE_DELAY: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(1));
-/// Interval between two attempts to write the same record.
-const WRITE_RETRY_INTERVAL: Duration = Duration::from_secs(2);
-/// Interval between two checks for due writes and expired ends: while a write is pending or an
-/// item is unsettled, and otherwise.
-const CHECK_INTERVALS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(10));
 
 /// Ends of backend servers that this process knows of, with the requests that they are counted
 /// against.
@@ -51,43 +43,6 @@
     changes: channel::Sender<u64>,
 }
 
-/// What a digest identifies.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Kind {
-    /// A request.
-    Request,
-    /// A part of a prompt.
-    Part,
-}
-
-impl Kind {
-    const ALL: [Kind; 2] = [Kind::Request, Kind::Part];
-
-    /// Returns the prefix of the keys of the store's records.
-    fn prefix(self) -> String {
-        match self {
-            Kind::Request => format!("{OWN_PREFIX}ends/"),
-            Kind::Part => format!("{OWN_PREFIX}parts/"),
-        }
-    }
-}
-
-impl fmt::Display for Kind {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Kind::Request => "request",
-            Kind::Part => "prompt part",
-        })
-    }
-}
-
-/// An item about a request or a part of a prompt.
-#[derive(Debug, Clone)]
-pub(crate) struct Update {
-    kind: Kind,
-    item: Item,
-}
-
 struct State {
     requests: Cases,
     parts: Cases,
@@ -108,68 +63,6 @@
     }
 }
 
-/// What is known of digests of one kind.
-struct Cases {
-    kind: Kind,
-    ledger: Ledger,
-    /// Requests that completed, or parts with which an answer has begun.
-    finished: Finished,
-    /// Digests under which this process itself found a server ended.
-    own: BTreeSet<Digest>,
-    /// Digests whose refusal has been logged.
-    refused: BTreeSet<Digest>,
-    /// Times at which this process has last sent a request with a refused part as a trial.
-    trials: BTreeMap<Digest, clock::Instant>,
-}
-
-impl Cases {
-    fn new(kind: Kind, ledger: Ledger) -> Cases {
-        let (finished, own, refused, trials) = Default::default();
-        Cases { kind, ledger, finished, own, refused, trials }
-    }
-
-    /// Applies items that have settled and removes expired ones.
-    fn expire(&mut self, now: clock::Instant) {
-        self.ledger.expire(now);
-        self.log_refusals(now);
-    }
-
-    /// Records that a request completed, or that an answer has begun with a part. Returns the
-    /// updates to send to other gateways.
-    fn clear(&mut self, digest: Digest, now: clock::Instant) -> Vec<Update> {
-        self.finished.add(digest, now);
-        let cleared = self.ledger.clear(digest);
-        self.log_refusals(now);
-        if !cleared.is_empty() {
-            log::info!("{} cleared digest={digest} ends={}", self.kind, cleared.len());
-        }
-        self.updates(cleared)
-    }
-
-    fn updates(&self, items: Vec<Item>) -> Vec<Update> {
-        items.into_iter().map(|item| Update { kind: self.kind, item }).collect()
-    }
-
-    /// Logs each digest whose refusal began, with the evidence, or stopped.
-    fn log_refusals(&mut self, now: clock::Instant) {
-        let kind = self.kind;
-        let current: BTreeSet<Digest> = self.ledger.refused().collect();
-        for digest in current.difference(&self.refused) {
-            let Some(verdict) = self.ledger.verdict(*digest) else { continue };
-            let evidence = self.ledger.evidence(*digest, now);
-            let evidence: Vec<String> = evidence.iter().map(ToString::to_string).collect();
-            let (ends, ground, evidence) = (verdict.ends, verdict.ground, evidence.join(","));
-            log::info!(
-                "{kind} refused digest={digest} ends={ends} ground={ground} evidence={evidence}"
-            );
-        }
-        for digest in self.refused.difference(&current) {
-            log::info!("{kind} no longer refused digest={digest}");
-        }
-        self.refused = current;
-    }
-}
-
 impl Default for Ends {
     /// Returns the state of a process that knows of no end.
     fn default() -> Ends {
@@ -431,7 +324,7 @@
             }
             let after = cases.ledger.standing(item.digest);
             if before != after {
-                log_standing(kind, &item, after, source);
+                cases::log_standing(kind, &item, after, source);
             }
             updates.extend(cases.updates(changed));
         }
@@ -508,180 +401,3 @@
 
 /// Offset of a process's origin. It is longer than the retention of any end.
 const ORIGIN_OFFSET: Duration = Duration::from_secs(86_400);
-
-/// Logs a change of a standing.
-fn log_standing(kind: Kind, item: &Item, standing: Standing, source: Option<Source<'_>>) {
-    let from = source.map_or_else(|| "own".to_owned(), |source| source.to_string());
-    let (state, ends) = match standing {
-        Standing::Sound => ("sound", 0),
-        Standing::Suspect(ends) => ("suspect", ends),
-        Standing::Refused(ends) => ("refused", ends),
-    };
-    let subject = if kind == Kind::Part { "under prompt part " } else { "" };
-    log::info!(
-        "server ended {subject}digest={} server={} alone={} standing={state} ends={ends} from={from}",
-        item.digest,
-        item.run.id,
-        item.mark == Mark::Alone
-    );
-}
-
-/// Record of a refused request or part in the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Entry {
-    ends: Vec<Ended>,
-}
-
-/// A backend server that the request or part ended.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Ended {
-    server: Arc<str>,
-    born: Option<u64>,
-    /// Time at which the end was found, in Unix milliseconds.
-    at: u64,
-    /// Whether the request was the only suspect on the server.
-    #[serde(default)]
-    alone: bool,
-}
-
-/// Runs the task that writes this gateway's refusals to the store and reads those of other gateways
-/// from the mirror. Runs until the process exits.
-pub async fn run<S: Store>(mirror: Arc<Mirror>, store: Arc<S>) {
-    let mut records = mirror.subscribe();
-    let mut changes = mirror.ends.changes.subscribe();
-    let mut read: BTreeMap<Arc<str>, Revision> = BTreeMap::new();
-    // Times at which to write refusals that the store lacks.
-    let mut due: BTreeMap<(Kind, Digest), boot::Instant> = BTreeMap::new();
-    loop {
-        records.borrow_and_update();
-        changes.borrow_and_update();
-        mirror.ends.expire();
-        mirror.ends.import(&mirror, &mut read);
-        let unwritten = mirror.ends.unwritten(&mirror);
-        due.retain(|refused, _| unwritten.contains(refused));
-        for (kind, digest) in unwritten {
-            let write_time = || mirror.ends.write_time(kind, digest);
-            let at = *due.entry((kind, digest)).or_insert_with(write_time);
-            if at <= boot::Instant::now() {
-                due.insert((kind, digest), boot::Instant::now() + WRITE_RETRY_INTERVAL);
-                mirror.ends.write(&*store, kind, digest).await;
-            }
-        }
-        let soon = !due.is_empty() || mirror.ends.unsettled();
-        let interval = if soon { CHECK_INTERVALS.0 } else { CHECK_INTERVALS.1 };
-        tokio::select! {
-            () = tokio::time::sleep(interval) => {}
-            _ = records.changed() => {}
-            _ = changes.changed() => {}
-        }
-    }
-}
-
-impl Ends {
-    /// Applies records in the mirror that are new or have a new revision.
-    fn import(&self, mirror: &Mirror, read: &mut BTreeMap<Arc<str>, Revision>) {
-        let below = |kind: Kind| mirror.below(&kind.prefix()).into_iter().map(move |r| (kind, r));
-        let records: Vec<(Kind, mirror::Record)> = Kind::ALL.into_iter().flat_map(below).collect();
-        read.retain(|key, _| records.iter().any(|(_, record)| record.key == *key));
-        for (kind, record) in records {
-            if read.insert(record.key.clone(), record.revision) == Some(record.revision) {
-                continue;
-            }
-            self.apply(self.updates_from_record(kind, &record), Some(Source::Store));
-        }
-    }
-
-    fn updates_from_record(&self, kind: Kind, record: &mirror::Record) -> Vec<Update> {
-        let digest = record.key.strip_prefix(&kind.prefix()).and_then(Digest::from_text);
-        let entry = serde_json::from_slice::<Entry>(record.value.as_deref().unwrap_or_default());
-        let (digest, entry) = match (digest, entry) {
-            (Some(digest), Ok(entry)) => (digest, entry),
-            (None, _) => {
-                log::error!("invalid record of ends key={} error=\"no digest\"", record.key);
-                return Vec::new();
-            }
-            (_, Err(error)) => {
-                log::error!("invalid record of ends key={} error=\"{error}\"", record.key);
-                return Vec::new();
-            }
-        };
-        let (now, wall) = (self.now(), boot::unix_ms());
-        let item = |ended: Ended| Item {
-            run: fleet::Run { id: ended.server, born: ended.born },
-            digest,
-            mark: mark_from_flags(ended.alone, false),
-            at: now.saturating_sub(Duration::from_millis(wall.saturating_sub(ended.at))),
-        };
-        entry.ends.into_iter().map(|ended| Update { kind, item: item(ended) }).collect()
-    }
-
-    /// Removes expired items.
-    fn expire(&self) {
-        let now = self.now();
-        let mut state = self.lock();
-        for cases in state.all() {
-            cases.expire(now);
-            let Cases { ledger, own, trials, .. } = cases;
-            own.retain(|digest| ledger.standing(*digest) != Standing::Sound);
-            trials.retain(|digest, _| ledger.standing(*digest) != Standing::Sound);
-        }
-    }
-
-    /// Returns the time at which this process writes a refusal. It writes immediately if it found
-    /// an end itself.
-    fn write_time(&self, kind: Kind, digest: Digest) -> boot::Instant {
-        let own = self.lock().of(kind).own.contains(&digest);
-        let wait = WRITE_DELAY.0 + WRITE_DELAY.1.mul_f64(rand::random());
-        boot::Instant::now() + if own { Duration::ZERO } else { wait }
-    }
-
-    /// Returns the refused requests and parts of which the mirror has no record.
-    fn unwritten(&self, mirror: &Mirror) -> Vec<(Kind, Digest)> {
-        let refused = |kind| self.refused(kind).into_iter().map(move |digest| (kind, digest));
-        let mut refused: Vec<(Kind, Digest)> = Kind::ALL.into_iter().flat_map(refused).collect();
-        refused
-            .retain(|(kind, digest)| mirror.get(&format!("{}{digest}", kind.prefix())).is_none());
-        refused
-    }
-
-    async fn write<S: Store>(&self, store: &S, kind: Kind, digest: Digest) {
-        match self.try_write(store, kind, digest).await {
-            Ok(outcome) => log::info!("refusal kept digest={digest} outcome={outcome:?}"),
-            Err(error) => log::warn!("refusal not kept digest={digest} error=\"{error}\""),
-        }
-    }
-
-    async fn try_write<S: Store>(
-        &self,
-        store: &S,
-        kind: Kind,
-        digest: Digest,
-    ) -> Result<store::Outcome, store::Error> {
-        let (now, wall) = (self.now(), boot::unix_ms());
-        let items: Vec<Item> = self.lock().of(kind).ledger.items().collect();
-        let own = items.iter().filter(|item| item.digest == digest && item.mark != Mark::Cleared);
-        let ended = own.map(|item| Ended {
-            server: item.run.id.clone(),
-            born: item.run.born,
-            at: wall.saturating_sub(now.since(item.at).as_millis() as u64),
-            alone: item.mark == Mark::Alone,
-        });
-        let entry = Entry { ends: ended.collect() };
-        let value = serde_json::to_vec(&entry)
-            .map_err(|error| store::Error::Protocol { status: 0, reason: error.to_string() })?;
-        let lease = store.grant(loftcove_decision::poison::RETENTION).await?;
-        let write = store::Write {
-            key: format!("{}{digest}", kind.prefix()).into(),
-            value: Some(value.into()),
-            expected: Some(Revision::ZERO),
-            lease: Some(lease),
-        };
-        let outcome = store.write(&write).await?;
-        if outcome != store::Outcome::Conflict {
-            return Ok(outcome);
-        }
-        // Another gateway's record came first and has its own lease.
-        store.revoke(lease).await?;
-        Ok(outcome)
-    }
-}
