mirror: ends that a part explains count against no request

Cause: the request was on each of three servers that such requests ended, before one of its kind had completed. The requests that ended them differ, so that it was the only one with three ends, and was refused by their number. The ledger of parts held the right cause and was not asked.

Evidence: mirror/tests/ends.rs, the same in four ends: refused before, sound now.

The ends of a refused part are taken out of the evaluation of requests, as those that a refused request explains always were. Parts are evaluated first.

--- a/decision/src/poison.rs
+++ b/decision/src/poison.rs
@@ -29,6 +29,9 @@
 //! ends if no other one was on as many, and after four in any case. A part with which an
 //! answer has begun anywhere is cleared: a part that many requests share is cleared at once.
 //!
+//! Ends that a refused part explains count against no request: sound requests that were on
+//! several of these servers would otherwise be the only ones with as many ends.
+//!
 //! Gateways exchange single [`Item`]s. A merge keeps the higher mark, so the result does
 //! not depend on the order of items or on duplicates.
 
@@ -38,8 +41,9 @@
 mod finished;
 mod verdict;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 use sha2::Digest as _;
@@ -197,6 +201,8 @@
     thresholds: evaluation::Thresholds,
     /// Recorded ends by run and time.
     ends: BTreeMap<(fleet::Run, clock::Instant), End>,
+    /// Ends that a digest of another ledger explains, by id and time.
+    explained: BTreeSet<(Arc<str>, clock::Instant)>,
     /// Refused requests, each with the reason.
     refused: BTreeMap<Digest, Verdict>,
     /// Number of unexplained ends of each request that is not refused.
@@ -221,6 +227,7 @@
         Ledger {
             thresholds,
             ends: BTreeMap::new(),
+            explained: BTreeSet::new(),
             refused: BTreeMap::new(),
             suspected: BTreeMap::new(),
             undecided: BTreeMap::new(),
@@ -257,9 +264,8 @@
     /// takes a restarted server for its earlier run until it receives the server's new
     /// entry, which some gateways receive later than others.
     fn key(&self, item: &Item) -> (fleet::Run, clock::Instant) {
-        let apart = |at: clock::Instant| at.since(item.at).max(item.at.since(at));
         let mut known = self.ends.keys().filter(|(run, _)| run.id == item.run.id);
-        let same = known.find(|(_, at)| apart(*at) < SAME_END_TIME);
+        let same = known.find(|(_, at)| is_same_end(*at, item.at));
         same.cloned().unwrap_or_else(|| (item.run.clone(), item.at))
     }
 
@@ -390,7 +396,8 @@
     /// a weaker ground.
     fn evaluate(&mut self) {
         self.refused.clear();
-        let mut open: Vec<&End> = self.ends.values().collect();
+        let ends = self.ends.iter().filter(|(key, _)| !self.is_explained(key));
+        let mut open: Vec<&End> = ends.map(|(_, end)| end).collect();
         loop {
             let counts = evaluation::count(&open);
             let Some((ground, guilty)) =
@@ -407,6 +414,30 @@
         }
     }
 
+    fn is_explained(&self, (run, at): &(fleet::Run, clock::Instant)) -> bool {
+        let ends = self.explained.iter();
+        ends.into_iter().any(|(id, other)| *id == run.id && is_same_end(*at, *other))
+    }
+
+    /// Returns the ends that refused digests explain, by id and time.
+    pub fn explained_ends(&self) -> BTreeSet<(Arc<str>, clock::Instant)> {
+        if self.refused.is_empty() {
+            return BTreeSet::new();
+        }
+        let refused = |end: &End| end.suspects().any(|digest| self.refused.contains_key(&digest));
+        let ends = self.ends.iter().filter(|(_, end)| refused(end));
+        ends.map(|((run, at), _)| (run.id.clone(), *at)).collect()
+    }
+
+    /// Sets the ends that digests of another ledger explain. They count against no digest of
+    /// this one.
+    pub fn set_explained(&mut self, ends: BTreeSet<(Arc<str>, clock::Instant)>) {
+        if self.explained != ends {
+            self.explained = ends;
+            self.evaluate();
+        }
+    }
+
     fn evict(&mut self) {
         while self.ends.len() > MAX_ENDS {
             let refuses_nobody =
@@ -437,6 +468,11 @@
     }
 }
 
+/// Returns whether two times at which a server was found ended are of the same end.
+fn is_same_end(one: clock::Instant, other: clock::Instant) -> bool {
+    one.since(other).max(other.since(one)) < SAME_END_TIME
+}
+
 /// A violated invariant of the ledger.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
--- a/mirror/src/ends.rs
+++ b/mirror/src/ends.rs
@@ -61,6 +61,62 @@
     fn all(&mut self) -> [&mut Cases; 2] {
         [&mut self.requests, &mut self.parts]
     }
+
+    /// Applies items that have settled and removes expired ones.
+    fn expire(&mut self, now: clock::Instant) {
+        self.parts.ledger.expire(now);
+        self.explain();
+        self.requests.ledger.expire(now);
+        self.log_refusals(now);
+    }
+
+    /// Takes the ends that refused parts explain from the requests that were on these servers.
+    fn explain(&mut self) {
+        self.requests.ledger.set_explained(self.parts.ledger.explained_ends());
+    }
+
+    /// Applies items. Returns those that changed a ledger, and what follows from them.
+    fn merge(
+        &mut self,
+        received: Vec<Update>,
+        source: Option<Source<'_>>,
+        now: clock::Instant,
+    ) -> Vec<Update> {
+        let mut updates = Vec::new();
+        for Update { kind, item } in received {
+            let State { requests, parts, abandoned, .. } = &mut *self;
+            let cases = if kind == Kind::Part { parts } else { requests };
+            let before = cases.ledger.standing(item.digest);
+            if !cases.ledger.merge(&item, now) {
+                continue;
+            }
+            let mut changed = vec![item.clone()];
+            let blamed = if kind == Kind::Request { abandoned.blame(&item) } else { Vec::new() };
+            for blamed in blamed {
+                log::info!(
+                    "server ended under an abandoned request digest={} server={}",
+                    blamed.digest,
+                    blamed.run.id
+                );
+                if cases.ledger.merge(&blamed, now) {
+                    changed.push(blamed);
+                }
+            }
+            if item.mark != Mark::Cleared && cases.finished.contains(item.digest, now) {
+                changed.extend(cases.ledger.clear(item.digest));
+            }
+            let after = cases.ledger.standing(item.digest);
+            if before != after {
+                cases::log_standing(kind, &item, after, source);
+            }
+            updates.extend(cases.updates(changed));
+        }
+        updates
+    }
+
+    fn log_refusals(&mut self, now: clock::Instant) {
+        self.all().into_iter().for_each(|cases| cases.log_refusals(now));
+    }
 }
 
 impl Default for Ends {
@@ -116,9 +172,10 @@
             let mut updates = Vec::new();
             for cases in state.all() {
                 let cleared = cases.ledger.clear_runs(&runs);
-                cases.log_refusals(now);
                 updates.extend(cases.updates(cleared));
             }
+            state.explain();
+            state.log_refusals(now);
             drop(state);
             let count = runs.len();
             log::info!("ends not attributed to requests servers={count} reason=many-at-once");
@@ -162,6 +219,10 @@
         let mut state = self.lock();
         let cleared = parts.iter().flat_map(|part| state.parts.clear(*part, now));
         let cleared: Vec<Update> = cleared.collect();
+        if !cleared.is_empty() {
+            state.explain();
+            state.log_refusals(now);
+        }
         drop(state);
         self.publish(cleared);
     }
@@ -174,7 +235,7 @@
         }
         let now = self.now();
         let mut state = self.lock();
-        state.parts.expire(now);
+        state.expire(now);
         parts.iter().find_map(|part| match state.parts.ledger.standing(*part) {
             Standing::Refused(ends) => Some((*part, ends)),
             Standing::Sound | Standing::Suspect(_) => None,
@@ -221,7 +282,7 @@
         }
         let now = self.now();
         let mut state = self.lock();
-        state.requests.expire(now);
+        state.expire(now);
         state.requests.ledger.standing(digest)
     }
 
@@ -261,9 +322,8 @@
     fn refused(&self, kind: Kind) -> Vec<Digest> {
         let now = self.now();
         let mut state = self.lock();
-        let cases = state.of(kind);
-        cases.expire(now);
-        cases.ledger.refused().collect()
+        state.expire(now);
+        state.of(kind).ledger.refused().collect()
     }
 
     /// Waits until a request is refused. Returns the number of servers that it ended.
@@ -299,36 +359,12 @@
     fn apply(&self, received: Vec<Update>, source: Option<Source<'_>>) {
         let now = self.now();
         let mut state = self.lock();
-        let mut updates = Vec::new();
-        for Update { kind, item } in received {
-            let State { requests, parts, abandoned, .. } = &mut *state;
-            let cases = if kind == Kind::Part { parts } else { requests };
-            let before = cases.ledger.standing(item.digest);
-            if !cases.ledger.merge(&item, now) {
-                continue;
-            }
-            let mut changed = vec![item.clone()];
-            let blamed = if kind == Kind::Request { abandoned.blame(&item) } else { Vec::new() };
-            for blamed in blamed {
-                log::info!(
-                    "server ended under an abandoned request digest={} server={}",
-                    blamed.digest,
-                    blamed.run.id
-                );
-                if cases.ledger.merge(&blamed, now) {
-                    changed.push(blamed);
-                }
-            }
-            if item.mark != Mark::Cleared && cases.finished.contains(item.digest, now) {
-                changed.extend(cases.ledger.clear(item.digest));
-            }
-            let after = cases.ledger.standing(item.digest);
-            if before != after {
-                cases::log_standing(kind, &item, after, source);
-            }
-            updates.extend(cases.updates(changed));
-        }
-        state.all().into_iter().for_each(|cases| cases.log_refusals(now));
+        // Parts come first, as they may explain the ends that requests were on.
+        let (parts, requests) = received.into_iter().partition(|update| update.kind == Kind::Part);
+        let mut updates = state.merge(parts, source, now);
+        state.explain();
+        updates.extend(state.merge(requests, source, now));
+        state.log_refusals(now);
         drop(state);
         self.publish(updates);
     }
--- a/mirror/src/ends/cases.rs
+++ b/mirror/src/ends/cases.rs
@@ -65,12 +65,6 @@
         Cases { kind, ledger, finished, own, refused, trials }
     }
 
-    /// Applies items that have settled and removes expired ones.
-    pub(super) fn expire(&mut self, now: clock::Instant) {
-        self.ledger.expire(now);
-        self.log_refusals(now);
-    }
-
     /// Records that a request completed, or that an answer has begun with a part. Returns the
     /// updates to send to other gateways.
     pub(super) fn clear(&mut self, digest: Digest, now: clock::Instant) -> Vec<Update> {
--- a/mirror/src/ends/record.rs
+++ b/mirror/src/ends/record.rs
@@ -119,8 +119,8 @@
     fn expire(&self) {
         let now = self.now();
         let mut state = self.lock();
+        state.expire(now);
         for cases in state.all() {
-            cases.expire(now);
             let Cases { ledger, own, trials, .. } = cases;
             own.retain(|digest| ledger.standing(*digest) != Standing::Sound);
             trials.retain(|digest, _| ledger.standing(*digest) != Standing::Sound);
--- a/mirror/tests/ends.rs
+++ b/mirror/tests/ends.rs
@@ -328,3 +328,23 @@
     tokio::time::sleep(SETTLE_TIME * 2).await;
     assert_eq!(mirror.ends.refused_part(&[bad]), None);
 }
+
+/// Guards against refusal of a request that many clients send alike and that was on each server that
+/// a part of other requests' prompts ended. No end counts against a request once a refused part
+/// explains it.
+#[tokio::test]
+async fn a_request_on_servers_that_a_part_ended_is_not_refused() {
+    let ((first, at_first), second) = (host("norte").await, Arc::<Mirror>::default());
+    follow(&second, at_first);
+    let (bad, alike) = (Digest::of(&[b"bad"]), Digest::of(&[b"alike"]));
+    for number in 1..=4 {
+        first.ends.record_end(&run(number), alike, false);
+        record_parts(&first, number, &[bad]);
+        tokio::time::sleep(SETTLE_TIME).await;
+    }
+    for host in [&first, &second] {
+        wait_until_part_refused_by(host, bad).await;
+        assert_eq!(host.ends.standing(alike), Standing::Sound);
+        assert_eq!(host.ends.refused_requests(), []);
+    }
+}
