--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod moves;
 mod notice;
 mod outcome;
+mod parts;
 mod probe;
 pub mod pulse;
 pub mod queue;
