tests: let gateways earn the retries that a test is about

The tests now send 100 answered requests to each service first. What they check and how often is unchanged.

--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -475,6 +475,25 @@
         .await;
     }
 
+    /// Sends a gateway requests to both services that are answered, so that its retry budgets allow
+    /// some retries. A gateway starts with none.
+    pub async fn earn_retries(&self, gateway: u8) {
+        const REQUESTS: usize = 100;
+        let requests = |path: &'static str| (0..REQUESTS).map(move |_| Request::new(path));
+        let mut requests = requests("/alert/").chain(requests("/draft/"));
+        // Few at a time, so that none finds a server full.
+        loop {
+            let some: Vec<Request> = requests.by_ref().take(8).collect();
+            if some.is_empty() {
+                return;
+            }
+            let answers = some.iter().map(|request| self.request(gateway, request));
+            for answer in futures_util::future::join_all(answers).await {
+                assert_eq!(answer.status, 200);
+            }
+        }
+    }
+
     /// Returns the metrics of a gateway.
     pub async fn metrics(&self, index: u8) -> String {
         let address = (self.gateway_ip(index), METRICS_PORT).into();
--- a/tests/tests/endings.rs
+++ b/tests/tests/endings.rs
@@ -134,6 +134,7 @@
 async fn check(framing: &'static str) {
     let label = if framing == "http-1.0" { "close" } else { framing };
     let system = System::start(PLAN).await;
+    system.earn_retries(0).await;
     let mut connection = Connection { system: &system, client: None };
     let mut wrong = Vec::new();
     for place in PLACES {
@@ -217,6 +218,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_event_stream_on_any_route_that_breaks_off_inside_an_event_never_looks_complete() {
     let system = System::start(PLAN).await;
+    system.earn_retries(0).await;
     for framing in ["chunked", "close", "http-1.0"] {
         let cut = |path: &str, last: usize, bytes: usize| {
             Request::new(path)
--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -52,6 +52,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn sends_a_request_that_must_not_be_repeated_only_once() {
     let system = System::start(PLAN).await;
+    system.earn_retries(0).await;
     for fault in ["x-standin-lose", "x-standin-foreign"] {
         let once = Request::new("/receipt/").with(fault, "1");
         assert_eq!(system.request(0, &once).await.status, 502, "{fault}");
@@ -70,6 +71,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn resumes_a_broken_stream_at_another_rank_in_the_same_answer() {
     let system = System::start(PLAN).await;
+    system.earn_retries(0).await;
     let request =
         Request::new("/draft/").with("x-standin-events", "12").with("x-standin-break", "5");
     let answer = system.request(0, &request).await;
--- a/tests/tests/groups.rs
+++ b/tests/tests/groups.rs
@@ -183,6 +183,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn serves_from_one_group_while_the_other_is_broken() {
     let system = System::start(TWO_GROUPS).await;
+    system.earn_retries(0).await;
     let load = Load::start(&system).await;
     // A driver reports the members of its group to the gateways before it changes the map.
     wait_group_switched(&system, 0).await;
--- a/tests/tests/leaving.rs
+++ b/tests/tests/leaving.rs
@@ -100,6 +100,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn cancels_a_stream_that_another_backend_server_resumed() {
     let system = System::start(PLAN).await;
+    system.earn_retries(0).await;
     let request =
         Request::new("/draft/").with("x-standin-events", "100000").with("x-standin-break", "5");
     let pending = Pending::send(&system, &request).await;
--- a/tests/tests/moves.rs
+++ b/tests/tests/moves.rs
@@ -15,6 +15,7 @@
 /// Starts a system whose group has a driver.
 async fn start() -> System {
     let system = System::start(PLAN).await;
+    system.earn_retries(0).await;
     let elected = |line: &String| line.contains("driver elected");
     until("the group has a driver", || async {
         system.sidecars.iter().any(|sidecar| sidecar.log().iter().any(elected))
--- a/tests/tests/rest.rs
+++ b/tests/tests/rest.rs
@@ -66,6 +66,9 @@
 /// seconds of rest.
 async fn check_rest(ranks: bool) {
     let system = System::start(PLAN).await;
+    for gateway in 0..PLAN.gateways {
+        system.earn_retries(gateway).await;
+    }
     let server = if ranks { "rank-1" } else { "plain-1" };
     system.servers_control(group(ranks), &format!("/shed?server={server}&each=2&rest=2")).await;
     let (sent, unserved) = load(&system, ranks).await;
