decision: tests of retries whose requests waited for a server

In both, all servers of six gateways are full for a while and then take a slot's worth of requests each, which they reject:

Found by checking the arithmetic of docs/design/retries.md, which takes what a process sends in a window for what it had saved and earned then.

--- a/decision/tests/retries.rs
+++ b/decision/tests/retries.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use loftcove_decision::routing::{policy, server};
@@ -20,6 +21,8 @@
 const GATEWAYS: usize = 6;
 /// Servers of each pool.
 const SERVERS: u32 = 12;
+/// Span over which a service counts the retries.
+const WINDOW: Duration = Duration::from_secs(10);
 /// Time in which a server that had no free slot gets requests again.
 const BACK_OFF: Duration = Duration::from_millis(400);
 
@@ -105,11 +108,19 @@
     }
 
     fn arrive(&mut self, number: u32) -> (entity::Ticket, Vec<balancer::Action>) {
+        self.arrive_with(number, 1)
+    }
+
+    fn arrive_with(
+        &mut self,
+        number: u32,
+        precedence: u32,
+    ) -> (entity::Ticket, Vec<balancer::Action>) {
         let due = self.now + Duration::from_secs(120);
         let arrival = balancer::Arrival {
             pool: pool(number),
             team: entity::Team::from_u32(0),
-            precedence: 1,
+            precedence,
             repeatable: true,
             resumable: true,
             max_attempts: 2,
@@ -153,6 +164,63 @@
         retries.unwrap_or_default()
     }
 
+    /// Sends requests of the highest precedence until all servers are full and `waiting` of them
+    /// wait.
+    fn occupy(&mut self, number: u32, waiting: usize) -> VecDeque<entity::Ticket> {
+        let (mut occupying, mut left) = (VecDeque::new(), waiting);
+        while left > 0 {
+            let (ticket, actions) = self.arrive_with(number, 0);
+            left -= usize::from(actions.is_empty());
+            occupying.push_back(ticket);
+        }
+        occupying
+    }
+
+    /// Ends requests with an answer. No server accepts what else is sent in their places. Returns the
+    /// number of retries that were sent.
+    fn release(&mut self, occupying: &VecDeque<entity::Ticket>) -> u64 {
+        let mut retries = 0;
+        for ticket in occupying {
+            let mut actions = self.balancer.end(*ticket, balancer::End::Answered, self.now);
+            let is_other = |action: &balancer::Action| match action {
+                balancer::Action::Send(dispatch) => !occupying.contains(&dispatch.ticket),
+                _ => false,
+            };
+            actions.retain(is_other);
+            retries += self.refuse(actions);
+        }
+        retries
+    }
+
+    /// Has no server accept what is sent to it. Returns the number of retries that were sent.
+    fn refuse(&mut self, actions: Vec<balancer::Action>) -> u64 {
+        let (mut actions, mut retries) = (VecDeque::from(actions), 0);
+        while let Some(action) = actions.pop_front() {
+            let balancer::Action::Send(dispatch) = action else { continue };
+            retries += u64::from(dispatch.attempt > 1);
+            actions.extend(self.balancer.end(dispatch.ticket, balancer::End::Full, self.now));
+        }
+        assert_eq!(self.balancer.verify(), Ok(()));
+        retries
+    }
+
+    /// Sends requests for which no server has a free slot over a window. Returns the number of
+    /// retries in the window.
+    fn refuse_window(&mut self, number: u32, requests: u64) -> u64 {
+        let steps = WINDOW.as_millis() as u64 / BACK_OFF.as_millis() as u64;
+        let mut retries = 0;
+        for step in 0..steps {
+            for _ in step * requests / steps..(step + 1) * requests / steps {
+                let (_, actions) = self.arrive(number);
+                retries += self.refuse(actions);
+            }
+            self.now = self.now + BACK_OFF;
+            let actions = self.balancer.tick(self.now);
+            retries += self.refuse(actions);
+        }
+        retries
+    }
+
     /// Sends requests for which no server has a free slot. Returns the number of their retries.
     fn reject_all(&mut self, number: u32, requests: u64) -> u64 {
         (0..requests).map(|_| self.reject(number)).sum()
@@ -310,3 +378,46 @@
     let earned = RATIO * MARGIN * requests as f64 + 1.0;
     assert!(retries as f64 <= earned, "{retries} retries of {requests} requests");
 }
+
+/// Guards against requests that earn retries when they are sent: those that have waited for a server
+/// earn them in a later window than the one whose requests they count among.
+#[test]
+fn requests_that_waited_earn_no_retries_in_a_later_window() {
+    const REQUESTS: u64 = 70;
+    let (mut requests, mut retries) = (0, 0);
+    for _ in 0..GATEWAYS {
+        let mut gateway = Gateway::join(start_time());
+        gateway.answer(0, 200);
+        let occupying = gateway.occupy(0, 1);
+        gateway.advance(2 * WINDOW);
+        (0..REQUESTS).for_each(|_| drop(gateway.arrive(0)));
+        gateway.advance(WINDOW);
+        retries += gateway.release(&occupying) + gateway.refuse_window(0, REQUESTS);
+        requests += REQUESTS;
+    }
+    assert!(retries as f64 <= allowed(requests), "{retries} retries of {requests} requests");
+}
+
+/// Guards against retries that were charged earlier and still wait while as many are saved again:
+/// once they are sent, a service receives both in one window.
+#[test]
+fn retries_that_wait_count_as_saved() {
+    const REQUESTS: u64 = 75;
+    let (mut requests, mut retries) = (0, 0);
+    for _ in 0..GATEWAYS {
+        let mut gateway = Gateway::join(start_time());
+        gateway.answer(0, 200);
+        let failing: Vec<Vec<balancer::Action>> =
+            (0..SERVERS).map(|_| gateway.arrive(0).1).collect();
+        let occupying = gateway.occupy(0, 100);
+        for actions in failing {
+            gateway.refuse(actions);
+        }
+        gateway.advance(2 * WINDOW);
+        (0..REQUESTS).for_each(|_| drop(gateway.arrive(0)));
+        gateway.advance(WINDOW);
+        retries += gateway.release(&occupying) + gateway.refuse_window(0, REQUESTS);
+        requests += REQUESTS;
+    }
+    assert!(retries as f64 <= allowed(requests), "{retries} retries of {requests} requests");
+}
