decision: a request adds to the retry budget as it arrives

Backend servers could receive more retries than their service allows once they took requests again for which callers had waited.

Cause: a request added its share at its first dispatch. The allowance counts it in the window in which it was sent, or a window later; one that waits is dispatched in a window that has requests of its own, and so counts twice there.

Evidence: decision/tests/retries.rs, requests that wait and new ones: 192 retries of 420 requests where 174 are allowed; now passes.

A request now adds its share as it enters the queue, which it does once, so that attempts that are withheld need no record of it any more. What is earned while requests wait is bounded by the reserve.

--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -60,8 +60,6 @@
     failures: u32,
     /// Failed attempts that ran or may have run.
     runs: u32,
-    /// Whether the request has added to the retry budget of its pool.
-    deposited: bool,
     state: State,
     /// Group of the backend server that runs the current attempt.
     group: Option<entity::Group>,
@@ -299,7 +297,6 @@
             attempts: 0,
             failures: 0,
             runs: 0,
-            deposited: false,
             state: State::Waiting,
             group: None,
             sent: None,
@@ -311,6 +308,8 @@
             origin: None,
         };
         self.pending.insert(ticket, pending);
+        // A request that waits is sent in a later window than the one it counts in.
+        self.retries.budget(arrival.pool).deposit();
         if let Some(loser) = displaced {
             let reason = Reason::Admission(admission::Refusal::QueueFull);
             self.reject_pending(loser.ticket, Outcome::NotRun, reason, now, actions);
--- a/decision/src/balancer/choose.rs
+++ b/decision/src/balancer/choose.rs
@@ -93,9 +93,6 @@
         self.servers[choice.server].sent(now);
         if pending.attempts == 1 {
             self.tally.first_attempts += 1;
-            if !std::mem::replace(&mut pending.deposited, true) {
-                self.retries.budget(pool).deposit();
-            }
         } else {
             self.tally.retries += 1;
         }
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -65,7 +65,7 @@
         self
     }
 
-    /// Sets the number of retries that each first attempt adds to the budget.
+    /// Sets the number of retries that each request adds to the budget.
     pub fn retry_ratio(mut self, ratio: f64) -> Options {
         self.retry_ratio = ratio;
         self
--- a/decision/src/retry.rs
+++ b/decision/src/retry.rs
@@ -3,7 +3,7 @@
 //! A retry has two conditions. It must be safe: an attempt that certainly never
 //! started can always be retried, one that may have started only if the class
 //! is repeatable and the client has received nothing of the answer. And the
-//! retry budget must allow it: first attempts add to the budget and retries
+//! retry budget must allow it: requests add to the budget and retries
 //! draw on it, so that an outage does not multiply the load that caused it. Each service has
 //! a budget of its own: requests to one service don't add to the retries of another one.
 
@@ -55,7 +55,7 @@
 
 impl Budget {
     /// Returns a budget of at most `reserve` retries, part of which is available
-    /// initially. Each first attempt adds `ratio` of a retry.
+    /// initially. Each request adds `ratio` of a retry.
     pub fn new(ratio: f64, reserve: f64) -> Budget {
         let available = reserve * INITIAL_FRACTION;
         Budget { ratio, reserve, available, counts: Counts::default() }
@@ -78,7 +78,7 @@
         self.available = self.available.min(reserve);
     }
 
-    /// Adds the share of a request, once for each request.
+    /// Adds the share of a request as it arrives, once for each request.
     pub fn deposit(&mut self) {
         self.available = (self.available + self.ratio).min(self.reserve);
     }
--- a/settings/src/file.rs
+++ b/settings/src/file.rs
@@ -92,7 +92,7 @@
         max_waiting: usize = 1_024;
         /// Agents whose load is followed; those of the own availability zone come first.
         max_followed: usize = 256;
-        /// Retries granted for each first attempt.
+        /// Retries granted for each request.
         retry_ratio: f64 = 0.1;
         /// Longest time from one rebalancing decision of a driven group to the next, seconds; 0 takes the bundle's.
         rebalance_s: u64 = 0;
