decision: retries that wait are a part of what is saved

Backend servers could receive more retries than their service allows once they took requests again for which retries had waited.

Cause: a retry is charged as it is queued, and may wait for seconds for a server or a group. Meanwhile the budget saved up to its full reserve again, so that both were sent in one window.

What is available and what waits are together at most the reserve now, so that the sum over all processes (docs/design/retries.md) holds for what is sent in a window, not only for what is charged in it. verify compares the count with the requests that wait. Adds the gauge retry_budget_waiting and waiting= in the line of a denied retry.

--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -60,6 +60,9 @@
     failures: u32,
     /// Failed attempts that ran or may have run.
     runs: u32,
+    /// Whether the current attempt, or the one that the request waits for, was charged to the retry
+    /// budget of its pool.
+    charged: bool,
     state: State,
     /// Group of the backend server that runs the current attempt.
     group: Option<entity::Group>,
@@ -297,6 +300,7 @@
             attempts: 0,
             failures: 0,
             runs: 0,
+            charged: false,
             state: State::Waiting,
             group: None,
             sent: None,
--- a/decision/src/balancer/choose.rs
+++ b/decision/src/balancer/choose.rs
@@ -91,6 +91,9 @@
             self.gates.entry(pool).or_default().record_start(precedence, team, now);
         }
         self.servers[choice.server].sent(now);
+        if pending.charged {
+            self.retries.budget(pool).release();
+        }
         if pending.attempts == 1 {
             self.tally.first_attempts += 1;
         } else {
--- a/decision/src/balancer/failure.rs
+++ b/decision/src/balancer/failure.rs
@@ -37,6 +37,7 @@
         }
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
         pending.state = State::Waiting;
+        pending.charged = self.charge_full;
         pending.tried.clear();
         let (arrival, since) = (pending.arrival, pending.since);
         let waiter = self.waiter(ticket, &arrival, since);
@@ -98,6 +99,7 @@
         } else {
             let Some(pending) = self.pending.get_mut(&ticket) else { return };
             pending.state = State::Waiting;
+            pending.charged = true;
             let waiter = self.waiter(ticket, &arrival, since);
             self.queue.push_front(waiter);
             return;
@@ -183,6 +185,9 @@
     pub(super) fn finish(&mut self, ticket: entity::Ticket) -> Option<Pending> {
         let pending = self.pending.remove(&ticket)?;
         self.queue.release(pending.arrival.team);
+        if pending.charged && pending.state == State::Waiting {
+            self.retries.budget(pending.arrival.pool).release();
+        }
         Some(pending)
     }
 }
--- a/decision/src/balancer/moves.rs
+++ b/decision/src/balancer/moves.rs
@@ -98,10 +98,12 @@
         if !budget.allows() || !budget.withdraw() {
             return None;
         }
+        budget.release();
         let passed_over = self.passed_over(self.servers[from].listing.pool, now);
         let pending = self.pending.get_mut(&ticket)?;
         let sent = pending.sent;
         pending.moved = true;
+        pending.charged = true;
         let streams = std::mem::take(&mut pending.streams);
         pending.origin = Some(Origin { server: from, sent, streams });
         pending.runs += 1;
--- a/decision/src/balancer/rest.rs
+++ b/decision/src/balancer/rest.rs
@@ -182,6 +182,9 @@
         pending.sent = None;
         pending.group = None;
         let (arrival, since) = (pending.arrival, pending.since);
+        if pending.charged {
+            self.retries.budget(arrival.pool).hold();
+        }
         if pending.attempts == 0 {
             self.tally.first_attempts -= 1;
         } else {
--- a/decision/src/balancer/verify.rs
+++ b/decision/src/balancer/verify.rs
@@ -52,6 +52,13 @@
                 return Err(Fault::GroupBegun(id));
             }
         }
+        for (pool, budget) in self.retry_budgets() {
+            let own =
+                |p: &&Pending| p.state == State::Waiting && p.charged && p.arrival.pool == pool;
+            if self.pending.values().filter(own).count() != budget.waiting as usize {
+                return Err(Fault::Retries(pool));
+            }
+        }
         for (pool, gate) in &self.gates {
             let own = |p: &&Pending| {
                 matches!(p.state, State::Sent(_)) && p.group.is_some() && p.arrival.pool == *pool
@@ -91,6 +98,9 @@
     /// The number of a group's requests in flight that have had an event differs from its counter.
     #[error("wrong count of requests with an event at {0}")]
     GroupBegun(entity::Group),
+    /// The number of charged retries of a pool that wait differs from its counter.
+    #[error("wrong count of retries that wait for {0}")]
+    Retries(entity::Pool),
     /// The number of streams of a pool differs from the counter of its limits.
     #[error("wrong count of streams in flight at {0}")]
     PoolInFlight(entity::Pool),
--- a/decision/src/retry.rs
+++ b/decision/src/retry.rs
@@ -40,6 +40,8 @@
     pub available: f64,
     /// Maximum number of retries that the budget accumulates.
     pub reserve: f64,
+    /// Withdrawn retries that are still to be sent.
+    pub waiting: u32,
     /// Counts since the start of the process.
     pub counts: Counts,
 }
@@ -50,6 +52,8 @@
     ratio: f64,
     reserve: f64,
     available: f64,
+    /// Withdrawn retries that are still to be sent.
+    waiting: u32,
     counts: Counts,
 }
 
@@ -58,12 +62,13 @@
     /// initially. Each request adds `ratio` of a retry.
     pub fn new(ratio: f64, reserve: f64) -> Budget {
         let available = reserve * INITIAL_FRACTION;
-        Budget { ratio, reserve, available, counts: Counts::default() }
+        Budget { ratio, reserve, available, waiting: 0, counts: Counts::default() }
     }
 
     /// Returns the state for metrics and logs.
     pub fn status(&self) -> Status {
-        Status { available: self.available, reserve: self.reserve, counts: self.counts }
+        let Budget { available, reserve, waiting, counts, .. } = *self;
+        Status { available, reserve, waiting, counts }
     }
 
     /// Returns whether [`withdraw`](Budget::withdraw) would succeed.
@@ -75,30 +80,49 @@
     /// processes share an allowance, each start would add to the retries of a window.
     pub fn set_reserve(&mut self, reserve: f64) {
         self.reserve = reserve;
-        self.available = self.available.min(reserve);
+        self.available = self.available.min(self.capacity());
+    }
+
+    /// Returns how many retries may be available: the reserve without those that wait, which will be
+    /// sent in addition.
+    fn capacity(&self) -> f64 {
+        (self.reserve - f64::from(self.waiting)).max(0.0)
     }
 
     /// Adds the share of a request as it arrives, once for each request.
     pub fn deposit(&mut self) {
-        self.available = (self.available + self.ratio).min(self.reserve);
+        self.available = (self.available + self.ratio).min(self.capacity());
     }
 
     /// Returns a withdrawn retry that was not sent after all.
     pub fn refund(&mut self) {
-        self.available = (self.available + 1.0).min(self.reserve);
+        self.available = (self.available + 1.0).min(self.capacity());
         self.counts.refunded += 1;
     }
 
-    /// Withdraws one retry. Returns whether there was one.
+    /// Withdraws one retry, which waits until [`release`](Budget::release). Returns whether there
+    /// was one.
     pub fn withdraw(&mut self) -> bool {
         if !self.allows() {
             self.counts.denied += 1;
             return false;
         }
         self.available -= 1.0;
+        self.waiting += 1;
         self.counts.charged += 1;
         true
     }
+
+    /// Records that a withdrawn retry is sent, or will not be sent.
+    pub fn release(&mut self) {
+        self.waiting -= 1;
+    }
+
+    /// Records that a retry waits again, because its backend server was not to get it.
+    pub fn hold(&mut self) {
+        self.waiting += 1;
+        self.available = self.available.min(self.capacity());
+    }
 }
 
 /// Time for which a share of the allowance stays as small as it was. A gateway whose registration
--- a/decision/tests/retries.rs
+++ b/decision/tests/retries.rs
@@ -306,6 +306,7 @@
         for _ in 0..*requests {
             budget.deposit();
             while budget.withdraw() {
+                budget.release();
                 retries += 1;
             }
         }
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -568,11 +568,12 @@
                     ground.allowed
                 ),
                 balancer::Note::BudgetUsedUp(pool, budget) => log::info!(
-                    "retry budget used up service={} available={:.2} reserve={:.2} charged={} \
-                     refunded={} denied={}",
+                    "retry budget used up service={} available={:.2} reserve={:.2} waiting={} \
+                     charged={} refunded={} denied={}",
                     self.pools.name(pool),
                     budget.available,
                     budget.reserve,
+                    budget.waiting,
                     budget.counts.charged,
                     budget.counts.refunded,
                     budget.counts.denied
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -111,6 +111,7 @@
 struct Retries {
     available: Family<Service, Gauge<f64, AtomicU64>>,
     reserve: Family<Service, Gauge<f64, AtomicU64>>,
+    waiting: Family<Service, Gauge>,
     charged: Family<Service, Counter>,
     refunded: Family<Service, Counter>,
     denied: Family<Service, Counter>,
@@ -121,9 +122,10 @@
         let retries = Retries::default();
         for (service, budget) in gateway.dispatcher.retry_budgets() {
             let label = Service { service: service.to_string() };
-            let retry::Status { available, reserve, counts } = budget;
+            let retry::Status { available, reserve, waiting, counts } = budget;
             retries.available.get_or_create(&label).set(available);
             retries.reserve.get_or_create(&label).set(reserve);
+            retries.waiting.get_or_create(&label).set(waiting.into());
             retries.charged.get_or_create(&label).inc_by(counts.charged);
             retries.refunded.get_or_create(&label).inc_by(counts.refunded);
             retries.denied.get_or_create(&label).inc_by(counts.denied);
@@ -136,6 +138,8 @@
         registry.register("retry_budget_available", available, self.available);
         let reserve = "Maximum number of retries that the budget accumulates";
         registry.register("retry_budget_reserve", reserve, self.reserve);
+        let waiting = "Charged retries that are still to be sent";
+        registry.register("retry_budget_waiting", waiting, self.waiting);
         registry.register("retries_charged", "Retries charged to the budget", self.charged);
         let refunded = "Charged retries of which nothing was sent";
         registry.register("retries_refunded", refunded, self.refunded);
