--- a/day/src/ends.rs
+++ b/day/src/ends.rs
@@ -2,8 +2,9 @@
 //! logs of all hosts.
 //!
 //! The *end* of a server is the unplanned exit of one run of its process. Each request that was on
-//! the server is a suspect, and so is each part of its prompt that other requests may share. The *standing* of a suspect at a host is `refused` once the host
-//! rejects the request because servers ended under it.
+//! the server is a suspect, and so is each part of its prompt that other requests may share. The
+//! *standing* of a suspect at a host is `refused` once the host rejects the request because
+//! servers ended under it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/mirror/src/ends.rs
+++ b/mirror/src/ends.rs
@@ -6,8 +6,8 @@
 //!
 //! [`poison`] makes the decisions. Updates travel with the records that peers forward, in
 //! milliseconds per hop. A newly followed peer sends all its items. A gateway also writes each
-//! request or part that it refuses to the store, under a lease. The store's record survives a restart of
-//! all gateways, and it is the second path to gateways that reach no peer.
+//! request or part that it refuses to the store, under a lease. The store's record survives a
+//! restart of all gateways, and it is the second path to gateways that reach no peer.
 //!
 //! [`poison`]: loftcove_decision::poison
 
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -250,7 +250,8 @@
     format!("part {caller} {number}")
 }
 
-/// Sends a gateway a request with a part of a prompt that ends the server on which it runs. The caller's other requests share the part, and no two are alike.
+/// Sends a gateway a request with a part of a prompt that ends the server on which it runs. The
+/// caller's other requests share the part, and no two are alike.
 pub async fn poison_part(
     gateway: std::net::SocketAddr,
     (caller, number): (u8, u32),
