--- a/decision/tests/retries.rs
+++ b/decision/tests/retries.rs
@@ -380,22 +380,33 @@
     assert!(retries as f64 <= earned, "{retries} retries of {requests} requests");
 }
 
-/// Guards against requests that earn retries when they are sent: those that have waited for a server
-/// earn them in a later window than the one whose requests they count among.
-#[test]
-fn requests_that_waited_earn_no_retries_in_a_later_window() {
-    const REQUESTS: u64 = 70;
-    let (mut requests, mut retries) = (0, 0);
+/// Returns the retries of all gateways in a window in which no server accepts any of `requests`. As
+/// many requests at each gateway, and the retries of `failing` ones, have waited for the servers.
+fn retries_after_waiting(requests: u64, failing: u32) -> u64 {
+    let mut retries = 0;
     for _ in 0..GATEWAYS {
         let mut gateway = Gateway::join(start_time());
         gateway.answer(0, 200);
-        let occupying = gateway.occupy(0, 1);
+        let failing: Vec<Vec<balancer::Action>> =
+            (0..failing).map(|_| gateway.arrive(0).1).collect();
+        let occupying = gateway.occupy(0, 100);
+        for actions in failing {
+            gateway.refuse(actions);
+        }
         gateway.advance(2 * WINDOW);
-        (0..REQUESTS).for_each(|_| drop(gateway.arrive(0)));
+        (0..requests).for_each(|_| drop(gateway.arrive(0)));
         gateway.advance(WINDOW);
-        retries += gateway.release(&occupying) + gateway.refuse_window(0, REQUESTS);
-        requests += REQUESTS;
+        retries += gateway.release(&occupying) + gateway.refuse_window(0, requests);
     }
+    retries
+}
+
+/// Guards against requests that earn retries when they are sent: those that have waited for a server
+/// earn them in a later window than the one whose requests they count among.
+#[test]
+fn requests_that_waited_earn_no_retries_in_a_later_window() {
+    let retries = retries_after_waiting(70, 0);
+    let requests = 70 * GATEWAYS as u64;
     assert!(retries as f64 <= allowed(requests), "{retries} retries of {requests} requests");
 }
 
@@ -403,22 +414,7 @@
 /// once they are sent, a service receives both in one window.
 #[test]
 fn retries_that_wait_count_as_saved() {
-    const REQUESTS: u64 = 75;
-    let (mut requests, mut retries) = (0, 0);
-    for _ in 0..GATEWAYS {
-        let mut gateway = Gateway::join(start_time());
-        gateway.answer(0, 200);
-        let failing: Vec<Vec<balancer::Action>> =
-            (0..SERVERS).map(|_| gateway.arrive(0).1).collect();
-        let occupying = gateway.occupy(0, 100);
-        for actions in failing {
-            gateway.refuse(actions);
-        }
-        gateway.advance(2 * WINDOW);
-        (0..REQUESTS).for_each(|_| drop(gateway.arrive(0)));
-        gateway.advance(WINDOW);
-        retries += gateway.release(&occupying) + gateway.refuse_window(0, REQUESTS);
-        requests += REQUESTS;
-    }
+    let retries = retries_after_waiting(75, SERVERS);
+    let requests = 75 * GATEWAYS as u64;
     assert!(retries as f64 <= allowed(requests), "{retries} retries of {requests} requests");
 }
