tests: a refused part of a prompt is served again once its cause is gone

What revokes a refusal, a trial by one gateway a minute after the last end, was tested for its times and for the choice of the gateway alone. Running processes now refuse a part, its servers stop ending under it, and all three gateways serve it again. Adds the control harmless to the stand-ins.

--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -22,6 +22,7 @@
 //!   if the text is empty.
 //! - `PUT /harmful?part=ID`: from now on, a server ends before it begins to answer a request whose
 //!   prompt has that part, unless it is the last one.
+//! - `PUT /harmless?part=ID`: undoes it.
 //! - `GET /state`: counters and map versions.
 //! - `GET /requests`: the requests that were executed.
 //! - `GET /ends`: the servers that ended while they ran a request.
@@ -377,6 +378,9 @@
             "/leave" => state.set_leaving(query),
             "/limit" => state.set_limit(query),
             "/harmful" => state.harmful.extend(query.get("part").cloned()),
+            "/harmless" => {
+                query.get("part").map(|part| state.harmful.remove(part));
+            }
             "/requests" => return Value::Array(state.requests.clone()),
             "/visits" => return Value::Array(state.visits.clone()),
             "/ends" => return Value::Array(state.ends.clone()),
--- a/tests/tests/parts.rs
+++ b/tests/tests/parts.rs
@@ -3,6 +3,10 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use loftcove_decision::poison;
 use loftcove_tests::request::Request;
 use loftcove_tests::system::{Plan, System};
 
@@ -69,3 +73,29 @@
 async fn limits_the_ranks_that_one_part_of_a_prompt_ends() {
     check(true).await;
 }
+
+/// Guards against a refusal that nothing revokes: as no request with the part is sent any more, no
+/// answer shows that its cause is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn serves_a_refused_part_again_once_its_cause_is_gone() {
+    let system = System::start(PLAN).await;
+    assert_eq!(serve(&system, false, 0).await, SOUND, "served before");
+    let ends = end_servers(&system, false).await;
+    system.servers_control(None, "/harmless?part=bad").await;
+    let served = async {
+        let mut waiting: BTreeSet<u8> = (0..PLAN.gateways).collect();
+        let mut numbers = 2_000..;
+        while !waiting.is_empty() {
+            for gateway in waiting.clone() {
+                let request = request(false, "bad", numbers.next().unwrap());
+                if system.request(gateway, &request).await.status == 200 {
+                    waiting.remove(&gateway);
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    // The trial is due after this time, or twice as long if four servers ended.
+    let due = 2 * poison::TRIAL_DELAY;
+    assert!(tokio::time::timeout(due + poison::TRIAL_DELAY, served).await.is_ok(), "{ends} ends");
+}
