decision, gateway: tell the known capacity when a request is rejected for shortage

The outcome line has bound, in_flight, streams, fitting and age_ms now; four gauges by service tell the same at any time. Decisions do not change.

--- a/daemon/src/entry/refusal.rs
+++ b/daemon/src/entry/refusal.rs
@@ -11,7 +11,7 @@
 use crate::entry::call;
 
 /// Why a client does not get a backend server's answer.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, thiserror::Error)]
 pub enum Refusal {
     /// The process accepts no requests, because it is starting or draining.
     #[error("this entry host is not serving")]
--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -31,7 +31,8 @@
 use std::time::Duration;
 
 pub use message::{
-    Action, Arrival, Candidate, Dispatch, End, Move, Note, Options, Outcome, Reason, Refusal,
+    Action, Arrival, Candidate, Capacity, Dispatch, End, Move, Note, Options, Outcome, Reason,
+    Refusal,
 };
 pub use suspect::Share;
 pub use verify::Fault;
--- a/decision/src/balancer/failure.rs
+++ b/decision/src/balancer/failure.rs
@@ -148,7 +148,9 @@
             Outcome::NotRun => self.tally.not_run += 1,
             Outcome::Unknown => self.tally.unknown += 1,
         }
-        actions.push(Action::Refuse(Refusal { ticket, outcome, reason, retry_after }));
+        let short = reason == Reason::Shortage;
+        let capacity = if short { self.capacity(arrival.pool, now) } else { None };
+        actions.push(Action::Refuse(Refusal { ticket, outcome, reason, retry_after, capacity }));
     }
 
     /// Returns the time after which the client of a rejected request should retry.
--- a/decision/src/balancer/group.rs
+++ b/decision/src/balancer/group.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::balancer::{Action, Arrival, Balancer, End, Note, Reason, Share, speed};
+use crate::balancer::{Action, Arrival, Balancer, Capacity, End, Note, Reason, Share, speed};
 use crate::routing::{policy, server};
 use crate::{clock, entity, outage, pace, pass, shortage, stall};
 
@@ -138,9 +138,9 @@
 
     /// Applies the number of running and waiting requests that a backend server reported
     /// with an answer.
-    pub fn report_load(&mut self, server: entity::Server, requests: u32) {
+    pub fn report_load(&mut self, server: entity::Server, requests: u32, now: clock::Instant) {
         if let Some(group) = self.servers[server].listing.group {
-            self.groups[group].pace.record_streams(requests);
+            self.groups[group].pace.record_streams(requests, now);
         }
     }
 
@@ -374,6 +374,40 @@
         self.gates.entry(pool).or_default().update(capacity, service, now);
     }
 
+    /// Returns the capacity of a pool's groups as this gateway knows it, or none if the pool has no
+    /// group whose streams are bounded.
+    pub(super) fn capacity(&self, pool: entity::Pool, now: clock::Instant) -> Option<Capacity> {
+        let groups = self.servers.usable(pool).filter_map(|(_, record)| record.listing.group);
+        let groups: BTreeSet<entity::Group> = groups.collect();
+        let bounded = groups.into_iter().filter(|id| self.groups[*id].pace.bound().is_finite());
+        let of_group = |id: entity::Group| {
+            let group = &self.groups[id];
+            let ranks = f64::from(self.members(pool, id).0);
+            Capacity {
+                bound: group.pace.bound(),
+                in_flight: group.in_flight,
+                streams: group.pace.streams().unwrap_or_default() * ranks,
+                fitting: group.pace.fitting() * ranks,
+                age: group.pace.age(now),
+            }
+        };
+        bounded.map(of_group).reduce(|sum, group| Capacity {
+            bound: sum.bound + group.bound,
+            in_flight: sum.in_flight + group.in_flight,
+            streams: sum.streams + group.streams,
+            fitting: sum.fitting + group.fitting,
+            age: sum.age.max(group.age),
+        })
+    }
+
+    /// Returns the capacities of all pools with bounded groups. See [`Capacity`].
+    pub fn capacities(
+        &self,
+        now: clock::Instant,
+    ) -> impl Iterator<Item = (entity::Pool, Capacity)> {
+        self.gates.keys().filter_map(move |pool| Some((*pool, self.capacity(*pool, now)?)))
+    }
+
     /// Notes that a limit of a precedence or team held a waiting request back.
     pub(super) fn note_limit(
         &mut self,
--- a/decision/src/balancer/message.rs
+++ b/decision/src/balancer/message.rs
@@ -241,8 +241,37 @@
     pub slowness: f64,
 }
 
+/// The capacity of a pool's groups as one gateway knows it, in streams.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Capacity {
+    /// Streams that this gateway may have in flight.
+    pub bound: f64,
+    /// Streams of this gateway in flight.
+    pub in_flight: u32,
+    /// Streams of all gateways together, by recent answers.
+    pub streams: f64,
+    /// Streams of all gateways together that fit.
+    pub fitting: f64,
+    /// Time since the last answer that reported the number of streams of its rank.
+    pub age: Duration,
+}
+
+impl fmt::Display for Capacity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "bound={:.1} in_flight={} streams={:.0} fitting={:.0} age_ms={}",
+            self.bound,
+            self.in_flight,
+            self.streams,
+            self.fitting,
+            self.age.as_millis()
+        )
+    }
+}
+
 /// A request to be rejected now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Refusal {
     /// The request.
     pub ticket: entity::Ticket,
@@ -252,6 +281,8 @@
     pub reason: Reason,
     /// Time after which the client should retry.
     pub retry_after: Duration,
+    /// Capacity that was known, if the reason is [`Reason::Shortage`].
+    pub capacity: Option<Capacity>,
 }
 
 /// A state change of a group or backend server, for the log.
--- a/decision/src/pace.rs
+++ b/decision/src/pace.rs
@@ -92,8 +92,12 @@
 #[derive(Debug, Clone)]
 pub struct Pace {
     bound: f64,
+    /// Streams of a rank that fit into the target pause, at the last update.
+    fitting: f64,
     /// Mean number of streams of a rank by recent answers; `None` before the first answer.
     streams: Option<f64>,
+    /// Time of the last such answer.
+    reported: clock::Instant,
     /// Mean number of own streams in flight, which follows as slowly as `streams`.
     own_streams: f64,
     /// Skew of recent intervals, each with the time at which the interval ended.
@@ -110,7 +114,9 @@
     fn default() -> Pace {
         Pace {
             bound: f64::INFINITY,
+            fitting: f64::INFINITY,
             streams: None,
+            reported: clock::Instant::ZERO,
             own_streams: 0.0,
             skews: VecDeque::new(),
             slow_part: 0.0,
@@ -133,6 +139,17 @@
         self.streams
     }
 
+    /// Returns the number of streams of a rank that fit into the target pause. It is infinite
+    /// before the first update.
+    pub fn fitting(&self) -> f64 {
+        self.fitting
+    }
+
+    /// Returns the time since the last answer that reported the number of streams of its rank.
+    pub fn age(&self, now: clock::Instant) -> Duration {
+        now.since(self.reported)
+    }
+
     /// Sets the longest time that a slow rank's own part of a pass probably takes, in seconds. It
     /// is zero if no rank is slow.
     pub fn set_slow_part(&mut self, seconds: f64) {
@@ -146,7 +163,8 @@
     }
 
     /// Records the number of running and waiting streams that an answer reported for its rank.
-    pub fn record_streams(&mut self, streams: u32) {
+    pub fn record_streams(&mut self, streams: u32, now: clock::Instant) {
+        self.reported = now;
         let sample = f64::from(streams);
         let mean = self.streams.unwrap_or(sample);
         self.streams = Some(mean + REPORT_GAIN * (sample - mean));
@@ -192,6 +210,7 @@
             some => some,
         };
         let fitting = fitting.min(slots);
+        self.fitting = fitting;
         let gateways = f64::from(view.gateways.max(1));
         let own_share = if streams > fitting {
             in_flight.min(self.own_streams) * fitting / streams
--- a/decision/tests/common/fleet.rs
+++ b/decision/tests/common/fleet.rs
@@ -260,7 +260,7 @@
             let pause = if stream.events == 1 {
                 let after = self.now.since(stream.sent);
                 gateway.balancer.begin(stream.ticket, after, self.now);
-                gateway.balancer.report_load(stream.server, self.ranks[rank]);
+                gateway.balancer.report_load(stream.server, self.ranks[rank], self.now);
                 Duration::ZERO
             } else {
                 pause
--- a/decision/tests/moves.rs
+++ b/decision/tests/moves.rs
@@ -213,7 +213,7 @@
         for _ in 0..6 {
             gateway.arrive(full);
         }
-        (0..63).for_each(|rank| gateway.balancer.report_load(gateway.id(rank), 3));
+        (0..63).for_each(|rank| gateway.balancer.report_load(gateway.id(rank), 3, gateway.now));
     }
     assert!(staying >= 3, "a suspect may have to wait for its server");
     for gateway in &mut gateways {
@@ -308,7 +308,7 @@
             let actions = gateway.balancer.stream_event(*ticket, pause, wanted, gateway.now);
             gateway.apply(actions);
         }
-        gateway.balancer.report_load(gateway.id(SLOW), 6);
+        gateway.balancer.report_load(gateway.id(SLOW), 6, gateway.now);
     }
     let waits = gateway.arrive(balancer::Arrival { begin_by: None, ..stream(gateway.now) });
     assert!(!gateway.streams.contains_key(&waits), "the bound does not bind");
--- a/decision/tests/pace.rs
+++ b/decision/tests/pace.rs
@@ -41,7 +41,7 @@
             let pause = Duration::from_secs_f64(COST.time(load) * skew(load));
             for (number, pace) in self.paces.iter_mut().enumerate() {
                 let in_flight = self.streams[number];
-                pace.record_streams(load.round() as u32);
+                pace.record_streams(load.round() as u32, self.now);
                 let mut due = false;
                 for _ in 0..(in_flight.ceil() as u32).max(2) {
                     due |= pace.record_event(pause, self.now);
@@ -151,7 +151,7 @@
     let view = Snapshot { ranks: 10, slots: 12, in_flight: 40, gateways: 1, cost: COST };
     for _ in 0..(seconds / 0.1) as u32 {
         *now = *now + Duration::from_millis(100);
-        pace.record_streams(4);
+        pace.record_streams(4, *now);
         if pace.record_event(Duration::from_secs_f64(pause), *now) {
             pace.update_bound(WANTED, &view, *now);
         }
@@ -197,7 +197,7 @@
 #[test]
 fn a_slow_rank_never_makes_the_skew_less_than_one() {
     let (mut pace, now) = (Pace::default(), Instant::from_millis(1_000));
-    pace.record_streams(4);
+    pace.record_streams(4, now);
     pace.set_slow_part(4.33 * COST.time(4.0));
     let view = Snapshot { ranks: 10, slots: 12, in_flight: 40, gateways: 1, cost: COST };
     for (pause, wanted) in [(2.0, 1.0), (0.8, 0.8), (5.2, 1.2)] {
--- a/decision/tests/records.rs
+++ b/decision/tests/records.rs
@@ -140,7 +140,7 @@
     balancer.set_connected(removed, true, now);
     let load = server::Report { incarnation: 9, slots: 1, alive: true, ..Default::default() };
     balancer.report(removed, load, now);
-    balancer.report_load(removed, 3);
+    balancer.report_load(removed, 3, now);
 
     assert!(!balancer.servers()[removed].usable());
     assert!(!balancer.still_accepts(removed, now, now));
--- a/decision/tests/slow_ranks.rs
+++ b/decision/tests/slow_ranks.rs
@@ -136,7 +136,7 @@
             self.streams.push_back(Stream { gateway, rank, ticket, events: 0, next });
             let balancer = &mut self.gateways[gateway];
             balancer.begin(ticket, TICK, self.now);
-            balancer.report_load(server, self.running[rank]);
+            balancer.report_load(server, self.running[rank], self.now);
             self.report(gateway, rank);
         }
     }
--- a/dispatch/src/lib.rs
+++ b/dispatch/src/lib.rs
@@ -216,6 +216,14 @@
         budgets.map(|(pool, status)| (inner.pools.name(pool).clone(), status)).collect()
     }
 
+    /// Returns the capacities of all pools whose groups are bounded, as this process knows them.
+    pub fn capacities(&self) -> Vec<(Arc<str>, balancer::Capacity)> {
+        let now = self.now();
+        let inner = self.lock();
+        let capacities = inner.balancer.capacities(now);
+        capacities.map(|(pool, capacity)| (inner.pools.name(pool).clone(), capacity)).collect()
+    }
+
     /// Sets the number of retries that the retry budget of each pool may accumulate.
     /// See [`balancer::Balancer::set_reserve`].
     pub fn set_reserve(&self, reserve: f64) -> f64 {
@@ -227,7 +235,7 @@
     pub fn report(&self, server: entity::Server, load: server::Load) {
         let now = self.now();
         let mut inner = self.lock();
-        inner.balancer.report_load(server, load.running + load.waiting);
+        inner.balancer.report_load(server, load.running + load.waiting, now);
         let actions = inner.report(server, load, now);
         inner.route(actions);
     }
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -236,7 +236,13 @@
             balancer::Outcome::NotRun => "not-run",
             balancer::Outcome::Unknown => "unknown",
         };
-        self.done(outcome, &refusal.reason.to_string());
+        let reason = refusal.reason.to_string();
+        match &refusal.capacity {
+            Some(capacity) => {
+                self.gateway.done(&self.request, outcome, &reason, &format_args!(" {capacity}"));
+            }
+            None => self.done(outcome, &reason),
+        }
         answer::refusal::<P>(refusal, &self.request.meta.id)
     }
 
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -100,7 +100,7 @@
     }
 }
 
-/// Label for the service that a retry budget belongs to.
+/// Label for a service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Service {
     service: String,
@@ -147,6 +147,40 @@
     }
 }
 
+/// Metrics of the capacity of the lock-step groups at one moment, in streams.
+#[derive(Debug, Default)]
+struct Capacities {
+    bound: Family<Service, Gauge<f64, AtomicU64>>,
+    in_flight: Family<Service, Gauge>,
+    streams: Family<Service, Gauge<f64, AtomicU64>>,
+    fitting: Family<Service, Gauge<f64, AtomicU64>>,
+}
+
+impl Capacities {
+    fn of<P: Protocol>(gateway: &state::Gateway<P>) -> Capacities {
+        let capacities = Capacities::default();
+        for (service, capacity) in gateway.dispatcher.capacities() {
+            let label = Service { service: service.to_string() };
+            capacities.bound.get_or_create(&label).set(capacity.bound);
+            capacities.in_flight.get_or_create(&label).set(capacity.in_flight.into());
+            capacities.streams.get_or_create(&label).set(capacity.streams);
+            capacities.fitting.get_or_create(&label).set(capacity.fitting);
+        }
+        capacities
+    }
+
+    fn register(self, registry: &mut Registry) {
+        let bound = "Streams that this gateway may have in flight";
+        registry.register("group_bound", bound, self.bound);
+        let in_flight = "Streams of this gateway in flight";
+        registry.register("group_in_flight", in_flight, self.in_flight);
+        let streams = "Streams of all gateways in flight, by recent answers";
+        registry.register("group_streams", streams, self.streams);
+        let fitting = "Streams of all gateways that fit";
+        registry.register("group_fitting", fitting, self.fitting);
+    }
+}
+
 /// Metrics of a gateway.
 #[derive(Debug)]
 pub struct Metrics {
@@ -274,6 +308,7 @@
         registry.register("servers_listed", "Runs of servers that are listed", listed);
         registry.register("server_records_removed", "Records of runs removed", removed);
         Retries::of(gateway).register(&mut registry);
+        Capacities::of(gateway).register(&mut registry);
         let refused: Gauge = Gauge::default();
         refused.set(gateway.mirror.ends.refused_requests().len() as i64);
         registry.register("requests_that_end_servers", "Requests that are refused for it", refused);
