--- a/decision/tests/common/fleet.rs
+++ b/decision/tests/common/fleet.rs
@@ -16,7 +16,7 @@
 const EVENTS: u32 = 19;
 const TICK: Duration = Duration::from_millis(10);
 const REPORT_TICKS: u64 = 50;
-const PAUSE: Duration = Duration::from_millis(150);
+pub const PAUSE: Duration = Duration::from_millis(150);
 const DEADLINE: Duration = Duration::from_secs(8);
 /// Time to the first event by precedence.
 const BEGIN: [Duration; 3] =
@@ -40,6 +40,13 @@
     pub seconds: f64,
     /// Whether the gateways know precedences and teams.
     pub distinguished: bool,
+    /// Kinds that are asked for.
+    pub kinds: Vec<Kind>,
+}
+
+/// Returns all kinds of requests.
+pub fn all_kinds() -> Vec<Kind> {
+    (0..3).flat_map(|precedence| (0..TEAMS).map(move |team| (precedence, team))).collect()
 }
 
 /// Requests by what became of them.
@@ -64,6 +71,11 @@
     pub completed: f64,
     /// Mean number of streams per rank in the window.
     pub streams: f64,
+    /// Largest number of streams per rank in the window.
+    pub peak: f64,
+    /// Requests that were served at the first attempt, by the interval of [`INTERVAL`] in which
+    /// they arrived.
+    pub first_attempts: BTreeMap<u64, Count>,
 }
 
 impl Outcome {
@@ -85,9 +97,13 @@
     }
 }
 
+/// Length of an interval of [`Outcome::first_attempts`].
+pub const INTERVAL: Duration = Duration::from_millis(500);
+
 #[derive(Debug, Clone, Copy)]
 struct Client {
     kind: Kind,
+    arrived: u64,
     deadline: clock::Instant,
     retried: bool,
     counted: bool,
@@ -228,15 +244,18 @@
 
     fn arrivals(&mut self, load: &Load, time: f64) {
         let counted = (load.window.0..load.window.1).contains(&time);
+        let arrived = (time / INTERVAL.as_secs_f64()) as u64;
         for number in 0..self.gateways.len() {
-            for kind in (0..3).flat_map(|p| (0..TEAMS).map(move |team| (p, team))) {
+            for kind in load.kinds.iter().copied() {
                 let rate = (load.rate)(time, kind, number);
                 for _ in 0..self.poisson(rate * TICK.as_secs_f64()) {
                     if counted {
                         self.outcome.kinds.entry(kind).or_default().asked += 1.0;
                     }
+                    self.outcome.first_attempts.entry(arrived).or_default().asked += 1.0;
                     let deadline = self.now + DEADLINE;
-                    self.arrive(number, Client { kind, deadline, retried: false, counted });
+                    let client = Client { kind, arrived, deadline, retried: false, counted };
+                    self.arrive(number, client);
                 }
             }
         }
@@ -272,6 +291,10 @@
                 let ended = balancer::End::Answered;
                 actions.extend(gateway.balancer.end(stream.ticket, ended, self.now));
                 let client = gateway.clients.remove(&stream.ticket).unwrap();
+                if !client.retried {
+                    let first = self.outcome.first_attempts.entry(client.arrived);
+                    first.or_default().served += 1.0;
+                }
                 if client.counted && self.now <= client.deadline {
                     self.outcome.kinds.entry(client.kind).or_default().served += 1.0;
                 }
@@ -320,6 +343,7 @@
         sum.notes += outcome.notes;
         sum.completed += outcome.completed;
         sum.streams += outcome.streams / SEEDS.len() as f64;
+        sum.peak = sum.peak.max(outcome.peak);
         for (kind, count) in outcome.kinds {
             let kind = sum.kinds.entry(kind).or_default();
             kind.asked += count.asked;
@@ -329,7 +353,8 @@
     sum
 }
 
-fn run_once(gateways: u32, load: &Load, seed: u64) -> Outcome {
+/// Runs a load at that many gateways with one seed.
+pub fn run_once(gateways: u32, load: &Load, seed: u64) -> Outcome {
     let mut fleet = Fleet::new(gateways, load.distinguished, seed);
     let start = fleet.now;
     let mut passed = fleet.now;
@@ -343,6 +368,7 @@
             let streams = fleet.streams.len() as f64 / f64::from(RANKS);
             let taken = fleet.now.since(passed);
             if (load.window.0..load.window.1).contains(&time) {
+                fleet.outcome.peak = fleet.outcome.peak.max(streams);
                 fleet.outcome.streams +=
                     streams * taken.as_secs_f64() / (load.window.1 - load.window.0);
             }
--- a/decision/tests/shortage.rs
+++ b/decision/tests/shortage.rs
@@ -45,6 +45,7 @@
         window: (START, START + LENGTH),
         seconds: START + LENGTH + 10.0,
         distinguished: true,
+        kinds: fleet::all_kinds(),
     }
 }
 
