tests: the test of moved requests says what it covers, and asks for answers in time

The reason: ranks of the stand-in always report one running stream, so the bound on the group's streams is never reached in end-to-end tests and in the soak. The comment says so now, and an answer counts only if it is at most 400 ms later than usual.

--- a/tests/tests/demand.rs
+++ b/tests/tests/demand.rs
@@ -20,14 +20,21 @@
 const MOVED_TIME: Duration = Duration::from_secs(6);
 /// Time after which a gateway has to serve the requests that have moved to it.
 const CONTACT: Duration = Duration::from_secs(4);
+/// Time by which an answer may be later than usual.
+const OBJECTIVE: Duration = Duration::from_millis(400);
+
+/// An answered request.
+#[derive(Debug)]
+struct Answer {
+    /// Time of the request, since the first one.
+    at: Duration,
+    status: u16,
+    took: Duration,
+}
 
 /// Sends requests at even times for `time`, each to the gateway that `choose` returns for its
-/// number. Returns the statuses of the answers by the time of the request.
-async fn send(
-    system: &Arc<System>,
-    time: Duration,
-    choose: impl Fn(u32) -> u8,
-) -> Vec<(Duration, u16)> {
+/// number. Returns the answers in the order of the requests.
+async fn send(system: &Arc<System>, time: Duration, choose: impl Fn(u32) -> u8) -> Vec<Answer> {
     let begun = tokio::time::Instant::now();
     let mut sent = Vec::new();
     for number in 0..(time.as_millis() / SPACING.as_millis()) as u32 {
@@ -36,32 +43,42 @@
         let (system, gateway) = (system.clone(), choose(number));
         let request = Request::new("/draft/").with("x-standin-events", EVENTS);
         let request = request.with("x-deadline-ms", "8000");
-        let answer = async move { system.request(gateway, &request).await.status };
-        sent.push((at, tokio::spawn(answer)));
+        sent.push(tokio::spawn(async move {
+            let begun = tokio::time::Instant::now();
+            let status = system.request(gateway, &request).await.status;
+            Answer { at, status, took: begun.elapsed() }
+        }));
     }
-    let mut statuses = Vec::new();
-    for (at, answer) in sent {
-        statuses.push((at, answer.await.unwrap()));
+    let mut answers = Vec::new();
+    for answer in sent {
+        answers.push(answer.await.unwrap());
     }
-    statuses
+    answers
 }
 
-fn share_served(statuses: &[(Duration, u16)], from: Duration) -> f64 {
-    let counted: Vec<u16> =
-        statuses.iter().filter(|(at, _)| *at >= from).map(|(_, status)| *status).collect();
-    counted.iter().filter(|status| **status == 200).count() as f64 / counted.len() as f64
+/// Returns the share of the requests from a time on that were answered within `limit`.
+fn share_in_time(answers: &[Answer], from: Duration, limit: Duration) -> f64 {
+    let counted: Vec<&Answer> = answers.iter().filter(|answer| answer.at >= from).collect();
+    let in_time = |answer: &&&Answer| answer.status == 200 && answer.took <= limit;
+    counted.iter().filter(in_time).count() as f64 / counted.len() as f64
 }
 
-/// Guards against a gateway that rejects requests for shortage while the group has room, because
-/// the requests of all gateways have moved to it.
+/// Guards against a gateway that rejects requests, or answers them late, because those of all
+/// gateways have moved to it. The stand-in's ranks always report one stream, so this test does not
+/// cover the bound on the group's streams; the tests of `loftcove-decision` do.
 #[tokio::test(flavor = "multi_thread")]
 async fn one_gateway_serves_the_requests_of_all_while_the_group_has_room() {
     let system = Arc::new(System::start(PLAN).await);
     let spread = send(&system, SPREAD_TIME, |number| (number % 8) as u8).await;
-    assert!(share_served(&spread, Duration::ZERO) > 0.99, "{spread:?}");
+    let mut times: Vec<Duration> = spread.iter().map(|answer| answer.took).collect();
+    times.sort();
+    let limit = times[times.len() / 2] + OBJECTIVE;
+    let usual = share_in_time(&spread, Duration::ZERO, limit);
     let moved = send(&system, MOVED_TIME, |_| 0).await;
-    let (all, settled) = (share_served(&moved, Duration::ZERO), share_served(&moved, CONTACT));
-    println!("all={all:.3} settled={settled:.3}");
+    let all = share_in_time(&moved, Duration::ZERO, limit);
+    let settled = share_in_time(&moved, CONTACT, limit);
+    println!("usual={usual:.3} all={all:.3} settled={settled:.3} limit={limit:?}");
+    assert!(usual >= 0.95, "{usual} {spread:?}");
     assert!(settled >= 0.95, "{all} {settled} {moved:?}");
     assert!(all >= 0.9, "{all} {settled} {moved:?}");
 }
