--- a/tests/tests/demand.rs
+++ b/tests/tests/demand.rs
@@ -78,6 +78,7 @@
     let all = share_in_time(&moved, Duration::ZERO, limit);
     let settled = share_in_time(&moved, CONTACT, limit);
     println!("usual={usual:.3} all={all:.3} settled={settled:.3} limit={limit:?}");
+    assert!(share_in_time(&spread, Duration::ZERO, Duration::MAX) > 0.99, "{spread:?}");
     assert!(usual >= 0.95, "{usual} {spread:?}");
     assert!(settled >= 0.95, "{all} {settled} {moved:?}");
     assert!(all >= 0.9, "{all} {settled} {moved:?}");
