gateway: remove the length of the first attempt from a stream that may be resumed

Cause: the head of the first attempt was relayed unchanged, also where another attempt may continue the body. Two runs of a request differ in length. The client cut a longer next run at the length of the first one and took the response to be complete; a shorter one never reached it.

Why this works: one definition says which responses another attempt may continue (response/continuation). It is asked before the head is sent, and such a head keeps no field that holds for one run's bytes: length, digests, strong validators, ranges. A 206 has a byte position and is not continued. Other responses keep their length, by which clients notice a break.

--- a/decision/src/route.rs
+++ b/decision/src/route.rs
@@ -29,6 +29,11 @@
         matches!(self, Kind::Idempotent | Kind::Streaming { resumable: true })
     }
 
+    /// Returns whether another backend server can resume the response after an event.
+    pub fn resumable(self) -> bool {
+        self == Kind::Streaming { resumable: true }
+    }
+
     /// Returns whether the response is a stream of events.
     pub fn streaming(self) -> bool {
         matches!(self, Kind::Streaming { .. })
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -5,12 +5,12 @@
 
 use hyper::body::Incoming;
 use loftcove_clock as boot;
-use loftcove_decision::{balancer, entity, poison, route};
+use loftcove_decision::{balancer, entity, poison};
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::{Answer, NotRun, Protocol, Verdict};
-use loftcove_response::ending;
 use loftcove_response::event::{self, Media};
 use loftcove_response::framing::Framing;
+use loftcove_response::{continuation, ending};
 
 use crate::answer::{self, Response};
 use crate::body::{self, Body};
@@ -266,7 +266,11 @@
         permit: dispatch::Permit<Target>,
         progress: Arc<client::Progress>,
     ) -> Response {
-        let (relay, response) = self.relay(&stream.head, permit, progress);
+        let base = self.request.continuation_base(&stream);
+        let (relay, mut response) = self.relay(&stream.head, base, permit, progress);
+        if base.is_some() {
+            continuation::remove_promises(response.headers_mut());
+        }
         tokio::spawn(relay.run(stream));
         response
     }
@@ -278,7 +282,7 @@
         permit: dispatch::Permit<Target>,
         progress: Arc<client::Progress>,
     ) -> Response {
-        let (relay, response) = self.relay(&stream.head, permit, progress);
+        let (relay, response) = self.relay(&stream.head, None, permit, progress);
         tokio::spawn(relay.run_long(stream, first));
         response
     }
@@ -286,6 +290,7 @@
     fn relay(
         self,
         head: &http::response::Parts,
+        base: Option<continuation::Base>,
         permit: dispatch::Permit<Target>,
         progress: Arc<client::Progress>,
     ) -> (stream::Relay<P>, Response) {
@@ -294,6 +299,7 @@
         let relay = stream::Relay {
             gateway: self.gateway,
             request: self.request,
+            base,
             permit,
             sender,
             progress,
@@ -309,6 +315,15 @@
     }
 }
 
+impl Request {
+    /// Returns the head that further attempts must match to continue the stream, or `None` if none
+    /// may continue it.
+    fn continuation_base(&self, stream: &Stream) -> Option<continuation::Base> {
+        let base = continuation::Base::new(&stream.head, stream.framing, stream.media);
+        base.filter(|_| self.grant.route.kind.resumable())
+    }
+}
+
 fn arrival(request: &Request) -> dispatch::Arrival {
     let route = &request.grant.route;
     let team = request.grant.team.as_ref().map(|team| team.name.clone());
@@ -317,7 +332,7 @@
         team: team.unwrap_or_default(),
         precedence: request.grant.precedence(),
         repeatable: route.kind.repeatable(),
-        resumable: route.kind == route::Kind::Streaming { resumable: true },
+        resumable: route.kind.resumable(),
         max_attempts: route.max_attempts,
         due: request.due,
         begin_by: request.received + route.objective,
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -15,9 +15,9 @@
 use loftcove_decision::balancer;
 use loftcove_dispatch as dispatch;
 use loftcove_interface::protocol::Protocol;
-use loftcove_response::ending;
 use loftcove_response::event::{Media, Scanner, Splitter};
 use loftcove_response::framing::Framing;
+use loftcove_response::{continuation, ending};
 
 use crate::flow::Stream;
 use crate::queue;
@@ -40,6 +40,8 @@
     pub gateway: Arc<Gateway<P>>,
     /// The client's request.
     pub request: Arc<Request>,
+    /// Head that further attempts must match, or `None` if none may continue the response.
+    pub base: Option<continuation::Base>,
     /// The dispatcher's permit for the request.
     pub permit: dispatch::Permit<Target>,
     /// Sender of the response's body to the client.
@@ -127,7 +129,7 @@
                     let classification =
                         self.gateway.classify_break(&self.request, server, &target, answer_begun);
                     let end = classification.await;
-                    if !splitter.can_resume() {
+                    if self.base.is_none() || !splitter.can_resume() {
                         return self.broken_off(end);
                     }
                     stream = self.resume(&mut splitter, Cause::Ended(end)).await;
@@ -240,7 +242,7 @@
                 _ = &mut refused => return End::Refused,
                 frame = tokio::time::timeout_at(self.request.due.timer(), body.frame()) => frame,
                 Some(dispatch::Next::Move(moved)) = self.permit.next() => {
-                    if splitter.can_resume() {
+                    if self.base.is_some() && splitter.can_resume() {
                         return End::Moved(Box::new(moved));
                     }
                     self.permit.decline_move();
--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -9,6 +9,12 @@
 //!   `after-line` (before the blank line) or `after`. Only the first attempt is cut.
 //! - `x-standin-end: mark|close|reset|silence`: what follows there: the end mark of the framing,
 //!   an orderly close, which is the default, a reset, or nothing until the peer disconnects.
+//! - `x-standin-fields: NAME=VALUE;NAME=VALUE`: fields to add to the head.
+//! - `x-standin-padding: FIRST,NEXT`: bytes that pad the data of each event, of the first attempt
+//!   and of all others, instead of `x-standin-event-bytes`.
+//! - `x-standin-next: KIND`: how all attempts but the first contradict the first one: `status-204`,
+//!   `status-206`, `media` (plain text), `coding`, `from-start` (the whole stream again), `repeat`
+//!   (the last event again), or `back` (an id that the first attempt sent follows the next event).
 
 use std::time::Duration;
 
@@ -46,6 +52,63 @@
     Silence,
 }
 
+/// How an attempt contradicts the first one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Contradiction {
+    /// Status 204, without a body.
+    NoContent,
+    /// Status 206.
+    PartialContent,
+    /// Another media type.
+    Media,
+    /// A content coding.
+    Coding,
+    /// The whole stream from its start.
+    FromStart,
+    /// The last event again.
+    Repeat,
+    /// The next event, and then one that the first attempt sent.
+    Back,
+}
+
+impl Contradiction {
+    /// Reads how all attempts but the first contradict the first one.
+    pub fn read(headers: &http::HeaderMap) -> Option<Contradiction> {
+        match text(headers, "x-standin-next") {
+            "status-204" => Some(Contradiction::NoContent),
+            "status-206" => Some(Contradiction::PartialContent),
+            "media" => Some(Contradiction::Media),
+            "coding" => Some(Contradiction::Coding),
+            "from-start" => Some(Contradiction::FromStart),
+            "repeat" => Some(Contradiction::Repeat),
+            "back" => Some(Contradiction::Back),
+            _ => None,
+        }
+    }
+
+    /// Returns the numbers of the events of a stream that was resumed at `next`, up to `last`.
+    pub fn events(contradiction: Option<Contradiction>, next: u64, last: u64) -> Vec<u64> {
+        match contradiction {
+            Some(Contradiction::NoContent) => Vec::new(),
+            Some(Contradiction::FromStart) => (1..=last).collect(),
+            Some(Contradiction::Repeat) => (next - 1..=last).collect(),
+            Some(Contradiction::Back) => [next, 1].into_iter().chain(next + 1..=last).collect(),
+            _ => (next..=last).collect(),
+        }
+    }
+}
+
+/// Returns the fields to add to the head.
+pub fn fields(headers: &http::HeaderMap) -> impl Iterator<Item = (&str, &str)> {
+    text(headers, "x-standin-fields").split(';').filter_map(|field| field.split_once('='))
+}
+
+/// Returns the number of bytes that pad the data of each event, if it depends on the attempt.
+pub fn padding(headers: &http::HeaderMap, first: bool) -> Option<usize> {
+    let (one, next) = text(headers, "x-standin-padding").split_once(',')?;
+    if first { one } else { next }.parse().ok()
+}
+
 /// Framing and end of a response.
 #[derive(Debug, Clone, Copy)]
 pub struct Script {
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -34,6 +34,9 @@
 /// Time between the end of a server and its restart.
 pub const RESTART_DELAY: Duration = Duration::from_millis(700);
 
+/// Media type of streams of events.
+const EVENTS: &str = "text/event-stream";
+
 /// One backend server.
 #[derive(Clone)]
 pub struct Worker {
@@ -307,8 +310,15 @@
         if headers.contains_key("x-standin-lose") {
             return Err(no_response());
         }
-        if let Some(script) = raw::Script::read(headers, self.group.attempts(id) == 1) {
-            let response = self.raw(head, script)?;
+        let first = self.group.attempts(id) == 1;
+        if let Some(script) = raw::Script::read(headers, first) {
+            if head.method == http::Method::HEAD {
+                let answer = self.answer(head, 200).header("content-type", EVENTS);
+                let answer = raw::fields(headers)
+                    .fold(answer, |answer, (name, value)| answer.header(name, value));
+                return answer.body(empty()).map_err(std::io::Error::other);
+            }
+            let response = self.raw(head, script, first)?;
             *taken.lock().expect("no holder of the response panics") = Some(response);
             return Err(no_response());
         }
@@ -320,12 +330,25 @@
         answer.map_err(std::io::Error::other)
     }
 
-    fn raw(&self, head: &http::request::Parts, script: raw::Script) -> Result<Raw, NoResponse> {
+    fn raw(
+        &self,
+        head: &http::request::Parts,
+        script: raw::Script,
+        first_attempt: bool,
+    ) -> Result<Raw, NoResponse> {
+        let contradiction = raw::Contradiction::read(&head.headers).filter(|_| !first_attempt);
+        let status = match contradiction {
+            Some(raw::Contradiction::NoContent) => 204,
+            Some(raw::Contradiction::PartialContent) => 206,
+            _ => 200,
+        };
         let answer = match script.delivers_head() {
-            true => self.answer(head, 200),
+            true => self.answer(head, status),
             // The gateway never receives a notice in a head that is cut.
-            false => http::Response::builder().status(200),
+            false => http::Response::builder().status(status),
         };
+        let answer = raw::fields(&head.headers)
+            .fold(answer, |answer, (name, value)| answer.header(name, value));
         let Some(events) = number(&head.headers, "x-standin-events") else {
             let answer = answer.body(()).map_err(std::io::Error::other)?;
             let (pieces, parts) = (vec![format!("answer of {}", self.id).into()], answer);
@@ -333,10 +356,18 @@
             return Ok(Raw { script, head, first: 1, pieces, paced: false });
         };
         let first = first_event(&head.headers);
-        let padding = padding(&head.headers);
+        let padding = raw::padding(&head.headers, first_attempt)
+            .map_or_else(|| padding(&head.headers), |length| "x".repeat(length));
         let event = |event| Bytes::from(event_text(event, &padding));
-        let pieces = (first..=events).map(event).collect();
-        let answer = answer.header("content-type", "text/event-stream");
+        let numbers = raw::Contradiction::events(contradiction, first, events);
+        let pieces = numbers.into_iter().map(event).collect();
+        let answer = match contradiction {
+            Some(raw::Contradiction::Media) => answer.header("content-type", "text/plain"),
+            Some(raw::Contradiction::Coding) => {
+                answer.header("content-type", EVENTS).header("content-encoding", "gzip")
+            }
+            _ => answer.header("content-type", EVENTS),
+        };
         let head = answer.body(()).map_err(std::io::Error::other)?.into_parts().0;
         Ok(Raw { script, head, first: first as usize, pieces, paced: true })
     }
@@ -381,7 +412,7 @@
             }
             worker.group.adjust_active(worker.rank, -1);
         });
-        let answer = self.answer(head, 200).header("content-type", "text/event-stream");
+        let answer = self.answer(head, 200).header("content-type", EVENTS);
         answer.body(body).map_err(std::io::Error::other)
     }
 }
--- a/tests/src/request.rs
+++ b/tests/src/request.rs
@@ -52,6 +52,12 @@
         self
     }
 
+    /// Sets the method.
+    pub fn method(mut self, method: &'static str) -> Request {
+        self.method = method;
+        self
+    }
+
     /// Sets the body.
     pub fn body(mut self, body: &str) -> Request {
         body.clone_into(&mut self.body);
