soak: attempts that resume a stream differ in length from the first one

The soak's servers worded each run of a stream alike, so that the length of a first attempt was right for every later one. Padding is drawn from a generator of its own: older seeds draw the same requests and endings.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -340,6 +340,8 @@
 
 /// Returns what is wrong with a stream: its events must be in order, and complete if it is whole.
 fn stream_fault(events: u64, body: &str, whole: bool) -> Option<String> {
+    // The padding of the events depends on the attempt.
+    let body = &*body.replace('x', "");
     let all: String = (1..=events).map(|n| format!("id: {n}\ndata: piece {n}\n\n")).collect();
     if whole && body != all {
         return Some(format!("{} of {} bytes, and complete", body.len(), all.len()));
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -163,8 +163,9 @@
     number: u32,
 ) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ (u64::from(number) << 32));
-    // Endings are drawn from a separate generator, so that older seeds still draw the same requests.
+    // Each has a generator of its own, so that older seeds still draw the same requests.
     let mut endings = ChaCha8Rng::seed_from_u64(!seed ^ (u64::from(number) << 32));
+    let mut paddings = ChaCha8Rng::seed_from_u64(seed.rotate_left(13) ^ (u64::from(number) << 32));
     let immediate = policy == Policy::Immediate || number.is_multiple_of(IMMEDIATE_INTERVAL);
     let mut reusable: Option<(u8, Client)> = None;
     while !shared.stop.load(Ordering::Relaxed) {
@@ -175,7 +176,7 @@
                 (gateway as u8, Client::connect(gateways[gateway]).await)
             }
         };
-        let generators = (&mut rng, &mut endings);
+        let generators = (&mut rng, &mut endings, &mut paddings);
         let (record, client) = send_one(&shared, generators, gateway, client).await;
         let ended = !matches!(record.end, End::Answer { whole: true, .. });
         reusable = client.filter(|_| !ended).map(|client| (gateway, client));
@@ -192,7 +193,7 @@
 /// Sends one request. Returns its record and the connection.
 async fn send_one(
     shared: &Shared,
-    (rng, endings): (&mut ChaCha8Rng, &mut ChaCha8Rng),
+    (rng, endings, paddings): (&mut ChaCha8Rng, &mut ChaCha8Rng, &mut ChaCha8Rng),
     gateway: u8,
     client: Option<Client>,
 ) -> (Record, Option<Client>) {
@@ -203,7 +204,10 @@
     let (kind, request) = draw(rng);
     let (request, unframed) = match shared.endings.load(Ordering::Relaxed) {
         0 => (request, false),
-        _ => draw_ending(endings, kind, request),
+        _ => {
+            let (request, unframed) = draw_ending(endings, kind, request);
+            (draw_padding(paddings, request), unframed)
+        }
     };
     let request = request.key(&key(number));
     let sent = Instant::now();
@@ -311,6 +315,13 @@
     (kind, request)
 }
 
+/// Draws the padding of the events of a stream. The first attempt and those that continue it differ
+/// in length.
+fn draw_padding(rng: &mut ChaCha8Rng, request: Request) -> Request {
+    let mut bytes = || rng.random_range(0..60);
+    request.with("x-standin-padding", &format!("{},{}", bytes(), bytes()))
+}
+
 /// Draws the framing of a response, and an early end for some. Returns whether the response has
 /// neither a length nor chunks.
 ///
