gateway: do not resume a stream with a response that contradicts its head

Callers saw a stream end as complete without its last events if the server that was to resume it answered 204; a 206 was joined as if it were whole.

Cause: any successful response without another media type was taken for the rest of the stream, and a response without a body ends in order.

Why this works: the head of each further attempt is checked against the one that the client has.

--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -532,17 +532,22 @@
         }
     }
 
-    /// Sends an attempt that resumes a stream after the event with the given id. If the stream is
-    /// moved meanwhile, `attempt` is the last one.
+    /// Sends an attempt that resumes a stream with the head `base` after the event with the given
+    /// id. If the stream is moved meanwhile, `attempt` is the last one.
     pub(crate) async fn resume(
         &self,
         request: &Arc<Request>,
         attempt: &mut dispatch::Attempt<Target>,
-        after: Option<Arc<str>>,
+        (base, after): (continuation::Base, Option<Arc<str>>),
         permit: &mut dispatch::Permit<Target>,
     ) -> Result<Stream, (balancer::End, String)> {
         match self.send_movable(request, attempt, after.clone(), permit).await {
-            Outcome::Stream(stream) => Ok(*stream),
+            Outcome::Stream(stream) => {
+                match base.check(&stream.head, stream.framing, stream.media) {
+                    Ok(()) => Ok(*stream),
+                    Err(contradiction) => Err((MAY_HAVE_RUN, contradiction.to_string())),
+                }
+            }
             Outcome::Whole(whole) => Err((MAY_HAVE_RUN, format!("status {}", whole.head.status))),
             Outcome::Long(stream, _) => {
                 Err((MAY_HAVE_RUN, format!("status {}", stream.head.status)))
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -101,7 +101,7 @@
     /// Others found that servers end under the request, so it is refused.
     Refused,
     /// The stream is to be resumed on another backend server.
-    Moved(Box<dispatch::Move<Target>>),
+    Moved(continuation::Base, Box<dispatch::Move<Target>>),
 }
 
 /// Why a stream is resumed.
@@ -129,15 +129,15 @@
                     let classification =
                         self.gateway.classify_break(&self.request, server, &target, answer_begun);
                     let end = classification.await;
-                    if self.base.is_none() || !splitter.can_resume() {
+                    let Some(base) = self.base.filter(|_| splitter.can_resume()) else {
                         return self.broken_off(end);
-                    }
-                    stream = self.resume(&mut splitter, Cause::Ended(end)).await;
+                    };
+                    stream = self.resume(base, &mut splitter, Cause::Ended(end)).await;
                 }
-                End::Moved(moved) => {
+                End::Moved(base, moved) => {
                     self.gateway.record_move(&self.request, &moved);
                     let cause = Cause::Moved(Box::new(moved.attempt));
-                    stream = self.resume(&mut splitter, cause).await;
+                    stream = self.resume(base, &mut splitter, cause).await;
                 }
                 End::Refused => {
                     self.gateway.abandon(&self.request, &target);
@@ -165,7 +165,7 @@
             End::TimedOut => self.abort("deadline"),
             End::Broken if self.left_unread() => self.cut_off(),
             // Only event streams are moved.
-            End::Broken | End::Moved(_) => {
+            End::Broken | End::Moved(..) => {
                 let end = self.gateway.classify_break(&self.request, server, &target, true).await;
                 self.broken_off(end);
             }
@@ -242,8 +242,8 @@
                 _ = &mut refused => return End::Refused,
                 frame = tokio::time::timeout_at(self.request.due.timer(), body.frame()) => frame,
                 Some(dispatch::Next::Move(moved)) = self.permit.next() => {
-                    if self.base.is_some() && splitter.can_resume() {
-                        return End::Moved(Box::new(moved));
+                    if let Some(base) = self.base.filter(|_| splitter.can_resume()) {
+                        return End::Moved(base, Box::new(moved));
                     }
                     self.permit.decline_move();
                     continue;
@@ -372,7 +372,12 @@
     }
 
     /// Resumes the stream after the last event on another backend server.
-    async fn resume(&mut self, splitter: &mut Splitter, cause: Cause) -> Option<Stream> {
+    async fn resume(
+        &mut self,
+        base: continuation::Base,
+        splitter: &mut Splitter,
+        cause: Cause,
+    ) -> Option<Stream> {
         splitter.discard();
         let after = splitter.last_id().cloned();
         let mut cause = cause;
@@ -416,7 +421,7 @@
                 sent = gateway.resume(
                     &self.request,
                     &mut attempt,
-                    after.clone(),
+                    (base, after.clone()),
                     &mut self.permit,
                 ) => sent,
             };
--- a/tests/tests/continuations.rs
+++ b/tests/tests/continuations.rs
@@ -119,3 +119,24 @@
     assert_eq!((answer.complete, &*answer.body), (false, &*events(1..CUT_EVENT, 0)));
     assert_eq!(system.arrivals(&request.id).await.len(), 1);
 }
+
+// Guards against a stream that ends as complete, or is joined, with a response that contradicts the
+// head of its first attempt.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_not_resumed_by_a_response_whose_head_contradicts_the_first_one() {
+    check_broken_off(&["status-204", "status-206", "media", "coding"]).await;
+}
+
+async fn check_broken_off(contradictions: &[&str]) {
+    let system = System::start(PLAN).await;
+    system.earn_retries(0).await;
+    for contradiction in contradictions {
+        for framing in ["length", "chunked", "close"] {
+            let request = cut("/draft/", framing).with("x-standin-next", contradiction);
+            let answer = system.request(0, &request).await;
+            let seen = (answer.status, &*answer.body, answer.complete);
+            let expected = events(1..CUT_EVENT + usize::from(*contradiction == "back"), 0);
+            assert_eq!(seen, (200, &*expected, false), "{contradiction} {framing}");
+        }
+    }
+}
