gateway: break off a stream that is resumed with events that the client has

Callers saw events twice in one response if the server that was to resume the stream ignored the id of the last event, repeated that event, or went back later on.

Cause: the events of a further attempt were joined as they came.

Evidence: the test failed before with events 1 to 3 and then 1 to 6, as a complete response.

Why this works: the splitter knows the id after which the stream was resumed. Ids that are numbers rise, so that an id that does not exceed it was sent before; other ids are compared with the first and the last one. The response is broken off before that event, with `end=repeated-event` in the log and in loftcove_response_ends_total.

Failed before: a_stream_is_not_resumed_by_events_that_the_client_has_received.

--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -94,6 +94,8 @@
     Whole,
     /// The backend server broke off the response.
     Broken,
+    /// The backend server resumed the stream with events that the client has received.
+    Repeated,
     /// The client disconnected.
     Disconnected,
     /// The request's deadline passed.
@@ -134,6 +136,9 @@
                     };
                     stream = self.resume(base, &mut splitter, Cause::Ended(end)).await;
                 }
+                End::Repeated => {
+                    return self.broken_off(balancer::End::MayHaveRun { answer_begun: true });
+                }
                 End::Moved(base, moved) => {
                     self.gateway.record_move(&self.request, &moved);
                     let cause = Cause::Moved(Box::new(moved.attempt));
@@ -164,8 +169,8 @@
             End::Disconnected => self.disconnected(),
             End::TimedOut => self.abort("deadline"),
             End::Broken if self.left_unread() => self.cut_off(),
-            // Only event streams are moved.
-            End::Broken | End::Moved(..) => {
+            // Only event streams are moved or resumed.
+            End::Broken | End::Repeated | End::Moved(..) => {
                 let end = self.gateway.classify_break(&self.request, server, &target, true).await;
                 self.broken_off(end);
             }
@@ -269,6 +274,10 @@
                     return end;
                 }
             }
+            if splitter.has_repeated() {
+                self.record_ending(&target, framing, Err(ending::Error::Repeated));
+                return End::Repeated;
+            }
         }
         let position = splitter.position();
         let marks = (framing, media);
--- a/response/src/ending.rs
+++ b/response/src/ending.rs
@@ -37,6 +37,9 @@
     /// The server's process ended as it closed the connection, which was all that marked the end.
     #[error("server-ended")]
     ServerEnded,
+    /// The response was to continue an event stream, and went back in it.
+    #[error("repeated-event")]
+    Repeated,
     /// Only the end of the connection marked the end, and it was noticed so late that another
     /// process of the server may run meanwhile.
     #[error("noticed-late")]
--- a/response/src/event.rs
+++ b/response/src/event.rs
@@ -153,7 +153,12 @@
     line_start: Option<usize>,
     /// The event that has not ended yet.
     event: Event,
+    first_id: Option<Arc<str>>,
     last_id: Option<Arc<str>>,
+    /// Id after which the stream was last resumed.
+    resumed_after: Option<Arc<str>>,
+    /// Whether a resumed stream went back to an event that was output before.
+    repeated: bool,
     /// Whether the output ends inside an event.
     piece: bool,
     /// Whether the output ends with something after which no stream can be resumed: an event
@@ -174,7 +179,10 @@
             buffer: BytesMut::new(),
             line_start: Some(0),
             event: Event::default(),
+            first_id: None,
             last_id: None,
+            resumed_after: None,
+            repeated: false,
             piece: false,
             unmarked: false,
         }
@@ -182,7 +190,8 @@
 }
 
 impl Splitter {
-    /// Adds bytes, and returns the events that they complete.
+    /// Adds bytes, and returns the events that they complete, up to one that was output before the
+    /// stream was resumed. See [`Splitter::has_repeated`].
     pub fn push(&mut self, data: &Bytes) -> Option<Bytes> {
         let begin = self.buffer.len();
         self.buffer.extend_from_slice(data);
@@ -191,6 +200,10 @@
             match self.scanner.step(self.buffer[index]) {
                 Step::Nothing => {}
                 Step::Field => self.end_field(index),
+                Step::Event if self.repeats() => {
+                    self.repeated = true;
+                    break;
+                }
                 Step::Event => {
                     self.end_event();
                     end = index + 1;
@@ -201,7 +214,10 @@
                 self.line_start = Some(index + 1);
             }
         }
-        if self.buffer.len() - end > MAX_EVENT_BYTES {
+        if self.buffer.len() - end > MAX_EVENT_BYTES && self.repeats() {
+            self.repeated = true;
+        }
+        if self.buffer.len() - end > MAX_EVENT_BYTES && !self.repeated {
             end = self.buffer.len();
             (self.piece, self.unmarked) = (true, true);
         }
@@ -226,11 +242,30 @@
         self.piece = false;
         let event = std::mem::take(&mut self.event);
         match event.id {
-            Some(id) => (self.last_id, self.unmarked) = (Some(id), false),
+            Some(id) => {
+                self.first_id.get_or_insert_with(|| id.clone());
+                (self.last_id, self.unmarked) = (Some(id), false);
+            }
             None => self.unmarked |= event.has_data,
         }
     }
 
+    /// Returns whether the current event has an id that was output before the stream was resumed. Ids
+    /// that are numbers rise within a stream. Of other ids, the first and the last one are compared.
+    fn repeats(&self) -> bool {
+        let (Some(id), Some(after)) = (&self.event.id, &self.resumed_after) else { return false };
+        match (id.parse::<u64>(), after.parse::<u64>()) {
+            (Ok(id), Ok(after)) => id <= after,
+            _ => id == after || Some(id) == self.first_id.as_ref(),
+        }
+    }
+
+    /// Returns whether a resumed stream went back to an event that was output before it was resumed.
+    /// Nothing is output from there on.
+    pub fn has_repeated(&self) -> bool {
+        self.repeated
+    }
+
     /// Returns where the received part of the stream ends.
     pub fn position(&self) -> Position {
         self.scanner.position()
@@ -258,8 +293,9 @@
         (!buffer.is_empty()).then_some(buffer)
     }
 
-    /// Discards the incomplete event of a broken stream.
+    /// Discards the incomplete event of a broken stream, which is then resumed after the output.
     pub fn discard(&mut self) {
+        self.resumed_after = self.last_id.clone();
         self.buffer.clear();
         self.line_start = Some(0);
         self.event = Event::default();
--- a/response/tests/event.rs
+++ b/response/tests/event.rs
@@ -54,6 +54,40 @@
     assert!(splitter.can_resume());
 }
 
+/// Resumes a stream after the first of two texts, and returns whether the second one goes back in it
+/// and what is output of it.
+fn resume(first: &str, next: &str) -> (bool, String) {
+    let mut splitter = Splitter::default();
+    push(&mut splitter, first);
+    splitter.discard();
+    let output = push(&mut splitter, next);
+    (splitter.has_repeated(), output)
+}
+
+#[test]
+fn a_resumed_stream_does_not_output_an_event_twice() {
+    let event = |id: &str| format!("id: {id}\ndata: a\n\n");
+    let stream = |ids: &[&str]| ids.iter().map(|id| event(id)).collect::<String>();
+    for (first, next, output) in [
+        (&["8", "9"][..], &["10", "12"][..], None),
+        (&["8", "9"], &["9", "10"], Some(&[][..])),
+        (&["8", "9"], &["8", "9", "10"], Some(&[])),
+        (&["8", "9"], &["10", "7"], Some(&["10"])),
+        (&["8", "9"], &["2"], Some(&[])),
+        (&["a", "b"], &["c", "d"], None),
+        (&["a", "b"], &["b", "c"], Some(&[])),
+        (&["a", "b"], &["a", "b"], Some(&[])),
+        // The first attempt had no event, so that the next one begins anew.
+        (&[], &["1", "2"], None),
+    ] {
+        let expected = (output.is_some(), stream(output.unwrap_or(next)));
+        assert_eq!(resume(&stream(first), &stream(next)), expected, "{first:?} {next:?}");
+    }
+    let long = format!("id: 1\ndata: {}", "x".repeat(MAX_EVENT_BYTES));
+    assert_eq!(resume(&event("1"), &long), (true, String::new()));
+    assert_eq!(resume(&event("1"), ": comment\n\n"), (false, ": comment\n\n".to_owned()));
+}
+
 #[test]
 fn a_stream_resumes_after_the_last_complete_event() {
     let mut splitter = Splitter::default();
--- a/tests/tests/continuations.rs
+++ b/tests/tests/continuations.rs
@@ -127,6 +127,13 @@
     check_broken_off(&["status-204", "status-206", "media", "coding"]).await;
 }
 
+// Guards against events that the client receives twice, from a response that starts the stream again
+// or goes back in it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_not_resumed_by_events_that_the_client_has_received() {
+    check_broken_off(&["from-start", "repeat", "back"]).await;
+}
+
 async fn check_broken_off(contradictions: &[&str]) {
     let system = System::start(PLAN).await;
     system.earn_retries(0).await;
