daemon: remove the length from event streams that the entry host extends

Callers of an entry host saw a broken stream end as complete: the error event after the break filled the length that the backend server had announced. Of a whole stream with a length, the outcome was cut off.

Cause: the head of the server's response was relayed unchanged, but an entry host adds the outcome, or an error event, to the events.

Why this works: the head of an event stream loses the fields that hold for the server's bytes only, as at gateways. Longer responses of other types are relayed as they are and keep their length.

Failed before: a_stream_with_a_length_that_breaks_off_never_looks_complete (refusals.rs).

--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -16,6 +16,7 @@
 use http_body_util::Full;
 use loftcove_clock as boot;
 use loftcove_decision::{balancer, entity};
+use loftcove_response::continuation;
 use loftcove_response::event::{Media, Position, Splitter};
 use loftcove_wire as wire;
 use tokio_stream::Stream as _;
@@ -145,7 +146,10 @@
     }
     let events = (Media::of(headers) == Media::Events).then(Splitter::default);
     let mut buffered = VecDeque::new();
-    if events.is_none() {
+    if events.is_some() {
+        // The outcome follows the events.
+        continuation::remove_promises(response.headers_mut());
+    } else {
         match buffer(&mut answer, &completion, &mut buffered, due).await {
             Buffered::Whole => {
                 completion.record_answer();
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -8,7 +8,8 @@
 //!
 //! Headers of a request control its stream: `x-standin-break-after: N` aborts it after N tokens,
 //! `x-standin-cut-after: N` ends its body in order inside the event after N tokens, and
-//! `x-standin-framing: close` sends it without chunks.
+//! `x-standin-framing: close` sends it without chunks. With `x-standin-framing: length`, the head
+//! states the length that the whole stream has.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -296,9 +297,15 @@
         if let Ok(id) = id.parse() {
             response.headers_mut().insert("x-request-id", id);
         }
-        if service::header(headers, "x-standin-framing") == "close" {
+        match service::header(headers, "x-standin-framing") {
             // HTTP/1.0 has no chunks.
-            *response.version_mut() = http::Version::HTTP_10;
+            "close" => *response.version_mut() = http::Version::HTTP_10,
+            "length" if prompt.stream => {
+                let events = (0..tokens).map(|number| event(&id, number).len());
+                let length = events.sum::<usize>() + LAST_EVENT.len();
+                response.headers_mut().insert(http::header::CONTENT_LENGTH, length.into());
+            }
+            _ => {}
         }
         response
     }
@@ -349,10 +356,7 @@
                     sender.send(Err(error)).await.ok();
                     return;
                 }
-                let delta = serde_json::json!({ "content": format!("t{number} ") });
-                let choice = serde_json::json!({ "index": 0, "delta": delta });
-                let chunk = serde_json::json!({ "id": id, "choices": [choice] });
-                let event = format!("data: {chunk}\n\n");
+                let event = event(&id, number);
                 if cut_after == Some(number) {
                     // The body ends in order after a part of an event.
                     let half = event[..event.len() / 2].to_owned();
@@ -364,7 +368,7 @@
                 }
             }
             running.finish();
-            sender.send(Ok("data: [DONE]\n\n".into())).await.ok();
+            sender.send(Ok(LAST_EVENT.into())).await.ok();
         });
         let mut response = http::Response::new(body);
         let kind = http::HeaderValue::from_static("text/event-stream");
@@ -373,6 +377,17 @@
     }
 }
 
+/// Event that ends a stream.
+const LAST_EVENT: &str = "data: [DONE]\n\n";
+
+/// Returns the event with a token of the stream of the request `id`.
+fn event(id: &str, number: u64) -> String {
+    let delta = serde_json::json!({ "content": format!("t{number} ") });
+    let choice = serde_json::json!({ "index": 0, "delta": delta });
+    let chunk = serde_json::json!({ "id": id, "choices": [choice] });
+    format!("data: {chunk}\n\n")
+}
+
 /// Sends a step to a rank, and retries until the rank has run it.
 async fn send_step(
     http: legacy::Client<legacy::connect::HttpConnector, Full<Bytes>>,
--- a/tests/tests/refusals.rs
+++ b/tests/tests/refusals.rs
@@ -135,6 +135,25 @@
     until("the expired request is cancelled", || async { running().await == Some(0) }).await;
 }
 
+/// Guards against a broken stream that looks complete at its caller, because the entry host's error
+/// event fills the length that its server had announced.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_with_a_length_that_breaks_off_never_looks_complete() {
+    let cluster = start_small().await;
+    let caller = cluster.caller(&cluster.entries().remove(0));
+    let prompt = caller::prompt(cluster::MODEL, true, 8);
+    let length = ("x-standin-framing", "length");
+    for caller in [caller.clone(), caller.over_http2()] {
+        let headers = [length, ("x-standin-break-after", "7")];
+        let cut = caller.request("POST", CHAT, &headers, &prompt).await;
+        assert!(!cut.complete && cut.body.contains("event: error"), "{cut:?}");
+        assert_eq!((cut.status, cut.tokens()), (200, 7), "{cut:?}");
+        let whole = caller.request("POST", CHAT, &[length], &prompt).await;
+        assert!(whole.complete && whole.outcome() == "answered", "{whole:?}");
+        assert_eq!((whole.status, whole.tokens()), (200, 8), "{whole:?}");
+    }
+}
+
 /// Covers a request that may be repeated and ends its backend server. The entry host does not
 /// retry it, so that no other server ends, and rejects it after it has ended two servers.
 #[tokio::test(flavor = "multi_thread")]
