gateway: bound the bytes of a backend server that carry nothing

Callers got no answer until seconds after their deadline, and requests beside them waited as long, while a server sent leading zeros of a chunk's size without end (8 requests with a deadline of 1.5 s: 502 after 5.4 s, one beside them 5.4 s). Of interim responses 10.9 MB were read for a request.

Cause: the HTTP library looks for the end of a chunk's size, or for a final head, for as long as bytes come, and keeps the gateway's thread meanwhile.

Why this works: a socket below the parser (the crate intake) counts the bytes since the reader last received a head or a piece of a body, and fails the connection beyond three times the parser's buffer, with a reason, one log line and loftcove_no_content_total. After 64 KiB it lets other tasks run. It knows no form, so that it holds for any. The buffer, and so the head of a response, is bounded at 64 KiB, where some 400 KiB were before.

The attempt ends as a broken connection: it may have run, is repeated only where the route allows it, and counts for the ejection of its server, whose process is not held to have ended. Health checks use the same connections.

--- a/gateway/src/answer.rs
+++ b/gateway/src/answer.rs
@@ -4,13 +4,13 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
 use loftcove_clock as boot;
 use loftcove_decision::balancer;
 use loftcove_interface::protocol::Protocol;
 use loftcove_response::ending;
 
 use crate::body::Body;
+use crate::{ended, upstream};
 
 /// Maximum size of a response that is buffered until it is complete. A longer one is relayed as it
 /// arrives.
@@ -35,7 +35,7 @@
     /// A body that ended in order.
     Ended(Bytes),
     /// A body that is too long to be buffered: the bytes received so far, and the remainder.
-    Long(Bytes, Incoming),
+    Long(Bytes, upstream::Body),
 }
 
 /// Reads a response's body, up to [`MAX_BUFFERED`].
@@ -43,13 +43,13 @@
 /// # Errors
 ///
 /// Returns an [`ending::Error`] if the connection breaks or the deadline passes.
-pub async fn read(mut body: Incoming, due: boot::Instant) -> Result<Read, ending::Error> {
+pub async fn read(mut body: upstream::Body, due: boot::Instant) -> Result<Read, ending::Error> {
     let mut buffer = BytesMut::new();
     loop {
         let frame = tokio::time::timeout_at(due.timer(), body.frame()).await;
         match frame.map_err(|_| ending::Error::TimedOut)? {
             None => return Ok(Read::Ended(buffer.freeze())),
-            Some(Err(_)) => return Err(ending::Error::Broken),
+            Some(Err(error)) => return Err(ended::break_of(&error)),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     buffer.extend_from_slice(&data);
--- a/gateway/src/ended.rs
+++ b/gateway/src/ended.rs
@@ -16,6 +16,7 @@
 use loftcove_clock as boot;
 use loftcove_decision::{balancer, entity, fleet};
 use loftcove_dispatch as dispatch;
+use loftcove_intake as intake;
 use loftcove_interface::protocol::Protocol;
 use loftcove_mirror as mirror;
 use loftcove_response::ending;
@@ -144,6 +145,14 @@
     }
 }
 
+/// Returns why a body ended with this error.
+pub(crate) fn break_of(error: &hyper::Error) -> ending::Error {
+    match intake::excess(error) {
+        Some(_) => ending::Error::NoContent,
+        None => ending::Error::Broken,
+    }
+}
+
 /// Records that a backend server ended under a request. A request that had been on such a server
 /// before says nothing of the parts of its prompt: it may end servers by itself.
 fn record_end(mirror: &mirror::Mirror, run: &fleet::Run, request: &Request) {
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -132,7 +132,7 @@
     /// What the body is.
     pub media: Media,
     /// Remaining body.
-    pub body: Incoming,
+    pub body: upstream::Body,
     /// What the protocol reads from the head.
     pub answer: Answer,
     /// Connection that the response arrives on.
--- a/gateway/src/probe.rs
+++ b/gateway/src/probe.rs
@@ -60,7 +60,7 @@
         return gateway.dispatcher.settle(server, false);
     };
     gateway.metrics.health_checks.inc();
-    let leaving = match upstream::check_health(target.address, path).await {
+    let leaving = match gateway.upstream.check_health(&target, path).await {
         Ok(head) => match P::health(&head, id) {
             Health::Serving => false,
             Health::Leaving => true,
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -88,15 +88,16 @@
             kb(serving.client_buffer_kb),
             kb(serving.clients_buffer_mb().saturating_mul(1_024)),
         );
+        let metrics = metrics::Metrics::default();
         Gateway {
             settings,
             routes: ArcSwapOption::empty(),
             mirror: Arc::default(),
             dispatcher: Arc::new(dispatch::Dispatcher::new(&options)),
-            upstream: upstream::Pool::default(),
+            upstream: upstream::Pool::new(metrics.no_content(metrics::Peer::SERVER)),
             buffers,
             lifecycle,
-            metrics: metrics::Metrics::default(),
+            metrics,
             shares: shares::Shares::default(),
             moves: moves::Log::default(),
             pulse: pulse::Pulse::default(),
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -23,7 +23,7 @@
 use crate::queue;
 use crate::request::Request;
 use crate::state::{Gateway, Target};
-use crate::{client, drain};
+use crate::{client, drain, ended};
 
 /// Divisor of the time after which a client that takes nothing is disconnected. A client that took
 /// nothing for the resulting time has left the response unread. A backend server waits some seconds
@@ -214,8 +214,8 @@
                     stream.connection.complete();
                     return End::Whole;
                 }
-                Ok(Some(Err(_))) => {
-                    let broken = Err(ending::Error::Broken);
+                Ok(Some(Err(error))) => {
+                    let broken = Err(ended::break_of(&error));
                     self.record_ending(&stream.target, stream.framing, broken);
                     return End::Broken;
                 }
@@ -260,8 +260,8 @@
                     return End::TimedOut;
                 }
                 Ok(None) => break,
-                Ok(Some(Err(_))) => {
-                    self.record_ending(&target, framing, Err(ending::Error::Broken));
+                Ok(Some(Err(error))) => {
+                    self.record_ending(&target, framing, Err(ended::break_of(&error)));
                     return End::Broken;
                 }
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -20,6 +20,8 @@
 use hyper_util::rt::TokioIo;
 use loftcove_clock as boot;
 use loftcove_decision::fleet;
+use loftcove_intake as intake;
+use prometheus_client::metrics::counter::Counter;
 use tokio::net::TcpStream;
 
 use crate::socket;
@@ -50,7 +52,12 @@
 /// connection while a request is on its way.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Maximum size of a response's head, which is also that of the parser's buffer.
+const MAX_HEAD: usize = 64 * 1024;
+
 type Sender = http1::SendRequest<Full<Bytes>>;
+/// Body of a response, which is still arriving.
+pub type Body = intake::body::Body<Incoming>;
 
 /// Why an attempt has no response.
 #[derive(Debug, thiserror::Error)]
@@ -72,8 +79,8 @@
 
 /// A response whose head has been received.
 pub struct Reply {
-    /// Head of the response, and its body, which is still arriving.
-    pub response: http::Response<Incoming>,
+    /// Head of the response, and its body.
+    pub response: http::Response<Body>,
     /// Connection that the response arrives on.
     pub connection: Connection,
 }
@@ -97,6 +104,7 @@
 struct Link {
     sender: Sender,
     handle: socket::Handle,
+    meter: intake::Meter,
     task: tokio::task::AbortHandle,
 }
 
@@ -112,21 +120,29 @@
         &mut self,
         request: http::Request<Full<Bytes>>,
         left: Duration,
-    ) -> Result<http::Response<Incoming>, TrySendError<http::Request<Full<Bytes>>>> {
+    ) -> Result<http::Response<Body>, TrySendError<http::Request<Full<Bytes>>>> {
         let limit = (left / 2).clamp(MIN_UNACKNOWLEDGED_TIMEOUT, UNACKNOWLEDGED_TIMEOUT);
         self.handle.set_unacknowledged_timeout(limit);
         self.handle.set_outstanding(true);
         let answer = self.sender.try_send_request(request).await;
         // All of the request has arrived, and the limit for probes applies to the rest.
         self.handle.set_unacknowledged_timeout(UNACKNOWLEDGED_TIMEOUT);
-        answer
+        let answer = answer?;
+        self.meter.record_use();
+        Ok(answer.map(|body| intake::body::Body::new(body, self.meter.clone())))
     }
 }
 
 /// Pool of idle connections, by run of the backend server.
-#[derive(Default)]
 pub struct Pool {
     idle: Mutex<HashMap<fleet::Run, Vec<Idle>>>,
+    bound: intake::Bound,
+}
+
+impl Default for Pool {
+    fn default() -> Pool {
+        Pool::new(Counter::default())
+    }
 }
 
 struct Idle {
@@ -135,6 +151,12 @@
 }
 
 impl Pool {
+    /// Creates an empty pool. `closed` counts the connections that were closed because too many
+    /// bytes without a head or a piece of a body arrived on them.
+    pub fn new(closed: Counter) -> Pool {
+        Pool { idle: Mutex::default(), bound: intake::Bound::new(MAX_HEAD, closed) }
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<fleet::Run, Vec<Idle>>> {
         // If a lock holder panicked, the pool lacks at most one connection.
         self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
@@ -172,7 +194,7 @@
                 },
             }
         }
-        let mut link = connect(target.address).await?;
+        let mut link = connect(target.address, self.bound.meter(&*target.run.id)).await?;
         if !wanted() {
             return Err(Error::Withheld);
         }
@@ -201,6 +223,9 @@
     pub fn put(&self, target: &Target, connection: Connection, keep_alive: Option<Duration>) {
         let time = keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |time| time.saturating_sub(IDLE_MARGIN));
         connection.complete();
+        if connection.link.sender.is_closed() {
+            return;
+        }
         let mut idle = self.lock();
         let kept = idle.entry(connection.run.clone()).or_default();
         let now = boot::Instant::now();
@@ -210,6 +235,29 @@
         }
     }
 
+    /// Sends a health check to a backend server and returns the head of the response. It uses a new
+    /// connection, which reaches the run that has the address now.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if no response is received.
+    pub async fn check_health(
+        &self,
+        target: &Target,
+        path: &str,
+    ) -> Result<http::response::Parts, Error> {
+        let to_error = |error: &dyn std::error::Error| Error::NoAnswer(error.to_string());
+        let request =
+            http::Request::get(path).header(http::header::HOST, target.address.to_string());
+        let request = request.body(Full::default()).map_err(|error| to_error(&error))?;
+        let mut link = connect(target.address, self.bound.meter(&*target.run.id)).await?;
+        link.handle.set_outstanding(true);
+        let answer = tokio::time::timeout(HEALTH_TIMEOUT, link.sender.send_request(request)).await;
+        let answer = answer.map_err(|error| to_error(&error))?.map_err(|error| to_error(&error))?;
+        link.handle.set_outstanding(false);
+        Ok(answer.into_parts().0)
+    }
+
     /// Closes the idle connections of all runs except those that `wanted` accepts.
     pub fn retain(&self, wanted: impl Fn(&fleet::Run) -> bool) {
         self.lock().retain(|run, _| wanted(run));
@@ -248,7 +296,7 @@
     }
 }
 
-fn reply(response: http::Response<Incoming>, link: Link, target: &Target) -> Reply {
+fn reply(response: http::Response<Body>, link: Link, target: &Target) -> Reply {
     Reply { response, connection: Connection { link, run: target.run.clone() } }
 }
 
@@ -262,30 +310,15 @@
         }
         source = cause.source();
     }
-    Error::NoAnswer(error.to_string())
+    match intake::excess(error) {
+        Some(excess) => Error::NoAnswer(excess.to_string()),
+        None => Error::NoAnswer(error.to_string()),
+    }
 }
 
 /// Maximum time to wait for the response to a health check.
 const HEALTH_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Sends a health check to a backend server and returns the head of the response. It uses a new
-/// connection, which reaches the run that has the address now.
-///
-/// # Errors
-///
-/// Returns an [`Error`] if no response is received.
-pub async fn check_health(address: SocketAddr, path: &str) -> Result<http::response::Parts, Error> {
-    let to_error = |error: &dyn std::error::Error| Error::NoAnswer(error.to_string());
-    let request = http::Request::get(path).header(http::header::HOST, address.to_string());
-    let request = request.body(Full::default()).map_err(|error| to_error(&error))?;
-    let mut link = connect(address).await?;
-    link.handle.set_outstanding(true);
-    let answer = tokio::time::timeout(HEALTH_TIMEOUT, link.sender.send_request(request)).await;
-    let answer = answer.map_err(|error| to_error(&error))?.map_err(|error| to_error(&error))?;
-    link.handle.set_outstanding(false);
-    Ok(answer.into_parts().0)
-}
-
 /// Returns whether the backend server at an address accepts a connection. Nothing is sent on it.
 pub async fn can_connect(address: SocketAddr) -> bool {
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
@@ -300,7 +333,7 @@
     connected.is_ok_and(|connected| connected.as_ref().is_err_and(refused))
 }
 
-async fn connect(address: SocketAddr) -> Result<Link, Error> {
+async fn connect(address: SocketAddr, meter: intake::Meter) -> Result<Link, Error> {
     let to_error = |error: &dyn std::error::Error| Error::NotSent(error.to_string());
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = stream.map_err(|error| to_error(&error))?.map_err(|error| to_error(&error))?;
@@ -312,12 +345,14 @@
         .with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&probes).map_err(|error| to_error(&error))?;
     let (socket, handle) = socket::new(stream);
-    let handshake = http1::handshake(TokioIo::new(socket)).await;
+    let socket = intake::Socket::new(socket, meter.clone());
+    let mut builder = http1::Builder::new();
+    let handshake = builder.max_buf_size(MAX_HEAD).handshake(TokioIo::new(socket)).await;
     let (sender, connection) = handshake.map_err(|error| to_error(&error))?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to backend server ended error=\"{error}\"");
         }
     });
-    Ok(Link { sender, handle, task: task.abort_handle() })
+    Ok(Link { sender, handle, meter, task: task.abort_handle() })
 }
--- /dev/null
+++ b/intake/tests/socket.rs
@@ -0,0 +1,51 @@
+//! The bound on bytes that carry nothing, and the turns of other tasks.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use loftcove_intake::{BURST, Bound, Excess, Socket, excess};
+use prometheus_client::metrics::counter::Counter;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+
+const BUFFER: usize = 1_000;
+
+#[tokio::test]
+async fn a_connection_fails_once_too_many_bytes_carry_nothing() {
+    let closed = Counter::default();
+    let bound = Bound::new(BUFFER, closed.clone());
+    let (mut sender, receiver) = tokio::io::duplex(1 << 20);
+    let meter = bound.meter("a");
+    let mut socket = Socket::new(receiver, meter.clone());
+    let bytes = bound.bytes() as usize;
+    sender.write_all(&vec![0; 3 * bytes]).await.unwrap();
+    let mut buffer = vec![0; bytes];
+    socket.read_exact(&mut buffer).await.unwrap();
+    meter.record_use();
+    socket.read_exact(&mut buffer).await.unwrap();
+    assert!(!meter.exceeded());
+    for _ in 0..2 {
+        let error = socket.read(&mut buffer).await.unwrap_err();
+        assert!(matches!(excess(&error), Some(Excess(read)) if read > bytes as u64), "{error}");
+    }
+    assert_eq!((meter.exceeded(), closed.get()), (true, 1));
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn other_tasks_run_while_bytes_are_available() {
+    let (mut sender, receiver) = tokio::io::duplex(8 * BURST);
+    let mut socket = Socket::new(receiver, Bound::new(8 * BURST, Counter::default()).meter("a"));
+    sender.write_all(&vec![0; 8 * BURST]).await.unwrap();
+    let turns = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let counted = turns.clone();
+    let other = tokio::spawn(async move {
+        loop {
+            counted.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            tokio::task::yield_now().await;
+        }
+    });
+    let mut buffer = vec![0; BURST / 8];
+    for _ in 0..64 {
+        socket.read_exact(&mut buffer).await.unwrap();
+    }
+    assert!(turns.load(std::sync::atomic::Ordering::Relaxed) >= 7);
+    other.abort();
+}
--- a/response/src/ending.rs
+++ b/response/src/ending.rs
@@ -25,6 +25,9 @@
     /// The connection failed, or closed before the end of a body with a length or chunks.
     #[error("broken-off")]
     Broken,
+    /// Too many bytes arrived without a piece of the body, and the connection was closed.
+    #[error("no-content")]
+    NoContent,
     /// The body had not ended at the deadline.
     #[error("deadline")]
     TimedOut,
--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -26,6 +26,7 @@
 //! - `GET /state`: counters and map versions.
 //! - `GET /requests`: the requests that were executed.
 //! - `GET /ends`: the servers that ended while they ran a request.
+//! - `GET /floods`: id and bytes of each response without end whose connection was closed.
 //! - `GET /visits`: all requests that reached the run of a server that they were meant for.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -99,6 +100,8 @@
     /// Number of orders received.
     received: u64,
     requests: Vec<Value>,
+    /// Responses without end whose connection was closed.
+    floods: Vec<Value>,
     ends: Vec<Value>,
     /// Load shedding by server id, or for [`ALL`].
     sheds: BTreeMap<String, Shed>,
@@ -164,6 +167,7 @@
             late: 0,
             received: 0,
             requests: Vec::new(),
+            floods: Vec::new(),
             ends: Vec::new(),
             sheds: BTreeMap::new(),
             leaving: BTreeSet::new(),
@@ -238,6 +242,11 @@
         self.lock().requests.push(request);
     }
 
+    /// Records a response without end whose connection was closed.
+    pub fn record_flood(&self, flood: Value) {
+        self.lock().floods.push(flood);
+    }
+
     /// Records that a server ended while it ran a request with that body, and breaks the group.
     pub fn record_end(&self, server: &str, body: &str) {
         let mut state = self.lock();
@@ -382,6 +391,7 @@
                 query.get("part").map(|part| state.harmful.remove(part));
             }
             "/requests" => return Value::Array(state.requests.clone()),
+            "/floods" => return Value::Array(state.floods.clone()),
             "/visits" => return Value::Array(state.visits.clone()),
             "/ends" => return Value::Array(state.ends.clone()),
             _ => {}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod calls;
 pub mod engine;
+pub mod flood;
 pub mod group;
 pub mod proxy;
 pub mod raw;
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -14,7 +14,8 @@
 //! - `x-standin-linger-ms: N`: with `x-standin-end-ms`, the port stays open for N ms after the
 //!   connections were closed.
 //!
-//! The headers of [`raw`] select the framing and the end of the response.
+//! The headers of [`raw`] select the framing and the end of the response, and those of [`flood`] a
+//! response without end.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -29,7 +30,7 @@
 use tokio::sync::watch;
 
 use crate::group::Group;
-use crate::{raw, server};
+use crate::{flood, raw, server};
 
 /// Time between the end of a server and its restart.
 pub const RESTART_DELAY: Duration = Duration::from_millis(700);
@@ -60,6 +61,14 @@
 type NoResponse = std::io::Error;
 
 /// A response that is not left to the HTTP library.
+enum Takeover {
+    /// A scripted response.
+    Raw(Raw),
+    /// A response without end to the request with this id.
+    Flood(flood::Flood, String),
+}
+
+/// A scripted response.
 struct Raw {
     script: raw::Script,
     head: http::response::Parts,
@@ -159,7 +168,13 @@
         let taken = taken.lock().expect("no holder of the response panics").take();
         if let Some(response) = taken {
             let stream = connection.into_parts().io.into_inner();
-            self.write_raw(stream, response).await;
+            match response {
+                Takeover::Raw(response) => self.write_raw(stream, response).await,
+                Takeover::Flood(flood, id) => {
+                    let sent = flood.play(stream).await;
+                    self.group.record_flood(json!({ "id": id, "sent": sent }));
+                }
+            }
         }
     }
 
@@ -191,7 +206,7 @@
     async fn handle(
         self,
         request: http::Request<Incoming>,
-        taken: Arc<Mutex<Option<Raw>>>,
+        taken: Arc<Mutex<Option<Takeover>>>,
     ) -> Result<http::Response<Body>, NoResponse> {
         let (head, body) = request.into_parts();
         let body = server::read(body).await;
@@ -270,7 +285,7 @@
         &self,
         head: &http::request::Parts,
         body: Bytes,
-        taken: &Mutex<Option<Raw>>,
+        taken: &Mutex<Option<Takeover>>,
     ) -> Result<http::Response<Body>, NoResponse> {
         let headers = &head.headers;
         let expected = text(headers, "x-expect-instance");
@@ -310,6 +325,11 @@
         if headers.contains_key("x-standin-lose") {
             return Err(no_response());
         }
+        if let Some(flood) = flood::Flood::read(headers) {
+            let response = Takeover::Flood(flood, id.to_owned());
+            *taken.lock().expect("no holder of the response panics") = Some(response);
+            return Err(no_response());
+        }
         let first = self.group.attempts(id) == 1;
         if let Some(script) = raw::Script::read(headers, first) {
             if head.method == http::Method::HEAD {
@@ -318,7 +338,7 @@
                     .fold(answer, |answer, (name, value)| answer.header(name, value));
                 return answer.body(empty()).map_err(std::io::Error::other);
             }
-            let response = self.raw(head, script, first)?;
+            let response = Takeover::Raw(self.raw(head, script, first)?);
             *taken.lock().expect("no holder of the response panics") = Some(response);
             return Err(no_response());
         }
