gateway: close an idle connection as soon as the HTTP library gives it up

A server that sent more bytes after a whole response kept its connection to the gateway, and up to 4 MB in the operating system's buffers, for as long as the idle connection stood in the pool.

Cause: the handle that the pool keeps holds the socket open, so that its user can decide how it is closed; nothing closed it when the connection's task ended with an error.

Evidence: bytes_without_end_after_a_response_do_not_lose_it failed before: the connection was still open after 20 s, when the stand-in gave up.

Why this works: the HTTP library drops its half of the socket when it ends.

--- a/gateway/src/socket.rs
+++ b/gateway/src/socket.rs
@@ -30,6 +30,19 @@
     outstanding: AtomicBool,
 }
 
+impl Drop for Socket {
+    /// Closes the connection once the HTTP library has given it up, also if a handle of it is kept
+    /// idle. The user decides how it is closed while a response is outstanding.
+    fn drop(&mut self) {
+        if self.0.outstanding.load(Ordering::Acquire) {
+            return;
+        }
+        if let Err(error) = socket2::SockRef::from(&self.0.stream).shutdown(Shutdown::Both) {
+            log::debug!("connection to backend server has ended error=\"{error}\"");
+        }
+    }
+}
+
 impl Drop for Shared {
     fn drop(&mut self) {
         if !*self.outstanding.get_mut() {
--- a/tests/tests/floods.rs
+++ b/tests/tests/floods.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use loftcove_standins::flood::{BODY_FORMS, EMPTY_FORMS, HEAD_FORMS};
+use loftcove_standins::flood::{BODY_FORMS, EMPTY_FORMS, EXTRA_FORMS, HEAD_FORMS};
 use loftcove_tests::request::Request;
 use loftcove_tests::system::{Plan, System};
 use loftcove_tests::until;
@@ -130,3 +130,12 @@
 async fn bytes_without_end_at_a_low_speed_hold_up_nothing() {
     check(&["garbage", "interim", "chunk-size", "trailers"], "slow", is_failure).await;
 }
+
+// Guards against a whole answer that is lost to the bytes that follow it, and against a connection
+// that stays open for them.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_without_end_after_a_response_do_not_lose_it() {
+    let whole = |seen: &Seen| (seen.status, &*seen.body, seen.complete) == (200, "whole", true);
+    check(&EXTRA_FORMS, "fast", whole).await;
+    check(&EXTRA_FORMS, "slow", whole).await;
+}
