gateway: bound the bytes of a client that carry nothing

Cause: as with backend servers, the HTTP library looks for the end of the size for as long as bytes come.

Why this works: the clients' sockets are bounded as those of backend servers are. A request's head, and each piece of its body that is read, count as use.

--- a/gateway/src/client.rs
+++ b/gateway/src/client.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use loftcove_clock as boot;
+use loftcove_intake as intake;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -34,9 +35,23 @@
     stalled: AtomicBool,
     /// Whether a response is outstanding whose end only the end of the connection marks.
     unmarked: AtomicBool,
+    /// Bytes of the client that carry nothing.
+    meter: intake::Meter,
 }
 
 impl Progress {
+    /// Creates the state of a connection whose client's bytes `meter` bounds.
+    pub fn new(meter: intake::Meter) -> Progress {
+        Progress { meter, ..Progress::default() }
+    }
+
+    /// Records that the head of a request was received, and returns its body, whose pieces are
+    /// recorded as they are read.
+    pub fn receive<B>(&self, request: http::Request<B>) -> http::Request<intake::body::Body<B>> {
+        self.meter.record_use();
+        request.map(|body| intake::body::Body::new(body, self.meter.clone()))
+    }
+
     fn lock(&self) -> MutexGuard<'_, Option<boot::Instant>> {
         // Each update is a plain assignment, so a panic elsewhere leaves no inconsistent state.
         self.blocked.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
@@ -66,7 +81,7 @@
 
 /// A client's socket.
 pub struct Socket {
-    stream: TcpStream,
+    stream: intake::Socket<TcpStream>,
     limit: Option<Duration>,
     progress: Arc<Progress>,
     /// Timer that runs while the operating system accepts no bytes.
@@ -86,6 +101,7 @@
         if let Err(error) = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT) {
             log::debug!("unsent bytes of client's connection not bounded error=\"{error}\"");
         }
+        let stream = intake::Socket::new(stream, progress.meter.clone());
         Socket { stream, limit: None, progress, timer: None }
     }
 
@@ -122,7 +138,8 @@
         if !self.progress.resets() {
             return;
         }
-        if let Err(error) = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)) {
+        let stream = socket2::SockRef::from(self.stream.get_ref());
+        if let Err(error) = stream.set_linger(Some(Duration::ZERO)) {
             log::debug!("connection of client not reset error=\"{error}\"");
         }
     }
--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -22,7 +22,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::{exchange, state};
+use crate::{client, exchange, state};
 
 /// Time after which the platform has removed a gateway that is not ready. It checks every second
 /// and removes a gateway after two failed checks.
@@ -160,8 +160,11 @@
     }
 
     /// Counts a connection as open until the guard is dropped.
-    pub fn connect<P>(gateway: &Arc<state::Gateway<P>>) -> Connection<P> {
-        let exchange = exchange::Exchange::default();
+    pub fn connect<P>(
+        gateway: &Arc<state::Gateway<P>>,
+        progress: client::Progress,
+    ) -> Connection<P> {
+        let exchange = exchange::Exchange::new(progress);
         let mut inner = gateway.lifecycle.lock();
         inner.accepted += 1;
         let number = inner.accepted;
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -41,6 +41,11 @@
 }
 
 impl Exchange {
+    /// Creates the state of a connection whose client takes bytes as `progress` tells.
+    pub fn new(progress: client::Progress) -> Exchange {
+        Exchange { progress: Arc::new(progress), ..Exchange::default() }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         // Each update is a plain assignment, so a panic elsewhere leaves no inconsistent state.
         self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -26,7 +26,7 @@
 ) -> Result<http::Response<body::Flushed<Body>>, Infallible> {
     let received = boot::Instant::now();
     exchange.begin();
-    let (head, body) = request.into_parts();
+    let (head, body) = exchange.progress.receive(request).into_parts();
     let (version, method) = (head.version, head.method.clone());
     let (admission, in_flight) = drain::Lifecycle::admit(&gateway);
     let accepted = match admission {
@@ -68,7 +68,7 @@
     gateway: &Arc<Gateway<P>>,
     exchange: &exchange::Exchange,
     head: http::request::Parts,
-    body: Incoming,
+    body: request::Body,
     in_flight: drain::InFlight<P>,
 ) -> Result<Flow<P>, Refused> {
     let malformed = Refused { refusal: Refusal::Header, id: None, origin: None };
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -6,10 +6,11 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use loftcove_decision::lifecycle;
+use loftcove_intake as intake;
 use loftcove_interface::protocol::Protocol;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{client, drain, exchange, flow, state};
+use crate::{client, drain, exchange, flow, metrics, state};
 
 /// Idle timeout of a connection before the configuration's timeout is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -36,9 +37,13 @@
     loop {
         gateway.lifecycle.wait_for_capacity().await;
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let connection = drain::Lifecycle::connect(gateway);
-                tokio::spawn(serve(gateway.clone(), stream, connection));
+            Ok((stream, address)) => {
+                let buffer = 2 * max_head(gateway);
+                let closed = gateway.metrics.no_content(metrics::Peer::CLIENT);
+                let meter = intake::Bound::new(buffer, closed).meter(address.to_string());
+                let progress = client::Progress::new(meter);
+                let connection = drain::Lifecycle::connect(gateway, progress);
+                tokio::spawn(serve(gateway.clone(), (stream, buffer), connection));
             }
             Err(error) => {
                 // Mostly the process is out of file descriptors, and other connections must end
@@ -50,9 +55,16 @@
     }
 }
 
+/// Returns the maximum size of a request's head.
+fn max_head<P: Protocol>(gateway: &state::Gateway<P>) -> usize {
+    let limits = gateway.routes.load().as_ref().map(|table| table.limits);
+    limits.map_or(MIN_HEADER_BYTES, |limits| limits.header_bytes.max(MIN_HEADER_BYTES))
+}
+
+/// Serves a connection whose parser buffers up to `buffer` bytes.
 async fn serve<P: Protocol>(
     gateway: Arc<state::Gateway<P>>,
-    stream: TcpStream,
+    (stream, buffer): (TcpStream, usize),
     connection: drain::Connection<P>,
 ) {
     let options = stream.set_nodelay(true).and_then(|()| {
@@ -66,7 +78,6 @@
     let stream = client::Socket::new(stream, stall, connection.exchange().progress.clone());
     let limits = gateway.routes.load().as_ref().map(|table| table.limits);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout) + IDLE_MARGIN;
-    let head = limits.map_or(MIN_HEADER_BYTES, |limits| limits.header_bytes.max(MIN_HEADER_BYTES));
     let mut phases = gateway.lifecycle.phases();
     let progress = connection.exchange().progress.clone();
     let guard = exchange::Guard(connection.exchange().clone());
@@ -80,7 +91,7 @@
         .timer(TokioTimer::new())
         // The library's timeout also covers the time between two requests.
         .header_read_timeout(idle)
-        .max_buf_size(head * 2)
+        .max_buf_size(buffer)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
     let ended = tokio::select! {
--- a/tests/tests/floods.rs
+++ b/tests/tests/floods.rs
@@ -1,4 +1,4 @@
-//! Bytes that are no answer and come without end, from backend servers.
+//! Bytes that are no answer and come without end, from backend servers and from clients.
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
@@ -8,6 +8,7 @@
 use loftcove_tests::request::Request;
 use loftcove_tests::system::{Plan, System};
 use loftcove_tests::until;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 const PLAN: Plan =
     Plan { gateways: 1, ranks: 3, groups: 1, plain: 2, sidecars: false, proxied: false };
@@ -139,3 +140,69 @@
     check(&EXTRA_FORMS, "fast", whole).await;
     check(&EXTRA_FORMS, "slow", whole).await;
 }
+
+/// Forms of a client's request without end: a text, and what is repeated after it.
+const REQUESTS: [(&str, &str, &str); 8] = [
+    ("garbage", "", "\0garbage "),
+    ("blank-lines", "", "\r\n"),
+    ("request-line", "POST /", "a"),
+    ("header-line", "POST / HTTP/1.1\r\nx: ", "a"),
+    ("header-lines", "POST / HTTP/1.1\r\n", "x: a\r\n"),
+    ("chunk-size", "", "0"),
+    ("chunk-extension", "1;", "a"),
+    ("trailers", "0\r\n", "x: a\r\n"),
+];
+
+/// Sends bytes without end from a client until the gateway closes the connection. Returns the time
+/// that it took.
+async fn flood(system: &System, (form, prefix, unit): (&str, &str, &str)) -> Duration {
+    let begun = Instant::now();
+    let stream = tokio::net::TcpStream::connect(system.client_address(0)).await.unwrap();
+    let (mut reader, mut writer) = stream.into_split();
+    let head = if form.starts_with("chunk") || form == "trailers" {
+        let request = Request::new("/receipt/").text();
+        let head = request.split("content-length").next().unwrap();
+        format!("{head}transfer-encoding: chunked\r\n\r\n")
+    } else {
+        String::new()
+    };
+    let block = unit.repeat(16 * 1_024 / unit.len());
+    let write = async {
+        writer.write_all(format!("{head}{prefix}").as_bytes()).await?;
+        loop {
+            writer.write_all(block.as_bytes()).await?;
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let read = async { while reader.read(&mut [0; 1_024]).await.is_ok_and(|read| read > 0) {} };
+    let ended = tokio::time::timeout(Duration::from_secs(10), async {
+        tokio::select! {
+            () = read => {}
+            written = write => {
+                let _: std::io::Result<()> = written;
+            }
+        }
+    });
+    ended.await.ok();
+    begun.elapsed()
+}
+
+// Guards against a client that keeps the requests of others from their answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_without_end_from_a_client_hold_up_nothing() {
+    let system = System::start(PLAN).await;
+    let mut wrong = Vec::new();
+    for form in REQUESTS {
+        let floods = futures_util::future::join_all((0..FLOODS).map(|_| flood(&system, form)));
+        let (floods, beside) = send_beside(&system, floods).await;
+        for time in floods.into_iter().filter(|time| *time > DEADLINE) {
+            wrong.push(format!("{} open for {time:?}", form.0));
+        }
+        for Seen { status, complete, time, .. } in beside {
+            if (status, complete) != (200, true) || time > MARGIN {
+                wrong.push(format!("beside {}: {status} {complete} {time:?}", form.0));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{} wrong:\n{}", wrong.len(), wrong.join("\n"));
+}
