soak, tests: responses without end in the soak; what such a request counts as

The soak draws bytes without end in the place of a head or of a piece of a body for one response in twenty while servers end responses early.

The test of responses without end also checks that a request that may run only once reaches one server, and that the closed connection is in the log and in the counter.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use loftcove_standins::flood;
 use loftcove_tests::client::{self, Client};
 use loftcove_tests::request::{Head, Request};
 use rand::Rng as _;
@@ -206,7 +207,8 @@
         0 => (request, false),
         _ => {
             let (request, unframed) = draw_ending(endings, kind, request);
-            (draw_padding(paddings, request), unframed)
+            let request = draw_padding(paddings, request);
+            (draw_flood(paddings, request), unframed)
         }
     };
     let request = request.key(&key(number));
@@ -322,6 +324,18 @@
     request.with("x-standin-padding", &format!("{},{}", bytes(), bytes()))
 }
 
+/// Replaces some responses with bytes without end that are neither a head nor a piece of a body.
+fn draw_flood(rng: &mut ChaCha8Rng, request: Request) -> Request {
+    const INTERVAL: u32 = 20;
+    let forms = [&flood::HEAD_FORMS[..], &flood::EMPTY_FORMS].concat();
+    let form = forms[rng.random_range(0..forms.len())];
+    let rate = ["fast", "slow"][rng.random_range(0..2)];
+    if !rng.random_ratio(1, INTERVAL) {
+        return request;
+    }
+    request.with("x-standin-flood", form).with("x-standin-flood-rate", rate)
+}
+
 /// Draws the framing of a response, and an early end for some. Returns whether the response has
 /// neither a length nor chunks.
 ///
--- a/standins/src/flood.rs
+++ b/standins/src/flood.rs
@@ -38,16 +38,15 @@
 }
 
 impl Flood {
-    /// Reads the form from the headers of a request, if they have one.
-    pub fn read(headers: &http::HeaderMap) -> Option<Flood> {
+    /// Reads the form of the response of `server` from the headers of a request, if they have one.
+    pub fn read(headers: &http::HeaderMap, server: &str) -> Option<Flood> {
+        let (form, id) = (text(headers, "x-standin-flood"), text(headers, "x-attempt-id"));
         let slow = text(headers, "x-standin-flood-rate") == "slow";
-        Flood::new(text(headers, "x-standin-flood"), text(headers, "x-attempt-id"), slow)
-    }
-
-    /// Creates a response of this form to the request `id`, or returns `None` for an unknown form.
-    pub fn new(form: &str, id: &str, slow: bool) -> Option<Flood> {
         let head = |status: u16, fields: &str| {
-            format!("HTTP/1.1 {status} Status\r\nx-attempt-id: {id}\r\n{fields}\r\n")
+            format!(
+                "HTTP/1.1 {status} Status\r\nx-attempt-id: {id}\r\n\
+                 x-server-stamp: {server}.{id}\r\n{fields}\r\n"
+            )
         };
         let chunked = || head(200, "transfer-encoding: chunked\r\n");
         let events = || head(200, "content-type: text/event-stream\r\n");
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -325,7 +325,7 @@
         if headers.contains_key("x-standin-lose") {
             return Err(no_response());
         }
-        if let Some(flood) = flood::Flood::read(headers) {
+        if let Some(flood) = flood::Flood::read(headers, &self.id) {
             let response = Takeover::Flood(flood, id.to_owned());
             *taken.lock().expect("no holder of the response panics") = Some(response);
             return Err(no_response());
--- a/tests/tests/floods.rs
+++ b/tests/tests/floods.rs
@@ -80,6 +80,10 @@
                 wrong.push(format!("beside {form} {rate}: {status} {complete} {time:?}"));
             }
         }
+        for request in &requests {
+            let arrivals = system.arrivals(&request.id).await.len();
+            assert_eq!(arrivals, 1, "{form} {rate}: a request that may run only once");
+        }
         let closed = || async {
             let floods = system.plain.1.read("/floods").await;
             let ids: Vec<&str> = requests.iter().map(|request| &*request.id).collect();
@@ -101,6 +105,12 @@
         }
     }
     assert!(wrong.is_empty(), "{} wrong:\n{}", wrong.len(), wrong.join("\n"));
+    if forms == EMPTY_FORMS {
+        let metrics = system.metrics(0).await;
+        assert!(metrics.contains("loftcove_no_content_total{peer=\"server\"}"), "{metrics}");
+        let logged = |line: &String| line.contains("reason=no-content");
+        assert!(system.gateways[0].log().iter().any(logged));
+    }
 }
 
 fn is_failure(seen: &Seen) -> bool {
