--- a/tests/src/client.rs
+++ b/tests/src/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use http_body_util::{BodyExt as _, Full};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 use crate::request::Request;
 
@@ -54,6 +55,18 @@
     }
 }
 
+/// Sends a request as HTTP/1.0. Returns the response's bytes as text, and whether the connection
+/// closed in order.
+pub async fn send_http_1_0(address: SocketAddr, request: &Request) -> (String, bool) {
+    let text = request.text().replacen("HTTP/1.1", "HTTP/1.0", 1);
+    let stream = tokio::net::TcpStream::connect(address).await;
+    let mut stream = stream.expect("the gateway listens");
+    stream.write_all(text.as_bytes()).await.expect("the gateway takes the request");
+    let mut bytes = Vec::new();
+    let ended = stream.read_to_end(&mut bytes).await;
+    (String::from_utf8_lossy(&bytes).into_owned(), ended.is_ok())
+}
+
 /// Reads a body. Returns the text received and whether the body was complete.
 pub async fn read(response: http::Response<hyper::body::Incoming>) -> (String, bool) {
     let mut body = response.into_body();
