--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -41,7 +41,7 @@
 }
 
 impl Exchange {
-    /// Creates the state of a connection whose client takes bytes as `progress` tells.
+    /// Creates the state of a connection with the progress of its client.
     pub fn new(progress: client::Progress) -> Exchange {
         Exchange { progress: Arc::new(progress), ..Exchange::default() }
     }
