tests: the test of a request without a response looks at that request

Cause: the test took the first two entries of the group's list of requests for the two attempts of its request. Where the first two of them met on a rank the test failed, and otherwise it did not look at the move at all; the rank that it slowed down was not that of the request either.

The test now reads the attempts of its own request, with the same checks. No other test reads that list by position.

--- a/tests/tests/moves.rs
+++ b/tests/tests/moves.rs
@@ -81,17 +81,18 @@
     // The delay is longer than the deadline, so that only a move can end the wait. The next rank
     // delays its response too.
     let request = request.with("x-standin-delay-ms", "60000");
+    let id = request.id.clone();
     let mut client = system.client(0).await;
     let waits =
         tokio::spawn(async move { client.send(&request).await.map(|answer| answer.status()) });
-    let active = || async { system.group_state().await["active"] == 1 };
-    until("a rank runs the request", active).await;
-    let visits = || async { system.group.1.read("/requests").await.as_array().unwrap().clone() };
-    let first = visits().await[0]["server"].as_str().unwrap().to_owned();
+    // Requests that earned retries have reached servers before.
+    let arrivals = || system.arrivals(&id);
+    until("a rank runs the request", || async { arrivals().await.len() == 1 }).await;
+    let first = arrivals().await[0]["server"].as_str().unwrap().to_owned();
     let rank = first.strip_prefix("rank-").unwrap();
     system.group_control(&format!("/pace?rank={rank}&slowness=4.5")).await;
-    until("the request is moved", || async { visits().await.len() > 1 }).await;
-    assert_ne!(visits().await[1]["server"], *first);
-    until("the slow rank stops", active).await;
+    until("the request is moved", || async { arrivals().await.len() > 1 }).await;
+    assert_ne!(arrivals().await[1]["server"], *first);
+    until("the slow rank stops", || async { system.group_state().await["active"] == 1 }).await;
     waits.abort();
 }
