intake: count closed connections of all processes, by kind of peer

Connections to the store and to engines that exceeded the bound on bytes without content were in the log only: the counter given to their bound was registered nowhere, and sidecars and daemons had none. The counts now belong to the process, each of the three metrics registers them, and the log line names the kind of peer.

--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the process, served at `/metrics`.
 
+use loftcove_intake as intake;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -55,6 +56,7 @@
         registry.register("platform_calls", "Calls to the platform", self.platform_calls.clone());
         registry.register("exchanged_bytes", "Bytes of records", self.exchanged_bytes.clone());
         registry.register("map_changes", "Expert maps brought in force", self.map_changes.clone());
+        intake::count::register(&mut registry);
         let mut out = String::new();
         // Writing to a string cannot fail.
         text::encode(&mut out, &registry).unwrap_or_default();
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use loftcove_decision::retry;
+use loftcove_intake as intake;
 use loftcove_interface::protocol::Protocol;
 use loftcove_mirror::progress;
 use loftcove_response::ending;
@@ -33,19 +34,6 @@
     end: String,
 }
 
-/// Label for what is at the other end of a connection.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct Peer {
-    peer: &'static str,
-}
-
-impl Peer {
-    /// A backend server.
-    pub const SERVER: Peer = Peer { peer: "server" };
-    /// A client.
-    pub const CLIENT: Peer = Peer { peer: "client" };
-}
-
 /// Highest urgency that is counted by itself; less urgent requests count as this one.
 const MAX_URGENCY: u32 = 9;
 
@@ -203,8 +191,6 @@
     outcomes: Family<Outcome, Counter>,
     /// Number of responses of backend servers, by framing and end.
     endings: Family<Ending, Counter>,
-    /// Number of connections that were closed because too many bytes carried nothing.
-    no_content: Family<Peer, Counter>,
     /// Number of attempts that were sent.
     pub attempts: Counter,
     /// Number of streams that were resumed on another backend server.
@@ -245,7 +231,6 @@
             requests: Family::default(),
             outcomes: Family::default(),
             endings: Family::default(),
-            no_content: Family::default(),
             attempts: Counter::default(),
             resumed: Counter::default(),
             moved: Counter::default(),
@@ -280,12 +265,6 @@
         self.endings.get_or_create(&Ending { framing: framing.as_str(), end }).inc();
     }
 
-    /// Returns the counter of connections to a kind of peer that were closed because too many bytes
-    /// carried nothing.
-    pub fn no_content(&self, peer: Peer) -> Counter {
-        self.no_content.get_or_create(&peer).clone()
-    }
-
     /// Returns all metrics in the text format.
     pub fn encode<P: Protocol>(&self, gateway: &state::Gateway<P>) -> String {
         let waiting: Gauge = Gauge::default();
@@ -300,8 +279,7 @@
         registry.register("outcomes", outcomes, self.outcomes.clone());
         let endings = "Responses of backend servers by framing and end";
         registry.register("response_ends", endings, self.endings.clone());
-        let no_content = "Connections closed because too many bytes carried nothing";
-        registry.register("no_content", no_content, self.no_content.clone());
+        intake::count::register(&mut registry);
         registry.register("attempts", "Attempts sent", self.attempts.clone());
         registry.register("resumed", "Streams resumed", self.resumed.clone());
         let moved = "Streams moved away from slow ranks";
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -10,7 +10,7 @@
 use loftcove_interface::protocol::Protocol;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{client, drain, exchange, flow, metrics, state};
+use crate::{client, drain, exchange, flow, state};
 
 /// Idle timeout of a connection before the configuration's timeout is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -39,8 +39,8 @@
         match listener.accept().await {
             Ok((stream, address)) => {
                 let buffer = 2 * max_head(gateway);
-                let closed = gateway.metrics.no_content(metrics::Peer::CLIENT);
-                let meter = intake::Bound::new(buffer, closed).meter(address.to_string());
+                let bound = intake::Bound::new(buffer, intake::count::Peer::CLIENT);
+                let meter = bound.meter(address.to_string());
                 let progress = client::Progress::new(meter);
                 let connection = drain::Lifecycle::connect(gateway, progress);
                 tokio::spawn(serve(gateway.clone(), (stream, buffer), connection));
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -94,7 +94,7 @@
             routes: ArcSwapOption::empty(),
             mirror: Arc::default(),
             dispatcher: Arc::new(dispatch::Dispatcher::new(&options)),
-            upstream: upstream::Pool::new(metrics.no_content(metrics::Peer::SERVER)),
+            upstream: upstream::Pool::default(),
             buffers,
             lifecycle,
             metrics,
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -21,7 +21,6 @@
 use loftcove_clock as boot;
 use loftcove_decision::fleet;
 use loftcove_intake as intake;
-use prometheus_client::metrics::counter::Counter;
 use tokio::net::TcpStream;
 
 use crate::socket;
@@ -55,6 +54,8 @@
 /// Maximum size of a response's head, which is also that of the parser's buffer.
 const MAX_HEAD: usize = 64 * 1024;
 
+const BOUND: intake::Bound = intake::Bound::new(MAX_HEAD, intake::count::Peer::SERVER);
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 /// Body of a response, which is still arriving.
 pub type Body = intake::body::Body<Incoming>;
@@ -134,15 +135,9 @@
 }
 
 /// Pool of idle connections, by run of the backend server.
+#[derive(Default)]
 pub struct Pool {
     idle: Mutex<HashMap<fleet::Run, Vec<Idle>>>,
-    bound: intake::Bound,
-}
-
-impl Default for Pool {
-    fn default() -> Pool {
-        Pool::new(Counter::default())
-    }
 }
 
 struct Idle {
@@ -151,12 +146,6 @@
 }
 
 impl Pool {
-    /// Creates an empty pool. `closed` counts the connections that were closed because too many
-    /// bytes without a head or a piece of a body arrived on them.
-    pub fn new(closed: Counter) -> Pool {
-        Pool { idle: Mutex::default(), bound: intake::Bound::new(MAX_HEAD, closed) }
-    }
-
     fn lock(&self) -> MutexGuard<'_, HashMap<fleet::Run, Vec<Idle>>> {
         // If a lock holder panicked, the pool lacks at most one connection.
         self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
@@ -194,7 +183,7 @@
                 },
             }
         }
-        let mut link = connect(target.address, self.bound.meter(&*target.run.id)).await?;
+        let mut link = connect(target.address, BOUND.meter(&*target.run.id)).await?;
         if !wanted() {
             return Err(Error::Withheld);
         }
@@ -250,7 +239,7 @@
         let request =
             http::Request::get(path).header(http::header::HOST, target.address.to_string());
         let request = request.body(Full::default()).map_err(|error| to_error(&error))?;
-        let mut link = connect(target.address, self.bound.meter(&*target.run.id)).await?;
+        let mut link = connect(target.address, BOUND.meter(&*target.run.id)).await?;
         link.handle.set_outstanding(true);
         let answer = tokio::time::timeout(HEALTH_TIMEOUT, link.sender.send_request(request)).await;
         let answer = answer.map_err(|error| to_error(&error))?.map_err(|error| to_error(&error))?;
--- a/intake/src/lib.rs
+++ b/intake/src/lib.rs
@@ -10,6 +10,7 @@
 //! - After [`BURST`] bytes the socket lets other tasks run, even if more bytes are available.
 
 pub mod body;
+pub mod count;
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -17,7 +18,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 
-use prometheus_client::metrics::counter::Counter;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Number of bytes that are read before other tasks run.
@@ -32,18 +32,18 @@
 #[error("{0} bytes without a head or a piece of a body")]
 pub struct Excess(pub u64);
 
-/// A bound, and the count of the connections that exceeded it.
-#[derive(Debug, Clone)]
+/// A bound for connections to one kind of peer.
+#[derive(Debug, Clone, Copy)]
 pub struct Bound {
     bytes: u64,
-    closed: Counter,
+    peer: count::Peer,
 }
 
 impl Bound {
-    /// Creates the bound for connections whose parser buffers up to `buffer` bytes. Each connection
-    /// that exceeds it is counted in `closed`.
-    pub fn new(buffer: usize, closed: Counter) -> Bound {
-        Bound { bytes: (buffer as u64).saturating_mul(BUFFERS), closed }
+    /// Creates the bound for connections whose parser buffers up to `buffer` bytes. Connections that
+    /// exceed it are counted for `peer`.
+    pub const fn new(buffer: usize, peer: count::Peer) -> Bound {
+        Bound { bytes: (buffer as u64).saturating_mul(BUFFERS), peer }
     }
 
     /// Returns the number of bytes that may carry nothing.
@@ -54,7 +54,7 @@
     /// Creates the meter of a connection to `peer`, which names it in the log.
     pub fn meter(&self, peer: impl Into<Arc<str>>) -> Meter {
         let state = State {
-            bound: self.clone(),
+            bound: *self,
             peer: peer.into(),
             unused: AtomicU64::new(0),
             exceeded: AtomicBool::new(false),
@@ -79,7 +79,7 @@
 impl Default for Meter {
     /// Creates the meter of a connection without a bound.
     fn default() -> Meter {
-        Bound { bytes: u64::MAX, closed: Counter::default() }.meter("-")
+        Bound { bytes: u64::MAX, peer: count::Peer::CLIENT }.meter("-")
     }
 }
 
@@ -107,8 +107,12 @@
             return Ok(());
         }
         if !state.exceeded.swap(true, Ordering::Relaxed) {
-            state.bound.closed.inc();
-            log::warn!("connection closed peer={} reason=no-content bytes={unused}", state.peer);
+            let kind = state.bound.peer;
+            count::closed(kind).inc();
+            let peer = &state.peer;
+            log::warn!(
+                "connection closed kind={kind} peer={peer} reason=no-content bytes={unused}"
+            );
         }
         Err(Excess(unused))
     }
--- a/intake/tests/socket.rs
+++ b/intake/tests/socket.rs
@@ -2,16 +2,16 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+use loftcove_intake::count::{self, Peer};
 use loftcove_intake::{BURST, Bound, Excess, Socket, excess};
-use prometheus_client::metrics::counter::Counter;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 const BUFFER: usize = 1_000;
 
 #[tokio::test]
 async fn a_connection_fails_once_too_many_bytes_carry_nothing() {
-    let closed = Counter::default();
-    let bound = Bound::new(BUFFER, closed.clone());
+    let closed = count::closed(Peer::STORE);
+    let bound = Bound::new(BUFFER, Peer::STORE);
     let (mut sender, receiver) = tokio::io::duplex(1 << 20);
     let meter = bound.meter("a");
     let mut socket = Socket::new(receiver, meter.clone());
@@ -32,7 +32,7 @@
 #[tokio::test(flavor = "current_thread")]
 async fn other_tasks_run_while_bytes_are_available() {
     let (mut sender, receiver) = tokio::io::duplex(8 * BURST);
-    let mut socket = Socket::new(receiver, Bound::new(8 * BURST, Counter::default()).meter("a"));
+    let mut socket = Socket::new(receiver, Bound::new(8 * BURST, Peer::CLIENT).meter("a"));
     sender.write_all(&vec![0; 8 * BURST]).await.unwrap();
     let turns = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
     let counted = turns.clone();
--- a/sidecar/src/metrics.rs
+++ b/sidecar/src/metrics.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
+use loftcove_intake as intake;
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
@@ -64,6 +65,7 @@
         registry.register("map_abandoned", "Changes given up", self.abandoned.clone());
         registry.register("map_change_seconds", "Time of a change", self.change.clone());
         registry.register("map_held_seconds", "Time from hold to end", self.held.clone());
+        intake::count::register(&mut registry);
         let mut out = String::new();
         // Writing to a string cannot fail.
         text::encode(&mut out, &registry).unwrap_or_default();
