intake: bound the bytes of gRPC connections between processes

A followed host that answered the follower's probes could do the same.

Cause: the bound on bytes that carry nothing was on HTTP/1.1 connections only; a parser of HTTP/2 consumes such frames without returning anything either.

Fix: the same bound below the parser, for the accepting side (grpc::Service) and the calling one (grpc::Channel): heads and pieces of bodies are recorded, and at the most three times the window of a connection may come in between. Probes and windows of a receiver carry nothing either, and are allowed for by time and by the bytes that were sent to it, so that an idle connection lasts.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -16,11 +16,11 @@
 use std::time::Duration;
 
 use loftcove_decision::{attempt, home, lifecycle};
+use loftcove_intake::grpc;
 use loftcove_settings::file;
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
 use tonic::codec::CompressionEncoding;
-use tonic::transport::server::TcpIncoming;
 
 use crate::{Error, link, peer, process, stop};
 
@@ -75,10 +75,10 @@
     let check = key.verifier();
     let peer = tonic::service::interceptor::InterceptedService::new(peer, check.clone());
     let service = tonic::service::interceptor::InterceptedService::new(service, check);
-    let router = tonic::transport::Server::builder().add_service(peer).add_service(service);
-    let incoming = TcpIncoming::from(peers).with_nodelay(Some(true));
+    let router = grpc::server().add_service(grpc::Service(peer));
+    let router = router.add_service(grpc::Service(service));
     tokio::spawn(async move {
-        if let Err(error) = router.serve_with_incoming(incoming).await {
+        if let Err(error) = router.serve_with_incoming(grpc::incoming(peers)).await {
             log::error!("agent service failed error=\"{error}\"");
         }
     });
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -22,10 +22,10 @@
 
 use std::sync::Arc;
 
+use loftcove_intake::grpc;
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
 use tonic::codec::CompressionEncoding;
-use tonic::transport::server::TcpIncoming;
 
 use crate::{Error, link, listen, peer, process, stop};
 
@@ -65,10 +65,9 @@
         .max_decoding_message_size(wire::MAX_MESSAGE)
         .max_encoding_message_size(wire::MAX_MESSAGE);
     let service = tonic::service::interceptor::InterceptedService::new(service, key.verifier());
-    let router = tonic::transport::Server::builder().add_service(service);
-    let incoming = TcpIncoming::from(peers).with_nodelay(Some(true));
+    let router = grpc::server().add_service(grpc::Service(service));
     tokio::spawn(async move {
-        if let Err(error) = router.serve_with_incoming(incoming).await {
+        if let Err(error) = router.serve_with_incoming(grpc::incoming(peers)).await {
             log::error!("peer service ended error=\"{error}\"");
         }
     });
--- a/daemon/src/link.rs
+++ b/daemon/src/link.rs
@@ -5,12 +5,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use loftcove_intake::grpc;
 use loftcove_wire as wire;
 use subtle::ConstantTimeEq as _;
 use tonic::codec::CompressionEncoding;
 use tonic::metadata::{Ascii, MetadataValue};
 use tonic::service::interceptor::InterceptedService;
-use tonic::transport::{Channel, Endpoint};
+use tonic::transport;
 
 /// Time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -18,7 +19,7 @@
 const KEEP_ALIVE: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(3));
 
 /// A channel that adds the deployment's key to each call.
-pub type Transport = InterceptedService<Channel, Key>;
+pub type Transport = InterceptedService<grpc::Channel, Key>;
 
 /// The deployment's key, which clients send and servers verify.
 #[derive(Clone)]
@@ -113,14 +114,12 @@
 }
 
 fn connect(address: SocketAddr, source: Option<IpAddr>, key: Key) -> Link {
-    let endpoint = Endpoint::from(http_uri(address))
+    let endpoint = transport::Endpoint::from(http_uri(address))
         .connect_timeout(CONNECT_TIMEOUT)
-        .local_address(source)
         .http2_keep_alive_interval(KEEP_ALIVE.0)
         .keep_alive_timeout(KEEP_ALIVE.1)
-        .keep_alive_while_idle(true)
-        .tcp_nodelay(true);
-    let channel = endpoint.connect_lazy();
+        .keep_alive_while_idle(true);
+    let channel = grpc::Endpoint::new(endpoint, source).connect_lazy();
     let peer = wire::peer_client::PeerClient::with_interceptor(channel.clone(), key.clone())
         .accept_compressed(CompressionEncoding::Gzip)
         .send_compressed(CompressionEncoding::Gzip)
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 use std::time::Duration;
 
 use loftcove_clock as boot;
+use loftcove_intake::grpc;
 use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
 use loftcove_mirror::{self as mirror, ends, follow, lifts, peer, register, serve, watch};
@@ -56,7 +57,6 @@
 pub use state::Target;
 use tokio::net::TcpListener;
 use tonic::codec::CompressionEncoding;
-use tonic::transport::server::TcpIncoming;
 
 /// Number of peers that a gateway follows. With three, a change still reaches a gateway while two
 /// of its peers are cut off from the store too.
@@ -194,9 +194,8 @@
 async fn serve_peers(mirror: Arc<mirror::Mirror>, zone: Arc<str>, listener: TcpListener) {
     let service = wire::mirror_server::MirrorServer::new(serve::Service::new(mirror, zone))
         .send_compressed(CompressionEncoding::Gzip);
-    let router = peer::server().add_service(service);
-    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-    if let Err(error) = router.serve_with_incoming(incoming).await {
+    let router = peer::server().add_service(grpc::Service(service));
+    if let Err(error) = router.serve_with_incoming(grpc::incoming(listener)).await {
         log::error!("peer service ended error=\"{error}\"");
     }
 }
--- a/intake/src/body.rs
+++ b/intake/src/body.rs
@@ -9,7 +9,7 @@
 use crate::Meter;
 
 /// A body that arrives on the connection of a meter.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Body<B> {
     inner: B,
     meter: Meter,
--- a/intake/src/lib.rs
+++ b/intake/src/lib.rs
@@ -8,9 +8,14 @@
 //! - Whoever receives from the parser records on the [`Meter`] what it can use. If more than a
 //!   number of bytes arrive in between, the connection fails with [`Excess`].
 //! - After [`BURST`] bytes the socket lets other tasks run, even if more bytes are available.
+//!
+//! The bytes of HTTP/2 that carry nothing include probes of the connection and the windows of a
+//! receiver, which are allowed for by time and by the bytes that were sent to it; see
+//! [`Bound::with_control_frames`]. [`grpc`] applies the bound to connections between processes.
 
 pub mod body;
 pub mod count;
+pub mod grpc;
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -18,7 +23,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 
+use loftcove_clock as boot;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 
 /// Number of bytes that are read before other tasks run.
 pub const BURST: usize = 64 * 1024;
@@ -27,6 +34,13 @@
 /// filled, one has been passed on and waits for its reader, and one is in the reader's hands.
 const BUFFERS: u64 = 3;
 
+/// Bytes a second that probes of a connection may take. A probe and the answer to one have 17 bytes
+/// each, and no process of ours sends one more often than each 0.8 s.
+const PROBES: u64 = 64;
+/// Number of sent bytes for which one of a receiver's frames may arrive. A window update of a stream
+/// and one of its connection have 26 bytes for no less than some thousand.
+const SENT_BYTES: u64 = 64;
+
 /// More bytes arrived than may carry nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("{0} bytes without a head or a piece of a body")]
@@ -37,13 +51,21 @@
 pub struct Bound {
     bytes: u64,
     peer: count::Peer,
+    control_frames: bool,
 }
 
 impl Bound {
     /// Creates the bound for connections whose parser buffers up to `buffer` bytes. Connections that
     /// exceed it are counted for `peer`.
     pub const fn new(buffer: usize, peer: count::Peer) -> Bound {
-        Bound { bytes: (buffer as u64).saturating_mul(BUFFERS), peer }
+        let bytes = (buffer as u64).saturating_mul(BUFFERS);
+        Bound { bytes, peer, control_frames: false }
+    }
+
+    /// Allows for the probes of HTTP/2, by time, and for the windows of a receiver, by the bytes that
+    /// are sent to it.
+    pub const fn with_control_frames(self) -> Bound {
+        Bound { control_frames: true, ..self }
     }
 
     /// Returns the number of bytes that may carry nothing.
@@ -56,22 +78,49 @@
         let state = State {
             bound: *self,
             peer: peer.into(),
+            begun: boot::Instant::now(),
+            sent: AtomicU64::new(0),
+            allowed: AtomicU64::new(0),
             unused: AtomicU64::new(0),
             exceeded: AtomicBool::new(false),
         };
         Meter(Arc::new(state))
     }
+
+    /// Applies the bound to a connection.
+    pub fn socket(&self, stream: TcpStream) -> Socket<TcpStream> {
+        let peer = stream.peer_addr().map_or_else(|_| "?".to_owned(), |peer| peer.to_string());
+        Socket::new(stream, self.meter(peer))
+    }
 }
 
 #[derive(Debug)]
 struct State {
     bound: Bound,
     peer: Arc<str>,
+    begun: boot::Instant,
+    /// Bytes sent to the peer.
+    sent: AtomicU64,
+    /// Bytes of control frames that were allowed for so far.
+    allowed: AtomicU64,
     /// Bytes that arrived since the reader last received something.
     unused: AtomicU64,
     exceeded: AtomicBool,
 }
 
+impl State {
+    /// Returns the bytes of control frames that may have arrived since the last call.
+    fn allow_control_frames(&self) -> u64 {
+        if !self.bound.control_frames {
+            return 0;
+        }
+        let ms = u64::try_from(self.begun.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let sent = self.sent.load(Ordering::Relaxed);
+        let allowed = ms.saturating_mul(PROBES) / 1_000 + sent / SENT_BYTES;
+        allowed.saturating_sub(self.allowed.fetch_max(allowed, Ordering::Relaxed))
+    }
+}
+
 /// Counts the bytes of a connection that carry nothing.
 #[derive(Debug, Clone)]
 pub struct Meter(Arc<State>);
@@ -79,7 +128,7 @@
 impl Default for Meter {
     /// Creates the meter of a connection without a bound.
     fn default() -> Meter {
-        Bound { bytes: u64::MAX, peer: count::Peer::CLIENT }.meter("-")
+        Bound { bytes: u64::MAX, peer: count::Peer::CLIENT, control_frames: false }.meter("-")
     }
 }
 
@@ -94,6 +143,11 @@
         self.0.exceeded.load(Ordering::Relaxed)
     }
 
+    /// Records bytes that were sent to the peer.
+    fn record_sent(&self, bytes: usize) {
+        self.0.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
     /// Records bytes that arrived.
     ///
     /// # Errors
@@ -101,8 +155,10 @@
     /// Returns [`Excess`] if the bound is or was exceeded. That is logged and counted once.
     pub fn record_bytes(&self, bytes: usize) -> Result<(), Excess> {
         let state = &*self.0;
-        let bytes = bytes as u64;
-        let unused = state.unused.fetch_add(bytes, Ordering::Relaxed).saturating_add(bytes);
+        let allowed = state.allow_control_frames();
+        let add = |unused: u64| Some(unused.saturating_sub(allowed).saturating_add(bytes as u64));
+        let before = state.unused.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
+        let unused = before.ok().and_then(add).unwrap_or(u64::MAX);
         if unused <= state.bound.bytes && !self.exceeded() {
             return Ok(());
         }
@@ -138,6 +194,11 @@
         recorded.map_err(|excess| io::Error::new(io::ErrorKind::InvalidData, excess))
     }
 
+    /// Returns the meter of the connection.
+    pub fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
     /// Returns the connection.
     pub fn get_ref(&self) -> &S {
         &self.inner
@@ -177,7 +238,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().inner).poll_write(context, bytes)
+        let this = self.get_mut();
+        let written = ready!(Pin::new(&mut this.inner).poll_write(context, bytes))?;
+        this.meter.record_sent(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_write_vectored(
@@ -185,7 +249,10 @@
         context: &mut Context<'_>,
         parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().inner).poll_write_vectored(context, parts)
+        let this = self.get_mut();
+        let written = ready!(Pin::new(&mut this.inner).poll_write_vectored(context, parts))?;
+        this.meter.record_sent(written);
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/intake/tests/socket.rs
+++ b/intake/tests/socket.rs
@@ -2,6 +2,9 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+use std::time::Duration;
+
+use loftcove_clock as clock;
 use loftcove_intake::count::{self, Peer};
 use loftcove_intake::{BURST, Bound, Excess, Socket, excess};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -49,3 +52,29 @@
     assert!(turns.load(std::sync::atomic::Ordering::Relaxed) >= 7);
     other.abort();
 }
+
+/// Guards against an idle HTTP/2 connection that its probes use up, and against a sender whose peer's
+/// windows do.
+#[tokio::test]
+async fn control_frames_are_allowed_for_by_time_and_by_what_was_sent() {
+    let strict = Bound::new(20 * BUFFER, Peer::PROCESS);
+    let bound = strict.with_control_frames();
+    let meters = [strict.meter("a"), bound.meter("a")];
+    for _ in 0..100 {
+        clock::simulate_suspension(Duration::from_secs(800));
+        for meter in &meters {
+            // Each side sends a probe each 0.8 s.
+            meter.record_bytes(2 * 17 * 1_000).ok();
+        }
+    }
+    assert_eq!(meters.map(|meter| meter.exceeded()), [true, false]);
+
+    let (_peer, end) = tokio::io::duplex(1 << 30);
+    let mut socket = Socket::new(end, bound.meter("a"));
+    for _ in 0..1_000 {
+        socket.write_all(&[0; 64 * 1024]).await.unwrap();
+        socket.meter().record_bytes(2 * 26).unwrap();
+    }
+    let rest = socket.meter().record_bytes(2 * bound.bytes() as usize);
+    assert!(rest.is_err());
+}
--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -12,6 +12,7 @@
 use loftcove_clock as boot;
 use loftcove_decision::mirror::Record;
 use loftcove_decision::revision::Revision;
+use loftcove_intake::grpc;
 use loftcove_wire as wire;
 use rand::seq::IndexedRandom as _;
 use tokio::sync::broadcast;
@@ -316,7 +317,7 @@
 /// marks.
 async fn send_marks(
     mirror: &Mirror,
-    mut client: wire::mirror_client::MirrorClient<tonic::transport::Channel>,
+    mut client: wire::mirror_client::MirrorClient<grpc::Channel>,
 ) -> tonic::Status {
     let (mut items, mut updates) = mirror.ends.follow();
     loop {
@@ -344,7 +345,7 @@
 /// Fetches an offered record, unless it is received from elsewhere meanwhile.
 async fn fetch(
     mirror: &Mirror,
-    mut client: wire::mirror_client::MirrorClient<tonic::transport::Channel>,
+    mut client: wire::mirror_client::MirrorClient<grpc::Channel>,
     offer: wire::Item,
 ) -> Result<Option<Record>, tonic::Status> {
     // The random delay keeps many followers of one peer from fetching at the same time.
--- a/mirror/src/peer.rs
+++ b/mirror/src/peer.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tonic::transport::{Endpoint, Error, Server};
+use loftcove_intake::grpc;
+use tonic::transport::{self, Error, Server};
 
 /// Keepalive interval and timeout on the client side. Their sum bounds the time until a connection
 /// that silently drops packets is detected. It is less than the shortest bound for a change, two
@@ -16,9 +17,9 @@
 /// connection.
 const SERVER_KEEPALIVE: (Duration, Duration) = (Duration::from_secs(3), Duration::from_secs(2));
 
-/// Returns a server for peers that closes connections on which keepalive probes fail.
+/// Returns a server for the [`grpc::incoming`] connections of peers that closes connections on which keepalive probes fail.
 pub fn server() -> Server {
-    Server::builder()
+    grpc::server()
         .http2_keepalive_interval(Some(SERVER_KEEPALIVE.0))
         .http2_keepalive_timeout(Some(SERVER_KEEPALIVE.1))
 }
@@ -29,12 +30,11 @@
 /// # Errors
 ///
 /// Returns an error if the address cannot be part of a URI.
-pub fn endpoint(address: SocketAddr, connect_timeout: Duration) -> Result<Endpoint, Error> {
-    let endpoint = Endpoint::from_shared(format!("http://{address}"))?;
-    Ok(endpoint
+pub fn endpoint(address: SocketAddr, connect_timeout: Duration) -> Result<grpc::Endpoint, Error> {
+    let endpoint = transport::Endpoint::from_shared(format!("http://{address}"))?
         .connect_timeout(connect_timeout)
         .http2_keep_alive_interval(CLIENT_KEEPALIVE.0)
         .keep_alive_timeout(CLIENT_KEEPALIVE.1)
-        .keep_alive_while_idle(true)
-        .tcp_nodelay(true))
+        .keep_alive_while_idle(true);
+    Ok(grpc::Endpoint::new(endpoint, None))
 }
--- a/mirror/tests/common/mod.rs
+++ b/mirror/tests/common/mod.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use loftcove_intake::grpc;
 use loftcove_mirror::{Mirror, peer, serve};
 use loftcove_wire as wire;
-use tokio_stream::wrappers::TcpListenerStream;
 
 /// Starts a host in a zone; returns its copy and where it serves it.
 pub async fn host(zone: &str) -> (Arc<Mirror>, SocketAddr) {
@@ -13,8 +13,8 @@
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let service = serve::Service::new(mirror.clone(), zone.into());
-    let server = wire::mirror_server::MirrorServer::new(service);
-    let incoming = TcpListenerStream::new(listener);
+    let server = grpc::Service(wire::mirror_server::MirrorServer::new(service));
+    let incoming = grpc::incoming(listener);
     tokio::spawn(peer::server().add_service(server).serve_with_incoming(incoming));
     (mirror, address)
 }
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -32,6 +32,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use loftcove_intake::grpc;
 use loftcove_interface::engine::Engine;
 use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
@@ -40,7 +41,6 @@
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tonic::transport::server::TcpIncoming;
 
 /// Gateways that a sidecar follows. With two, it receives updates while one is unreachable.
 const FOLLOWERS: usize = 2;
@@ -139,9 +139,8 @@
     listener: TcpListener,
 ) {
     let service = wire::rank_server::RankServer::new(rank::Service::new(rank, group));
-    let router = peer::server().add_service(service);
-    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-    if let Err(error) = router.serve_with_incoming(incoming).await {
+    let router = peer::server().add_service(grpc::Service(service));
+    if let Err(error) = router.serve_with_incoming(grpc::incoming(listener)).await {
         log::error!("peer service ended error=\"{error}\"");
     }
 }
--- a/sidecar/src/member.rs
+++ b/sidecar/src/member.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use futures_util::future;
+use loftcove_intake::grpc::Channel;
 use loftcove_interface::engine::{Engine, Order};
 use loftcove_wire as wire;
 use tokio::time::error::Elapsed;
-use tonic::transport::Channel;
 
 use crate::broadcast::Broadcast;
 use crate::rank::{self, Rank};
--- a/sidecar/tests/common/mod.rs
+++ b/sidecar/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use loftcove_intake::grpc;
 use loftcove_interface::engine::{
     Counts, Engine, Error, Group as Place, Held, Map, Order, Report, Verdict,
 };
@@ -16,7 +17,6 @@
 use loftcove_sidecar::rank::{Rank, Service, Step};
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
-use tonic::transport::server::TcpIncoming;
 
 /// Name of the group.
 pub const GROUP: &str = "modelo-0";
@@ -189,9 +189,8 @@
         }
         let listener = TcpListener::bind(address).await.unwrap();
         let service = wire::rank_server::RankServer::new(Service::new(own, group));
-        let server = loftcove_mirror::peer::server().add_service(service);
-        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-        tokio::spawn(server.serve_with_incoming(incoming));
+        let server = loftcove_mirror::peer::server().add_service(grpc::Service(service));
+        tokio::spawn(server.serve_with_incoming(grpc::incoming(listener)));
     }
     let (group, driver) = driver.unwrap();
     Ranks { engines, tables, group, driver }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod calls;
 pub mod engine;
 pub mod flood;
+pub mod frame;
 pub mod group;
 pub mod proxy;
 pub mod raw;
+pub mod sender;
 pub mod server;
 pub mod service;
 pub mod store;
--- a/tool/src/report.rs
+++ b/tool/src/report.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use loftcove_intake::grpc;
 use loftcove_platform::hosts::{self, List as _};
 use loftcove_wire as wire;
 use tonic::codec::CompressionEncoding;
@@ -13,12 +14,13 @@
 /// Timeout of the calls to one process.
 const PROCESS_TIMEOUT: Duration = Duration::from_secs(2);
 
-type Client = wire::peer_client::PeerClient<tonic::transport::Channel>;
+type Client = wire::peer_client::PeerClient<grpc::Channel>;
 
 /// Connects to a process. Returns `None` if the process is unreachable.
 async fn connect(address: SocketAddr) -> Option<Client> {
     let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{address}")).ok()?;
-    let channel = endpoint.connect_timeout(PROCESS_TIMEOUT).connect().await.ok()?;
+    let endpoint = grpc::Endpoint::new(endpoint.connect_timeout(PROCESS_TIMEOUT), None);
+    let channel = endpoint.connect().await.ok()?;
     Some(Client::new(channel).accept_compressed(CompressionEncoding::Gzip))
 }
 
