daemon: bound the bytes of a backend server that carry nothing at agents

Cause: agents use a client of their own, without the bound below the parser. Fix: its connections are bounded as those of gateways; the meter reaches the response by the extensions of its head. Reports of a server have a maximum size.

--- a/daemon/src/agent/run.rs
+++ b/daemon/src/agent/run.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full};
-use hyper::body::Incoming;
 use loftcove_decision::{attempt, clock};
 use loftcove_response::ending;
 use loftcove_response::event::{Media, Scanner};
@@ -169,7 +168,7 @@
         Some(request)
     }
 
-    async fn relay_response(&self, method: http::Method, response: http::Response<Incoming>) {
+    async fn relay_response(&self, method: http::Method, response: http::Response<server::Body>) {
         if !self.matches_request(&response) {
             self.send_broken("the backend server answered another request", None).await;
             return;
@@ -237,7 +236,7 @@
 
     /// Returns whether the response belongs to this request. A backend server need not echo the
     /// request's id, but must not echo another one.
-    fn matches_request(&self, response: &http::Response<Incoming>) -> bool {
+    fn matches_request(&self, response: &http::Response<server::Body>) -> bool {
         let Some(echo) = response.headers().get(REQUEST_ID) else { return true };
         let own = uuid::Uuid::from_slice(&self.id.request).map(|id| id.to_string());
         own.is_ok_and(|own| echo.as_bytes() == own.as_bytes())
--- a/daemon/src/agent/server.rs
+++ b/daemon/src/agent/server.rs
@@ -8,12 +8,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use loftcove_intake as intake;
 use serde::Deserialize;
 use tokio::net::TcpStream;
+use tower::ServiceExt as _;
+use tower::util::MapResponse;
 
 /// Time limit for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -27,6 +31,17 @@
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Maximum size of the head of a response, which is also that of the parser's buffer, in bytes.
+const MAX_HEAD: usize = 64 * 1024;
+/// Maximum size of the body of a report, in bytes.
+const MAX_BODY: usize = 16 * 1024 * 1024;
+const BOUND: intake::Bound = intake::Bound::new(MAX_HEAD, intake::count::Peer::SERVER);
+
+type Socket = TokioIo<intake::Socket<TcpStream>>;
+type Connector = MapResponse<HttpConnector, fn(TokioIo<TcpStream>) -> Socket>;
+/// Body of a response, which is still arriving.
+pub type Body = intake::body::Body<Incoming>;
+
 /// Reason why a call to the backend server failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -81,21 +96,24 @@
 pub struct Client {
     address: SocketAddr,
     ends: Mutex<Ends>,
-    http: legacy::Client<legacy::connect::HttpConnector, Full<Bytes>>,
+    http: legacy::Client<Connector, Full<Bytes>>,
 }
 
 impl Client {
     /// Creates a client of the backend server at `address`.
     pub fn new(address: SocketAddr) -> Client {
-        let mut connector = legacy::connect::HttpConnector::new();
+        let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let bounded: fn(TokioIo<TcpStream>) -> Socket =
+            |stream| TokioIo::new(BOUND.socket(stream.into_inner()));
         let http = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             // The entry host decides about retries.
             .retry_canceled_requests(false)
-            .build(connector);
+            .http1_max_buf_size(MAX_HEAD)
+            .build(connector.map_response(bounded));
         Client { address, ends: Mutex::default(), http }
     }
 
@@ -145,15 +163,16 @@
     pub async fn send(
         &self,
         request: http::Request<Full<Bytes>>,
-    ) -> Result<http::Response<Incoming>, Error> {
+    ) -> Result<http::Response<Body>, Error> {
         let answer = self.http.request(request).await;
-        if answer.is_ok() {
-            self.record_response();
-        }
-        answer.map_err(|error| match error.is_connect() {
+        let answer = answer.map_err(|error| match error.is_connect() {
             true => Error::Connect,
             false => Error::Call(error),
-        })
+        })?;
+        self.record_response();
+        let meter = answer.extensions().get::<intake::Meter>().cloned().unwrap_or_default();
+        meter.record_use();
+        Ok(answer.map(|body| intake::body::Body::new(body, meter)))
     }
 
     /// Gets a JSON value from a path, within the time limit.
@@ -195,7 +214,8 @@
             if !response.status().is_success() {
                 return Err(Error::Status(response.status()));
             }
-            let body = response.into_body().collect().await.map_err(|_| Error::Answer)?;
+            let body = Limited::new(response.into_body(), MAX_BODY).collect().await;
+            let body = body.map_err(|_| Error::Answer)?;
             Ok(body.to_bytes())
         };
         tokio::time::timeout(limit, whole).await.map_err(|_| Error::Timeout)?
--- a/intake/src/lib.rs
+++ b/intake/src/lib.rs
@@ -23,6 +23,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use loftcove_clock as boot;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -268,6 +269,13 @@
     }
 }
 
+impl Connection for Socket<TcpStream> {
+    /// Adds the meter to the extensions of responses.
+    fn connected(&self) -> Connected {
+        Connected::new().extra(self.meter.clone())
+    }
+}
+
 /// Returns the bytes that a connection exceeded its bound with, if that is why an error occurred.
 pub fn excess(error: &(dyn std::error::Error + 'static)) -> Option<Excess> {
     let mut source = Some(error);
