daemon: bound the bytes of entry hosts' clients that carry nothing

Cause: entry hosts created the state of a connection without a bound, and their requests' heads and bodies were not recorded. Fix: they use the bound of gateways' clients, with the allowance for control frames, and the window that it is derived from. bytes_without_end_from_a_client_hold_up_nothing (entry_floods.rs) failed before.

--- a/daemon/src/entry/call.rs
+++ b/daemon/src/entry/call.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt as _;
 use loftcove_bundle::content;
 use loftcove_decision::{home, poison};
+use loftcove_gateway::client;
 use serde::Deserialize;
 use sha2::Digest as _;
 use subtle::ConstantTimeEq as _;
@@ -90,7 +91,7 @@
 /// Returns the first [`Refusal`] found. Nothing has been sent to any other process then.
 pub async fn read(
     id: uuid::Uuid,
-    request: http::Request<hyper::body::Incoming>,
+    request: http::Request<client::Body>,
     bundle: &force::Bundle,
     max_body: usize,
 ) -> Result<Call, Refusal> {
@@ -156,7 +157,7 @@
 }
 
 /// Reads the body, up to `limit` bytes.
-async fn read_body(mut body: hyper::body::Incoming, limit: usize) -> Result<Bytes, Refusal> {
+async fn read_body(mut body: client::Body, limit: usize) -> Result<Bytes, Refusal> {
     let mut whole = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::Truncated)?;
@@ -174,7 +175,7 @@
 
 /// Reads and discards up to `limit` bytes of the body. A connection that is closed while the client
 /// is still sending can lose the response in transit.
-async fn discard(body: &mut hyper::body::Incoming, limit: usize) {
+async fn discard(body: &mut client::Body, limit: usize) {
     let mut left = limit;
     while let Some(Ok(frame)) = body.frame().await {
         let size = frame.data_ref().map_or(0, Bytes::len);
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -21,6 +21,7 @@
     connection: Arc<client::Progress>,
     request: http::Request<Incoming>,
 ) -> Result<http::Response<body::Flushed<relay::Body>>, Infallible> {
+    let request = connection.receive(request);
     let (version, method) = (request.version(), request.method().clone());
     let path = request.uri().path();
     if admin::is_path(path) {
@@ -47,7 +48,7 @@
 async fn serve(
     entry: &Arc<Entry>,
     id: uuid::Uuid,
-    request: http::Request<Incoming>,
+    request: http::Request<client::Body>,
 ) -> Result<http::Response<relay::Body>, Refusal> {
     let process = &entry.process;
     let in_flight = process.lifecycle.enter().ok_or(Refusal::NotServing)?;
@@ -88,7 +89,7 @@
 
 /// Lists the models and their adapters.
 fn list_models(
-    request: &http::Request<Incoming>,
+    request: &http::Request<client::Body>,
     bundle: &force::Bundle,
 ) -> Result<http::Response<relay::Body>, Refusal> {
     call::authenticate(request.headers(), &bundle.content)?;
--- a/daemon/src/entry/server.rs
+++ b/daemon/src/entry/server.rs
@@ -7,6 +7,7 @@
 use hyper_util::server::conn::auto;
 use loftcove_decision::lifecycle;
 use loftcove_gateway::client;
+use loftcove_intake as intake;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::entry::{Entry, flow};
@@ -16,6 +17,10 @@
 /// Maximum size of headers, in bytes, before the connection is closed. It is well above
 /// `call::MAX_HEADER_BYTES`, so that headers over that limit get an error response first.
 const MAX_HEADER_BUFFER: usize = 64 * 1024;
+/// Bytes of a body that may arrive over HTTP/2 before they are read.
+const WINDOW: u32 = 1024 * 1024;
+const BOUND: intake::Bound =
+    intake::Bound::new(WINDOW as usize, intake::count::Peer::CLIENT).with_control_frames();
 
 /// Accepts connections until the process exits.
 pub async fn run(entry: Arc<Entry>, listener: TcpListener) {
@@ -39,7 +44,8 @@
     // Tokens are small, and Nagle's algorithm would delay them.
     stream.set_nodelay(true).unwrap_or_default();
     let mut phase = entry.process.lifecycle.subscribe();
-    let progress = Arc::<client::Progress>::default();
+    let peer = stream.peer_addr().map_or_else(|_| "?".to_owned(), |peer| peer.to_string());
+    let progress = Arc::new(client::Progress::new(BOUND.meter(peer)));
     let stream = client::Socket::without_limit(stream, progress.clone());
     let service = hyper::service::service_fn(move |request| {
         flow::handle(entry.clone(), progress.clone(), request)
@@ -50,7 +56,12 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
         .max_buf_size(MAX_HEADER_BUFFER);
-    builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEADER_BUFFER as u32);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .initial_connection_window_size(WINDOW)
+        .initial_stream_window_size(WINDOW)
+        .max_header_list_size(MAX_HEADER_BUFFER as u32);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let draining =
--- a/gateway/src/client.rs
+++ b/gateway/src/client.rs
@@ -12,11 +12,15 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use hyper::body::Incoming;
 use loftcove_clock as boot;
 use loftcove_intake as intake;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Body of a request, which is still arriving.
+pub type Body = intake::body::Body<Incoming>;
+
 /// Maximum number of bytes that wait unsent in the operating system. By default it takes megabytes,
 /// and accepts more only after a third of them, which a slow reader may take longer for than the
 /// time after which it counts as stalled. With this value, half of it is enough.
@@ -47,7 +51,7 @@
 
     /// Records that the head of a request was received, and returns its body, whose pieces are
     /// recorded as they are read.
-    pub fn receive<B>(&self, request: http::Request<B>) -> http::Request<intake::body::Body<B>> {
+    pub fn receive(&self, request: http::Request<Incoming>) -> http::Request<Body> {
         self.meter.record_use();
         request.map(|body| intake::body::Body::new(body, self.meter.clone()))
     }
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -68,7 +68,7 @@
     gateway: &Arc<Gateway<P>>,
     exchange: &exchange::Exchange,
     head: http::request::Parts,
-    body: request::Body,
+    body: client::Body,
     in_flight: drain::InFlight<P>,
 ) -> Result<Flow<P>, Refused> {
     let malformed = Refused { refusal: Refusal::Header, id: None, origin: None };
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -5,16 +5,11 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
 use loftcove_clock as boot;
 use loftcove_decision::{poison, route};
-use loftcove_intake as intake;
 use loftcove_interface::protocol;
 
-use crate::shares;
-
-/// Body of a request, which is still arriving.
-pub type Body = intake::body::Body<Incoming>;
+use crate::{client, shares};
 
 /// Time limit of a request whose client gives none. The route's limit applies too.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
@@ -155,7 +150,7 @@
 /// Returns a [`Refusal`] if the request is rejected. Nothing has been sent to a backend server.
 pub async fn read(
     head: http::request::Parts,
-    body: Body,
+    body: client::Body,
     meta: protocol::Request,
     (grant, origin): (route::Grant, Origin),
     routes: &route::Table,
@@ -208,7 +203,7 @@
     meta.parts.iter().take(MAX_PARTS).map(digest).collect()
 }
 
-async fn collect(mut body: Body, limit: usize) -> Result<Bytes, Refusal> {
+async fn collect(mut body: client::Body, limit: usize) -> Result<Bytes, Refusal> {
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::Truncated)?;
--- a/tests/tests/entry_floods.rs
+++ b/tests/tests/entry_floods.rs
@@ -67,8 +67,21 @@
     assert!(wrong.is_empty(), "{} wrong:\n{}", wrong.len(), wrong.join("\n"));
 }
 
-/// Guards against frames from another process of the deployment that keep a connection open and
-/// requests from their answers.
+/// Guards against a client that keeps its connection to an entry host, over HTTP/1.1 or HTTP/2, and
+/// the requests of others from their answers.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_without_end_from_a_client_hold_up_nothing() {
+    let cluster = start().await;
+    let path = format!("/services/{}/send", cluster::SERVICE);
+    let head =
+        format!("POST {path} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {}\r\n", cluster::TOKEN);
+    let forms: Vec<Form> =
+        Form::http1(&head).into_iter().chain(Form::http2_client(&path)).collect();
+    let entry = &cluster.members[&cluster.entries()[0]];
+    check_senders(&cluster, &forms, entry.http_address.unwrap()).await;
+}
+
+/// Guards against the same from another process of the deployment.
 #[tokio::test(flavor = "multi_thread")]
 async fn frames_without_end_from_a_process_hold_up_nothing() {
     let cluster = start().await;
