gateway, sidecar, daemon: bound connections of monitors as all others

The addresses for readiness and metrics had no bound of ours below the parser. The bound holds for forms that nobody has thought of.

--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -9,6 +9,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
 use loftcove_decision::lifecycle;
+use loftcove_intake as intake;
 use tokio::net::TcpListener;
 
 use crate::{metrics, process};
@@ -51,9 +52,12 @@
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
         let process = process.clone();
+        let stream = intake::Bound::monitor().socket(stream);
         tokio::spawn(async move {
+            let meter = stream.meter().clone();
             let service = hyper::service::service_fn(move |request: http::Request<_>| {
                 let _: &hyper::body::Incoming = request.body();
+                meter.record_use();
                 let response = answer(&process, request.uri().path());
                 async move { Ok::<_, Infallible>(response) }
             });
--- a/gateway/src/health.rs
+++ b/gateway/src/health.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use loftcove_intake as intake;
 use loftcove_interface::protocol::Protocol;
 use tokio::net::TcpListener;
 
@@ -38,9 +39,12 @@
             continue;
         };
         let gateway = gateway.clone();
+        let stream = intake::Bound::monitor().socket(stream);
         tokio::spawn(async move {
+            let meter = stream.meter().clone();
             let service = hyper::service::service_fn(move |request: http::Request<_>| {
                 let _: &hyper::body::Incoming = request.body();
+                meter.record_use();
                 let response = answer(&gateway, request.uri().path());
                 async move { Ok::<_, Infallible>(response) }
             });
--- a/intake/src/lib.rs
+++ b/intake/src/lib.rs
@@ -35,6 +35,8 @@
 /// filled, one has been passed on and waits for its reader, and one is in the reader's hands.
 const BUFFERS: u64 = 3;
 
+/// Size that the buffer of the HTTP library's parser does not exceed unless it is set, in bytes.
+const MONITOR_BUFFER: usize = 512 * 1024;
 /// Bytes a second that probes of a connection may take. A probe and the answer to one have 17 bytes
 /// each, and no process of ours sends one more often than each 0.8 s.
 const PROBES: u64 = 64;
@@ -74,6 +76,11 @@
         self.bytes
     }
 
+    /// Returns the bound for connections to readers of readiness or metrics.
+    pub const fn monitor() -> Bound {
+        Bound::new(MONITOR_BUFFER, count::Peer::MONITOR).with_control_frames()
+    }
+
     /// Creates the meter of a connection to `peer`, which names it in the log.
     pub fn meter(&self, peer: impl Into<Arc<str>>) -> Meter {
         let state = State {
--- a/sidecar/src/metrics.rs
+++ b/sidecar/src/metrics.rs
@@ -81,9 +81,12 @@
             continue;
         };
         let metrics = metrics.clone();
+        let stream = intake::Bound::monitor().socket(stream);
         tokio::spawn(async move {
+            let meter = stream.meter().clone();
             let service = hyper::service::service_fn(move |request: http::Request<_>| {
                 let _: &hyper::body::Incoming = request.body();
+                meter.record_use();
                 let text = Full::<Bytes>::from(metrics.encode());
                 async move { Ok::<_, Infallible>(http::Response::new(text)) }
             });
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -500,6 +500,13 @@
         caller::Caller::new(address, "").request("GET", "/metrics", &[], "").await.body
     }
 
+    /// Returns the addresses at which the first gateway and the first sidecar serve readiness and
+    /// metrics.
+    pub fn monitor_addresses(&self) -> [SocketAddr; 3] {
+        let (gateway, sidecar) = (self.gateway_ip(0), self.rank_ip(0));
+        [(gateway, READY_PORT), (gateway, METRICS_PORT), (sidecar, METRICS_PORT)].map(Into::into)
+    }
+
     /// Sends a request through a gateway and reads the whole answer.
     pub async fn request(&self, gateway: u8, request: &Request) -> caller::Answer {
         let address = (self.gateway_ip(gateway), CLIENT_PORT).into();
--- a/tests/tests/floods.rs
+++ b/tests/tests/floods.rs
@@ -2,13 +2,14 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use loftcove_standins::flood::{BODY_FORMS, EMPTY_FORMS, EXTRA_FORMS, HEAD_FORMS};
+use loftcove_standins::sender::Form;
 use loftcove_tests::request::Request;
 use loftcove_tests::system::{Plan, System};
 use loftcove_tests::until;
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
 const PLAN: Plan =
     Plan { gateways: 1, ranks: 3, groups: 1, plain: 2, sidecars: false, proxied: false };
@@ -16,6 +17,8 @@
 const DEADLINE: Duration = Duration::from_millis(1_500);
 /// Time within which everything that depends on no other process is done.
 const MARGIN: Duration = Duration::from_millis(500);
+/// Time for which a client sends bytes without end.
+const LIMIT: Duration = Duration::from_secs(10);
 /// Responses without end at a time. A gateway has one thread here.
 const FLOODS: usize = 8;
 /// Maximum number of bytes that the operating system buffers for a connection that is closed.
@@ -165,68 +168,43 @@
     check(&EXTRA_FORMS, "slow", whole).await;
 }
 
-/// Forms of a client's request without end: a text, and what is repeated after it.
-const REQUESTS: [(&str, &str, &str); 8] = [
-    ("garbage", "", "\0garbage "),
-    ("blank-lines", "", "\r\n"),
-    ("request-line", "POST /", "a"),
-    ("header-line", "POST / HTTP/1.1\r\nx: ", "a"),
-    ("header-lines", "POST / HTTP/1.1\r\n", "x: a\r\n"),
-    ("chunk-size", "", "0"),
-    ("chunk-extension", "1;", "a"),
-    ("trailers", "0\r\n", "x: a\r\n"),
-];
-
-/// Sends bytes without end from a client until the gateway closes the connection. Returns the time
-/// that it took.
-async fn flood(system: &System, (form, prefix, unit): (&str, &str, &str)) -> Duration {
-    let begun = Instant::now();
-    let stream = tokio::net::TcpStream::connect(system.client_address(0)).await.unwrap();
-    let (mut reader, mut writer) = stream.into_split();
-    let head = if form.starts_with("chunk") || form == "trailers" {
-        let request = Request::new("/receipt/").text();
-        let head = request.split("content-length").next().unwrap();
-        format!("{head}transfer-encoding: chunked\r\n\r\n")
-    } else {
-        String::new()
-    };
-    let block = unit.repeat(16 * 1_024 / unit.len());
-    let write = async {
-        writer.write_all(format!("{head}{prefix}").as_bytes()).await?;
-        loop {
-            writer.write_all(block.as_bytes()).await?;
-            tokio::time::sleep(Duration::from_millis(1)).await;
+/// Sends each form over several connections to an address. Each must be closed, and requests of
+/// others must not notice.
+async fn check_senders(system: &System, forms: &[Form], address: SocketAddr) {
+    let mut wrong = Vec::new();
+    for form in forms {
+        let floods = (0..FLOODS).map(|_| form.send(address, LIMIT));
+        let (ends, beside) = send_beside(system, futures_util::future::try_join_all(floods)).await;
+        for end in ends.unwrap().into_iter().filter(|end| end.open > DEADLINE) {
+            wrong.push(format!("{}: {end:?}", form.name));
         }
-    };
-    let read = async { while reader.read(&mut [0; 1_024]).await.is_ok_and(|read| read > 0) {} };
-    let ended = tokio::time::timeout(Duration::from_secs(10), async {
-        tokio::select! {
-            () = read => {}
-            written = write => {
-                let _: std::io::Result<()> = written;
+        for Seen { status, complete, time, .. } in beside {
+            if (status, complete) != (200, true) || time > MARGIN {
+                wrong.push(format!("beside {}: {status} {complete} {time:?}", form.name));
             }
         }
-    });
-    ended.await.ok();
-    begun.elapsed()
+    }
+    assert!(wrong.is_empty(), "{} wrong:\n{}", wrong.len(), wrong.join("\n"));
+}
+
+/// Returns the forms of a client over HTTP/1.1.
+fn forms() -> Vec<Form> {
+    let request = Request::new("/receipt/").text();
+    Form::http1(request.split("content-length").next().unwrap())
 }
 
 // Guards against a client that keeps the requests of others from their answers.
 #[tokio::test(flavor = "multi_thread")]
 async fn bytes_without_end_from_a_client_hold_up_nothing() {
     let system = System::start(PLAN).await;
-    let mut wrong = Vec::new();
-    for form in REQUESTS {
-        let floods = futures_util::future::join_all((0..FLOODS).map(|_| flood(&system, form)));
-        let (floods, beside) = send_beside(&system, floods).await;
-        for time in floods.into_iter().filter(|time| *time > DEADLINE) {
-            wrong.push(format!("{} open for {time:?}", form.0));
-        }
-        for Seen { status, complete, time, .. } in beside {
-            if (status, complete) != (200, true) || time > MARGIN {
-                wrong.push(format!("beside {}: {status} {complete} {time:?}", form.0));
-            }
-        }
+    check_senders(&system, &forms(), system.client_address(0)).await;
+}
+
+// Guards against a reader of readiness or metrics that does the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_without_end_from_a_monitor_hold_up_nothing() {
+    let system = System::start(Plan { sidecars: true, ..PLAN }).await;
+    for address in system.monitor_addresses() {
+        check_senders(&system, &forms(), address).await;
     }
-    assert!(wrong.is_empty(), "{} wrong:\n{}", wrong.len(), wrong.join("\n"));
 }
