gateway, daemon: hold deadlines while pieces of a body keep coming

Cause: each frame was awaited under a timeout of its own. A timeout polls its timer only where nothing is ready, and a new timer fires only after the runtime has next looked at the time, which a frame mostly preceded. Evidence (trial with a counter): up to 40,039 frames of a response were taken after its deadline, in gaps of 0.4 ms at the most; other requests took the time of their pass.

Fix: Deadline looks at the clock before each frame. Reads of whole responses, streams and long responses use it, and entry hosts.

--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -16,6 +16,7 @@
 use http_body_util::Full;
 use loftcove_clock as boot;
 use loftcove_decision::{balancer, entity};
+use loftcove_gateway::deadline::Deadline;
 use loftcove_response::continuation;
 use loftcove_response::event::{Media, Position, Splitter};
 use loftcove_wire as wire;
@@ -190,8 +191,9 @@
     due: boot::Instant,
 ) -> Buffered {
     let mut size = 0;
+    let mut deadline = Deadline::new(due);
     while size <= MAX_BUFFERED {
-        let next = tokio::time::timeout_at(due.timer(), answer.frames.message()).await;
+        let next = deadline.wait(answer.frames.message()).await;
         let Ok(frame) = next else { return Buffered::Broken("deadline") };
         match read_part(completion, &answer.id, frame) {
             Some(Part::Data(data)) => {
--- a/gateway/src/answer.rs
+++ b/gateway/src/answer.rs
@@ -10,6 +10,7 @@
 use loftcove_response::ending;
 
 use crate::body::Body;
+use crate::deadline::Deadline;
 use crate::{ended, upstream};
 
 /// Maximum size of a response that is buffered until it is complete. A longer one is relayed as it
@@ -45,8 +46,9 @@
 /// Returns an [`ending::Error`] if the connection breaks or the deadline passes.
 pub async fn read(mut body: upstream::Body, due: boot::Instant) -> Result<Read, ending::Error> {
     let mut buffer = BytesMut::new();
+    let mut deadline = Deadline::new(due);
     loop {
-        let frame = tokio::time::timeout_at(due.timer(), body.frame()).await;
+        let frame = deadline.wait(body.frame()).await;
         match frame.map_err(|_| ending::Error::TimedOut)? {
             None => return Ok(Read::Ended(buffer.freeze())),
             Some(Err(error)) => return Err(ended::break_of(&error)),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod answer;
 pub mod body;
 pub mod client;
+pub mod deadline;
 mod drain;
 mod ended;
 mod exchange;
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -19,6 +19,7 @@
 use loftcove_response::framing::Framing;
 use loftcove_response::{continuation, ending};
 
+use crate::deadline::Deadline;
 use crate::flow::Stream;
 use crate::queue;
 use crate::request::Request;
@@ -184,13 +185,12 @@
     /// Relays the remaining body, whose events `scanner` finds if it has any.
     async fn forward_rest(&mut self, mut stream: Stream, mut scanner: Scanner) -> End {
         let mut received = boot::Instant::now();
+        let mut deadline = Deadline::new(self.request.due);
         loop {
             let frame = tokio::select! {
                 biased;
                 () = self.sender.closed() => return End::Disconnected,
-                frame = tokio::time::timeout_at(self.request.due.timer(), stream.body.frame()) => {
-                    frame
-                }
+                frame = deadline.wait(stream.body.frame()) => frame,
             };
             let data = match frame {
                 Err(_) => {
@@ -237,6 +237,7 @@
         // The time until the first event does not count as a pause.
         let mut last: Option<boot::Instant> = None;
         let mut received = boot::Instant::now();
+        let mut deadline = Deadline::new(self.request.due);
         let gateway = self.gateway.clone();
         let refused = gateway.mirror.ends.wait_until_refused(self.request.digest);
         tokio::pin!(refused);
@@ -245,7 +246,7 @@
                 biased;
                 () = self.sender.closed() => return End::Disconnected,
                 _ = &mut refused => return End::Refused,
-                frame = tokio::time::timeout_at(self.request.due.timer(), body.frame()) => frame,
+                frame = deadline.wait(body.frame()) => frame,
                 Some(dispatch::Next::Move(moved)) = self.permit.next() => {
                     if let Some(base) = self.base.filter(|_| splitter.can_resume()) {
                         return End::Moved(base, Box::new(moved));
