--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`plan`] draws the faults, which occur in series and overlap.
 //! - [`inject`] injects them into a [`loftcove_tests::system::System`].
 //! - [`client`] sends requests over persistent connections meanwhile.
+//! - [`sender`] sends bytes without end beside them.
 //! - [`check`] compares the records of clients and backend servers with the guarantees.
 //! - [`run`] combines these into one run of a seed.
 //!
@@ -14,3 +15,4 @@
 pub mod inject;
 pub mod plan;
 pub mod run;
+pub mod sender;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -13,7 +13,7 @@
 
 use crate::check::{self, Breach, Evidence};
 use crate::inject::Injector;
-use crate::{client, inject, plan};
+use crate::{client, inject, plan, sender};
 
 /// Maximum time until the system has recovered after the faults. By then, the leases of drivers and
 /// the deferred entries have expired.
@@ -81,6 +81,8 @@
             tokio::spawn(client::run(shared.clone(), gateways.clone(), callers, seed, number))
         })
         .collect();
+    let sender = sender::run(shared.clone(), gateways, system.peer_addresses(), seed);
+    let sender = tokio::spawn(sender);
     let mut injector = Injector::new(&mut system, &shared);
     injector.run(&events).await;
     let (spans, harms, overdue) = (injector.spans, injector.harms, injector.overdue);
@@ -90,6 +92,7 @@
     for client in clients {
         client.await.expect("no client panics");
     }
+    sender.await.expect("no sender panics");
     let records =
         std::mem::take(&mut *shared.records.lock().expect("no holder of the records panics"));
     let answered = |record: &&client::Record| matches!(&record.end, client::End::Answer { head, whole: true, .. } if head.status == 200);
--- a/standins/src/flood.rs
+++ b/standins/src/flood.rs
@@ -1,7 +1,8 @@
 //! Responses that go on without end and never become complete.
 //!
-//! `x-standin-flood: FORM` selects what is repeated until the peer closes the connection, and
-//! `x-standin-flood-rate: slow` sends a few bytes at a time instead of [`BLOCK`] each millisecond.
+//! `x-standin-flood: FORM` selects what is repeated until the peer closes the connection.
+//! `x-standin-flood-at: SERVER` limits it to that server, and `x-standin-flood-rate: slow` sends a few
+//! bytes at a time instead of [`BLOCK`] each millisecond.
 
 use std::time::Duration;
 
@@ -40,6 +41,10 @@
 impl Flood {
     /// Reads the form of the response of `server` from the headers of a request, if they have one.
     pub fn read(headers: &http::HeaderMap, server: &str) -> Option<Flood> {
+        let only = text(headers, "x-standin-flood-at");
+        if !only.is_empty() && only != server {
+            return None;
+        }
         let (form, id) = (text(headers, "x-standin-flood"), text(headers, "x-attempt-id"));
         let slow = text(headers, "x-standin-flood-rate") == "slow";
         let head = |status: u16, fields: &str| {
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -507,6 +507,14 @@
         [(gateway, READY_PORT), (gateway, METRICS_PORT), (sidecar, METRICS_PORT)].map(Into::into)
     }
 
+    /// Returns the addresses at which gateways and sidecars serve each other.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let gateways = (0..self.plan.gateways).map(|index| self.gateway_ip(index));
+        let ranks = if self.plan.sidecars { self.plan.ranks } else { 0 };
+        let sidecars = (0..ranks).map(|rank| self.sidecar_ip(rank));
+        gateways.chain(sidecars).map(|ip| (ip, PEER_PORT).into()).collect()
+    }
+
     /// Sends a request through a gateway and reads the whole answer.
     pub async fn request(&self, gateway: u8, request: &Request) -> caller::Answer {
         let address = (self.gateway_ip(gateway), CLIENT_PORT).into();
--- a/tests/tests/floods.rs
+++ b/tests/tests/floods.rs
@@ -187,6 +187,24 @@
     assert!(wrong.is_empty(), "{} wrong:\n{}", wrong.len(), wrong.join("\n"));
 }
 
+// Guards against a server that fails each of its requests so and goes on being offered them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_sends_without_end_is_passed_over() {
+    // A server is passed over for two seconds after three failures in a row.
+    const FAILURES: usize = 3;
+    let system = System::start(PLAN).await;
+    let begun = Instant::now();
+    let (mut failed, mut sent) = (0, 0);
+    while begun.elapsed() < DEADLINE {
+        let request = Request::new("/receipt/").deadline(DEADLINE);
+        let request = request.with("x-standin-flood", "chunk-size");
+        let seen = send(&system, &request.with("x-standin-flood-at", "plain-0")).await;
+        failed += usize::from(seen.status != 200);
+        sent += 1;
+    }
+    assert!(failed <= FAILURES && sent > 4 * FAILURES, "{failed} of {sent}");
+}
+
 /// Returns the forms of a client over HTTP/1.1.
 fn forms() -> Vec<Form> {
     let request = Request::new("/receipt/").text();
