tests: floods over HTTP/2 are bounded in bytes, not in time

How long a process takes to read its bound depends on the machine, and the bound is one of bytes, so that the check was wrong.

--- a/mirror/tests/floods.rs
+++ b/mirror/tests/floods.rs
@@ -18,12 +18,13 @@
 
 /// Connections without end at a time. The host has one thread.
 const FLOODS: usize = 8;
-/// Time within which a connection is closed, and a call beside it is answered.
+/// Time within which a call beside them is answered.
 const MARGIN: Duration = Duration::from_millis(500);
 /// Time for which a connection is tried.
-const LIMIT: Duration = Duration::from_secs(4);
-/// Number of bytes that a host and the operating system may take of a connection.
-const MAX_BYTES: u64 = 16 << 20;
+const LIMIT: Duration = Duration::from_secs(10);
+/// Number of bytes that a host takes of a connection, three windows of 1 MiB, and that the operating
+/// system may buffer.
+const MAX_BYTES: u64 = (3 << 20) + (8 << 20);
 const CALL: &str = "/loftcove.v1.Mirror/Fetch";
 
 /// Runs a future on a thread of its own, so that it is not held up by a host under test.
@@ -37,7 +38,8 @@
 }
 
 fn describe(form: &Form, end: End) -> Option<String> {
-    let wrong = end.open > LIMIT / 2 || end.sent > MAX_BYTES;
+    // How long it takes to close the connection depends on how fast the host reads.
+    let wrong = end.open >= LIMIT || end.sent > MAX_BYTES;
     wrong.then(|| format!("{}: open for {:?}, {} bytes", form.name, end.open, end.sent))
 }
 
--- a/tests/tests/entry_floods.rs
+++ b/tests/tests/entry_floods.rs
@@ -22,6 +22,8 @@
 const FLOODS: usize = 8;
 /// Maximum number of bytes that the operating system buffers for a connection that is closed.
 const BUFFERED: u64 = 8 << 20;
+/// The same with what a process takes before it closes the connection: three windows of 1 MiB.
+const MAX_BYTES: u64 = BUFFERED + (3 << 20);
 
 async fn start() -> cluster::Cluster {
     let zones = vec!["sala-braga"];
@@ -60,7 +62,8 @@
         let floods = (0..FLOODS).map(|_| form.send(address, LIMIT));
         let floods = futures_util::future::try_join_all(floods);
         let ends = request_beside(cluster, floods, &mut wrong).await.unwrap();
-        for end in ends.into_iter().filter(|end| end.open > DEADLINE) {
+        // How long that takes depends on how fast the process reads.
+        for end in ends.into_iter().filter(|end| end.open >= LIMIT || end.sent > MAX_BYTES) {
             wrong.push(format!("{}: {end:?}", form.name));
         }
     }
