--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -212,6 +212,11 @@
         *active = active.saturating_add_signed(change);
     }
 
+    /// Returns the number of active requests of a rank.
+    pub fn active(&self, rank: usize) -> u32 {
+        self.lock().ranks[rank].active
+    }
+
     /// Counts the expert choices of one stream event on a rank.
     pub fn count_choices(&self, rank: usize) {
         let mut state = self.lock();
