--- a/tests/tests/continuations.rs
+++ b/tests/tests/continuations.rs
@@ -97,6 +97,25 @@
     assert_eq!(read(client.send(&stream("/draft/")).await.unwrap()).await.0, events(1..=3, 0));
 }
 
+// Guards against fields of a backend server's connection that another attempt, on another connection,
+// does not hold.
+#[tokio::test(flavor = "multi_thread")]
+async fn fields_of_the_connection_to_the_first_server_are_not_relayed() {
+    let system = System::start(PLAN).await;
+    let mut client = system.client(0).await;
+    for path in ["/draft/", "/reply/"] {
+        let request = Request::new(path).with("x-standin-events", "3");
+        let request = request.with("x-standin-framing", "length");
+        let fields = "trailer=x-checksum;keep-alive=timeout=9;connection=keep-alive, x-hop;x-hop=1";
+        let response = client.send(&request.with("x-standin-fields", fields)).await.unwrap();
+        for name in ["trailer", "keep-alive", "connection", "x-hop", "transfer-encoding"] {
+            let kept = name == "transfer-encoding" && path == "/draft/";
+            assert_eq!(response.headers().contains_key(name), kept, "{path} {name}");
+        }
+        assert_eq!(read(response).await, (events(1..=3, 0), true));
+    }
+}
+
 // Guards against a stream at a byte position that another attempt continues.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_part_of_a_stream_is_not_resumed() {
