--- a/intake/src/lib.rs
+++ b/intake/src/lib.rs
@@ -40,8 +40,8 @@
 /// Bytes a second that probes of a connection may take. A probe and the answer to one have 17 bytes
 /// each, and no process of ours sends one more often than each 0.8 s.
 const PROBES: u64 = 64;
-/// Number of sent bytes for which one of a receiver's frames may arrive. A window update of a stream
-/// and one of its connection have 26 bytes for no less than some thousand.
+/// Number of bytes sent for each byte of the receiver's windows that may arrive. The updates of a
+/// stream's window and of its connection's have 26 bytes together, for some thousand sent.
 const SENT_BYTES: u64 = 64;
 
 /// More bytes arrived than may carry nothing.
@@ -65,6 +65,11 @@
         Bound { bytes, peer, control_frames: false }
     }
 
+    /// Returns the bound for connections to readers of readiness or metrics.
+    pub const fn monitor() -> Bound {
+        Bound::new(MONITOR_BUFFER, count::Peer::MONITOR).with_control_frames()
+    }
+
     /// Allows for the probes of HTTP/2, by time, and for the windows of a receiver, by the bytes that
     /// are sent to it.
     pub const fn with_control_frames(self) -> Bound {
@@ -76,11 +81,6 @@
         self.bytes
     }
 
-    /// Returns the bound for connections to readers of readiness or metrics.
-    pub const fn monitor() -> Bound {
-        Bound::new(MONITOR_BUFFER, count::Peer::MONITOR).with_control_frames()
-    }
-
     /// Creates the meter of a connection to `peer`, which names it in the log.
     pub fn meter(&self, peer: impl Into<Arc<str>>) -> Meter {
         let state = State {
