--- a/tests/tests/demand.rs
+++ b/tests/tests/demand.rs
@@ -11,6 +11,8 @@
 
 const PLAN: Plan =
     Plan { gateways: 8, ranks: 8, groups: 1, plain: 1, sidecars: false, proxied: false };
+/// Time within which all passes are made. They stand still if no stream is served.
+const TIMEOUT: Duration = Duration::from_secs(60);
 /// Time between two looks at the group's passes.
 const PAUSE: Duration = Duration::from_millis(5);
 /// Events of a stream, one in each pass of the group.
@@ -68,7 +70,8 @@
             }
         })
     });
-    let answers = futures_util::future::join_all(clients).await;
+    let answers = futures_util::future::join_all(clients);
+    let answers = tokio::time::timeout(TIMEOUT, answers).await.expect("the group makes passes");
     answers.into_iter().flat_map(Result::unwrap).collect()
 }
 
