--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! tests within one process.
 
 pub mod calls;
+pub mod crowd;
 pub mod engine;
 pub mod flood;
 pub mod frame;
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -41,6 +41,8 @@
     pub rebalance_s: u64,
     /// Number of worker threads of each `loftcoved` process.
     pub workers: usize,
+    /// Further lines of the section `[entry]`.
+    pub entry: &'static str,
 }
 
 impl Default for Plan {
@@ -55,6 +57,7 @@
             slots: 32,
             rebalance_s: 1,
             workers: 1,
+            entry: "",
         }
     }
 }
@@ -254,8 +257,8 @@
 
     async fn start_entry(&mut self, zone: &str, host: &str) {
         let section = format!(
-            "[entry]\nhttp_address = \"127.0.0.1:0\"\nrebalance_s = {}\n",
-            self.plan.rebalance_s
+            "[entry]\nhttp_address = \"127.0.0.1:0\"\nrebalance_s = {}\n{}",
+            self.plan.rebalance_s, self.plan.entry
         );
         let settings = self.common_settings("entry", zone, host, "127.0.0.1:0") + &section;
         self.start_member(zone, host, settings, None).await;
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -21,6 +21,10 @@
     pub cpu: Duration,
     /// Resident memory, in bytes.
     pub memory: u64,
+    /// Peak of the resident memory since the start of the process, in bytes.
+    pub peak_memory: u64,
+    /// Number of open file descriptors.
+    pub descriptors: usize,
 }
 
 /// Lines that a process has logged so far. The log outlives the process.
@@ -154,7 +158,16 @@
             .nth(1)
             .and_then(|field| field.parse().ok())
             .unwrap_or(0);
-        Usage { cpu: Duration::from_millis(ticks * TICK_MS), memory: pages * PAGE }
+        let peak = read("status").lines().find_map(|line| {
+            line.strip_prefix("VmHWM:")?.split_whitespace().next()?.parse::<u64>().ok()
+        });
+        let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).expect("/proc can be read");
+        Usage {
+            cpu: Duration::from_millis(ticks * TICK_MS),
+            memory: pages * PAGE,
+            peak_memory: peak.unwrap_or(0) * 1_024,
+            descriptors: descriptors.count(),
+        }
     }
 
     /// Sends a signal, unless the process has been waited for.
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -86,6 +86,8 @@
     /// Proxy addresses of the store, by the host that connects through them.
     stores: BTreeMap<String, SocketAddr>,
     version: u64,
+    /// Limits of the configuration.
+    limits: Value,
     /// Retries that each service allows.
     pub retries: visits::Allowance,
 }
@@ -176,6 +178,10 @@
             written: Mutex::default(),
             stores: BTreeMap::new(),
             version: 1,
+            limits: json!({
+                "max_header_bytes": 16_384, "max_body_bytes": 65_536,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+            }),
             retries,
         };
         system.interpose(lockstep.iter().chain(&plain)).await;
@@ -391,15 +397,20 @@
                 } },
                 { "name": SMS, "health_path": "/healthz", "max_conns": 100 },
             ],
-            "limits": {
-                "max_header_bytes": 16_384, "max_body_bytes": 65_536,
-                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
-            },
+            "limits": self.limits,
             "tenants": [{ "name": "clinica", "api_keys": keys, "priority": 1 }],
         });
         self.put("op/config", &config).await;
     }
 
+    /// Writes a configuration with these limits in place of the current ones of the same name.
+    pub async fn set_limits(&mut self, limits: &[(&str, u64)]) {
+        for (name, value) in limits {
+            self.limits[*name] = json!(value);
+        }
+        self.configure(self.version + 1, &[KEY]).await;
+    }
+
     fn host_section(&self, name: &str, ip: Ipv4Addr) -> String {
         let seeds: Vec<String> = (0..self.plan.gateways.min(3))
             .map(|index| format!("\"{}:{PEER_PORT}\"", self.gateway_ip(index)))
@@ -494,6 +505,11 @@
         }
     }
 
+    /// Returns the address at which a gateway serves metrics.
+    pub fn metrics_address(&self, index: u8) -> SocketAddr {
+        (self.gateway_ip(index), METRICS_PORT).into()
+    }
+
     /// Returns the metrics of a gateway.
     pub async fn metrics(&self, index: u8) -> String {
         let address = (self.gateway_ip(index), METRICS_PORT).into();
