daemon: take the bodies and heads of an entry host's clients from an account of memory

What callers saw: an entry host that ended by its memory while clients sent large bodies, over HTTP/1.1 or in many streams of a few connections over HTTP/2. A body without progress was waited for without a time limit.

Cause: as at the gateway, nothing bounded the sum of bodies; and an entry host had no setting for its memory. Over HTTP/2 each connection had a window of 1 MiB besides, and 200 streams with their heads.

A body counts twice, as the message to an agent has a copy. Heads count too, since a connection over HTTP/2 has many. The window is 64 KiB and there are 128 streams at a time on a connection. A body must arrive within the client's deadline, or the longest one of the classes. A refusal is sent at once, and the rest of the body is discarded after it within the same bounds as before; without memory it is 503 `no-memory`, not run.

--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -22,7 +22,8 @@
 
 use std::sync::Arc;
 
-use loftcove_intake::grpc;
+use loftcove_intake::{grpc, memory};
+use loftcove_settings::file;
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
 use tonic::codec::CompressionEncoding;
@@ -37,6 +38,23 @@
     pub dispatcher: Arc<dispatcher::Dispatcher>,
     /// Groups whose expert maps this process drives.
     pub groups: drive::Groups,
+    /// Memory that clients make the process hold.
+    pub memory: memory::Account,
+}
+
+impl Entry {
+    fn new(process: Arc<process::Process>, settings: &file::Entry) -> Entry {
+        let memory = usize::try_from(settings.memory_mb.saturating_mul(1 << 20));
+        let memory = memory::Account::of_process(memory.unwrap_or(usize::MAX), 0);
+        // A process creates one entry host, so that the cell is empty.
+        process.metrics.intake.set(memory.clone()).unwrap_or_default();
+        Entry {
+            dispatcher: Arc::new(dispatcher::Dispatcher::new(settings, process.clock)),
+            process,
+            groups: drive::Groups::default(),
+            memory,
+        }
+    }
 }
 
 /// Runs the entry host until a planned stop has completed.
@@ -49,9 +67,7 @@
     let signals = stop::Signals::new()?;
     // Validation of the settings ensures that the section exists for this role.
     let settings = process.settings.entry.clone().expect("an entry has its section");
-    let dispatcher = Arc::new(dispatcher::Dispatcher::new(&settings, process.clock));
-    let groups = drive::Groups::default();
-    let entry = Arc::new(Entry { process: process.clone(), dispatcher, groups });
+    let entry = Arc::new(Entry::new(process.clone(), &settings));
     let clients = listen(settings.http_address, "http").await?;
     tokio::spawn(follow::run(entry.clone()));
     tokio::spawn(dispatcher::tick(entry.dispatcher.clone()));
--- a/daemon/src/entry/call.rs
+++ b/daemon/src/entry/call.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use loftcove_bundle::content;
 use loftcove_decision::{home, poison};
 use loftcove_gateway::client;
+use loftcove_intake::{body, memory};
 use serde::Deserialize;
 use sha2::Digest as _;
 use subtle::ConstantTimeEq as _;
@@ -33,11 +33,8 @@
 const SERVICE_PREFIX: &str = "/services/";
 /// Maximum total size of a request's headers, in bytes.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
-/// Maximum amount of an oversized body that is discarded before the response, as a multiple of the
-/// size limit.
-const DISCARD_FACTOR: usize = 8;
-/// Maximum time for which an oversized body is discarded before the response.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Number of times that the process holds a body: as it arrived, and in the message to an agent.
+const COPIES: usize = 2;
 /// Length of the beginning of a prompt that selects a prefix cache, in bytes.
 const PREFIX_BYTES: usize = 256;
 
@@ -84,6 +81,17 @@
     content: serde_json::Value,
 }
 
+/// Memory of a header beside its name and value, in bytes.
+const HEADER_OVERHEAD: usize = 128;
+
+/// Returns the memory that the headers of a request take, in bytes.
+pub fn header_memory(headers: &http::HeaderMap) -> usize {
+    let size = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+        name.as_str().len() + value.len() + HEADER_OVERHEAD
+    };
+    headers.iter().map(size).sum()
+}
+
 /// Reads the complete request and validates it.
 ///
 /// # Errors
@@ -91,16 +99,22 @@
 /// Returns the first [`Refusal`] found. Nothing has been sent to any other process then.
 pub async fn read(
     id: uuid::Uuid,
-    request: http::Request<client::Body>,
+    (parts, body): (http::request::Parts, &mut client::Body),
     bundle: &force::Bundle,
-    max_body: usize,
+    (account, max_body): (&memory::Account, usize),
 ) -> Result<Call, Refusal> {
-    let (parts, body) = request.into_parts();
     check_headers(&parts.headers)?;
     let team = authenticate(&parts.headers, &bundle.content)?;
     let content = &bundle.content;
     let (target, path) = target(&parts)?;
-    let body = read_body(body, max_body).await?;
+    let time = time_for_body(&parts.headers, content)?;
+    let limit = body::Limit { bytes: max_body, time, copies: COPIES };
+    let body = tokio::time::timeout(time, body::collect(body, account, limit)).await;
+    let body = body.map_err(|_| Refusal::Deadline)?.map_err(|error| match error {
+        body::Error::TooLarge => Refusal::TooLarge(max_body),
+        body::Error::Truncated => Refusal::Truncated,
+        body::Error::Full(_) => Refusal::Memory,
+    })?;
     let (pool, default_class, prefix) = match target {
         Target::Chat => {
             let chat: Chat =
@@ -156,34 +170,14 @@
     if size > MAX_HEADER_BYTES { Err(Refusal::Headers(MAX_HEADER_BYTES)) } else { Ok(()) }
 }
 
-/// Reads the body, up to `limit` bytes.
-async fn read_body(mut body: client::Body, limit: usize) -> Result<Bytes, Refusal> {
-    let mut whole = Vec::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Refusal::Truncated)?;
-        let Ok(data) = frame.into_data() else { continue };
-        if whole.len() + data.len() > limit {
-            let discarding = discard(&mut body, limit * DISCARD_FACTOR);
-            // A client that sends more, or more slowly, gets the same response.
-            tokio::time::timeout(DISCARD_TIMEOUT, discarding).await.unwrap_or_default();
-            return Err(Refusal::TooLarge(limit));
-        }
-        whole.extend_from_slice(&data);
-    }
-    Ok(whole.into())
-}
-
-/// Reads and discards up to `limit` bytes of the body. A connection that is closed while the client
-/// is still sending can lose the response in transit.
-async fn discard(body: &mut client::Body, limit: usize) {
-    let mut left = limit;
-    while let Some(Ok(frame)) = body.frame().await {
-        let size = frame.data_ref().map_or(0, Bytes::len);
-        left = left.saturating_sub(size);
-        if left == 0 {
-            return;
-        }
-    }
+/// Returns the time within which a body must arrive: the deadline that the client gives, limited by
+/// the longest one of all classes, because a chat request's class is known only from its body.
+fn time_for_body(
+    headers: &http::HeaderMap,
+    content: &content::Content,
+) -> Result<Duration, Refusal> {
+    let longest = content.classes.iter().max_by_key(|class| class.deadline_ms);
+    longest.map_or(Err(Refusal::NotServing), |class| budget(headers, class))
 }
 
 /// Returns the team that the request's bearer token belongs to. The token is compared with those of
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -9,6 +9,7 @@
 use loftcove_decision::routing::{notice, rate};
 use loftcove_decision::{balancer, entity, poison};
 use loftcove_gateway::{body, client};
+use loftcove_intake as intake;
 
 use crate::entry::refusal::{Outcome, Refusal};
 use crate::entry::{Entry, call, claim, dispatch, dispatcher, relay};
@@ -21,15 +22,37 @@
     connection: Arc<client::Progress>,
     request: http::Request<Incoming>,
 ) -> Result<http::Response<body::Flushed<relay::Body>>, Infallible> {
-    let request = connection.receive(request);
-    let (version, method) = (request.version(), request.method().clone());
-    let path = request.uri().path();
+    let (head, mut body) = connection.receive(request).into_parts();
+    let (version, method) = (head.version, head.method.clone());
+    let expects = head.headers.contains_key(http::header::EXPECT);
+    let path = head.uri.path();
     if admin::is_path(path) {
         let answer = admin::answer(&entry.process, path).map(relay::Body::whole);
         return Ok(answer.map(body::Flushed::new));
     }
     let id = uuid::Uuid::now_v7();
-    let answer = match serve(&entry, id, request).await {
+    // Over HTTP/2 a connection has many requests.
+    let memory = entry.memory.try_hold(call::header_memory(&head.headers));
+    let accepted = match memory {
+        Some(_) => accept(&entry, id, head, &mut body).await,
+        None => Err(Refusal::Memory),
+    };
+    let served = match accepted {
+        Ok(Accepted::Call(call, bundle, in_flight)) => {
+            serve(&entry, *call, bundle, in_flight).await
+        }
+        Ok(Accepted::Models(response)) => Ok(response),
+        Err(refusal) => {
+            // A client that waits for an interim response sends nothing more.
+            if !http_body::Body::is_end_stream(&body) && !expects {
+                let settings = entry.process.settings.entry.as_ref();
+                let limit = settings.map_or(0, |own| own.max_body) * DISCARD_FACTOR;
+                tokio::spawn(async move { intake::body::discard(&mut body, limit).await });
+            }
+            Err(refusal)
+        }
+    };
+    let answer = match served {
         Ok(response) => response,
         Err(refusal) => {
             let outcome = refusal.outcome().as_str();
@@ -44,20 +67,43 @@
     Ok(body::flushed(answer, (version, &method), &connection))
 }
 
-/// Validates the request, claims its key, and makes attempts until it is answered or rejected.
-async fn serve(
+/// Maximum amount of a refused body that is discarded, as a multiple of the size limit.
+const DISCARD_FACTOR: usize = 8;
+
+/// A request that was read.
+enum Accepted {
+    /// A request that may be sent to backend servers.
+    Call(Box<call::Call>, Arc<force::Bundle>, life::InFlight),
+    /// The list of the models.
+    Models(http::Response<relay::Body>),
+}
+
+/// Reads and validates the request.
+async fn accept(
     entry: &Arc<Entry>,
     id: uuid::Uuid,
-    request: http::Request<client::Body>,
-) -> Result<http::Response<relay::Body>, Refusal> {
+    head: http::request::Parts,
+    body: &mut client::Body,
+) -> Result<Accepted, Refusal> {
     let process = &entry.process;
     let in_flight = process.lifecycle.enter().ok_or(Refusal::NotServing)?;
     let bundle = process.gossip.force.bundle().ok_or(Refusal::NotServing)?;
-    if request.uri().path() == MODELS_PATH {
-        return list_models(&request, &bundle);
+    if head.uri.path() == MODELS_PATH {
+        return list_models(&head.headers, &bundle).map(Accepted::Models);
     }
     let max_body = process.settings.entry.as_ref().map_or(usize::MAX, |own| own.max_body);
-    let call = call::read(id, request, &bundle, max_body).await?;
+    let call = call::read(id, (head, body), &bundle, (&entry.memory, max_body)).await?;
+    Ok(Accepted::Call(Box::new(call), bundle, in_flight))
+}
+
+/// Claims the request's key, and makes attempts until it is answered or rejected.
+async fn serve(
+    entry: &Arc<Entry>,
+    call: call::Call,
+    bundle: Arc<force::Bundle>,
+    in_flight: life::InFlight,
+) -> Result<http::Response<relay::Body>, Refusal> {
+    let process = &entry.process;
     let _settled =
         tokio::time::timeout(call.budget, process.ends.wait_until_settled(call.digest())).await;
     if let poison::Standing::Refused(ends) = process.ends.standing(call.digest()) {
@@ -89,10 +135,10 @@
 
 /// Lists the models and their adapters.
 fn list_models(
-    request: &http::Request<client::Body>,
+    headers: &http::HeaderMap,
     bundle: &force::Bundle,
 ) -> Result<http::Response<relay::Body>, Refusal> {
-    call::authenticate(request.headers(), &bundle.content)?;
+    call::authenticate(headers, &bundle.content)?;
     let names = bundle.content.models.iter();
     let names = names.flat_map(|model| std::iter::once(&model.name).chain(&model.adapters));
     let entry = |name| serde_json::json!({ "id": name, "object": "model", "owned_by": "loftcove" });
--- a/daemon/src/entry/refusal.rs
+++ b/daemon/src/entry/refusal.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 use http_body_util::Full;
 use loftcove_decision::{balancer, home};
+use loftcove_intake::memory;
 use serde::Serialize;
 
 use crate::entry::call;
@@ -43,6 +44,9 @@
     /// The body ended before it was complete.
     #[error("the body did not come whole")]
     Truncated,
+    /// There is no memory for the body.
+    #[error("no memory for the body")]
+    Memory,
     /// The headers exceed the size limit, in bytes.
     #[error("the headers are over {0} bytes")]
     Headers(usize),
@@ -126,6 +130,7 @@
             Refusal::Json(_) => (StatusCode::BAD_REQUEST, "malformed-body"),
             Refusal::TooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
             Refusal::Truncated => (StatusCode::BAD_REQUEST, "body-truncated"),
+            Refusal::Memory => (StatusCode::SERVICE_UNAVAILABLE, "no-memory"),
             Refusal::Headers(_) => {
                 (StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "headers-too-large")
             }
@@ -161,6 +166,8 @@
         match self {
             Refusal::Balancer(refusal) => Some(refusal.retry_after),
             Refusal::NotServing | Refusal::Home | Refusal::Lost => Some(RETRY_AFTER),
+            // Bodies without progress are given up within this time.
+            Refusal::Memory => Some(memory::STALL),
             Refusal::Claim(Standing::NotHome | Standing::Full) => Some(RETRY_AFTER),
             Refusal::Claim(Standing::Claimed) => Some(RETRY_AFTER_CLAIMED),
             _ => None,
--- a/daemon/src/entry/server.rs
+++ b/daemon/src/entry/server.rs
@@ -17,8 +17,10 @@
 /// Maximum size of headers, in bytes, before the connection is closed. It is well above
 /// `call::MAX_HEADER_BYTES`, so that headers over that limit get an error response first.
 const MAX_HEADER_BUFFER: usize = 64 * 1024;
-/// Bytes of a body that may arrive over HTTP/2 before they are read.
-const WINDOW: u32 = 1024 * 1024;
+/// Bytes of all bodies of a connection that may arrive over HTTP/2 before they are read.
+const WINDOW: u32 = 64 * 1024;
+/// Maximum number of requests in progress on a connection over HTTP/2.
+const MAX_STREAMS: u32 = 128;
 const BOUND: intake::Bound =
     intake::Bound::new(WINDOW as usize, intake::count::Peer::CLIENT).with_control_frames();
 
@@ -61,6 +63,7 @@
         .timer(TokioTimer::new())
         .initial_connection_window_size(WINDOW)
         .initial_stream_window_size(WINDOW)
+        .max_concurrent_streams(MAX_STREAMS)
         .max_header_list_size(MAX_HEADER_BUFFER as u32);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of the process, served at `/metrics`.
 
-use loftcove_intake as intake;
+use std::sync::OnceLock;
+
+use loftcove_intake::{self as intake, memory};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -42,6 +44,8 @@
     pub exchanged_bytes: Counter,
     /// Number of expert maps that this process has put in force.
     pub map_changes: Counter,
+    /// What clients make an entry host hold. An agent has none.
+    pub intake: OnceLock<memory::Account>,
 }
 
 impl Metrics {
@@ -57,6 +61,9 @@
         registry.register("exchanged_bytes", "Bytes of records", self.exchanged_bytes.clone());
         registry.register("map_changes", "Expert maps brought in force", self.map_changes.clone());
         intake::count::register(&mut registry);
+        if let Some(memory) = self.intake.get() {
+            memory.register(&mut registry);
+        }
         let mut out = String::new();
         // Writing to a string cannot fail.
         text::encode(&mut out, &registry).unwrap_or_default();
