gateway, daemon: close connections without work for new ones

What callers saw: beside connections that send nothing, or a head that doesn't end, no new client of a gateway was answered until the timeouts had ended the crowd. An entry host accepted connections without a bound.

Cause: a gateway with as many connections as it may have accepts no more, whatever those connections do.

At an entry host nothing counts connections (by reading).

`intake::connections` knows what each connection does: without a request yet, idle between two, with a request that is arriving, or with a complete one. If as many are open as may be, the one that has been without work for the longest time is closed before another one waits, in that order; one with a complete request never is. The client of an idle connection may send its request again, as nothing of it was read. The parser's buffer of each connection is taken from the account of memory. An entry host has the setting `max_descriptors`.

--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -22,7 +22,7 @@
 
 use std::sync::Arc;
 
-use loftcove_intake::{grpc, memory};
+use loftcove_intake::{connections, grpc, memory};
 use loftcove_settings::file;
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
@@ -40,19 +40,28 @@
     pub groups: drive::Groups,
     /// Memory that clients make the process hold.
     pub memory: memory::Account,
+    /// Bound of the connections from clients.
+    pub clients: connections::Connections,
 }
 
+/// File descriptors that are not available to clients' connections: those of the platform, agents
+/// and other entry hosts.
+const RESERVED_DESCRIPTORS: usize = 1_024;
+
 impl Entry {
     fn new(process: Arc<process::Process>, settings: &file::Entry) -> Entry {
         let memory = usize::try_from(settings.memory_mb.saturating_mul(1 << 20));
         let memory = memory::Account::of_process(memory.unwrap_or(usize::MAX), 0);
+        let connections = settings.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        let clients = connections::Connections::new(connections);
         // A process creates one entry host, so that the cell is empty.
-        process.metrics.intake.set(memory.clone()).unwrap_or_default();
+        process.metrics.intake.set((memory.clone(), clients.clone())).unwrap_or_default();
         Entry {
             dispatcher: Arc::new(dispatcher::Dispatcher::new(settings, process.clock)),
             process,
             groups: drive::Groups::default(),
             memory,
+            clients,
         }
     }
 }
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -22,13 +22,14 @@
     connection: Arc<client::Progress>,
     request: http::Request<Incoming>,
 ) -> Result<http::Response<body::Flushed<relay::Body>>, Infallible> {
-    let (head, mut body) = connection.receive(request).into_parts();
+    let (request, mut open) = connection.receive(request);
+    let (head, mut body) = request.into_parts();
     let (version, method) = (head.version, head.method.clone());
     let expects = head.headers.contains_key(http::header::EXPECT);
     let path = head.uri.path();
     if admin::is_path(path) {
         let answer = admin::answer(&entry.process, path).map(relay::Body::whole);
-        return Ok(answer.map(body::Flushed::new));
+        return Ok(body::flushed(answer, (version, &method), &connection, open));
     }
     let id = uuid::Uuid::now_v7();
     // Over HTTP/2 a connection has many requests.
@@ -37,6 +38,7 @@
         Some(_) => accept(&entry, id, head, &mut body).await,
         None => Err(Refusal::Memory),
     };
+    open.complete();
     let served = match accepted {
         Ok(Accepted::Call(call, bundle, in_flight)) => {
             serve(&entry, *call, bundle, in_flight).await
@@ -47,7 +49,11 @@
             if !http_body::Body::is_end_stream(&body) && !expects {
                 let settings = entry.process.settings.entry.as_ref();
                 let limit = settings.map_or(0, |own| own.max_body) * DISCARD_FACTOR;
-                tokio::spawn(async move { intake::body::discard(&mut body, limit).await });
+                let discarding = connection.connection().begin();
+                tokio::spawn(async move {
+                    intake::body::discard(&mut body, limit).await;
+                    drop(discarding);
+                });
             }
             Err(refusal)
         }
@@ -64,7 +70,7 @@
             refusal.response(&id.to_string()).map(relay::Body::whole)
         }
     };
-    Ok(body::flushed(answer, (version, &method), &connection))
+    Ok(body::flushed(answer, (version, &method), &connection, open))
 }
 
 /// Maximum amount of a refused body that is discarded, as a multiple of the size limit.
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::OnceLock;
 
-use loftcove_intake::{self as intake, memory};
+use loftcove_intake::{self as intake, connections, memory};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -45,7 +45,7 @@
     /// Number of expert maps that this process has put in force.
     pub map_changes: Counter,
     /// What clients make an entry host hold. An agent has none.
-    pub intake: OnceLock<memory::Account>,
+    pub intake: OnceLock<(memory::Account, connections::Connections)>,
 }
 
 impl Metrics {
@@ -61,8 +61,9 @@
         registry.register("exchanged_bytes", "Bytes of records", self.exchanged_bytes.clone());
         registry.register("map_changes", "Expert maps brought in force", self.map_changes.clone());
         intake::count::register(&mut registry);
-        if let Some(memory) = self.intake.get() {
+        if let Some((memory, clients)) = self.intake.get() {
             memory.register(&mut registry);
+            clients.register(&mut registry, "connections_closed_for_others");
         }
         let mut out = String::new();
         // Writing to a string cannot fail.
--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body::Frame;
 use http_body_util::Full;
+use loftcove_intake::connections;
 use loftcove_response::framing::Framing;
 
 use crate::{client, queue};
@@ -38,12 +39,14 @@
     error: Option<B::Error>,
     /// Connection to reset unless the body ends.
     connection: Option<Arc<client::Progress>>,
+    /// Request that the body answers.
+    _request: Option<connections::Request>,
 }
 
 impl<B: http_body::Body> Flushed<B> {
     /// Wraps a body to defer its error.
     pub fn new(body: B) -> Flushed<B> {
-        Flushed { body, error: None, connection: None }
+        Flushed { body, error: None, connection: None, _request: None }
     }
 
     /// Resets the connection unless the body ends.
@@ -55,7 +58,7 @@
 }
 
 /// Returns a response whose body is [`Flushed`], for the client of `connection` whose request had
-/// this version and method.
+/// this version and method. The request is in progress until the body is dropped.
 ///
 /// The connection is reset unless the body ends, if only its close marks the end of the body. A
 /// client would take an orderly close for that end.
@@ -63,13 +66,14 @@
     response: http::Response<B>,
     (version, method): (http::Version, &http::Method),
     connection: &Arc<client::Progress>,
+    request: connections::Request,
 ) -> http::Response<Flushed<B>> {
     let (head, body) = response.into_parts();
     // HTTP/1.0 has no chunks.
     let unmarked = version < http::Version::HTTP_11
         && body.size_hint().exact().is_none()
         && Framing::of(method, &head) == Framing::Close;
-    let body = Flushed::new(body);
+    let body = Flushed { _request: Some(request), ..Flushed::new(body) };
     let body = if unmarked { body.reset_unless_ended(connection.clone()) } else { body };
     http::Response::from_parts(head, body)
 }
--- a/gateway/src/client.rs
+++ b/gateway/src/client.rs
@@ -14,7 +14,7 @@
 
 use hyper::body::Incoming;
 use loftcove_clock as boot;
-use loftcove_intake as intake;
+use loftcove_intake::{self as intake, connections};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -41,6 +41,8 @@
     unmarked: AtomicBool,
     /// Bytes of the client that carry nothing.
     meter: intake::Meter,
+    /// Requests in progress.
+    connection: Arc<connections::State>,
 }
 
 impl Progress {
@@ -49,11 +51,25 @@
         Progress { meter, ..Progress::default() }
     }
 
+    /// Records the requests in progress in the state of a bounded connection.
+    pub fn with_connection(self, connection: Arc<connections::State>) -> Progress {
+        Progress { connection, ..self }
+    }
+
     /// Records that the head of a request was received, and returns its body, whose pieces are
-    /// recorded as they are read.
-    pub fn receive(&self, request: http::Request<Incoming>) -> http::Request<Body> {
+    /// recorded as they are read, and the guard of the request.
+    pub fn receive(
+        &self,
+        request: http::Request<Incoming>,
+    ) -> (http::Request<Body>, connections::Request) {
         self.meter.record_use();
-        request.map(|body| intake::body::Body::new(body, self.meter.clone()))
+        let guard = self.connection.begin();
+        (request.map(|body| intake::body::Body::new(body, self.meter.clone())), guard)
+    }
+
+    /// Returns what the connection does.
+    pub fn connection(&self) -> &Arc<connections::State> {
+        &self.connection
     }
 
     fn lock(&self) -> MutexGuard<'_, Option<boot::Instant>> {
--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -15,6 +15,7 @@
 
 use loftcove_clock as boot;
 use loftcove_decision::lifecycle;
+use loftcove_intake::{self as intake, connections, memory};
 use loftcove_interface::protocol::Protocol;
 use loftcove_mirror::follow;
 use loftcove_settings::gateway as settings;
@@ -37,14 +38,12 @@
 /// File descriptors that are not available to clients' connections. The platform reserves 200 for
 /// files, and the hosts that follow this one, the store and the metrics need some.
 const RESERVED_DESCRIPTORS: usize = 300;
-/// Interval between two checks whether clients have disconnected.
-const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Lifecycle of the process, shared by all connections.
 pub struct Lifecycle {
     inner: Mutex<Inner>,
-    /// Maximum number of open connections from clients.
-    max_connections: usize,
+    /// Bound of the open connections from clients.
+    pub clients: connections::Connections,
     phase: watch::Sender<lifecycle::Phase>,
 }
 
@@ -85,9 +84,10 @@
             stop: None,
             closed: false,
         };
+        let max_connections = max_descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2;
         Lifecycle {
             inner: Mutex::new(inner),
-            max_connections: (max_descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2).max(1),
+            clients: connections::Connections::new(max_connections),
             phase: watch::Sender::new(lifecycle::Phase::Starting),
         }
     }
@@ -106,25 +106,19 @@
 
     /// Returns whether the gateway accepts new connections.
     pub fn ready(&self) -> bool {
-        *self.phase.borrow() == lifecycle::Phase::Serving && self.has_capacity()
+        *self.phase.borrow() == lifecycle::Phase::Serving && self.clients.has_room()
     }
 
-    /// Returns whether another client's connection can be accepted.
-    fn has_capacity(&self) -> bool {
-        self.connections() < self.max_connections
-    }
-
-    /// Waits until another client's connection can be accepted. Meanwhile new connections wait in
-    /// the accept backlog, and the gateway reports itself not ready to the platform.
+    /// Waits until another client's connection can be accepted. Connections without work are closed
+    /// for it. If there are none, new connections wait in the accept backlog, and the gateway reports
+    /// itself not ready to the platform.
     pub async fn wait_for_capacity(&self) {
-        if self.has_capacity() {
-            return;
+        if self.clients.has_room() {
+            return self.clients.wait_for_room().await;
         }
         let connections = self.connections();
         log::warn!("no more connections taken connections={connections} next=not-ready");
-        while !self.has_capacity() {
-            tokio::time::sleep(CAPACITY_POLL_INTERVAL).await;
-        }
+        self.clients.wait_for_room().await;
         log::info!("connections taken again");
     }
 
@@ -159,18 +153,21 @@
         inner.closed
     }
 
-    /// Counts a connection as open until the guard is dropped.
+    /// Counts a connection as open until the guard is dropped. `meter` bounds its client's bytes.
     pub fn connect<P>(
         gateway: &Arc<state::Gateway<P>>,
-        progress: client::Progress,
+        meter: intake::Meter,
+        memory: memory::Hold,
     ) -> Connection<P> {
+        let open = gateway.lifecycle.clients.open_connection();
+        let progress = client::Progress::new(meter).with_connection(open.state().clone());
         let exchange = exchange::Exchange::new(progress);
         let mut inner = gateway.lifecycle.lock();
         inner.accepted += 1;
         let number = inner.accepted;
         inner.connections.insert(number, exchange.clone());
         drop(inner);
-        Connection { gateway: gateway.clone(), number, exchange }
+        Connection { gateway: gateway.clone(), number, exchange, _open: open, _memory: memory }
     }
 
     /// Returns a subscription to the lifecycle's phase.
@@ -208,6 +205,8 @@
     gateway: Arc<state::Gateway<P>>,
     number: u64,
     exchange: exchange::Exchange,
+    _open: connections::Connection,
+    _memory: memory::Hold,
 }
 
 impl<P> Connection<P> {
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -27,7 +27,8 @@
 ) -> Result<http::Response<body::Flushed<Body>>, Infallible> {
     let received = boot::Instant::now();
     exchange.begin();
-    let (head, mut body) = exchange.progress.receive(request).into_parts();
+    let (request, mut open) = exchange.progress.receive(request);
+    let (head, mut body) = request.into_parts();
     let (version, method) = (head.version, head.method.clone());
     let expects = head.headers.contains_key(http::header::EXPECT);
     let (admission, in_flight) = drain::Lifecycle::admit(&gateway);
@@ -40,6 +41,7 @@
             accept(&gateway, &exchange, head, &mut body, in_flight).await
         }
     };
+    open.complete();
     let mut closes = admission != drain::Admission::Open;
     let mut response = match accepted {
         Ok(flow) => flow.run(exchange.progress.clone()).await,
@@ -53,7 +55,11 @@
                 if !expects {
                     let limits = gateway.routes.load().as_ref().map(|table| table.limits);
                     let limit = limits.map_or(MAX_DISCARDED, |limits| limits.body_bytes);
-                    tokio::spawn(async move { intake::body::discard(&mut body, limit).await });
+                    let discarding = exchange.progress.connection().begin();
+                    tokio::spawn(async move {
+                        intake::body::discard(&mut body, limit).await;
+                        drop(discarding);
+                    });
                 }
             }
             answer::local::<P>(status, refused.id.as_deref(), retry_after)
@@ -64,7 +70,7 @@
         response.headers_mut().insert(http::header::CONNECTION, close);
     }
     exchange.answer();
-    Ok(body::flushed(response, (version, &method), &exchange.progress))
+    Ok(body::flushed(response, (version, &method), &exchange.progress, open))
 }
 
 /// Maximum number of bytes of a refused body that are read before a configuration has been received.
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -281,6 +281,7 @@
         registry.register("response_ends", endings, self.endings.clone());
         intake::count::register(&mut registry);
         gateway.memory.register(&mut registry);
+        gateway.lifecycle.clients.register(&mut registry, "connections_closed_for_others");
         registry.register("attempts", "Attempts sent", self.attempts.clone());
         registry.register("resumed", "Streams resumed", self.resumed.clone());
         let moved = "Streams moved away from slow ranks";
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -17,6 +17,8 @@
 /// Added to the idle timeout, so that the gateway never closes a connection first if its client
 /// keeps to the configured timeout.
 const IDLE_MARGIN: Duration = Duration::from_secs(5);
+/// Memory of a connection beside the parser's buffer, in bytes.
+const CONNECTION_BYTES: usize = 8 * 1024;
 /// Minimum size of a request's head that is accepted.
 const MIN_HEADER_BYTES: usize = 16 * 1024;
 /// Maximum time that sent bytes may stay unacknowledged. After it, the connection of a client that
@@ -41,8 +43,9 @@
                 let buffer = 2 * max_head(gateway);
                 let bound = intake::Bound::new(buffer, intake::count::Peer::CLIENT);
                 let meter = bound.meter(address.to_string());
-                let progress = client::Progress::new(meter);
-                let connection = drain::Lifecycle::connect(gateway, progress);
+                let bytes = buffer + CONNECTION_BYTES;
+                let memory = gateway.lifecycle.clients.hold(&gateway.memory, bytes).await;
+                let connection = drain::Lifecycle::connect(gateway, meter, memory);
                 tokio::spawn(serve(gateway.clone(), (stream, buffer), connection));
             }
             Err(error) => {
@@ -75,11 +78,11 @@
         return;
     }
     let stall = Duration::from_millis(gateway.settings.serving.client_stall_ms);
-    let stream = client::Socket::new(stream, stall, connection.exchange().progress.clone());
     let limits = gateway.routes.load().as_ref().map(|table| table.limits);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout) + IDLE_MARGIN;
-    let mut phases = gateway.lifecycle.phases();
     let progress = connection.exchange().progress.clone();
+    let stream = client::Socket::new(stream, stall, progress.clone());
+    let mut phases = gateway.lifecycle.phases();
     let guard = exchange::Guard(connection.exchange().clone());
     let service = {
         let (gateway, exchange) = (gateway.clone(), connection.exchange().clone());
@@ -95,6 +98,14 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
     let ended = tokio::select! {
+        biased;
+        // Nothing of a request that the client sends meanwhile is read.
+        () = progress.connection().closing() => {
+            if !progress.connection().is_idle() {
+                connection.exchange().abandon(&"closed for others");
+            }
+            Ok(())
+        }
         ended = served.as_mut() => ended,
         () = phases.wait(lifecycle::Phase::Stopped) => {
             // Closes an idle connection at once. A response in progress is completed first.
--- a/intake/src/lib.rs
+++ b/intake/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! [`memory`] is the account of the memory that peers make a process hold, from which [`body`] takes
 //! the memory of requests.
+//! [`connections`] bounds the open connections.
 //! The rest of this page is about the bytes that arrive on a connection without carrying anything.
 //!
 //! A parser may read for ever without returning the head of a message or a piece of its body, such
@@ -18,6 +19,7 @@
 //! [`Bound::with_control_frames`]. [`grpc`] applies the bound to connections between processes.
 
 pub mod body;
+pub mod connections;
 pub mod count;
 pub mod grpc;
 pub mod memory;
--- a/settings/src/file.rs
+++ b/settings/src/file.rs
@@ -90,6 +90,8 @@
         max_body: usize = 1_048_576;
         /// Memory that the process may use, megabytes.
         memory_mb: u64 = 256;
+        /// File descriptors that the process may use.
+        max_descriptors: usize = 4_096;
         /// Requests that may wait for a backend server, over all teams.
         max_waiting: usize = 1_024;
         /// Agents whose load is followed; those of the own availability zone come first.
