gateway: apply the configuration's timeout of heads

What callers saw: nothing by itself; a client whose head doesn't end kept its connection for the idle timeout and five seconds, 20 s with usual limits, where `header_timeout_ms` of the configuration says 3 s.

Cause: the limit was parsed and read by nobody; the HTTP library's timeout covers idle connections as well, so it had to be the longer one.

Evidence: with a limit of 300 ms and an idle timeout of 600 s, the connection was open after 90 s.

The socket of a client counts the time from the first byte of a head, which an idle connection has not, also of later heads of a connection. A second is added for packets that are sent again, and what arrived while the host was suspended is read first.

--- a/gateway/src/client.rs
+++ b/gateway/src/client.rs
@@ -1,5 +1,6 @@
 //! Sockets of clients' connections, which are reset if the client takes nothing, or if only the end
-//! of the connection would mark the end of a response that broke off.
+//! of the connection would mark the end of a response that broke off. They fail if the head of a
+//! request takes too long to arrive.
 //!
 //! The time in which a client takes nothing runs while bytes wait and the operating system accepts
 //! none of them. A backend server that is slow leaves nothing waiting, so it does not count against
@@ -26,11 +27,19 @@
 /// time after which it counts as stalled. With this value, half of it is enough.
 const MAX_UNSENT: u32 = 16 * 1024;
 
+/// Time for which bytes of a head that are available are read after its time limit.
+const LATE_READS: Duration = Duration::from_millis(50);
+
 /// The client took nothing for too long while bytes waited for it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("client-stalled")]
 pub struct Stalled;
 
+/// The head of a request did not arrive in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("head-timeout")]
+pub struct HeadTimeout;
+
 /// Whether the client of a connection takes the bytes that wait for it.
 #[derive(Debug, Default)]
 pub struct Progress {
@@ -106,6 +115,19 @@
     progress: Arc<Progress>,
     /// Timer that runs while the operating system accepts no bytes.
     timer: Option<Pin<Box<tokio::time::Sleep>>>,
+    /// Time limit for the head of a request, from its first byte.
+    head_limit: Option<Duration>,
+    /// Timer of a head that is incomplete.
+    head_timer: Option<HeadTimer>,
+}
+
+/// Timer of the head of a request.
+struct HeadTimer {
+    /// Arrival of the head's first byte.
+    begun: boot::Instant,
+    timer: Pin<Box<tokio::time::Sleep>>,
+    /// When the head was first found to be late.
+    late: Option<boot::Instant>,
 }
 
 impl Socket {
@@ -122,7 +144,45 @@
             log::debug!("unsent bytes of client's connection not bounded error=\"{error}\"");
         }
         let stream = intake::Socket::new(stream, progress.meter.clone());
-        Socket { stream, limit: None, progress, timer: None }
+        Socket { stream, limit: None, progress, timer: None, head_limit: None, head_timer: None }
+    }
+
+    /// Disconnects a client whose head takes longer than `limit`, from its first byte.
+    pub fn with_head_limit(mut self, limit: Duration) -> Socket {
+        self.head_limit = Some(limit);
+        self
+    }
+
+    /// Observes the result of a read, and fails it if a head is incomplete for too long.
+    fn observe_read(
+        &mut self,
+        context: &mut Context<'_>,
+        (bytes, read): (usize, Poll<io::Result<()>>),
+    ) -> Poll<io::Result<()>> {
+        let Some(limit) = self.head_limit else { return read };
+        let connection = &self.progress.connection;
+        if bytes > 0 {
+            connection.receive();
+        }
+        let Some(since) = connection.head_since() else {
+            self.head_timer = None;
+            return read;
+        };
+        let timer = self.head_timer.take().filter(|timer| timer.begun == since);
+        let timer = self.head_timer.insert(timer.unwrap_or_else(|| {
+            let timer = Box::pin(tokio::time::sleep_until((since + limit).timer()));
+            HeadTimer { begun: since, timer, late: None }
+        }));
+        // A client may send a byte at a time, so that each read finds some.
+        if timer.late.is_none() && timer.timer.as_mut().poll(context).is_pending() {
+            return read;
+        }
+        // After a suspension of the host, what arrived meanwhile is read first.
+        let late = *timer.late.get_or_insert_with(boot::Instant::now);
+        if bytes > 0 && late.elapsed() <= LATE_READS {
+            return read;
+        }
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, HeadTimeout)))
     }
 
     /// Observes the result of a write, and fails it if the client has stalled.
@@ -171,7 +231,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_read(context, buffer)
+        let this = self.get_mut();
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut this.stream).poll_read(context, buffer);
+        this.observe_read(context, (buffer.filled().len() - before, read))
     }
 }
 
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -17,6 +17,8 @@
 /// Added to the idle timeout, so that the gateway never closes a connection first if its client
 /// keeps to the configured timeout.
 const IDLE_MARGIN: Duration = Duration::from_secs(5);
+/// Added to the time limit of heads, for packets that are sent again.
+const HEAD_MARGIN: Duration = Duration::from_secs(1);
 /// Memory of a connection beside the parser's buffer, in bytes.
 const CONNECTION_BYTES: usize = 8 * 1024;
 /// Minimum size of a request's head that is accepted.
@@ -80,8 +82,9 @@
     let stall = Duration::from_millis(gateway.settings.serving.client_stall_ms);
     let limits = gateway.routes.load().as_ref().map(|table| table.limits);
     let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.idle_timeout) + IDLE_MARGIN;
+    let head = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| limits.header_timeout) + HEAD_MARGIN;
     let progress = connection.exchange().progress.clone();
-    let stream = client::Socket::new(stream, stall, progress.clone());
+    let stream = client::Socket::new(stream, stall, progress.clone()).with_head_limit(head);
     let mut phases = gateway.lifecycle.phases();
     let guard = exchange::Guard(connection.exchange().clone());
     let service = {
