--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -1,15 +1,12 @@
 //! Health checks and metrics over HTTP, for operators and monitoring.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper_util::rt::{TokioExecutor, TokioIo};
-use hyper_util::server::conn::auto;
 use loftcove_decision::lifecycle;
-use loftcove_intake as intake;
+use loftcove_intake::monitor;
 use tokio::net::TcpListener;
 
 use crate::{metrics, process};
@@ -49,22 +46,5 @@
 
 /// Serves the paths on a separate address until the process exits.
 pub async fn serve(process: Arc<process::Process>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        let process = process.clone();
-        let stream = intake::Bound::monitor().socket(stream);
-        tokio::spawn(async move {
-            let meter = stream.meter().clone();
-            let service = hyper::service::service_fn(move |request: http::Request<_>| {
-                let _: &hyper::body::Incoming = request.body();
-                meter.record_use();
-                let response = answer(&process, request.uri().path());
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let builder = auto::Builder::new(TokioExecutor::new());
-            if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
-                log::debug!("admin connection ended error=\"{error}\"");
-            }
-        });
-    }
+    monitor::serve(listener, move |path| answer(&process, path)).await;
 }
--- a/intake/src/lib.rs
+++ b/intake/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`memory`] is the account of the memory that peers make a process hold, from which [`body`] takes
 //! the memory of requests.
-//! [`connections`] bounds the open connections.
+//! [`connections`] bounds the open connections, also those of [`monitor`].
 //! The rest of this page is about the bytes that arrive on a connection without carrying anything.
 //!
 //! A parser may read for ever without returning the head of a message or a piece of its body, such
@@ -23,6 +23,7 @@
 pub mod count;
 pub mod grpc;
 pub mod memory;
+pub mod monitor;
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
--- a/sidecar/src/metrics.rs
+++ b/sidecar/src/metrics.rs
@@ -1,13 +1,10 @@
 //! Metrics of a sidecar and the HTTP server that exposes them.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::server::conn::http1;
-use hyper_util::rt::TokioIo;
-use loftcove_intake as intake;
+use loftcove_intake::{self as intake, monitor};
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
@@ -75,25 +72,6 @@
 
 /// Responds to every path with the metrics until the process exits.
 pub async fn serve(metrics: Arc<Metrics>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-            continue;
-        };
-        let metrics = metrics.clone();
-        let stream = intake::Bound::monitor().socket(stream);
-        tokio::spawn(async move {
-            let meter = stream.meter().clone();
-            let service = hyper::service::service_fn(move |request: http::Request<_>| {
-                let _: &hyper::body::Incoming = request.body();
-                meter.record_use();
-                let text = Full::<Bytes>::from(metrics.encode());
-                async move { Ok::<_, Infallible>(http::Response::new(text)) }
-            });
-            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = served.await {
-                log::debug!("connection ended error=\"{error}\"");
-            }
-        });
-    }
+    let answer = move |_: &str| http::Response::new(Full::<Bytes>::from(metrics.encode()));
+    monitor::serve(listener, answer).await;
 }
