intake: leave more of the account of memory to large bodies

Cause: a sixth of the account was kept for what is small, and a sixteenth of the memory for the allocator.

--- a/intake/src/memory.rs
+++ b/intake/src/memory.rs
@@ -25,13 +25,13 @@
 pub const STALL: Duration = Duration::from_secs(1);
 
 /// Part of an account that only small holds may use, as a divisor.
-const RESERVE: usize = 6;
+const RESERVE: usize = 8;
 /// Minimum capacity of an account of a process, in bytes.
 const MIN_CAPACITY: usize = 8 << 20;
 /// Memory that a process uses without peers, in bytes.
 const BASE: usize = 32 << 20;
 /// Part of a process's memory that is left to the allocator, as a divisor.
-const SLACK: usize = 16;
+const SLACK: usize = 32;
 /// Interval between two searches for bodies without progress.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum time between two log lines about bodies that were given up or refused.
--- a/intake/tests/memory.rs
+++ b/intake/tests/memory.rs
@@ -37,7 +37,7 @@
 
 #[tokio::test]
 async fn a_small_hold_gets_in_while_all_that_is_large_is_taken() {
-    let account = Account::new(12 * MB);
+    let account = Account::new(8 * MB);
     let mut large = Vec::new();
     while let Some(hold) = account.try_hold(MB) {
         large.push(hold);
