--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -67,6 +67,9 @@
     /// Passes ran on two maps.
     #[error("{0} passes ran on two maps")]
     MixedMaps(u64),
+    /// A gateway used more memory than it may.
+    #[error("gateway {0} used {1} bytes of memory")]
+    Memory(usize, u64),
     /// Something still fails after the end of the faults.
     #[error("not recovered after the faults: {0}")]
     NotRecovered(String),
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -81,6 +81,7 @@
             tokio::spawn(client::run(shared.clone(), gateways.clone(), callers, seed, number))
         })
         .collect();
+    let crowds = tokio::spawn(sender::run_crowds(shared.clone(), gateways.clone(), seed));
     let sender = sender::run(shared.clone(), gateways, system.peer_addresses(), seed);
     let sender = tokio::spawn(sender);
     let mut injector = Injector::new(&mut system, &shared);
@@ -93,6 +94,7 @@
         client.await.expect("no client panics");
     }
     sender.await.expect("no sender panics");
+    crowds.await.expect("no crowd panics");
     let records =
         std::mem::take(&mut *shared.records.lock().expect("no holder of the records panics"));
     let answered = |record: &&client::Record| matches!(&record.end, client::End::Answer { head, whole: true, .. } if head.status == 200);
@@ -113,6 +115,7 @@
     breaches.extend(evidence.overspent(system.retries));
     breaches.extend(overdue.into_iter().map(Breach::Overdue));
     breaches.extend(not_applied);
+    breaches.extend(oversized(&system));
     breaches.extend(poisoned);
     breaches.extend(failing.map(Breach::NotRecovered));
     if number("violations") > 0 {
@@ -219,6 +222,16 @@
     by_id
 }
 
+/// Memory that a gateway may use by default, in bytes.
+const MEMORY: u64 = 256 << 20;
+
+/// Returns a breach for each gateway that has used more memory than it may.
+fn oversized(system: &System) -> Vec<Breach> {
+    let peaks = system.gateways.iter().map(|gateway| gateway.usage().peak_memory).enumerate();
+    let over = peaks.filter(|(_, peak)| *peak > MEMORY);
+    over.map(|(gateway, peak)| Breach::Memory(gateway, peak)).collect()
+}
+
 /// Returns a breach for each request that ended servers and then reached too many.
 async fn poisoned(system: &System) -> Vec<Breach> {
     let mut breaches = Vec::new();
