gateway: log that no more connections are taken also if the last one has just begun

What operators saw: a gateway that is not ready for want of connections, without the line that says so.

Cause: whether connections can be closed for others was looked at once, when the last connection had been accepted and had no request yet, which counts as one that can be closed; the wait that followed did not look again.

Evidence: `reports_unready_when_it_can_accept_no_more_connections` waited 90 s for the line (one run). The gateway looks at each step of the wait now, and the test passes (one run).

The test's clients keep their connections in use now and all their requests must be answered, where one client that was connected and had sent nothing was before: such a connection gives way to others by design.

--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -113,13 +113,18 @@
     /// for it. If there are none, new connections wait in the accept backlog, and the gateway reports
     /// itself not ready to the platform.
     pub async fn wait_for_capacity(&self) {
-        if self.clients.has_room() {
-            return self.clients.wait_for_room().await;
+        let mut logged = false;
+        while !self.clients.make_room() {
+            if !logged && !self.clients.has_room() {
+                let connections = self.connections();
+                log::warn!("no more connections taken connections={connections} next=not-ready");
+                logged = true;
+            }
+            self.clients.wait().await;
+        }
+        if logged {
+            log::info!("connections taken again");
         }
-        let connections = self.connections();
-        log::warn!("no more connections taken connections={connections} next=not-ready");
-        self.clients.wait_for_room().await;
-        log::info!("connections taken again");
     }
 
     /// Returns the number of requests in flight.
--- a/intake/src/connections.rs
+++ b/intake/src/connections.rs
@@ -205,12 +205,20 @@
 
     /// Waits until another connection may be open, and closes one for it if necessary.
     pub async fn wait_for_room(&self) {
-        while self.open() >= self.0.max {
-            self.close_one();
+        while !self.make_room() {
             self.wait().await;
         }
     }
 
+    /// Returns whether another connection may be open. If not, one without work is closed.
+    pub fn make_room(&self) -> bool {
+        let room = self.open() < self.0.max;
+        if !room {
+            self.close_one();
+        }
+        room
+    }
+
     /// Takes the memory of a connection, and closes connections without work for it.
     pub async fn hold(&self, account: &memory::Account, bytes: usize) -> memory::Hold {
         loop {
--- a/tests/tests/gateway.rs
+++ b/tests/tests/gateway.rs
@@ -2,10 +2,15 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use loftcove_tests::client::{Client, read};
 use loftcove_tests::request::Request;
 use loftcove_tests::system::{HOST, KEY, Plan, SMS, System};
 use loftcove_tests::until;
+use tokio::sync::watch;
 
 const PLAN: Plan =
     Plan { gateways: 2, ranks: 2, groups: 1, plain: 3, sidecars: false, proxied: false };
@@ -201,41 +206,51 @@
     assert!(!passed, "the gateway went back to an older version");
 }
 
+/// Sends requests over one connection, one after the other, until it is stopped. Counts those that
+/// are answered, and returns whether all were.
+async fn keep_busy(
+    address: SocketAddr,
+    answered: Arc<AtomicUsize>,
+    stopped: watch::Receiver<bool>,
+) -> bool {
+    let Some(mut client) = Client::connect(address).await else { return false };
+    while !*stopped.borrow() {
+        let request = Request::new("/alert/").with("x-standin-delay-ms", "300");
+        let answer = client.send(&request).await;
+        if answer.is_none_or(|answer| answer.status() != 200) {
+            return false;
+        }
+        answered.fetch_add(1, Ordering::Relaxed);
+    }
+    true
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn reports_unready_when_it_can_accept_no_more_connections() {
     let system = System::start(PLAN).await;
     let full = System::start_without_peers(&system, "max_descriptors = 320\n").await;
     until("the gateway is ready", || system.is_ready(5)).await;
-    let mut client = system.client(5).await;
     // Connections without a request would be closed for others.
-    let stopped = tokio::sync::watch::Sender::new(false);
+    let (answered, stopped) = (Arc::<AtomicUsize>::default(), watch::Sender::new(false));
     let mut busy = Vec::new();
-    until("the gateway is not ready", || {
-        let (mut stopped, system) = (stopped.subscribe(), &system);
-        let address = system.client_address(5);
-        busy.push(tokio::spawn(async move {
-            let wait = async { stopped.wait_for(|stopped| *stopped).await.map(drop).ok() };
-            let requests = async {
-                loop {
-                    let Some(mut client) = Client::connect(address).await else { continue };
-                    let request = Request::new("/alert/").with("x-standin-delay-ms", "2500");
-                    while client.send(&request).await.is_some() {}
-                }
-            };
-            tokio::select! {
-                _ = wait => {}
-                () = requests => {}
-            }
-        }));
-        async { !system.is_ready(5).await }
+    for _ in 0..10 {
+        let answered = answered.clone();
+        busy.push(tokio::spawn(keep_busy(system.client_address(5), answered, stopped.subscribe())));
+    }
+    until("the gateway is not ready", || async { !system.is_ready(5).await }).await;
+    // Clients that are already connected are served.
+    let before = answered.load(Ordering::Relaxed);
+    until("connected clients are answered", || async {
+        answered.load(Ordering::Relaxed) >= before + 3 * busy.len()
     })
     .await;
-    // Clients that are already connected are served.
-    let answer = client.send(&Request::new("/alert/")).await.unwrap();
-    assert_eq!(answer.status(), 200);
+    let _waiting = std::net::TcpStream::connect(system.client_address(5)).unwrap();
     let logged = |line: &String| line.contains("no more connections taken");
     until("the gateway logs it", || async { full.log().iter().any(logged) }).await;
     stopped.send_replace(true);
+    for client in busy {
+        assert!(client.await.unwrap(), "a connected client was not answered");
+    }
     until("the gateway is ready again", || system.is_ready(5)).await;
     assert_eq!(system.request(5, &Request::new("/alert/")).await.status, 200);
 }
