daemon: look up the model of a chat request without parsing all of its values

What callers saw: an entry host whose memory is many times its bodies; one request is enough.

Cause: the document of a chat request was parsed into values to find its model and its first message. An object of seven bytes takes some hundred bytes that way, and nothing counts them.

The hash that chooses a server by the first message is of its text as it came: clients that write the same content with other white space may reach another server's cache.

--- a/daemon/src/entry/call.rs
+++ b/daemon/src/entry/call.rs
@@ -1,5 +1,6 @@
 //! Reads a client's request from HTTP and validates it against the bundle in force.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +9,8 @@
 use loftcove_decision::{home, poison};
 use loftcove_gateway::client;
 use loftcove_intake::{body, memory};
-use serde::Deserialize;
+use serde::{Deserialize, de};
+use serde_json::value::RawValue;
 use sha2::Digest as _;
 use subtle::ConstantTimeEq as _;
 use xxhash_rust::xxh3;
@@ -67,18 +69,48 @@
     pub body: Bytes,
 }
 
-/// Fields of a chat request that routing depends on.
+/// Fields of a chat request that routing depends on. All values that it does not need are skipped,
+/// because they may take many times the size of their text.
 #[derive(Deserialize)]
-struct Chat {
+struct Chat<'a> {
     model: String,
-    #[serde(default)]
-    messages: Vec<Message>,
+    #[serde(borrow, default)]
+    messages: Messages<'a>,
 }
 
+/// The first message, if there is one.
+#[derive(Default)]
+struct Messages<'a>(Option<Message<'a>>);
+
 #[derive(Deserialize)]
-struct Message {
-    #[serde(default)]
-    content: serde_json::Value,
+struct Message<'a> {
+    #[serde(borrow)]
+    content: Option<&'a RawValue>,
+}
+
+impl<'de: 'a, 'a> Deserialize<'de> for Messages<'a> {
+    fn deserialize<D: de::Deserializer<'de>>(deserializer: D) -> Result<Messages<'a>, D::Error> {
+        struct Visitor;
+
+        impl<'de> de::Visitor<'de> for Visitor {
+            type Value = Messages<'de>;
+
+            fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str("a list of messages")
+            }
+
+            fn visit_seq<A: de::SeqAccess<'de>>(
+                self,
+                mut list: A,
+            ) -> Result<Messages<'de>, A::Error> {
+                let first = list.next_element()?;
+                while list.next_element::<de::IgnoredAny>()?.is_some() {}
+                Ok(Messages(first))
+            }
+        }
+
+        deserializer.deserialize_seq(Visitor)
+    }
 }
 
 /// Memory of a header beside its name and value, in bytes.
@@ -117,7 +149,7 @@
     })?;
     let (pool, default_class, prefix) = match target {
         Target::Chat => {
-            let chat: Chat =
+            let chat: Chat<'_> =
                 serde_json::from_slice(&body).map_err(|error| Refusal::Json(error.to_string()))?;
             let model = content.model(&chat.model).ok_or(Refusal::Model(chat.model.clone()))?;
             (&model.name, &model.class, hash_prefix(&chat))
@@ -233,9 +265,9 @@
 }
 
 /// Hashes the beginning of the first message, which contains the system prompt.
-fn hash_prefix(chat: &Chat) -> u64 {
-    let Some(first) = chat.messages.first() else { return 0 };
-    let text = first.content.to_string();
+fn hash_prefix(chat: &Chat<'_>) -> u64 {
+    let Some(first) = &chat.messages.0 else { return 0 };
+    let text = first.content.map_or("null", RawValue::get);
     let end = text.len().min(PREFIX_BYTES);
     xxh3::xxh3_64(&text.as_bytes()[..end])
 }
--- a/tests/tests/crowds.rs
+++ b/tests/tests/crowds.rs
@@ -407,3 +407,19 @@
     }
     check_entry(&mut cluster, "streams").await;
 }
+
+// Guards against a document whose values take many times its size while its model is looked up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_of_small_values_does_not_exceed_the_memory_of_an_entry_host() {
+    let _turn = TURN.lock().await;
+    let mut cluster = start_entry().await;
+    let caller = cluster.caller(&cluster.entries()[0]);
+    let start = r#"{"model":"none","messages":[{"content":["#;
+    let values = r#"{"":0},"#.repeat(ENTRY_BODY / 7 - 100);
+    let body = format!("{start}{values}0]}},{{}}]}}");
+    for _ in 0..3 {
+        let answer = caller.request("POST", "/v1/chat/completions", &[], &body).await;
+        assert_eq!((answer.status, &*answer.kind()), (404, "unknown-model"));
+    }
+    check_entry(&mut cluster, "small values").await;
+}
