tests: clients of entry hosts that send without end are closed by the time limit and at three small windows

With a window of 64 KiB, what such a client may send is 192 KiB beyond what the operating system buffers, where 3 MiB was allowed, and its connection is closed within the deadline of 1.5 s again, which had been given up for the larger window. Other processes of the deployment keep their limits.

--- a/tests/tests/entry_floods.rs
+++ b/tests/tests/entry_floods.rs
@@ -22,8 +22,18 @@
 const FLOODS: usize = 8;
 /// Maximum number of bytes that the operating system buffers for a connection that is closed.
 const BUFFERED: u64 = 8 << 20;
-/// The same with what a process takes before it closes the connection: three windows of 1 MiB.
-const MAX_BYTES: u64 = BUFFERED + (3 << 20);
+/// The same with what a process takes before it closes the connection of another process: three
+/// windows of 1 MiB.
+const PROCESS_LIMIT: Limit = Limit { bytes: BUFFERED + (3 << 20), open: LIMIT };
+/// The same for clients, with three windows of 64 KiB.
+const CLIENT_LIMIT: Limit = Limit { bytes: BUFFERED + 3 * 64 * 1024, open: DEADLINE };
+
+/// How much a peer may send, and how long its connection stays open.
+#[derive(Debug, Clone, Copy)]
+struct Limit {
+    bytes: u64,
+    open: Duration,
+}
 
 async fn start() -> cluster::Cluster {
     let zones = vec!["sala-braga"];
@@ -56,14 +66,17 @@
 
 /// Sends each form over several connections to an address. Each must be closed, and requests of
 /// others must not notice.
-async fn check_senders(cluster: &cluster::Cluster, forms: &[Form], address: SocketAddr) {
+async fn check_senders(
+    cluster: &cluster::Cluster,
+    forms: &[Form],
+    (address, limit): (SocketAddr, Limit),
+) {
     let mut wrong = Vec::new();
     for form in forms {
         let floods = (0..FLOODS).map(|_| form.send(address, LIMIT));
         let floods = futures_util::future::try_join_all(floods);
         let ends = request_beside(cluster, floods, &mut wrong).await.unwrap();
-        // How long that takes depends on how fast the process reads.
-        for end in ends.into_iter().filter(|end| end.open >= LIMIT || end.sent > MAX_BYTES) {
+        for end in ends.into_iter().filter(|end| end.open >= limit.open || end.sent > limit.bytes) {
             wrong.push(format!("{}: {end:?}", form.name));
         }
     }
@@ -81,7 +94,7 @@
     let forms: Vec<Form> =
         Form::http1(&head).into_iter().chain(Form::http2_client(&path)).collect();
     let entry = &cluster.members[&cluster.entries()[0]];
-    check_senders(&cluster, &forms, entry.http_address.unwrap()).await;
+    check_senders(&cluster, &forms, (entry.http_address.unwrap(), CLIENT_LIMIT)).await;
 }
 
 /// Guards against the same from another process of the deployment.
@@ -90,7 +103,7 @@
     let cluster = start().await;
     let forms = Form::http2_client("/loftcove.v1.Peer/Exchange");
     for member in cluster.members.values() {
-        check_senders(&cluster, &forms, member.peer_address).await;
+        check_senders(&cluster, &forms, (member.peer_address, PROCESS_LIMIT)).await;
     }
 }
 
