tests: bounds of connections at entry hosts and of large responses at gateways

Guards for two rows of the table in docs/design/memory.md that had none: 120 connections that send nothing or a head that doesn't end, at an entry host with descriptors for 40, and 40 responses of 4 MiB at a time, buffered and streamed.

--- a/tests/tests/crowds.rs
+++ b/tests/tests/crowds.rs
@@ -140,6 +140,20 @@
     check_forms(&forms, false).await;
 }
 
+// Guards against large responses to many requests at once that exceed the memory together.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_responses_do_not_exceed_the_memory_of_a_gateway() {
+    let request = |path| {
+        let request = Request::new(path).with("x-standin-events", "64");
+        head(&request.with("x-standin-event-bytes", "65536"))
+    };
+    let forms = [
+        Form::length("large responses", &request("/alert/"), (4, 4), 4),
+        Form::length("large streams", &request("/draft/"), (4, 4), 4),
+    ];
+    check_forms(&forms, false).await;
+}
+
 // Guards against legal clients that get nothing in a crowd of which only half is legal.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_crowd_that_is_legal_in_part_does_not_exceed_the_memory_of_a_gateway() {
@@ -308,8 +322,12 @@
 
 /// Starts a deployment with an entry host of larger bodies.
 async fn start_entry() -> cluster::Cluster {
+    start_entry_with("max_body = 8388608\n").await
+}
+
+/// Starts a deployment with these further lines in the section `[entry]`.
+async fn start_entry_with(entry: &'static str) -> cluster::Cluster {
     let zones = vec!["sala-braga"];
-    let entry = "max_body = 8388608\n";
     let plan = cluster::Plan { zones, entries: 1, ranks: 0, entry, ..Default::default() };
     cluster::Cluster::start(plan).await
 }
@@ -423,3 +441,26 @@
     }
     check_entry(&mut cluster, "small values").await;
 }
+
+// Guards against connections without a request that take all descriptors of an entry host, or keep
+// new clients out of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_of_an_entry_host_are_bounded() {
+    /// Descriptors of the setting, and those of them that clients may not use.
+    const LIMIT: usize = 1_064;
+    let _turn = TURN.lock().await;
+    let mut cluster = start_entry_with("max_descriptors = 1064\n").await;
+    let host = cluster.entries()[0].clone();
+    let before = cluster.members[&host].process.usage().descriptors;
+    let forms = [Form::idle(), Form::unfinished_head(16_000)];
+    let crowd = Crowd::start(entry_address(&cluster), &forms, CONNECTIONS, true);
+    until("the crowd is connected", || async { crowd.connected() >= CONNECTIONS as u64 }).await;
+    for _ in 0..5 {
+        let caller = cluster.caller(&host);
+        until("a new client is answered", || entry_serves(&caller)).await;
+    }
+    let clients = cluster.members[&host].process.usage().descriptors - before;
+    assert!(clients <= LIMIT - 1_024 + 5, "{clients} descriptors of clients");
+    drop(crowd);
+    check_entry(&mut cluster, "connections").await;
+}
