response: reject responses whose head does not determine the body

Callers got a success with a body that was not the server's. Bodies in codings other than `chunked` were passed on raw or still coded, as complete.

Cause: two places read the same fields and disagreed. The framing took the chunks, or took a body in an unknown coding to end with its connection; the relayed head lost `Transfer-Encoding` as a field of one connection and kept `Content-Length`, which the HTTP library writes out without comparing it to the body. Debug builds panic there instead, so that the connection ends without an answer.

`Framing::of` now reads the head once for all readers (gateways, agents, health checks, calls to the store and to engines) and returns an error if a coding is not one `chunked` alone, if lengths differ or are invalid, or if both are given. Such a response is not relayed and none of its fields are used: the request may have run, so it is repeated where its route allows it and gets 502 elsewhere. The framing fields are removed from what is relayed, and the client's connection frames the body by the length that the body's reader knows, so that no head can contradict it. This also mends the valid `Content-Length: 63, 63`, which ended the client's connection on streaming routes.

response/tests/ending.rs asserted that `gzip, chunked` is read as chunks, `gzip` as framing by the connection, and chunks beside a length as chunks, which was the fault. It now asserts that each is rejected, over more forms.

--- a/daemon/src/agent/run.rs
+++ b/daemon/src/agent/run.rs
@@ -8,7 +8,7 @@
 use loftcove_decision::{attempt, clock};
 use loftcove_response::ending;
 use loftcove_response::event::{Media, Scanner};
-use loftcove_response::framing::Framing;
+use loftcove_response::framing::{self, Framing};
 use loftcove_wire as wire;
 use tokio::sync::mpsc;
 
@@ -173,18 +173,25 @@
             self.send_broken("the backend server answered another request", None).await;
             return;
         }
+        let (mut head, mut body) = response.into_parts();
+        let framing = match Framing::of(&method, &head) {
+            Ok(framing) => framing,
+            Err(error) => {
+                self.send_broken(&format!("invalid head: {error}"), None).await;
+                return;
+            }
+        };
+        framing::remove_fields(&method, &mut head.headers);
         let header = |(name, value): (&http::HeaderName, &http::HeaderValue)| wire::Header {
             name: name.as_str().to_owned(),
             value: value.as_bytes().to_vec().into(),
         };
-        let kept = response.headers().iter().filter(|(name, _)| !is_hop_by_hop(name));
-        let head = wire::Head {
-            status: u32::from(response.status().as_u16()),
+        let kept = head.headers.iter().filter(|(name, _)| !is_hop_by_hop(name));
+        let frame = wire::Head {
+            status: u32::from(head.status.as_u16()),
             headers: kept.map(header).collect(),
         };
-        self.send(wire::frame::Kind::Head(head)).await;
-        let (head, mut body) = response.into_parts();
-        let framing = Framing::of(&method, &head);
+        self.send(wire::frame::Kind::Head(frame)).await;
         let mut events = (Media::of(&head.headers) == Media::Events).then(Scanner::default);
         while let Some(frame) = body.frame().await {
             match frame.map(hyper::body::Frame::into_data) {
--- a/daemon/src/agent/server.rs
+++ b/daemon/src/agent/server.rs
@@ -14,6 +14,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use loftcove_intake as intake;
+use loftcove_response::framing::Framing;
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tower::ServiceExt as _;
@@ -207,14 +208,15 @@
     ) -> Result<Bytes, Error> {
         let uri = self.uri(path).ok_or(Error::Answer)?;
         let mut request = http::Request::new(Full::new(body));
-        *request.method_mut() = method;
+        *request.method_mut() = method.clone();
         *request.uri_mut() = uri;
         let whole = async {
-            let response = self.send(request).await?;
-            if !response.status().is_success() {
-                return Err(Error::Status(response.status()));
+            let (head, body) = self.send(request).await?.into_parts();
+            Framing::of(&method, &head).map_err(|_| Error::Answer)?;
+            if !head.status.is_success() {
+                return Err(Error::Status(head.status));
             }
-            let body = Limited::new(response.into_body(), MAX_BODY).collect().await;
+            let body = Limited::new(body, MAX_BODY).collect().await;
             let body = body.map_err(|_| Error::Answer)?;
             Ok(body.to_bytes())
         };
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -358,6 +358,6 @@
             claim: self.claim,
             _in_flight: self.in_flight,
         };
-        relay::respond(answer, completion, self.due).await
+        relay::respond(answer, completion, (&self.call.method, self.due)).await
     }
 }
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -17,8 +17,8 @@
 use loftcove_clock as boot;
 use loftcove_decision::{balancer, entity};
 use loftcove_gateway::deadline::Deadline;
-use loftcove_response::continuation;
 use loftcove_response::event::{Media, Position, Splitter};
+use loftcove_response::{continuation, framing};
 use loftcove_wire as wire;
 use tokio_stream::Stream as _;
 
@@ -125,11 +125,11 @@
     }
 }
 
-/// Builds the response to the client.
+/// Builds the response to the client, whose request had this method.
 pub async fn respond(
     mut answer: dispatch::Answer,
     mut completion: Completion,
-    due: boot::Instant,
+    (method, due): (&http::Method, boot::Instant),
 ) -> http::Response<Body> {
     let mut response = http::Response::new(());
     *response.status_mut() = http::StatusCode::from_u16(answer.head.status as u16)
@@ -142,6 +142,8 @@
             headers.append(name, value);
         }
     }
+    // The agent's stream marks the end of the body.
+    framing::remove_fields(method, headers);
     if let Ok(id) = http::HeaderValue::from_str(&completion.request) {
         headers.insert(call::REQUEST_ID_HEADER, id);
     }
--- a/gateway/src/answer.rs
+++ b/gateway/src/answer.rs
@@ -8,7 +8,7 @@
 use loftcove_decision::balancer;
 use loftcove_intake::{body, memory};
 use loftcove_interface::protocol::Protocol;
-use loftcove_response::ending;
+use loftcove_response::{ending, framing};
 
 use crate::body::Body;
 use crate::deadline::Deadline;
@@ -76,11 +76,17 @@
     }
 }
 
-/// Returns a backend server's response in the form for the client.
-pub fn relay<P: Protocol>(head: &http::response::Parts, body: Body) -> Response {
+/// Returns a backend server's response to a request with this method in the form for the client.
+/// The connection to the client frames the body.
+pub fn relay<P: Protocol>(
+    method: &http::Method,
+    head: &http::response::Parts,
+    body: Body,
+) -> Response {
     let mut response = http::Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = P::relay(head);
+    framing::remove_fields(method, response.headers_mut());
     response
 }
 
--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Buf as _, Bytes};
 use http_body::Frame;
 use http_body_util::Full;
 use loftcove_intake::connections;
@@ -22,7 +22,12 @@
     /// The complete body.
     Whole(Full<Bytes>),
     /// A body that is received in parts.
-    Stream(queue::Receiver),
+    Stream {
+        /// Receiver of the parts.
+        receiver: queue::Receiver,
+        /// Number of bytes that are still to be received, if it is known.
+        left: Option<u64>,
+    },
 }
 
 impl Body {
@@ -72,7 +77,7 @@
     // HTTP/1.0 has no chunks.
     let unmarked = version < http::Version::HTTP_11
         && body.size_hint().exact().is_none()
-        && Framing::of(method, &head) == Framing::Close;
+        && Framing::of(method, &head) == Ok(Framing::Close);
     let body = Flushed { _request: Some(request), ..Flushed::new(body) };
     let body = if unmarked { body.reset_unless_ended(connection.clone()) } else { body };
     http::Response::from_parts(head, body)
@@ -142,8 +147,12 @@
                     })
                 })
             }
-            Body::Stream(receiver) => {
-                receiver.poll_recv(context).map(|part| part.map(|part| part.map(Frame::data)))
+            Body::Stream { receiver, left } => {
+                let part = std::task::ready!(receiver.poll_recv(context));
+                if let (Some(left), Some(Ok(part))) = (left, &part) {
+                    *left = left.saturating_sub(part.remaining() as u64);
+                }
+                Poll::Ready(part.map(|part| part.map(Frame::data)))
             }
         }
     }
@@ -151,14 +160,16 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Body::Whole(full) => full.is_end_stream(),
-            Body::Stream(_) => false,
+            Body::Stream { .. } => false,
         }
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
         match self {
             Body::Whole(full) => full.size_hint(),
-            Body::Stream(_) => http_body::SizeHint::default(),
+            Body::Stream { left, .. } => {
+                left.map_or_else(http_body::SizeHint::default, http_body::SizeHint::with_exact)
+            }
         }
     }
 }
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -245,7 +245,7 @@
     fn answered(self, whole: answer::Whole) -> Response {
         self.gateway.clear_suspicion(&self.request, whole.head.status);
         self.done("answered", whole.head.status.as_str());
-        answer::relay::<P>(&whole.head, Body::whole(whole.body))
+        answer::relay::<P>(&self.request.head.method, &whole.head, Body::whole(whole.body))
     }
 
     /// Returns the final response of a rejected request. An error response from a backend server
@@ -289,7 +289,9 @@
         progress: Arc<client::Progress>,
     ) -> Response {
         let base = self.request.continuation_base(&stream);
-        let (relay, mut response) = self.relay(&stream.head, base, permit, progress);
+        // Another run of the request has another length.
+        let length = http_body::Body::size_hint(&stream.body).exact().filter(|_| base.is_none());
+        let (relay, mut response) = self.relay((&stream.head, length), base, permit, progress);
         if base.is_some() {
             continuation::remove_promises(response.headers_mut());
         }
@@ -304,20 +306,23 @@
         permit: dispatch::Permit<Target>,
         progress: Arc<client::Progress>,
     ) -> Response {
-        let (relay, response) = self.relay(&stream.head, None, permit, progress);
+        let left = http_body::Body::size_hint(&stream.body).exact();
+        let length = left.map(|left| left + first.len() as u64);
+        let (relay, response) = self.relay((&stream.head, length), None, permit, progress);
         tokio::spawn(relay.run_long(stream, first));
         response
     }
 
     fn relay(
         self,
-        head: &http::response::Parts,
+        (head, length): (&http::response::Parts, Option<u64>),
         base: Option<continuation::Base>,
         permit: dispatch::Permit<Target>,
         progress: Arc<client::Progress>,
     ) -> (stream::Relay<P>, Response) {
         let (sender, receiver) = self.gateway.buffers.open();
-        let response = answer::relay::<P>(head, Body::Stream(receiver));
+        let body = Body::Stream { receiver, left: length };
+        let response = answer::relay::<P>(&self.request.head.method, head, body);
         let relay = stream::Relay {
             gateway: self.gateway,
             request: self.request,
@@ -452,6 +457,13 @@
         reply: upstream::Reply,
     ) -> Outcome {
         let (head, body) = reply.response.into_parts();
+        let framing = match Framing::of(&request.head.method, &head) {
+            Ok(framing) => framing,
+            Err(error) => {
+                self.metrics.invalid_heads.inc();
+                return may_have_run(format!("invalid head, status {}: {error}", head.status));
+            }
+        };
         let answer = P::answer(&head, &request.meta.id);
         if let Some(load) = answer.load {
             self.dispatcher.report(attempt.server, load);
@@ -481,7 +493,6 @@
             }
         }
         let (target, server) = (attempt.target.clone(), attempt.server);
-        let framing = Framing::of(&request.head.method, &head);
         let streams = request.grant.route.kind.streaming() && head.status.is_success();
         // Only on streaming routes are events expected without being declared.
         let media = match Media::of(&head.headers) {
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -199,6 +199,8 @@
     pub moved: Counter,
     /// Number of requests under which their backend server ended.
     pub servers_ended: Counter,
+    /// Responses that were rejected because their head does not determine the body.
+    pub invalid_heads: Counter,
     /// Number of times that a backend server asked for a rest.
     pub rests: Counter,
     /// Number of times that a backend server reported a rate limit or a changed one.
@@ -235,6 +237,7 @@
             resumed: Counter::default(),
             moved: Counter::default(),
             servers_ended: Counter::default(),
+            invalid_heads: Counter::default(),
             rests: Counter::default(),
             limits: Counter::default(),
             health_checks: Counter::default(),
@@ -288,6 +291,8 @@
         registry.register("streams_moved", moved, self.moved.clone());
         let ended = "Requests under which their backend server ended";
         registry.register("server_ended", ended, self.servers_ended.clone());
+        let invalid = "Responses rejected because their head does not determine the body";
+        registry.register("invalid_heads", invalid, self.invalid_heads.clone());
         registry.register("server_rests", "Rests that servers asked for", self.rests.clone());
         let changes = "Rate limits that servers named, each change of one";
         registry.register("server_limits", changes, self.limits.clone());
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -21,6 +21,7 @@
 use loftcove_clock as boot;
 use loftcove_decision::fleet;
 use loftcove_intake as intake;
+use loftcove_response::framing::Framing;
 use tokio::net::TcpStream;
 
 use crate::socket;
@@ -229,7 +230,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an [`Error`] if no response is received.
+    /// Returns an [`Error`] if no response is received, or one with an invalid head.
     pub async fn check_health(
         &self,
         target: &Target,
@@ -243,8 +244,10 @@
         link.handle.set_outstanding(true);
         let answer = tokio::time::timeout(HEALTH_TIMEOUT, link.sender.send_request(request)).await;
         let answer = answer.map_err(|error| to_error(&error))?.map_err(|error| to_error(&error))?;
+        let head = answer.into_parts().0;
+        Framing::of(&http::Method::GET, &head).map_err(|error| to_error(&error))?;
         link.handle.set_outstanding(false);
-        Ok(answer.into_parts().0)
+        Ok(head)
     }
 
     /// Closes the idle connections of all runs except those that `wanted` accepts.
--- a/gateway/tests/body.rs
+++ b/gateway/tests/body.rs
@@ -27,7 +27,7 @@
         }
     }
     drop(sender);
-    let answer = body::Flushed::new(body::Body::Stream(receiver));
+    let answer = body::Flushed::new(body::Body::Stream { receiver, left: None });
     let response = Arc::new(Mutex::new(Some(http::Response::new(answer))));
     let service = hyper::service::service_fn(move |_| {
         let response = response.lock().unwrap().take().unwrap();
--- a/response/tests/ending.rs
+++ b/response/tests/ending.rs
@@ -2,9 +2,13 @@
 
 use loftcove_response::ending::{self, Error};
 use loftcove_response::event::{Media, Position};
-use loftcove_response::framing::Framing;
+use loftcove_response::framing::{self, Framing};
 
-fn framing(method: http::Method, status: u16, headers: &[(&str, &str)]) -> Framing {
+fn framing(
+    method: http::Method,
+    status: u16,
+    headers: &[(&str, &str)],
+) -> Result<Framing, framing::Error> {
     let mut response = http::Response::builder().status(status);
     for (name, value) in headers {
         response = response.header(*name, *value);
@@ -15,20 +19,84 @@
 
 #[test]
 fn reads_the_framing() {
-    let get = |headers| framing(http::Method::GET, 200, headers);
-    assert_eq!(get(&[]), Framing::Close);
-    assert_eq!(get(&[("connection", "close")]), Framing::Close);
-    assert_eq!(get(&[("content-length", "7")]), Framing::Length);
-    assert_eq!(get(&[("transfer-encoding", "chunked")]), Framing::Chunked);
-    assert_eq!(get(&[("transfer-encoding", "gzip, Chunked")]), Framing::Chunked);
-    assert_eq!(get(&[("transfer-encoding", "gzip")]), Framing::Close);
-    let both = [("content-length", "7"), ("transfer-encoding", "chunked")];
-    assert_eq!(get(&both), Framing::Chunked);
+    let get = |headers: &[(&str, &str)]| framing(http::Method::GET, 200, headers);
+    assert_eq!(get(&[]), Ok(Framing::Close));
+    assert_eq!(get(&[("connection", "close")]), Ok(Framing::Close));
+    for length in ["7", "007", "7,7", "7 , 7"] {
+        assert_eq!(get(&[("content-length", length)]), Ok(Framing::Length));
+    }
+    assert_eq!(get(&[("content-length", "7"), ("content-length", "7")]), Ok(Framing::Length));
+    for coding in ["chunked", "Chunked", "chunked "] {
+        assert_eq!(get(&[("transfer-encoding", coding)]), Ok(Framing::Chunked));
+    }
+    let cases = [(http::Method::HEAD, 200), (http::Method::GET, 204), (http::Method::GET, 304)];
+    for (method, status) in cases {
+        assert_eq!(framing(method, status, &[]), Ok(Framing::Empty));
+    }
+    // These fields describe the response to a GET request.
+    for field in [("content-length", "7"), ("transfer-encoding", "chunked")] {
+        assert_eq!(framing(http::Method::HEAD, 200, &[field]), Ok(Framing::Empty));
+        assert_eq!(framing(http::Method::GET, 304, &[field]), Ok(Framing::Empty));
+    }
+    let none = ("content-length", "0");
+    assert_eq!(framing(http::Method::GET, 204, &[none]), Ok(Framing::Empty));
+}
+
+/// Guards against a body whose end is taken from one field of a head where another one contradicts
+/// it, and against one in a coding that is not decoded.
+#[test]
+fn reads_no_framing_from_a_head_that_does_not_determine_the_body() {
     for (method, status) in
-        [(http::Method::HEAD, 200), (http::Method::GET, 204), (http::Method::GET, 304)]
+        [(http::Method::GET, 200), (http::Method::HEAD, 200), (http::Method::GET, 304)]
     {
-        assert_eq!(framing(method, status, &[]), Framing::Empty);
+        let read = |headers: &[(&str, &str)]| framing(method.clone(), status, headers);
+        let coding = |coding| read(&[("transfer-encoding", coding)]);
+        for other in [
+            "gzip",
+            "identity",
+            "",
+            ",",
+            "chunkd",
+            "xchunked",
+            "\"chunked\"",
+            "chunked;a=1",
+            "gzip, chunked",
+            "chunked, gzip",
+            "chunked, chunked",
+            "chunked,",
+            ",chunked",
+        ] {
+            assert_eq!(coding(other), Err(framing::Error::Coding), "{other}");
+        }
+        let chunked = ("transfer-encoding", "chunked");
+        for other in [chunked, ("transfer-encoding", "gzip")] {
+            assert_eq!(read(&[chunked, other]), Err(framing::Error::Coding));
+            assert_eq!(read(&[other, chunked]), Err(framing::Error::Coding));
+        }
+        for length in ["", "-1", "+7", "0x7", "7 7", "seven", "7,", "7, 8", "18446744073709551616"]
+        {
+            let read = read(&[("content-length", length)]);
+            assert_eq!(read, Err(framing::Error::Length), "{length}");
+        }
+        let two = [("content-length", "7"), ("content-length", "8")];
+        assert_eq!(read(&two), Err(framing::Error::Length));
+        for length in ["0", "7"] {
+            let both = [("content-length", length), chunked];
+            assert_eq!(read(&both), Err(framing::Error::Ambiguous));
+        }
     }
+    let empty = |field| framing(http::Method::GET, 204, &[field]);
+    assert_eq!(empty(("content-length", "7")), Err(framing::Error::Length));
+    assert_eq!(empty(("transfer-encoding", "chunked")), Err(framing::Error::Coding));
+}
+
+/// Guards against chunks of a version that has none.
+#[test]
+fn reads_no_framing_from_chunks_over_http_1_0() {
+    let response = http::Response::builder().version(http::Version::HTTP_10);
+    let response = response.header("transfer-encoding", "chunked").body(()).expect("a response");
+    let head = response.into_parts().0;
+    assert_eq!(Framing::of(&http::Method::GET, &head), Err(framing::Error::Coding));
 }
 
 const FRAMED: [Framing; 3] = [Framing::Empty, Framing::Length, Framing::Chunked];
--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -10,6 +10,9 @@
 //! - `x-standin-end: mark|close|reset|silence`: what follows there: the end mark of the framing,
 //!   an orderly close, which is the default, a reset, or nothing until the peer disconnects.
 //! - `x-standin-fields: NAME=VALUE;NAME=VALUE`: fields to add to the head.
+//! - `x-standin-head: STATUS|LINE|LINE`: a head that is written as given, with `%XX` for a byte. The
+//!   status line replaces that of the response unless it is empty, and the lines replace the fields
+//!   that the framing needs. Only the first attempt has it.
 //! - `x-standin-padding: FIRST,NEXT`: bytes that pad the data of each event, of the first attempt
 //!   and of all others, instead of `x-standin-event-bytes`.
 //! - `x-standin-next: KIND`: how all attempts but the first contradict the first one: `status-204`,
@@ -109,10 +112,39 @@
     if first { one } else { next }.parse().ok()
 }
 
-/// Framing and end of a response.
-#[derive(Debug, Clone, Copy)]
+/// Status line and lines of a head that are written as given.
+#[derive(Debug, Clone)]
+struct Head {
+    status: Vec<u8>,
+    lines: Vec<Vec<u8>>,
+}
+
+impl Head {
+    /// Reads the head from the headers of a request, if they have one.
+    fn read(headers: &http::HeaderMap) -> Option<Head> {
+        let text = text(headers, "x-standin-head");
+        let mut lines = (!text.is_empty()).then(|| text.split('|').map(decode))?;
+        Some(Head { status: lines.next().unwrap_or_default(), lines: lines.collect() })
+    }
+}
+
+/// Replaces `%XX` by the byte with that hexadecimal number.
+fn decode(text: &str) -> Vec<u8> {
+    let mut parts = text.split('%');
+    let mut bytes = parts.next().unwrap_or_default().as_bytes().to_vec();
+    for part in parts {
+        let (number, rest) = part.split_at(2);
+        bytes.push(u8::from_str_radix(number, 16).expect("two hexadecimal digits"));
+        bytes.extend_from_slice(rest.as_bytes());
+    }
+    bytes
+}
+
+/// Framing, head and end of a response.
+#[derive(Debug, Clone)]
 pub struct Script {
     framing: Framing,
+    head: Option<Head>,
     cut: Option<(Place, usize, End)>,
 }
 
@@ -148,11 +180,12 @@
         };
         let place = place.filter(|_| first);
         let number = text(headers, "x-standin-break").parse().unwrap_or(1);
-        Some(Script { framing, cut: place.map(|place| (place, number, end)) })
+        let head = Head::read(headers).filter(|_| first);
+        Some(Script { framing, head, cut: place.map(|place| (place, number, end)) })
     }
 
     /// Returns whether the peer receives the head.
-    pub fn delivers_head(self) -> bool {
+    pub fn delivers_head(&self) -> bool {
         !matches!(self.cut, Some((Place::BeforeHead | Place::InHead, _, _)))
     }
 
@@ -203,21 +236,25 @@
         finish(stream, End::Close).await
     }
 
-    fn serialize(self, head: &http::response::Parts, length: usize) -> Vec<u8> {
+    fn serialize(&self, head: &http::response::Parts, length: usize) -> Vec<u8> {
         let version = if self.framing == Framing::Http10 { "1.0" } else { "1.1" };
-        let mut text = format!("HTTP/{version} {}\r\n", head.status);
+        let given = self.head.as_ref().map(|head| head.status.clone());
+        let status = format!("HTTP/{version} {}", head.status).into_bytes();
+        let mut lines = vec![given.filter(|status| !status.is_empty()).unwrap_or(status)];
         for (name, value) in &head.headers {
-            text += &format!("{name}: {}\r\n", String::from_utf8_lossy(value.as_bytes()));
+            lines.push([name.as_str().as_bytes(), b": ", value.as_bytes()].concat());
         }
-        match self.framing {
-            Framing::Length => text += &format!("content-length: {length}\r\n"),
-            Framing::Chunked => text += "transfer-encoding: chunked\r\n",
-            Framing::Close | Framing::Http10 => {}
+        match (&self.head, self.framing) {
+            (Some(head), _) => lines.extend(head.lines.iter().cloned()),
+            (None, Framing::Length) => lines.push(format!("content-length: {length}").into()),
+            (None, Framing::Chunked) => lines.push(b"transfer-encoding: chunked".to_vec()),
+            (None, Framing::Close | Framing::Http10) => {}
         }
-        (text + "\r\n").into_bytes()
+        lines.push(Vec::new());
+        lines.into_iter().flat_map(|line| [line, b"\r\n".to_vec()].concat()).collect()
     }
 
-    async fn write(self, stream: &mut TcpStream, data: &[u8]) -> std::io::Result<()> {
+    async fn write(&self, stream: &mut TcpStream, data: &[u8]) -> std::io::Result<()> {
         if self.framing != Framing::Chunked || data.is_empty() {
             return stream.write_all(data).await;
         }
@@ -225,7 +262,7 @@
         stream.write_all(&[size.as_bytes(), data, b"\r\n"].concat()).await
     }
 
-    async fn write_mark(self, stream: &mut TcpStream) -> std::io::Result<()> {
+    async fn write_mark(&self, stream: &mut TcpStream) -> std::io::Result<()> {
         match self.framing {
             Framing::Chunked => stream.write_all(b"0\r\n\r\n").await,
             Framing::Length | Framing::Close | Framing::Http10 => Ok(()),
