response: reject responses whose status is not that of a final response

Callers got responses with status 101, which nobody had asked for, and 600 to 999, with the server's signature, on routes of all kinds; after a 101 their connection had changed its protocol as far as the HTTP library was concerned.

Cause: the parser accepts any three digits from 100 on, and the status was passed on as it came. 000 and 099 are rejected by the parser.

`Framing::of`, which all readers of heads call, now returns an error for a status outside of 200 to 599, so that such a response is treated like one whose framing is invalid: repeated where its route allows it, 502 elsewhere. An entry host no longer truncates a status that an agent reports to 16 bits.

--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -132,8 +132,9 @@
     (method, due): (&http::Method, boot::Instant),
 ) -> http::Response<Body> {
     let mut response = http::Response::new(());
-    *response.status_mut() = http::StatusCode::from_u16(answer.head.status as u16)
-        .unwrap_or(http::StatusCode::BAD_GATEWAY);
+    let status = u16::try_from(answer.head.status).ok();
+    let status = status.and_then(|status| http::StatusCode::from_u16(status).ok());
+    *response.status_mut() = status.unwrap_or(http::StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
     for header in &answer.head.headers {
         let name = http::HeaderName::from_bytes(header.name.as_bytes());
--- a/response/src/framing.rs
+++ b/response/src/framing.rs
@@ -39,6 +39,9 @@
     /// The body has a length and a transfer coding.
     #[error("both a length and a transfer coding")]
     Ambiguous,
+    /// The status is not one of a final response. No request asks for another protocol.
+    #[error("not a status of a final response")]
+    Status,
 }
 
 impl Framing {
@@ -46,8 +49,12 @@
     ///
     /// # Errors
     ///
-    /// Returns an [`Error`] if the head contradicts itself or needs an unsupported coding.
+    /// Returns an [`Error`] if the head contradicts itself, needs an unsupported coding, or has an
+    /// invalid status.
     pub fn of(method: &Method, head: &http::response::Parts) -> Result<Framing, Error> {
+        if !(200..600).contains(&head.status.as_u16()) {
+            return Err(Error::Status);
+        }
         let length = length(&head.headers)?;
         let chunked = is_chunked(&head.headers)?;
         if chunked && length.is_some() {
--- a/response/tests/ending.rs
+++ b/response/tests/ending.rs
@@ -90,6 +90,18 @@
     assert_eq!(empty(("transfer-encoding", "chunked")), Err(framing::Error::Coding));
 }
 
+/// Guards against a status outside of the classes of final responses, which no client understands.
+#[test]
+fn reads_no_framing_of_a_response_that_is_not_final() {
+    let read = |status| framing(http::Method::GET, status, &[("content-length", "7")]);
+    for status in [100, 101, 199, 600, 700, 999] {
+        assert_eq!(read(status), Err(framing::Error::Status), "{status}");
+    }
+    for status in [200, 299, 300, 404, 500, 599] {
+        assert_eq!(read(status), Ok(Framing::Length), "{status}");
+    }
+}
+
 /// Guards against chunks of a version that has none.
 #[test]
 fn reads_no_framing_from_chunks_over_http_1_0() {
--- a/tests/tests/heads.rs
+++ b/tests/tests/heads.rs
@@ -74,7 +74,7 @@
 }
 
 /// Heads with lines that are no fields, or with a status line that is none of a final response.
-const INVALID: [&str; 15] = [
+const INVALID: [&str; 18] = [
     "|no field|connection: close",
     "|: no name|connection: close",
     "|na me: blank|connection: close",
@@ -89,6 +89,9 @@
     "HTTP/1.1 20 Short|connection: close",
     "HTTP/1.1 2000 Long|connection: close",
     "HTTP/1.1 2x0 Letter|connection: close",
+    "HTTP/1.1 101 Switching Protocols|connection: close",
+    "HTTP/1.1 600 High|connection: close",
+    "HTTP/1.1 999 High|connection: close",
     "HTTP/2.0 200 OK|connection: close",
 ];
 
