gateway: reject late requests of a stop that may outlast the process

Cause: requests were admitted by the age of the stop when their head arrived. Neither their deadline nor the rest of the grace counted, and nothing looked again when the body was complete.

From the time on when the platform has removed the gateway, a request is now passed on only if its deadline falls before the end of the stop, checked at its head and again at the end of its body. Another gateway can serve it to its end: it gets 503 with a retry delay of zero, before it has run. Short requests are served as before.

--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -2,11 +2,12 @@
 //!
 //! After the stop signal the gateway reports itself not ready, so that the platform sends no new
 //! connections. It continues to serve requests on open connections, and each response tells the
-//! client to close. Once the platform has removed the gateway and no request is in flight, the
-//! gateway accepts no more requests and closes idle connections. From then on, and from
-//! [`REJECT_DELAY`] in any case, further requests are rejected as not run, so that all responses
-//! are written before the process is killed. The process exits once all connections are closed,
-//! because a complete response may not have been written out yet.
+//! client to close. Once the platform has removed the gateway, a request is only passed on if its
+//! deadline falls before the end of the stop: another gateway can serve it to its end. Once no
+//! request is in flight either, the gateway accepts no more requests and closes idle connections.
+//! From then on, and from [`REJECT_DELAY`] in any case, all further requests are rejected as not
+//! run. The process exits once all connections are closed, because a complete response may not have
+//! been written out yet.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -54,11 +55,19 @@
     connections: BTreeMap<u64, exchange::Exchange>,
     /// Number of connections accepted since the start, which numbers them.
     accepted: u64,
-    stop: Option<boot::Instant>,
+    stop: Option<Stop>,
     /// Whether requests are rejected because the process is about to exit with none in flight.
     closed: bool,
 }
 
+/// A planned stop in progress.
+#[derive(Debug, Clone, Copy)]
+struct Stop {
+    begun: boot::Instant,
+    /// Time by which responses must be complete.
+    end: boot::Instant,
+}
+
 /// How a new request is handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -144,13 +153,22 @@
         inner.in_flight += 1;
         let admission = match inner.stop {
             None => Admission::Open,
-            Some(stop) if !inner.closed && stop.elapsed() < REJECT_DELAY => Admission::Closing,
+            Some(stop) if !inner.closed && stop.begun.elapsed() < REJECT_DELAY => {
+                Admission::Closing
+            }
             Some(_) => Admission::Rejected,
         };
         drop(inner);
         (admission, InFlight { gateway: gateway.clone() })
     }
 
+    /// Returns whether a request with the deadline `due` may be passed on now. One that may outlast
+    /// the process is left to another gateway as soon as clients reach another one.
+    pub fn allows_until(&self, due: boot::Instant) -> bool {
+        let stop = self.lock().stop;
+        stop.is_none_or(|stop| due <= stop.end || stop.begun.elapsed() < UNREADY_DELAY)
+    }
+
     /// Rejects all further requests if none is in flight. Returns whether requests are rejected.
     fn close_if_idle(&self) -> bool {
         let mut inner = self.lock();
@@ -283,10 +301,10 @@
     let grace = Duration::from_secs_f64(gateway.settings.serving.grace_s);
     log::info!("stopping in_flight={} grace_ms={}", lifecycle.in_flight(), grace.as_millis());
     let started = boot::Instant::now();
-    lifecycle.lock().stop = Some(started);
+    let mut end = started + grace.saturating_sub(END_MARGIN);
+    lifecycle.lock().stop = Some(Stop { begun: started, end });
     lifecycle.handle(lifecycle::Event::InFlight(1));
     lifecycle.handle(lifecycle::Event::Stop);
-    let mut end = started + grace.saturating_sub(END_MARGIN);
     while boot::Instant::now() < end {
         let taken_out = started.elapsed() >= UNREADY_DELAY;
         if taken_out && lifecycle.close_if_idle() {
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -102,12 +102,21 @@
     let grant = grant.map_err(|refusal| unrouted(refusal.into()))?;
     let origin = gateway.origin(&grant);
     let refused = |refusal| Refused { refusal, id: Some(id.clone()), origin: Some(origin.clone()) };
-    let body = (body, &gateway.memory);
+    let received = boot::Instant::now();
+    let due = request::due(received, &meta, &grant.route);
+    let check_stop = || match gateway.lifecycle.allows_until(due) {
+        true => Ok(()),
+        false => Err(refused(Refusal::Stopping)),
+    };
+    check_stop()?;
+    let (head, body) = ((received, head), (body, &gateway.memory));
     let read = request::read(head, body, meta, (grant, origin.clone()), &routes);
     let request = read.await.map_err(refused)?;
     // If this runs into the deadline, the dispatcher rejects the request.
     let settled = gateway.mirror.ends.wait_until_settled(request.digest);
     let _in_time = tokio::time::timeout_at(request.due.timer(), settled).await;
+    // The body may have arrived long after the head.
+    check_stop()?;
     if let poison::Standing::Refused(ends) = gateway.mirror.ends.standing(request.digest) {
         log::info!("request ends servers request={id} digest={} ends={ends}", request.digest);
         return Err(refused(Refusal::EndsServers));
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -154,21 +154,29 @@
     id.chars().take(MAX_LOGGED_ID).map(char).collect()
 }
 
-/// Reads a complete request whose route has been found.
+/// Returns the deadline of the response to a request on this route that was received at `received`.
+pub fn due(
+    received: boot::Instant,
+    meta: &protocol::Request,
+    route: &route::Route,
+) -> boot::Instant {
+    let timeout = meta.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
+    received + timeout.saturating_sub(DEADLINE_MARGIN)
+}
+
+/// Reads a complete request whose route has been found, and whose head was received at `received`.
 ///
 /// # Errors
 ///
 /// Returns a [`Refusal`] if the request is rejected. Nothing has been sent to a backend server.
 pub async fn read(
-    head: http::request::Parts,
+    (received, head): (boot::Instant, http::request::Parts),
     (body, account): (&mut client::Body, &memory::Account),
     meta: protocol::Request,
     (grant, origin): (route::Grant, Origin),
     routes: &route::Table,
 ) -> Result<Request, Refusal> {
-    let received = boot::Instant::now();
-    let timeout = meta.timeout.unwrap_or(DEFAULT_TIMEOUT).min(grant.route.timeout);
-    let due = received + timeout.saturating_sub(DEADLINE_MARGIN);
+    let due = due(received, &meta, &grant.route);
     let left = due.saturating_duration_since(received);
     // Attempts and the request share the bytes.
     let limit = body::Limit { bytes: routes.limits.body_bytes, time: left, copies: 1 };
--- a/tests/tests/stopping.rs
+++ b/tests/tests/stopping.rs
@@ -116,3 +116,116 @@
     }
     assert!(system.gateways[0].wait().await && system.gateways[1].wait().await);
 }
+
+/// Grace of a gateway whose requests may outlast it, as its setting.
+const SHORT_GRACE: &str = "grace_s = 5";
+
+/// Status and `retry-after` of a response that was read as text, or an empty status if there is none.
+fn head(answer: &str) -> (&str, Option<&str>) {
+    let status = answer.split(' ').nth(1).unwrap_or_default();
+    let field = |line: &'_ str| line.to_ascii_lowercase().starts_with("retry-after: ");
+    let delay = answer.lines().find(|line| field(line));
+    (status, delay.map(|line| &line["retry-after: ".len()..]))
+}
+
+/// A connection that has been used once.
+async fn keep_connection(address: std::net::SocketAddr) -> tokio::net::TcpStream {
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let request = Request::new("/receipt/").method("HEAD");
+    stream.write_all(request.text().as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\n") {
+        answer.push(stream.read_u8().await.unwrap());
+    }
+    assert!(answer.starts_with(b"HTTP/1.1 200 "));
+    stream
+}
+
+/// Sends the parts of a request at these times after `signal`, and reads to the end of the connection.
+async fn send_at(
+    mut stream: tokio::net::TcpStream,
+    text: String,
+    signal: tokio::time::Instant,
+    parts: &[(u64, usize)],
+) -> (String, Duration) {
+    let mut begin = 0_usize;
+    for (ms, length) in parts {
+        tokio::time::sleep_until(signal + Duration::from_millis(*ms)).await;
+        let end = text.len().min(begin.saturating_add(*length));
+        // If the gateway has closed the connection, there is no answer.
+        stream.write_all(&text.as_bytes()[begin..end]).await.ok();
+        begin = end;
+    }
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.ok();
+    (answer, signal.elapsed())
+}
+
+/// Guards against requests that a stopping gateway takes from kept connections and passes on although
+/// they may outlast it, and then cuts off: by when they are sent, and by when the last byte of their
+/// body is.
+#[tokio::test(flavor = "multi_thread")]
+async fn rejects_late_requests_that_may_outlast_the_gateway() {
+    let system = System::start(Plan { gateways: 1, ..PLAN }).await;
+    let gateway = System::start_without_peers(&system, SHORT_GRACE).await;
+    let address = system.client_address(5);
+    until("the gateway serves", || async {
+        system.request(5, &Request::new("/alert/")).await.status == 200
+    })
+    .await;
+    let long = |path: &str| Request::new(path).deadline(GRACE).with("x-standin-delay-ms", "3000");
+    let short = |path: &str| {
+        let request = Request::new(path).with("x-standin-delay-ms", "50");
+        request.deadline(Duration::from_millis(1_000))
+    };
+    let all = usize::MAX;
+    let mut cases = Vec::new();
+    for ms in [2_400, 2_700, 2_950, 3_050, 3_090] {
+        cases.push((long("/receipt/"), vec![(ms, all)], "503"));
+        cases.push((long("/alert/"), vec![(ms, all)], "503"));
+    }
+    for head_ms in [1_000, 2_000, 2_900] {
+        let request = long("/receipt/");
+        let but_one = request.text().len() - 1;
+        cases.push((request, vec![(head_ms, but_one), (3_050, all)], "503"));
+    }
+    for ms in [2_400, 2_700] {
+        cases.push((short("/receipt/"), vec![(ms, all)], "200"));
+    }
+    let mut streams = Vec::new();
+    for _ in &cases {
+        streams.push(keep_connection(address).await);
+    }
+    // A request in progress keeps the gateway from closing idle connections.
+    let begun = long("/receipt/").with("x-standin-delay-ms", "3500");
+    let early = keep_connection(address).await;
+    let signal = tokio::time::Instant::now();
+    let at_once = [(0, all)];
+    let early = send_at(early, begun.text(), signal, &at_once);
+    let sent = cases
+        .iter()
+        .zip(streams)
+        .map(|((request, parts, _), stream)| send_at(stream, request.text(), signal, parts));
+    let stop = async {
+        until("the first request is in progress", || async {
+            system.arrivals(&begun.id).await.len() == 1
+        })
+        .await;
+        gateway.signal(libc::SIGTERM);
+    };
+    let ((early, _), answers, ()) = tokio::join!(early, futures_util::future::join_all(sent), stop);
+    assert_eq!(head(&early).0, "200", "{early}");
+    let mut wrong = Vec::new();
+    for ((request, parts, status), (answer, after)) in cases.iter().zip(answers) {
+        let reached = system.arrivals(&request.id).await.len();
+        let seen = (head(&answer), reached);
+        let expected = match *status {
+            "503" => (("503", Some("0.000")), 0),
+            status => ((status, None), 1),
+        };
+        if seen != expected {
+            wrong.push(format!("{parts:?} expected {expected:?} got {seen:?} after {after:?}"));
+        }
+    }
+    assert!(wrong.is_empty(), "{} wrong:\n{}", wrong.len(), wrong.join("\n"));
+}
