gateway: answer requests that are in progress as the process exits

Callers whose request was still in progress at the end of a gateway's grace had their connection cut with no answer, also for requests that may not be repeated or that no server had been sent.

Cause: the phase in which connections end began at the moment at which the process exits, and requests whose response had not begun did not wait for it.

That phase now begins 0.15 s before the exit. A request without the head of a response gets a final one then: 503 if no attempt of it may have run, by the balancer's own count; a server's error response if there is one; else 502. So does one whose body has not arrived. Streams that have begun go on until the exit.

--- a/decision/src/balancer.rs
+++ b/decision/src/balancer.rs
@@ -332,6 +332,11 @@
         }
     }
 
+    /// Returns whether an attempt of a request that has ended or was replaced may have run.
+    pub fn may_have_run(&self, ticket: entity::Ticket) -> bool {
+        self.pending.get(&ticket).is_some_and(|pending| pending.runs > 0)
+    }
+
     /// Records that the answer to an attempt began, `after` its dispatch.
     pub fn begin(&mut self, ticket: entity::Ticket, after: Duration, now: clock::Instant) {
         let Some(pending) = self.pending.get_mut(&ticket) else { return };
--- a/dispatch/src/permit.rs
+++ b/dispatch/src/permit.rs
@@ -43,6 +43,11 @@
         self.dispatcher.decline_move(self.ticket);
     }
 
+    /// Returns whether an attempt that has ended or was replaced may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.dispatcher.lock().balancer.may_have_run(self.ticket)
+    }
+
     /// Reports that the first part of the attempt's answer arrived, `after` it was sent.
     pub fn begin(&self, after: Duration) {
         self.dispatcher.begin(self.ticket, after, &self.receiver);
--- a/gateway/src/answer.rs
+++ b/gateway/src/answer.rs
@@ -108,8 +108,11 @@
         balancer::Outcome::NotRun => {
             local::<P>(http::StatusCode::SERVICE_UNAVAILABLE, Some(id), Some(refusal.retry_after))
         }
-        balancer::Outcome::Unknown => {
-            local::<P>(http::StatusCode::BAD_GATEWAY, Some(id), Some(IMMEDIATE_RETRY))
-        }
+        balancer::Outcome::Unknown => unknown::<P>(id),
     }
 }
+
+/// Returns the final response of a request that may have run and has no complete response.
+pub fn unknown<P: Protocol>(id: &str) -> Response {
+    local::<P>(http::StatusCode::BAD_GATEWAY, Some(id), Some(IMMEDIATE_RETRY))
+}
--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -7,7 +7,8 @@
 //! request is in flight either, the gateway accepts no more requests and closes idle connections.
 //! From then on, and from [`REJECT_DELAY`] in any case, all further requests are rejected as not
 //! run. The process exits once all connections are closed, because a complete response may not have
-//! been written out yet.
+//! been written out yet. Shortly before the grace period is over, requests whose response has not
+//! begun get a final one.
 
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -33,6 +34,9 @@
 const REJECT_DELAY: Duration = Duration::from_millis(3_100);
 /// Part of the grace period that is left when the process exits on its own.
 const END_MARGIN: Duration = Duration::from_millis(250);
+/// Time before the exit at which requests whose response has not begun get a final one, so that it
+/// can be written out.
+const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(150);
 /// Interval between two checks whether the process may exit.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -64,7 +68,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Stop {
     begun: boot::Instant,
-    /// Time by which responses must be complete.
+    /// Time at which requests whose response has not begun get a final one.
     end: boot::Instant,
 }
 
@@ -301,7 +305,8 @@
     let grace = Duration::from_secs_f64(gateway.settings.serving.grace_s);
     log::info!("stopping in_flight={} grace_ms={}", lifecycle.in_flight(), grace.as_millis());
     let started = boot::Instant::now();
-    let mut end = started + grace.saturating_sub(END_MARGIN);
+    let mut exit = started + grace.saturating_sub(END_MARGIN);
+    let end = started + grace.saturating_sub(END_MARGIN + FINAL_RESPONSE_TIME);
     lifecycle.lock().stop = Some(Stop { begun: started, end });
     lifecycle.handle(lifecycle::Event::InFlight(1));
     lifecycle.handle(lifecycle::Event::Stop);
@@ -314,7 +319,7 @@
             () = tokio::time::sleep(POLL_INTERVAL) => {}
             () = signals.wait_for_stop(peers, file) => {
                 log::warn!("second signal in_flight={}", lifecycle.in_flight());
-                end = boot::Instant::now() + POLL_INTERVAL;
+                exit = boot::Instant::now() + POLL_INTERVAL;
                 break;
             }
         }
@@ -325,7 +330,7 @@
         lifecycle.connections()
     );
     lifecycle.handle(lifecycle::Event::Expired);
-    while boot::Instant::now() < end && lifecycle.connections() > 0 {
+    while boot::Instant::now() < exit && lifecycle.connections() > 0 {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     if lifecycle.connections() > 0 {
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -64,6 +64,11 @@
         self.lock().id = Some(id.clone());
     }
 
+    /// Returns the request's id, if its head has been parsed.
+    pub fn id(&self) -> Option<Arc<str>> {
+        self.lock().id.clone()
+    }
+
     /// Records that the connection has been given the response's head.
     pub fn answer(&self) {
         let mut state = self.lock();
--- a/gateway/src/flow.rs
+++ b/gateway/src/flow.rs
@@ -5,7 +5,7 @@
 
 use hyper::body::Incoming;
 use loftcove_clock as boot;
-use loftcove_decision::{balancer, entity, poison};
+use loftcove_decision::{balancer, entity, lifecycle, poison};
 use loftcove_dispatch as dispatch;
 use loftcove_intake as intake;
 use loftcove_interface::protocol::{Answer, NotRun, Protocol, Verdict};
@@ -38,7 +38,14 @@
             Err(Refused { refusal: Refusal::Stopping, id, origin: None })
         }
         drain::Admission::Open | drain::Admission::Closing => {
-            accept(&gateway, &exchange, head, &mut body, in_flight).await
+            let mut phases = gateway.lifecycle.phases();
+            tokio::select! {
+                biased;
+                accepted = accept(&gateway, &exchange, head, &mut body, in_flight) => accepted,
+                () = phases.wait(lifecycle::Phase::Stopped) => {
+                    Err(Refused { refusal: Refusal::Stopping, id: exchange.id(), origin: None })
+                }
+            }
         }
     };
     open.complete();
@@ -188,6 +195,9 @@
         // A request that was already sent goes on: it may show that its parts are sound.
         let part_refused = gateway.mirror.ends.wait_until_part_refused(request.refusable_parts());
         tokio::pin!(part_refused);
+        let mut phases = gateway.lifecycle.phases();
+        let stopped = phases.wait(lifecycle::Phase::Stopped);
+        tokio::pin!(stopped);
         loop {
             if gateway.has_refused_part(&request) {
                 return self.reject_as(Refusal::PartEndsServers);
@@ -200,6 +210,7 @@
                     return self.reject_as(Refusal::PartEndsServers);
                 }
                 next = tokio::time::timeout_at(request.due.timer(), permit.next()) => next,
+                () = &mut stopped => return self.stopped(permit.may_have_run(), failure),
             };
             let next = match next {
                 Ok(Some(next)) => next,
@@ -219,6 +230,7 @@
                     return self.reject_as(Refusal::EndsServers);
                 }
                 sent = gateway.send_movable(&request, &mut attempt, None, &mut permit) => sent,
+                () = &mut stopped => return self.stopped(true, failure),
             };
             match sent {
                 Outcome::Whole(whole) => {
@@ -277,14 +289,27 @@
         answer::refusal::<P>(refusal, &self.request.meta.id)
     }
 
-    /// Rejects the request because backend servers ended under it or a part of its prompt. Dropping
-    /// its permit and its connection cancels it on the server that may be running it.
+    /// Rejects the request without a further attempt. Dropping its permit and its connection cancels
+    /// it on the server that may be running it.
     fn reject_as(self, refusal: Refusal) -> Response {
         self.done("refused", &refusal.to_string());
         let (status, retry_after) = refusal.answer();
         answer::local::<P>(status, Some(&*self.request.meta.id), retry_after)
     }
 
+    /// Returns the final response of a request whose response has not begun when the process is
+    /// about to exit. Dropping its connection cancels it on the server that may be running it.
+    fn stopped(self, may_have_run: bool, failure: Option<answer::Whole>) -> Response {
+        if let Some(whole) = failure {
+            return self.answered(whole);
+        }
+        if !may_have_run {
+            return self.reject_as(Refusal::Stopping);
+        }
+        self.done("unknown", &Refusal::Stopping.to_string());
+        answer::unknown::<P>(&self.request.meta.id)
+    }
+
     fn timed_out(self) -> Response {
         self.done("unknown", "deadline");
         let id = &*self.request.meta.id;
--- a/tests/tests/stopping.rs
+++ b/tests/tests/stopping.rs
@@ -119,6 +119,10 @@
 
 /// Grace of a gateway whose requests may outlast it, as its setting.
 const SHORT_GRACE: &str = "grace_s = 5";
+/// The same without the time for which the gateway still serves.
+const SHORT_GRACE_END: Duration = Duration::from_millis(4_500);
+/// Time after the signal at which the platform has removed the gateway.
+const REMOVED: Duration = Duration::from_millis(2_400);
 
 /// Status and `retry-after` of a response that was read as text, or an empty status if there is none.
 fn head(answer: &str) -> (&str, Option<&str>) {
@@ -229,3 +233,41 @@
     }
     assert!(wrong.is_empty(), "{} wrong:\n{}", wrong.len(), wrong.join("\n"));
 }
+
+/// Guards against requests without any answer whose connection is cut as the gateway exits: those
+/// that a server still runs, and one whose body has not arrived.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_what_is_still_in_progress_at_the_end_of_the_grace() {
+    let system = System::start(Plan { gateways: 1, ..PLAN }).await;
+    let mut gateway = System::start_without_peers(&system, SHORT_GRACE).await;
+    let address = system.client_address(5);
+    until("the gateway serves", || async {
+        system.request(5, &Request::new("/alert/")).await.status == 200
+    })
+    .await;
+    let slow = |path: &str| Request::new(path).deadline(GRACE).with("x-standin-delay-ms", "3900");
+    let [once, again, torn] = [slow("/receipt/"), slow("/alert/"), slow("/receipt/")];
+    let but_one = torn.text().len() - 1;
+    let cases = [
+        (&once, vec![(1_500, usize::MAX)], ("502", Some("0.000")), 1),
+        (&again, vec![(1_500, usize::MAX)], ("502", Some("0.000")), 1),
+        (&torn, vec![(1_500, but_one)], ("503", Some("0.000")), 0),
+    ];
+    let mut streams = Vec::new();
+    for _ in &cases {
+        streams.push(keep_connection(address).await);
+    }
+    let signal = tokio::time::Instant::now();
+    gateway.signal(libc::SIGTERM);
+    let sent = cases
+        .iter()
+        .zip(streams)
+        .map(|((request, parts, ..), stream)| send_at(stream, request.text(), signal, parts));
+    let answers = futures_util::future::join_all(sent).await;
+    for ((request, _, expected, reached), (answer, after)) in cases.iter().zip(answers) {
+        assert_eq!(head(&answer), *expected, "{answer} after {after:?}");
+        assert_eq!(system.arrivals(&request.id).await.len(), *reached);
+        assert!(after > REMOVED && after >= SHORT_GRACE_END, "{after:?}");
+    }
+    assert!(gateway.wait().await);
+}
