daemon: answer requests that an entry host has in progress as it exits

Callers of an entry host that was stopped lost requests without any answer: those that a server still ran when the drain ended, those whose body had not arrived, and those whose body was complete only after the signal, which were passed on all the same.

Work was admitted by its head alone, and the process exited with what was in progress. A second signal did not even change the phase.

A request that may outlast the drain is now refused as not run when its body is complete, and one without an answer when the drain ends gets one: not-run, or unknown if an attempt may have run by the balancer's count. Its idempotency key is settled with the same outcome.

Evidence: answers_what_an_entry_host_still_has_in_progress_as_it_exits failed before (no answer after 2.2 s of a drain of 2 s) and passes, with the other tests of stops, keys and refusals.

--- a/daemon/src/entry/dispatcher.rs
+++ b/daemon/src/entry/dispatcher.rs
@@ -360,6 +360,11 @@
         self.receiver.recv().await
     }
 
+    /// Returns whether an attempt that has ended may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.dispatcher.lock().balancer.may_have_run(self.ticket)
+    }
+
     /// Records that the attempt's answer began after the given time.
     pub fn begin(&self, after: Duration) {
         let now = self.dispatcher.clock.now();
--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -35,7 +35,11 @@
     // Over HTTP/2 a connection has many requests.
     let memory = entry.memory.try_hold(call::header_memory(&head.headers));
     let accepted = match memory {
-        Some(_) => accept(&entry, id, head, &mut body).await,
+        Some(_) => tokio::select! {
+            biased;
+            accepted = accept(&entry, id, head, &mut body) => accepted,
+            () = entry.process.lifecycle.wait_until_stopped() => Err(Refusal::NotServing),
+        },
         None => Err(Refusal::Memory),
     };
     open.complete();
@@ -110,8 +114,18 @@
     in_flight: life::InFlight,
 ) -> Result<http::Response<relay::Body>, Refusal> {
     let process = &entry.process;
-    let _settled =
-        tokio::time::timeout(call.budget, process.ends.wait_until_settled(call.digest())).await;
+    // The body may have arrived long after the head.
+    if !process.lifecycle.allows_until(boot::Instant::now() + call.budget) {
+        return Err(Refusal::NotServing);
+    }
+    let stopped = process.lifecycle.wait_until_stopped();
+    tokio::pin!(stopped);
+    let settled = process.ends.wait_until_settled(call.digest());
+    tokio::select! {
+        biased;
+        _settled = tokio::time::timeout(call.budget, settled) => {}
+        () = &mut stopped => return Err(Refusal::NotServing),
+    }
     if let poison::Standing::Refused(ends) = process.ends.standing(call.digest()) {
         let digest = call.digest();
         log::info!("request ends servers request={} digest={digest} ends={ends}", call.id);
@@ -121,7 +135,12 @@
     // The time spent on the claim counts towards the deadline.
     let claim_start = boot::Instant::now();
     let claim = match call.key {
-        Some(key) if !call.class.repeatable => Some(claim::acquire(process, &call, key).await?),
+        Some(key) if !call.class.repeatable => Some(tokio::select! {
+            biased;
+            claim = claim::acquire(process, &call, key) => claim?,
+            // Dropping the claim settles it as not run.
+            () = &mut stopped => return Err(Refusal::NotServing),
+        }),
         _ => None,
     };
     let budget = call.budget.checked_sub(claim_start.elapsed()).ok_or(Refusal::Deadline)?;
@@ -182,15 +201,27 @@
             prefix: self.call.prefix,
             suspect: self.call.suspect.then(|| self.call.digest()),
         });
+        let process = self.entry.process.clone();
+        let stopped = process.lifecycle.wait_until_stopped();
+        tokio::pin!(stopped);
         loop {
-            // The dispatcher outlives its permits and always sends a next action.
-            let action = permit.next().await.ok_or(Refusal::NotServing)?;
+            let action = tokio::select! {
+                biased;
+                // The dispatcher outlives its permits and always sends a next action.
+                action = permit.next() => action.ok_or(Refusal::NotServing)?,
+                () = &mut stopped => return Err(self.stop(permit.may_have_run())),
+            };
             match action {
                 balancer::Action::Refuse(refusal) => return Err(self.reject(refusal)),
                 // Requests of this host are not resumable, so none is moved.
                 balancer::Action::Move(_) => {}
                 balancer::Action::Send(next) => {
-                    if let Some(answer) = self.attempt(&mut permit, &next).await {
+                    let answer = tokio::select! {
+                        biased;
+                        answer = self.attempt(&mut permit, &next) => answer,
+                        () = &mut stopped => return Err(self.stop(true)),
+                    };
+                    if let Some(answer) = answer {
                         return Ok(self.relay(permit, next.choice.server, *answer).await);
                     }
                 }
@@ -198,6 +229,19 @@
         }
     }
 
+    /// Settles the claim of a request whose answer has not begun when the process is about to exit,
+    /// and returns the response.
+    fn stop(&mut self, may_have_run: bool) -> Refusal {
+        let (outcome, refusal) = match may_have_run {
+            true => (Outcome::Unknown, Refusal::Lost),
+            false => (Outcome::NotRun, Refusal::NotServing),
+        };
+        if let Some(claim) = self.claim.take() {
+            claim.settle(outcome);
+        }
+        refusal
+    }
+
     /// Settles the claim of a request that the balancer rejected, and returns the response.
     fn reject(&mut self, refusal: balancer::Refusal) -> Refusal {
         let outcome = match refusal.outcome {
--- a/daemon/src/entry/relay.rs
+++ b/daemon/src/entry/relay.rs
@@ -195,8 +195,14 @@
 ) -> Buffered {
     let mut size = 0;
     let mut deadline = Deadline::new(due);
+    let stopped = completion.process.lifecycle.wait_until_stopped();
+    tokio::pin!(stopped);
     while size <= MAX_BUFFERED {
-        let next = deadline.wait(answer.frames.message()).await;
+        let next = tokio::select! {
+            biased;
+            next = deadline.wait(answer.frames.message()) => next,
+            () = &mut stopped => return Buffered::Broken("stopping"),
+        };
         let Ok(frame) = next else { return Buffered::Broken("deadline") };
         match read_part(completion, &answer.id, frame) {
             Some(Part::Data(data)) => {
--- a/daemon/src/life.rs
+++ b/daemon/src/life.rs
@@ -1,7 +1,8 @@
 //! Lifecycle of the process, shared by its tasks.
 
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 
+use loftcove_clock as boot;
 use loftcove_decision::lifecycle;
 use statig::blocking::StateMachine;
 use tokio::sync::watch;
@@ -10,6 +11,8 @@
 pub struct Lifecycle {
     inner: Mutex<Inner>,
     phase: watch::Sender<lifecycle::Phase>,
+    /// Time at which the drain ends, once it has begun.
+    drain_end: OnceLock<boot::Instant>,
 }
 
 struct Inner {
@@ -23,6 +26,7 @@
         Lifecycle {
             inner: Mutex::new(Inner { machine, in_flight: 0 }),
             phase: watch::Sender::new(lifecycle::Phase::Starting),
+            drain_end: OnceLock::new(),
         }
     }
 }
@@ -45,6 +49,29 @@
         self.phase.subscribe()
     }
 
+    /// Begins the drain, which ends at `end`.
+    pub fn drain(&self, end: boot::Instant) {
+        self.drain_end.get_or_init(|| end);
+        self.handle(lifecycle::Event::Stop);
+    }
+
+    /// Returns whether a request with the deadline `due` may be passed on now. One that may outlast
+    /// the process is left to another host.
+    pub fn allows_until(&self, due: boot::Instant) -> bool {
+        self.drain_end.get().is_none_or(|end| due <= *end)
+    }
+
+    /// Waits until the process is about to exit.
+    pub async fn wait_until_stopped(&self) {
+        let mut phase = self.phase.subscribe();
+        // The sender lives as long as the process.
+        phase
+            .wait_for(|phase| *phase == lifecycle::Phase::Stopped)
+            .await
+            .map(drop)
+            .unwrap_or_default();
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> usize {
         self.lock().in_flight
--- a/daemon/src/stop.rs
+++ b/daemon/src/stop.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use loftcove_clock as boot;
 use loftcove_decision::lifecycle;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -44,12 +45,10 @@
     signals.next().await;
     let drain = process.settings.drain();
     log::info!("drain in_flight={} limit_ms={}", process.lifecycle.in_flight(), drain.as_millis());
-    process.lifecycle.handle(lifecycle::Event::Stop);
-    let mut phase = process.lifecycle.subscribe();
+    process.lifecycle.drain(boot::Instant::now() + drain);
     let finished = async {
         begin().await;
-        // The sender exists as long as the process, so that waiting does not fail.
-        phase.wait_for(|phase| *phase == lifecycle::Phase::Stopped).await.ok();
+        process.lifecycle.wait_until_stopped().await;
     };
     tokio::select! {
         _ = finished => {}
@@ -58,10 +57,11 @@
             log::warn!("drain expired in_flight={}", process.lifecycle.in_flight());
         }
         _ = signals.next() => {
-            log::warn!("second signal in_flight={}", process.lifecycle.in_flight())
+            log::warn!("second signal in_flight={}", process.lifecycle.in_flight());
+            process.lifecycle.handle(lifecycle::Event::Expired);
         }
     }
-    // The last bytes of completed responses may not have been sent yet.
+    // The last bytes of completed responses, and of the final ones, may not have been sent yet.
     tokio::time::sleep(FLUSH_DELAY).await;
 }
 
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -43,6 +43,8 @@
     pub workers: usize,
     /// Further lines of the section `[entry]`.
     pub entry: &'static str,
+    /// Maximum time of a planned stop, milliseconds.
+    pub drain_ms: u64,
 }
 
 impl Default for Plan {
@@ -58,6 +60,7 @@
             rebalance_s: 1,
             workers: 1,
             entry: "",
+            drain_ms: 20_000,
         }
     }
 }
@@ -231,12 +234,13 @@
         format!(
             "[process]\nrole = \"{role}\"\nhost = \"{host}\"\nzone = \"{zone}\"\n\
              deployment = \"vale\"\npeer_address = \"{peer}\"\nkey = \"{}\"\n\
-             source_address = \"{}\"\nexchange_ms = 200\ndrain_ms = 20000\nseeds = [{}]\n\
+             source_address = \"{}\"\nexchange_ms = 200\ndrain_ms = {}\nseeds = [{}]\n\
              workers = {}\n\
              [platform]\naddress = \"{}\"\ntimeout_ms = 1000\n\
              [operators]\n{}\n[homes]\n{}\n",
             self.key,
             source_address(index),
+            self.plan.drain_ms,
             seeds.join(", "),
             self.plan.workers,
             self.platform_proxy_address,
--- a/tests/tests/stops.rs
+++ b/tests/tests/stops.rs
@@ -173,6 +173,75 @@
     assert!(process.wait().await);
 }
 
+/// Limit of a stop that requests outlast.
+const SHORT_DRAIN: Duration = Duration::from_millis(2_000);
+
+/// Sends a call to the service in two parts, the second one `pause` later if it is given, and reads to
+/// the end of the connection.
+async fn call_in_parts(
+    address: std::net::SocketAddr,
+    key: &str,
+    pause: Option<Duration>,
+) -> (String, Duration) {
+    let (service, token) = (cluster::SERVICE, cluster::TOKEN);
+    let request = format!(
+        "POST /services/{service}/send HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {token}\r\n\
+         idempotency-key: {key}\r\nx-standin-delay-ms: 6000\r\ncontent-length: 2\r\n\r\n{{}}"
+    );
+    let (first, last) = request.as_bytes().split_at(request.len() - 1);
+    let begun = tokio::time::Instant::now();
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    stream.write_all(first).await.unwrap();
+    if let Some(pause) = pause {
+        tokio::time::sleep(pause).await;
+        stream.write_all(last).await.unwrap();
+    }
+    let mut answer = String::new();
+    // If the connection is cut, there is no answer.
+    stream.read_to_string(&mut answer).await.ok();
+    (answer, begun.elapsed())
+}
+
+/// Guards against requests without any answer whose connection is cut as the entry host exits: one
+/// that a server still runs, one whose body is complete only after the signal, and one whose body is
+/// not.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_what_an_entry_host_still_has_in_progress_as_it_exits() {
+    let plan = cluster::Plan {
+        zones: vec!["sala-braga"],
+        entries: 1,
+        ranks: 0,
+        drain_ms: SHORT_DRAIN.as_millis() as u64,
+        ..cluster::Plan::default()
+    };
+    let mut cluster = cluster::Cluster::start(plan).await;
+    let entry = cluster.entries().remove(0);
+    let address = cluster.members[&entry].http_address.unwrap();
+    let keys = [(); 3].map(|()| uuid::Uuid::now_v7().to_string());
+    let late = Duration::from_millis(500);
+    let calls = futures_util::future::join3(
+        call_in_parts(address, &keys[0], Some(Duration::ZERO)),
+        call_in_parts(address, &keys[1], Some(late)),
+        call_in_parts(address, &keys[2], None),
+    );
+    let stop = async {
+        until("a server runs the first call", || async { cluster.runs(&keys[0]).await == 1 }).await;
+        tokio::time::sleep(late / 5).await;
+        cluster.members[&entry].process.signal(libc::SIGTERM);
+    };
+    let ((running, late, torn), ()) = tokio::join!(calls, stop);
+    let expected =
+        [(running, "502", "unknown", 1), (late, "503", "not-run", 0), (torn, "503", "not-run", 0)];
+    for (((answer, after), status, outcome, runs), key) in expected.into_iter().zip(&keys) {
+        let outcome = format!("\"outcome\":\"{outcome}\"");
+        assert_eq!(answer.split(' ').nth(1), Some(status), "{answer} after {after:?}");
+        assert!(answer.contains(&outcome), "{answer} after {after:?}");
+        assert!(after < SHORT_DRAIN + Duration::from_secs(1), "{after:?}");
+        assert_eq!(cluster.runs(key).await, runs);
+    }
+    assert!(cluster.members.get_mut(&entry).unwrap().process.wait().await);
+}
+
 async fn state(cluster: &cluster::Cluster, at: &str, host: &str) -> String {
     let status = cluster.status().await;
     let servers = status[at]["servers"].as_array().cloned().unwrap_or_default();
