sidecar: reserve nothing by the size that an engine reports

Operators lost sidecars: each one that was elected driver ended with `memory allocation of bytes failed` while its engine reported a group of 4,294,967,295 ranks, and its successor did the same.

Cause: the list of the ranks was made with the reported size before any rank was asked.

The ranks that answer are now kept in a map, and a list of all of them is made only if at most one is missing, so that the engines that answered bound it. A group that claims more is incomplete.

--- a/sidecar/src/drive/discover.rs
+++ b/sidecar/src/drive/discover.rs
@@ -44,16 +44,17 @@
         place: &engine::Group,
         state: &mut State,
     ) -> Result<bool, Stopped> {
-        let ranks = self.find_ranks(term, place).await?;
-        let missing = ranks.iter().filter(|rank| rank.is_none()).count();
-        if missing == 1 {
-            self.release_without(term, place, &ranks, state).await?;
-        }
-        let Some(ranks) = ranks.into_iter().collect::<Option<Vec<_>>>() else {
+        let mut ranks = self.find_ranks(term, place).await?;
+        let missing = place.size as usize - ranks.len();
+        if missing > 0 {
+            if missing == 1 {
+                let ranks: Vec<_> = (0..place.size).map(|rank| ranks.remove(&rank)).collect();
+                self.release_without(term, place, &ranks, state).await?;
+            }
             log::info!("group incomplete epoch={} missing={missing}", place.epoch);
             return Ok(false);
-        };
-        let (addresses, conditions): (Vec<_>, Vec<_>) = ranks.into_iter().unzip();
+        }
+        let (addresses, conditions): (Vec<_>, Vec<_>) = ranks.into_values().unzip();
         state.view =
             View { group: place.name.clone(), epoch: place.epoch, ranks: addresses, conditions };
         // A driver that was just elected must not write that all ranks are usual.
@@ -76,13 +77,14 @@
         Ok(state::load_map(state))
     }
 
-    /// Determines the engine of each rank. Queries the previous members first, and the other
-    /// engines of the service only if ranks are missing.
+    /// Determines the engine of each rank that answers. Queries the previous members first, and the
+    /// other engines of the service only if ranks are missing. The number of ranks is what an engine
+    /// reports, so nothing is allocated by it.
     async fn find_ranks(
         &self,
         term: u64,
         place: &engine::Group,
-    ) -> Result<Vec<Option<(SocketAddr, wire::Condition)>>, Stopped> {
+    ) -> Result<BTreeMap<u32, (SocketAddr, wire::Condition)>, Stopped> {
         let engines = self.engines();
         self.group.set_engines(engines.clone());
         let group = place.name.to_string();
@@ -90,9 +92,9 @@
         let before = membership::entry(&self.mirror, &place.name);
         let (members, others): (Vec<SocketAddr>, Vec<SocketAddr>) =
             engines.into_keys().partition(|engine| before.members.contains(engine));
-        let mut ranks = vec![None; place.size as usize];
+        let mut ranks = BTreeMap::new();
         for addresses in [members, others] {
-            if ranks.iter().all(Option::is_some) {
+            if ranks.len() == place.size as usize {
                 break;
             }
             let survey = self.group.survey(&self.rank, &addresses, &inspection).await;
@@ -103,9 +105,8 @@
                 if condition.term > term {
                     return Err(Stopped::Superseded);
                 }
-                let same = condition.epoch == place.epoch;
-                if let Some(slot) = ranks.get_mut(condition.rank as usize).filter(|_| same) {
-                    *slot = Some((address, condition));
+                if condition.epoch == place.epoch && condition.rank < place.size {
+                    ranks.insert(condition.rank, (address, condition));
                 }
             }
         }
--- a/standins/src/group.rs
+++ b/standins/src/group.rs
@@ -10,6 +10,7 @@
 //! - `PUT /orders?lost=N&late=N`: every Nth order is dropped, or is executed half a second late.
 //!   Neither is answered.
 //! - `PUT /popular?expert=N`: makes the experts N, N+R, N+2R and N+3R popular, for R ranks.
+//! - `PUT /size?ranks=N`: the ranks report that the group has N of them; without N, their number again.
 //! - `PUT /pace?rank=N&slowness=X`: the rank reports that its work takes X times as long. Passes
 //!   keep their interval.
 //! - `PUT /break` and `PUT /mend`: breaks the group, and re-forms it.
@@ -108,6 +109,8 @@
     leaving: BTreeSet<String>,
     /// Parts of prompts under which servers end.
     harmful: BTreeSet<String>,
+    /// Size of the group that the ranks report instead of their number.
+    reported_size: Option<u64>,
     /// Rate limit of each server, as its `server-limit` header has it.
     limits: BTreeMap<String, String>,
     /// Number of restarts of each server.
@@ -172,6 +175,7 @@
             sheds: BTreeMap::new(),
             leaving: BTreeSet::new(),
             harmful: BTreeSet::new(),
+            reported_size: None,
             limits: BTreeMap::new(),
             starts: BTreeMap::new(),
             visits: Vec::new(),
@@ -309,7 +313,7 @@
                 "name": state.name, "epoch": state.epoch, "rank": rank,
                 "state": if state.open { "open" } else { "broken" },
             },
-            "size": state.ranks.len(),
+            "size": state.reported_size.unwrap_or(state.ranks.len() as u64),
             "busy": false,
             "seq": own.orders,
             "queued": 0,
@@ -385,6 +389,7 @@
         match path {
             "/orders" => (state.lost, state.late) = (number("lost"), number("late")),
             "/popular" => state.popular = number("expert") as u16,
+            "/size" => state.reported_size = query.get("ranks").and_then(|text| text.parse().ok()),
             "/pace" => state.set_slowness(query),
             "/break" => state.open = false,
             "/mend" => state.form_epoch(),
