soak: some first responses have an invalid head

One first response in ten, while responses have drawn ends, has a head that is invalid or does not determine its body. A request that may run once must not be answered with it.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -328,6 +328,10 @@
     let Some(server) = signature.strip_suffix(&format!(".{}", record.id)) else {
         return breach(format!("signed {signature}"));
     };
+    // It has no second response.
+    if record.invalid_head && record.kind == Kind::Receipt {
+        return breach(format!("status {} of an invalid head", head.status));
+    }
     match record.kind {
         Kind::Receipt | Kind::Alert
             if *whole && !was_cut && *body != format!("answer of {server}") =>
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use loftcove_standins::flood;
+use loftcove_standins::{flood, raw};
 use loftcove_tests::client::{self, Client};
 use loftcove_tests::request::{Head, Request};
 use rand::Rng as _;
@@ -119,6 +119,8 @@
     pub unframed: bool,
     /// Bytes that pad the events of its first attempt, and of all others.
     pub padding: (usize, usize),
+    /// Whether the head of its first response is invalid.
+    pub invalid_head: bool,
     /// How it ended.
     pub end: End,
 }
@@ -169,6 +171,7 @@
     // Each has a generator of its own, so that older seeds still draw the same requests.
     let mut endings = ChaCha8Rng::seed_from_u64(!seed ^ (u64::from(number) << 32));
     let mut paddings = ChaCha8Rng::seed_from_u64(seed.rotate_left(13) ^ (u64::from(number) << 32));
+    let mut heads = ChaCha8Rng::seed_from_u64(seed.rotate_left(29) ^ (u64::from(number) << 32));
     let immediate = policy == Policy::Immediate || number.is_multiple_of(IMMEDIATE_INTERVAL);
     let mut reusable: Option<(u8, Client)> = None;
     while !shared.stop.load(Ordering::Relaxed) {
@@ -179,7 +182,7 @@
                 (gateway as u8, Client::connect(gateways[gateway]).await)
             }
         };
-        let generators = (&mut rng, &mut endings, &mut paddings);
+        let generators = (&mut rng, &mut endings, &mut paddings, &mut heads);
         let (record, client) = send_one(&shared, generators, gateway, client).await;
         let ended = !matches!(record.end, End::Answer { whole: true, .. });
         reusable = client.filter(|_| !ended).map(|client| (gateway, client));
@@ -193,10 +196,14 @@
     }
 }
 
+/// Generators of requests, of the ends of responses, of the padding of events, and of heads.
+type Generators<'a> =
+    (&'a mut ChaCha8Rng, &'a mut ChaCha8Rng, &'a mut ChaCha8Rng, &'a mut ChaCha8Rng);
+
 /// Sends one request. Returns its record and the connection.
 async fn send_one(
     shared: &Shared,
-    (rng, endings, paddings): (&mut ChaCha8Rng, &mut ChaCha8Rng, &mut ChaCha8Rng),
+    (rng, endings, paddings, heads): Generators<'_>,
     gateway: u8,
     client: Option<Client>,
 ) -> (Record, Option<Client>) {
@@ -205,12 +212,13 @@
     let back = if rng.random_ratio(1, 10) { rng.random_range(0..3) } else { 0 };
     let number = newest.saturating_sub(back).max(1);
     let (kind, request) = draw(rng);
-    let (request, unframed, padding) = match shared.endings.load(Ordering::Relaxed) {
-        0 => (request, false, (0, 0)),
+    let (request, unframed, padding, invalid_head) = match shared.endings.load(Ordering::Relaxed) {
+        0 => (request, false, (0, 0), false),
         _ => {
             let (request, unframed) = draw_ending(endings, kind, request);
             let (request, padding) = draw_padding(paddings, request);
-            (draw_flood(paddings, request), unframed, padding)
+            let (request, invalid_head) = draw_head(heads, draw_flood(paddings, request));
+            (request, unframed, padding, invalid_head)
         }
     };
     let request = request.key(&key(number));
@@ -224,7 +232,8 @@
     };
     let time = (sent, Instant::now());
     let id = request.id;
-    (Record { id, kind, gateway, key: number, time, unframed, padding, end }, client)
+    let key = number;
+    (Record { id, kind, gateway, key, time, unframed, padding, invalid_head, end }, client)
 }
 
 /// Sends a request and reads its answer.
@@ -339,6 +348,16 @@
     request.with("x-standin-flood", form).with("x-standin-flood-rate", rate)
 }
 
+/// Replaces the head of some first responses with an invalid one. Returns whether it did.
+fn draw_head(rng: &mut ChaCha8Rng, request: Request) -> (Request, bool) {
+    const INTERVAL: u32 = 10;
+    let head = raw::INVALID_HEADS[rng.random_range(0..raw::INVALID_HEADS.len())];
+    match rng.random_ratio(1, INTERVAL) {
+        true => (request.with("x-standin-head", head), true),
+        false => (request, false),
+    }
+}
+
 /// Draws the framing of a response, and an early end for some. Returns whether the response has
 /// neither a length nor chunks.
 ///
--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -26,6 +26,23 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+/// Heads, as `x-standin-head` takes them, that are invalid or don't determine the body, whatever its
+/// framing is.
+pub const INVALID_HEADS: [&str; 12] = [
+    "|transfer-encoding: chunked|content-length: 7",
+    "|transfer-encoding: gzip, chunked",
+    "|transfer-encoding: chunked, gzip",
+    "|transfer-encoding: gzip",
+    "|transfer-encoding: identity|content-length: 7",
+    "|content-length: 7|content-length: 8",
+    "|content-length: seven",
+    "|no field",
+    "|na me: blank",
+    "HTTP/1.1 000 Zero",
+    "HTTP/1.1 101 Switching Protocols",
+    "HTTP/1.1 999 High",
+];
+
 /// How the end of the body is marked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Framing {
