--- a/tests/tests/odd_entries.rs
+++ b/tests/tests/odd_entries.rs
@@ -5,7 +5,7 @@
 
 use loftcove_tests::request::Request;
 use loftcove_tests::system::{KEY, MODEL, Plan, SMS, System};
-use loftcove_tests::until;
+use loftcove_tests::{caller, cluster, until};
 use serde_json::json;
 
 const PLAN: Plan =
@@ -179,3 +179,85 @@
         assert!(incomplete(&system) > before, "size {size}: no driver has looked for the ranks");
     }
 }
+
+/// Returns an entry of the host list with a field replaced by this text.
+fn host(field: &str, text: &str) -> String {
+    let mut host = json!({
+        "id": "odd", "zone": "sala-braga", "role": "agent", "address": "127.0.0.1:9",
+        "backend": "without-route", "rank": 0, "leaving": true,
+    });
+    host[field] = json!("marker");
+    host.to_string().replace("\"marker\"", text)
+}
+
+fn odd_hosts() -> Vec<String> {
+    let texts = [
+        "-1",
+        "4294967295",
+        "4294967296",
+        "18446744073709551616",
+        "1e400",
+        "0.5",
+        "null",
+        "\"\"",
+        "\"127.0.0.1:0\"",
+        "\"127.0.0.1:65536\"",
+        "\"0.0.0.0:80\"",
+        "\"entry\"",
+        "\"other\"",
+        "[7]",
+    ];
+    let fields = ["id", "zone", "role", "address", "backend", "rank", "leaving", "new"];
+    let odd = fields.iter().flat_map(|field| texts.map(|text| host(field, text)));
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let deep = ["address", "rank", "new"].map(|field| host(field, &nested));
+    odd.chain(deep).chain([String::new(), nested, "\"".repeat(600_000)]).collect()
+}
+
+// Guards against an entry of another writer in the host list that ends entry hosts or agents, or
+// keeps them from the list behind it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_host_neither_ends_a_process_nor_stops_its_updates() {
+    let zones = vec!["sala-braga"];
+    let plan = cluster::Plan { zones, services: 2, ..cluster::Plan::default() };
+    let mut cluster = cluster::Cluster::start(plan).await;
+    let entry = cluster.entries().remove(0);
+    let agent = cluster.agents(cluster::SERVICE).remove(0);
+    let control = caller::Caller::new(cluster.platform_address, "");
+    let client = cluster.caller(&entry);
+    let address = cluster.members[&agent].proxy_address;
+    let omitted = |cluster: &cluster::Cluster| {
+        let log = cluster.members[&entry].process.log();
+        log.iter().any(|line| line.contains("host omitted key=hosts/odd-"))
+    };
+    let mut leaving = false;
+    for batch in odd_hosts().chunks(BATCH) {
+        for (number, text) in batch.iter().enumerate() {
+            let path = format!("/standin/put?key=hosts/odd-{number}");
+            assert_eq!(control.request("PUT", &path, &[], text).await.status, 200);
+        }
+        leaving = !leaving;
+        let own = json!({
+            "id": agent, "zone": "sala-braga", "role": "agent", "address": address,
+            "backend": cluster::SERVICE, "rank": null, "leaving": leaving,
+        });
+        let path = format!("/standin/put?key=hosts/{agent}");
+        control.request("PUT", &path, &[], &own.to_string()).await;
+        let state = if leaving { "leaving" } else { "usable" };
+        until("the entry host follows the list", || async {
+            let status = cluster.status().await;
+            let servers = status[&entry]["servers"].as_array().cloned().unwrap_or_default();
+            servers.iter().any(|server| server["host"] == *agent && server["state"] == state)
+        })
+        .await;
+        let key = uuid::Uuid::now_v7().to_string();
+        let answer = client.deliver(cluster::SERVICE, &key, &[]).await;
+        assert_eq!((answer.status, &*answer.outcome()), (200, "answered"), "{answer:?}");
+        assert!(client.chat(cluster::MODEL, true, 3).await.complete);
+        assert!(omitted(&cluster), "the entry host has read an odd entry");
+        for (name, member) in &mut cluster.members {
+            assert!(!member.process.has_exited(), "{name}");
+            assert!(!member.process.log().iter().any(|line| line.contains("panicked")), "{name}");
+        }
+    }
+}
