standins: record no notice in a head that is written as given

The gateway logged `attempt failed request=req00002b07 ... cause="invalid head, status 200 OK: unsupported transfer coding"` and used none of its fields, as designed, while the stand-in counted the notice as delivered. It now puts no notice into a head that is written as given, as it does for a head that is cut. The check is unchanged.

--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -206,6 +206,11 @@
         !matches!(self.cut, Some((Place::BeforeHead | Place::InHead, _, _)))
     }
 
+    /// Returns whether the head is written as given, so that the peer may not use its fields.
+    pub fn has_given_head(&self) -> bool {
+        self.head.is_some()
+    }
+
     /// Writes a response with these pieces of the body, the first of which has the number `first`.
     /// Each piece waits for a pass, if there are passes.
     ///
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -228,17 +228,24 @@
         }
     }
 
-    fn answer(&self, head: &http::request::Parts, status: u16) -> http::response::Builder {
+    /// Begins a response that has the request's id and the server's signature.
+    fn signed(&self, head: &http::request::Parts, status: u16) -> http::response::Builder {
         let id = text(&head.headers, "x-attempt-id").unwrap_or_default();
         let foreign = head.headers.contains_key("x-standin-foreign");
         // A request that is answered with success is not counted as active yet.
         let running = self.group.active(self.rank) + u32::from((200..300).contains(&status));
         let echo = if foreign { "another-request" } else { id };
-        let answer = http::Response::builder()
+        http::Response::builder()
             .status(status)
             .header("x-attempt-id", echo)
             .header("x-server-stamp", format!("{}.{id}", self.id))
-            .header("x-server-load", format!("{running},0,12"));
+            .header("x-server-load", format!("{running},0,12"))
+    }
+
+    /// Begins such a response with what the server announces.
+    fn answer(&self, head: &http::request::Parts, status: u16) -> http::response::Builder {
+        let id = text(&head.headers, "x-attempt-id").unwrap_or_default();
+        let answer = self.signed(head, status);
         let notice = self.group.notice(&self.id, id);
         let answer = if notice.leaving { answer.header("server-leaving", "1") } else { answer };
         match notice.limit {
@@ -365,6 +372,8 @@
             _ => 200,
         };
         let answer = match script.delivers_head() {
+            // The gateway uses no notice in a head that is invalid.
+            true if script.has_given_head() => self.signed(head, status),
             true => self.answer(head, status),
             // The gateway never receives a notice in a head that is cut.
             false => http::Response::builder().status(status),
