gateway, sidecar: wait for addresses that are not available yet

What callers saw: a gateway or a sidecar exited with status 1 as it started, "cannot listen on ...: Address already in use", and again when it was started again. A host was without a gateway for as long as that lasted.

Cause: each address was bound once, and any failure ended the process. Most of these states pass: the previous process of the host has not ended, because it was killed a moment ago or drains; an outgoing connection uses the port, or did until a minute ago; the address is configured late.

Change: startup::listen::Listener binds at once if it can, and otherwise waits, logs the wait and counts it (loftcove_listeners_waiting). Only an error that waiting cannot change ends the process. While a gateway waits for the address for clients it is alive and not ready; metrics, readiness and peers do not keep it from serving. A gateway registers, and a sidecar stands for election, only once it holds the address for its peers, so that two processes of a host never hold the entry or the lease at the same time.

--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -12,6 +12,7 @@
 
 use std::collections::BTreeMap;
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -50,6 +51,8 @@
     /// Bound of the open connections from clients.
     pub clients: connections::Connections,
     phase: watch::Sender<lifecycle::Phase>,
+    /// Whether the process listens on the address for clients.
+    listening: AtomicBool,
 }
 
 struct Inner {
@@ -102,6 +105,7 @@
             inner: Mutex::new(inner),
             clients: connections::Connections::new(max_connections),
             phase: watch::Sender::new(lifecycle::Phase::Starting),
+            listening: AtomicBool::new(false),
         }
     }
 
@@ -117,9 +121,15 @@
         self.phase.send_if_modified(|known| std::mem::replace(known, phase) != phase);
     }
 
+    /// Records that the process listens on the address for clients.
+    pub fn set_listening(&self) {
+        self.listening.store(true, Ordering::Release);
+    }
+
     /// Returns whether the gateway accepts new connections.
     pub fn ready(&self) -> bool {
-        *self.phase.borrow() == lifecycle::Phase::Serving && self.clients.has_room()
+        let serving = *self.phase.borrow() == lifecycle::Phase::Serving;
+        serving && self.listening.load(Ordering::Acquire) && self.clients.has_room()
     }
 
     /// Waits until another client's connection can be accepted. Connections without work are closed
--- a/gateway/src/health.rs
+++ b/gateway/src/health.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use loftcove_intake::monitor;
 use loftcove_interface::protocol::Protocol;
-use tokio::net::TcpListener;
+use loftcove_startup::listen;
 
 use crate::state;
 
@@ -28,7 +28,9 @@
     response
 }
 
-/// Serves readiness and metrics on a listener until the process exits.
-pub async fn serve<P: Protocol>(gateway: Arc<state::Gateway<P>>, listener: TcpListener) {
+/// Serves readiness and metrics on a listener, once its address is available, until the process
+/// exits.
+pub async fn serve<P: Protocol>(gateway: Arc<state::Gateway<P>>, listener: listen::Listener) {
+    let listener = listener.wait().await;
     monitor::serve(listener, move |path| answer(&gateway, path)).await;
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -43,7 +43,6 @@
 mod stream;
 pub mod upstream;
 
-use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -54,6 +53,7 @@
 use loftcove_interface::store::Store;
 use loftcove_mirror::{self as mirror, ends, follow, lifts, peer, register, serve, watch};
 use loftcove_settings::gateway as settings;
+use loftcove_startup::listen;
 use loftcove_wire as wire;
 pub use state::Target;
 use tokio::net::TcpListener;
@@ -66,14 +66,9 @@
 /// An error that keeps the gateway from running.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The gateway cannot listen on an address.
-    #[error("cannot listen on {address}: {source}")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// Error from the operating system.
-        source: std::io::Error,
-    },
+    /// The gateway can never listen on an address.
+    #[error(transparent)]
+    Listen(#[from] listen::Error),
     /// The process cannot receive signals.
     #[error("signals cannot be received: {0}")]
     Signal(std::io::Error),
@@ -83,7 +78,9 @@
 ///
 /// # Errors
 ///
-/// Returns an [`Error`] if an address cannot be listened on or signals cannot be received.
+/// Returns an [`Error`] if an address can never be listened on or signals cannot be received. A
+/// gateway waits for addresses that may become available, and is not ready while it waits for the
+/// one for clients.
 pub async fn run<P: Protocol, S: Store>(
     file: &Path,
     settings: settings::Gateway,
@@ -91,18 +88,18 @@
 ) -> Result<(), Error> {
     let signals = drain::Signals::new().map_err(Error::Signal)?;
     let store = Arc::new(store);
-    let listen = settings.listen.clone();
+    let addresses = settings.listen.clone();
     let host = settings.host.clone();
-    let clients = bind(listen.client_address, CLIENT_BACKLOG)?;
-    let ready = bind(listen.ready_address, INTERNAL_BACKLOG)?;
-    let peer_listener = bind(listen.peer_address, INTERNAL_BACKLOG)?;
-    let metrics = bind(host.metrics_address, INTERNAL_BACKLOG)?;
+    let clients = listen::Listener::open("clients", addresses.client_address, CLIENT_BACKLOG)?;
+    let ready = listen::Listener::open("readiness", addresses.ready_address, INTERNAL_BACKLOG)?;
+    let peer_listener = listen::Listener::open("peers", addresses.peer_address, INTERNAL_BACKLOG)?;
+    let metrics = listen::Listener::open("metrics", host.metrics_address, INTERNAL_BACKLOG);
     let gateway = Arc::new(state::Gateway::<P>::new(settings));
     for subject in subjects::<P>(&gateway.settings.serving) {
         let own = register::Own {
             name: host.name.clone(),
             zone: host.zone.clone(),
-            seed: host.seeds.contains(&listen.peer_address),
+            seed: host.seeds.contains(&addresses.peer_address),
             bound: shortest_bound(&gateway.settings.serving),
         };
         let wanted = move |mirror: &mirror::Mirror| register::watches(mirror, &own);
@@ -111,20 +108,32 @@
     let own = follow::LocalHost {
         name: host.name.clone(),
         zone: host.zone.clone(),
-        address: Some(listen.peer_address),
+        address: Some(addresses.peer_address),
     };
     let peers = Arc::new(follow::Peers::new(own, host.seeds.clone()));
     for follower in 0..FOLLOWED_PEERS {
         tokio::spawn(follow::run(gateway.mirror.clone(), peers.clone(), follower));
     }
-    let entry = register::Entry { address: listen.peer_address, zone: host.zone.clone() };
+    let entry = register::Entry { address: addresses.peer_address, zone: host.zone.clone() };
     tokio::spawn(ends::run(gateway.mirror.clone(), store.clone()));
     tokio::spawn(lifts::run(gateway.mirror.clone(), store.clone()));
-    tokio::spawn(register::run(gateway.mirror.clone(), store, host.name.clone(), entry));
+    let registration = register::run(gateway.mirror.clone(), store, host.name.clone(), entry);
     tokio::spawn(gateway.mirror.clone().expire());
-    tokio::spawn(serve_peers(gateway.mirror.clone(), host.zone.clone(), peer_listener));
+    {
+        let (mirror, zone) = (gateway.mirror.clone(), host.zone.clone());
+        tokio::spawn(async move {
+            // Peers connect to the address in the entry, which may still be that of the previous
+            // process of this host.
+            let listener = peer_listener.wait().await;
+            tokio::spawn(registration);
+            serve_peers(mirror, zone, listener).await;
+        });
+    }
     tokio::spawn(health::serve(gateway.clone(), ready));
-    tokio::spawn(health::serve(gateway.clone(), metrics));
+    match metrics {
+        Ok(metrics) => drop(tokio::spawn(health::serve(gateway.clone(), metrics))),
+        Err(error) => log::error!("metrics not served error=\"{error}\" next=serve-clients"),
+    }
     tokio::spawn(state::follow(gateway.clone()));
     tokio::spawn(probe::run(gateway.clone()));
     tokio::spawn(probe::check_restarted(gateway.clone()));
@@ -136,7 +145,12 @@
     let dispatcher = gateway.dispatcher.clone();
     tokio::spawn(async move { dispatcher.run().await });
     tokio::spawn(server::run(gateway.clone(), clients));
-    log::info!("started host={} zone={} clients={}", host.name, host.zone, listen.client_address);
+    log::info!(
+        "started host={} zone={} clients={}",
+        host.name,
+        host.zone,
+        addresses.client_address
+    );
     drain::wait(&gateway, &peers, file, signals).await;
     log::info!("stopped host={}", host.name);
     Ok(())
@@ -176,14 +190,6 @@
 /// Accept backlog for connections from the platform and from loftcove's own processes.
 const INTERNAL_BACKLOG: u32 = 128;
 
-fn bind(address: SocketAddr, backlog: u32) -> Result<TcpListener, Error> {
-    let listen_error = |source| Error::Listen { address, source };
-    let socket = tokio::net::TcpSocket::new_v4().map_err(listen_error)?;
-    socket.set_reuseaddr(true).map_err(listen_error)?;
-    socket.bind(address).map_err(listen_error)?;
-    socket.listen(backlog).map_err(listen_error)
-}
-
 /// Makes the mirror ask the store for missed changes after each suspension of the host.
 async fn resync_after_suspension(mirror: Arc<mirror::Mirror>) {
     loop {
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -8,6 +8,7 @@
 use loftcove_decision::lifecycle;
 use loftcove_intake as intake;
 use loftcove_interface::protocol::Protocol;
+use loftcove_startup::listen;
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{client, drain, exchange, flow, state};
@@ -27,12 +28,18 @@
 /// was cut off is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Accepts connections until the process is about to exit. The operating system refuses later ones,
-/// so that clients know that nothing of their requests was read.
-pub async fn run<P: Protocol>(gateway: Arc<state::Gateway<P>>, listener: TcpListener) {
+/// Accepts connections from when the address is available until the process is about to exit. The
+/// operating system refuses later ones, so that clients know that nothing of their requests was
+/// read.
+pub async fn run<P: Protocol>(gateway: Arc<state::Gateway<P>>, listener: listen::Listener) {
     let mut phases = gateway.lifecycle.phases();
+    let accept = async {
+        let listener = listener.wait().await;
+        gateway.lifecycle.set_listening();
+        accept(&gateway, &listener).await;
+    };
     tokio::select! {
-        () = accept(&gateway, &listener) => {}
+        () = accept => {}
         () = phases.wait(lifecycle::Phase::Stopped) => {}
     }
 }
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -38,26 +38,24 @@
 use loftcove_interface::store::Store;
 use loftcove_mirror::{Mirror, follow, peer};
 use loftcove_settings::gateway as settings;
+use loftcove_startup::listen;
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Gateways that a sidecar follows. With two, it receives updates while one is unreachable.
 const FOLLOWERS: usize = 2;
+/// Maximum number of connections that wait to be accepted.
+const ACCEPT_BACKLOG: u32 = 1_024;
 /// Longest time that a stopping driver may take to complete a change that it has begun.
 const STOP_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Reasons why the sidecar cannot run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The sidecar cannot listen on an address.
-    #[error("cannot listen on {address}: {source}")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// Error of the operating system.
-        source: std::io::Error,
-    },
+    /// The sidecar can never listen on an address.
+    #[error(transparent)]
+    Listen(#[from] listen::Error),
     /// Signal handlers cannot be installed.
     #[error("cannot install signal handlers: {0}")]
     Signal(std::io::Error),
@@ -68,7 +66,8 @@
 ///
 /// # Errors
 ///
-/// Returns an [`Error`] if an address cannot be listened on or signals cannot be received.
+/// Returns an [`Error`] if an address can never be listened on or signals cannot be received. A
+/// sidecar waits for addresses that may become available.
 pub async fn run<P: Protocol, S: Store, E: Engine>(
     file: &Path,
     settings: settings::Sidecar,
@@ -78,8 +77,9 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
     let host = settings.host.clone();
-    let peer_listener = listen(settings.peering.peer_address).await?;
-    let metrics_listener = listen(host.metrics_address).await?;
+    let peer_listener =
+        listen::Listener::open("peers", settings.peering.peer_address, ACCEPT_BACKLOG)?;
+    let metrics_listener = listen::Listener::open("metrics", host.metrics_address, ACCEPT_BACKLOG);
     let mirror: Arc<Mirror> = Arc::default();
     let own = follow::LocalHost { name: host.name.clone(), zone: host.zone.clone(), address: None };
     let peers = Arc::new(follow::Peers::new(own, host.seeds.clone()));
@@ -87,12 +87,15 @@
         tokio::spawn(follow::run(mirror.clone(), peers.clone(), follower));
     }
     let metrics: Arc<metrics::Metrics> = Arc::default();
-    tokio::spawn(metrics::serve(metrics.clone(), metrics_listener));
+    match metrics_listener {
+        Ok(listener) => drop(tokio::spawn(metrics::serve(metrics.clone(), listener))),
+        Err(error) => log::error!("metrics not served error=\"{error}\" next=continue"),
+    }
     let rank = Arc::new(rank::Rank::new(connect(settings.engine.address)));
     let port = settings.peering.peer_address.port();
     let group = group::Group::new(settings.engine.address, port, Box::new(connect));
     let group = Arc::new(group);
-    tokio::spawn(serve(rank.clone(), group.clone(), peer_listener));
+    let service = (rank.clone(), group.clone());
     let driver = drive::Driver::<P, S, E>::new(drive::Dependencies {
         rank,
         mirror,
@@ -102,8 +105,18 @@
         metrics,
     });
     log::info!("started host={} engine={}", host.name, settings.engine.address);
-    let (stop, stopped) = tokio::sync::watch::channel(false);
-    let mut driver = tokio::spawn(driver.run(stopped));
+    let (stop, mut stopped) = tokio::sync::watch::channel(false);
+    let mut driver = tokio::spawn(async move {
+        // Until the previous process of this host has ended, it may still drive the group: a second
+        // driver would take its term in the middle of a change.
+        let listener = tokio::select! {
+            listener = peer_listener.wait() => listener,
+            _ = stopped.wait_for(|stopped| *stopped) => return,
+        };
+        let (rank, group) = service;
+        tokio::spawn(serve(rank, group, listener));
+        driver.run(stopped).await;
+    });
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -129,10 +142,6 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).await.map_err(|source| Error::Listen { address, source })
-}
-
 async fn serve<E: Engine>(
     rank: Arc<rank::Rank<E>>,
     group: Arc<group::Group<E>>,
--- a/sidecar/src/metrics.rs
+++ b/sidecar/src/metrics.rs
@@ -5,12 +5,12 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use loftcove_intake::{self as intake, monitor};
+use loftcove_startup::listen;
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
-use tokio::net::TcpListener;
 
 /// All metrics.
 #[derive(Debug)]
@@ -63,6 +63,7 @@
         registry.register("map_change_seconds", "Time of a change", self.change.clone());
         registry.register("map_held_seconds", "Time from hold to end", self.held.clone());
         intake::count::register(&mut registry);
+        listen::register(&mut registry);
         let mut out = String::new();
         // Writing to a string cannot fail.
         text::encode(&mut out, &registry).unwrap_or_default();
@@ -70,8 +71,9 @@
     }
 }
 
-/// Responds to every path with the metrics until the process exits.
-pub async fn serve(metrics: Arc<Metrics>, listener: TcpListener) {
+/// Responds to every path with the metrics, once the address is available, until the process exits.
+pub async fn serve(metrics: Arc<Metrics>, listener: listen::Listener) {
+    let listener = listener.wait().await;
     let answer = move |_: &str| http::Response::new(Full::<Bytes>::from(metrics.encode()));
     monitor::serve(listener, answer).await;
 }
--- /dev/null
+++ b/startup/src/lib.rs
@@ -0,0 +1,7 @@
+//! What a process needs before it serves.
+//!
+//! Some of it may be missing for a while when a process starts, for reasons that pass: the process
+//! before it has not ended yet, or a file is being replaced. A process that exits for that meets the
+//! same state when it is started again. [`listen`] therefore waits for addresses.
+
+pub mod listen;
--- /dev/null
+++ b/startup/src/listen.rs
@@ -0,0 +1,158 @@
+//! Listeners that wait for their address.
+//!
+//! An address may be unavailable for a while: the previous process of the host has not ended yet,
+//! another connection of the host uses the port, or the address is not configured yet.
+
+use std::net::SocketAddr;
+use std::sync::LazyLock;
+use std::time::{Duration, Instant};
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use tokio::net::{TcpListener, TcpSocket};
+
+/// Intervals between two attempts: at first, when the previous process is likely to end soon, and
+/// later.
+const RETRY_INTERVAL: (Duration, Duration) =
+    (Duration::from_millis(20), Duration::from_millis(250));
+/// Time after which attempts are made at the longer interval. A planned stop takes less.
+const FREQUENT_RETRY_TIME: Duration = Duration::from_secs(15);
+/// Interval between two log lines about the same address.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
+
+/// An address that can never be listened on.
+#[derive(Debug, thiserror::Error)]
+#[error("cannot listen on {address}: {source}")]
+pub struct Error {
+    /// The address.
+    pub address: SocketAddr,
+    /// Error of the operating system.
+    pub source: std::io::Error,
+}
+
+/// Label with the purpose of a listener.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Purpose {
+    listener: &'static str,
+}
+
+static WAITING: LazyLock<Family<Purpose, Gauge>> = LazyLock::new(Family::default);
+
+/// Registers the number of listeners that wait for their address, by purpose.
+pub fn register(registry: &mut Registry) {
+    let help = "Listeners that wait for their address";
+    registry.register("listeners_waiting", help, WAITING.clone());
+}
+
+/// A listener that may have to wait for its address.
+#[derive(Debug)]
+pub struct Listener {
+    purpose: &'static str,
+    address: SocketAddr,
+    backlog: u32,
+    state: Result<TcpListener, std::io::Error>,
+}
+
+impl Listener {
+    /// Listens on an address, or prepares to wait for it. `purpose` names the listener in the log and
+    /// the metrics, and `backlog` is the maximum number of connections that wait to be accepted.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] if waiting cannot help.
+    pub fn open(
+        purpose: &'static str,
+        address: SocketAddr,
+        backlog: u32,
+    ) -> Result<Listener, Error> {
+        let state = bind(address, backlog);
+        match state {
+            Err(source) if !is_temporary(&source) => Err(Error { address, source }),
+            state => Ok(Listener { purpose, address, backlog, state }),
+        }
+    }
+
+    /// Returns the address that the listener is bound to, or `None` if it still waits for it.
+    pub fn local_address(&self) -> Option<SocketAddr> {
+        self.state.as_ref().ok()?.local_addr().ok()
+    }
+
+    /// Waits until the address is available, and returns a listener on it.
+    pub async fn wait(self) -> TcpListener {
+        let mut error = match self.state {
+            Ok(listener) => return listener,
+            Err(error) => error,
+        };
+        let waiting = Waiting::new(self.purpose);
+        let (purpose, address) = (self.purpose, self.address);
+        let started = Instant::now();
+        let mut logged = None;
+        loop {
+            if logged.is_none_or(|at: Instant| at.elapsed() >= LOG_INTERVAL) {
+                let ms = started.elapsed().as_millis();
+                log::warn!(
+                    "address not available listener={purpose} address={address} waited_ms={ms} \
+                     error=\"{error}\" next=retry"
+                );
+                logged = Some(Instant::now());
+            }
+            let frequent = started.elapsed() < FREQUENT_RETRY_TIME;
+            let (short, long) = RETRY_INTERVAL;
+            tokio::time::sleep(if frequent { short } else { long }).await;
+            match bind(address, self.backlog) {
+                Ok(listener) => {
+                    let ms = started.elapsed().as_millis();
+                    log::info!("listening listener={purpose} address={address} waited_ms={ms}");
+                    drop(waiting);
+                    return listener;
+                }
+                Err(next) => error = next,
+            }
+        }
+    }
+}
+
+/// Counts a listener as waiting until it is dropped.
+struct Waiting(Gauge);
+
+impl Waiting {
+    fn new(purpose: &'static str) -> Waiting {
+        let gauge = WAITING.get_or_create(&Purpose { listener: purpose }).clone();
+        gauge.inc();
+        Waiting(gauge)
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+fn bind(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // Connections of the previous process that are in TIME-WAIT do not block the address.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(backlog)
+}
+
+/// Returns whether a listener that failed with this error may succeed later without a change of its
+/// settings.
+fn is_temporary(error: &std::io::Error) -> bool {
+    let code = error.raw_os_error().unwrap_or_default();
+    matches!(
+        code,
+        libc::EADDRINUSE
+            | libc::EADDRNOTAVAIL
+            | libc::EMFILE
+            | libc::ENFILE
+            | libc::ENOBUFS
+            | libc::ENOMEM
+    )
+}
--- a/tests/src/system.rs
+++ b/tests/src/system.rs
@@ -78,7 +78,8 @@
     /// Names and logs of the processes that a restart has replaced.
     pub replaced: Vec<(String, process::Log)>,
     proxy: Option<process::Process>,
-    folder: process::Folder,
+    /// Folder of the settings files.
+    pub folder: process::Folder,
     subnet: Subnet,
     store_address: SocketAddr,
     /// Value that the platform last wrote to each key, or `None` if it removed the key.
@@ -425,49 +426,80 @@
 
     /// Starts a gateway, or restarts it and keeps the log of the replaced process.
     pub fn start_gateway(&mut self, index: u8) {
+        if usize::from(index) < self.gateways.len() {
+            drop(self.replace_gateway(index));
+        } else {
+            let gateway = self.spawn_gateway(index);
+            self.gateways.push(gateway);
+        }
+    }
+
+    /// Starts the next process of a gateway and returns the current one, which may still run.
+    pub fn replace_gateway(&mut self, index: u8) -> process::Process {
+        let next = self.spawn_gateway(index);
+        let replaced = std::mem::replace(&mut self.gateways[usize::from(index)], next);
+        self.replaced.push((format!("gateway-{index}"), replaced.log_handle()));
+        replaced
+    }
+
+    /// Returns the text of a gateway's settings file.
+    pub fn gateway_settings(&self, index: u8) -> String {
         let ip = self.gateway_ip(index);
         let name = format!("gateway-{index}");
-        let text = format!(
+        format!(
             "{}[listen]\nclient_address = \"{ip}:{CLIENT_PORT}\"\n\
              ready_address = \"{ip}:{READY_PORT}\"\npeer_address = \"{ip}:{PEER_PORT}\"\n\
              [serving]\ngrace_s = 8\nretry_ratio = {:?}\nretry_slack = {:?}\n",
             self.host_section(&name, ip),
             self.retries.ratio,
             self.retries.slack
-        );
-        let file = self.folder.write(&format!("{name}.toml"), &text);
+        )
+    }
+
+    fn spawn_gateway(&self, index: u8) -> process::Process {
+        let file =
+            self.folder.write(&format!("gateway-{index}.toml"), &self.gateway_settings(index));
         let arguments = ["gateway".to_owned(), file];
         let mut gateway = process::Process::start("loftcoved", &arguments);
         gateway.log_output();
-        let index = usize::from(index);
-        if index < self.gateways.len() {
-            let replaced = std::mem::replace(&mut self.gateways[index], gateway);
-            self.replaced.push((name, replaced.log_handle()));
-        } else {
-            self.gateways.push(gateway);
-        }
+        gateway
     }
 
     /// Starts a rank's sidecar, or restarts it and keeps the log of the replaced process.
     pub fn start_sidecar(&mut self, rank: u8) {
+        if usize::from(rank) < self.sidecars.len() {
+            drop(self.replace_sidecar(rank));
+        } else {
+            let sidecar = self.spawn_sidecar(rank);
+            self.sidecars.push(sidecar);
+        }
+    }
+
+    /// Starts the next process of a rank's sidecar and returns the current one, which may still run.
+    pub fn replace_sidecar(&mut self, rank: u8) -> process::Process {
+        let next = self.spawn_sidecar(rank);
+        let replaced = std::mem::replace(&mut self.sidecars[usize::from(rank)], next);
+        self.replaced.push((format!("sidecar-{rank}"), replaced.log_handle()));
+        replaced
+    }
+
+    /// Returns the text of the settings file of a rank's sidecar.
+    pub fn sidecar_settings(&self, rank: u8) -> String {
         let (ip, own) = (self.rank_ip(rank), self.sidecar_ip(rank));
         let name = format!("sidecar-{rank}");
-        let text = format!(
+        format!(
             "{}[peering]\npeer_address = \"{own}:{PEER_PORT}\"\n\
              [engine]\naddress = \"{ip}:{SERVER_PORT}\"\nservice = \"{MODEL}\"\n",
             self.host_section(&name, ip)
-        );
-        let file = self.folder.write(&format!("{name}.toml"), &text);
+        )
+    }
+
+    fn spawn_sidecar(&self, rank: u8) -> process::Process {
+        let file = self.folder.write(&format!("sidecar-{rank}.toml"), &self.sidecar_settings(rank));
         let arguments = ["sidecar".to_owned(), file];
         let mut sidecar = process::Process::start("loftcoved", &arguments);
         sidecar.log_output();
-        let rank = usize::from(rank);
-        if rank < self.sidecars.len() {
-            let replaced = std::mem::replace(&mut self.sidecars[rank], sidecar);
-            self.replaced.push((name, replaced.log_handle()));
-        } else {
-            self.sidecars.push(sidecar);
-        }
+        sidecar
     }
 
     /// Returns whether a gateway reports that it is ready.
@@ -516,6 +548,17 @@
         caller::Caller::new(address, "").request("GET", "/metrics", &[], "").await.body
     }
 
+    /// Returns the addresses that a gateway listens on: for clients, readiness, peers and metrics.
+    pub fn gateway_addresses(&self, index: u8) -> [SocketAddr; 4] {
+        let ports = [CLIENT_PORT, READY_PORT, PEER_PORT, METRICS_PORT];
+        ports.map(|port| (self.gateway_ip(index), port).into())
+    }
+
+    /// Returns the addresses that a sidecar listens on: for peers and metrics.
+    pub fn sidecar_addresses(&self, rank: u8) -> [SocketAddr; 2] {
+        [(self.sidecar_ip(rank), PEER_PORT).into(), (self.rank_ip(rank), METRICS_PORT).into()]
+    }
+
     /// Returns the addresses at which the first gateway and the first sidecar serve readiness and
     /// metrics.
     pub fn monitor_addresses(&self) -> [SocketAddr; 3] {
