daemon: handle signals from the start of a process, in all roles

What callers saw: a process that got SIGHUP in the first milliseconds after its start was ended by it, so that a reload of all hosts beside restarts ended some of them. SIGTERM in that time ended a process without its planned stop. SIGHUP ended entry hosts and agents at any time, and SIGINT a sidecar.

Cause: handlers were installed by the runtime, after the settings, the log and the store's client; entry hosts and agents had none for SIGHUP, and sidecars none for SIGINT. The default action of these signals ends the process.

Change: startup::signals::Signals installs the handlers before anything else. A reload has no effect on entry hosts and agents, and says so. What is left is the time until the program's own code runs, which a program cannot close.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -18,6 +18,7 @@
 use loftcove_decision::{attempt, home, lifecycle};
 use loftcove_intake::grpc;
 use loftcove_settings::file;
+use loftcove_startup::signals;
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
 use tonic::codec::CompressionEncoding;
@@ -53,10 +54,12 @@
 ///
 /// # Errors
 ///
-/// Returns an [`Error`] if the signal handlers cannot be installed or the deployment's key cannot
-/// be sent.
-pub async fn run(process: Arc<process::Process>, peers: TcpListener) -> Result<(), Error> {
-    let signals = stop::Signals::new()?;
+/// Returns an [`Error`] if the deployment's key cannot be sent.
+pub async fn run(
+    process: Arc<process::Process>,
+    peers: TcpListener,
+    signals: signals::Receiver,
+) -> Result<(), Error> {
     // Reading the settings checks that the section of the role exists.
     let settings = process.settings.agent.clone().expect("an agent has its section");
     let agent = Arc::new(new(process.clone(), settings));
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -24,6 +24,7 @@
 
 use loftcove_intake::{connections, grpc, memory};
 use loftcove_settings::file;
+use loftcove_startup::signals;
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
 use tonic::codec::CompressionEncoding;
@@ -70,10 +71,12 @@
 ///
 /// # Errors
 ///
-/// Returns an [`Error`] if an address cannot be listened on or the signal handlers cannot be
-/// installed.
-pub async fn run(process: Arc<process::Process>, peers: TcpListener) -> Result<(), Error> {
-    let signals = stop::Signals::new()?;
+/// Returns an [`Error`] if an address cannot be listened on.
+pub async fn run(
+    process: Arc<process::Process>,
+    peers: TcpListener,
+    signals: signals::Receiver,
+) -> Result<(), Error> {
     // Validation of the settings ensures that the section exists for this role.
     let settings = process.settings.entry.clone().expect("an entry has its section");
     let entry = Arc::new(Entry::new(process.clone(), &settings));
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -35,6 +35,7 @@
 use std::sync::Arc;
 
 use loftcove_settings::{error, file, gateway};
+use loftcove_startup::signals;
 
 /// Subcommand of the command line.
 enum Command {
@@ -130,11 +131,12 @@
 }
 
 fn run(path: &Path) -> Result<(), Error> {
+    let signals = signals::Signals::install().map_err(Error::Signal)?;
     let settings = file::Daemon::read(path)?;
     logging::to_stderr(settings.process.log_level);
     let workers = settings.process.workers;
     let process = Arc::new(process::Process::new(settings)?);
-    block_on(workers, serve(process))?
+    block_on(workers, serve(process, signals))?
 }
 
 /// Runs a future to completion on a runtime with `workers` threads. Other tasks are cancelled when
@@ -150,7 +152,8 @@
     Ok(result)
 }
 
-async fn serve(process: Arc<process::Process>) -> Result<(), Error> {
+async fn serve(process: Arc<process::Process>, signals: signals::Signals) -> Result<(), Error> {
+    let signals = signals.receiver().map_err(Error::Signal)?;
     let own = &process.settings.process;
     log::info!(
         "start host={} zone={} role={:?} incarnation={}",
@@ -167,8 +170,8 @@
     source::spawn(&process);
     tokio::spawn(exchange::run(process.clone()));
     match own.role {
-        file::Role::Entry => entry::run(process.clone(), peers).await?,
-        file::Role::Agent => agent::run(process.clone(), peers).await?,
+        file::Role::Entry => entry::run(process.clone(), peers, signals).await?,
+        file::Role::Agent => agent::run(process.clone(), peers, signals).await?,
     }
     log::info!("stop host={}", own.host);
     Ok(())
--- a/daemon/src/stop.rs
+++ b/daemon/src/stop.rs
@@ -5,33 +5,15 @@
 
 use loftcove_clock as boot;
 use loftcove_decision::lifecycle;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use loftcove_startup::signals;
 
-use crate::{Error, process};
+use crate::process;
 
-/// Receivers of the signals that request a stop.
-pub struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl Signals {
-    /// Installs the signal handlers.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Error::Signal`] if a handler cannot be installed.
-    pub fn new() -> Result<Signals, Error> {
-        let terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
-        let interrupt = signal(SignalKind::interrupt()).map_err(Error::Signal)?;
-        Ok(Signals { terminate, interrupt })
-    }
-
-    async fn next(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
+/// Waits for a signal to stop. The settings are only read when the process starts, so that a signal
+/// to reload them has no effect.
+async fn wait_for_stop(signals: &mut signals::Receiver) {
+    while signals.next().await == signals::Signal::Reload {
+        log::info!("reload ignored reason=settings-are-read-at-start next=keep");
     }
 }
 
@@ -39,10 +21,10 @@
 /// may exit.
 pub async fn wait<F: Future<Output = ()>>(
     process: &Arc<process::Process>,
-    mut signals: Signals,
+    mut signals: signals::Receiver,
     begin: impl FnOnce() -> F,
 ) {
-    signals.next().await;
+    wait_for_stop(&mut signals).await;
     let drain = process.settings.drain();
     log::info!("drain in_flight={} limit_ms={}", process.lifecycle.in_flight(), drain.as_millis());
     process.lifecycle.drain(boot::Instant::now() + drain);
@@ -56,7 +38,7 @@
             process.lifecycle.handle(lifecycle::Event::Expired);
             log::warn!("drain expired in_flight={}", process.lifecycle.in_flight());
         }
-        _ = signals.next() => {
+        () = wait_for_stop(&mut signals) => {
             log::warn!("second signal in_flight={}", process.lifecycle.in_flight());
             process.lifecycle.handle(lifecycle::Event::Expired);
         }
--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -22,8 +22,8 @@
 use loftcove_interface::protocol::Protocol;
 use loftcove_mirror::follow;
 use loftcove_settings::gateway as settings;
+use loftcove_startup::signals;
 use statig::blocking::StateMachine;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
 use crate::{client, exchange, state};
@@ -259,36 +259,10 @@
     }
 }
 
-/// The signals that a gateway handles.
-pub struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-    hangup: Signal,
-}
-
-impl Signals {
-    /// Starts to receive the signals.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error from the operating system.
-    pub fn new() -> std::io::Result<Signals> {
-        Ok(Signals {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            hangup: signal(SignalKind::hangup())?,
-        })
-    }
-
-    /// Waits for a stop signal. Reloads the settings at each hangup signal.
-    async fn wait_for_stop(&mut self, peers: &follow::Peers, file: &Path) {
-        loop {
-            tokio::select! {
-                _ = self.terminate.recv() => return,
-                _ = self.interrupt.recv() => return,
-                _ = self.hangup.recv() => reload(peers, file),
-            }
-        }
+/// Waits for a signal to stop. Reloads the settings at each signal to reload.
+async fn wait_for_stop(signals: &mut signals::Receiver, peers: &follow::Peers, file: &Path) {
+    while signals.next().await == signals::Signal::Reload {
+        reload(peers, file);
     }
 }
 
@@ -308,9 +282,9 @@
     gateway: &Arc<state::Gateway<P>>,
     peers: &follow::Peers,
     file: &Path,
-    mut signals: Signals,
+    mut signals: signals::Receiver,
 ) {
-    signals.wait_for_stop(peers, file).await;
+    wait_for_stop(&mut signals, peers, file).await;
     let lifecycle = &gateway.lifecycle;
     let grace = Duration::from_secs_f64(gateway.settings.serving.grace_s);
     log::info!("stopping in_flight={} grace_ms={}", lifecycle.in_flight(), grace.as_millis());
@@ -327,7 +301,7 @@
         }
         tokio::select! {
             () = tokio::time::sleep(POLL_INTERVAL) => {}
-            () = signals.wait_for_stop(peers, file) => {
+            () = wait_for_stop(&mut signals, peers, file) => {
                 log::warn!("second signal in_flight={}", lifecycle.in_flight());
                 exit = boot::Instant::now() + POLL_INTERVAL;
                 break;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -53,7 +53,7 @@
 use loftcove_interface::store::Store;
 use loftcove_mirror::{self as mirror, ends, follow, lifts, peer, register, serve, watch};
 use loftcove_settings::gateway as settings;
-use loftcove_startup::listen;
+use loftcove_startup::{listen, signals};
 use loftcove_wire as wire;
 pub use state::Target;
 use tokio::net::TcpListener;
@@ -85,8 +85,9 @@
     file: &Path,
     settings: settings::Gateway,
     store: S,
+    signals: signals::Signals,
 ) -> Result<(), Error> {
-    let signals = drain::Signals::new().map_err(Error::Signal)?;
+    let signals = signals.receiver().map_err(Error::Signal)?;
     let store = Arc::new(store);
     let addresses = settings.listen.clone();
     let host = settings.host.clone();
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -38,10 +38,9 @@
 use loftcove_interface::store::Store;
 use loftcove_mirror::{Mirror, follow, peer};
 use loftcove_settings::gateway as settings;
-use loftcove_startup::listen;
+use loftcove_startup::{listen, signals};
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 
 /// Gateways that a sidecar follows. With two, it receives updates while one is unreachable.
 const FOLLOWERS: usize = 2;
@@ -56,12 +55,12 @@
     /// The sidecar can never listen on an address.
     #[error(transparent)]
     Listen(#[from] listen::Error),
-    /// Signal handlers cannot be installed.
-    #[error("cannot install signal handlers: {0}")]
+    /// The process cannot receive signals.
+    #[error("signals cannot be received: {0}")]
     Signal(std::io::Error),
 }
 
-/// Runs a sidecar until it receives SIGTERM. `connect` creates a client of the engine at an
+/// Runs a sidecar until it receives a signal to stop. `connect` creates a client of the engine at an
 /// address.
 ///
 /// # Errors
@@ -73,9 +72,9 @@
     settings: settings::Sidecar,
     store: S,
     connect: impl Fn(SocketAddr) -> E + Send + Sync + 'static,
+    signals: signals::Signals,
 ) -> Result<(), Error> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
+    let mut signals = signals.receiver().map_err(Error::Signal)?;
     let host = settings.host.clone();
     let peer_listener =
         listen::Listener::open("peers", settings.peering.peer_address, ACCEPT_BACKLOG)?;
@@ -117,11 +116,8 @@
         tokio::spawn(serve(rank, group, listener));
         driver.run(stopped).await;
     });
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => reload(file, &peers),
-        }
+    while signals.next().await == signals::Signal::Reload {
+        reload(file, &peers);
     }
     log::info!("stopping host={}", host.name);
     stop.send_replace(true);
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -242,6 +242,17 @@
         path
     }
 
+    /// Creates a named pipe in the folder and returns its path.
+    pub fn pipe(&self, name: &str) -> String {
+        let path = self.path(name);
+        let text = std::ffi::CString::new(path.as_str()).expect("a path has no zero byte");
+        #[allow(unsafe_code, reason = "the system call has no safe form in the library")]
+        // SAFETY: the path is a string that ends with a zero byte and outlives the call.
+        let made = unsafe { libc::mkfifo(text.as_ptr(), 0o600) };
+        assert_eq!(made, 0, "a named pipe can be made");
+        path
+    }
+
     /// Returns the path of a file in the folder.
     pub fn path(&self, name: &str) -> String {
         Path::new(&self.0).join(name).to_string_lossy().into_owned()
