daemon: entry hosts and agents wait for their addresses

What callers saw: an entry host or an agent that was started while the previous process of its host still drained, or while another program used the address for metrics, exited with status 1 ("cannot listen on").

Each address was bound once, and any failure ended the process.

Change: entry hosts and agents wait with startup::listen. They take part in nothing, neither in the exchange of records nor as a home of keys, until they hold the address for peers and, on an entry host, the one for clients; a stop ends the wait. Health checks and metrics are not needed.

--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -29,7 +29,7 @@
 use tokio::net::TcpListener;
 use tonic::codec::CompressionEncoding;
 
-use crate::{Error, link, listen, peer, process, stop};
+use crate::{Error, link, peer, process, stop};
 
 /// State that the tasks of an entry host share.
 pub struct Entry {
@@ -67,20 +67,21 @@
     }
 }
 
-/// Runs the entry host until a planned stop has completed.
+/// Runs the entry host until a planned stop has completed. `peers` and `clients` listen on its
+/// addresses for other hosts and for clients.
 ///
 /// # Errors
 ///
-/// Returns an [`Error`] if an address cannot be listened on.
+/// Returns an [`Error`] if the deployment's key cannot be sent.
 pub async fn run(
     process: Arc<process::Process>,
     peers: TcpListener,
+    clients: TcpListener,
     signals: signals::Receiver,
 ) -> Result<(), Error> {
     // Validation of the settings ensures that the section exists for this role.
     let settings = process.settings.entry.clone().expect("an entry has its section");
     let entry = Arc::new(Entry::new(process.clone(), &settings));
-    let clients = listen(settings.http_address, "http").await?;
     tokio::spawn(follow::run(entry.clone()));
     tokio::spawn(dispatcher::tick(entry.dispatcher.clone()));
     tokio::spawn(assignment::run(entry.clone()));
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -35,7 +35,7 @@
 use std::sync::Arc;
 
 use loftcove_settings::{error, file, gateway};
-use loftcove_startup::signals;
+use loftcove_startup::{listen, signals};
 
 /// Subcommand of the command line.
 enum Command {
@@ -60,8 +60,8 @@
     Gateway(#[from] loftcove_gateway::Error),
     #[error(transparent)]
     Sidecar(#[from] loftcove_sidecar::Error),
-    #[error("cannot listen on {address}: {source}")]
-    Listen { address: std::net::SocketAddr, source: std::io::Error },
+    #[error(transparent)]
+    Listen(#[from] listen::Error),
     #[error("cannot start the runtime: {0}")]
     Runtime(std::io::Error),
     #[error("cannot install signal handlers: {0}")]
@@ -153,7 +153,7 @@
 }
 
 async fn serve(process: Arc<process::Process>, signals: signals::Signals) -> Result<(), Error> {
-    let signals = signals.receiver().map_err(Error::Signal)?;
+    let mut signals = signals.receiver().map_err(Error::Signal)?;
     let own = &process.settings.process;
     log::info!(
         "start host={} zone={} role={:?} incarnation={}",
@@ -163,29 +163,69 @@
         process.incarnation
     );
     if let Some(address) = own.admin_address {
-        let listener = listen(address, "admin").await?;
-        tokio::spawn(admin::serve(process.clone(), listener));
+        serve_admin(process.clone(), address);
     }
-    let peers = listen(own.peer_address, "peer").await?;
+    // The other hosts know the process by this address. Until the previous process of the host has
+    // ended, this one takes no part in anything.
+    let peers = listen::Listener::open("peer", own.peer_address, ACCEPT_BACKLOG)?;
+    let Some(peers) = wait_for(peers, "peer", &mut signals).await else { return Ok(()) };
+    let http = match process.settings.entry.as_ref().filter(|_| own.role == file::Role::Entry) {
+        Some(entry) => {
+            let http = listen::Listener::open("http", entry.http_address, ACCEPT_BACKLOG)?;
+            let Some(http) = wait_for(http, "http", &mut signals).await else { return Ok(()) };
+            Some(http)
+        }
+        None => None,
+    };
     source::spawn(&process);
     tokio::spawn(exchange::run(process.clone()));
-    match own.role {
-        file::Role::Entry => entry::run(process.clone(), peers, signals).await?,
-        file::Role::Agent => agent::run(process.clone(), peers, signals).await?,
+    match http {
+        Some(http) => entry::run(process.clone(), peers, http, signals).await?,
+        None => agent::run(process.clone(), peers, signals).await?,
     }
     log::info!("stop host={}", own.host);
     Ok(())
 }
 
-/// Listens on an address and prints the bound one, because the operating system may have chosen the
-/// port.
-async fn listen(
-    address: std::net::SocketAddr,
+/// Maximum number of connections that wait to be accepted.
+const ACCEPT_BACKLOG: u32 = 1_024;
+
+/// Serves health checks and metrics, once their address is available.
+fn serve_admin(process: Arc<process::Process>, address: std::net::SocketAddr) {
+    let listener = match listen::Listener::open("admin", address, ACCEPT_BACKLOG) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("admin address not served error=\"{error}\" next=continue");
+            return;
+        }
+    };
+    if let Some(bound) = listener.local_address() {
+        print_address("admin", bound);
+    }
+    tokio::spawn(async move { admin::serve(process, listener.wait().await).await });
+}
+
+/// Waits for a listener's address and prints the bound one, because the operating system may have
+/// chosen the port. Returns `None` if the process is to stop before.
+async fn wait_for(
+    listener: listen::Listener,
     what: &str,
-) -> Result<tokio::net::TcpListener, Error> {
-    let fault = |source| Error::Listen { address, source };
-    let listener = tokio::net::TcpListener::bind(address).await.map_err(fault)?;
-    let bound = listener.local_addr().map_err(fault)?;
-    println!("listening {what} {bound}");
-    Ok(listener)
+    signals: &mut signals::Receiver,
+) -> Option<tokio::net::TcpListener> {
+    let listener = tokio::select! {
+        listener = listener.wait() => listener,
+        () = stop::wait_for_stop(signals) => {
+            log::info!("stop before start reason=address-not-available listener={what}");
+            return None;
+        }
+    };
+    match listener.local_addr() {
+        Ok(bound) => print_address(what, bound),
+        Err(error) => log::warn!("address of listener unknown listener={what} error=\"{error}\""),
+    }
+    Some(listener)
+}
+
+fn print_address(what: &str, address: std::net::SocketAddr) {
+    println!("listening {what} {address}");
 }
--- a/daemon/src/stop.rs
+++ b/daemon/src/stop.rs
@@ -11,7 +11,7 @@
 
 /// Waits for a signal to stop. The settings are only read when the process starts, so that a signal
 /// to reload them has no effect.
-async fn wait_for_stop(signals: &mut signals::Receiver) {
+pub async fn wait_for_stop(signals: &mut signals::Receiver) {
     while signals.next().await == signals::Signal::Reload {
         log::info!("reload ignored reason=settings-are-read-at-start next=keep");
     }
--- a/tests/src/cluster.rs
+++ b/tests/src/cluster.rs
@@ -301,11 +301,24 @@
         self.members.insert(host.to_owned(), member);
     }
 
+    /// Starts the next process of a member at the same addresses and returns the current one, which
+    /// may still run.
+    pub fn replace(&mut self, host: &str) -> process::Process {
+        let member = self.members.get_mut(host).expect("the member exists");
+        let file = self.folder.write(&format!("{host}.toml"), &member.settings);
+        let next = process::Process::start("loftcoved", &strings(&["run", &file]));
+        std::mem::replace(&mut member.process, next)
+    }
+
     /// Restarts a member's process at the same addresses. The old process must have exited.
     pub async fn restart(&mut self, host: &str) {
+        drop(self.replace(host));
+        self.wait_listening(host).await;
+    }
+
+    /// Waits until the next process of a member listens on its addresses.
+    pub async fn wait_listening(&mut self, host: &str) {
         let member = self.members.get_mut(host).expect("the member exists");
-        let file = self.folder.write(&format!("{host}.toml"), &member.settings);
-        member.process = process::Process::start("loftcoved", &strings(&["run", &file]));
         member.process.read_address().await;
         if member.http_address.is_some() {
             member.process.read_address().await;
--- a/tests/tests/starts.rs
+++ b/tests/tests/starts.rs
@@ -11,7 +11,7 @@
 use loftcove_tests::process::Process;
 use loftcove_tests::request::Request;
 use loftcove_tests::system::{Plan, System};
-use loftcove_tests::{caller, until};
+use loftcove_tests::{caller, cluster, until};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 const PLAN: Plan =
@@ -209,3 +209,50 @@
     wait_logged(&system.gateways[1], WAITING).await;
     system.wait_ready(1).await;
 }
+
+/// The drain of an entry host lasts as long as its requests, and that of an agent until its streams
+/// have closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_host_or_agent_that_starts_while_the_previous_one_stops_serves_after_it() {
+    let plan = cluster::Plan { drain_ms: 1_500, ..cluster::Plan::default() };
+    let mut cluster = cluster::Cluster::start(plan).await;
+    let entry = cluster.entries().remove(0);
+    let endless = caller::prompt(cluster::MODEL, true, 1_000_000);
+    let open = cluster.caller(&entry).open("POST", "/v1/chat/completions", &[], &endless).await;
+    assert_eq!(open.as_ref().unwrap().status(), 200);
+    let agent = cluster.agents(cluster::SERVICE).remove(0);
+    for host in [&entry, &agent] {
+        cluster.members[host].process.signal(libc::SIGTERM);
+        let mut stopping = cluster.replace(host);
+        assert!(stopping.wait().await, "{host}: {:?}", stopping.log());
+        cluster.wait_listening(host).await;
+    }
+    wait_logged(&cluster.members[&entry].process, WAITING).await;
+    until("the entry host serves", || async {
+        cluster.caller(&entry).chat(cluster::MODEL, true, 3).await.status == 200
+    })
+    .await;
+}
+
+/// The address for health checks and metrics is not needed to serve.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_runs_while_its_address_for_metrics_is_in_use() {
+    let cluster = cluster::Cluster::start(cluster::Plan::default()).await;
+    let agent = cluster.agents(cluster::SERVICE).remove(0);
+    let other = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = other.local_addr().unwrap();
+    let file = cluster.folder.path(&format!("{agent}.toml"));
+    let text = std::fs::read_to_string(&file).unwrap();
+    let admin = format!("admin_address = \"{address}\"\npeer_address");
+    let file = cluster.folder.write("admin.toml", &text.replacen("peer_address", &admin, 1));
+    let mut process = Process::start("loftcoved", &["run".to_owned(), file]);
+    // The settings have no port for peers yet, so that this process does not meet the other one.
+    process.read_address().await;
+    wait_logged(&process, WAITING).await;
+    drop(other);
+    wait_logged(&process, LISTENING).await;
+    until("health checks are answered", || async {
+        caller::Caller::new(address, "").request("GET", "/healthz", &[], "").await.status == 200
+    })
+    .await;
+}
