intake: discard more than the size limit of a body that exceeds it

What callers saw: a client that sends a body over the limit, and goes on to send, met a reset in the place of the 413.

Cause: a gateway read on for at most max_body_bytes after the refusal. A body that is refused for its size is longer, so that its rest stayed unread, and a connection that is closed with unread bytes is reset. Entry hosts read eight times the limit.

Evidence: the new test sends twice the limit before it reads.

Change: gateways read as much as entry hosts, still for at most a second and without holding any of it.

--- a/daemon/src/entry/flow.rs
+++ b/daemon/src/entry/flow.rs
@@ -52,7 +52,7 @@
             // A client that waits for an interim response sends nothing more.
             if !http_body::Body::is_end_stream(&body) && !expects {
                 let settings = entry.process.settings.entry.as_ref();
-                let limit = settings.map_or(0, |own| own.max_body) * DISCARD_FACTOR;
+                let limit = settings.map_or(0, |own| own.max_body);
                 let discarding = connection.connection().begin();
                 tokio::spawn(async move {
                     intake::body::discard(&mut body, limit).await;
@@ -77,9 +77,6 @@
     Ok(body::flushed(answer, (version, &method), &connection, open))
 }
 
-/// Maximum amount of a refused body that is discarded, as a multiple of the size limit.
-const DISCARD_FACTOR: usize = 8;
-
 /// A request that was read.
 enum Accepted {
     /// A request that may be sent to backend servers.
--- a/intake/src/body.rs
+++ b/intake/src/body.rs
@@ -18,6 +18,9 @@
 const MAX_WAIT: Duration = Duration::from_millis(500);
 /// Part of the time of a request that its body may wait for memory, as a divisor.
 const WAIT_PART: u32 = 6;
+/// Maximum size of the rest of a refused body that is discarded, as a multiple of the size limit. A
+/// body that is refused for its size is longer than the limit.
+const DISCARD_FACTOR: usize = 8;
 /// Time for which the rest of a refused body is discarded.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
@@ -157,11 +160,12 @@
     Ok(with_hold(bytes, hold))
 }
 
-/// Reads the rest of a refused body, up to `limit` bytes and for a bounded time, so that its client
-/// can read the response. A connection that is closed with unread bytes can lose what was sent on it.
+/// Reads the rest of a refused body, up to a multiple of the size limit `limit` and for a bounded
+/// time, so that its client can read the response. A connection that is closed with unread bytes can
+/// lose what was sent on it.
 pub async fn discard<B: http_body::Body<Data = Bytes> + Unpin>(body: &mut B, limit: usize) {
     let discarded = async {
-        let mut left = limit;
+        let mut left = limit.saturating_mul(DISCARD_FACTOR);
         while let Some(Ok(frame)) = body.frame().await {
             let size = frame.data_ref().map_or(0, Bytes::len);
             if size > left {
--- a/tests/tests/crowds.rs
+++ b/tests/tests/crowds.rs
@@ -234,6 +234,23 @@
     }
 }
 
+// Guards against the same for a client that sends all of a body of twice the limit before it reads.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_client_that_sends_twice_the_limit_before_it_reads_reads_its_refusal() {
+    let _turn = TURN.lock().await;
+    let (system, _gateway) = start(&limits()).await;
+    let body = vec![b'x'; 2 * BODY];
+    for _ in 0..5 {
+        let mut stream = TcpStream::connect(system.client_address(GATEWAY)).await.unwrap();
+        let text =
+            format!("{}content-length: {}\r\n\r\n", head(&Request::new("/alert/")), body.len());
+        stream.write_all(text.as_bytes()).await.unwrap();
+        stream.write_all(&body).await.expect("the connection stays open");
+        let status = tokio::time::timeout(loftcove_tests::MAX_WAIT, read_status(&mut stream)).await;
+        assert_eq!(status.unwrap(), 413);
+    }
+}
+
 /// Lets a crowd that sends no request fill the connections of a gateway. New clients must be
 /// answered, and none of the crowd is closed by a timeout.
 async fn check_connections(form: &Form) {
