gateway, sidecar, daemon: settle what happens while an address is waited for

A gateway whose address for peers was in use served without an entry, so that the shares of the retry budget of all gateways summed to more than the service allows (by reading; a log line reserve=67.50 beside a registered gateway). An error that no exit can mend still ended a process.

Cause: the wait ended only with the address; the entry depended on the address for peers, though gateways share limits by their entries; errors were sorted into those to wait for and those to exit for.

Change: a gateway that does not listen for clients exits at once when it is told to stop. All errors of an address are waited for; those that are unlikely to pass at the longer interval. The wait for a stop signal continues after an interruption, which may be that signal.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -30,6 +30,7 @@
 mod stop;
 mod system;
 
+use std::io::Write as _;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -60,8 +61,6 @@
     Gateway(#[from] loftcove_gateway::Error),
     #[error(transparent)]
     Sidecar(#[from] loftcove_sidecar::Error),
-    #[error(transparent)]
-    Listen(#[from] listen::Error),
     #[error("cannot start the runtime: {0}")]
     Runtime(std::io::Error),
     #[error("cannot install signal handlers: {0}")]
@@ -167,11 +166,11 @@
     }
     // The other hosts know the process by this address. Until the previous process of the host has
     // ended, this one takes no part in anything.
-    let peers = listen::Listener::open("peer", own.peer_address, ACCEPT_BACKLOG)?;
+    let peers = listen::Listener::open("peer", own.peer_address, ACCEPT_BACKLOG);
     let Some(peers) = wait_for(peers, "peer", &mut signals).await else { return Ok(()) };
     let http = match process.settings.entry.as_ref().filter(|_| own.role == file::Role::Entry) {
         Some(entry) => {
-            let http = listen::Listener::open("http", entry.http_address, ACCEPT_BACKLOG)?;
+            let http = listen::Listener::open("http", entry.http_address, ACCEPT_BACKLOG);
             let Some(http) = wait_for(http, "http", &mut signals).await else { return Ok(()) };
             Some(http)
         }
@@ -192,13 +191,7 @@
 
 /// Serves health checks and metrics, once their address is available.
 fn serve_admin(process: Arc<process::Process>, address: std::net::SocketAddr) {
-    let listener = match listen::Listener::open("admin", address, ACCEPT_BACKLOG) {
-        Ok(listener) => listener,
-        Err(error) => {
-            log::error!("admin address not served error=\"{error}\" next=continue");
-            return;
-        }
-    };
+    let listener = listen::Listener::open("admin", address, ACCEPT_BACKLOG);
     if let Some(bound) = listener.local_address() {
         print_address("admin", bound);
     }
@@ -227,5 +220,6 @@
 }
 
 fn print_address(what: &str, address: std::net::SocketAddr) {
-    println!("listening {what} {address}");
+    // Unlike `println!`, this does not panic if nothing can be written.
+    writeln!(std::io::stdout(), "listening {what} {address}").unwrap_or_default();
 }
--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -12,7 +12,6 @@
 
 use std::collections::BTreeMap;
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -52,7 +51,7 @@
     pub clients: connections::Connections,
     phase: watch::Sender<lifecycle::Phase>,
     /// Whether the process listens on the address for clients.
-    listening: AtomicBool,
+    listening: watch::Sender<bool>,
 }
 
 struct Inner {
@@ -105,7 +104,7 @@
             inner: Mutex::new(inner),
             clients: connections::Connections::new(max_connections),
             phase: watch::Sender::new(lifecycle::Phase::Starting),
-            listening: AtomicBool::new(false),
+            listening: watch::Sender::new(false),
         }
     }
 
@@ -123,13 +122,13 @@
 
     /// Records that the process listens on the address for clients.
     pub fn set_listening(&self) {
-        self.listening.store(true, Ordering::Release);
+        self.listening.send_replace(true);
     }
 
     /// Returns whether the gateway accepts new connections.
     pub fn ready(&self) -> bool {
         let serving = *self.phase.borrow() == lifecycle::Phase::Serving;
-        serving && self.listening.load(Ordering::Acquire) && self.clients.has_room()
+        serving && *self.listening.borrow() && self.clients.has_room()
     }
 
     /// Waits until another client's connection can be accepted. Connections without work are closed
@@ -211,6 +210,11 @@
     pub fn phases(&self) -> Phases {
         Phases { phase: self.phase.subscribe() }
     }
+
+    /// Returns a subscription to whether the process listens on the address for clients.
+    pub fn listening(&self) -> watch::Receiver<bool> {
+        self.listening.subscribe()
+    }
 }
 
 /// A subscription to the lifecycle's phase.
@@ -287,6 +291,11 @@
     wait_for_stop(&mut signals, peers, file).await;
     let lifecycle = &gateway.lifecycle;
     let grace = Duration::from_secs_f64(gateway.settings.serving.grace_s);
+    if !*lifecycle.listening.borrow() {
+        // No client has reached this process, and it must not take over the address any more.
+        log::info!("stopping reason=not-listening");
+        return;
+    }
     log::info!("stopping in_flight={} grace_ms={}", lifecycle.in_flight(), grace.as_millis());
     let started = boot::Instant::now();
     let mut exit = started + grace.saturating_sub(END_MARGIN);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -56,7 +56,6 @@
 use loftcove_startup::{listen, signals};
 use loftcove_wire as wire;
 pub use state::Target;
-use tokio::net::TcpListener;
 use tonic::codec::CompressionEncoding;
 
 /// Number of peers that a gateway follows. With three, a change still reaches a gateway while two
@@ -66,9 +65,6 @@
 /// An error that keeps the gateway from running.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The gateway can never listen on an address.
-    #[error(transparent)]
-    Listen(#[from] listen::Error),
     /// The process cannot receive signals.
     #[error("signals cannot be received: {0}")]
     Signal(std::io::Error),
@@ -78,9 +74,8 @@
 ///
 /// # Errors
 ///
-/// Returns an [`Error`] if an address can never be listened on or signals cannot be received. A
-/// gateway waits for addresses that may become available, and is not ready while it waits for the
-/// one for clients.
+/// Returns an [`Error`] if signals cannot be received. A gateway waits for addresses that are not
+/// available, and is not ready while it waits for the one for clients.
 pub async fn run<P: Protocol, S: Store>(
     file: &Path,
     settings: settings::Gateway,
@@ -91,9 +86,9 @@
     let store = Arc::new(store);
     let addresses = settings.listen.clone();
     let host = settings.host.clone();
-    let clients = listen::Listener::open("clients", addresses.client_address, CLIENT_BACKLOG)?;
-    let ready = listen::Listener::open("readiness", addresses.ready_address, INTERNAL_BACKLOG)?;
-    let peer_listener = listen::Listener::open("peers", addresses.peer_address, INTERNAL_BACKLOG)?;
+    let clients = listen::Listener::open("clients", addresses.client_address, CLIENT_BACKLOG);
+    let ready = listen::Listener::open("readiness", addresses.ready_address, INTERNAL_BACKLOG);
+    let peer_listener = listen::Listener::open("peers", addresses.peer_address, INTERNAL_BACKLOG);
     let metrics = listen::Listener::open("metrics", host.metrics_address, INTERNAL_BACKLOG);
     let gateway = Arc::new(state::Gateway::<P>::new(settings));
     for subject in subjects::<P>(&gateway.settings.serving) {
@@ -119,22 +114,20 @@
     tokio::spawn(ends::run(gateway.mirror.clone(), store.clone()));
     tokio::spawn(lifts::run(gateway.mirror.clone(), store.clone()));
     let registration = register::run(gateway.mirror.clone(), store, host.name.clone(), entry);
-    tokio::spawn(gateway.mirror.clone().expire());
     {
-        let (mirror, zone) = (gateway.mirror.clone(), host.zone.clone());
+        let mut listening = gateway.lifecycle.listening();
         tokio::spawn(async move {
-            // Peers connect to the address in the entry, which may still be that of the previous
-            // process of this host.
-            let listener = peer_listener.wait().await;
-            tokio::spawn(registration);
-            serve_peers(mirror, zone, listener).await;
+            // Gateways share limits by their entries, so that each one that serves needs one. Before,
+            // the entry may still be that of the previous process of this host. The sender lives as
+            // long as the process.
+            listening.wait_for(|listening| *listening).await.map(drop).unwrap_or_default();
+            registration.await;
         });
     }
+    tokio::spawn(gateway.mirror.clone().expire());
+    tokio::spawn(serve_peers(gateway.mirror.clone(), host.zone.clone(), peer_listener));
     tokio::spawn(health::serve(gateway.clone(), ready));
-    match metrics {
-        Ok(metrics) => drop(tokio::spawn(health::serve(gateway.clone(), metrics))),
-        Err(error) => log::error!("metrics not served error=\"{error}\" next=serve-clients"),
-    }
+    tokio::spawn(health::serve(gateway.clone(), metrics));
     tokio::spawn(state::follow(gateway.clone()));
     tokio::spawn(probe::run(gateway.clone()));
     tokio::spawn(probe::check_restarted(gateway.clone()));
@@ -199,7 +192,8 @@
     }
 }
 
-async fn serve_peers(mirror: Arc<mirror::Mirror>, zone: Arc<str>, listener: TcpListener) {
+async fn serve_peers(mirror: Arc<mirror::Mirror>, zone: Arc<str>, listener: listen::Listener) {
+    let listener = listener.wait().await;
     let service = wire::mirror_server::MirrorServer::new(serve::Service::new(mirror, zone))
         .send_compressed(CompressionEncoding::Gzip);
     let router = peer::server().add_service(grpc::Service(service));
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -52,9 +52,6 @@
 /// Reasons why the sidecar cannot run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The sidecar can never listen on an address.
-    #[error(transparent)]
-    Listen(#[from] listen::Error),
     /// The process cannot receive signals.
     #[error("signals cannot be received: {0}")]
     Signal(std::io::Error),
@@ -65,8 +62,8 @@
 ///
 /// # Errors
 ///
-/// Returns an [`Error`] if an address can never be listened on or signals cannot be received. A
-/// sidecar waits for addresses that may become available.
+/// Returns an [`Error`] if signals cannot be received. A sidecar waits for addresses that are not
+/// available.
 pub async fn run<P: Protocol, S: Store, E: Engine>(
     file: &Path,
     settings: settings::Sidecar,
@@ -77,7 +74,7 @@
     let mut signals = signals.receiver().map_err(Error::Signal)?;
     let host = settings.host.clone();
     let peer_listener =
-        listen::Listener::open("peers", settings.peering.peer_address, ACCEPT_BACKLOG)?;
+        listen::Listener::open("peers", settings.peering.peer_address, ACCEPT_BACKLOG);
     let metrics_listener = listen::Listener::open("metrics", host.metrics_address, ACCEPT_BACKLOG);
     let mirror: Arc<Mirror> = Arc::default();
     let own = follow::LocalHost { name: host.name.clone(), zone: host.zone.clone(), address: None };
@@ -86,10 +83,7 @@
         tokio::spawn(follow::run(mirror.clone(), peers.clone(), follower));
     }
     let metrics: Arc<metrics::Metrics> = Arc::default();
-    match metrics_listener {
-        Ok(listener) => drop(tokio::spawn(metrics::serve(metrics.clone(), listener))),
-        Err(error) => log::error!("metrics not served error=\"{error}\" next=continue"),
-    }
+    tokio::spawn(metrics::serve(metrics.clone(), metrics_listener));
     let rank = Arc::new(rank::Rank::new(connect(settings.engine.address)));
     let port = settings.peering.peer_address.port();
     let group = group::Group::new(settings.engine.address, port, Box::new(connect));
--- a/startup/src/listen.rs
+++ b/startup/src/listen.rs
@@ -13,8 +13,8 @@
 use prometheus_client::registry::Registry;
 use tokio::net::{TcpListener, TcpSocket};
 
-/// Intervals between two attempts: at first, when the previous process is likely to end soon, and
-/// later.
+/// Intervals between two attempts: at first, if the previous process is likely to end soon, and
+/// otherwise.
 const RETRY_INTERVAL: (Duration, Duration) =
     (Duration::from_millis(20), Duration::from_millis(250));
 /// Time after which attempts are made at the longer interval. A planned stop takes less.
@@ -22,16 +22,6 @@
 /// Interval between two log lines about the same address.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
-/// An address that can never be listened on.
-#[derive(Debug, thiserror::Error)]
-#[error("cannot listen on {address}: {source}")]
-pub struct Error {
-    /// The address.
-    pub address: SocketAddr,
-    /// Error of the operating system.
-    pub source: std::io::Error,
-}
-
 /// Label with the purpose of a listener.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Purpose {
@@ -58,20 +48,8 @@
 impl Listener {
     /// Listens on an address, or prepares to wait for it. `purpose` names the listener in the log and
     /// the metrics, and `backlog` is the maximum number of connections that wait to be accepted.
-    ///
-    /// # Errors
-    ///
-    /// Returns an [`Error`] if waiting cannot help.
-    pub fn open(
-        purpose: &'static str,
-        address: SocketAddr,
-        backlog: u32,
-    ) -> Result<Listener, Error> {
-        let state = bind(address, backlog);
-        match state {
-            Err(source) if !is_temporary(&source) => Err(Error { address, source }),
-            state => Ok(Listener { purpose, address, backlog, state }),
-        }
+    pub fn open(purpose: &'static str, address: SocketAddr, backlog: u32) -> Listener {
+        Listener { purpose, address, backlog, state: bind(address, backlog) }
     }
 
     /// Returns the address that the listener is bound to, or `None` if it still waits for it.
@@ -98,7 +76,7 @@
                 );
                 logged = Some(Instant::now());
             }
-            let frequent = started.elapsed() < FREQUENT_RETRY_TIME;
+            let frequent = is_temporary(&error) && started.elapsed() < FREQUENT_RETRY_TIME;
             let (short, long) = RETRY_INTERVAL;
             tokio::time::sleep(if frequent { short } else { long }).await;
             match bind(address, self.backlog) {
@@ -142,8 +120,9 @@
     socket.listen(backlog)
 }
 
-/// Returns whether a listener that failed with this error may succeed later without a change of its
-/// settings.
+/// Returns whether an address that failed with this error is likely to become available without a
+/// change of the host. Others are waited for as well: a process that exits meets the same state when
+/// it is started again.
 fn is_temporary(error: &std::io::Error) -> bool {
     let code = error.raw_os_error().unwrap_or_default();
     matches!(
--- a/startup/src/signals.rs
+++ b/startup/src/signals.rs
@@ -6,7 +6,7 @@
 
 use std::io::{self, Read as _};
 use std::os::unix::net::UnixStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::low_level::pipe;
@@ -35,15 +35,19 @@
     ///
     /// Returns the error of the operating system.
     pub fn wait_for_stop(&mut self, time: Duration) -> io::Result<bool> {
-        self.stop.set_read_timeout(Some(time))?;
-        match self.stop.read(&mut [0]) {
-            Ok(count) => Ok(count > 0),
-            Err(error) => match error.kind() {
-                io::ErrorKind::WouldBlock
-                | io::ErrorKind::TimedOut
-                | io::ErrorKind::Interrupted => Ok(false),
-                _ => Err(error),
-            },
+        let end = Instant::now() + time;
+        self.stop.set_nonblocking(false)?;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            // Zero would mean no limit.
+            self.stop.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
+            match self.stop.read(&mut [0]) {
+                Ok(count) => return Ok(count > 0),
+                // The signal that interrupted the read may be the one that is waited for.
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if is_timeout(&error) => return Ok(false),
+                Err(error) => return Err(error),
+            }
         }
     }
 
@@ -53,15 +57,20 @@
     /// # Errors
     ///
     /// Returns the error of the operating system.
-    pub fn receiver(self) -> io::Result<Receiver> {
-        let convert = |stream: UnixStream| {
+    pub fn receiver(&self) -> io::Result<Receiver> {
+        let convert = |stream: &UnixStream| {
+            let stream = stream.try_clone()?;
             stream.set_nonblocking(true)?;
             tokio::net::UnixStream::from_std(stream)
         };
-        Ok(Receiver { stop: convert(self.stop)?, reload: convert(self.reload)? })
+        Ok(Receiver { stop: convert(&self.stop)?, reload: convert(&self.reload)? })
     }
 }
 
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
+}
+
 /// Returns a socket from which one byte can be read for each signal. Signals of the same kind that
 /// arrive at nearly the same time may count as one.
 fn handle(signals: &[i32]) -> io::Result<UnixStream> {
