gateway, sidecar, run: read settings again that are incomplete at the start

What callers saw: a process that started while its settings file was being replaced exited with status 1, and again each time it was started until the file was complete.

Cause: the file was read once, and any error ended the process. A reload keeps the old settings for the same error, but a start has none.

Then the process exits with status 1 and the last error. A signal for a stop ends the wait with success, and one for a reload only makes the next attempt earlier. The line cannot panic where standard error takes nothing. A file whose first part is valid by itself cannot be told from a complete one.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -66,6 +66,8 @@
     Runtime(std::io::Error),
     #[error("cannot install signal handlers: {0}")]
     Signal(std::io::Error),
+    #[error("cannot wait for a signal: {0}")]
+    SignalWait(std::io::Error),
 }
 
 const HELP: &str = "\
@@ -131,8 +133,10 @@
 }
 
 fn run(path: &Path) -> Result<(), Error> {
-    let signals = signals::Signals::install().map_err(Error::Signal)?;
-    let settings = file::Daemon::read(path)?;
+    let mut signals = signals::Signals::install().map_err(Error::Signal)?;
+    let Some(settings) = system::read(&mut signals, path, file::Daemon::read)? else {
+        return Ok(());
+    };
     logging::to_stderr(settings.process.log_level);
     let workers = settings.process.workers;
     let process = Arc::new(process::Process::new(settings)?);
--- a/daemon/src/system.rs
+++ b/daemon/src/system.rs
@@ -1,18 +1,21 @@
 //! Runs the gateway and the sidecar, which are the roles on the users' machines, with the
 //! platform's adapter.
 
+use std::io::Write as _;
 use std::path::Path;
 
 use loftcove_platform::{adapter, engine, kv};
 use loftcove_settings::{error, gateway as settings};
-use loftcove_startup::signals;
+use loftcove_startup::{retry, signals};
 
 use crate::{Error, logging, sink};
 
 /// Runs a gateway with the settings of the file at `path`.
 pub fn gateway(path: &Path) -> Result<(), Error> {
-    let signals = signals::Signals::install().map_err(Error::Signal)?;
-    let settings = read(settings::Gateway::read(path))?;
+    let mut signals = signals::Signals::install().map_err(Error::Signal)?;
+    let Some(settings) = read(&mut signals, path, settings::Gateway::read)? else {
+        return Ok(());
+    };
     let sink = logging::to_stdout(settings.host.log_level);
     let store =
         kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
@@ -24,8 +27,10 @@
 
 /// Runs a sidecar with the settings of the file at `path`.
 pub fn sidecar(path: &Path) -> Result<(), Error> {
-    let signals = signals::Signals::install().map_err(Error::Signal)?;
-    let settings = read(settings::Sidecar::read(path))?;
+    let mut signals = signals::Signals::install().map_err(Error::Signal)?;
+    let Some(settings) = read(&mut signals, path, settings::Sidecar::read)? else {
+        return Ok(());
+    };
     let sink = logging::to_stdout(settings.host.log_level);
     let store =
         kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
@@ -41,8 +46,24 @@
     finish(&sink, result)
 }
 
-fn read<T>(settings: Result<T, error::Error>) -> Result<T, Error> {
-    settings.map_err(Error::from)
+/// Reads the settings of the file at `path`. If they are incomplete or wrong, reads them again for a
+/// while, because the file may be being replaced. Returns `None` if the process is to stop meanwhile.
+pub fn read<T>(
+    signals: &mut signals::Signals,
+    path: &Path,
+    read: impl Fn(&Path) -> Result<T, error::Error>,
+) -> Result<Option<T>, Error> {
+    let notify = |error: &error::Error| {
+        let seconds = retry::TIMEOUT.as_secs();
+        // The log does not exist yet. Unlike `eprintln!`, this does not panic if nothing can be
+        // written.
+        let line = format!("loftcoved: {error}; reading again for up to {seconds} s\n");
+        std::io::stderr().write_all(line.as_bytes()).unwrap_or_default();
+    };
+    retry::read(signals, || read(path), notify).map_err(|error| match error {
+        retry::Error::Read(error) => Error::Settings(error),
+        retry::Error::Signal(error) => Error::SignalWait(error),
+    })
 }
 
 /// Logs a failure and writes the remaining log lines to standard output.
