settings: check the range of each number

What callers saw: a gateway with `grace_s = -1` or `1e300` served, and SIGTERM then ended it by a panic. `retry_ratio = nan`, `memory_mb = 0`, `max_descriptors = 0`, `workers = 0` for a gateway or a sidecar and others were accepted without a word, at the start and at a reload.

Cause: only some keys were checked, by code far from their declaration.

Change: the declaration of a section has the range of each number, from which the check, the error (file, line, key, range) and the reference are generated. The line is that of the key in its own section; sections have keys of the same name. What a reload does not apply is checked too, because the next start would fail with it.

--- a/settings/src/error.rs
+++ b/settings/src/error.rs
@@ -2,11 +2,25 @@
 
 use std::path::PathBuf;
 
+use crate::reference;
+
 /// A required key that is missing in a section.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("missing key `{0}`")]
 pub struct Missing(pub &'static str);
 
+/// A value that is not within its range.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("must be {range}")]
+pub struct Range {
+    /// Name of the section; empty for the top level.
+    pub section: &'static str,
+    /// Name of the key.
+    pub key: &'static str,
+    /// Range of the values that are valid.
+    pub range: reference::Range,
+}
+
 /// Error for which a settings file is rejected.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -18,7 +32,17 @@
         /// Error of the operating system.
         source: std::io::Error,
     },
-    /// A key is unknown, missing, malformed or out of range.
+    /// A value is out of range.
+    #[error("{}:{line}: key `{}`: {range}", file.display(), range.key)]
+    Range {
+        /// Path of the file.
+        file: PathBuf,
+        /// Line in the file, from 1.
+        line: usize,
+        /// Key and range.
+        range: Range,
+    },
+    /// A key is unknown, missing or malformed, or its value does not fit that of another key.
     #[error("{}:{line}: key `{key}`: {reason}", file.display())]
     Key {
         /// Path of the file.
--- a/settings/src/file.rs
+++ b/settings/src/file.rs
@@ -42,11 +42,11 @@
         /// Address for `/healthz`, `/readyz` and `/metrics` on a host without callers' address.
         admin_address: Option<SocketAddr> = None;
         /// Longest time that a planned stop waits for requests in flight, milliseconds.
-        drain_ms: u64 = 30_000;
+        drain_ms: u64 = 30_000, from 0 to 86_400_000;
         /// Time between two exchanges of bundle, host list and home table with a peer, milliseconds.
-        exchange_ms: u64 = 1_000;
+        exchange_ms: u64 = 1_000, from 1 to 600_000;
         /// Threads of the pool that serves.
-        workers: usize = 1;
+        workers: usize = 1, from 1 to 1_024;
         /// Least level of the log: error, warn, info, debug.
         log_level: Level = Level::Info;
     }
@@ -72,12 +72,12 @@
         /// Address of the service.
         address: SocketAddr;
         /// Longest wait for an answer, milliseconds.
-        timeout_ms: u64 = 2_000;
+        timeout_ms: u64 = 2_000, from 1 to 600_000;
         /// Longest time that one watch waits, milliseconds; one that is lost shows no sooner, and
         /// a bundle is to be in force within 16 s.
-        watch_ms: u64 = 10_000;
+        watch_ms: u64 = 10_000, from 1 to 30_000;
         /// Entry hosts of an availability zone that watch the platform; the others hear from them.
-        watchers: usize = 2;
+        watchers: usize = 2, from 1 to 1_000;
     }
 }
 
@@ -87,19 +87,19 @@
         /// Address for callers.
         http_address: SocketAddr;
         /// Largest request body, bytes.
-        max_body: usize = 1_048_576;
+        max_body: usize = 1_048_576, from 1 to 1_073_741_824;
         /// Memory that the process may use, megabytes.
-        memory_mb: u64 = 256;
+        memory_mb: u64 = 256, from 1 to 1_048_576;
         /// File descriptors that the process may use.
-        max_descriptors: usize = 4_096;
+        max_descriptors: usize = 4_096, from 1 to 1_073_741_824;
         /// Requests that may wait for a backend server, over all teams.
-        max_waiting: usize = 1_024;
+        max_waiting: usize = 1_024, from 0 to 1_000_000;
         /// Agents whose load is followed; those of the own availability zone come first.
-        max_followed: usize = 256;
+        max_followed: usize = 256, from 1 to 1_000_000;
         /// Retries granted for each request.
-        retry_ratio: f64 = 0.1;
+        retry_ratio: f64 = 0.1, from 0.0 to 100.0;
         /// Longest time from one rebalancing decision of a driven group to the next, seconds; 0 takes the bundle's.
-        rebalance_s: u64 = 0;
+        rebalance_s: u64 = 0, from 0 to 86_400;
     }
 }
 
@@ -113,11 +113,11 @@
         /// Address of the backend server.
         server_address: SocketAddr;
         /// Requests that the backend server takes at a time.
-        slots: u32 = 32;
+        slots: u32 = 32, from 1 to 1_000_000;
         /// Time between two polls of the backend server's load, milliseconds.
-        poll_ms: u64 = 500;
+        poll_ms: u64 = 500, from 1 to 600_000;
         /// Idempotency keys that are remembered as a home.
-        max_keys: usize = 200_000;
+        max_keys: usize = 200_000, from 1 to 100_000_000;
     }
 }
 
@@ -125,17 +125,17 @@
     /// Homes of idempotency keys. All processes of a deployment must have the same values.
     Homes as RawHomes ("RawHomes") in "homes" {
         /// How long a home goes on without a confirmation from the platform or its witness, milliseconds.
-        lease_ms: u64 = 3_000;
+        lease_ms: u64 = 3_000, from 1 to 3_600_000;
         /// How long a home goes on with its witness's promises alone, milliseconds.
-        grace_ms: u64 = 1_800_000;
+        grace_ms: u64 = 1_800_000, from 0 to 604_800_000;
         /// Bound on the difference of two hosts' clocks, milliseconds.
-        skew_ms: u64 = 500;
+        skew_ms: u64 = 500, from 0 to 3_600_000;
         /// How long a key is remembered; older keys are refused, milliseconds.
-        window_ms: u64 = 900_000;
+        window_ms: u64 = 900_000, from 1 to 604_800_000;
         /// Parts of the key space, each with one home.
-        slots: u32 = 64;
+        slots: u32 = 64, from 1 to 65_536;
         /// Homes in each availability zone.
-        per_zone: usize = 3;
+        per_zone: usize = 3, from 1 to 1_000;
     }
 }
 
@@ -201,33 +201,25 @@
     }
 
     fn check(&self, file: &Path, text: &str) -> Result<(), error::Error> {
-        let error = |key: &str, reason: &str| Err(key_error(file, text, key, reason));
+        let error = |section, key, reason: &str| Err(key_error(file, text, section, key, reason));
         match self.process.role {
             Role::Entry if self.entry.is_none() => {
-                return error("role", "an entry needs the section [entry]");
+                return error("process", "role", "an entry needs the section [entry]");
             }
             Role::Agent if self.agent.is_none() => {
-                return error("role", "an agent needs the section [agent]");
+                return error("process", "role", "an agent needs the section [agent]");
             }
             _ => {}
         }
         if self.process.key.len() < MIN_KEY_LENGTH {
-            return error("key", "the deployment's key needs at least 16 characters");
-        }
-        if self.process.workers == 0 {
-            return error("workers", "must be above 0");
-        }
-        if self.process.exchange_ms == 0 {
-            return error("exchange_ms", "must be above 0");
-        }
-        if !(1..=MAX_WATCH_MS).contains(&self.platform.watch_ms) {
-            return error("watch_ms", "must be from 1 to 30,000");
-        }
-        if self.homes.slots == 0 {
-            return error("slots", "must be above 0");
+            return error("process", "key", "the deployment's key needs at least 16 characters");
         }
+        let optional =
+            [self.entry.as_ref().map(Entry::check), self.agent.as_ref().map(Agent::check)];
+        let sections = [self.process.check(), self.platform.check(), self.homes.check()];
+        check_ranges(file, text, sections.into_iter().chain(optional.into_iter().flatten()))?;
         if self.homes.window_ms <= self.homes.lease_ms + 2 * self.homes.skew_ms {
-            return error("window_ms", "must be greater than lease_ms plus twice skew_ms");
+            return error("homes", "window_ms", "must be greater than lease_ms plus twice skew_ms");
         }
         Ok(())
     }
@@ -238,9 +230,6 @@
     }
 }
 
-/// Maximum time that the platform lets a watch wait, in milliseconds.
-const MAX_WATCH_MS: u64 = 30_000;
-
 /// Minimum length of the deployment's key, in characters.
 const MIN_KEY_LENGTH: usize = 16;
 
@@ -252,20 +241,40 @@
     /// Returns the first error in the file.
     pub fn read(file: &Path) -> Result<Tool, error::Error> {
         let text = read_text(file)?;
-        parse(file, &text)
+        let tool: Tool = parse(file, &text)?;
+        check_ranges(file, &text, [tool.check()])?;
+        Ok(tool)
     }
 }
 
-/// Returns the error for a key whose value is out of range.
-pub(crate) fn key_error(file: &Path, text: &str, key: &str, reason: &str) -> error::Error {
+/// Returns the error for a key whose value does not fit.
+pub(crate) fn key_error(
+    file: &Path,
+    text: &str,
+    section: &str,
+    key: &str,
+    reason: &str,
+) -> error::Error {
     error::Error::Key {
         file: file.to_owned(),
-        line: line_of_key(text, key),
+        line: line_of_key(text, section, key),
         key: key.to_owned(),
         reason: reason.to_owned(),
     }
 }
 
+/// Returns the first error of the sections of a file, as an error in that file.
+pub(crate) fn check_ranges(
+    file: &Path,
+    text: &str,
+    sections: impl IntoIterator<Item = Result<(), error::Range>>,
+) -> Result<(), error::Error> {
+    sections.into_iter().collect::<Result<(), error::Range>>().map_err(|range| {
+        let line = line_of_key(text, range.section, range.key);
+        error::Error::Range { file: file.to_owned(), line, range }
+    })
+}
+
 pub(crate) fn read_text(file: &Path) -> Result<String, error::Error> {
     std::fs::read_to_string(file)
         .map_err(|source| error::Error::Read { file: file.to_owned(), source })
@@ -295,8 +304,21 @@
     line.split('=').next().unwrap_or_default().trim().to_owned()
 }
 
-fn line_of_key(text: &str, key: &str) -> usize {
-    let position =
-        text.lines().position(|line| line.split('=').next().is_some_and(|name| name.trim() == key));
+/// Returns the line of a key, from 1. Several sections may have a key of the same name.
+fn line_of_key(text: &str, section: &str, key: &str) -> usize {
+    let mut current = "";
+    let position = text.lines().position(|line| {
+        if let Some(name) = section_name(line) {
+            current = name;
+        }
+        let name = line.split('=').next().unwrap_or_default().trim();
+        (name == key && current == section) || name == format!("{section}.{key}")
+    });
     position.map_or(1, |index| index + 1)
 }
+
+/// Returns the name of the section that a line begins.
+fn section_name(line: &str) -> Option<&str> {
+    let (name, _) = line.trim_start().strip_prefix('[')?.split_once(']')?;
+    Some(name.trim())
+}
--- a/settings/src/gateway.rs
+++ b/settings/src/gateway.rs
@@ -25,7 +25,7 @@
         /// Address for `/metrics`.
         metrics_address: SocketAddr;
         /// Threads of the pool that serves.
-        workers: usize = 1;
+        workers: usize = 1, from 1 to 1_024;
         /// Least level of the log: error, warn, info, debug.
         log_level: Level = Level::Info;
     }
@@ -43,29 +43,32 @@
     }
 }
 
+// A gateway can meet bounds for changes from 100 ms on: the time limits of calls to the store are
+// fractions of the bound, and such a call takes milliseconds. The counter of the bytes that wait for
+// all clients has 32 bits.
 section! {
     /// How a gateway serves.
     Serving as RawServing ("RawServing") in "serving" {
         /// Time from the signal to stop until the process is ended, seconds.
-        grace_s: f64 = 8.0;
+        grace_s: f64 = 8.0, from 0.0 to 86_400.0;
         /// Retries allowed over all gateways, as a part of the requests.
-        retry_ratio: f64 = 0.2;
+        retry_ratio: f64 = 0.2, from 0.0 to 100.0;
         /// Retries allowed over all gateways beyond that part, within a window.
-        retry_slack: f64 = 90.0;
+        retry_slack: f64 = 90.0, from 0.0 to 1_000_000.0;
         /// Longest time until an acknowledged configuration is in force, milliseconds.
-        config_bound_ms: f64 = 2_000.0;
+        config_bound_ms: f64 = 2_000.0, from 100.0 to 600_000.0;
         /// Longest time until a leaving backend server gets nothing new, milliseconds.
-        drain_bound_ms: f64 = 2_000.0;
+        drain_bound_ms: f64 = 2_000.0, from 100.0 to 600_000.0;
         /// Memory that the process may use, megabytes.
-        memory_mb: u64 = 256;
+        memory_mb: u64 = 256, from 1 to 1_048_576;
         /// File descriptors that the process may use.
-        max_descriptors: usize = 4_096;
+        max_descriptors: usize = 4_096, from 1 to 1_073_741_824;
         /// Bytes of a response that may wait for one client, kilobytes.
-        client_buffer_kb: u64 = 64;
+        client_buffer_kb: u64 = 64, from 1 to 65_536;
         /// Bytes of responses that may wait for all clients together, megabytes; 0 means an eighth of `memory_mb`.
-        clients_buffer_mb: u64 = 0;
+        clients_buffer_mb: u64 = 0, from 0 to 2_048;
         /// Time after which a client is disconnected that takes none of the waiting bytes, milliseconds.
-        client_stall_ms: u64 = 2_000;
+        client_stall_ms: u64 = 2_000, from 100 to 600_000;
     }
 }
 
@@ -125,39 +128,18 @@
     }
 
     fn check(&self, path: &Path, text: &str) -> Result<(), error::Error> {
-        let bounds = [
-            ("config_bound_ms", self.serving.config_bound_ms),
-            ("drain_bound_ms", self.serving.drain_bound_ms),
-        ];
-        // NaN is in no range, so it is rejected too.
-        let wrong = |key, reason| Err(file::key_error(path, text, key, reason));
-        if let Some((key, _)) = bounds.iter().find(|(_, ms)| !BOUND_MS.contains(ms)) {
-            return wrong(key, "must be from 100 to 600,000");
-        }
-        let serving = &self.serving;
-        if !CLIENT_STALL_MS.contains(&serving.client_stall_ms) {
-            return wrong("client_stall_ms", "must be from 100 to 600,000");
-        }
-        if !CLIENT_BUFFER_KB.contains(&serving.client_buffer_kb) {
-            return wrong("client_buffer_kb", "must be from 1 to 65,536");
-        }
-        if serving.clients_buffer_mb > serving.memory_mb.min(MAX_CLIENTS_BUFFER_MB) {
-            return wrong("clients_buffer_mb", "must be at most `memory_mb` and 2,048");
+        let sections = [self.host.check(), self.listen.check(), self.serving.check()];
+        file::check_ranges(path, text, sections)?;
+        if self.serving.clients_buffer_mb > self.serving.memory_mb {
+            let reason = "must be at most `memory_mb`";
+            return Err(file::key_error(path, text, "serving", "clients_buffer_mb", reason));
         }
         Ok(())
     }
 }
 
-/// Range of bounds for changes that a gateway can meet, in milliseconds. The time limits of calls
-/// to the store are fractions of the bound, and such a call takes milliseconds.
-const BOUND_MS: std::ops::RangeInclusive<f64> = 100.0..=600_000.0;
-
-/// Range of the time after which a client that takes nothing is disconnected, in milliseconds.
-const CLIENT_STALL_MS: std::ops::RangeInclusive<u64> = 100..=600_000;
-/// Range of the bytes that may wait for one client, in kilobytes.
-const CLIENT_BUFFER_KB: std::ops::RangeInclusive<u64> = 1..=65_536;
-/// Maximum of the bytes that may wait for all clients together, in megabytes. The counter of the
-/// bytes has 32 bits.
+/// Maximum of the bytes that may wait for all clients together, in megabytes, as in the range of
+/// `clients_buffer_mb`.
 const MAX_CLIENTS_BUFFER_MB: u64 = 2_048;
 
 impl Serving {
@@ -178,7 +160,11 @@
     ///
     /// Returns the first error in the file.
     pub fn read(path: &Path) -> Result<Sidecar, error::Error> {
-        file::parse(path, &file::read_text(path)?)
+        let text = file::read_text(path)?;
+        let sidecar: Sidecar = file::parse(path, &text)?;
+        let sections = [sidecar.host.check(), sidecar.peering.check(), sidecar.engine.check()];
+        file::check_ranges(path, &text, sections)?;
+        Ok(sidecar)
     }
 }
 
--- a/settings/src/section.rs
+++ b/settings/src/section.rs
@@ -3,12 +3,14 @@
 /// Declares a section: its structure, its parsing from TOML and its reference.
 ///
 /// A key with `= value` is optional and has that default. A key without one is required. Unknown
-/// keys are rejected.
+/// keys are rejected. A key with `, from min to max` has that range, which `check` of the section
+/// checks. NaN is in no range.
 macro_rules! section {
     (
         $(#[doc = $about:literal])+
         $name:ident as $raw:ident ($raw_path:literal) in $path:literal {
-            $( $(#[doc = $doc:literal])+ $key:ident : $kind:ty $(= $default:expr)? ; )+
+            $( $(#[doc = $doc:literal])+ $key:ident : $kind:ty $(= $default:expr)?
+                $(, from $min:literal to $max:literal)? ; )+
         }
     ) => {
         $(#[doc = $about])+
@@ -46,13 +48,34 @@
                     name: stringify!($key),
                     kind: stringify!($kind),
                     default: section!(@default $($default)?),
+                    range: section!(@range $($min, $max)?),
                     doc: concat!($($doc),+),
                 } ),+ ],
             };
+
+            /// Checks the ranges of the section's values.
+            #[allow(unused_comparisons, reason = "the range of an unsigned value may start at 0")]
+            pub(crate) fn check(&self) -> Result<(), $crate::error::Range> {
+                $( $(
+                    if !($min..=$max).contains(&self.$key) {
+                        return Err($crate::error::Range {
+                            section: $path,
+                            key: stringify!($key),
+                            range: section!(@bounds $min, $max),
+                        });
+                    }
+                )? )+
+                Ok(())
+            }
         }
     };
     (@absent $key:ident, $default:expr) => { $default };
     (@absent $key:ident) => { return Err($crate::error::Missing(stringify!($key))) };
     (@default $default:expr) => { Some(stringify!($default)) };
     (@default) => { None };
+    (@range $min:literal, $max:literal) => { Some(section!(@bounds $min, $max)) };
+    (@range) => { None };
+    (@bounds $min:literal, $max:literal) => {
+        $crate::reference::Range { min: stringify!($min), max: stringify!($max) }
+    };
 }
--- a/tests/tests/settings_at_start.rs
+++ b/tests/tests/settings_at_start.rs
@@ -1,7 +1,8 @@
-//! A process that starts while its settings file is being replaced reads it again.
+//! A process that starts while its settings file is being replaced reads it again, and settings that
+//! stay wrong are an error.
 //!
 //! Guards against a process that exits as it starts because its settings file is missing, empty or
-//! half written for a moment.
+//! half written for a moment, and against one that accepts settings with which it fails later.
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
@@ -124,30 +125,81 @@
     start_early(|text| Some(half(text)), rename).await;
 }
 
-/// Guards against a process that waits for ever, or that hides what is wrong.
-#[tokio::test(flavor = "multi_thread")]
-async fn settings_that_stay_wrong_end_the_process_with_the_error() {
-    let mut system = System::start(PLAN).await;
+/// Starts `loftcoved` with each command and settings, all at the same time, and checks that each
+/// process exits with status 1 and names the key.
+async fn start_wrong(system: &System, wrong: &[(&str, String, &str)]) {
     let mut processes = Vec::new();
-    for role in roles(&mut system).await {
-        let text = role.text.replacen("zone = ", "zoen = ", 1);
-        let file = system.folder.write(role.command, &text);
+    for (number, (command, text, key)) in wrong.iter().enumerate() {
+        let file = system.folder.write(&format!("wrong-{number}.toml"), text);
         let child = tokio::process::Command::new(program("loftcoved"))
-            .args([role.command, file.as_str()])
+            .args([*command, file.as_str()])
             .stderr(std::process::Stdio::piped())
             .kill_on_drop(true)
             .spawn();
-        processes.push((role.command, Instant::now(), child.unwrap()));
+        processes.push((command, key, Instant::now(), child.unwrap()));
     }
-    for (command, started, child) in processes {
-        let output = child.wait_with_output().await.unwrap();
+    for (command, key, started, child) in processes {
+        let output = child.wait_with_output();
+        let output = tokio::time::timeout(TIMEOUT * 3, output).await.expect("it exits").unwrap();
         let lines = String::from_utf8(output.stderr).unwrap();
         assert_eq!(output.status.code(), Some(1), "{command}: {lines}");
         assert!(started.elapsed() >= TIMEOUT, "{command}: {lines}");
         let lines: Vec<&str> = lines.lines().collect();
         assert_eq!(lines.len(), 2, "{command}: {lines:?}");
         assert!(lines[0].ends_with(READING_AGAIN), "{command}: {lines:?}");
-        assert!(lines.iter().all(|line| line.contains(": key `zoen`: ")), "{command}: {lines:?}");
+        let name = format!(": key `{key}`: ");
+        assert!(lines.iter().all(|line| line.contains(&name)), "{command}: {lines:?}");
+    }
+}
+
+/// Guards against a process that waits for ever, or that hides what is wrong.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_that_stay_wrong_end_the_process_with_the_error() {
+    let mut system = System::start(PLAN).await;
+    let roles = roles(&mut system).await;
+    let wrong =
+        roles.map(|role| (role.command, role.text.replacen("zone = ", "zoen = ", 1), "zoen"));
+    start_wrong(&system, &wrong).await;
+}
+
+/// Guards against values that are accepted at the start and end the process later, as a grace of
+/// -1 s did at the stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn values_out_of_range_end_the_process_as_it_starts() {
+    let mut system = System::start(PLAN).await;
+    let [gateway, sidecar, entry] = roles(&mut system).await;
+    let mut wrong = Vec::new();
+    for (key, value) in [("grace_s", "-1"), ("grace_s", "1e300"), ("retry_ratio", "nan")] {
+        let text: Vec<&str> =
+            gateway.text.lines().filter(|line| !line.starts_with(&format!("{key} = "))).collect();
+        wrong.push((gateway.command, format!("{}\n{key} = {value}\n", text.join("\n")), key));
+    }
+    wrong.push((gateway.command, format!("{}memory_mb = 0\n", gateway.text), "memory_mb"));
+    let no_worker = |text: &str, section: &str| {
+        text.replacen(&format!("{section}\n"), &format!("{section}\nworkers = 0\n"), 1)
+    };
+    wrong.push((sidecar.command, no_worker(&sidecar.text, "[host]"), "workers"));
+    wrong.push((entry.command, no_worker(&entry.text, "[process]"), "workers"));
+    start_wrong(&system, &wrong).await;
+}
+
+/// Guards against a reload that takes values that a start rejects, or that ends the process.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reload_of_values_out_of_range_keeps_the_settings() {
+    let mut system = System::start(PLAN).await;
+    let text = system.gateway_settings(0).replacen("grace_s = 8", "grace_s = -1", 1);
+    system.folder.write("gateway-0.toml", &text);
+    let text = system.sidecar_settings(0).replacen("[host]\n", "[host]\nworkers = 0\n", 1);
+    system.folder.write("sidecar-0.toml", &text);
+    for (process, key) in [(&system.gateways[0], "grace_s"), (&system.sidecars[0], "workers")] {
+        process.signal(libc::SIGHUP);
+        wait_line(process, "reload failed").await;
+        let line = format!("key `{key}`: must be from ");
+        assert!(process.log().iter().any(|text| text.contains(&line)), "{:?}", process.log());
+    }
+    for process in [&mut system.gateways[0], &mut system.sidecars[0]] {
+        process.signal(libc::SIGTERM);
+        assert!(process.wait().await, "{:?}", process.log());
     }
 }
 
