daemon: wait for threads that are refused at the start

What callers saw: a gateway, a sidecar, an entry host or an agent ended by itself as it started, with a panic and exit status 101, when the operating system refused it a thread at that moment.

Cause: the log's thread was created by a function that panics if the thread is refused, and so does the library for the first thread of the runtime.

Change: startup::threads::start creates threads again for up to 10 s, as a refusal often passes; a signal for a stop ends the wait. After that the process fails with status 1 and an error. The runtime is built after a check that its threads can be created. The log's thread is waited for in the same way, so that the log needs no other way to be written. Left: if a thread of a runtime with several workers is refused between the check and the runtime, the library may wait for ever as it gives up the others.

--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -1,6 +1,7 @@
 //! Initializes logging.
 
 use loftcove_settings::file;
+use loftcove_startup::{signals, threads};
 
 use crate::{explain, sink};
 
@@ -29,11 +30,19 @@
     simplelog::WriteLogger::init(filter(level), config(), std::io::stderr()).unwrap_or_default();
 }
 
-/// Logs to standard output through a buffer, so that a slow reader never blocks the caller.
-pub fn to_stdout(level: file::Level) -> sink::Sink {
+/// Logs to standard output through a buffer, so that a slow reader never blocks the caller. Returns
+/// `None` if a stop is requested before the thread that writes the lines exists.
+///
+/// # Errors
+///
+/// Returns an error if the thread is refused.
+pub fn to_stdout(
+    level: file::Level,
+    signals: &mut signals::Signals,
+) -> Result<Option<sink::Sink>, threads::Error> {
     let sink = sink::Sink::default();
-    sink.spawn();
     // Only a second initialization fails, and each process initializes logging once.
     simplelog::WriteLogger::init(filter(level), config(), sink.clone()).unwrap_or_default();
-    sink
+    let spawned = threads::start(signals, "log", || sink.spawn())?;
+    Ok(spawned.map(|()| sink))
 }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -35,7 +35,7 @@
 use std::sync::Arc;
 
 use loftcove_settings::{error, file, gateway};
-use loftcove_startup::signals;
+use loftcove_startup::{signals, threads};
 
 /// Subcommand of the command line.
 enum Command {
@@ -62,8 +62,8 @@
     Sidecar(#[from] loftcove_sidecar::Error),
     #[error("cannot listen on {address}: {source}")]
     Listen { address: std::net::SocketAddr, source: std::io::Error },
-    #[error("cannot start the runtime: {0}")]
-    Runtime(std::io::Error),
+    #[error(transparent)]
+    Threads(#[from] threads::Error),
     #[error("cannot install signal handlers: {0}")]
     Signal(std::io::Error),
 }
@@ -136,20 +136,37 @@
     logging::to_stderr(settings.process.log_level);
     let workers = settings.process.workers;
     let process = Arc::new(process::Process::new(settings)?);
-    block_on(workers, serve(process, signals))?
+    block_on(workers, signals, |signals| serve(process, signals))
 }
 
-/// Runs a future to completion on a runtime with `workers` threads. Other tasks are cancelled when
-/// it completes.
-fn block_on<T>(workers: usize, future: impl Future<Output = T>) -> Result<T, Error> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(workers)
-        .enable_all()
-        .build()
-        .map_err(Error::Runtime)?;
-    let result = runtime.block_on(future);
+/// Runs the future that `run` returns to completion on a runtime with `workers` threads. Other tasks
+/// are cancelled when it completes. Does nothing if a stop is requested before the runtime exists.
+fn block_on<E, F>(
+    workers: usize,
+    mut signals: signals::Signals,
+    run: impl FnOnce(signals::Signals) -> F,
+) -> Result<(), Error>
+where
+    Error: From<E>,
+    F: Future<Output = Result<(), E>>,
+{
+    let runtime = threads::start(&mut signals, "runtime", || build_runtime(workers))?;
+    let Some(runtime) = runtime else {
+        log::info!("stopped before the runtime started");
+        return Ok(());
+    };
+    let result = runtime.block_on(run(signals));
     runtime.shutdown_background();
-    Ok(result)
+    Ok(result?)
+}
+
+fn build_runtime(workers: usize) -> std::io::Result<tokio::runtime::Runtime> {
+    // The library panics if a thread is refused, which a check leaves unlikely but possible.
+    threads::check(workers)?;
+    let build =
+        || tokio::runtime::Builder::new_multi_thread().worker_threads(workers).enable_all().build();
+    std::panic::catch_unwind(build)
+        .unwrap_or_else(|_| Err(std::io::Error::other("a thread was refused")))
 }
 
 async fn serve(process: Arc<process::Process>, signals: signals::Signals) -> Result<(), Error> {
--- a/daemon/src/sink.rs
+++ b/daemon/src/sink.rs
@@ -44,14 +44,19 @@
     }
 
     /// Starts the thread that writes the buffered lines to standard output.
-    pub fn spawn(&self) {
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if it refuses the thread.
+    pub fn spawn(&self) -> std::io::Result<()> {
         let sink = self.clone();
-        std::thread::spawn(move || {
+        std::thread::Builder::new().spawn(move || {
             loop {
                 std::thread::sleep(PERIOD);
                 sink.flush_to(&mut std::io::stdout());
             }
-        });
+        })?;
+        Ok(())
     }
 }
 
--- a/daemon/src/system.rs
+++ b/daemon/src/system.rs
@@ -11,34 +11,39 @@
 
 /// Runs a gateway with the settings of the file at `path`.
 pub fn gateway(path: &Path) -> Result<(), Error> {
-    let signals = signals::Signals::install().map_err(Error::Signal)?;
+    let mut signals = signals::Signals::install().map_err(Error::Signal)?;
     let settings = read(settings::Gateway::read(path))?;
-    let sink = logging::to_stdout(settings.host.log_level);
+    let Some(sink) = logging::to_stdout(settings.host.log_level, &mut signals)? else {
+        return Ok(());
+    };
     let store =
         kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
     let workers = settings.host.workers;
-    let run = loftcove_gateway::run::<adapter::Adapter, _>(path, settings, store, signals);
-    let result = crate::block_on(workers, run)?.map_err(Error::from);
-    finish(&sink, result)
+    let run =
+        |signals| loftcove_gateway::run::<adapter::Adapter, _>(path, settings, store, signals);
+    finish(&sink, crate::block_on(workers, signals, run))
 }
 
 /// Runs a sidecar with the settings of the file at `path`.
 pub fn sidecar(path: &Path) -> Result<(), Error> {
-    let signals = signals::Signals::install().map_err(Error::Signal)?;
+    let mut signals = signals::Signals::install().map_err(Error::Signal)?;
     let settings = read(settings::Sidecar::read(path))?;
-    let sink = logging::to_stdout(settings.host.log_level);
+    let Some(sink) = logging::to_stdout(settings.host.log_level, &mut signals)? else {
+        return Ok(());
+    };
     let store =
         kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
     let workers = settings.host.workers;
-    let run = loftcove_sidecar::run::<adapter::Adapter, _, _>(
-        path,
-        settings,
-        store,
-        engine::Client::new,
-        signals,
-    );
-    let result = crate::block_on(workers, run)?.map_err(Error::from);
-    finish(&sink, result)
+    let run = |signals| {
+        loftcove_sidecar::run::<adapter::Adapter, _, _>(
+            path,
+            settings,
+            store,
+            engine::Client::new,
+            signals,
+        )
+    };
+    finish(&sink, crate::block_on(workers, signals, run))
 }
 
 fn read<T>(settings: Result<T, error::Error>) -> Result<T, Error> {
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -61,17 +61,57 @@
     folder.unwrap_or_else(|| panic!("{name} is not built: run scripts/test.sh")).join(name)
 }
 
+/// Lowers a limit of the resources of a program.
+pub fn limit(command: &mut Command, resource: libc::__rlimit_resource_t, value: u64) {
+    let lower = move || {
+        let mut limit = libc::rlimit { rlim_cur: 0, rlim_max: 0 };
+        #[allow(unsafe_code, reason = "the system call has no safe form in the library")]
+        // SAFETY: the pointers are valid during the calls.
+        let lowered = unsafe {
+            libc::getrlimit(resource, &raw mut limit);
+            limit.rlim_cur = value;
+            libc::setrlimit(resource, &raw const limit)
+        };
+        if lowered == 0 { Ok(()) } else { Err(std::io::Error::last_os_error()) }
+    };
+    #[allow(unsafe_code, reason = "the library cannot check what runs in the child process")]
+    // SAFETY: the function only makes system calls.
+    unsafe {
+        command.pre_exec(lower);
+    }
+}
+
 impl Process {
     /// Starts a program and collects the lines of its standard error in its log.
     pub fn start(name: &str, arguments: &[String]) -> Process {
-        let mut child = Command::new(program(name))
+        Process::start_with(name, arguments, |_| {})
+    }
+
+    /// Starts a program that may use at most `bytes` of address space, and whose threads reserve
+    /// `stack` bytes each. See [`start`](Process::start) and
+    /// [`lift_address_space_limit`](Process::lift_address_space_limit).
+    pub fn start_limited(name: &str, arguments: &[String], bytes: u64, stack: u64) -> Process {
+        Process::start_with(name, arguments, |command| {
+            command.env("RUST_MIN_STACK", stack.to_string());
+            limit(command, libc::RLIMIT_AS, bytes);
+        })
+    }
+
+    /// Starts a program after `prepare` has changed the command. See [`start`](Process::start).
+    pub fn start_with(
+        name: &str,
+        arguments: &[String],
+        prepare: impl FnOnce(&mut Command),
+    ) -> Process {
+        let mut command = Command::new(program(name));
+        command
             .args(arguments)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
-            .kill_on_drop(true)
-            .spawn()
-            .expect("the program starts");
+            .kill_on_drop(true);
+        prepare(&mut command);
+        let mut child = command.spawn().expect("the program starts");
         let log = Log::default();
         let stderr = child.stderr.take().expect("standard error is piped");
         let log_writer = log.clone();
@@ -180,6 +220,26 @@
         assert_eq!(sent, 0, "the signal is sent");
     }
 
+    /// Removes the limit of [`start_limited`](Process::start_limited).
+    pub fn lift_address_space_limit(&self) {
+        let id = self.id() as i32;
+        let mut limit = libc::rlimit { rlim_cur: 0, rlim_max: 0 };
+        #[allow(unsafe_code, reason = "the system call has no safe form in the library")]
+        // SAFETY: both pointers are valid during the calls, and the id is of a child process that
+        // was not waited for yet.
+        let lifted = unsafe {
+            libc::prlimit(id, libc::RLIMIT_AS, std::ptr::null(), &raw mut limit);
+            limit.rlim_cur = limit.rlim_max;
+            libc::prlimit(id, libc::RLIMIT_AS, &raw const limit, std::ptr::null_mut())
+        };
+        assert_eq!(lifted, 0, "the limit is lifted");
+    }
+
+    /// Waits until the process exits and returns its exit status, or `None` if a signal ended it.
+    pub async fn wait_for_status(&mut self) -> Option<i32> {
+        self.child.wait().await.expect("the program can be waited for").code()
+    }
+
     /// Returns whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
         self.child.try_wait().expect("the program can be waited for").is_some()
--- /dev/null
+++ b/tests/tests/resources.rs
@@ -0,0 +1,103 @@
+//! A process survives that the operating system refuses resources for a while.
+
+#![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
+
+use std::time::{Duration, Instant};
+
+use loftcove_tests::process::Process;
+use loftcove_tests::system::{Plan, System};
+use loftcove_tests::{cluster, until};
+
+const PLAN: Plan =
+    Plan { gateways: 1, ranks: 2, groups: 1, plain: 2, sidecars: true, proxied: false };
+
+/// Address space of a process that is refused its threads, in bytes.
+const ADDRESS_SPACE: u64 = 256 << 20;
+/// Stack of each of its threads, in bytes.
+const STACK: u64 = 512 << 20;
+/// Time that each process has for its threads, and time that it takes beside load.
+const TIMEOUT: (Duration, Duration) = (Duration::from_secs(10), Duration::from_secs(20));
+
+/// Stops the first gateway and the first sidecar, and returns their roles and settings files.
+async fn stop_first(system: &mut System) -> [(&'static str, String); 2] {
+    system.gateways[0].kill().await;
+    system.sidecars[0].kill().await;
+    let gateway = system.folder.write("gateway-again.toml", &system.gateway_settings(0));
+    let sidecar = system.folder.write("sidecar-again.toml", &system.sidecar_settings(0));
+    [("gateway", gateway), ("sidecar", sidecar)]
+}
+
+fn start_limited(role: &str, file: &str) -> Process {
+    let arguments = [role.to_owned(), file.to_owned()];
+    let mut process = Process::start_limited("loftcoved", &arguments, ADDRESS_SPACE, STACK);
+    process.log_output();
+    process
+}
+
+/// Guards against a panic at the start of a process whose threads are refused for a moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_whose_threads_are_refused_starts_when_they_are_allowed() {
+    let mut system = System::start(PLAN).await;
+    for (role, file) in stop_first(&mut system).await {
+        let mut process = start_limited(role, &file);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert!(!process.has_exited(), "{role}: {:?}", process.log());
+        process.lift_address_space_limit();
+        until("the process starts", || async {
+            process.log().iter().any(|line| line.contains("started host="))
+        })
+        .await;
+        process.signal(libc::SIGTERM);
+        assert!(process.wait().await, "{role}: {:?}", process.log());
+    }
+}
+
+/// Waits until processes that were started at the same time have failed with an error.
+async fn wait_for_errors(started: Instant, processes: Vec<(String, Process)>, error: &str) {
+    for (name, mut process) in processes {
+        let status = tokio::time::timeout(TIMEOUT.0 + TIMEOUT.1, process.wait_for_status()).await;
+        assert_eq!(status.expect("the process ends"), Some(1), "{name}: {:?}", process.log());
+        assert!(started.elapsed() >= TIMEOUT.0, "{name}: {:?}", started.elapsed());
+        until("the error is printed", || async {
+            process.log().iter().any(|line| line.contains(error))
+        })
+        .await;
+    }
+}
+
+/// Guards against a process that panics, or that never ends, when its threads are refused for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_whose_threads_are_always_refused_fails_with_an_error() {
+    let mut system = System::start(PLAN).await;
+    let files = stop_first(&mut system).await;
+    let started = Instant::now();
+    let processes = files.map(|(role, file)| (role.to_owned(), start_limited(role, &file)));
+    wait_for_errors(started, processes.into(), "cannot start the log").await;
+}
+
+/// Guards against a stop that waits until a process has its threads.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_ends_the_wait_for_threads() {
+    let mut system = System::start(PLAN).await;
+    for (role, file) in stop_first(&mut system).await {
+        let started = Instant::now();
+        let mut process = start_limited(role, &file);
+        // Until the program has begun, its handlers are not installed.
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        process.signal(libc::SIGTERM);
+        assert_eq!(process.wait_for_status().await, Some(0), "{role}: {:?}", process.log());
+        assert!(started.elapsed() < TIMEOUT.0, "{role}: {:?}", started.elapsed());
+    }
+}
+
+/// Guards against a panic of entry hosts and agents whose threads are refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_or_entry_host_whose_threads_are_refused_fails_with_an_error() {
+    let cluster = cluster::Cluster::start(cluster::Plan::default()).await;
+    let started = Instant::now();
+    let processes = cluster.members.keys().map(|name| {
+        let file = cluster.folder.path(&format!("{name}.toml"));
+        (name.clone(), start_limited("run", &file))
+    });
+    wait_for_errors(started, processes.collect(), "cannot start the runtime").await;
+}
