daemon: bound the time of the log's last write

Cause: the last write of the log was made by the main thread without a bound, and a full pipe takes nothing.

Change: the thread of the log makes the last write, too, and the process waits for it for 200 ms, which is less than the 250 ms that a planned stop leaves of the grace. Lines that cannot be written by then are lost.

--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -39,10 +39,9 @@
 pub fn to_stdout(
     level: file::Level,
     signals: &mut signals::Signals,
-) -> Result<Option<sink::Sink>, threads::Error> {
+) -> Result<Option<sink::Writer>, threads::Error> {
     let sink = sink::Sink::default();
     // Only a second initialization fails, and each process initializes logging once.
     simplelog::WriteLogger::init(filter(level), config(), sink.clone()).unwrap_or_default();
-    let spawned = threads::start(signals, "log", || sink.spawn())?;
-    Ok(spawned.map(|()| sink))
+    threads::start(signals, "log", || sink.spawn())
 }
--- a/daemon/src/sink.rs
+++ b/daemon/src/sink.rs
@@ -4,6 +4,7 @@
 //! Lines that exceed the capacity are dropped and counted. The count is logged with the next write.
 
 use std::io::Write;
+use std::sync::mpsc::{self, RecvTimeoutError};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -11,6 +12,9 @@
 const CAPACITY: usize = 512 * 1024;
 /// Interval between two writes, each of which wakes the thread once.
 const PERIOD: Duration = Duration::from_millis(200);
+/// Longest time for the last write. A stopping process must exit before it is killed, and a planned
+/// stop leaves 250 ms.
+const LAST_WRITE_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Buffered lines and the number of those dropped since the last write.
 #[derive(Default)]
@@ -31,7 +35,7 @@
     }
 
     /// Writes all buffered lines to `out`.
-    pub fn flush_to(&self, out: &mut impl Write) {
+    fn flush_to(&self, out: &mut impl Write) {
         let (mut bytes, dropped) = {
             let mut buffer = self.lock();
             (std::mem::take(&mut buffer.bytes), std::mem::take(&mut buffer.dropped))
@@ -48,15 +52,35 @@
     /// # Errors
     ///
     /// Returns the error of the operating system if it refuses the thread.
-    pub fn spawn(&self) -> std::io::Result<()> {
+    pub fn spawn(&self) -> std::io::Result<Writer> {
         let sink = self.clone();
+        let (stop, stopped) = mpsc::channel::<mpsc::Sender<()>>();
         std::thread::Builder::new().spawn(move || {
             loop {
-                std::thread::sleep(PERIOD);
+                let done = stopped.recv_timeout(PERIOD);
                 sink.flush_to(&mut std::io::stdout());
+                match done {
+                    Err(RecvTimeoutError::Timeout) => {}
+                    Err(RecvTimeoutError::Disconnected) => return,
+                    // Nobody may wait any more.
+                    Ok(done) => return done.send(()).unwrap_or_default(),
+                }
             }
         })?;
-        Ok(())
+        Ok(Writer(stop))
+    }
+}
+
+/// Thread that writes the buffered lines.
+pub struct Writer(mpsc::Sender<mpsc::Sender<()>>);
+
+impl Writer {
+    /// Writes the remaining lines. Lines that standard output does not take in time are lost.
+    pub fn finish(self) {
+        let (done, written) = mpsc::channel();
+        if self.0.send(done).is_ok() {
+            written.recv_timeout(LAST_WRITE_TIMEOUT).unwrap_or_default();
+        }
     }
 }
 
--- a/daemon/src/system.rs
+++ b/daemon/src/system.rs
@@ -13,7 +13,7 @@
 pub fn gateway(path: &Path) -> Result<(), Error> {
     let mut signals = signals::Signals::install().map_err(Error::Signal)?;
     let settings = read(settings::Gateway::read(path))?;
-    let Some(sink) = logging::to_stdout(settings.host.log_level, &mut signals)? else {
+    let Some(writer) = logging::to_stdout(settings.host.log_level, &mut signals)? else {
         return Ok(());
     };
     let store =
@@ -21,14 +21,14 @@
     let workers = settings.host.workers;
     let run =
         |signals| loftcove_gateway::run::<adapter::Adapter, _>(path, settings, store, signals);
-    finish(&sink, crate::block_on(workers, signals, run))
+    finish(writer, crate::block_on(workers, signals, run))
 }
 
 /// Runs a sidecar with the settings of the file at `path`.
 pub fn sidecar(path: &Path) -> Result<(), Error> {
     let mut signals = signals::Signals::install().map_err(Error::Signal)?;
     let settings = read(settings::Sidecar::read(path))?;
-    let Some(sink) = logging::to_stdout(settings.host.log_level, &mut signals)? else {
+    let Some(writer) = logging::to_stdout(settings.host.log_level, &mut signals)? else {
         return Ok(());
     };
     let store =
@@ -43,7 +43,7 @@
             signals,
         )
     };
-    finish(&sink, crate::block_on(workers, signals, run))
+    finish(writer, crate::block_on(workers, signals, run))
 }
 
 fn read<T>(settings: Result<T, error::Error>) -> Result<T, Error> {
@@ -51,10 +51,10 @@
 }
 
 /// Logs a failure and writes the remaining log lines to standard output.
-fn finish(sink: &sink::Sink, result: Result<(), Error>) -> Result<(), Error> {
+fn finish(writer: sink::Writer, result: Result<(), Error>) -> Result<(), Error> {
     if let Err(error) = &result {
         log::error!("failed error=\"{error}\"");
     }
-    sink.flush_to(&mut std::io::stdout());
+    writer.finish();
     result
 }
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -61,6 +61,19 @@
     folder.unwrap_or_else(|| panic!("{name} is not built: run scripts/test.sh")).join(name)
 }
 
+/// Returns both ends of a pipe that is full.
+pub fn full_pipe() -> (std::io::PipeReader, std::io::PipeWriter) {
+    use std::io::Write as _;
+    let (reader, mut writer) = std::io::pipe().expect("a pipe can be made");
+    let descriptor = std::os::fd::AsRawFd::as_raw_fd(&writer);
+    #[allow(unsafe_code, reason = "the system call has no safe form in the library")]
+    // SAFETY: the descriptor is open during the call.
+    let size = unsafe { libc::fcntl(descriptor, libc::F_GETPIPE_SZ) };
+    let size = usize::try_from(size).expect("the pipe has a size");
+    writer.write_all(&vec![b'x'; size]).expect("the pipe takes its size");
+    (reader, writer)
+}
+
 /// Lowers a limit of the resources of a program.
 pub fn limit(command: &mut Command, resource: libc::__rlimit_resource_t, value: u64) {
     let lower = move || {
@@ -113,22 +126,23 @@
         prepare(&mut command);
         let mut child = command.spawn().expect("the program starts");
         let log = Log::default();
-        let stderr = child.stderr.take().expect("standard error is piped");
-        let log_writer = log.clone();
-        let name = name.to_owned();
-        tokio::spawn(async move {
-            let mut lines = BufReader::new(stderr).lines();
-            while let Ok(Some(line)) = lines.next_line().await {
-                let panicked = line.contains("panicked at");
-                if panicked || std::env::var_os("LOFTCOVE_LOG").is_some() {
-                    eprintln!("[{name}] {line}");
+        if let Some(stderr) = child.stderr.take() {
+            let log_writer = log.clone();
+            let name = name.to_owned();
+            tokio::spawn(async move {
+                let mut lines = BufReader::new(stderr).lines();
+                while let Ok(Some(line)) = lines.next_line().await {
+                    let panicked = line.contains("panicked at");
+                    if panicked || std::env::var_os("LOFTCOVE_LOG").is_some() {
+                        eprintln!("[{name}] {line}");
+                    }
+                    log_writer.push(line);
                 }
-                log_writer.push(line);
-            }
-        });
+            });
+        }
         let stdin = child.stdin.take().expect("standard input is piped");
-        let stdout = child.stdout.take().expect("standard output is piped");
-        Process { child, stdin, stdout: Some(BufReader::new(stdout).lines()), log }
+        let stdout = child.stdout.take().map(|stdout| BufReader::new(stdout).lines());
+        Process { child, stdin, stdout, log }
     }
 
     /// Reads the next line of standard output, `listening [WHAT] ADDRESS`, and returns the
--- a/tests/tests/resources.rs
+++ b/tests/tests/resources.rs
@@ -4,9 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use loftcove_tests::process::Process;
+use loftcove_tests::process::{self, Process};
 use loftcove_tests::system::{Plan, System};
 use loftcove_tests::{cluster, until};
+use tokio::net::TcpStream;
 
 const PLAN: Plan =
     Plan { gateways: 1, ranks: 2, groups: 1, plain: 2, sidecars: true, proxied: false };
@@ -101,3 +102,27 @@
     });
     wait_for_errors(started, processes.collect(), "cannot start the runtime").await;
 }
+
+/// Time within which a process without work ends after a signal for a stop: a gateway waits 3.1 s.
+const STOP_TIME: Duration = Duration::from_secs(6);
+
+/// Guards against a stop that waits for the reader of the log until the process is killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_reader_of_the_log_that_takes_nothing_does_not_delay_a_stop() {
+    let mut system = System::start(PLAN).await;
+    for (role, file) in stop_first(&mut system).await {
+        let (_reader, writer) = process::full_pipe();
+        let arguments = [role.to_owned(), file];
+        let mut process = Process::start_with("loftcoved", &arguments, |command| {
+            command.stdout(writer);
+        });
+        let address = match role {
+            "gateway" => system.client_address(0),
+            _ => system.sidecar_addresses(0)[0],
+        };
+        until("the process listens", || async { TcpStream::connect(address).await.is_ok() }).await;
+        process.signal(libc::SIGTERM);
+        let status = tokio::time::timeout(STOP_TIME, process.wait_for_status()).await;
+        assert_eq!(status.expect("the process ends"), Some(0), "{role}");
+    }
+}
