daemon: end with status 1 if an error cannot be printed

What callers saw: a process that failed with an error ended with exit status 101, a panic, if the reader of standard error was gone, and never if that reader took nothing.

Cause: eprintln! panics if standard error fails, and it waits for a full pipe.

Evidence: a_process_that_cannot_print_its_error_ends_with_its_status failed with the program of before (not ended after 30 s with a full pipe); now it passes, in one run.

Change: a thread prints the error, its failure is ignored, and the process waits for it for 250 ms.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -30,9 +30,11 @@
 mod stop;
 mod system;
 
+use std::io::Write as _;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Arc;
+use std::sync::{Arc, mpsc};
+use std::time::Duration;
 
 use loftcove_settings::{error, file, gateway};
 use loftcove_startup::{signals, threads};
@@ -83,12 +85,35 @@
     match parse().map_err(Error::from).and_then(execute) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("loftcoved: {error}");
+            print_error(&error.to_string());
             ExitCode::FAILURE
         }
     }
 }
 
+/// Longest time for which a process that fails waits for the reader of standard error.
+const ERROR_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Prints an error to standard error. If that fails, or its reader takes nothing, the error is lost:
+/// the process must end with its exit status all the same.
+fn print_error(text: &str) {
+    let line = Arc::<str>::from(format!("loftcoved: {text}\n"));
+    let print = |line: &str| std::io::stderr().write_all(line.as_bytes()).unwrap_or_default();
+    let (done, printed) = mpsc::channel::<()>();
+    let thread = std::thread::Builder::new().spawn({
+        let line = line.clone();
+        move || {
+            print(&line);
+            drop(done);
+        }
+    });
+    match thread {
+        // Receiving fails as soon as the thread has dropped its end.
+        Ok(_) => printed.recv_timeout(ERROR_TIMEOUT).unwrap_or_default(),
+        Err(_) => print(&line),
+    }
+}
+
 fn parse() -> Result<Command, pico_args::Error> {
     let mut arguments = pico_args::Arguments::from_env();
     if arguments.contains(["-h", "--help"]) {
--- a/tests/tests/resources.rs
+++ b/tests/tests/resources.rs
@@ -126,3 +126,26 @@
         assert_eq!(status.expect("the process ends"), Some(0), "{role}");
     }
 }
+
+/// Guards against a process that fails with another exit status, or never ends, because nobody
+/// reads its error.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_cannot_print_its_error_ends_with_its_status() {
+    for role in ["gateway", "sidecar", "run"] {
+        let arguments = [role.to_owned(), "/no/such/file".to_owned()];
+        let (reader, full) = process::full_pipe();
+        let mut process = Process::start_with("loftcoved", &arguments, |command| {
+            command.stderr(full);
+        });
+        let status = tokio::time::timeout(TIMEOUT.1 + TIMEOUT.0, process.wait_for_status()).await;
+        assert_eq!(status.expect("the process ends"), Some(1), "{role}");
+        drop(reader);
+        let (reader, unread) = std::io::pipe().unwrap();
+        drop(reader);
+        let mut process = Process::start_with("loftcoved", &arguments, |command| {
+            command.stderr(unread);
+        });
+        let status = tokio::time::timeout(TIMEOUT.1 + TIMEOUT.0, process.wait_for_status()).await;
+        assert_eq!(status.expect("the process ends"), Some(1), "{role}");
+    }
+}
