intake: pause after an error of the listener for peers

What callers saw: a gateway, a sidecar, an entry host or an agent that was out of file descriptors while a peer connected used a whole processor, and had none left for requests, until other connections ended.

Cause: the library's service tries again at once after each error of accept. (It does not end the service: it continues after every error.)

Change: grpc::incoming pauses for 50 ms after an error, as the other listeners do, and logs it at most every 10 s.

--- a/intake/src/grpc.rs
+++ b/intake/src/grpc.rs
@@ -7,14 +7,15 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
 
-use futures_util::{Stream, StreamExt as _};
+use futures_util::Stream;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tonic::server::NamedService;
-use tonic::transport::server::{Connected, TcpConnectInfo, TcpIncoming};
+use tonic::transport::server::{Connected, TcpConnectInfo};
 use tonic::transport::{self, channel};
 use tower::ServiceExt as _;
 
@@ -33,10 +34,34 @@
         .initial_stream_window_size(WINDOW)
 }
 
-/// Accepts connections.
+/// Pause after an error of the listener. Mostly the process is out of file descriptors, and other
+/// connections must end first.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Interval between two log lines about errors of a listener.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Accepts connections, also after errors of the listener, some of which would end the library's
+/// service for good.
 pub fn incoming(listener: TcpListener) -> impl Stream<Item = std::io::Result<Connection>> {
-    let accepted = TcpIncoming::from(listener).with_nodelay(Some(true));
-    accepted.map(|stream| stream.map(|stream| Connection(BOUND.socket(stream))))
+    futures_util::stream::unfold((listener, None), |(listener, mut logged)| async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    // Fails if the connection has ended, which its reader finds out.
+                    stream.set_nodelay(true).unwrap_or_default();
+                    let connection = Connection(BOUND.socket(stream));
+                    return Some((Ok(connection), (listener, logged)));
+                }
+                Err(error) => {
+                    if logged.is_none_or(|at: Instant| at.elapsed() >= LOG_INTERVAL) {
+                        log::error!("accept failed listener=peers error=\"{error}\" next=retry");
+                        logged = Some(Instant::now());
+                    }
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    })
 }
 
 /// A connection that was accepted.
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -236,17 +236,22 @@
 
     /// Removes the limit of [`start_limited`](Process::start_limited).
     pub fn lift_address_space_limit(&self) {
+        self.set_limit(libc::RLIMIT_AS, None);
+    }
+
+    /// Sets a limit of the resources of the process, or raises it as far as possible.
+    pub fn set_limit(&self, resource: libc::__rlimit_resource_t, value: Option<u64>) {
         let id = self.id() as i32;
         let mut limit = libc::rlimit { rlim_cur: 0, rlim_max: 0 };
         #[allow(unsafe_code, reason = "the system call has no safe form in the library")]
         // SAFETY: both pointers are valid during the calls, and the id is of a child process that
         // was not waited for yet.
-        let lifted = unsafe {
-            libc::prlimit(id, libc::RLIMIT_AS, std::ptr::null(), &raw mut limit);
-            limit.rlim_cur = limit.rlim_max;
-            libc::prlimit(id, libc::RLIMIT_AS, &raw const limit, std::ptr::null_mut())
+        let set = unsafe {
+            libc::prlimit(id, resource, std::ptr::null(), &raw mut limit);
+            limit.rlim_cur = value.unwrap_or(limit.rlim_max);
+            libc::prlimit(id, resource, &raw const limit, std::ptr::null_mut())
         };
-        assert_eq!(lifted, 0, "the limit is lifted");
+        assert_eq!(set, 0, "the limit is set");
     }
 
     /// Waits until the process exits and returns its exit status, or `None` if a signal ended it.
--- a/tests/tests/resources.rs
+++ b/tests/tests/resources.rs
@@ -2,11 +2,13 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use loftcove_tests::process::{self, Process};
 use loftcove_tests::system::{Plan, System};
 use loftcove_tests::{cluster, until};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
 const PLAN: Plan =
@@ -149,3 +151,54 @@
         assert_eq!(status.expect("the process ends"), Some(1), "{role}");
     }
 }
+
+/// Frames with which a client begins a connection.
+const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\x04\0\0\0\0\0";
+
+/// Returns whether a process serves connections at an address.
+async fn serves(address: SocketAddr) -> bool {
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(PREFACE).await?;
+        stream.read_exact(&mut [0; 9]).await
+    };
+    let served = tokio::time::timeout(Duration::from_secs(2), exchange).await;
+    served.is_ok_and(|served| served.is_ok())
+}
+
+/// Time for which a process gets no descriptors, and processor time that it may use meanwhile. A
+/// process that tries without a pause uses all of it.
+const LACK: (Duration, Duration) = (Duration::from_secs(2), Duration::from_millis(500));
+
+/// Refuses a process further descriptors while a connection arrives, and waits until the process
+/// serves connections again.
+async fn exhaust_descriptors(process: &Process, address: SocketAddr) {
+    until("the process listens", || serves(address)).await;
+    // Descriptors 0 to 2 are in use.
+    process.set_limit(libc::RLIMIT_NOFILE, Some(3));
+    let _waiting = TcpStream::connect(address).await.unwrap();
+    let before = process.usage().cpu;
+    tokio::time::sleep(LACK.0).await;
+    let used = process.usage().cpu - before;
+    assert!(used < LACK.1, "{used:?}");
+    process.set_limit(libc::RLIMIT_NOFILE, None);
+    until("the process serves connections again", || serves(address)).await;
+}
+
+/// Guards against a gateway or a sidecar that uses its processor up while it is out of descriptors,
+/// and against one that no peer reaches any more afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn peers_are_served_again_after_a_lack_of_descriptors() {
+    let system = System::start(PLAN).await;
+    exhaust_descriptors(&system.gateways[0], system.gateway_addresses(0)[2]).await;
+    exhaust_descriptors(&system.sidecars[0], system.sidecar_addresses(0)[0]).await;
+}
+
+/// Guards against the same of entry hosts and agents.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_hosts_and_agents_serve_peers_again_after_a_lack_of_descriptors() {
+    let cluster = cluster::Cluster::start(cluster::Plan::default()).await;
+    for member in cluster.members.values() {
+        exhaust_descriptors(&member.process, member.peer_address).await;
+    }
+}
