--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -33,10 +33,11 @@
 use std::io::Write as _;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Arc;
+use std::sync::{Arc, mpsc};
+use std::time::Duration;
 
 use loftcove_settings::{error, file, gateway};
-use loftcove_startup::{listen, signals};
+use loftcove_startup::{listen, signals, threads};
 
 /// Subcommand of the command line.
 enum Command {
@@ -61,8 +62,8 @@
     Gateway(#[from] loftcove_gateway::Error),
     #[error(transparent)]
     Sidecar(#[from] loftcove_sidecar::Error),
-    #[error("cannot start the runtime: {0}")]
-    Runtime(std::io::Error),
+    #[error(transparent)]
+    Threads(#[from] threads::Error),
     #[error("cannot install signal handlers: {0}")]
     Signal(std::io::Error),
     #[error("cannot wait for a signal: {0}")]
@@ -84,12 +85,35 @@
     match parse().map_err(Error::from).and_then(execute) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("loftcoved: {error}");
+            print_error(&error.to_string());
             ExitCode::FAILURE
         }
     }
 }
 
+/// Longest time for which a process that fails waits for the reader of standard error.
+const ERROR_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Prints an error to standard error. If that fails, or its reader takes nothing, the error is lost:
+/// the process must end with its exit status all the same.
+fn print_error(text: &str) {
+    let line = Arc::<str>::from(format!("loftcoved: {text}\n"));
+    let print = |line: &str| std::io::stderr().write_all(line.as_bytes()).unwrap_or_default();
+    let (done, printed) = mpsc::channel::<()>();
+    let thread = std::thread::Builder::new().spawn({
+        let line = line.clone();
+        move || {
+            print(&line);
+            drop(done);
+        }
+    });
+    match thread {
+        // Receiving fails as soon as the thread has dropped its end.
+        Ok(_) => printed.recv_timeout(ERROR_TIMEOUT).unwrap_or_default(),
+        Err(_) => print(&line),
+    }
+}
+
 fn parse() -> Result<Command, pico_args::Error> {
     let mut arguments = pico_args::Arguments::from_env();
     if arguments.contains(["-h", "--help"]) {
@@ -139,20 +163,37 @@
     logging::to_stderr(settings.process.log_level);
     let workers = settings.process.workers;
     let process = Arc::new(process::Process::new(settings)?);
-    block_on(workers, serve(process, signals))?
+    block_on(workers, signals, |signals| serve(process, signals))
 }
 
-/// Runs a future to completion on a runtime with `workers` threads. Other tasks are cancelled when
-/// it completes.
-fn block_on<T>(workers: usize, future: impl Future<Output = T>) -> Result<T, Error> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(workers)
-        .enable_all()
-        .build()
-        .map_err(Error::Runtime)?;
-    let result = runtime.block_on(future);
+/// Runs the future that `run` returns to completion on a runtime with `workers` threads. Other tasks
+/// are cancelled when it completes. Does nothing if a stop is requested before the runtime exists.
+fn block_on<E, F>(
+    workers: usize,
+    mut signals: signals::Signals,
+    run: impl FnOnce(signals::Signals) -> F,
+) -> Result<(), Error>
+where
+    Error: From<E>,
+    F: Future<Output = Result<(), E>>,
+{
+    let runtime = threads::start(&mut signals, "runtime", || build_runtime(workers))?;
+    let Some(runtime) = runtime else {
+        log::info!("stopped before the runtime started");
+        return Ok(());
+    };
+    let result = runtime.block_on(run(signals));
     runtime.shutdown_background();
-    Ok(result)
+    Ok(result?)
+}
+
+fn build_runtime(workers: usize) -> std::io::Result<tokio::runtime::Runtime> {
+    // The library panics if a thread is refused, which a check leaves unlikely but possible.
+    threads::check(workers)?;
+    let build =
+        || tokio::runtime::Builder::new_multi_thread().worker_threads(workers).enable_all().build();
+    std::panic::catch_unwind(build)
+        .unwrap_or_else(|_| Err(std::io::Error::other("a thread was refused")))
 }
 
 async fn serve(process: Arc<process::Process>, signals: signals::Signals) -> Result<(), Error> {
--- a/daemon/src/system.rs
+++ b/daemon/src/system.rs
@@ -16,13 +16,15 @@
     let Some(settings) = read(&mut signals, path, settings::Gateway::read)? else {
         return Ok(());
     };
-    let sink = logging::to_stdout(settings.host.log_level);
+    let Some(writer) = logging::to_stdout(settings.host.log_level, &mut signals)? else {
+        return Ok(());
+    };
     let store =
         kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
     let workers = settings.host.workers;
-    let run = loftcove_gateway::run::<adapter::Adapter, _>(path, settings, store, signals);
-    let result = crate::block_on(workers, run)?.map_err(Error::from);
-    finish(&sink, result)
+    let run =
+        |signals| loftcove_gateway::run::<adapter::Adapter, _>(path, settings, store, signals);
+    finish(writer, crate::block_on(workers, signals, run))
 }
 
 /// Runs a sidecar with the settings of the file at `path`.
@@ -31,19 +33,22 @@
     let Some(settings) = read(&mut signals, path, settings::Sidecar::read)? else {
         return Ok(());
     };
-    let sink = logging::to_stdout(settings.host.log_level);
+    let Some(writer) = logging::to_stdout(settings.host.log_level, &mut signals)? else {
+        return Ok(());
+    };
     let store =
         kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
     let workers = settings.host.workers;
-    let run = loftcove_sidecar::run::<adapter::Adapter, _, _>(
-        path,
-        settings,
-        store,
-        engine::Client::new,
-        signals,
-    );
-    let result = crate::block_on(workers, run)?.map_err(Error::from);
-    finish(&sink, result)
+    let run = |signals| {
+        loftcove_sidecar::run::<adapter::Adapter, _, _>(
+            path,
+            settings,
+            store,
+            engine::Client::new,
+            signals,
+        )
+    };
+    finish(writer, crate::block_on(workers, signals, run))
 }
 
 /// Reads the settings of the file at `path`. If they are incomplete or wrong, reads them again for a
@@ -67,10 +72,10 @@
 }
 
 /// Logs a failure and writes the remaining log lines to standard output.
-fn finish(sink: &sink::Sink, result: Result<(), Error>) -> Result<(), Error> {
+fn finish(writer: sink::Writer, result: Result<(), Error>) -> Result<(), Error> {
     if let Err(error) = &result {
         log::error!("failed error=\"{error}\"");
     }
-    sink.flush_to(&mut std::io::stdout());
+    writer.finish();
     result
 }
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -61,34 +61,88 @@
     folder.unwrap_or_else(|| panic!("{name} is not built: run scripts/test.sh")).join(name)
 }
 
+/// Returns both ends of a pipe that is full.
+pub fn full_pipe() -> (std::io::PipeReader, std::io::PipeWriter) {
+    use std::io::Write as _;
+    let (reader, mut writer) = std::io::pipe().expect("a pipe can be made");
+    let descriptor = std::os::fd::AsRawFd::as_raw_fd(&writer);
+    #[allow(unsafe_code, reason = "the system call has no safe form in the library")]
+    // SAFETY: the descriptor is open during the call.
+    let size = unsafe { libc::fcntl(descriptor, libc::F_GETPIPE_SZ) };
+    let size = usize::try_from(size).expect("the pipe has a size");
+    writer.write_all(&vec![b'x'; size]).expect("the pipe takes its size");
+    (reader, writer)
+}
+
+/// Lowers a limit of the resources of a program.
+pub fn limit(command: &mut Command, resource: libc::__rlimit_resource_t, value: u64) {
+    let lower = move || {
+        let mut limit = libc::rlimit { rlim_cur: 0, rlim_max: 0 };
+        #[allow(unsafe_code, reason = "the system call has no safe form in the library")]
+        // SAFETY: the pointers are valid during the calls.
+        let lowered = unsafe {
+            libc::getrlimit(resource, &raw mut limit);
+            limit.rlim_cur = value;
+            libc::setrlimit(resource, &raw const limit)
+        };
+        if lowered == 0 { Ok(()) } else { Err(std::io::Error::last_os_error()) }
+    };
+    #[allow(unsafe_code, reason = "the library cannot check what runs in the child process")]
+    // SAFETY: the function only makes system calls.
+    unsafe {
+        command.pre_exec(lower);
+    }
+}
+
 impl Process {
     /// Starts a program and collects the lines of its standard error in its log.
     pub fn start(name: &str, arguments: &[String]) -> Process {
-        let mut child = Command::new(program(name))
+        Process::start_with(name, arguments, |_| {})
+    }
+
+    /// Starts a program that may use at most `bytes` of address space, and whose threads reserve
+    /// `stack` bytes each. See [`start`](Process::start) and
+    /// [`lift_address_space_limit`](Process::lift_address_space_limit).
+    pub fn start_limited(name: &str, arguments: &[String], bytes: u64, stack: u64) -> Process {
+        Process::start_with(name, arguments, |command| {
+            command.env("RUST_MIN_STACK", stack.to_string());
+            limit(command, libc::RLIMIT_AS, bytes);
+        })
+    }
+
+    /// Starts a program after `prepare` has changed the command. See [`start`](Process::start).
+    pub fn start_with(
+        name: &str,
+        arguments: &[String],
+        prepare: impl FnOnce(&mut Command),
+    ) -> Process {
+        let mut command = Command::new(program(name));
+        command
             .args(arguments)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
-            .kill_on_drop(true)
-            .spawn()
-            .expect("the program starts");
+            .kill_on_drop(true);
+        prepare(&mut command);
+        let mut child = command.spawn().expect("the program starts");
         let log = Log::default();
-        let stderr = child.stderr.take().expect("standard error is piped");
-        let log_writer = log.clone();
-        let name = name.to_owned();
-        tokio::spawn(async move {
-            let mut lines = BufReader::new(stderr).lines();
-            while let Ok(Some(line)) = lines.next_line().await {
-                let panicked = line.contains("panicked at");
-                if panicked || std::env::var_os("LOFTCOVE_LOG").is_some() {
-                    eprintln!("[{name}] {line}");
+        if let Some(stderr) = child.stderr.take() {
+            let log_writer = log.clone();
+            let name = name.to_owned();
+            tokio::spawn(async move {
+                let mut lines = BufReader::new(stderr).lines();
+                while let Ok(Some(line)) = lines.next_line().await {
+                    let panicked = line.contains("panicked at");
+                    if panicked || std::env::var_os("LOFTCOVE_LOG").is_some() {
+                        eprintln!("[{name}] {line}");
+                    }
+                    log_writer.push(line);
                 }
-                log_writer.push(line);
-            }
-        });
+            });
+        }
         let stdin = child.stdin.take().expect("standard input is piped");
-        let stdout = child.stdout.take().expect("standard output is piped");
-        Process { child, stdin, stdout: Some(BufReader::new(stdout).lines()), log }
+        let stdout = child.stdout.take().map(|stdout| BufReader::new(stdout).lines());
+        Process { child, stdin, stdout, log }
     }
 
     /// Reads the next line of standard output, `listening [WHAT] ADDRESS`, and returns the
@@ -180,6 +234,31 @@
         assert_eq!(sent, 0, "the signal is sent");
     }
 
+    /// Removes the limit of [`start_limited`](Process::start_limited).
+    pub fn lift_address_space_limit(&self) {
+        self.set_limit(libc::RLIMIT_AS, None);
+    }
+
+    /// Sets a limit of the resources of the process, or raises it as far as possible.
+    pub fn set_limit(&self, resource: libc::__rlimit_resource_t, value: Option<u64>) {
+        let id = self.id() as i32;
+        let mut limit = libc::rlimit { rlim_cur: 0, rlim_max: 0 };
+        #[allow(unsafe_code, reason = "the system call has no safe form in the library")]
+        // SAFETY: both pointers are valid during the calls, and the id is of a child process that
+        // was not waited for yet.
+        let set = unsafe {
+            libc::prlimit(id, resource, std::ptr::null(), &raw mut limit);
+            limit.rlim_cur = value.unwrap_or(limit.rlim_max);
+            libc::prlimit(id, resource, &raw const limit, std::ptr::null_mut())
+        };
+        assert_eq!(set, 0, "the limit is set");
+    }
+
+    /// Waits until the process exits and returns its exit status, or `None` if a signal ended it.
+    pub async fn wait_for_status(&mut self) -> Option<i32> {
+        self.child.wait().await.expect("the program can be waited for").code()
+    }
+
     /// Returns whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
         self.child.try_wait().expect("the program can be waited for").is_some()
