gateway, sidecar, daemon: begin again if the settings name another address

Cause: the wait for an address has no bound, and kept the address that was read at the start.

Change: a process that waits for the address that makes it what it is (for clients on a gateway, for peers on a sidecar, both on an entry host, for peers on an agent) reads the settings each second, and begins again in the same process if they name another one. The other addresses stay until the next start, as at a reload. The roles' functions can no longer fail, so that their error types are gone.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -37,7 +37,7 @@
 use std::time::Duration;
 
 use loftcove_settings::{error, file, gateway};
-use loftcove_startup::{listen, signals, threads};
+use loftcove_startup::{End, listen, signals, threads};
 
 /// Subcommand of the command line.
 enum Command {
@@ -59,10 +59,6 @@
     #[error(transparent)]
     Process(#[from] process::Error),
     #[error(transparent)]
-    Gateway(#[from] loftcove_gateway::Error),
-    #[error(transparent)]
-    Sidecar(#[from] loftcove_sidecar::Error),
-    #[error(transparent)]
     Threads(#[from] threads::Error),
     #[error("cannot install signal handlers: {0}")]
     Signal(std::io::Error),
@@ -157,34 +153,35 @@
 
 fn run(path: &Path) -> Result<(), Error> {
     let mut signals = signals::Signals::install().map_err(Error::Signal)?;
-    let Some(settings) = system::read(&mut signals, path, file::Daemon::read)? else {
-        return Ok(());
-    };
-    logging::to_stderr(settings.process.log_level);
-    let workers = settings.process.workers;
-    let process = Arc::new(process::Process::new(settings)?);
-    block_on(workers, signals, |signals| serve(process, signals))
+    loop {
+        let Some(settings) = system::read(&mut signals, path, file::Daemon::read)? else {
+            return Ok(());
+        };
+        logging::to_stderr(settings.process.log_level);
+        let workers = settings.process.workers;
+        let process = Arc::new(process::Process::new(settings)?);
+        let end = block_on(workers, &mut signals, |signals| serve(process, path, signals))?;
+        if end == End::Stopped {
+            return Ok(());
+        }
+    }
 }
 
 /// Runs the future that `run` returns to completion on a runtime with `workers` threads. Other tasks
-/// are cancelled when it completes. Does nothing if a stop is requested before the runtime exists.
-fn block_on<E, F>(
+/// are cancelled when it completes.
+fn block_on<F: Future<Output = Result<End, Error>>>(
     workers: usize,
-    mut signals: signals::Signals,
-    run: impl FnOnce(signals::Signals) -> F,
-) -> Result<(), Error>
-where
-    Error: From<E>,
-    F: Future<Output = Result<(), E>>,
-{
-    let runtime = threads::start(&mut signals, "runtime", || build_runtime(workers))?;
+    signals: &mut signals::Signals,
+    run: impl FnOnce(signals::Receiver) -> F,
+) -> Result<End, Error> {
+    let runtime = threads::start(signals, "runtime", || build_runtime(workers))?;
     let Some(runtime) = runtime else {
         log::info!("stopped before the runtime started");
-        return Ok(());
+        return Ok(End::Stopped);
     };
-    let result = runtime.block_on(run(signals));
+    let result = runtime.block_on(async { run(signals.receiver().map_err(Error::Signal)?).await });
     runtime.shutdown_background();
-    Ok(result?)
+    result
 }
 
 fn build_runtime(workers: usize) -> std::io::Result<tokio::runtime::Runtime> {
@@ -196,8 +193,11 @@
         .unwrap_or_else(|_| Err(std::io::Error::other("a thread was refused")))
 }
 
-async fn serve(process: Arc<process::Process>, signals: signals::Signals) -> Result<(), Error> {
-    let mut signals = signals.receiver().map_err(Error::Signal)?;
+async fn serve(
+    process: Arc<process::Process>,
+    file: &Path,
+    mut signals: signals::Receiver,
+) -> Result<End, Error> {
     let own = &process.settings.process;
     log::info!(
         "start host={} zone={} role={:?} incarnation={}",
@@ -212,23 +212,35 @@
     // The other hosts know the process by this address. Until the previous process of the host has
     // ended, this one takes no part in anything.
     let peers = listen::Listener::open("peer", own.peer_address, ACCEPT_BACKLOG);
-    let Some(peers) = wait_for(peers, "peer", &mut signals).await else { return Ok(()) };
+    let read = || Some(file::Daemon::read(file).ok()?.process.peer_address);
+    let peers = match wait_for(peers, listen::moved(own.peer_address, read), &mut signals).await {
+        Ok(peers) => peers,
+        Err(end) => return Ok(end),
+    };
+    print_address("peer", &peers);
     let http = match process.settings.entry.as_ref().filter(|_| own.role == file::Role::Entry) {
         Some(entry) => {
             let http = listen::Listener::open("http", entry.http_address, ACCEPT_BACKLOG);
-            let Some(http) = wait_for(http, "http", &mut signals).await else { return Ok(()) };
-            Some(http)
+            let read = || Some(file::Daemon::read(file).ok()?.entry?.http_address);
+            let moved = listen::moved(entry.http_address, read);
+            match wait_for(http, moved, &mut signals).await {
+                Ok(http) => Some(http),
+                Err(end) => return Ok(end),
+            }
         }
         None => None,
     };
     source::spawn(&process);
     tokio::spawn(exchange::run(process.clone()));
     match http {
-        Some(http) => entry::run(process.clone(), peers, http, signals).await?,
+        Some(http) => {
+            print_address("http", &http);
+            entry::run(process.clone(), peers, http, signals).await?;
+        }
         None => agent::run(process.clone(), peers, signals).await?,
     }
     log::info!("stop host={}", own.host);
-    Ok(())
+    Ok(End::Stopped)
 }
 
 /// Maximum number of connections that wait to be accepted.
@@ -237,34 +249,37 @@
 /// Serves health checks and metrics, once their address is available.
 fn serve_admin(process: Arc<process::Process>, address: std::net::SocketAddr) {
     let listener = listen::Listener::open("admin", address, ACCEPT_BACKLOG);
-    if let Some(bound) = listener.local_address() {
+    if let Some(bound) = listener.bound() {
         print_address("admin", bound);
     }
     tokio::spawn(async move { admin::serve(process, listener.wait().await).await });
 }
 
-/// Waits for a listener's address and prints the bound one, because the operating system may have
-/// chosen the port. Returns `None` if the process is to stop before.
+/// Waits for a listener's address. Returns how the run ends if the process is to stop before, or if
+/// `moved` completes before.
 async fn wait_for(
     listener: listen::Listener,
-    what: &str,
+    moved: impl Future<Output = ()>,
     signals: &mut signals::Receiver,
-) -> Option<tokio::net::TcpListener> {
-    let listener = tokio::select! {
-        listener = listener.wait() => listener,
+) -> Result<tokio::net::TcpListener, End> {
+    tokio::select! {
+        biased;
+        listener = listener.wait() => Ok(listener),
+        () = moved => Err(End::Moved),
         () = stop::wait_for_stop(signals) => {
-            log::info!("stop before start reason=address-not-available listener={what}");
-            return None;
+            log::info!("stop before start reason=address-not-available");
+            Err(End::Stopped)
         }
-    };
-    match listener.local_addr() {
-        Ok(bound) => print_address(what, bound),
-        Err(error) => log::warn!("address of listener unknown listener={what} error=\"{error}\""),
     }
-    Some(listener)
 }
 
-fn print_address(what: &str, address: std::net::SocketAddr) {
-    // Unlike `println!`, this does not panic if nothing can be written.
-    writeln!(std::io::stdout(), "listening {what} {address}").unwrap_or_default();
+/// Prints the address of a listener, because the operating system may have chosen the port.
+fn print_address(what: &str, listener: &tokio::net::TcpListener) {
+    match listener.local_addr() {
+        // Unlike `println!`, this does not panic if nothing can be written.
+        Ok(address) => {
+            writeln!(std::io::stdout(), "listening {what} {address}").unwrap_or_default();
+        }
+        Err(error) => log::warn!("address of listener unknown listener={what} error=\"{error}\""),
+    }
 }
--- a/daemon/src/system.rs
+++ b/daemon/src/system.rs
@@ -6,49 +6,58 @@
 
 use loftcove_platform::{adapter, engine, kv};
 use loftcove_settings::{error, gateway as settings};
-use loftcove_startup::{retry, signals};
+use loftcove_startup::{End, retry, signals};
 
 use crate::{Error, logging, sink};
 
 /// Runs a gateway with the settings of the file at `path`.
 pub fn gateway(path: &Path) -> Result<(), Error> {
-    let mut signals = signals::Signals::install().map_err(Error::Signal)?;
-    let Some(settings) = read(&mut signals, path, settings::Gateway::read)? else {
-        return Ok(());
+    let run = |settings: settings::Gateway, signals| {
+        let store =
+            kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
+        loftcove_gateway::run::<adapter::Adapter, _>(path, settings, store, signals)
     };
-    let Some(writer) = logging::to_stdout(settings.host.log_level, &mut signals)? else {
-        return Ok(());
-    };
-    let store =
-        kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
-    let workers = settings.host.workers;
-    let run =
-        |signals| loftcove_gateway::run::<adapter::Adapter, _>(path, settings, store, signals);
-    finish(writer, crate::block_on(workers, signals, run))
+    execute(path, settings::Gateway::read, |settings| &settings.host, run)
 }
 
 /// Runs a sidecar with the settings of the file at `path`.
 pub fn sidecar(path: &Path) -> Result<(), Error> {
-    let mut signals = signals::Signals::install().map_err(Error::Signal)?;
-    let Some(settings) = read(&mut signals, path, settings::Sidecar::read)? else {
-        return Ok(());
+    let run = |settings: settings::Sidecar, signals| {
+        let store =
+            kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
+        let connect = engine::Client::new;
+        loftcove_sidecar::run::<adapter::Adapter, _, _>(path, settings, store, connect, signals)
     };
-    let Some(writer) = logging::to_stdout(settings.host.log_level, &mut signals)? else {
+    execute(path, settings::Sidecar::read, |settings| &settings.host, run)
+}
+
+/// Reads the settings of a role with `from_file` and calls `run` with them, again if it has to begin
+/// again with other settings.
+fn execute<T, F: Future<Output = End>>(
+    path: &Path,
+    from_file: impl Fn(&Path) -> Result<T, error::Error>,
+    host: impl Fn(&T) -> &settings::Host,
+    run: impl Fn(T, signals::Receiver) -> F,
+) -> Result<(), Error> {
+    let mut signals = signals::Signals::install().map_err(Error::Signal)?;
+    let Some(mut settings) = read(&mut signals, path, &from_file)? else { return Ok(()) };
+    let Some(writer) = logging::to_stdout(host(&settings).log_level, &mut signals)? else {
         return Ok(());
     };
-    let store =
-        kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
-    let workers = settings.host.workers;
-    let run = |signals| {
-        loftcove_sidecar::run::<adapter::Adapter, _, _>(
-            path,
-            settings,
-            store,
-            engine::Client::new,
-            signals,
-        )
+    let result = loop {
+        let workers = host(&settings).workers;
+        let run = async |signals| Ok(run(settings, signals).await);
+        match crate::block_on(workers, &mut signals, run) {
+            Ok(End::Stopped) => break Ok(()),
+            Ok(End::Moved) => match read(&mut signals, path, &from_file) {
+                Ok(Some(next)) => settings = next,
+                Ok(None) => break Ok(()),
+                Err(error) => break Err(error),
+            },
+            Err(error) => break Err(error),
+        }
     };
-    finish(writer, crate::block_on(workers, signals, run))
+    finish(writer, result)
 }
 
 /// Reads the settings of the file at `path`. If they are incomplete or wrong, reads them again for a
--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -21,7 +21,7 @@
 use loftcove_interface::protocol::Protocol;
 use loftcove_mirror::follow;
 use loftcove_settings::gateway as settings;
-use loftcove_startup::signals;
+use loftcove_startup::{End, listen, signals};
 use statig::blocking::StateMachine;
 use tokio::sync::watch;
 
@@ -281,20 +281,38 @@
     }
 }
 
-/// Waits for a stop signal and returns when the process may exit.
+/// Waits until the address for clients in the settings changes before the process listens on the one
+/// that it was started with.
+async fn moved<P>(gateway: &state::Gateway<P>, file: &Path) {
+    let address = gateway.settings.listen.client_address;
+    let read = || Some(settings::Gateway::read(file).ok()?.listen.client_address);
+    let mut listening = gateway.lifecycle.listening();
+    tokio::select! {
+        biased;
+        // The sender lives as long as the process.
+        _ = listening.wait_for(|listening| *listening) => std::future::pending().await,
+        () = listen::moved(address, read) => {}
+    }
+}
+
+/// Waits for a stop signal and returns when the process may exit, or returns if it has to begin again
+/// with other settings.
 pub async fn wait<P: Protocol>(
     gateway: &Arc<state::Gateway<P>>,
     peers: &follow::Peers,
     file: &Path,
     mut signals: signals::Receiver,
-) {
-    wait_for_stop(&mut signals, peers, file).await;
+) -> End {
+    tokio::select! {
+        () = wait_for_stop(&mut signals, peers, file) => {}
+        () = moved(gateway, file) => return End::Moved,
+    }
     let lifecycle = &gateway.lifecycle;
     let grace = Duration::from_secs_f64(gateway.settings.serving.grace_s);
     if !*lifecycle.listening.borrow() {
         // No client has reached this process, and it must not take over the address any more.
         log::info!("stopping reason=not-listening");
-        return;
+        return End::Stopped;
     }
     log::info!("stopping in_flight={} grace_ms={}", lifecycle.in_flight(), grace.as_millis());
     let started = boot::Instant::now();
@@ -333,4 +351,5 @@
             lifecycle.lock().connections.values().cloned().collect();
         open.iter().for_each(|exchange| exchange.abandon(&"end of the grace"));
     }
+    End::Stopped
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -53,7 +53,7 @@
 use loftcove_interface::store::Store;
 use loftcove_mirror::{self as mirror, ends, follow, lifts, peer, register, serve, watch};
 use loftcove_settings::gateway as settings;
-use loftcove_startup::{listen, signals};
+use loftcove_startup::{End, listen, signals};
 use loftcove_wire as wire;
 pub use state::Target;
 use tonic::codec::CompressionEncoding;
@@ -62,27 +62,15 @@
 /// of its peers are cut off from the store too.
 const FOLLOWED_PEERS: usize = 3;
 
-/// An error that keeps the gateway from running.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    /// The process cannot receive signals.
-    #[error("signals cannot be received: {0}")]
-    Signal(std::io::Error),
-}
-
-/// Runs a gateway until its planned stop is complete.
-///
-/// # Errors
-///
-/// Returns an [`Error`] if signals cannot be received. A gateway waits for addresses that are not
-/// available, and is not ready while it waits for the one for clients.
+/// Runs a gateway until its planned stop is complete, or until its address for clients changes in the
+/// settings while it waits for it. It waits for all addresses that are not available, and is not
+/// ready while it waits for the one for clients.
 pub async fn run<P: Protocol, S: Store>(
     file: &Path,
     settings: settings::Gateway,
     store: S,
-    signals: signals::Signals,
-) -> Result<(), Error> {
-    let signals = signals.receiver().map_err(Error::Signal)?;
+    signals: signals::Receiver,
+) -> End {
     let store = Arc::new(store);
     let addresses = settings.listen.clone();
     let host = settings.host.clone();
@@ -145,9 +133,11 @@
         host.zone,
         addresses.client_address
     );
-    drain::wait(&gateway, &peers, file, signals).await;
-    log::info!("stopped host={}", host.name);
-    Ok(())
+    let end = drain::wait(&gateway, &peers, file, signals).await;
+    if end == End::Stopped {
+        log::info!("stopped host={}", host.name);
+    }
+    end
 }
 
 /// Time limit for learning of a change of loftcove's own keys: addresses of peers, members and
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -38,7 +38,7 @@
 use loftcove_interface::store::Store;
 use loftcove_mirror::{Mirror, follow, peer};
 use loftcove_settings::gateway as settings;
-use loftcove_startup::{listen, signals};
+use loftcove_startup::{End, listen, signals};
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
 
@@ -49,29 +49,15 @@
 /// Longest time that a stopping driver may take to complete a change that it has begun.
 const STOP_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Reasons why the sidecar cannot run.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    /// The process cannot receive signals.
-    #[error("signals cannot be received: {0}")]
-    Signal(std::io::Error),
-}
-
-/// Runs a sidecar until it receives a signal to stop. `connect` creates a client of the engine at an
-/// address.
-///
-/// # Errors
-///
-/// Returns an [`Error`] if signals cannot be received. A sidecar waits for addresses that are not
-/// available.
+/// Runs a sidecar until it receives a signal to stop, or until its address for peers changes in the
+/// settings while it waits for it. `connect` creates a client of the engine at an address.
 pub async fn run<P: Protocol, S: Store, E: Engine>(
     file: &Path,
     settings: settings::Sidecar,
     store: S,
     connect: impl Fn(SocketAddr) -> E + Send + Sync + 'static,
-    signals: signals::Signals,
-) -> Result<(), Error> {
-    let mut signals = signals.receiver().map_err(Error::Signal)?;
+    mut signals: signals::Receiver,
+) -> End {
     let host = settings.host.clone();
     let peer_listener =
         listen::Listener::open("peers", settings.peering.peer_address, ACCEPT_BACKLOG);
@@ -99,6 +85,7 @@
     });
     log::info!("started host={} engine={}", host.name, settings.engine.address);
     let (stop, mut stopped) = tokio::sync::watch::channel(false);
+    let (listens, mut listening) = tokio::sync::watch::channel(false);
     let mut driver = tokio::spawn(async move {
         // Until the previous process of this host has ended, it may still drive the group: a second
         // driver would take its term in the middle of a change.
@@ -106,12 +93,29 @@
             listener = peer_listener.wait() => listener,
             _ = stopped.wait_for(|stopped| *stopped) => return,
         };
+        listens.send_replace(true);
         let (rank, group) = service;
         tokio::spawn(serve(rank, group, listener));
         driver.run(stopped).await;
     });
-    while signals.next().await == signals::Signal::Reload {
-        reload(file, &peers);
+    let address = settings.peering.peer_address;
+    let moved = async {
+        let read = || Some(settings::Sidecar::read(file).ok()?.peering.peer_address);
+        tokio::select! {
+            biased;
+            _ = listening.wait_for(|listening| *listening) => std::future::pending().await,
+            () = listen::moved(address, read) => {}
+        }
+    };
+    tokio::pin!(moved);
+    loop {
+        tokio::select! {
+            signal = signals.next() => match signal {
+                signals::Signal::Reload => reload(file, &peers),
+                signals::Signal::Stop => break,
+            },
+            () = &mut moved => return End::Moved,
+        }
     }
     log::info!("stopping host={}", host.name);
     stop.send_replace(true);
@@ -119,7 +123,7 @@
         log::warn!("stop timeout expired during a map change");
     }
     log::info!("stopped host={}", host.name);
-    Ok(())
+    End::Stopped
 }
 
 fn reload(file: &Path, peers: &follow::Peers) {
--- a/startup/src/lib.rs
+++ b/startup/src/lib.rs
@@ -10,3 +10,13 @@
 pub mod retry;
 pub mod signals;
 pub mod threads;
+
+/// How a run of a process ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// The planned stop is complete.
+    Stopped,
+    /// The settings name another address than the one that the process still waits for. It has to
+    /// begin again with them.
+    Moved,
+}
--- a/startup/src/listen.rs
+++ b/startup/src/listen.rs
@@ -52,9 +52,9 @@
         Listener { purpose, address, backlog, state: bind(address, backlog) }
     }
 
-    /// Returns the address that the listener is bound to, or `None` if it still waits for it.
-    pub fn local_address(&self) -> Option<SocketAddr> {
-        self.state.as_ref().ok()?.local_addr().ok()
+    /// Returns the listener if it does not have to wait for its address.
+    pub fn bound(&self) -> Option<&TcpListener> {
+        self.state.as_ref().ok()
     }
 
     /// Waits until the address is available, and returns a listener on it.
@@ -92,6 +92,22 @@
     }
 }
 
+/// Interval at which the settings are read while a process waits for an address of them.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Waits until the settings name another address than `address`, which the process waits for: the
+/// settings may have been wrong when it was started, or have changed since. `read` returns the
+/// address in the settings, or `None` if they cannot be read.
+pub async fn moved(address: SocketAddr, read: impl Fn() -> Option<SocketAddr>) {
+    loop {
+        tokio::time::sleep(SETTINGS_INTERVAL).await;
+        if let Some(next) = read().filter(|next| *next != address) {
+            log::warn!("address changed in the settings before={address} now={next} next=restart");
+            return;
+        }
+    }
+}
+
 /// Counts a listener as waiting until it is dropped.
 struct Waiting(Gauge);
 
--- a/tests/tests/starts.rs
+++ b/tests/tests/starts.rs
@@ -100,6 +100,8 @@
     wait_logged(&system.gateways[0], "reloaded file=").await;
     system.gateways[0].signal(libc::SIGTERM);
     assert!(system.gateways[0].wait().await, "{:?}", system.gateways[0].log());
+    // No drain, in which the address could become available.
+    assert!(logged(&system.gateways[0], "stopping reason=not-listening"));
     assert!(!logged(&system.gateways[0], LISTENING) && is_running(&running));
     let running = system.replace_sidecar(0);
     wait_logged(&system.sidecars[0], WAITING).await;
@@ -108,6 +110,34 @@
     assert!(!logged(&system.sidecars[0], LISTENING) && is_running(&running));
 }
 
+/// The settings may have been wrong when the process was started, or have changed since. An exit would
+/// have met the new ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_that_waits_for_an_address_begins_again_if_the_settings_name_another() {
+    let mut system = System::start(PLAN).await;
+    let [clients, ..] = system.gateway_addresses(0);
+    let [peers, _] = system.sidecar_addresses(0);
+    system.gateways[0].kill().await;
+    system.sidecars[0].kill().await;
+    for (role, text, address, started) in [
+        ("gateway", system.gateway_settings(0), clients, "started host=gateway-0"),
+        ("sidecar", system.sidecar_settings(0), peers, "started host=sidecar-0"),
+    ] {
+        let missing = text.replace(&address.to_string(), "192.0.2.77:8000");
+        let file = system.folder.write("moved.toml", &missing);
+        let mut process = Process::start("loftcoved", &[role.to_owned(), file]);
+        process.log_output();
+        wait_logged(&process, WAITING).await;
+        system.folder.write("moved.toml", &text);
+        wait_logged(&process, "address changed in the settings").await;
+        until("the process listens", || async { TcpStream::connect(address).await.is_ok() }).await;
+        let starts = process.log().iter().filter(|line| line.contains(started)).count();
+        assert_eq!(starts, 2, "{:?}", process.log());
+        process.signal(libc::SIGTERM);
+        assert!(process.wait().await, "{:?}", process.log());
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_sidecar_that_starts_while_the_previous_one_runs_does_not_drive() {
     let mut system = System::start(PLAN).await;
