settings: read a whole number that is written as a fraction

What callers saw: `memory_mb = 260.0` ended a process as it started. The platform promises numbers, not which form they have.

Cause: the types of whole numbers read only the form of whole numbers.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -8,6 +8,7 @@
 
 #[macro_use]
 mod section;
+mod value;
 
 pub mod error;
 pub mod file;
--- a/settings/src/section.rs
+++ b/settings/src/section.rs
@@ -23,7 +23,7 @@
         #[derive(serde::Deserialize, Default)]
         #[serde(deny_unknown_fields, default)]
         struct $raw {
-            $( $key: Option<$kind>, )+
+            $( $key: Option<$crate::value::Form<$kind>>, )+
         }
 
         impl TryFrom<$raw> for $name {
@@ -32,7 +32,7 @@
             fn try_from(raw: $raw) -> Result<$name, $crate::error::Missing> {
                 Ok($name {
                     $( $key: match raw.$key {
-                        Some(value) => value,
+                        Some(value) => value.0,
                         None => section!(@absent $key $(, $default)?),
                     }, )+
                 })
