settings: leave out seeds that are no IP address and port

What callers saw: one seed that was, for example, a host name ended a gateway or a sidecar as it started, and made a reload keep the old seeds. Seeds may be stale or down, and the others would have been enough.

Cause: the list of seeds was read as addresses, all of them or none.

Change: seeds that are no address are left out with one bounded log line, at the start and at a reload, in all roles of the daemon. The tool still rejects them: its operator can correct the file at once.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -158,6 +158,7 @@
             return Ok(());
         };
         logging::to_stderr(settings.process.log_level);
+        settings.left_out.log();
         let workers = settings.process.workers;
         let process = Arc::new(process::Process::new(settings)?);
         let end = block_on(workers, &mut signals, |signals| serve(process, path, signals))?;
--- a/daemon/src/system.rs
+++ b/daemon/src/system.rs
@@ -13,6 +13,8 @@
 /// Runs a gateway with the settings of the file at `path`.
 pub fn gateway(path: &Path) -> Result<(), Error> {
     let run = |settings: settings::Gateway, signals| {
+        // The log did not exist when the settings were read.
+        settings.left_out.log();
         let store =
             kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
         loftcove_gateway::run::<adapter::Adapter, _>(path, settings, store, signals)
@@ -23,6 +25,7 @@
 /// Runs a sidecar with the settings of the file at `path`.
 pub fn sidecar(path: &Path) -> Result<(), Error> {
     let run = |settings: settings::Sidecar, signals| {
+        settings.left_out.log();
         let store =
             kv::Client::new(settings.host.store_address).with_source(settings.host.source_address);
         let connect = engine::Client::new;
--- a/settings/src/file.rs
+++ b/settings/src/file.rs
@@ -8,7 +8,7 @@
 
 use serde::Deserialize;
 
-use crate::{error, reference};
+use crate::{error, reference, seeds};
 
 /// Role of a daemon process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
@@ -35,7 +35,7 @@
         peer_address: SocketAddr;
         /// Address that connections to others come from, on a host that has several.
         source_address: Option<IpAddr> = None;
-        /// Addresses of processes to ask first, while the host list is not known.
+        /// Addresses of processes to ask first, while the host list is not known. Those that are no IP address and port are left out.
         seeds: Vec<SocketAddr> = Vec::new();
         /// Shared key of the deployment; a process without it is not listened to.
         key: Arc<str>;
@@ -156,6 +156,9 @@
     pub entry: Option<Entry>,
     /// Settings of the role `agent`.
     pub agent: Option<Agent>,
+    /// Seeds that are left out of the process's.
+    #[serde(skip)]
+    pub left_out: seeds::LeftOut,
 }
 
 fn default_homes() -> Homes {
@@ -195,8 +198,9 @@
     /// Returns the first error in the file.
     pub fn read(file: &Path) -> Result<Daemon, error::Error> {
         let text = read_text(file)?;
-        let daemon: Daemon = parse(file, &text)?;
+        let mut daemon: Daemon = parse(file, &text)?;
         daemon.check(file, &text)?;
+        daemon.left_out = seeds::LeftOut::of(&text, Process::REFERENCE.path);
         Ok(daemon)
     }
 
@@ -243,6 +247,10 @@
         let text = read_text(file)?;
         let tool: Tool = parse(file, &text)?;
         check_ranges(file, &text, [tool.check()])?;
+        // An operator can correct the file at once.
+        if !seeds::LeftOut::of(&text, Tool::REFERENCE.path).is_empty() {
+            return Err(key_error(file, &text, "", "seeds", "must be IP addresses with ports"));
+        }
         Ok(tool)
     }
 }
--- a/settings/src/gateway.rs
+++ b/settings/src/gateway.rs
@@ -6,8 +6,8 @@
 
 use serde::Deserialize;
 
-use crate::error;
 use crate::file::{self, Level};
+use crate::{error, seeds};
 
 section! {
     /// The host.
@@ -16,7 +16,7 @@
         name: Arc<str>;
         /// Availability zone of the host.
         zone: Arc<str>;
-        /// Addresses of gateways to ask first; some may be wrong or down.
+        /// Addresses of gateways to ask first; some may be wrong or down. Those that are no IP address and port are left out.
         seeds: Vec<SocketAddr> = Vec::new();
         /// Address of the platform's store.
         store_address: SocketAddr;
@@ -82,6 +82,9 @@
     pub listen: Listen,
     /// Limits and bounds of serving.
     pub serving: Serving,
+    /// Seeds that are left out of the host's.
+    #[serde(skip)]
+    pub left_out: seeds::LeftOut,
 }
 
 section! {
@@ -112,18 +115,23 @@
     pub peering: Peering,
     /// The engine beside the sidecar.
     pub engine: Engine,
+    /// Seeds that are left out of the host's.
+    #[serde(skip)]
+    pub left_out: seeds::LeftOut,
 }
 
 impl Gateway {
-    /// Reads and checks a gateway's settings file.
+    /// Reads and checks a gateway's settings file. Logs seeds that are left out.
     ///
     /// # Errors
     ///
     /// Returns the first error in the file.
     pub fn read(path: &Path) -> Result<Gateway, error::Error> {
         let text = file::read_text(path)?;
-        let gateway: Gateway = file::parse(path, &text)?;
+        let mut gateway: Gateway = file::parse(path, &text)?;
         gateway.check(path, &text)?;
+        gateway.left_out = seeds::LeftOut::of(&text, Host::REFERENCE.path);
+        gateway.left_out.log();
         Ok(gateway)
     }
 
@@ -154,16 +162,18 @@
 }
 
 impl Sidecar {
-    /// Reads and checks a sidecar's settings file.
+    /// Reads and checks a sidecar's settings file. Logs seeds that are left out.
     ///
     /// # Errors
     ///
     /// Returns the first error in the file.
     pub fn read(path: &Path) -> Result<Sidecar, error::Error> {
         let text = file::read_text(path)?;
-        let sidecar: Sidecar = file::parse(path, &text)?;
+        let mut sidecar: Sidecar = file::parse(path, &text)?;
         let sections = [sidecar.host.check(), sidecar.peering.check(), sidecar.engine.check()];
         file::check_ranges(path, &text, sections)?;
+        sidecar.left_out = seeds::LeftOut::of(&text, Host::REFERENCE.path);
+        sidecar.left_out.log();
         Ok(sidecar)
     }
 }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod file;
 pub mod gateway;
 pub mod reference;
+pub mod seeds;
--- a/settings/src/value.rs
+++ b/settings/src/value.rs
@@ -7,7 +7,7 @@
 
 use serde::de::{Deserialize, Deserializer, Error, Unexpected, Visitor};
 
-use crate::file;
+use crate::{file, seeds};
 
 /// A value of a key.
 pub(crate) trait Value: Sized {
@@ -35,7 +35,7 @@
     };
 }
 
-plain!(f64, Arc<str>, SocketAddr, IpAddr, PathBuf, Vec<SocketAddr>, BTreeMap<Arc<str>, String>);
+plain!(f64, Arc<str>, SocketAddr, IpAddr, PathBuf, BTreeMap<Arc<str>, String>);
 plain!(file::Level, file::Role);
 
 /// Types of whole numbers, which may be written with a fraction of zero, as in `260.0`.
@@ -59,6 +59,13 @@
     }
 }
 
+impl Value for Vec<SocketAddr> {
+    fn read<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let values = Vec::<toml::Value>::deserialize(deserializer)?;
+        Ok(values.iter().filter_map(seeds::address).collect())
+    }
+}
+
 struct Whole;
 
 impl Visitor<'_> for Whole {
--- a/tests/tests/settings_at_start.rs
+++ b/tests/tests/settings_at_start.rs
@@ -233,3 +233,31 @@
     assert!(!output.success && !output.stderr.contains(READING_AGAIN), "{}", output.stderr);
     assert!(started.elapsed() < TIMEOUT / 2);
 }
+
+/// Guards against a process that does not start, or that keeps old seeds at a reload, because one
+/// of its seeds is not an IP address and a port.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_seed_that_is_no_address_is_left_out() {
+    const LEFT_OUT: &str = "seeds left out count=1 seeds=[\"old-host:8002\"]";
+    let mut system = System::start(PLAN).await;
+    for role in roles(&mut system).await {
+        let text = match role.command {
+            "run" => role.text.replacen("[process]\n", "[process]\nseeds = []\n", 1),
+            _ => role.text.clone(),
+        };
+        let text = text.replacen("seeds = [", "seeds = [\"old-host:8002\", ", 1);
+        let file = system.folder.write("seeds.toml", &text);
+        let mut process = start(&role, &file);
+        wait_line(&process, role.started).await;
+        assert_eq!(count(&process, LEFT_OUT), 1, "{}: {:?}", role.command, process.log());
+        if role.command != "run" {
+            process.signal(libc::SIGHUP);
+            // One seed is left: the address of the only gateway.
+            wait_line(&process, "reloaded file=").await;
+            assert_eq!(count(&process, " seeds=1"), 1, "{:?}", process.log());
+            assert_eq!(count(&process, LEFT_OUT), 2, "{:?}", process.log());
+        }
+        process.signal(libc::SIGTERM);
+        assert!(process.wait().await, "{}: {:?}", role.command, process.log());
+    }
+}
