--- a/settings/tests/templates.rs
+++ b/settings/tests/templates.rs
@@ -124,3 +124,21 @@
     let sidecar = read("none", &filled("sidecar", &values), gateway::Sidecar::read).unwrap();
     assert!(sidecar.host.seeds.is_empty());
 }
+
+/// Guards against settings that are taken for complete while the file is being written, so that
+/// the defaults apply in place of the rest.
+#[test]
+fn settings_that_are_cut_off_anywhere_are_an_error() {
+    let values = values();
+    for role in ["gateway", "sidecar"] {
+        let text = filled(role, &values);
+        let read = |text: &str| match role {
+            "gateway" => read("cut", text, gateway::Gateway::read).map(drop),
+            _ => read("cut", text, gateway::Sidecar::read).map(drop),
+        };
+        assert_eq!(read(&text), Ok(()));
+        for end in 0..text.trim_end().len() {
+            assert!(read(&text[..end]).is_err(), "{role}: {}", &text[..end]);
+        }
+    }
+}
