response: reject a head that another response has completed

What callers saw: a server stopped inside a line of its response's head, and another response followed on the same connection, for example the 500 of an error handler. Clients got a 200 with an empty body, or with the short body of the other response, framed as whole. Where the other response said that the request did not run, a request that must not be repeated was sent again.

Cause: a status line is text like any other inside a reason phrase or a field's value. The two heads formed one valid head: the status and the first fields of the one, the rest and the framing of the other.

Change: Framing::of, which all readers use before any other field, rejects a head with a status line inside its reason phrase or a value. A server that quotes a status line in a field of its own is rejected, too; nothing tells the two apart.

--- a/response/src/framing.rs
+++ b/response/src/framing.rs
@@ -4,6 +4,10 @@
 //! other coding leaves a body that cannot be decoded. A length beside a coding, or two lengths,
 //! describe two different bodies. Such a head gives no framing, and its response is of no use.
 //!
+//! A server that stops inside a line of a head and then sends another response on the same connection
+//! leaves one head with the status and some fields of the first response, and with the framing of the
+//! second one. Such a line contains a status line, by which it is recognized.
+//!
 //! A server's framing applies to its own connection. The response to the client has a framing of its
 //! own, without these fields; see [`remove_fields`].
 
@@ -11,6 +15,7 @@
 
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, StatusCode, Version};
+use hyper::ext::ReasonPhrase;
 
 /// Framing of a response's body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -42,6 +47,9 @@
     /// The status is not one of a final response. No request asks for another protocol.
     #[error("not a status of a final response")]
     Status,
+    /// A line contains the status line of another response, which has followed the line's beginning.
+    #[error("cut short by another response")]
+    Merged,
 }
 
 impl Framing {
@@ -49,12 +57,17 @@
     ///
     /// # Errors
     ///
-    /// Returns an [`Error`] if the head contradicts itself, needs an unsupported coding, or has an
-    /// invalid status.
+    /// Returns an [`Error`] if the head contradicts itself, needs an unsupported coding, has an
+    /// invalid status, or consists of parts of two heads.
     pub fn of(method: &Method, head: &http::response::Parts) -> Result<Framing, Error> {
         if !(200..600).contains(&head.status.as_u16()) {
             return Err(Error::Status);
         }
+        let reason = head.extensions.get::<ReasonPhrase>().map_or(&b""[..], ReasonPhrase::as_bytes);
+        let mut values = head.headers.values().map(http::HeaderValue::as_bytes);
+        if contains_status_line(reason) || values.any(contains_status_line) {
+            return Err(Error::Merged);
+        }
         let length = length(&head.headers)?;
         let chunked = is_chunked(&head.headers)?;
         if chunked && length.is_some() {
@@ -105,6 +118,16 @@
     }
 }
 
+/// Returns whether a line contains `HTTP/`, a version and a status.
+fn contains_status_line(line: &[u8]) -> bool {
+    const FORM: &[u8] = b"HTTP/0.0 000";
+    let matches = |(form, byte): (&u8, &u8)| match form {
+        b'0' => byte.is_ascii_digit(),
+        _ => byte == form,
+    };
+    line.windows(FORM.len()).any(|part| FORM.iter().zip(part).all(matches))
+}
+
 /// Returns whether the body is in chunks.
 fn is_chunked(headers: &HeaderMap) -> Result<bool, Error> {
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
--- a/response/tests/ending.rs
+++ b/response/tests/ending.rs
@@ -42,6 +42,35 @@
     assert_eq!(framing(http::Method::GET, 204, &[none]), Ok(Framing::Empty));
 }
 
+/// Guards against a head that consists of parts of two, and against a rejection of values that only
+/// resemble a status line.
+#[test]
+fn reads_no_framing_from_a_head_with_a_status_line_inside_a_line() {
+    let read = |method: &http::Method, reason: &'static str, value: &str| {
+        let response = http::Response::builder().header("content-length", "0").header("x", value);
+        let (mut head, ()) = response.body(()).expect("a valid response").into_parts();
+        let reason = hyper::ext::ReasonPhrase::from_static(reason.as_bytes());
+        head.extensions.insert(reason);
+        Framing::of(method, &head)
+    };
+    for line in [
+        "HTTP/1.1 200 OK",
+        "HTTP/1.1 200",
+        "HTTP/1.0 503 Service Unavailable",
+        "OHTTP/1.1 500 Internal Server Error",
+        "text/plain; charset=HTTP/1.1 200 OK",
+        "HTTP/1.HTTP/1.1 200 OK",
+    ] {
+        for method in [http::Method::GET, http::Method::HEAD] {
+            assert_eq!(read(&method, line, ""), Err(framing::Error::Merged), "{line}");
+            assert_eq!(read(&method, "", line), Err(framing::Error::Merged), "{line}");
+        }
+    }
+    for line in ["HTTP/1.1", "HTTP/1.1 proxy", "1.1 vale", "HTTP/1.1 20", "http/1.1 200 OK", "h2"] {
+        assert_eq!(read(&http::Method::GET, line, line), Ok(Framing::Length), "{line}");
+    }
+}
+
 /// Guards against a body whose end is taken from one field of a head where another one contradicts
 /// it, and against one in a coding that is not decoded.
 #[test]
--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -13,6 +13,11 @@
 //! - `x-standin-head: STATUS|LINE|LINE`: a head that is written as given, with `%XX` for a byte. The
 //!   status line replaces that of the response unless it is empty, and the lines replace the fields
 //!   that the framing needs. Only the first attempt has it.
+//! - `x-standin-head-cut: N`: the first attempt's head ends after N bytes, or -N bytes before its end,
+//!   and `x-standin-end` follows.
+//! - `x-standin-head-lines: lf`: a line feed ends each line of the head.
+//! - `x-standin-before: TEXT` and `x-standin-then: TEXT`: bytes before the head, and after one that
+//!   `x-standin-head-cut` cuts, with `%XX` for a byte. Only the first attempt has them.
 //! - `x-standin-padding: FIRST,NEXT`: bytes that pad the data of each event, of the first attempt
 //!   and of all others, instead of `x-standin-event-bytes`.
 //! - `x-standin-next: KIND`: how all attempts but the first contradict the first one: `status-204`,
@@ -157,11 +162,48 @@
     bytes
 }
 
+/// Bytes around a head, and where the head ends early.
+#[derive(Debug, Clone)]
+struct Frame {
+    before: Vec<u8>,
+    /// Place of the cut, from the start of the head or, below zero, from its end; what is written
+    /// there, and what follows.
+    cut: Option<(isize, Vec<u8>, End)>,
+    line_feeds: bool,
+}
+
+impl Frame {
+    fn read(headers: &http::HeaderMap, end: End) -> Frame {
+        let cut = text(headers, "x-standin-head-cut").parse().ok();
+        Frame {
+            before: decode(text(headers, "x-standin-before")),
+            cut: cut.map(|place| (place, decode(text(headers, "x-standin-then")), end)),
+            line_feeds: text(headers, "x-standin-head-lines") == "lf",
+        }
+    }
+
+    /// Returns the head with the bytes before it, up to the cut.
+    fn apply(&self, head: Vec<u8>) -> Vec<u8> {
+        let mut head = head;
+        if self.line_feeds {
+            head.retain(|byte| *byte != b'\r');
+        }
+        if let Some((place, then, _)) = &self.cut {
+            let length = head.len();
+            let place = place.checked_rem_euclid(length as isize).unwrap_or(0);
+            head.truncate(place as usize);
+            head.extend_from_slice(then);
+        }
+        [&*self.before, &head].concat()
+    }
+}
+
 /// Framing, head and end of a response.
 #[derive(Debug, Clone)]
 pub struct Script {
     framing: Framing,
     head: Option<Head>,
+    frame: Option<Box<Frame>>,
     cut: Option<(Place, usize, End)>,
 }
 
@@ -198,7 +240,8 @@
         let place = place.filter(|_| first);
         let number = text(headers, "x-standin-break").parse().unwrap_or(1);
         let head = Head::read(headers).filter(|_| first);
-        Some(Script { framing, head, cut: place.map(|place| (place, number, end)) })
+        let frame = first.then(|| Box::new(Frame::read(headers, end)));
+        Some(Script { framing, head, frame, cut: place.map(|place| (place, number, end)) })
     }
 
     /// Returns whether the peer receives the head.
@@ -206,9 +249,10 @@
         !matches!(self.cut, Some((Place::BeforeHead | Place::InHead, _, _)))
     }
 
-    /// Returns whether the head is written as given, so that the peer may not use its fields.
+    /// Returns whether the head is written as given or ends early, so that the peer may not use its
+    /// fields.
     pub fn has_given_head(&self) -> bool {
-        self.head.is_some()
+        self.head.is_some() || self.frame.as_ref().is_some_and(|frame| frame.cut.is_some())
     }
 
     /// Writes a response with these pieces of the body, the first of which has the number `first`.
@@ -224,7 +268,14 @@
         (first, pieces): (usize, Vec<Bytes>),
         mut passes: Option<watch::Receiver<u64>>,
     ) -> std::io::Result<()> {
-        let head = self.serialize(head, pieces.iter().map(Bytes::len).sum());
+        let mut head = self.serialize(head, pieces.iter().map(Bytes::len).sum());
+        if let Some(frame) = &self.frame {
+            head = frame.apply(head);
+            if let Some((.., end)) = frame.cut {
+                stream.write_all(&head).await?;
+                return finish(stream, end).await;
+            }
+        }
         match self.cut {
             Some((Place::BeforeHead, _, end)) => return finish(stream, end).await,
             Some((Place::InHead, _, end)) => {
