agent: send no request on the connection of an invalid head

What callers saw: nothing in these plays; the next request went over a connection on which a server had sent a head that was rejected. What else such a server sends is not known, and could be taken for the answer to that request.

Cause: the pool of the HTTP library keeps a connection as soon as the body of its response has ended. A response without a body has ended when its head is read, before the agent rejects the head.

Change: the client of the backend server marks such a connection, and the pool closes it instead of handing it out.

--- a/daemon/src/agent/server.rs
+++ b/daemon/src/agent/server.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use loftcove_intake as intake;
 use loftcove_response::framing::Framing;
@@ -156,24 +156,35 @@
         self.ends.lock().unwrap_or_else(std::sync::PoisonError::into_inner).unreachable = false;
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response. The caller checks the framing of the
+    /// response. If it is invalid, the connection carries no further request.
     ///
     /// # Errors
     ///
     /// Returns [`Error::Connect`] if nothing was sent, and [`Error::Call`] otherwise.
     pub async fn send(
         &self,
-        request: http::Request<Full<Bytes>>,
+        mut request: http::Request<Full<Bytes>>,
     ) -> Result<http::Response<Body>, Error> {
+        let method = request.method().clone();
+        let connection = capture_connection(&mut request);
         let answer = self.http.request(request).await;
         let answer = answer.map_err(|error| match error.is_connect() {
             true => Error::Connect,
             false => Error::Call(error),
         })?;
         self.record_response();
-        let meter = answer.extensions().get::<intake::Meter>().cloned().unwrap_or_default();
+        let (head, body) = answer.into_parts();
+        // The pool may hold the connection already, because a response without a body is complete.
+        if Framing::of(&method, &head).is_err()
+            && let Some(connection) = &*connection.connection_metadata()
+        {
+            connection.poison();
+        }
+        let meter = head.extensions.get::<intake::Meter>().cloned().unwrap_or_default();
         meter.record_use();
-        Ok(answer.map(|body| intake::body::Body::new(body, meter)))
+        let body = intake::body::Body::new(body, meter);
+        Ok(http::Response::from_parts(head, body))
     }
 
     /// Gets a JSON value from a path, within the time limit.
--- a/tests/tests/cut_heads.rs
+++ b/tests/tests/cut_heads.rs
@@ -466,6 +466,10 @@
             Some(kept) => on_kept += usize::from(kept),
             None => wrong.push(format!("{label}\n  not played")),
         }
+        until("the server is used again", || async { call().await.status == 200 }).await;
+        if std::mem::take(&mut server.state.lock().unwrap().reused) {
+            wrong.push(format!("{label}\n  the connection is used again"));
+        }
     }
     let (plays, count) = (plays.len(), wrong.len());
     println!("{name}: {plays} plays, {on_kept} on connections used before, {count} wrong");
@@ -488,3 +492,16 @@
     }
     check_agent("cut heads at agents", &plays).await;
 }
+
+// Guards against a request on a connection whose last response had an invalid head and no body, so
+// that it counted as complete: what the server sends behind such a head is not known.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_sends_no_request_after_an_invalid_head() {
+    let plays = [
+        "HTTP/1.1 204 No Content\r\ncontent-length: 7\r\n\r\n",
+        "HTTP/1.1 600 High\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-type: HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n",
+    ]
+    .map(|head| Play { bytes: head.into(), end: End::Open });
+    check_agent("invalid heads without a body at agents", &plays).await;
+}
