--- a/standins/src/raw.rs
+++ b/standins/src/raw.rs
@@ -18,6 +18,9 @@
 //! - `x-standin-head-lines: lf`: a line feed ends each line of the head.
 //! - `x-standin-before: TEXT` and `x-standin-then: TEXT`: bytes before the head, and after one that
 //!   `x-standin-head-cut` cuts, with `%XX` for a byte. Only the first attempt has them.
+//! - `x-standin-body-cut: N`: the first attempt's response ends N bytes behind its head, as they are on
+//!   the connection, with `x-standin-then` and `x-standin-end`. The pieces wait for no passes.
+//! - `x-standin-trailer: LINE`: a trailer of a response in chunks.
 //! - `x-standin-padding: FIRST,NEXT`: bytes that pad the data of each event, of the first attempt
 //!   and of all others, instead of `x-standin-event-bytes`.
 //! - `x-standin-next: KIND`: how all attempts but the first contradict the first one: `status-204`,
@@ -169,15 +172,20 @@
     /// Place of the cut, from the start of the head or, below zero, from its end; what is written
     /// there, and what follows.
     cut: Option<(isize, Vec<u8>, End)>,
+    /// The same for the body.
+    body_cut: Option<(usize, Vec<u8>, End)>,
     line_feeds: bool,
 }
 
 impl Frame {
     fn read(headers: &http::HeaderMap, end: End) -> Frame {
         let cut = text(headers, "x-standin-head-cut").parse().ok();
+        let body_cut = text(headers, "x-standin-body-cut").parse().ok();
+        let then = || decode(text(headers, "x-standin-then"));
         Frame {
             before: decode(text(headers, "x-standin-before")),
-            cut: cut.map(|place| (place, decode(text(headers, "x-standin-then")), end)),
+            cut: cut.map(|place| (place, then(), end)),
+            body_cut: body_cut.map(|place| (place, then(), end)),
             line_feeds: text(headers, "x-standin-head-lines") == "lf",
         }
     }
@@ -204,6 +212,7 @@
     framing: Framing,
     head: Option<Head>,
     frame: Option<Box<Frame>>,
+    trailer: Box<[u8]>,
     cut: Option<(Place, usize, End)>,
 }
 
@@ -241,7 +250,9 @@
         let number = text(headers, "x-standin-break").parse().unwrap_or(1);
         let head = Head::read(headers).filter(|_| first);
         let frame = first.then(|| Box::new(Frame::read(headers, end)));
-        Some(Script { framing, head, frame, cut: place.map(|place| (place, number, end)) })
+        let trailer = decode(text(headers, "x-standin-trailer")).into();
+        let cut = place.map(|place| (place, number, end));
+        Some(Script { framing, head, frame, trailer, cut })
     }
 
     /// Returns whether the peer receives the head.
@@ -275,6 +286,14 @@
                 stream.write_all(&head).await?;
                 return finish(stream, end).await;
             }
+            if let Some((place, then, end)) = &frame.body_cut {
+                let mut body: Vec<u8> =
+                    pieces.iter().flat_map(|piece| self.encode(piece)).collect();
+                body.extend(self.mark());
+                body.truncate(*place);
+                stream.write_all(&[&*head, &body, then].concat()).await?;
+                return finish(stream, *end).await;
+            }
         }
         match self.cut {
             Some((Place::BeforeHead, _, end)) => return finish(stream, end).await,
@@ -327,20 +346,31 @@
         lines.into_iter().flat_map(|line| [line, b"\r\n".to_vec()].concat()).collect()
     }
 
-    async fn write(&self, stream: &mut TcpStream, data: &[u8]) -> std::io::Result<()> {
+    /// Returns a piece of the body as it is on the connection.
+    fn encode(&self, data: &[u8]) -> Vec<u8> {
         if self.framing != Framing::Chunked || data.is_empty() {
-            return stream.write_all(data).await;
+            return data.to_vec();
         }
         let size = format!("{:x}\r\n", data.len());
-        stream.write_all(&[size.as_bytes(), data, b"\r\n"].concat()).await
+        [size.as_bytes(), data, b"\r\n"].concat()
     }
 
-    async fn write_mark(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+    /// Returns what marks the end of the body.
+    fn mark(&self) -> Vec<u8> {
         match self.framing {
-            Framing::Chunked => stream.write_all(b"0\r\n\r\n").await,
-            Framing::Length | Framing::Close | Framing::Http10 => Ok(()),
+            Framing::Chunked if self.trailer.is_empty() => b"0\r\n\r\n".to_vec(),
+            Framing::Chunked => [b"0\r\n", &*self.trailer, b"\r\n\r\n"].concat(),
+            Framing::Length | Framing::Close | Framing::Http10 => Vec::new(),
         }
     }
+
+    async fn write(&self, stream: &mut TcpStream, data: &[u8]) -> std::io::Result<()> {
+        stream.write_all(&self.encode(data)).await
+    }
+
+    async fn write_mark(&self, stream: &mut TcpStream) -> std::io::Result<()> {
+        stream.write_all(&self.mark()).await
+    }
 }
 
 async fn finish(mut stream: TcpStream, end: End) -> std::io::Result<()> {
--- a/tests/tests/cut_heads.rs
+++ b/tests/tests/cut_heads.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use loftcove_tests::client::{Client, read};
+use loftcove_tests::client::{Client, read, send_http_1_0};
 use loftcove_tests::request::Request;
 use loftcove_tests::system::{Plan, SMS, System};
 use loftcove_tests::{cluster, until, visits};
@@ -299,7 +299,8 @@
 }
 
 // Guards against a head that is cut and taken for a whole one, with an empty or short body: after
-// interim responses, from servers of both versions, with each framing, and as a response to HEAD.
+// interim responses, from servers of both versions and for clients of both, with each framing, and as
+// a response to HEAD.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_response_whose_head_is_cut_at_any_byte_is_not_relayed() {
     let system = System::start_with(PLAN, RETRIES).await;
@@ -312,6 +313,22 @@
             }
         }
     }
+    let address = system.client_address(0);
+    for response in Response::all() {
+        for cut in (0..response.head).step_by(11) {
+            round.server.set(&response.text.as_bytes()[..cut], end(cut));
+            let (text, in_order) = send_http_1_0(address, &Request::new("/receipt/")).await;
+            round.plays += 1;
+            let refused = text.starts_with("HTTP/1.0 502") || text.starts_with("HTTP/1.1 502");
+            let played = round.server.played().is_some();
+            if !refused || !in_order || !text.ends_with("\r\n\r\n") || !played {
+                let name = response.name;
+                round
+                    .wrong
+                    .push(format!("{name} to HTTP/1.0, {cut}: {played} {in_order} {text:?}"));
+            }
+        }
+    }
     round.finish("cut heads, not repeated");
 }
 
@@ -430,6 +447,86 @@
     assert!(wrong.is_empty(), "{} wrong of {plays}:\n{shown}", wrong.len());
 }
 
+/// Returns the body of a stream in chunks with a trailer as it is on the connection, with the place
+/// behind each event, and whether another response may follow at each byte: outside of data, which
+/// it would fill up, and of the trailer's value, behind which the body is whole.
+fn chunks() -> (Vec<u8>, Vec<usize>, Vec<bool>) {
+    let (mut bytes, mut ends, mut follows) = (Vec::new(), Vec::new(), Vec::new());
+    for event in 1..=EVENTS {
+        let text = format!("id: {event}\ndata: piece {event}\n\n");
+        let size = format!("{:x}\r\n", text.len());
+        follows.extend((0..size.len()).map(|place| place > 0));
+        follows.extend(text.bytes().map(|_| false));
+        bytes.extend_from_slice(format!("{size}{text}").as_bytes());
+        ends.push(bytes.len());
+        follows.extend([true, true]);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    let mark = format!("0\r\n{TRAILER}\r\n\r\n");
+    let value = mark.find(':').unwrap();
+    follows.extend((0..mark.len()).map(|place| place > 0 && place <= value));
+    bytes.extend_from_slice(mark.as_bytes());
+    (bytes, ends, follows)
+}
+
+const TRAILER: &str = "x-end: mark";
+
+// Guards against a stream that is cut inside a chunk's size, the end of a chunk or a trailer, and
+// looks complete: at any byte, with another response behind it, and on routes of each kind.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_in_chunks_that_is_cut_at_any_byte_never_looks_complete() {
+    let system = System::start_with(Plan { plain: 2, ..PLAN }, RETRIES).await;
+    system.earn_retries(0).await;
+    let (bytes, ends, follows) = chunks();
+    let events = |count: usize| -> String {
+        (1..=count).map(|event| format!("id: {event}\ndata: piece {event}\n\n")).collect()
+    };
+    let other = OTHERS.map(|text| text.replace("\r\n", "%0d%0a").replace("{id}", "other"));
+    let mut connection = Connection { system: &system, client: None };
+    let (mut plays, mut wrong) = (0, Vec::new());
+    for cut in 0..bytes.len() {
+        let other = &*other[cut % 3];
+        for (end, then) in [("close", ""), ("reset", ""), ("close", other)] {
+            if !then.is_empty() && !follows[cut] {
+                continue;
+            }
+            let whole = ends.iter().filter(|end| **end <= cut).count();
+            for path in ["/receipt/", "/reply/", "/alert/", "/draft/"] {
+                let request = Request::new(path)
+                    .with("x-standin-events", &EVENTS.to_string())
+                    .with("x-standin-framing", "chunked")
+                    .with("x-standin-trailer", TRAILER)
+                    .with("x-standin-body-cut", &cut.to_string())
+                    .with("x-standin-then", then)
+                    .with("x-standin-end", end);
+                let seen = connection.send(&request).await;
+                plays += 1;
+                let seen_as = seen.as_ref().map(|(status, body, whole)| (*status, &**body, *whole));
+                let right = match (path, seen_as) {
+                    ("/receipt/", seen) => seen == Some((502, "", true)),
+                    // A reset may discard what has not been read.
+                    ("/reply/", Some((200, body, false))) => {
+                        let least = if end == "reset" { 0 } else { whole };
+                        (least..=whole).any(|count| body == events(count))
+                    }
+                    ("/reply/", seen) => end == "reset" && seen == Some((502, "", true)),
+                    (_, seen) => seen == Some((200, &*events(EVENTS), true)),
+                };
+                if !right {
+                    wrong.push(format!("{path} {cut} {end} {then}\n  {whole} events\n  {seen:?}"));
+                }
+                let next = connection.send(&Request::new("/draft/")).await;
+                if next.as_ref().is_none_or(|(status, ..)| *status != 200) {
+                    wrong.push(format!("next of {path} {cut} {end} {then}\n  {next:?}"));
+                }
+            }
+        }
+    }
+    println!("streams in chunks that are cut: {plays} plays, {} wrong", wrong.len());
+    let shown = wrong.iter().take(20).cloned().collect::<Vec<_>>().join("\n");
+    assert!(wrong.is_empty(), "{} wrong of {plays}:\n{shown}", wrong.len());
+}
+
 /// Starts an entry host and an agent whose backend server sends the plays.
 async fn start_agent() -> (cluster::Cluster, Server) {
     let zones = vec!["sala-braga"];
