soak: start processes beside the previous one, overlap signals, occupy ports

What was hidden: processes that end at their start.

SIGHUP and SIGTERM are sent once a process handles them. Any exit that was not asked for, and any status but success after a stop, is a breach; processes are looked at every 50 ms. The excuse for ends by SIGHUP (restart_hung_up) is removed. A process that ended by itself is started again, but excuses nothing.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -48,6 +48,13 @@
     /// A process did not exit in time after a planned stop.
     #[error("{0:?} did not exit in time after a planned stop")]
     Overdue(Process),
+    /// A process ended although it was not asked to, or failed after a planned stop. The last lines
+    /// of its log follow.
+    #[error("{0:?} ended by itself: {1}: {2}")]
+    Ended(Process, std::process::ExitStatus, String),
+    /// A process did not handle SIGHUP and SIGTERM within this time.
+    #[error("{0:?} did not handle SIGHUP and SIGTERM within {1:?}")]
+    Unhandled(Process, Duration),
     /// A request that ends servers, or requests with a part that does, reached too many servers
     /// after they had ended the number that users allow.
     #[error("{0} ended {1} servers, and reached {2} more after the first {3}")]
--- a/soak/src/inject.rs
+++ b/soak/src/inject.rs
@@ -1,11 +1,16 @@
 //! Injects faults into a running system.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::os::unix::process::ExitStatusExt as _;
+use std::process::ExitStatus;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use loftcove_tests::system::{SMS, System};
+use tokio::net::{TcpListener, TcpSocket};
 
+use crate::check::Breach;
 use crate::client;
 use crate::plan::{Event, Fault, Harm, Link, Process, Store};
 
@@ -23,6 +28,111 @@
 /// Time within which all gateways reopen their watches after a change.
 const REOPEN_TIME: Duration = Duration::from_millis(500);
 
+/// Interval at which processes are checked for their end.
+const WATCH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Maximum time until a process handles SIGHUP and SIGTERM. It takes milliseconds on an idle
+/// machine.
+const HANDLER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Number of log lines of a process that ended by itself that are part of the breach.
+const LAST_LINES: usize = 3;
+
+/// How a process was asked to exit.
+#[derive(Debug, Clone, Copy)]
+enum Asked {
+    /// By SIGKILL.
+    Kill,
+    /// By SIGTERM, after which it has to exit with success.
+    Stop,
+}
+
+impl Asked {
+    /// Returns whether a process that was asked in this way may exit with a status.
+    fn explains(self, status: ExitStatus) -> bool {
+        match self {
+            Asked::Kill => status.signal() == Some(libc::SIGKILL),
+            Asked::Stop => status.success(),
+        }
+    }
+}
+
+/// A process that ended by itself.
+#[derive(Debug, Clone)]
+pub struct Ended {
+    process: Process,
+    status: ExitStatus,
+    log: loftcove_tests::process::Log,
+}
+
+impl Ended {
+    /// Returns the breach, with the last lines of the log. They may be read only some time after
+    /// the end of the process.
+    pub fn breach(&self) -> Breach {
+        let lines = self.log.lines();
+        let last = &lines[lines.len().saturating_sub(LAST_LINES)..];
+        Breach::Ended(self.process, self.status, last.join(" | "))
+    }
+}
+
+/// The end of a replaced process.
+struct Exit {
+    ended: Ended,
+    asked: Asked,
+    at: Instant,
+    /// Whether it did not exit in time and was killed.
+    overdue: bool,
+}
+
+/// Another user of a port, until it is dropped.
+struct Holder {
+    /// Accepts connections and closes them, or keeps the outgoing connection.
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Holder {
+    /// Uses a port by a listener, or as the local port of an outgoing connection.
+    async fn new(address: SocketAddr, listens: bool) -> std::io::Result<Holder> {
+        let socket = TcpSocket::new_v4()?;
+        // Connections of the killed process may be in TIME-WAIT.
+        socket.set_reuseaddr(true)?;
+        loftcove_tests::until("the port is free", || async { socket.bind(address).is_ok() }).await;
+        if listens {
+            let listener = socket.listen(LISTEN_BACKLOG)?;
+            let task = tokio::spawn(async move {
+                while let Ok(connection) = listener.accept().await {
+                    tokio::time::sleep(CLOSE_DELAY).await;
+                    drop(connection);
+                }
+            });
+            return Ok(Holder { task });
+        }
+        // A connection with this option would not keep others from the port.
+        socket.set_reuseaddr(false)?;
+        // Otherwise the port would be in TIME-WAIT after the connection.
+        socket.set_zero_linger()?;
+        let server = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let stream = socket.connect(server.local_addr()?).await?;
+        let task = tokio::spawn(async move {
+            let _held = (server, stream);
+            std::future::pending::<()>().await;
+        });
+        Ok(Holder { task })
+    }
+}
+
+impl Drop for Holder {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Time until a [`Holder`] closes a connection. Clients connect again at once.
+const CLOSE_DELAY: Duration = Duration::from_millis(20);
+
+/// Maximum number of connections that wait until a [`Holder`] closes them.
+const LISTEN_BACKLOG: u32 = 64;
+
 /// Duration of a fault of a process.
 #[derive(Debug, Clone, Copy)]
 pub struct Span {
@@ -42,14 +152,22 @@
     harmed: BTreeMap<String, Instant>,
     /// Past faults of the links of servers, with their start and end.
     pub harms: Vec<(String, (Instant, Instant))>,
-    /// Processes to which a reload signal was sent, with the time.
-    reloaded: BTreeMap<Process, Instant>,
+    /// Hosts whose current process was asked to exit.
+    asked: BTreeMap<Process, Asked>,
+    /// Waits for the ends of replaced processes.
+    exits: tokio::task::JoinSet<Exit>,
+    /// Other users of ports, by the process that needs them.
+    holders: BTreeMap<Process, Holder>,
     /// Processes that have a fault, with its start and whether it is a planned stop.
     busy: BTreeMap<Process, (Instant, bool)>,
     /// Past faults of processes.
     pub spans: Vec<Span>,
     /// Processes that did not exit in time after a planned stop.
     pub overdue: Vec<Process>,
+    /// Processes that ended by themselves.
+    pub ended: Vec<Ended>,
+    /// Processes that did not handle signals in time.
+    pub unhandled: Vec<Breach>,
     /// Whether the group is broken.
     broken: bool,
     /// Last start of each restarted server by its id, in Unix milliseconds.
@@ -68,11 +186,15 @@
             system,
             shared,
             harmed: BTreeMap::new(),
-            reloaded: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            exits: tokio::task::JoinSet::new(),
+            holders: BTreeMap::new(),
             harms: Vec::new(),
             busy: BTreeMap::new(),
             spans: Vec::new(),
             overdue: Vec::new(),
+            ended: Vec::new(),
+            unhandled: Vec::new(),
             broken: false,
             starts: BTreeMap::new(),
             callers: tokio::task::JoinSet::new(),
@@ -90,8 +212,7 @@
             let begin = next.peek().map(|event| event.at);
             let end = ends.first().map(|(at, _)| *at);
             let Some(at) = begin.into_iter().chain(end).min() else { break };
-            tokio::time::sleep_until((start + at).into()).await;
-            self.restart_hung_up();
+            self.watch_until(start + at).await;
             if end == Some(at) {
                 let (_, fault) = ends.remove(0);
                 self.end(fault).await;
@@ -108,18 +229,38 @@
     /// Begins a fault. Returns whether it must be ended later.
     async fn begin(&mut self, fault: Fault) -> bool {
         match fault {
-            Fault::Kill(process) | Fault::Pause(process) | Fault::Stop(process) => {
+            Fault::Kill(process)
+            | Fault::Pause(process)
+            | Fault::Replace(process)
+            | Fault::Early(process) => {
                 if self.busy.contains_key(&process) {
                     return false;
                 }
-                let planned = matches!(fault, Fault::Stop(_));
-                self.busy.insert(process, (Instant::now(), planned));
+                self.busy.insert(process, (Instant::now(), false));
                 match fault {
-                    Fault::Kill(_) => self.process(process).kill().await,
+                    Fault::Kill(_) => self.kill(process).await,
                     Fault::Pause(_) => self.process(process).signal(libc::SIGSTOP),
-                    _ => self.process(process).signal(libc::SIGTERM),
+                    Fault::Replace(_) => {
+                        self.watch();
+                        self.process(process).signal(libc::SIGKILL);
+                        self.replace(process, Asked::Kill);
+                        return false;
+                    }
+                    _ => {
+                        self.kill(process).await;
+                        self.restart(process);
+                        self.reload(process).await;
+                    }
                 }
             }
+            Fault::Stop(process) | Fault::Overlap(process) => return self.stop(process).await,
+            Fault::Occupy { process, port, listens } => {
+                if self.busy.contains_key(&process) || self.holders.contains_key(&process) {
+                    return false;
+                }
+                self.busy.insert(process, (Instant::now(), false));
+                self.occupy(process, port, listens).await;
+            }
             Fault::Freeze(rank) => {
                 let process = Process::Sidecar(rank);
                 if self.busy.contains_key(&process) {
@@ -132,8 +273,7 @@
             }
             Fault::Reload(process) => {
                 if !self.busy.contains_key(&process) {
-                    self.process(process).signal(libc::SIGHUP);
-                    self.reloaded.insert(process, Instant::now());
+                    self.reload(process).await;
                 }
                 return false;
             }
@@ -235,6 +375,15 @@
                 self.finish(process);
             }
             Fault::Stop(process) => self.await_stop(process).await,
+            Fault::Overlap(process) => self.overlap(process).await,
+            Fault::Early(process) => {
+                if self.stop(process).await {
+                    self.overlap(process).await;
+                }
+            }
+            Fault::Occupy { process, .. } => {
+                self.holders.remove(&process);
+            }
             Fault::Freeze(rank) => {
                 let process = Process::Sidecar(rank);
                 self.process(process).signal(libc::SIGCONT);
@@ -269,6 +418,7 @@
             }
             Fault::Break
             | Fault::Reload(_)
+            | Fault::Replace(_)
             | Fault::Shift(_)
             | Fault::Silence(_)
             | Fault::Poison { .. }
@@ -314,21 +464,141 @@
         }
     }
 
-    /// Restarts processes that the reload signal (SIGHUP) ended, as the platform does. The signal
-    /// ends a process that has not installed its signal handlers yet. A process that exits for any
-    /// other reason is not restarted, and the checks at the end of the run detect it.
-    fn restart_hung_up(&mut self) {
-        let reloaded: Vec<(Process, Instant)> =
-            self.reloaded.iter().map(|(process, since)| (*process, *since)).collect();
-        for (process, since) in reloaded {
-            let hung_up = self.process(process).exit_signal() == Some(libc::SIGHUP);
-            if hung_up && !self.busy.contains_key(&process) {
-                self.busy.insert(process, (since, false));
-                self.restart(process);
+    /// Detects processes that ended by themselves and restarts them, as the platform does, and
+    /// records the ends of replaced processes.
+    fn watch(&mut self) {
+        let asked = self.asked.keys().copied().collect();
+        self.ended.extend(restart_ended(self.system, &asked));
+        while let Some(exit) = self.exits.try_join_next() {
+            self.record_exit(exit.expect("no task that waits for a process panics"));
+        }
+    }
+
+    /// Watches the processes until a time.
+    async fn watch_until(&mut self, until: Instant) {
+        loop {
+            self.watch();
+            let now = Instant::now();
+            if now >= until {
+                return;
+            }
+            tokio::time::sleep_until(until.min(now + WATCH_INTERVAL).into()).await;
+        }
+    }
+
+    fn record_exit(&mut self, exit: Exit) {
+        let Exit { ended, asked, at, overdue } = exit;
+        if overdue {
+            self.overdue.push(ended.process);
+        } else if !asked.explains(ended.status) {
+            self.ended.push(ended.clone());
+        }
+        self.finish_at(ended.process, at);
+    }
+
+    /// Kills a process, which the caller restarts, and waits until it has exited.
+    async fn kill(&mut self, process: Process) {
+        self.watch();
+        self.process(process).kill().await;
+        self.asked.insert(process, Asked::Kill);
+        self.record_status(process);
+    }
+
+    /// Records a process that has exited, unless it was asked to exit in this way.
+    fn record_status(&mut self, process: Process) {
+        let asked = self.asked.get(&process).copied();
+        let child = self.process(process);
+        let log = child.log_handle();
+        let Some(status) = child.exit_status() else { return };
+        if !asked.is_some_and(|asked| asked.explains(status)) {
+            self.ended.push(Ended { process, status, log });
+        }
+    }
+
+    /// Starts the next process without waiting for the end of the current one, which was asked to
+    /// exit. The fault ends when the current one has exited.
+    fn replace(&mut self, process: Process, asked: Asked) {
+        let mut replaced = match process {
+            Process::Gateway(number) => self.system.replace_gateway(number),
+            Process::Sidecar(rank) => self.system.replace_sidecar(rank),
+        };
+        self.asked.remove(&process);
+        self.exits.spawn(async move {
+            let exit = tokio::time::timeout(STOP_TIMEOUT, replaced.wait_status()).await;
+            let overdue = exit.is_err();
+            let status = match exit {
+                Ok(status) => status,
+                Err(_) => {
+                    replaced.signal(libc::SIGKILL);
+                    replaced.wait_status().await
+                }
+            };
+            let ended = Ended { process, status, log: replaced.log_handle() };
+            Exit { ended, asked, at: Instant::now(), overdue }
+        });
+    }
+
+    /// Waits until a process handles signals, and returns whether it does. By default they end a
+    /// process, and a program cannot prevent that before its own code runs.
+    async fn handles_signals(&mut self, process: Process) -> bool {
+        let start = Instant::now();
+        loop {
+            let child = self.process(process);
+            if child.handles(libc::SIGHUP) && child.handles(libc::SIGTERM) {
+                return true;
             }
+            if child.exit_status().is_some() {
+                return false;
+            }
+            if start.elapsed() > HANDLER_TIMEOUT {
+                self.unhandled.push(Breach::Unhandled(process, start.elapsed()));
+                return false;
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
         }
     }
 
+    /// Sends the signal to reload the settings as soon as a process handles it.
+    async fn reload(&mut self, process: Process) {
+        if self.handles_signals(process).await {
+            self.process(process).signal(libc::SIGHUP);
+        }
+    }
+
+    /// Starts the next process while the current one, which has received SIGTERM, stops. Both
+    /// receive the signal to reload their settings.
+    async fn overlap(&mut self, process: Process) {
+        self.process(process).signal(libc::SIGHUP);
+        self.replace(process, Asked::Stop);
+        self.reload(process).await;
+    }
+
+    /// Begins a planned stop. Returns `false` if the process has a fault.
+    async fn stop(&mut self, process: Process) -> bool {
+        self.watch();
+        if self.busy.contains_key(&process) || !self.handles_signals(process).await {
+            return false;
+        }
+        self.busy.insert(process, (Instant::now(), true));
+        self.asked.insert(process, Asked::Stop);
+        self.process(process).signal(libc::SIGTERM);
+        true
+    }
+
+    /// Restarts a killed process while one of its ports is in use, until [`Injector::end`].
+    async fn occupy(&mut self, process: Process, port: u8, listens: bool) {
+        self.kill(process).await;
+        let addresses = match process {
+            Process::Gateway(number) => self.system.gateway_addresses(number).to_vec(),
+            Process::Sidecar(rank) => self.system.sidecar_addresses(rank).to_vec(),
+        };
+        let address = addresses[usize::from(port) % addresses.len()];
+        let holder =
+            Holder::new(address, listens).await.expect("the port of a killed process is free");
+        self.holders.insert(process, holder);
+        self.restart(process);
+    }
+
     /// Makes all gateways lose their watches at once. The store does not answer when they reopen
     /// their watches after a new configuration, and open connections to it are silenced.
     async fn lose_watches(&mut self) {
@@ -344,7 +614,10 @@
     /// which all gateways must apply in time.
     async fn end_all(&mut self) {
         while self.callers.join_next().await.is_some() {}
-        self.restart_hung_up();
+        while let Some(exit) = self.exits.join_next().await {
+            self.record_exit(exit.expect("no task that waits for a process panics"));
+            self.watch();
+        }
         self.relist().await;
         self.system.link("*", "none").await;
         self.lose_watches().await;
@@ -429,29 +702,58 @@
             if Instant::now() > end {
                 self.overdue.push(process);
                 self.process(process).kill().await;
+                self.asked.insert(process, Asked::Kill);
                 break;
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
+            self.watch();
         }
+        self.record_status(process);
         self.restart(process);
     }
 
     fn restart(&mut self, process: Process) {
-        match process {
-            Process::Gateway(number) => self.system.start_gateway(number),
-            Process::Sidecar(rank) => self.system.start_sidecar(rank),
-        }
+        start(self.system, process);
+        self.asked.remove(&process);
         self.finish(process);
     }
 
     /// Records the end of the fault of a process.
     fn finish(&mut self, process: Process) {
+        self.finish_at(process, Instant::now());
+    }
+
+    fn finish_at(&mut self, process: Process, end: Instant) {
         if let Some((since, planned)) = self.busy.remove(&process) {
-            self.spans.push(Span { process, time: (since, Instant::now()), planned });
+            self.spans.push(Span { process, time: (since, end), planned });
         }
     }
 }
 
+/// Starts the next process of a host.
+fn start(system: &mut System, process: Process) {
+    match process {
+        Process::Gateway(number) => system.start_gateway(number),
+        Process::Sidecar(rank) => system.start_sidecar(rank),
+    }
+}
+
+/// Restarts the processes that have exited, except those that were asked to, and returns them.
+pub fn restart_ended(system: &mut System, asked: &BTreeSet<Process>) -> Vec<Ended> {
+    let gateways = system.gateways.iter_mut().zip(0..);
+    let gateways = gateways.map(|(child, number)| (Process::Gateway(number), child));
+    let sidecars = system.sidecars.iter_mut().zip(0..);
+    let sidecars = sidecars.map(|(child, rank)| (Process::Sidecar(rank), child));
+    let not_asked = gateways.chain(sidecars).filter(|(process, _)| !asked.contains(process));
+    let ended = not_asked.filter_map(|(process, child)| {
+        let status = child.exit_status()?;
+        Some(Ended { process, status, log: child.log_handle() })
+    });
+    let ended: Vec<Ended> = ended.collect();
+    ended.iter().for_each(|ended| start(system, ended.process));
+    ended
+}
+
 /// Writes the entries of all plain servers with the times of their starts, so that each later start
 /// counts as another run.
 pub async fn write_starts(system: &System) {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -63,6 +63,20 @@
 /// Value like [`SILENCE_SEED`] for these spans.
 const ENDING_SEED: u64 = 0x62;
 
+/// Mean time between two restarts that overlap with the previous process, signals or other users of
+/// the ports.
+const START_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Value like [`SILENCE_SEED`] for these restarts.
+const START_SEED: u64 = 0x74;
+/// Range of the time from SIGTERM to the start of the next process. A gateway that is idle stops
+/// for seconds, and a sidecar for milliseconds.
+const GATEWAY_OVERLAP_MS: std::ops::Range<u64> = 0..2_500;
+const SIDECAR_OVERLAP_MS: std::ops::Range<u64> = 0..30;
+/// Range of the time from the start of a process to SIGTERM.
+const EARLY_STOP_MS: std::ops::Range<u64> = 0..300;
+/// Range of the time from the start of a process until another user of its port releases it.
+const OCCUPIED_MS: std::ops::Range<u64> = 100..900;
+
 /// Position of the layer number in the seed of a layer. It is above the bits of the seeds that the
 /// command line draws, and above those of the XORed values such as [`SILENCE_SEED`].
 const LAYER_SHIFT: u32 = 40;
@@ -145,6 +159,24 @@
     Pause(Process),
     /// A planned stop. The process is restarted after it has exited.
     Stop(Process),
+    /// A process is killed, and the next one starts without waiting for the end of the killed one.
+    Replace(Process),
+    /// A planned stop. The next process starts while the stop lasts, and both receive the signal to
+    /// reload their settings.
+    Overlap(Process),
+    /// A process is killed and restarted. The new one receives the signal to reload its settings
+    /// as soon as it handles it, and soon after that is stopped as in [`Fault::Overlap`].
+    Early(Process),
+    /// A process is killed and restarted while another program uses one of its ports.
+    Occupy {
+        /// The process.
+        process: Process,
+        /// Index of the port among those of the process, modulo their number.
+        port: u8,
+        /// Whether the other program listens on the port. Otherwise, it is the local port of an
+        /// outgoing connection.
+        listens: bool,
+    },
     /// A host freezes: its sidecar is suspended, and its engine is unreachable.
     Freeze(u8),
     /// A process receives the signal to reload its settings.
@@ -245,6 +277,10 @@
             Fault::Kill(_) => "kill",
             Fault::Pause(_) => "pause",
             Fault::Stop(_) => "stop",
+            Fault::Replace(_) => "replace",
+            Fault::Overlap(_) => "overlap",
+            Fault::Early(_) => "early",
+            Fault::Occupy { .. } => "occupy",
             Fault::Freeze(_) => "freeze",
             Fault::Reload(_) => "reload",
             Fault::Server { .. } => "server-link",
@@ -293,6 +329,7 @@
     events.extend(losses(seed, size));
     events.extend(endings(seed, size));
     events.extend(parts(seed, size));
+    events.extend(starts(seed, size));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -398,6 +435,33 @@
     (0..count).map(&mut event).collect()
 }
 
+/// Draws restarts that overlap with the previous process, signals or other users of the ports.
+fn starts(seed: u64, size: &Size) -> Vec<Event> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ START_SEED);
+    let count = (size.time.as_secs_f64() / START_INTERVAL.as_secs_f64()).ceil() as usize;
+    let mut events = Vec::new();
+    for _ in 0..count {
+        let at = size.time.mul_f64(rng.random_range(0.0..1.0));
+        let process = process(&mut rng, size);
+        let overlap_ms = match process {
+            Process::Gateway(_) => GATEWAY_OVERLAP_MS,
+            Process::Sidecar(_) => SIDECAR_OVERLAP_MS,
+        };
+        let (fault, ms) = match rng.random_range(0..4) {
+            0 => (Fault::Replace(process), 0..1),
+            1 => (Fault::Overlap(process), overlap_ms),
+            2 => (Fault::Early(process), EARLY_STOP_MS),
+            _ => {
+                let (port, listens) = (rng.random_range(0..4), rng.random_bool(0.5));
+                (Fault::Occupy { process, port, listens }, OCCUPIED_MS)
+            }
+        };
+        let lasts = Duration::from_millis(rng.random_range(ms));
+        events.push(Event { at, lasts, fault });
+    }
+    events
+}
+
 /// Draws spans in which servers end responses early.
 fn endings(seed: u64, size: &Size) -> Vec<Event> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ ENDING_SEED);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! Runs one seed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -87,6 +87,7 @@
     let mut injector = Injector::new(&mut system, &shared);
     injector.run(&events).await;
     let (spans, harms, overdue) = (injector.spans, injector.harms, injector.overdue);
+    let (mut ended, unhandled) = (injector.ended, injector.unhandled);
     let not_applied = await_configuration(&system, &shared).await;
     let failing = await_recovery(&system, &shared).await;
     shared.stop.store(true, Ordering::Relaxed);
@@ -95,6 +96,8 @@
     }
     sender.await.expect("no sender panics");
     crowds.await.expect("no crowd panics");
+    // No process was asked to exit since the end of the faults.
+    ended.extend(inject::restart_ended(&mut system, &BTreeSet::new()));
     let records =
         std::mem::take(&mut *shared.records.lock().expect("no holder of the records panics"));
     let answered = |record: &&client::Record| matches!(&record.end, client::End::Answer { head, whole: true, .. } if head.status == 200);
@@ -114,6 +117,8 @@
     let mut breaches = evidence.breaches();
     breaches.extend(evidence.overspent(system.retries));
     breaches.extend(overdue.into_iter().map(Breach::Overdue));
+    breaches.extend(unhandled);
+    breaches.extend(ended.iter().map(inject::Ended::breach));
     breaches.extend(not_applied);
     breaches.extend(oversized(&system));
     breaches.extend(poisoned);
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
+use std::process::{ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -270,6 +270,25 @@
         std::os::unix::process::ExitStatusExt::signal(&status)
     }
 
+    /// Returns the exit status of the process, or `None` if it has not exited.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("the program can be waited for")
+    }
+
+    /// Waits until the process exits, and returns its exit status.
+    pub async fn wait_status(&mut self) -> ExitStatus {
+        self.child.wait().await.expect("the program can be waited for")
+    }
+
+    /// Returns whether the process has a handler for a signal.
+    pub fn handles(&self, signal: i32) -> bool {
+        let Some(id) = self.child.id() else { return false };
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let mask = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let mask = mask.and_then(|text| u64::from_str_radix(text.trim(), 16).ok());
+        mask.is_some_and(|mask| mask & (1 << (signal - 1)) != 0)
+    }
+
     /// Kills the process and waits until it has exited.
     pub async fn kill(&mut self) {
         self.child.kill().await.expect("the program can be killed");
