decision: accept any positive rate of cold servers

What callers saw: nothing yet; found by reading. A configuration whose cold_per_s is far below one request in a lifetime (1e-30, say) would end the gateway's task that applies configurations and lists of servers, and the gateway would go on with the state of that moment.

Cause: the reciprocal of the rate was converted by a function that panics if the result is no duration, and was multiplied by the number of gateways.

Evidence: any_positive_rate_gives_a_schedule panicked before, and passes now. It tests the function; no gateway was run with such a configuration.

--- a/decision/src/routing/warmup.rs
+++ b/decision/src/routing/warmup.rs
@@ -24,6 +24,10 @@
     pub rate: f64,
 }
 
+/// Longest time between two turns of all gateways. A longer one cannot always be represented, and
+/// servers are cold for less.
+const LONGEST_STEP: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// The turns of one gateway at a backend server that is cold.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Schedule {
@@ -40,7 +44,8 @@
     /// Returns a schedule that starts at `now`. `hash` differs between servers, so that a
     /// gateway's turns at several servers do not coincide.
     pub fn new(cold: Cold, share: Share, hash: u64, now: clock::Instant) -> Schedule {
-        let step = Duration::from_secs_f64(1.0 / cold.rate);
+        let step = Duration::try_from_secs_f64(1.0 / cold.rate);
+        let step = step.map_or(LONGEST_STEP, |step| step.min(LONGEST_STEP));
         let gateways = u64::from(share.of.max(1));
         let place = (u64::from(share.number) + hash % gateways) % gateways;
         Schedule {
--- a/decision/tests/warmup.rs
+++ b/decision/tests/warmup.rs
@@ -82,3 +82,14 @@
     assert!(!schedule.admits(BEGIN));
     assert!(schedule.admits(BEGIN + COLD));
 }
+
+/// Guards against a panic of the task that applies the configuration, because the reciprocal of a
+/// configured rate is no duration.
+#[test]
+fn any_positive_rate_gives_a_schedule() {
+    for rate in [f64::MIN_POSITIVE, 5e-324, 1e-30, 1e-19, 1e300, f64::MAX] {
+        let cold = Cold { until: BEGIN + COLD, rate };
+        let schedule = Schedule::new(cold, Share { number: 299, of: 300 }, 7, BEGIN);
+        assert!(!schedule.admits(BEGIN) || rate > 1.0, "{rate}");
+    }
+}
