sidecar: accept any pass number and any bandwidth

What callers saw: nothing yet; found by reading. The driver of a group would end by a panic if an engine's pass number grew by a multiple of 2^32 between two reports, or if the configured bandwidth and size of an expert give no duration.

Cause: the difference of two pass numbers was truncated to 32 bits, zero among the results, before a division by it. Dividing the size by the bandwidth was converted by a function that panics if the result is no duration.

Change: the difference saturates, and the time to copy an expert is at most an hour, at which no change pays off.

--- a/sidecar/src/plan.rs
+++ b/sidecar/src/plan.rs
@@ -165,10 +165,15 @@
     }
 }
 
+/// Longest time to copy one expert. No change of the map pays off at this time, and the time of many
+/// copies can still be represented.
+const LONGEST_COPY_TIME: Duration = Duration::from_secs(60 * 60);
+
 /// Returns the time that a rank takes to copy one expert.
 fn copy_time(engine: &route::Engine, experts: &route::Experts) -> Duration {
     if engine.copy_mbps <= 0.0 {
         return DEFAULT_COPY_TIME;
     }
-    Duration::from_secs_f64(experts.size_mb * BITS_PER_BYTE / engine.copy_mbps)
+    let time = Duration::try_from_secs_f64(experts.size_mb * BITS_PER_BYTE / engine.copy_mbps);
+    time.map_or(LONGEST_COPY_TIME, |time| time.min(LONGEST_COPY_TIME))
 }
--- a/sidecar/src/state.rs
+++ b/sidecar/src/state.rs
@@ -104,7 +104,8 @@
         if let Some((before, at)) = self.last_pass
             && pass > before
         {
-            self.pass_time = now.saturating_duration_since(at) / (pass - before) as u32;
+            let passes = u32::try_from(pass - before).unwrap_or(u32::MAX);
+            self.pass_time = now.saturating_duration_since(at) / passes;
         }
         self.last_pass = Some((pass, now));
     }
@@ -161,7 +162,7 @@
     /// Records a report and the driver's term. Returns whether this rank has held back the group's
     /// next pass for too long under this driver.
     pub fn observe(&mut self, report: &engine::Report, term: u64) -> bool {
-        let held = report.held == Some(report.pass + 1);
+        let held = report.held == Some(report.pass.saturating_add(1));
         let moved = report.pass != self.pass;
         if let Some(since) = self.since.filter(|_| moved) {
             let decayed = self.pass_time.mul_f64(PASS_TIME_DECAY);
