sidecar, daemon: keep the map if a search gets no thread

What callers saw: a group without a driver, for as long as the process ran, after the operating system refused the driver's sidecar a thread. By reading: the renewal of the lease went on without the driver, so that no other rank stood.

Cause: spawn_blocking panics if the thread is refused and no other thread of its kind exists. The panic ended the task of the driver.

Change: startup::threads::run creates a thread for the search and returns an error if it is refused, as if the search had found nothing: it is repeated after a second. The policy of an entry host's groups is run in the same way; that place has no test.

--- a/daemon/src/entry/drive.rs
+++ b/daemon/src/entry/drive.rs
@@ -18,6 +18,7 @@
 use loftcove_decision::placement::{cost, layout, load, policy};
 use loftcove_platform::key;
 use loftcove_platform::store::{self, Store as _};
+use loftcove_startup::threads;
 use loftcove_wire as wire;
 
 use crate::entry::{Entry, dispatcher};
@@ -251,7 +252,7 @@
         skew: f64,
     ) -> Option<layout::Layout> {
         let (entry, name) = (self.entry.clone(), self.name.clone());
-        let decision = tokio::task::spawn_blocking(move || {
+        let decision = threads::run(move || {
             let health = cost::Health::healthy(current.shape.ranks);
             let mut groups = entry.groups.lock();
             let group = groups.entry(name).or_default();
@@ -260,7 +261,7 @@
             let observation = policy::Observation { load: &load, health: &health };
             group.policy.decide(observation, &current)
         });
-        // If the policy panics, the map stays.
+        // If the policy panics, or its thread is refused, the map stays.
         decision.await.unwrap_or(None)
     }
 
--- a/sidecar/src/plan.rs
+++ b/sidecar/src/plan.rs
@@ -7,6 +7,7 @@
 use loftcove_decision::placement::stage::{self, Stage, Times};
 use loftcove_decision::route;
 use loftcove_interface::engine::Map;
+use loftcove_startup::threads;
 
 use crate::state::State;
 
@@ -86,7 +87,7 @@
         return None;
     }
     let times = task.times;
-    let stage = match tokio::task::spawn_blocking(move || task.search()).await {
+    let stage = match threads::run(move || task.search()).await {
         Ok(stage) => stage,
         Err(error) => {
             log::error!("map search failed error=\"{error}\"");
--- a/startup/src/threads.rs
+++ b/startup/src/threads.rs
@@ -1,12 +1,15 @@
 //! Threads that the operating system may refuse for a while.
 //!
-//! The libraries' functions panic if a thread is refused, which ends the process at its start.
+//! The library's functions panic if a thread is refused, which ends the process at its start, or a
+//! task that it needs while it runs.
 
 use std::io;
 use std::sync::mpsc;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use tokio::sync::oneshot;
+
 use crate::signals;
 
 /// Longest time for which a process waits for its threads before it fails.
@@ -90,3 +93,17 @@
     }
     result
 }
+
+/// Runs `work`, which takes long, on a thread of its own.
+///
+/// # Errors
+///
+/// Returns an error if the thread is refused or `work` panics.
+pub async fn run<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static) -> io::Result<T> {
+    let (sender, receiver) = oneshot::channel();
+    thread::Builder::new().spawn(move || {
+        // If nobody waits any more, the result is not needed.
+        sender.send(work()).map_err(drop).unwrap_or_default();
+    })?;
+    receiver.await.map_err(|_| io::Error::other("the thread panicked"))
+}
