sidecar: replace a driver that panics

Cause: nothing waited for the end of the driver's task, and its own tasks, which renew the lease and publish the record, outlived it.

Change: drive::run replaces a driver that panics after 1 s, logs it and counts it (loftcove_driver_failed). Its tasks end with it. The process does not end: the sidecar also serves the orders for its engine, which are not affected, and a new driver shares no state with the one that failed.

--- a/sidecar/src/drive.rs
+++ b/sidecar/src/drive.rs
@@ -16,6 +16,7 @@
 use loftcove_mirror::{Mirror, catalog};
 use loftcove_settings::gateway as settings;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use crate::broadcast::Source;
 use crate::election::{self, Term};
@@ -57,6 +58,28 @@
 /// one, which takes the store and its watchers some 50 ms.
 const ELECTION_STAGGER: Duration = Duration::from_millis(40);
 
+/// Time until a driver that panicked is replaced.
+const RESTART_DELAY: Duration = Duration::from_secs(1);
+
+/// Runs a driver until it is stopped. A driver that panics is replaced: the engine beside it, which
+/// the process continues to serve, is not affected.
+pub async fn run<P: Protocol, S: Store, E: Engine>(
+    dependencies: impl Fn() -> Dependencies<S, E> + Send,
+    stop: watch::Receiver<bool>,
+) {
+    loop {
+        let Dependencies { metrics, .. } = dependencies();
+        let driver = Driver::<P, S, E>::new(dependencies());
+        let mut task = JoinSet::new();
+        task.spawn(driver.run(stop.clone()));
+        let Some(Err(error)) = task.join_next().await else { return };
+        log::error!("driver failed error=\"{error}\" next=restart");
+        metrics.failed.inc();
+        metrics.driving.set(0);
+        tokio::time::sleep(RESTART_DELAY).await;
+    }
+}
+
 /// Dependencies of a driver.
 pub struct Dependencies<S, E> {
     /// Rank of the engine beside the driver.
@@ -206,18 +229,17 @@
         let (mirror, store) = (self.mirror.clone(), self.store.clone());
         let name: Arc<str> = group.into();
         let renewals = Arc::new(election::Renewals::default());
-        let renewal = tokio::spawn({
+        // The tasks end with the driver, also if it panics. A lease that is renewed without a driver
+        // would leave the group without one.
+        let mut tasks = JoinSet::new();
+        let renewal = tasks.spawn({
             let (renewals, run) = (renewals.clone(), self.name.clone());
             async move {
                 election::renew(&*store, &mirror, &name, &run, term, &renewals).await;
             }
         });
         self.wanted.send_replace(None);
-        let publisher = tokio::spawn(publish::run(
-            self.mirror.clone(),
-            self.store.clone(),
-            self.wanted.subscribe(),
-        ));
+        tasks.spawn(publish::run(self.mirror.clone(), self.store.clone(), self.wanted.subscribe()));
         let mut state = State::default();
         while !renewal.is_finished() && !*stop.borrow() {
             let renewed = tokio::time::timeout(RENEWAL_TIMEOUT, renewals.check()).await;
@@ -234,8 +256,7 @@
             }
             tokio::time::sleep(INTERVAL.saturating_sub(begun.elapsed())).await;
         }
-        publisher.abort();
-        renewal.abort();
+        tasks.abort_all();
         self.metrics.slow_ranks.set(0);
     }
 
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -75,15 +75,16 @@
     let group = group::Group::new(settings.engine.address, port, Box::new(connect));
     let group = Arc::new(group);
     let service = (rank.clone(), group.clone());
-    let driver = drive::Driver::<P, S, E>::new(drive::Dependencies {
-        rank,
-        mirror,
-        store: Arc::new(store),
-        settings: settings.clone(),
-        group,
-        metrics,
-    });
     log::info!("started host={} engine={}", host.name, settings.engine.address);
+    let store = Arc::new(store);
+    let dependencies = move || drive::Dependencies {
+        rank: rank.clone(),
+        mirror: mirror.clone(),
+        store: store.clone(),
+        settings: settings.clone(),
+        group: group.clone(),
+        metrics: metrics.clone(),
+    };
     let (stop, mut stopped) = tokio::sync::watch::channel(false);
     let (listens, mut listening) = tokio::sync::watch::channel(false);
     let mut driver = tokio::spawn(async move {
@@ -96,7 +97,7 @@
         listens.send_replace(true);
         let (rank, group) = service;
         tokio::spawn(serve(rank, group, listener));
-        driver.run(stopped).await;
+        drive::run::<P, S, E>(dependencies, stopped).await;
     });
     let address = settings.peering.peer_address;
     let moved = async {
--- a/sidecar/src/metrics.rs
+++ b/sidecar/src/metrics.rs
@@ -21,6 +21,8 @@
     pub elected: Counter,
     /// Drivers that this sidecar deposed because they left their group held.
     pub deposed: Counter,
+    /// Drivers of this sidecar that panicked and were replaced.
+    pub failed: Counter,
     /// Slow ranks of the group that this sidecar drives.
     pub slow_ranks: Gauge,
     /// Maps that the group switched to.
@@ -40,6 +42,7 @@
             driving: Gauge::default(),
             elected: Counter::default(),
             deposed: Counter::default(),
+            failed: Counter::default(),
             slow_ranks: Gauge::default(),
             switched: Counter::default(),
             abandoned: Counter::default(),
@@ -56,6 +59,8 @@
         let mut registry = Registry::with_prefix("loftcove");
         registry.register("driving", "Whether this sidecar drives", self.driving.clone());
         registry.register("elected", "Terms elected for", self.elected.clone());
+        let failed = "Drivers that panicked and were replaced";
+        registry.register("driver_failed", failed, self.failed.clone());
         registry.register("deposed", "Drivers deposed", self.deposed.clone());
         registry.register("slow_ranks", "Slow ranks of the driven group", self.slow_ranks.clone());
         registry.register("map_switched", "Maps gone over to", self.switched.clone());
