sidecar, gateway: join the restart of a driver with the wait for addresses

The parts were made beside each other: the driver's dependencies no longer move the settings that the wait for the address needs, and the future of a run can be moved between threads, as the new test of a panicking driver does. No change of behaviour.

--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -287,10 +287,11 @@
     let address = gateway.settings.listen.client_address;
     let read = || Some(settings::Gateway::read(file).ok()?.listen.client_address);
     let mut listening = gateway.lifecycle.listening();
+    // The sender lives as long as the process.
+    let listens = async { listening.wait_for(|listening| *listening).await.map(drop) };
     tokio::select! {
         biased;
-        // The sender lives as long as the process.
-        _ = listening.wait_for(|listening| *listening) => std::future::pending().await,
+        _ = listens => std::future::pending().await,
         () = listen::moved(address, read) => {}
     }
 }
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -71,8 +71,8 @@
     let metrics: Arc<metrics::Metrics> = Arc::default();
     tokio::spawn(metrics::serve(metrics.clone(), metrics_listener));
     let rank = Arc::new(rank::Rank::new(connect(settings.engine.address)));
-    let port = settings.peering.peer_address.port();
-    let group = group::Group::new(settings.engine.address, port, Box::new(connect));
+    let address = settings.peering.peer_address;
+    let group = group::Group::new(settings.engine.address, address.port(), Box::new(connect));
     let group = Arc::new(group);
     let service = (rank.clone(), group.clone());
     log::info!("started host={} engine={}", host.name, settings.engine.address);
@@ -99,12 +99,13 @@
         tokio::spawn(serve(rank, group, listener));
         drive::run::<P, S, E>(dependencies, stopped).await;
     });
-    let address = settings.peering.peer_address;
     let moved = async {
         let read = || Some(settings::Sidecar::read(file).ok()?.peering.peer_address);
+        // An error means that the driver's task has ended, which keeps the address.
+        let listens = async { listening.wait_for(|listening| *listening).await.map(drop) };
         tokio::select! {
             biased;
-            _ = listening.wait_for(|listening| *listening) => std::future::pending().await,
+            _ = listens => std::future::pending().await,
             () = listen::moved(address, read) => {}
         }
     };
--- a/sidecar/tests/panics.rs
+++ b/sidecar/tests/panics.rs
@@ -87,7 +87,7 @@
     std::fs::write(&file, text).unwrap();
     let settings = settings::Sidecar::read(&file).unwrap();
     let reports = Arc::new(AtomicU32::new(0));
-    let signals = signals::Signals::install().unwrap();
+    let signals = signals::Signals::install().unwrap().receiver().unwrap();
     let connect = {
         let reports = reports.clone();
         move |_| Panicking(reports.clone())
