gateway, sidecar: log and count panics

What callers saw: a gateway or a sidecar one of whose tasks had ended by a panic did less than it should, and neither its log nor its metrics told of it; the panic was on standard error only, and a reader of that which takes nothing blocked the thread.

Cause: nothing waits for the end of most tasks, and the library's hook writes to standard error.

No panic of a gateway's task is known that a test of processes could cause.

Change: panics::install counts panics (loftcove_panics_total) and appends a line to the log's buffer, not through the logger, whose lock the thread that panics may hold.

--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -1,7 +1,7 @@
 //! Initializes logging.
 
 use loftcove_settings::file;
-use loftcove_startup::{signals, threads};
+use loftcove_startup::{panics, signals, threads};
 
 use crate::{explain, sink};
 
@@ -43,5 +43,7 @@
     let sink = sink::Sink::default();
     // Only a second initialization fails, and each process initializes logging once.
     simplelog::WriteLogger::init(filter(level), config(), sink.clone()).unwrap_or_default();
+    let lines = sink.clone();
+    panics::install(move |line| lines.append(line.as_bytes()));
     threads::start(signals, "log", || sink.spawn())
 }
--- a/daemon/src/sink.rs
+++ b/daemon/src/sink.rs
@@ -34,6 +34,16 @@
         self.buffer.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    /// Appends a line, or a part of one, to the buffer.
+    pub fn append(&self, line: &[u8]) {
+        let mut buffer = self.lock();
+        if buffer.bytes.len() + line.len() > CAPACITY {
+            buffer.dropped += u64::from(line.ends_with(b"\n"));
+        } else {
+            buffer.bytes.extend_from_slice(line);
+        }
+    }
+
     /// Writes all buffered lines to `out`.
     fn flush_to(&self, out: &mut impl Write) {
         let (mut bytes, dropped) = {
@@ -86,12 +96,7 @@
 
 impl Write for Sink {
     fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
-        let mut buffer = self.lock();
-        if buffer.bytes.len() + line.len() > CAPACITY {
-            buffer.dropped += u64::from(line.ends_with(b"\n"));
-        } else {
-            buffer.bytes.extend_from_slice(line);
-        }
+        self.append(line);
         Ok(line.len())
     }
 
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -9,7 +9,7 @@
 use loftcove_mirror::progress;
 use loftcove_response::ending;
 use loftcove_response::framing::Framing;
-use loftcove_startup::listen;
+use loftcove_startup::{listen, panics};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -285,6 +285,7 @@
         registry.register("response_ends", endings, self.endings.clone());
         intake::count::register(&mut registry);
         listen::register(&mut registry);
+        panics::register(&mut registry);
         gateway.memory.register(&mut registry);
         gateway.lifecycle.clients.register(&mut registry, "connections_closed_for_others");
         registry.register("attempts", "Attempts sent", self.attempts.clone());
--- a/sidecar/src/metrics.rs
+++ b/sidecar/src/metrics.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use loftcove_intake::{self as intake, monitor};
-use loftcove_startup::listen;
+use loftcove_startup::{listen, panics};
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
@@ -69,6 +69,7 @@
         registry.register("map_held_seconds", "Time from hold to end", self.held.clone());
         intake::count::register(&mut registry);
         listen::register(&mut registry);
+        panics::register(&mut registry);
         let mut out = String::new();
         // Writing to a string cannot fail.
         text::encode(&mut out, &registry).unwrap_or_default();
