daemon: announce that settings are read again without waiting for a reader

What callers saw: a process whose settings are wrong, and whose standard error is a full pipe that nobody reads, never ended.

The line that announces that settings are read again was written to standard error directly, and waited for its reader; only the final error was bounded in time.

Change: the line is printed as the final error is, on a thread of its own and with a bound of 250 ms.

--- a/daemon/src/system.rs
+++ b/daemon/src/system.rs
@@ -1,7 +1,6 @@
 //! Runs the gateway and the sidecar, which are the roles on the users' machines, with the
 //! platform's adapter.
 
-use std::io::Write as _;
 use std::path::Path;
 
 use loftcove_platform::{adapter, engine, kv};
@@ -70,12 +69,10 @@
     path: &Path,
     read: impl Fn(&Path) -> Result<T, error::Error>,
 ) -> Result<Option<T>, Error> {
+    // The log does not exist yet.
     let notify = |error: &error::Error| {
         let seconds = retry::TIMEOUT.as_secs();
-        // The log does not exist yet. Unlike `eprintln!`, this does not panic if nothing can be
-        // written.
-        let line = format!("loftcoved: {error}; reading again for up to {seconds} s\n");
-        std::io::stderr().write_all(line.as_bytes()).unwrap_or_default();
+        crate::print_error(&format!("{error}; reading again for up to {seconds} s"));
     };
     retry::read(signals, || read(path), notify).map_err(|error| match error {
         retry::Error::Read(error) => Error::Settings(error),
