startup: log and measure the limits that the host enforces

A process logs at its start which limits of descriptors and memory the operating system enforces on it, and its metrics have the open descriptors and their limit. Until now neither the log nor the metrics could tell whether a process that answered nothing was out of descriptors, or whether the memory that it may use was less than the settings say.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -37,7 +37,7 @@
 use std::time::Duration;
 
 use loftcove_settings::{error, file, gateway};
-use loftcove_startup::{End, listen, signals, threads};
+use loftcove_startup::{End, limits, listen, signals, threads};
 
 /// Subcommand of the command line.
 enum Command {
@@ -207,6 +207,7 @@
         own.role,
         process.incarnation
     );
+    limits::Limits::read().log();
     if let Some(address) = own.admin_address {
         serve_admin(process.clone(), address);
     }
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::OnceLock;
 
 use loftcove_intake::{self as intake, connections, memory};
-use loftcove_startup::listen;
+use loftcove_startup::{limits, listen};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -62,6 +62,7 @@
         registry.register("exchanged_bytes", "Bytes of records", self.exchanged_bytes.clone());
         registry.register("map_changes", "Expert maps brought in force", self.map_changes.clone());
         intake::count::register(&mut registry);
+        limits::register(&mut registry);
         listen::register(&mut registry);
         if let Some((memory, clients)) = self.intake.get() {
             memory.register(&mut registry);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -53,7 +53,7 @@
 use loftcove_interface::store::Store;
 use loftcove_mirror::{self as mirror, ends, follow, lifts, peer, register, serve, watch};
 use loftcove_settings::gateway as settings;
-use loftcove_startup::{End, listen, signals};
+use loftcove_startup::{End, limits, listen, signals};
 use loftcove_wire as wire;
 pub use state::Target;
 use tonic::codec::CompressionEncoding;
@@ -133,6 +133,7 @@
         host.zone,
         addresses.client_address
     );
+    limits::Limits::read().log();
     let end = drain::wait(&gateway, &peers, file, signals).await;
     if end == End::Stopped {
         log::info!("stopped host={}", host.name);
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -9,7 +9,7 @@
 use loftcove_mirror::progress;
 use loftcove_response::ending;
 use loftcove_response::framing::Framing;
-use loftcove_startup::{listen, panics};
+use loftcove_startup::{limits, listen, panics};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -284,6 +284,7 @@
         let endings = "Responses of backend servers by framing and end";
         registry.register("response_ends", endings, self.endings.clone());
         intake::count::register(&mut registry);
+        limits::register(&mut registry);
         listen::register(&mut registry);
         panics::register(&mut registry);
         gateway.memory.register(&mut registry);
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -38,7 +38,7 @@
 use loftcove_interface::store::Store;
 use loftcove_mirror::{Mirror, follow, peer};
 use loftcove_settings::gateway as settings;
-use loftcove_startup::{End, listen, signals};
+use loftcove_startup::{End, limits, listen, signals};
 use loftcove_wire as wire;
 use tokio::net::TcpListener;
 
@@ -76,6 +76,7 @@
     let group = Arc::new(group);
     let service = (rank.clone(), group.clone());
     log::info!("started host={} engine={}", host.name, settings.engine.address);
+    limits::Limits::read().log();
     let store = Arc::new(store);
     let dependencies = move || drive::Dependencies {
         rank: rank.clone(),
--- a/sidecar/src/metrics.rs
+++ b/sidecar/src/metrics.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use loftcove_intake::{self as intake, monitor};
-use loftcove_startup::{listen, panics};
+use loftcove_startup::{limits, listen, panics};
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
@@ -68,6 +68,7 @@
         registry.register("map_change_seconds", "Time of a change", self.change.clone());
         registry.register("map_held_seconds", "Time from hold to end", self.held.clone());
         intake::count::register(&mut registry);
+        limits::register(&mut registry);
         listen::register(&mut registry);
         panics::register(&mut registry);
         let mut out = String::new();
--- a/startup/src/lib.rs
+++ b/startup/src/lib.rs
@@ -4,8 +4,10 @@
 //! before it has not ended yet, or a file is being replaced. A process that exits for that meets the
 //! same state when it is started again. [`listen`] therefore waits for addresses, [`retry`] reads
 //! settings again, and [`threads`] starts threads again that the operating system refuses. [`signals`]
-//! are handled from the start, because by default they end the process. [`panics`] are counted.
+//! are handled from the start, because by default they end the process. [`panics`] are counted, and
+//! [`limits`] of the host are read.
 
+pub mod limits;
 pub mod listen;
 pub mod panics;
 pub mod retry;
