--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -74,8 +74,17 @@
     (reader, writer)
 }
 
-/// Lowers a limit of the resources of a program.
+/// Lowers a limit of the resources of a program, which may raise it again.
 pub fn limit(command: &mut Command, resource: libc::__rlimit_resource_t, value: u64) {
+    limit_with(command, resource, (value, None));
+}
+
+/// Lowers a limit of the resources of a program, and the value to which the program may raise it.
+pub fn limit_with(
+    command: &mut Command,
+    resource: libc::__rlimit_resource_t,
+    (value, max): (u64, Option<u64>),
+) {
     let lower = move || {
         let mut limit = libc::rlimit { rlim_cur: 0, rlim_max: 0 };
         #[allow(unsafe_code, reason = "the system call has no safe form in the library")]
@@ -83,6 +92,7 @@
         let lowered = unsafe {
             libc::getrlimit(resource, &raw mut limit);
             limit.rlim_cur = value;
+            limit.rlim_max = max.unwrap_or(limit.rlim_max);
             libc::setrlimit(resource, &raw const limit)
         };
         if lowered == 0 { Ok(()) } else { Err(std::io::Error::last_os_error()) }
