startup, intake: one account of descriptors, within the limits of the host

Callers saw: a gateway or sidecar whose host allows fewer descriptors than its settings name answers nobody while as many connections are open: not readiness, not metrics, no client, and the store is not reached. So does one whose address for peers gets connections, which nothing bounded. A platform takes such a process for dead and ends it.

Cause: each listener had a bound of its own, or none, and they were derived from the settings alone. The host enforces its own limit on their sum.

Change: a process raises its soft limit of descriptors to what its settings name as far as the host allows, and derives its bounds from the smaller of settings and host. All connections take their descriptors from one account in which parts are reserved for clients, backend servers, other processes, readiness and metrics. The address for peers closes connections without work for new ones, as that for clients does, and closes a new one at once if all have work. Sidecars and agents have settings for memory and descriptors.

The test now derives the version from the first one and compares the whole number.

--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -46,5 +46,6 @@
 
 /// Serves the paths on a separate address until the process exits.
 pub async fn serve(process: Arc<process::Process>, listener: TcpListener) {
-    monitor::serve(listener, move |path| answer(&process, path)).await;
+    monitor::serve(listener, process.intake.monitors.clone(), move |path| answer(&process, path))
+        .await;
 }
--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -80,8 +80,9 @@
     let service = tonic::service::interceptor::InterceptedService::new(service, check);
     let router = grpc::server().add_service(grpc::Service(peer));
     let router = router.add_service(grpc::Service(service));
+    let incoming = grpc::incoming(peers, process.intake.peers.clone());
     tokio::spawn(async move {
-        if let Err(error) = router.serve_with_incoming(grpc::incoming(peers)).await {
+        if let Err(error) = router.serve_with_incoming(incoming).await {
             log::error!("agent service failed error=\"{error}\"");
         }
     });
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -22,7 +22,7 @@
 
 use std::sync::Arc;
 
-use loftcove_intake::{connections, grpc, memory};
+use loftcove_intake::{connections, descriptors, grpc, memory};
 use loftcove_settings::file;
 use loftcove_startup::signals;
 use loftcove_wire as wire;
@@ -45,18 +45,20 @@
     pub clients: connections::Connections,
 }
 
-/// File descriptors that are not available to clients' connections: those of the platform, agents
-/// and other entry hosts.
+/// File descriptors that the settings name and that clients' connections do not use: those of the
+/// platform, agents and other entry hosts.
 const RESERVED_DESCRIPTORS: usize = 1_024;
 
 impl Entry {
     fn new(process: Arc<process::Process>, settings: &file::Entry) -> Entry {
-        let memory = usize::try_from(settings.memory_mb.saturating_mul(1 << 20));
-        let memory = memory::Account::of_process(memory.unwrap_or(usize::MAX), 0);
-        let connections = settings.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-        let clients = connections::Connections::new(connections);
+        let account = &process.intake.descriptors;
+        let left = account.capacity().saturating_sub(account.reserved());
+        let max = settings.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS).min(left);
+        let quota = account.quota(descriptors::Share { reserved: max / 2, max });
+        let clients = connections::Connections::of(quota);
+        let memory = process.intake.peers.memory.clone();
         // A process creates one entry host, so that the cell is empty.
-        process.metrics.intake.set((memory.clone(), clients.clone())).unwrap_or_default();
+        process.metrics.clients.set(clients.clone()).unwrap_or_default();
         Entry {
             dispatcher: Arc::new(dispatcher::Dispatcher::new(settings, process.clock)),
             process,
@@ -95,8 +97,9 @@
         .max_encoding_message_size(wire::MAX_MESSAGE);
     let service = tonic::service::interceptor::InterceptedService::new(service, key.verifier());
     let router = grpc::server().add_service(grpc::Service(service));
+    let incoming = grpc::incoming(peers, process.intake.peers.clone());
     tokio::spawn(async move {
-        if let Err(error) = router.serve_with_incoming(grpc::incoming(peers)).await {
+        if let Err(error) = router.serve_with_incoming(incoming).await {
             log::error!("peer service ended error=\"{error}\"");
         }
     });
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -17,6 +17,7 @@
 mod force;
 mod gossip;
 mod homes;
+mod intake;
 mod leader;
 mod life;
 mod link;
@@ -37,7 +38,7 @@
 use std::time::Duration;
 
 use loftcove_settings::{error, file, gateway};
-use loftcove_startup::{End, limits, listen, signals, threads};
+use loftcove_startup::{End, listen, signals, threads};
 
 /// Subcommand of the command line.
 enum Command {
@@ -207,7 +208,6 @@
         own.role,
         process.incarnation
     );
-    limits::Limits::read().log();
     if let Some(address) = own.admin_address {
         serve_admin(process.clone(), address);
     }
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::OnceLock;
 
-use loftcove_intake::{self as intake, connections, memory};
+use loftcove_intake::{self as intake, connections, grpc};
 use loftcove_startup::{limits, listen};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
@@ -45,8 +45,10 @@
     pub exchanged_bytes: Counter,
     /// Number of expert maps that this process has put in force.
     pub map_changes: Counter,
-    /// What clients make an entry host hold. An agent has none.
-    pub intake: OnceLock<(memory::Account, connections::Connections)>,
+    /// What others make the process hold.
+    pub intake: OnceLock<grpc::Intake>,
+    /// Connections of an entry host's clients. An agent has none.
+    pub clients: OnceLock<connections::Connections>,
 }
 
 impl Metrics {
@@ -64,8 +66,10 @@
         intake::count::register(&mut registry);
         limits::register(&mut registry);
         listen::register(&mut registry);
-        if let Some((memory, clients)) = self.intake.get() {
-            memory.register(&mut registry);
+        if let Some(intake) = self.intake.get() {
+            intake.register(&mut registry);
+        }
+        if let Some(clients) = self.clients.get() {
             clients.register(&mut registry, "connections_closed_for_others");
         }
         let mut out = String::new();
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -10,7 +10,7 @@
 use loftcove_settings::file;
 use loftcove_wire as wire;
 
-use crate::{clock, explain, force, gossip, life, link, metrics};
+use crate::{clock, explain, force, gossip, intake, life, link, metrics};
 
 /// The process. Locks that are held together are acquired in this order: the entry's dispatcher or
 /// the agent's tables, the gossip's records, the bundle's gate, the lifecycle, the history of
@@ -34,6 +34,8 @@
     pub history: explain::History,
     /// Requests during which backend servers ended, as detected by this entry host.
     pub ends: ends::Ends,
+    /// What others may take from the process.
+    pub intake: intake::Intake,
     /// Metrics.
     pub metrics: metrics::Metrics,
 }
@@ -59,6 +61,10 @@
         let keyring = sign::Keyring::new(&settings.operators)?;
         let key = link::Key::new(&settings.process.key)?;
         let force = force::Force::new(keyring, settings.process.deployment.clone());
+        let intake = intake::Intake::new(&settings);
+        let metrics = metrics::Metrics::default();
+        // The cell was created empty.
+        metrics.intake.set(intake.peers.clone()).unwrap_or_default();
         let timeout = Duration::from_millis(settings.platform.timeout_ms);
         Ok(Process {
             incarnation: clock::incarnation(),
@@ -73,7 +79,8 @@
             links: link::Table::new(key, settings.process.source_address),
             history: explain::History::default(),
             ends: ends::Ends::default(),
-            metrics: metrics::Metrics::default(),
+            intake,
+            metrics,
             settings,
         })
     }
--- a/gateway/src/drain.rs
+++ b/gateway/src/drain.rs
@@ -17,7 +17,7 @@
 
 use loftcove_clock as boot;
 use loftcove_decision::lifecycle;
-use loftcove_intake::{self as intake, connections, memory};
+use loftcove_intake::{self as intake, connections, descriptors, memory};
 use loftcove_interface::protocol::Protocol;
 use loftcove_mirror::follow;
 use loftcove_settings::gateway as settings;
@@ -40,10 +40,6 @@
 /// Interval between two checks whether the process may exit.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// File descriptors that are not available to clients' connections. The platform reserves 200 for
-/// files, and the hosts that follow this one, the store and the metrics need some.
-const RESERVED_DESCRIPTORS: usize = 300;
-
 /// Lifecycle of the process, shared by all connections.
 pub struct Lifecycle {
     inner: Mutex<Inner>,
@@ -86,10 +82,8 @@
 }
 
 impl Lifecycle {
-    /// Creates the lifecycle of a process that may open `max_descriptors` file descriptors. Half of
-    /// those available are for clients, because each client's connection may need another one to a
-    /// backend server.
-    pub fn new(max_descriptors: usize) -> Lifecycle {
+    /// Creates the lifecycle of a process whose clients' connections use the quota `clients`.
+    pub fn new(clients: descriptors::Quota) -> Lifecycle {
         let machine = lifecycle::Lifecycle::machine();
         let inner = Inner {
             machine,
@@ -99,10 +93,9 @@
             stop: None,
             closed: false,
         };
-        let max_connections = max_descriptors.saturating_sub(RESERVED_DESCRIPTORS) / 2;
         Lifecycle {
             inner: Mutex::new(inner),
-            clients: connections::Connections::new(max_connections),
+            clients: connections::Connections::of(clients),
             phase: watch::Sender::new(lifecycle::Phase::Starting),
             listening: watch::Sender::new(false),
         }
--- a/gateway/src/health.rs
+++ b/gateway/src/health.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use loftcove_intake::monitor;
+use loftcove_intake::{descriptors, monitor};
 use loftcove_interface::protocol::Protocol;
 use loftcove_startup::listen;
 
@@ -30,7 +30,11 @@
 
 /// Serves readiness and metrics on a listener, once its address is available, until the process
 /// exits.
-pub async fn serve<P: Protocol>(gateway: Arc<state::Gateway<P>>, listener: listen::Listener) {
+pub async fn serve<P: Protocol>(
+    gateway: Arc<state::Gateway<P>>,
+    listener: listen::Listener,
+    quota: descriptors::Quota,
+) {
     let listener = listener.wait().await;
-    monitor::serve(listener, move |path| answer(&gateway, path)).await;
+    monitor::serve(listener, quota, move |path| answer(&gateway, path)).await;
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod probe;
 pub mod pulse;
 pub mod queue;
+mod quotas;
 mod request;
 mod server;
 pub mod shares;
@@ -48,7 +49,7 @@
 use std::time::Duration;
 
 use loftcove_clock as boot;
-use loftcove_intake::grpc;
+use loftcove_intake::{connections, grpc};
 use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
 use loftcove_mirror::{self as mirror, ends, follow, lifts, peer, register, serve, watch};
@@ -78,7 +79,11 @@
     let ready = listen::Listener::open("readiness", addresses.ready_address, INTERNAL_BACKLOG);
     let peer_listener = listen::Listener::open("peers", addresses.peer_address, INTERNAL_BACKLOG);
     let metrics = listen::Listener::open("metrics", host.metrics_address, INTERNAL_BACKLOG);
-    let gateway = Arc::new(state::Gateway::<P>::new(settings));
+    let serving = &settings.serving;
+    let setting = limits::Bounds::of_settings(serving.memory_mb, serving.max_descriptors);
+    let bounds = limits::enforce(setting);
+    let quotas = quotas::Quotas::new(bounds, setting.descriptors);
+    let gateway = Arc::new(state::Gateway::<P>::new(settings, bounds, &quotas));
     for subject in subjects::<P>(&gateway.settings.serving) {
         let own = register::Own {
             name: host.name.clone(),
@@ -113,9 +118,11 @@
         });
     }
     tokio::spawn(gateway.mirror.clone().expire());
-    tokio::spawn(serve_peers(gateway.mirror.clone(), host.zone.clone(), peer_listener));
-    tokio::spawn(health::serve(gateway.clone(), ready));
-    tokio::spawn(health::serve(gateway.clone(), metrics));
+    let intake =
+        grpc::Intake::of(connections::Connections::of(quotas.peers), gateway.memory.clone());
+    tokio::spawn(serve_peers(gateway.mirror.clone(), host.zone.clone(), peer_listener, intake));
+    tokio::spawn(health::serve(gateway.clone(), ready, quotas.readiness));
+    tokio::spawn(health::serve(gateway.clone(), metrics, quotas.metrics));
     tokio::spawn(state::follow(gateway.clone()));
     tokio::spawn(probe::run(gateway.clone()));
     tokio::spawn(probe::check_restarted(gateway.clone()));
@@ -133,7 +140,6 @@
         host.zone,
         addresses.client_address
     );
-    limits::Limits::read().log();
     let end = drain::wait(&gateway, &peers, file, signals).await;
     if end == End::Stopped {
         log::info!("stopped host={}", host.name);
@@ -183,12 +189,17 @@
     }
 }
 
-async fn serve_peers(mirror: Arc<mirror::Mirror>, zone: Arc<str>, listener: listen::Listener) {
+async fn serve_peers(
+    mirror: Arc<mirror::Mirror>,
+    zone: Arc<str>,
+    listener: listen::Listener,
+    intake: grpc::Intake,
+) {
     let listener = listener.wait().await;
     let service = wire::mirror_server::MirrorServer::new(serve::Service::new(mirror, zone))
         .send_compressed(CompressionEncoding::Gzip);
     let router = peer::server().add_service(grpc::Service(service));
-    if let Err(error) = router.serve_with_incoming(grpc::incoming(listener)).await {
+    if let Err(error) = router.serve_with_incoming(grpc::incoming(listener, intake)).await {
         log::error!("peer service ended error=\"{error}\"");
     }
 }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -15,8 +15,9 @@
 use loftcove_interface::protocol::Protocol;
 use loftcove_mirror::{self as mirror, catalog, membership, register};
 use loftcove_settings::gateway as settings;
+use loftcove_startup::limits;
 
-use crate::{drain, metrics, moves, pulse, queue, shares, speed, upstream};
+use crate::{drain, metrics, moves, pulse, queue, quotas, shares, speed, upstream};
 
 /// Fraction of the configured retry allowance that is used. The remainder covers clients whose
 /// requests cross on the way, and counts that differ by timing.
@@ -74,8 +75,13 @@
 }
 
 impl<P: Protocol> Gateway<P> {
-    /// Creates a gateway that has received neither a configuration nor a list of backend servers.
-    pub fn new(settings: settings::Gateway) -> Gateway<P> {
+    /// Creates a gateway that has received neither a configuration nor a list of backend servers. Its
+    /// process may use `bounds`, with the descriptors of `quotas`.
+    pub fn new(
+        settings: settings::Gateway,
+        bounds: limits::Bounds,
+        quotas: &quotas::Quotas,
+    ) -> Gateway<P> {
         let ratio = settings.serving.retry_ratio * RETRY_MARGIN;
         let options = balancer::Options::default()
             .capacity(MAX_WAITING)
@@ -84,20 +90,19 @@
             .charge_full(true)
             .min_retry_after(MIN_RETRY_AFTER)
             .group_retry_after(GROUP_RETRY_AFTER);
-        let lifecycle = drain::Lifecycle::new(settings.serving.max_descriptors);
+        let lifecycle = drain::Lifecycle::new(quotas.clients.clone());
         let serving = &settings.serving;
         let kb = |kb: u64| usize::try_from(kb).unwrap_or(usize::MAX).saturating_mul(1_024);
         let queued = kb(serving.clients_buffer_mb().saturating_mul(1_024));
         let buffers = queue::Bounds::new(kb(serving.client_buffer_kb), queued);
-        let memory =
-            memory::Account::of_process(kb(serving.memory_mb.saturating_mul(1_024)), queued);
+        let memory = memory::Account::of_process(bounds.memory, queued);
         let metrics = metrics::Metrics::default();
         Gateway {
             settings,
             routes: ArcSwapOption::empty(),
             mirror: Arc::default(),
             dispatcher: Arc::new(dispatch::Dispatcher::new(&options)),
-            upstream: upstream::Pool::default(),
+            upstream: upstream::Pool::new(quotas.servers.clone()),
             buffers,
             memory,
             lifecycle,
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -20,7 +20,7 @@
 use hyper_util::rt::TokioIo;
 use loftcove_clock as boot;
 use loftcove_decision::fleet;
-use loftcove_intake as intake;
+use loftcove_intake::{self as intake, descriptors};
 use loftcove_response::framing::Framing;
 use tokio::net::TcpStream;
 
@@ -31,6 +31,8 @@
 /// region within a tenth of a second. A lost packet would be sent again after about a second, and
 /// another backend server answers sooner than that.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Interval between two attempts to take a descriptor for a connection.
+const DESCRIPTOR_INTERVAL: Duration = Duration::from_millis(10);
 /// Maximum time that sent bytes may stay unacknowledged. A request has half of its remaining time
 /// instead, if that is shorter, so that as much is left for another backend server.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
@@ -108,6 +110,8 @@
     handle: socket::Handle,
     meter: intake::Meter,
     task: tokio::task::AbortHandle,
+    /// Counts the connection as open. It is taken from a connection that is closed for another one.
+    descriptor: Option<descriptors::Descriptor>,
 }
 
 impl Drop for Link {
@@ -136,9 +140,10 @@
 }
 
 /// Pool of idle connections, by run of the backend server.
-#[derive(Default)]
 pub struct Pool {
     idle: Mutex<HashMap<fleet::Run, Vec<Idle>>>,
+    /// Quota of all connections, also those in use.
+    quota: descriptors::Quota,
 }
 
 struct Idle {
@@ -147,6 +152,40 @@
 }
 
 impl Pool {
+    /// Creates an empty pool whose connections use a quota.
+    pub fn new(quota: descriptors::Quota) -> Pool {
+        Pool { idle: Mutex::default(), quota }
+    }
+
+    /// Takes a descriptor for a connection, or that of an idle connection, which is closed.
+    fn take_descriptor(&self) -> Option<descriptors::Descriptor> {
+        self.quota.try_take().or_else(|| {
+            let mut idle = self.lock();
+            let runs = idle.values_mut().filter(|kept| !kept.is_empty());
+            let oldest = runs.min_by_key(|kept| kept[0].until)?.remove(0);
+            // The connection is closed while the lock is not held.
+            drop(idle);
+            let mut link = oldest.link;
+            link.descriptor.take()
+        })
+    }
+
+    /// Opens a connection to a backend server.
+    async fn connect(&self, target: &Target) -> Result<Link, Error> {
+        let taken = async {
+            loop {
+                match self.take_descriptor() {
+                    Some(descriptor) => return descriptor,
+                    None => tokio::time::sleep(DESCRIPTOR_INTERVAL).await,
+                }
+            }
+        };
+        let descriptor = tokio::time::timeout(CONNECT_TIMEOUT, taken).await;
+        let full = |_| Error::NotSent("all descriptors are in use".to_owned());
+        let descriptor = descriptor.map_err(full)?;
+        connect(target.address, BOUND.meter(&*target.run.id), descriptor).await
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<fleet::Run, Vec<Idle>>> {
         // If a lock holder panicked, the pool lacks at most one connection.
         self.idle.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
@@ -184,7 +223,7 @@
                 },
             }
         }
-        let mut link = connect(target.address, BOUND.meter(&*target.run.id)).await?;
+        let mut link = self.connect(target).await?;
         if !wanted() {
             return Err(Error::Withheld);
         }
@@ -240,7 +279,7 @@
         let request =
             http::Request::get(path).header(http::header::HOST, target.address.to_string());
         let request = request.body(Full::default()).map_err(|error| to_error(&error))?;
-        let mut link = connect(target.address, BOUND.meter(&*target.run.id)).await?;
+        let mut link = self.connect(target).await?;
         link.handle.set_outstanding(true);
         let answer = tokio::time::timeout(HEALTH_TIMEOUT, link.sender.send_request(request)).await;
         let answer = answer.map_err(|error| to_error(&error))?.map_err(|error| to_error(&error))?;
@@ -325,7 +364,11 @@
     connected.is_ok_and(|connected| connected.as_ref().is_err_and(refused))
 }
 
-async fn connect(address: SocketAddr, meter: intake::Meter) -> Result<Link, Error> {
+async fn connect(
+    address: SocketAddr,
+    meter: intake::Meter,
+    descriptor: descriptors::Descriptor,
+) -> Result<Link, Error> {
     let to_error = |error: &dyn std::error::Error| Error::NotSent(error.to_string());
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = stream.map_err(|error| to_error(&error))?.map_err(|error| to_error(&error))?;
@@ -346,5 +389,5 @@
             log::debug!("connection to backend server ended error=\"{error}\"");
         }
     });
-    Ok(Link { sender, handle, meter, task: task.abort_handle() })
+    Ok(Link { sender, handle, meter, task: task.abort_handle(), descriptor: Some(descriptor) })
 }
--- a/gateway/tests/upstream.rs
+++ b/gateway/tests/upstream.rs
@@ -11,6 +11,7 @@
 use loftcove_decision::fleet;
 use loftcove_gateway::Target;
 use loftcove_gateway::upstream::{Error, Pool};
+use loftcove_intake::descriptors::Quota;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -34,7 +35,7 @@
             max_connections: 4,
             health_path: None,
         };
-        Server { listener, pool: Arc::default(), target }
+        Server { listener, pool: Arc::new(Pool::new(Quota::alone(64))), target }
     }
 
     /// Sends a request in a task of its own. Returns the task and the connection, which nobody
--- a/intake/src/connections.rs
+++ b/intake/src/connections.rs
@@ -12,8 +12,9 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::registry::Registry;
 use tokio::sync::Notify;
+use tokio::sync::futures::OwnedNotified;
 
-use crate::memory;
+use crate::{descriptors, memory};
 
 /// Time that a connection without a request is left alone.
 const MIN_IDLE: Duration = Duration::from_millis(200);
@@ -52,7 +53,7 @@
 #[derive(Debug)]
 pub struct State {
     work: Mutex<Work>,
-    closing: Notify,
+    closing: Arc<Notify>,
 }
 
 impl Default for State {
@@ -66,7 +67,7 @@
                 head: None,
                 closing: false,
             }),
-            closing: Notify::new(),
+            closing: Arc::default(),
         }
     }
 }
@@ -111,6 +112,11 @@
     pub async fn closing(&self) {
         self.closing.notified().await;
     }
+
+    /// Returns the same wait without a borrow.
+    pub fn closing_owned(&self) -> OwnedNotified {
+        self.closing.clone().notified_owned()
+    }
 }
 
 impl Work {
@@ -164,17 +170,22 @@
 
 #[derive(Debug)]
 struct Shared {
-    max: usize,
+    quota: descriptors::Quota,
     inner: Mutex<Inner>,
     released: Notify,
     closed: Counter,
 }
 
 impl Connections {
-    /// Creates a bound of `max` connections.
+    /// Creates a bound of `max` connections, whatever else the process has open.
     pub fn new(max: usize) -> Connections {
+        Connections::of(descriptors::Quota::alone(max))
+    }
+
+    /// Creates the bound of the connections that `quota` lets in.
+    pub fn of(quota: descriptors::Quota) -> Connections {
         Connections(Arc::new(Shared {
-            max: max.max(1),
+            quota,
             inner: Mutex::default(),
             released: Notify::new(),
             closed: Counter::default(),
@@ -194,7 +205,7 @@
     /// Returns whether another connection is accepted now or once one is closed for it.
     pub fn has_room(&self) -> bool {
         let inner = self.lock();
-        if inner.open.len() < self.0.max {
+        if self.0.quota.has_room() {
             return true;
         }
         inner.open.values().any(|state| {
@@ -210,9 +221,19 @@
         }
     }
 
+    /// Returns whether all connections have work, so that none can be closed for another one soon.
+    pub fn all_work(&self) -> bool {
+        let inner = self.lock();
+        let working = |state: &Arc<State>| {
+            let work = state.lock();
+            work.requests > work.arriving
+        };
+        inner.open.values().all(working)
+    }
+
     /// Returns whether another connection may be open. If not, one without work is closed.
     pub fn make_room(&self) -> bool {
-        let room = self.open() < self.0.max;
+        let room = self.0.quota.has_room();
         if !room {
             self.close_one();
         }
@@ -238,7 +259,8 @@
         let number = inner.accepted;
         let state = Arc::<State>::default();
         inner.open.insert(number, state.clone());
-        Connection { connections: self.clone(), number, state }
+        let descriptor = self.0.quota.take();
+        Connection { connections: self.clone(), number, state, descriptor: Some(descriptor) }
     }
 
     /// Waits until a connection has ended, or until more can be closed.
@@ -281,6 +303,7 @@
     connections: Connections,
     number: u64,
     state: Arc<State>,
+    descriptor: Option<descriptors::Descriptor>,
 }
 
 impl Connection {
@@ -293,6 +316,8 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         self.connections.lock().open.remove(&self.number);
+        // Whoever is notified finds it free.
+        self.descriptor = None;
         self.connections.0.released.notify_one();
     }
 }
--- a/intake/src/grpc.rs
+++ b/intake/src/grpc.rs
@@ -12,14 +12,17 @@
 use futures_util::Stream;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioIo;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::registry::Registry;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::futures::OwnedNotified;
 use tonic::server::NamedService;
 use tonic::transport::server::{Connected, TcpConnectInfo};
 use tonic::transport::{self, channel};
 use tower::ServiceExt as _;
 
-use crate::{Bound, Meter, Socket, body, count};
+use crate::{Bound, Meter, Socket, body, connections, count, descriptors, memory};
 
 /// Bytes of a body that may arrive on a connection before they are read.
 const WINDOW: u32 = 1024 * 1024;
@@ -27,6 +30,18 @@
 
 type Body = body::Body<tonic::body::Body>;
 
+/// Part of an account of descriptors that is reserved for connections from other processes, as a
+/// divisor, and its maximum.
+const RESERVED_PART: usize = 8;
+const MAX_RESERVED: usize = 128;
+
+/// Adds a quota for connections from other processes to the account of a process. They may use half of
+/// it.
+pub fn quota(account: &descriptors::Account) -> descriptors::Quota {
+    let reserved = (account.capacity() / RESERVED_PART).min(MAX_RESERVED);
+    account.quota(descriptors::Share { reserved, max: account.capacity() / 2 })
+}
+
 /// Returns a builder of servers for [`incoming`] connections.
 pub fn server() -> transport::Server {
     transport::Server::builder()
@@ -40,17 +55,84 @@
 /// Interval between two log lines about errors of a listener.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
+/// What the connections and messages of other processes take from this one.
+#[derive(Debug, Clone)]
+pub struct Intake {
+    /// Bound of the connections.
+    pub connections: connections::Connections,
+    /// Account of the memory that peers make the process hold.
+    pub memory: memory::Account,
+    /// Connections that were refused because all others had work.
+    pub refused: Counter,
+}
+
+impl Intake {
+    /// Creates an intake of its own, whatever else the process has open.
+    pub fn new(max_connections: usize, memory: memory::Account) -> Intake {
+        Intake::of(connections::Connections::new(max_connections), memory)
+    }
+
+    /// Creates the intake of a process.
+    pub fn of(connections: connections::Connections, memory: memory::Account) -> Intake {
+        Intake { connections, memory, refused: Counter::default() }
+    }
+
+    /// Registers the metrics of the account and of the connections.
+    pub fn register(&self, registry: &mut Registry) {
+        self.memory.register(registry);
+        let refused = "Connections of peers that were refused because all others had work";
+        registry.register("peer_connections_refused", refused, self.refused.clone());
+        self.connections.register(registry, "peer_connections_closed_for_others");
+    }
+}
+
+/// Time that a connection waits for others without work to be closed for it.
+const ROOM_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Returns whether another connection may be open. Closes one without work for it if necessary, which
+/// takes a moment.
+async fn make_room(connections: &connections::Connections) -> bool {
+    let room = async {
+        while !connections.make_room() {
+            if connections.all_work() {
+                return false;
+            }
+            connections.wait().await;
+        }
+        true
+    };
+    tokio::time::timeout(ROOM_TIMEOUT, room).await.unwrap_or(false)
+}
+
 /// Accepts connections, also after errors of the listener, some of which would end the library's
 /// service for good.
-pub fn incoming(listener: TcpListener) -> impl Stream<Item = std::io::Result<Connection>> {
-    futures_util::stream::unfold((listener, None), |(listener, mut logged)| async move {
+pub fn incoming(
+    listener: TcpListener,
+    intake: Intake,
+) -> impl Stream<Item = std::io::Result<Connection>> {
+    let state = (listener, intake, None);
+    futures_util::stream::unfold(state, |(listener, intake, mut logged)| async move {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
+                Ok((stream, peer)) => {
+                    if !make_room(&intake.connections).await {
+                        intake.refused.inc();
+                        if logged.is_none_or(|at: Instant| at.elapsed() >= LOG_INTERVAL) {
+                            let (open, refused) = (intake.connections.open(), intake.refused.get());
+                            log::warn!(
+                                "connection refused listener=peers peer={peer} open={open} \
+                                 refused={refused}"
+                            );
+                            logged = Some(Instant::now());
+                        }
+                        continue;
+                    }
                     // Fails if the connection has ended, which its reader finds out.
                     stream.set_nodelay(true).unwrap_or_default();
-                    let connection = Connection(BOUND.socket(stream));
-                    return Some((Ok(connection), (listener, logged)));
+                    let open = intake.connections.open_connection();
+                    let closing = Box::pin(open.state().closing_owned());
+                    let connection = Connection { socket: BOUND.socket(stream), open, closing };
+                    return Some((Ok(connection), (listener, intake, logged)));
                 }
                 Err(error) => {
                     if logged.is_none_or(|at: Instant| at.elapsed() >= LOG_INTERVAL) {
@@ -66,21 +148,28 @@
 
 /// A connection that was accepted.
 #[derive(Debug)]
-pub struct Connection(Socket<TcpStream>);
+pub struct Connection {
+    socket: Socket<TcpStream>,
+    open: connections::Connection,
+    /// Completes when the connection is to be closed for others.
+    closing: Pin<Box<OwnedNotified>>,
+}
 
 /// Where a request comes from.
 #[derive(Debug, Clone)]
 pub struct Origin {
     addresses: TcpConnectInfo,
     meter: Meter,
+    state: Arc<connections::State>,
 }
 
 impl Connected for Connection {
     type ConnectInfo = Origin;
 
     fn connect_info(&self) -> Origin {
-        let addresses = self.0.get_ref().connect_info();
-        Origin { addresses, meter: self.0.meter().clone() }
+        let addresses = self.socket.get_ref().connect_info();
+        let state = self.open.state().clone();
+        Origin { addresses, meter: self.socket.meter().clone(), state }
     }
 }
 
@@ -90,7 +179,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.0).poll_read(context, buffer)
+        let read = Pin::new(&mut self.socket).poll_read(context, buffer);
+        // What has arrived is read first.
+        if read.is_pending() && self.closing.as_mut().poll(context).is_ready() {
+            let kind = std::io::ErrorKind::ConnectionAborted;
+            return Poll::Ready(Err(std::io::Error::new(kind, "closed for other connections")));
+        }
+        read
     }
 }
 
@@ -100,21 +195,21 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(context, bytes)
+        Pin::new(&mut self.socket).poll_write(context, bytes)
     }
 
     fn poll_flush(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(context)
+        Pin::new(&mut self.socket).poll_flush(context)
     }
 
     fn poll_shutdown(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(context)
+        Pin::new(&mut self.socket).poll_shutdown(context)
     }
 }
 
@@ -126,26 +221,80 @@
     const NAME: &'static str = S::NAME;
 }
 
-impl<S> tower::Service<http::Request<tonic::body::Body>> for Service<S>
+impl<S, B> tower::Service<http::Request<tonic::body::Body>> for Service<S>
 where
-    S: tower::Service<http::Request<Body>>,
+    S: tower::Service<http::Request<Body>, Response = http::Response<B>>,
 {
-    type Response = S::Response;
+    type Response = http::Response<Reply<B>>;
     type Error = S::Error;
-    type Future = S::Future;
+    type Future = Served<S::Future>;
 
     fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), S::Error>> {
         self.0.poll_ready(context)
     }
 
-    fn call(&mut self, mut request: http::Request<tonic::body::Body>) -> S::Future {
+    fn call(&mut self, mut request: http::Request<tonic::body::Body>) -> Served<S::Future> {
         let origin = request.extensions_mut().remove::<Origin>();
-        let meter = origin.map_or_else(Meter::default, |origin| {
-            request.extensions_mut().insert(origin.addresses);
-            origin.meter
-        });
+        let (meter, running) = match origin {
+            Some(origin) => {
+                request.extensions_mut().insert(origin.addresses);
+                let mut running = origin.state.begin();
+                running.complete();
+                (origin.meter, Some(running))
+            }
+            // Not reached: all requests arrive on connections of `incoming`.
+            None => (Meter::default(), None),
+        };
         meter.record_use();
-        self.0.call(request.map(|body| body::Body::new(body, meter)))
+        let request = request.map(|body| body::Body::new(body, meter));
+        Served { inner: Box::pin(self.0.call(request)), running }
+    }
+}
+
+/// A call that is being served.
+#[derive(Debug)]
+pub struct Served<F> {
+    inner: Pin<Box<F>>,
+    running: Option<connections::Request>,
+}
+
+impl<F, B, E> Future for Served<F>
+where
+    F: Future<Output = Result<http::Response<B>, E>>,
+{
+    type Output = Result<http::Response<Reply<B>>, E>;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Self::Output> {
+        let response = ready!(self.inner.as_mut().poll(context))?;
+        let running = self.running.take();
+        Poll::Ready(Ok(response.map(|body| Reply { inner: Box::pin(body), _running: running })))
+    }
+}
+
+/// The body of a response, whose connection has work until it has been sent.
+#[derive(Debug)]
+pub struct Reply<B> {
+    inner: Pin<Box<B>>,
+    _running: Option<connections::Request>,
+}
+
+impl<B: http_body::Body> http_body::Body for Reply<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<http_body::Frame<B::Data>, B::Error>>> {
+        self.inner.as_mut().poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.inner.size_hint()
     }
 }
 
--- a/intake/src/lib.rs
+++ b/intake/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`memory`] is the account of the memory that peers make a process hold, from which [`body`] takes
 //! the memory of requests.
-//! [`connections`] bounds the open connections, also those of [`monitor`].
+//! [`connections`] bounds the open connections, also those of [`monitor`]. All of them take their
+//! descriptors from the account of [`descriptors`].
 //! The rest of this page is about the bytes that arrive on a connection without carrying anything.
 //!
 //! A parser may read for ever without returning the head of a message or a piece of its body, such
@@ -21,6 +22,7 @@
 pub mod body;
 pub mod connections;
 pub mod count;
+pub mod descriptors;
 pub mod grpc;
 pub mod memory;
 pub mod monitor;
--- a/intake/src/monitor.rs
+++ b/intake/src/monitor.rs
@@ -9,20 +9,28 @@
 use hyper_util::server::conn::auto;
 use tokio::net::TcpListener;
 
-use crate::{Bound, connections};
+use crate::{Bound, connections, descriptors};
 
 /// Maximum number of connections of readers. A readiness check each second and some readers of
 /// metrics use a few.
 const MAX_CONNECTIONS: usize = 64;
+/// Part of an account of descriptors that is reserved for one listener, as a divisor.
+const RESERVED_PART: usize = 16;
 /// Pause after an error of the listener.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Adds a quota for the connections of one listener to the account of a process.
+pub fn quota(account: &descriptors::Account) -> descriptors::Quota {
+    let reserved = (account.capacity() / RESERVED_PART).min(MAX_CONNECTIONS);
+    account.quota(descriptors::Share { reserved, max: MAX_CONNECTIONS })
+}
+
 /// Answers the requests of a listener by their path until the process exits.
-pub async fn serve<A>(listener: TcpListener, answer: A)
+pub async fn serve<A>(listener: TcpListener, quota: descriptors::Quota, answer: A)
 where
     A: Fn(&str) -> http::Response<Full<Bytes>> + Clone + Send + Sync + 'static,
 {
-    let open = connections::Connections::new(MAX_CONNECTIONS);
+    let open = connections::Connections::of(quota);
     loop {
         open.wait_for_room().await;
         let Ok((stream, _)) = listener.accept().await else {
--- a/mirror/tests/common/mod.rs
+++ b/mirror/tests/common/mod.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use loftcove_intake::grpc;
+use loftcove_intake::{grpc, memory};
 use loftcove_mirror::{Mirror, peer, serve};
 use loftcove_wire as wire;
 
@@ -14,7 +14,8 @@
     let address = listener.local_addr().unwrap();
     let service = serve::Service::new(mirror.clone(), zone.into());
     let server = grpc::Service(wire::mirror_server::MirrorServer::new(service));
-    let incoming = grpc::incoming(listener);
+    let incoming =
+        grpc::incoming(listener, grpc::Intake::new(1_024, memory::Account::new(256 << 20)));
     tokio::spawn(peer::server().add_service(server).serve_with_incoming(incoming));
     (mirror, address)
 }
--- a/settings/src/file.rs
+++ b/settings/src/file.rs
@@ -118,6 +118,10 @@
         poll_ms: u64 = 500, from 1 to 600_000;
         /// Idempotency keys that are remembered as a home.
         max_keys: usize = 200_000, from 1 to 100_000_000;
+        /// Memory that the process may use, megabytes.
+        memory_mb: u64 = 256, from 1 to 1_048_576;
+        /// File descriptors that the process may use.
+        max_descriptors: usize = 4_096, from 1 to 1_073_741_824;
     }
 }
 
--- a/settings/src/gateway.rs
+++ b/settings/src/gateway.rs
@@ -105,6 +105,23 @@
     }
 }
 
+section! {
+    /// What a sidecar may use of its host.
+    Limits as RawLimits ("RawLimits") in "limits" {
+        /// Memory that the process may use, megabytes.
+        memory_mb: u64 = 128, from 1 to 1_048_576;
+        /// File descriptors that the process may use.
+        max_descriptors: usize = 2_048, from 1 to 1_073_741_824;
+    }
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        // No key of the section is required.
+        Limits::try_from(RawLimits::default()).expect("each key has a default")
+    }
+}
+
 /// Settings file of a sidecar.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -115,6 +132,9 @@
     pub peering: Peering,
     /// The engine beside the sidecar.
     pub engine: Engine,
+    /// Limits of the process.
+    #[serde(default)]
+    pub limits: Limits,
     /// Seeds that are left out of the host's.
     #[serde(skip)]
     pub left_out: seeds::LeftOut,
@@ -170,7 +190,12 @@
     pub fn read(path: &Path) -> Result<Sidecar, error::Error> {
         let text = file::read_text(path)?;
         let mut sidecar: Sidecar = file::parse(path, &text)?;
-        let sections = [sidecar.host.check(), sidecar.peering.check(), sidecar.engine.check()];
+        let sections = [
+            sidecar.host.check(),
+            sidecar.peering.check(),
+            sidecar.engine.check(),
+            sidecar.limits.check(),
+        ];
         file::check_ranges(path, &text, sections)?;
         sidecar.left_out = seeds::LeftOut::of(&text, Host::REFERENCE.path);
         sidecar.left_out.log();
@@ -179,5 +204,11 @@
 }
 
 /// Reference of all sections of both files.
-pub const SECTIONS: [crate::reference::Section; 5] =
-    [Host::REFERENCE, Listen::REFERENCE, Serving::REFERENCE, Engine::REFERENCE, Peering::REFERENCE];
+pub const SECTIONS: [crate::reference::Section; 6] = [
+    Host::REFERENCE,
+    Listen::REFERENCE,
+    Serving::REFERENCE,
+    Engine::REFERENCE,
+    Peering::REFERENCE,
+    Limits::REFERENCE,
+];
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -32,7 +32,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use loftcove_intake::grpc;
+use loftcove_intake::{connections, descriptors, grpc, memory, monitor};
 use loftcove_interface::engine::Engine;
 use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
@@ -46,6 +46,9 @@
 const FOLLOWERS: usize = 2;
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1_024;
+/// File descriptors of the process itself. A driver connects to the ranks of its group, in a large
+/// one by way of relays, and to engines whose sidecars do not answer.
+const OWN_DESCRIPTORS: usize = 512;
 /// Longest time that a stopping driver may take to complete a change that it has begun.
 const STOP_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -62,21 +65,29 @@
     let peer_listener =
         listen::Listener::open("peers", settings.peering.peer_address, ACCEPT_BACKLOG);
     let metrics_listener = listen::Listener::open("metrics", host.metrics_address, ACCEPT_BACKLOG);
+    let setting =
+        limits::Bounds::of_settings(settings.limits.memory_mb, settings.limits.max_descriptors);
+    let bounds = limits::enforce(setting);
+    let account = descriptors::Account::of_process(bounds.descriptors, OWN_DESCRIPTORS);
+    let metrics_quota = monitor::quota(&account);
+    let intake = grpc::Intake::of(
+        connections::Connections::of(grpc::quota(&account)),
+        memory::Account::of_process(bounds.memory, 0),
+    );
     let mirror: Arc<Mirror> = Arc::default();
     let own = follow::LocalHost { name: host.name.clone(), zone: host.zone.clone(), address: None };
     let peers = Arc::new(follow::Peers::new(own, host.seeds.clone()));
     for follower in 0..FOLLOWERS {
         tokio::spawn(follow::run(mirror.clone(), peers.clone(), follower));
     }
-    let metrics: Arc<metrics::Metrics> = Arc::default();
-    tokio::spawn(metrics::serve(metrics.clone(), metrics_listener));
+    let metrics = Arc::new(metrics::Metrics::new(intake.clone()));
+    tokio::spawn(metrics::serve(metrics.clone(), metrics_listener, metrics_quota));
     let rank = Arc::new(rank::Rank::new(connect(settings.engine.address)));
     let address = settings.peering.peer_address;
     let group = group::Group::new(settings.engine.address, address.port(), Box::new(connect));
     let group = Arc::new(group);
     let service = (rank.clone(), group.clone());
     log::info!("started host={} engine={}", host.name, settings.engine.address);
-    limits::Limits::read().log();
     let store = Arc::new(store);
     let dependencies = move || drive::Dependencies {
         rank: rank.clone(),
@@ -97,7 +108,7 @@
         };
         listens.send_replace(true);
         let (rank, group) = service;
-        tokio::spawn(serve(rank, group, listener));
+        tokio::spawn(serve(rank, group, listener, intake));
         drive::run::<P, S, E>(dependencies, stopped).await;
     });
     let moved = async {
@@ -143,10 +154,11 @@
     rank: Arc<rank::Rank<E>>,
     group: Arc<group::Group<E>>,
     listener: TcpListener,
+    intake: grpc::Intake,
 ) {
     let service = wire::rank_server::RankServer::new(rank::Service::new(rank, group));
     let router = peer::server().add_service(grpc::Service(service));
-    if let Err(error) = router.serve_with_incoming(grpc::incoming(listener)).await {
+    if let Err(error) = router.serve_with_incoming(grpc::incoming(listener, intake)).await {
         log::error!("peer service ended error=\"{error}\"");
     }
 }
--- a/sidecar/src/metrics.rs
+++ b/sidecar/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use loftcove_intake::{self as intake, monitor};
+use loftcove_intake::{self as intake, descriptors, grpc, monitor};
 use loftcove_startup::{limits, listen, panics};
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
@@ -34,11 +34,15 @@
     /// Time from the order that holds the group to the end of the change, in seconds. The group is
     /// blocked for at most the last part of it.
     pub held: Histogram,
+    /// What other processes take from this one.
+    intake: grpc::Intake,
 }
 
-impl Default for Metrics {
-    fn default() -> Metrics {
+impl Metrics {
+    /// Creates the metrics of a process whose peers use `intake`.
+    pub fn new(intake: grpc::Intake) -> Metrics {
         Metrics {
+            intake,
             driving: Gauge::default(),
             elected: Counter::default(),
             deposed: Counter::default(),
@@ -52,9 +56,7 @@
             held: Histogram::new(exponential_buckets(0.005, 2.0, 11)),
         }
     }
-}
 
-impl Metrics {
     fn encode(&self) -> String {
         let mut registry = Registry::with_prefix("loftcove");
         registry.register("driving", "Whether this sidecar drives", self.driving.clone());
@@ -67,6 +69,7 @@
         registry.register("map_abandoned", "Changes given up", self.abandoned.clone());
         registry.register("map_change_seconds", "Time of a change", self.change.clone());
         registry.register("map_held_seconds", "Time from hold to end", self.held.clone());
+        self.intake.register(&mut registry);
         intake::count::register(&mut registry);
         limits::register(&mut registry);
         listen::register(&mut registry);
@@ -79,8 +82,8 @@
 }
 
 /// Responds to every path with the metrics, once the address is available, until the process exits.
-pub async fn serve(metrics: Arc<Metrics>, listener: listen::Listener) {
+pub async fn serve(metrics: Arc<Metrics>, listener: listen::Listener, quota: descriptors::Quota) {
     let listener = listener.wait().await;
     let answer = move |_: &str| http::Response::new(Full::<Bytes>::from(metrics.encode()));
-    monitor::serve(listener, answer).await;
+    monitor::serve(listener, quota, answer).await;
 }
--- a/sidecar/tests/common/mod.rs
+++ b/sidecar/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use loftcove_intake::grpc;
+use loftcove_intake::{grpc, memory};
 use loftcove_interface::engine::{
     Counts, Engine, Error, Group as Place, Held, Map, Order, Report, Verdict,
 };
@@ -189,8 +189,9 @@
         }
         let listener = TcpListener::bind(address).await.unwrap();
         let service = wire::rank_server::RankServer::new(Service::new(own, group));
+        let intake = grpc::Intake::new(1_024, memory::Account::new(256 << 20));
         let server = loftcove_mirror::peer::server().add_service(grpc::Service(service));
-        tokio::spawn(server.serve_with_incoming(grpc::incoming(listener)));
+        tokio::spawn(server.serve_with_incoming(grpc::incoming(listener, intake)));
     }
     let (group, driver) = driver.unwrap();
     Ranks { engines, tables, group, driver }
--- a/startup/src/limits.rs
+++ b/startup/src/limits.rs
@@ -1,11 +1,14 @@
 //! Limits that the host enforces on the process, whatever its settings say.
+//!
+//! A process derives all of its bounds from [`Bounds`] that [`enforce`] returns, which are the smaller
+//! of its settings and the limits of the host.
 
 use std::fmt;
 use std::path::Path;
 
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
-use rustix::process::{Resource, getrlimit};
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 
 /// A limit of the host. `None` means that there is none, or that it cannot be read.
 pub type Limit = Option<u64>;
@@ -52,6 +55,70 @@
     }
 }
 
+/// What a process may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Memory, in bytes, with the buffers of its sockets.
+    pub memory: usize,
+    /// Number of file descriptors.
+    pub descriptors: usize,
+}
+
+impl Bounds {
+    /// Creates the bounds of settings that name a number of megabytes and of descriptors.
+    pub fn of_settings(memory_mb: u64, descriptors: usize) -> Bounds {
+        let memory = usize::try_from(memory_mb.saturating_mul(1 << 20)).unwrap_or(usize::MAX);
+        Bounds { memory, descriptors }
+    }
+
+    /// Returns the smaller of these bounds and the limits.
+    pub fn within(self, limits: &Limits) -> Bounds {
+        let smaller = |bound: usize, limit: Limit| {
+            limit.map_or(bound, |limit| bound.min(usize::try_from(limit).unwrap_or(usize::MAX)))
+        };
+        Bounds {
+            memory: smaller(smaller(self.memory, limits.memory), limits.data),
+            descriptors: smaller(self.descriptors, limits.descriptors),
+        }
+    }
+}
+
+/// Raises the limit of file descriptors to what the settings name, as far as the host allows, and
+/// returns the smaller of the settings and the limits that are then in force. Logs both.
+pub fn enforce(settings: Bounds) -> Bounds {
+    raise_descriptors(settings.descriptors as u64);
+    let limits = Limits::read();
+    limits.log();
+    let bounds = settings.within(&limits);
+    let Bounds { memory, descriptors } = bounds;
+    if bounds == settings {
+        log::info!("bounds in force memory={memory} descriptors={descriptors}");
+    } else {
+        log::warn!(
+            "bounds in force memory={memory} descriptors={descriptors} memory_setting={} \
+             descriptors_setting={} reason=host",
+            settings.memory,
+            settings.descriptors
+        );
+    }
+    bounds
+}
+
+/// Raises the limit of file descriptors to `wanted`, or to the maximum that the host allows.
+fn raise_descriptors(wanted: u64) {
+    let limit = getrlimit(Resource::Nofile);
+    // No limit is `None`.
+    let raised = limit.maximum.map_or(wanted, |maximum| maximum.min(wanted));
+    if limit.current.is_none_or(|current| current >= raised) {
+        return;
+    }
+    let next = Rlimit { current: Some(raised), maximum: limit.maximum };
+    // The process continues with the limit that it has.
+    if let Err(error) = setrlimit(Resource::Nofile, next) {
+        log::warn!("limit of descriptors not raised wanted={raised} error=\"{error}\"");
+    }
+}
+
 /// A limit in the form for the log.
 struct Shown(Limit);
 
--- a/tests/tests/descriptors.rs
+++ b/tests/tests/descriptors.rs
@@ -22,6 +22,8 @@
 const LOW: u64 = 200;
 /// Clients of a crowd. They need fewer descriptors than [`SETTING`].
 const CLIENTS: usize = 400;
+/// Version of the configuration that a system starts with.
+const FIRST_VERSION: u64 = 1;
 /// Time within which a process answers a question beside a crowd.
 const ANSWER: Duration = Duration::from_secs(10);
 
@@ -78,7 +80,7 @@
         until("metrics are answered", || has_metrics(system.metrics_address(0))).await;
         until("a new client is served", || serves(&system)).await;
         system.set_limits(&[("max_body_bytes", 1_000_000 + round)]).await;
-        let version = format!("configuration version={}", 3 + round);
+        let version = format!("configuration version={} before", FIRST_VERSION + 1 + round);
         let gateway = &system.gateways[0];
         until("the store is reached", || async {
             gateway.log().iter().any(|line| line.contains(&version))
