soak: stored seeds play three at a time

Each play keeps its seed, size, time and checks. It has a system of its own: subnet, store, proxy, stand-ins and folder. A play is a task, so that the panic of one does not end the others, and the test names all that failed. The folder of logs has the position of the seed in its name, because a seed may be stored twice and both plays may run at once.

--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -3,9 +3,11 @@
 #![allow(clippy::unwrap_used, reason = "a test that fails may panic")]
 
 use std::path::Path;
+use std::sync::Arc;
 use std::time::Duration;
 
 use loftcove_soak::{client, plan, run};
+use tokio::sync::Semaphore;
 
 const SIZE: plan::Size =
     plan::Size { gateways: 3, ranks: 4, plain: 3, clients: 12, time: Duration::from_secs(8) };
@@ -54,22 +56,46 @@
     text.lines().filter(|line| !line.starts_with('#')).map(Stored::parse).collect()
 }
 
+/// Maximum number of seeds that are played at the same time. Each has a system of its own.
+const CONCURRENT_PLAYS: usize = 3;
+
+/// Plays a stored seed. `line` is its position among the stored seeds.
+async fn play(line: usize, stored: Stored) {
+    let events = plan::draw_without(stored.seed, &stored.size(), &stored.without);
+    let report = run::play(stored.seed, &stored.size(), stored.callers, events).await;
+    if !report.breaches.is_empty() {
+        // A seed may be stored more than once, with other settings.
+        let name = format!("seed-{}-line-{line}", stored.seed);
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        report.save(&folder).unwrap();
+        eprintln!("logs of seed {} are in {}", stored.seed, folder.display());
+    }
+    assert!(report.requests.1 > 100, "seed {}: {:?} requests", stored.seed, report.requests);
+    assert_eq!(report.breaches, [], "seed {}: {:?}", stored.seed, report.events);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn stored_seeds_have_no_breaches() {
     let seeds = stored_seeds();
     assert!(!seeds.is_empty());
-    for stored in seeds {
-        let events = plan::draw_without(stored.seed, &stored.size(), &stored.without);
-        let report = run::play(stored.seed, &stored.size(), stored.callers, events).await;
-        if !report.breaches.is_empty() {
-            let folder =
-                Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("seed-{}", stored.seed));
-            report.save(&folder).unwrap();
-            eprintln!("logs of seed {} are in {}", stored.seed, folder.display());
+    let permits = Arc::new(Semaphore::new(CONCURRENT_PLAYS));
+    // A task for each, so that the panic of one play neither ends the others nor saves their logs.
+    let plays = seeds.into_iter().enumerate().map(|(line, stored)| {
+        let (seed, permits) = (stored.seed, permits.clone());
+        let task = tokio::spawn(async move {
+            let _permit = permits.acquire_owned().await.unwrap();
+            play(line, stored).await;
+        });
+        (line, seed, task)
+    });
+    let plays: Vec<_> = plays.collect();
+    let mut failed = Vec::new();
+    for (line, seed, task) in plays {
+        if task.await.is_err() {
+            failed.push(format!("seed {seed}, line {line}"));
         }
-        assert!(report.requests.1 > 100, "{:?} requests", report.requests);
-        assert_eq!(report.breaches, [], "seed {}: {:?}", stored.seed, report.events);
     }
+    assert!(failed.is_empty(), "failed: {failed:?}");
 }
 
 #[test]
