--- a/soak/tests/seeds.rs
+++ b/soak/tests/seeds.rs
@@ -59,13 +59,13 @@
 /// Maximum number of seeds that are played at the same time. Each has a system of its own.
 const CONCURRENT_PLAYS: usize = 3;
 
-/// Plays a stored seed. `line` is its position among the stored seeds.
-async fn play(line: usize, stored: Stored) {
+/// Plays a stored seed. `position` counts the stored seeds from 1.
+async fn play(position: usize, stored: Stored) {
     let events = plan::draw_without(stored.seed, &stored.size(), &stored.without);
     let report = run::play(stored.seed, &stored.size(), stored.callers, events).await;
     if !report.breaches.is_empty() {
         // A seed may be stored more than once, with other settings.
-        let name = format!("seed-{}-line-{line}", stored.seed);
+        let name = format!("seed-{}-position-{position}", stored.seed);
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         report.save(&folder).unwrap();
         eprintln!("logs of seed {} are in {}", stored.seed, folder.display());
@@ -80,19 +80,19 @@
     assert!(!seeds.is_empty());
     let permits = Arc::new(Semaphore::new(CONCURRENT_PLAYS));
     // A task for each, so that the panic of one play neither ends the others nor saves their logs.
-    let plays = seeds.into_iter().enumerate().map(|(line, stored)| {
+    let plays = (1..).zip(seeds).map(|(position, stored)| {
         let (seed, permits) = (stored.seed, permits.clone());
         let task = tokio::spawn(async move {
             let _permit = permits.acquire_owned().await.unwrap();
-            play(line, stored).await;
+            play(position, stored).await;
         });
-        (line, seed, task)
+        (position, seed, task)
     });
     let plays: Vec<_> = plays.collect();
     let mut failed = Vec::new();
-    for (line, seed, task) in plays {
+    for (position, seed, task) in plays {
         if task.await.is_err() {
-            failed.push(format!("seed {seed}, line {line}"));
+            failed.push(format!("seed {seed} at position {position}"));
         }
     }
     assert!(failed.is_empty(), "failed: {failed:?}");
