intake: take the memory of messages between processes from one account

Callers saw: a sidecar or gateway that exceeds its memory and is ended by its host while peers send it messages at once, or while links stall in the middle of messages. All requests and map changes that it served are lost.

Cause: a bound for each piece and none for their number. A message had 2 MB, a connection a window of 1 MB, and neither the sum of the messages nor the number of calls nor that of connections had a bound.

Change: a message takes its memory from the account of the process when its prefix arrives. A part of the account is only for messages, so that clients do not keep orders and updates out. Accepted connections have a sixteenth of the process's memory, each with a window of 128 KB and at most 256 calls. Sidecars and agents have an account too.

--- a/daemon/src/intake.rs
+++ b/daemon/src/intake.rs
@@ -38,8 +38,9 @@
         let bounds = limits::enforce(bounds);
         let descriptors = descriptors::Account::of_process(bounds.descriptors, own);
         let monitors = monitor::quota(&descriptors);
-        let connections = connections::Connections::of(grpc::quota(&descriptors));
-        let memory = memory::Account::of_process(bounds.memory, 0);
+        let connections = connections::Connections::of(grpc::quota(&descriptors, bounds.memory));
+        let memory =
+            memory::Account::of_process(bounds.memory, grpc::connection_memory(bounds.memory));
         let peers = grpc::Intake::of(connections, memory);
         Intake { descriptors, peers, monitors }
     }
--- a/daemon/src/link.rs
+++ b/daemon/src/link.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use loftcove_intake::grpc;
+use loftcove_intake::{grpc, memory};
 use loftcove_wire as wire;
 use subtle::ConstantTimeEq as _;
 use tonic::codec::CompressionEncoding;
@@ -89,19 +89,22 @@
 pub struct Table {
     key: Key,
     source: Option<IpAddr>,
+    memory: memory::Account,
     links: Mutex<BTreeMap<SocketAddr, Arc<Link>>>,
 }
 
 impl Table {
-    /// Creates an empty table. Connections use the local address `source`, if there is one.
-    pub fn new(key: Key, source: Option<IpAddr>) -> Table {
-        Table { key, source, links: Mutex::new(BTreeMap::new()) }
+    /// Creates an empty table. Connections use the local address `source`, if there is one, and
+    /// messages take their memory from `memory`.
+    pub fn new(key: Key, source: Option<IpAddr>, memory: memory::Account) -> Table {
+        Table { key, source, memory, links: Mutex::new(BTreeMap::new()) }
     }
 
     /// Returns the link to an address. It connects on the first call.
     pub fn get(&self, address: SocketAddr) -> Arc<Link> {
         let mut links = self.links.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        let fresh = || Arc::new(connect(address, self.source, self.key.clone()));
+        let fresh =
+            || Arc::new(connect(address, self.source, self.key.clone(), self.memory.clone()));
         links.entry(address).or_insert_with(fresh).clone()
     }
 
@@ -113,13 +116,13 @@
     }
 }
 
-fn connect(address: SocketAddr, source: Option<IpAddr>, key: Key) -> Link {
+fn connect(address: SocketAddr, source: Option<IpAddr>, key: Key, memory: memory::Account) -> Link {
     let endpoint = transport::Endpoint::from(http_uri(address))
         .connect_timeout(CONNECT_TIMEOUT)
         .http2_keep_alive_interval(KEEP_ALIVE.0)
         .keep_alive_timeout(KEEP_ALIVE.1)
         .keep_alive_while_idle(true);
-    let channel = grpc::Endpoint::new(endpoint, source).connect_lazy();
+    let channel = grpc::Endpoint::new(endpoint, source, memory).connect_lazy();
     let peer = wire::peer_client::PeerClient::with_interceptor(channel.clone(), key.clone())
         .accept_compressed(CompressionEncoding::Gzip)
         .send_compressed(CompressionEncoding::Gzip)
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -76,7 +76,11 @@
                 settings.process.source_address,
                 timeout,
             ),
-            links: link::Table::new(key, settings.process.source_address),
+            links: link::Table::new(
+                key,
+                settings.process.source_address,
+                intake.peers.memory.clone(),
+            ),
             history: explain::History::default(),
             ends: ends::Ends::default(),
             intake,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -99,7 +99,8 @@
         zone: host.zone.clone(),
         address: Some(addresses.peer_address),
     };
-    let peers = Arc::new(follow::Peers::new(own, host.seeds.clone()));
+    let peers = follow::Peers::new(own, host.seeds.clone());
+    let peers = Arc::new(peers.with_memory(gateway.memory.clone()));
     for follower in 0..FOLLOWED_PEERS {
         tokio::spawn(follow::run(gateway.mirror.clone(), peers.clone(), follower));
     }
--- a/gateway/src/quotas.rs
+++ b/gateway/src/quotas.rs
@@ -31,7 +31,7 @@
     pub fn new(bounds: limits::Bounds, setting: usize) -> Quotas {
         let account = descriptors::Account::of_process(bounds.descriptors, OWN_DESCRIPTORS);
         let (readiness, metrics) = (monitor::quota(&account), monitor::quota(&account));
-        let peers = grpc::quota(&account);
+        let peers = grpc::quota(&account, bounds.memory);
         let left = account.capacity().saturating_sub(account.reserved());
         let max = (left / 2).min(setting.saturating_sub(RESERVED_DESCRIPTORS) / 2);
         let share = descriptors::Share { reserved: max / 2, max };
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -11,7 +11,7 @@
 use loftcove_decision::routing::rate;
 use loftcove_decision::{balancer, fleet, lifecycle, pass, route};
 use loftcove_dispatch as dispatch;
-use loftcove_intake::memory;
+use loftcove_intake::{grpc, memory};
 use loftcove_interface::protocol::Protocol;
 use loftcove_mirror::{self as mirror, catalog, membership, register};
 use loftcove_settings::gateway as settings;
@@ -94,8 +94,14 @@
         let serving = &settings.serving;
         let kb = |kb: u64| usize::try_from(kb).unwrap_or(usize::MAX).saturating_mul(1_024);
         let queued = kb(serving.clients_buffer_mb().saturating_mul(1_024));
+        // The host may allow less memory than the settings name.
+        let limited = bounds.memory < kb(serving.memory_mb.saturating_mul(1_024));
+        let queued = if limited { queued.min(bounds.memory / 8) } else { queued };
         let buffers = queue::Bounds::new(kb(serving.client_buffer_kb), queued);
-        let memory = memory::Account::of_process(bounds.memory, queued);
+        let memory = memory::Account::of_process(
+            bounds.memory,
+            queued + grpc::connection_memory(bounds.memory),
+        );
         let metrics = metrics::Metrics::default();
         Gateway {
             settings,
--- a/intake/src/grpc.rs
+++ b/intake/src/grpc.rs
@@ -22,31 +22,65 @@
 use tonic::transport::{self, channel};
 use tower::ServiceExt as _;
 
-use crate::{Bound, Meter, Socket, body, connections, count, descriptors, memory};
-
-/// Bytes of a body that may arrive on a connection before they are read.
-const WINDOW: u32 = 1024 * 1024;
-const BOUND: Bound = Bound::new(WINDOW as usize, count::Peer::PROCESS).with_control_frames();
-
-type Body = body::Body<tonic::body::Body>;
+use crate::{Bound, Meter, Socket, body, connections, count, descriptors, memory, message};
+
+/// Bytes of all messages that may arrive on an accepted connection before they are read, and those of
+/// one call, which leave a part to the others.
+const SERVER_WINDOW: u32 = 128 * 1024;
+const SERVER_STREAM_WINDOW: u32 = 96 * 1024;
+/// Maximum number of calls in progress on an accepted connection.
+const MAX_STREAMS: u32 = 256;
+/// Maximum size of the headers of a call, in bytes.
+const MAX_HEADER_BYTES: u32 = 16 * 1024;
+/// Bytes that may arrive on a connection of a [`Channel`] before they are read. The process decides
+/// how many of these it has.
+const CLIENT_WINDOW: u32 = 1024 * 1024;
+/// Memory of an accepted connection, in bytes: its window and the rest.
+const CONNECTION_BYTES: usize = SERVER_WINDOW as usize + 8 * 1024;
+const SERVER_BOUND: Bound =
+    Bound::new(SERVER_WINDOW as usize, count::Peer::PROCESS).with_control_frames();
+const CLIENT_BOUND: Bound =
+    Bound::new(CLIENT_WINDOW as usize, count::Peer::PROCESS).with_control_frames();
+
+/// Body of a call, whose messages take their memory from the account of the process.
+pub type Body = message::Body<body::Body<tonic::body::Body>>;
 
 /// Part of an account of descriptors that is reserved for connections from other processes, as a
 /// divisor, and its maximum.
 const RESERVED_PART: usize = 8;
 const MAX_RESERVED: usize = 128;
 
-/// Adds a quota for connections from other processes to the account of a process. They may use half of
-/// it.
-pub fn quota(account: &descriptors::Account) -> descriptors::Quota {
-    let reserved = (account.capacity() / RESERVED_PART).min(MAX_RESERVED);
-    account.quota(descriptors::Share { reserved, max: account.capacity() / 2 })
+/// Part of the memory of a process that is for accepted connections, as a divisor.
+const MEMORY_PART: usize = 16;
+/// Minimum number of connections that are accepted, whatever the memory.
+const MIN_CONNECTIONS: usize = 16;
+
+/// Returns the number of connections from other processes that a process with `memory` bytes accepts.
+fn max_connections(memory: usize) -> usize {
+    (memory / MEMORY_PART / CONNECTION_BYTES).max(MIN_CONNECTIONS)
+}
+
+/// Returns the bytes that the connections from other processes hold, of the `memory` of a process.
+/// They are not in its account, so that what clients send does not keep other processes out.
+pub fn connection_memory(memory: usize) -> usize {
+    max_connections(memory) * CONNECTION_BYTES
+}
+
+/// Adds a quota for connections from other processes to the account of a process with `memory` bytes.
+/// They may use half of the account.
+pub fn quota(account: &descriptors::Account, memory: usize) -> descriptors::Quota {
+    let max = max_connections(memory).min(account.capacity() / 2);
+    let reserved = (account.capacity() / RESERVED_PART).min(MAX_RESERVED).min(max);
+    account.quota(descriptors::Share { reserved, max })
 }
 
 /// Returns a builder of servers for [`incoming`] connections.
 pub fn server() -> transport::Server {
     transport::Server::builder()
-        .initial_connection_window_size(WINDOW)
-        .initial_stream_window_size(WINDOW)
+        .initial_connection_window_size(SERVER_WINDOW)
+        .initial_stream_window_size(SERVER_STREAM_WINDOW)
+        .max_concurrent_streams(MAX_STREAMS)
+        .http2_max_header_list_size(MAX_HEADER_BYTES)
 }
 
 /// Pause after an error of the listener. Mostly the process is out of file descriptors, and other
@@ -131,7 +165,9 @@
                     stream.set_nodelay(true).unwrap_or_default();
                     let open = intake.connections.open_connection();
                     let closing = Box::pin(open.state().closing_owned());
-                    let connection = Connection { socket: BOUND.socket(stream), open, closing };
+                    let account = intake.memory.clone();
+                    let connection =
+                        Connection { socket: SERVER_BOUND.socket(stream), open, closing, account };
                     return Some((Ok(connection), (listener, intake, logged)));
                 }
                 Err(error) => {
@@ -153,6 +189,7 @@
     open: connections::Connection,
     /// Completes when the connection is to be closed for others.
     closing: Pin<Box<OwnedNotified>>,
+    account: memory::Account,
 }
 
 /// Where a request comes from.
@@ -161,6 +198,7 @@
     addresses: TcpConnectInfo,
     meter: Meter,
     state: Arc<connections::State>,
+    account: memory::Account,
 }
 
 impl Connected for Connection {
@@ -169,7 +207,8 @@
     fn connect_info(&self) -> Origin {
         let addresses = self.socket.get_ref().connect_info();
         let state = self.open.state().clone();
-        Origin { addresses, meter: self.socket.meter().clone(), state }
+        let (meter, account) = (self.socket.meter().clone(), self.account.clone());
+        Origin { addresses, meter, state, account }
     }
 }
 
@@ -225,7 +264,7 @@
 where
     S: tower::Service<http::Request<Body>, Response = http::Response<B>>,
 {
-    type Response = http::Response<Reply<B>>;
+    type Response = http::Response<message::Reply<B>>;
     type Error = S::Error;
     type Future = Served<S::Future>;
 
@@ -235,19 +274,20 @@
 
     fn call(&mut self, mut request: http::Request<tonic::body::Body>) -> Served<S::Future> {
         let origin = request.extensions_mut().remove::<Origin>();
-        let (meter, running) = match origin {
+        let (meter, held) = match origin {
             Some(origin) => {
                 request.extensions_mut().insert(origin.addresses);
-                let mut running = origin.state.begin();
-                running.complete();
-                (origin.meter, Some(running))
+                let running = origin.state.begin();
+                (origin.meter, message::Held::new(&origin.account, Some(running)))
             }
             // Not reached: all requests arrive on connections of `incoming`.
-            None => (Meter::default(), None),
+            None => (Meter::default(), message::Held::new(&memory::Account::default(), None)),
         };
         meter.record_use();
-        let request = request.map(|body| body::Body::new(body, meter));
-        Served { inner: Box::pin(self.0.call(request)), running }
+        let keep = held.clone();
+        let request =
+            request.map(|body| message::Body::request(body::Body::new(body, meter), keep));
+        Served { inner: Box::pin(self.0.call(request)), held }
     }
 }
 
@@ -255,46 +295,19 @@
 #[derive(Debug)]
 pub struct Served<F> {
     inner: Pin<Box<F>>,
-    running: Option<connections::Request>,
+    held: Arc<message::Held>,
 }
 
 impl<F, B, E> Future for Served<F>
 where
     F: Future<Output = Result<http::Response<B>, E>>,
 {
-    type Output = Result<http::Response<Reply<B>>, E>;
+    type Output = Result<http::Response<message::Reply<B>>, E>;
 
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Self::Output> {
         let response = ready!(self.inner.as_mut().poll(context))?;
-        let running = self.running.take();
-        Poll::Ready(Ok(response.map(|body| Reply { inner: Box::pin(body), _running: running })))
-    }
-}
-
-/// The body of a response, whose connection has work until it has been sent.
-#[derive(Debug)]
-pub struct Reply<B> {
-    inner: Pin<Box<B>>,
-    _running: Option<connections::Request>,
-}
-
-impl<B: http_body::Body> http_body::Body for Reply<B> {
-    type Data = B::Data;
-    type Error = B::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<http_body::Frame<B::Data>, B::Error>>> {
-        self.inner.as_mut().poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> http_body::SizeHint {
-        self.inner.size_hint()
+        let held = self.held.clone();
+        Poll::Ready(Ok(response.map(|body| message::Reply::new(body, held))))
     }
 }
 
@@ -303,16 +316,24 @@
 pub struct Endpoint {
     inner: transport::Endpoint,
     connector: HttpConnector,
+    account: memory::Account,
 }
 
 impl Endpoint {
-    /// Creates an endpoint. Connections use the local address `source`, if there is one.
-    pub fn new(inner: transport::Endpoint, source: Option<IpAddr>) -> Endpoint {
-        let inner = inner.initial_connection_window_size(WINDOW).initial_stream_window_size(WINDOW);
+    /// Creates an endpoint. Connections use the local address `source`, if there is one. Messages take
+    /// their memory from `account`.
+    pub fn new(
+        inner: transport::Endpoint,
+        source: Option<IpAddr>,
+        account: memory::Account,
+    ) -> Endpoint {
+        let inner = inner
+            .initial_connection_window_size(CLIENT_WINDOW)
+            .initial_stream_window_size(CLIENT_WINDOW);
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_local_address(source);
-        Endpoint { inner, connector }
+        Endpoint { inner, connector, account }
     }
 
     /// Connects.
@@ -325,7 +346,7 @@
         let accepted = current.clone();
         let connector = connector.map_response(move |stream| accepted.bound(stream));
         let inner = self.inner.connect_with_connector(connector).await?;
-        Ok(Channel { inner, current })
+        Ok(Channel { inner, current, account: self.account })
     }
 
     /// Returns a channel that connects on the first call.
@@ -333,7 +354,8 @@
         let (current, connector) = (Current::default(), self.connector);
         let accepted = current.clone();
         let connector = connector.map_response(move |stream| accepted.bound(stream));
-        Channel { inner: self.inner.connect_with_connector_lazy(connector), current }
+        let inner = self.inner.connect_with_connector_lazy(connector);
+        Channel { inner, current, account: self.account }
     }
 }
 
@@ -349,7 +371,7 @@
 
     /// Applies the bound to the next connection.
     fn bound(&self, stream: TokioIo<TcpStream>) -> TokioIo<Socket<TcpStream>> {
-        let socket = BOUND.socket(stream.into_inner());
+        let socket = CLIENT_BOUND.socket(stream.into_inner());
         *self.0.lock().unwrap_or_else(PoisonError::into_inner) = socket.meter().clone();
         TokioIo::new(socket)
     }
@@ -360,6 +382,7 @@
 pub struct Channel {
     inner: channel::Channel,
     current: Current,
+    account: memory::Account,
 }
 
 impl tower::Service<http::Request<tonic::body::Body>> for Channel {
@@ -373,7 +396,7 @@
 
     fn call(&mut self, request: http::Request<tonic::body::Body>) -> Response {
         let inner = Box::pin(tower::Service::call(&mut self.inner, request));
-        Response { inner, current: self.current.clone() }
+        Response { inner, current: self.current.clone(), account: self.account.clone() }
     }
 }
 
@@ -381,6 +404,7 @@
 pub struct Response {
     inner: Pin<Box<channel::ResponseFuture>>,
     current: Current,
+    account: memory::Account,
 }
 
 impl Future for Response {
@@ -390,6 +414,8 @@
         let response = ready!(self.inner.as_mut().poll(context))?;
         let meter = self.current.get();
         meter.record_use();
-        Poll::Ready(Ok(response.map(|body| body::Body::new(body, meter))))
+        let held = message::Held::new(&self.account, None);
+        let body = |body| message::Body::response(body::Body::new(body, meter), held);
+        Poll::Ready(Ok(response.map(body)))
     }
 }
--- a/intake/src/lib.rs
+++ b/intake/src/lib.rs
@@ -1,7 +1,7 @@
 //! Bounds what peers send, and what of it a process holds.
 //!
 //! [`memory`] is the account of the memory that peers make a process hold, from which [`body`] takes
-//! the memory of requests.
+//! the memory of requests and [`message`] that of messages between processes.
 //! [`connections`] bounds the open connections, also those of [`monitor`]. All of them take their
 //! descriptors from the account of [`descriptors`].
 //! The rest of this page is about the bytes that arrive on a connection without carrying anything.
@@ -25,6 +25,7 @@
 pub mod descriptors;
 pub mod grpc;
 pub mod memory;
+pub mod message;
 pub mod monitor;
 
 use std::io::{self, IoSlice};
--- a/intake/src/memory.rs
+++ b/intake/src/memory.rs
@@ -32,6 +32,9 @@
 const BASE: usize = 32 << 20;
 /// Part of a process's memory that is left to the allocator, as a divisor.
 const SLACK: usize = 32;
+/// Part of a process's memory that only messages of other processes may hold, as a divisor: a group
+/// must not lose its driver, or a gateway its updates, because clients hold the rest.
+const CONTROL: usize = 32;
 /// Interval between two searches for bodies without progress.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Minimum time between two log lines about bodies that were given up or refused.
@@ -61,6 +64,8 @@
 #[derive(Debug)]
 struct Inner {
     capacity: usize,
+    /// Bytes beyond the capacity that only messages of other processes may hold.
+    control: usize,
     state: Mutex<State>,
     released: Notify,
     given_up: Counter,
@@ -106,11 +111,24 @@
     }
 }
 
+impl Default for Account {
+    /// Creates an account without a bound.
+    fn default() -> Account {
+        // Sums of what is held do not overflow.
+        Account::new(usize::MAX / 4)
+    }
+}
+
 impl Account {
     /// Creates an account of this many bytes.
     pub fn new(capacity: usize) -> Account {
+        Account::with_control(capacity, 0)
+    }
+
+    fn with_control(capacity: usize, control: usize) -> Account {
         Account(Arc::new(Inner {
             capacity,
+            control,
             state: Mutex::default(),
             released: Notify::new(),
             given_up: Counter::default(),
@@ -121,8 +139,9 @@
     /// Creates the account of a process that may use `memory` bytes, of which `other` are bounded
     /// elsewhere.
     pub fn of_process(memory: usize, other: usize) -> Account {
-        let capacity = memory.saturating_sub(other + BASE + memory / SLACK);
-        Account::new(capacity.max(MIN_CAPACITY))
+        let control = memory / CONTROL;
+        let capacity = memory.saturating_sub(other + BASE + memory / SLACK + control);
+        Account::with_control(capacity.max(MIN_CAPACITY), control)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -158,6 +177,14 @@
         hold.try_grow(bytes).then_some(hold)
     }
 
+    /// Returns a hold of no bytes for messages that must arrive within `time`: those of a response
+    /// that the process has asked for, or of a request of another process.
+    pub fn hold_messages(&self, time: Duration, asked: bool) -> Hold {
+        let mut hold = self.hold_arriving(time);
+        hold.class = if asked { Class::Response } else { Class::Message };
+        hold
+    }
+
     /// Takes memory if there is some at once.
     pub fn try_hold(&self, bytes: usize) -> Option<Hold> {
         let mut hold = self.hold_nothing();
@@ -170,26 +197,31 @@
     ///
     /// Returns [`Full`] if there is none in time.
     pub async fn hold_body(&self, demand: Demand) -> Result<Hold, Full> {
+        let mut hold = self.hold_arriving(demand.time);
+        hold.grow(demand.bytes, demand.wait).await?;
+        Ok(hold)
+    }
+
+    /// Returns a hold of no bytes for what must arrive within `time`. It is given up for others while
+    /// it makes no progress.
+    fn hold_arriving(&self, time: Duration) -> Hold {
         let notify = Arc::new(Notify::new());
-        let number = {
-            let mut state = self.lock();
-            state.bodies += 1;
-            let number = state.bodies;
-            let arrival = Arrival {
-                bytes: 0,
-                received: 0,
-                mark: (0, boot::Instant::now()),
-                time: demand.time,
-                given_up: false,
-                notify: notify.clone(),
-            };
-            state.arriving.insert(number, arrival);
-            number
+        let mut state = self.lock();
+        state.bodies += 1;
+        let number = state.bodies;
+        let arrival = Arrival {
+            bytes: 0,
+            received: 0,
+            mark: (0, boot::Instant::now()),
+            time,
+            given_up: false,
+            notify: notify.clone(),
         };
+        state.arriving.insert(number, arrival);
+        drop(state);
         let mut hold = self.hold_nothing();
         hold.body = Some((number, notify));
-        hold.grow(demand.bytes, demand.wait).await?;
-        Ok(hold)
+        hold
     }
 
     /// Gives up bodies without progress until `bytes` will be free. Those that were given up before
@@ -262,6 +294,10 @@
     BySize,
     /// All of the account.
     Small,
+    /// All of the account and the part for messages, if it is at most two copies of what is [`SMALL`].
+    Message,
+    /// All of the account and the part for messages. The process has asked for it.
+    Response,
 }
 
 /// Memory taken from an account. Dropping it gives the memory back.
@@ -281,7 +317,11 @@
     }
 
     fn is_large(&self, bytes: usize) -> bool {
-        bytes > SMALL && self.class == Class::BySize
+        match self.class {
+            Class::BySize => bytes > SMALL,
+            Class::Message => bytes > 2 * SMALL,
+            Class::Small | Class::Response => false,
+        }
     }
 
     /// Returns the sum of small or large holds that this one belongs to with `bytes`.
@@ -304,7 +344,11 @@
             // A body that is larger than the account is admitted alone.
             fits || others.1 == 0 && bytes > large_capacity
         } else {
-            others.0 + others.1.min(large_capacity) + bytes <= capacity
+            let control = match self.class {
+                Class::Message | Class::Response => self.account.0.control,
+                Class::BySize | Class::Small => 0,
+            };
+            others.0 + others.1.min(large_capacity) + bytes <= capacity + control
         };
         if !fits {
             return false;
@@ -352,6 +396,53 @@
         }
     }
 
+    /// Gives back all but `bytes`. The hold can grow again, and is not given up before that.
+    pub fn shrink(&mut self, bytes: usize) {
+        let bytes = bytes.min(self.bytes);
+        let mut state = self.account.lock();
+        let mut sums = (state.small, state.large);
+        *self.part(&mut sums, self.bytes) -= self.bytes;
+        *self.part(&mut sums, bytes) += bytes;
+        (state.small, state.large) = sums;
+        if let Some((number, _)) = &self.body
+            && let Some(arrival) = state.arriving.get_mut(number)
+        {
+            arrival.bytes = 0;
+            arrival.given_up = false;
+        }
+        drop(state);
+        let released = bytes < self.bytes;
+        self.bytes = bytes;
+        if released {
+            self.account.0.released.notify_waiters();
+        }
+    }
+
+    /// Records that nothing is expected until the hold grows again. It is not given up before that.
+    pub fn pause(&self) {
+        if let Some((number, _)) = &self.body
+            && let Some(arrival) = self.account.lock().arriving.get_mut(number)
+        {
+            arrival.bytes = 0;
+        }
+    }
+
+    /// Returns whether the body is given up for others.
+    pub fn is_given_up(&self) -> bool {
+        let Some((number, _)) = &self.body else { return false };
+        self.account.lock().arriving.get(number).is_some_and(|arrival| arrival.given_up)
+    }
+
+    /// Gives up others without progress until there will be room for `bytes`.
+    pub fn make_room(&self, bytes: usize) {
+        self.account.give_up(bytes);
+    }
+
+    /// Counts that there was no memory.
+    pub fn refuse(&self) {
+        self.account.refuse();
+    }
+
     /// Waits until the body is given up.
     pub async fn given_up(&self) {
         match &self.body {
@@ -371,11 +462,6 @@
 impl Drop for Hold {
     fn drop(&mut self) {
         self.complete();
-        let mut state = self.account.lock();
-        let mut sums = (state.small, state.large);
-        *self.part(&mut sums, self.bytes) -= self.bytes;
-        (state.small, state.large) = sums;
-        drop(state);
-        self.account.0.released.notify_waiters();
+        self.shrink(0);
     }
 }
--- a/mirror/src/follow.rs
+++ b/mirror/src/follow.rs
@@ -12,7 +12,7 @@
 use loftcove_clock as boot;
 use loftcove_decision::mirror::Record;
 use loftcove_decision::revision::Revision;
-use loftcove_intake::grpc;
+use loftcove_intake::{grpc, memory};
 use loftcove_wire as wire;
 use rand::seq::IndexedRandom as _;
 use tokio::sync::broadcast;
@@ -55,6 +55,7 @@
 /// The known peers of a host, and those that it follows.
 pub struct Peers {
     local: LocalHost,
+    memory: memory::Account,
     seeds: Mutex<Vec<SocketAddr>>,
     /// Peers that are followed, by number of the follower.
     in_use: Mutex<BTreeMap<usize, SocketAddr>>,
@@ -89,6 +90,7 @@
     pub fn new(local: LocalHost, seeds: Vec<SocketAddr>) -> Peers {
         Peers {
             local,
+            memory: memory::Account::default(),
             seeds: Mutex::new(seeds),
             in_use: Mutex::default(),
             failed: Mutex::default(),
@@ -96,6 +98,12 @@
         }
     }
 
+    /// Sets the account from which messages of peers take their memory.
+    pub fn with_memory(mut self, memory: memory::Account) -> Peers {
+        self.memory = memory;
+        self
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         *lock(&self.seeds) = seeds;
@@ -209,7 +217,15 @@
             let better = || peers.has_better_peer(&mirror, follower, peer);
             let insists = peers.insists(follower);
             let on_accepted = || peers.record_accepted(follower);
-            let ended = follow(&mirror, &peers.local, peer, insists, on_accepted, better).await;
+            let ended = follow(
+                &mirror,
+                (&peers.local, peers.memory.clone()),
+                peer,
+                insists,
+                on_accepted,
+                better,
+            )
+            .await;
             lock(&peers.in_use).remove(&follower);
             match ended {
                 Ok(End::Full(alternatives)) => {
@@ -235,14 +251,15 @@
 /// Follows a peer until the stream fails, or until `better` returns true.
 async fn follow(
     mirror: &Mirror,
-    local: &LocalHost,
+    (local, memory): (&LocalHost, memory::Account),
     address: SocketAddr,
     insists: bool,
     on_accepted: impl Fn(),
     better: impl Fn() -> bool,
 ) -> Result<End, tonic::Status> {
     let unreachable = |error: &dyn std::error::Error| tonic::Status::unavailable(error.to_string());
-    let endpoint = peer::endpoint(address, CONNECT_TIMEOUT).map_err(|error| unreachable(&error))?;
+    let endpoint =
+        peer::endpoint(address, CONNECT_TIMEOUT, memory).map_err(|error| unreachable(&error))?;
     let channel = endpoint.connect().await.map_err(|error| unreachable(&error))?;
     let mut client = wire::mirror_client::MirrorClient::new(channel);
     let request = wire::Follower {
--- a/mirror/src/peer.rs
+++ b/mirror/src/peer.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use loftcove_intake::grpc;
+use loftcove_intake::{grpc, memory};
 use tonic::transport::{self, Error, Server};
 
 /// Keepalive interval and timeout on the client side. Their sum bounds the time until a connection
@@ -24,17 +24,21 @@
         .http2_keepalive_timeout(Some(SERVER_KEEPALIVE.1))
 }
 
-/// Returns an endpoint that connects to a peer. Keepalive probes detect an open connection that
+/// Returns an endpoint that connects to a peer, whose messages use `account`. Keepalive probes detect an open connection that
 /// silently drops packets, so the caller need not.
 ///
 /// # Errors
 ///
 /// Returns an error if the address cannot be part of a URI.
-pub fn endpoint(address: SocketAddr, connect_timeout: Duration) -> Result<grpc::Endpoint, Error> {
+pub fn endpoint(
+    address: SocketAddr,
+    connect_timeout: Duration,
+    account: memory::Account,
+) -> Result<grpc::Endpoint, Error> {
     let endpoint = transport::Endpoint::from_shared(format!("http://{address}"))?
         .connect_timeout(connect_timeout)
         .http2_keep_alive_interval(CLIENT_KEEPALIVE.0)
         .keep_alive_timeout(CLIENT_KEEPALIVE.1)
         .keep_alive_while_idle(true);
-    Ok(grpc::Endpoint::new(endpoint, None))
+    Ok(grpc::Endpoint::new(endpoint, None, account))
 }
--- a/mirror/tests/floods.rs
+++ b/mirror/tests/floods.rs
@@ -11,6 +11,7 @@
 use futures_util::future;
 use loftcove_decision::mirror::Record;
 use loftcove_decision::revision::Revision;
+use loftcove_intake::memory;
 use loftcove_mirror::{Mirror, Source, follow, peer};
 use loftcove_standins::sender::{End, Form};
 use loftcove_wire as wire;
@@ -55,7 +56,11 @@
     let mut longest = Duration::ZERO;
     loop {
         let begun = Instant::now();
-        let channel = peer::endpoint(address, LIMIT).unwrap().connect().await.unwrap();
+        let channel = peer::endpoint(address, LIMIT, memory::Account::default())
+            .unwrap()
+            .connect()
+            .await
+            .unwrap();
         let wanted = wire::Wanted { key: "a".to_owned(), ..Default::default() };
         let fetched = wire::mirror_client::MirrorClient::new(channel).fetch(wanted).await;
         assert_eq!(fetched.unwrap_err().code(), tonic::Code::NotFound);
@@ -125,7 +130,11 @@
 async fn a_connection_that_carries_large_messages_stays_open() {
     const RECORDS: u64 = 30;
     let (source, address) = common::host("norte").await;
-    let channel = peer::endpoint(address, LIMIT).unwrap().connect().await.unwrap();
+    let channel = peer::endpoint(address, LIMIT, memory::Account::default())
+        .unwrap()
+        .connect()
+        .await
+        .unwrap();
     let client = wire::mirror_client::MirrorClient::new(channel);
     let mut client = client.max_decoding_message_size(wire::MAX_MESSAGE);
     let value = bytes::Bytes::from("x".repeat(wire::MAX_MESSAGE - 1_024));
--- a/sidecar/src/group.rs
+++ b/sidecar/src/group.rs
@@ -9,6 +9,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use loftcove_clock as boot;
 use loftcove_decision::map::{switch, tree};
+use loftcove_intake::memory;
 use loftcove_interface::engine::{Engine, Map, Order, Verdict};
 use loftcove_mirror::peer;
 use loftcove_wire as wire;
@@ -45,6 +46,7 @@
     own: SocketAddr,
     port: u16,
     connect: Connect<E>,
+    memory: memory::Account,
     members: Mutex<BTreeMap<SocketAddr, Arc<Member<E>>>>,
     /// Availability zones of the engines, as far as they are known.
     zones: Mutex<BTreeMap<SocketAddr, Arc<str>>>,
@@ -69,7 +71,13 @@
     /// Creates a group with this sidecar's own engine. All sidecars listen on `port`.
     pub fn new(own: SocketAddr, port: u16, connect: Connect<E>) -> Group<E> {
         let (members, zones, silent) = Default::default();
-        Group { own, port, connect, members, zones, silent }
+        Group { own, port, connect, memory: memory::Account::default(), members, zones, silent }
+    }
+
+    /// Sets the account from which messages of the ranks take their memory.
+    pub fn with_memory(mut self, memory: memory::Account) -> Group<E> {
+        self.memory = memory;
+        self
     }
 
     /// Returns the address of this sidecar's own engine.
@@ -90,7 +98,7 @@
             return Some(member.clone());
         }
         let sidecar = SocketAddr::new(address.ip(), self.port);
-        let endpoint = match peer::endpoint(sidecar, member::CONNECT_TIMEOUT) {
+        let endpoint = match peer::endpoint(sidecar, member::CONNECT_TIMEOUT, self.memory.clone()) {
             Ok(endpoint) => endpoint,
             Err(error) => {
                 log::error!("invalid sidecar address address={sidecar} error=\"{error}\"");
--- a/sidecar/src/lib.rs
+++ b/sidecar/src/lib.rs
@@ -71,12 +71,13 @@
     let account = descriptors::Account::of_process(bounds.descriptors, OWN_DESCRIPTORS);
     let metrics_quota = monitor::quota(&account);
     let intake = grpc::Intake::of(
-        connections::Connections::of(grpc::quota(&account)),
-        memory::Account::of_process(bounds.memory, 0),
+        connections::Connections::of(grpc::quota(&account, bounds.memory)),
+        memory::Account::of_process(bounds.memory, grpc::connection_memory(bounds.memory)),
     );
     let mirror: Arc<Mirror> = Arc::default();
     let own = follow::LocalHost { name: host.name.clone(), zone: host.zone.clone(), address: None };
-    let peers = Arc::new(follow::Peers::new(own, host.seeds.clone()));
+    let peers = follow::Peers::new(own, host.seeds.clone());
+    let peers = Arc::new(peers.with_memory(intake.memory.clone()));
     for follower in 0..FOLLOWERS {
         tokio::spawn(follow::run(mirror.clone(), peers.clone(), follower));
     }
@@ -85,7 +86,7 @@
     let rank = Arc::new(rank::Rank::new(connect(settings.engine.address)));
     let address = settings.peering.peer_address;
     let group = group::Group::new(settings.engine.address, address.port(), Box::new(connect));
-    let group = Arc::new(group);
+    let group = Arc::new(group.with_memory(intake.memory.clone()));
     let service = (rank.clone(), group.clone());
     log::info!("started host={} engine={}", host.name, settings.engine.address);
     let store = Arc::new(store);
--- a/tests/src/process.rs
+++ b/tests/src/process.rs
@@ -1,6 +1,6 @@
 //! Child processes under test, with their logs and settings files.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
@@ -61,6 +61,26 @@
     folder.unwrap_or_else(|| panic!("{name} is not built: run scripts/test.sh")).join(name)
 }
 
+/// Returns the bytes in the buffers of the sockets of an address, which have arrived and are not read
+/// or are not sent yet.
+///
+/// # Panics
+///
+/// If the table of connections cannot be read, or has another form.
+pub fn socket_bytes(address: SocketAddr) -> u64 {
+    let IpAddr::V4(ip) = address.ip() else { panic!("{address}") };
+    let local = format!("{:08X}:{:04X}", u32::from_ne_bytes(ip.octets()), address.port());
+    const LISTEN: &str = "0A";
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the table can be read");
+    let rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let own = rows.filter(|row| row.get(1) == Some(&&*local) && row[3] != LISTEN);
+    let sizes = own.flat_map(|row| {
+        let (unsent, unread) = row[4].split_once(':').expect("two sizes");
+        [unsent, unread].map(|text| u64::from_str_radix(text, 16).expect("a size"))
+    });
+    sizes.sum()
+}
+
 /// Returns both ends of a pipe that is full.
 pub fn full_pipe() -> (std::io::PipeReader, std::io::PipeWriter) {
     use std::io::Write as _;
--- a/tool/src/report.rs
+++ b/tool/src/report.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use loftcove_intake::grpc;
+use loftcove_intake::{grpc, memory};
 use loftcove_platform::hosts::{self, List as _};
 use loftcove_wire as wire;
 use tonic::codec::CompressionEncoding;
@@ -19,7 +19,8 @@
 /// Connects to a process. Returns `None` if the process is unreachable.
 async fn connect(address: SocketAddr) -> Option<Client> {
     let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{address}")).ok()?;
-    let endpoint = grpc::Endpoint::new(endpoint.connect_timeout(PROCESS_TIMEOUT), None);
+    let memory = memory::Account::default();
+    let endpoint = grpc::Endpoint::new(endpoint.connect_timeout(PROCESS_TIMEOUT), None, memory);
     let channel = endpoint.connect().await.ok()?;
     Some(Client::new(channel).accept_compressed(CompressionEncoding::Gzip))
 }
