intake: bound and count the receive buffers of clients' connections

Callers saw: a gateway that its host ends for its memory while many clients send bodies to a slow service, although the account of its memory is not full. All requests in progress are lost.

Cause: a host that accounts for a process's memory counts the bytes that have arrived and are not read. The operating system decides how many these are, 128 KB for each connection at first, so that their sum grows with the number of connections and is in no account.

Change: the listeners for clients set a receive buffer of 8 KB, which the operating system doubles and which each connection takes from the account. While a body arrives, whose memory has been taken, the buffer is half of its size, up to 64 KB, so that the body is not slowed down.

Evidence: 1,500 clients with bodies of 256 KiB at a service that takes 4 s, 256 MB.

--- a/daemon/src/entry/server.rs
+++ b/daemon/src/entry/server.rs
@@ -21,13 +21,14 @@
 const WINDOW: u32 = 64 * 1024;
 /// Maximum number of requests in progress on a connection over HTTP/2.
 const MAX_STREAMS: u32 = 128;
-/// Memory of a connection, in bytes: the parser's buffer and the rest.
-const CONNECTION_BYTES: usize = MAX_HEADER_BUFFER + 8 * 1024;
+/// Memory of a connection, in bytes: the parser's buffer, the receive buffer and the rest.
+const CONNECTION_BYTES: usize = MAX_HEADER_BUFFER + intake::RECEIVE_MEMORY + 8 * 1024;
 const BOUND: intake::Bound =
     intake::Bound::new(WINDOW as usize, intake::count::Peer::CLIENT).with_control_frames();
 
 /// Accepts connections until the process exits.
 pub async fn run(entry: Arc<Entry>, listener: TcpListener) {
+    intake::bound_receive_buffers(&listener);
     loop {
         entry.clients.wait_for_room().await;
         match listener.accept().await {
--- a/gateway/src/client.rs
+++ b/gateway/src/client.rs
@@ -143,7 +143,7 @@
         if let Err(error) = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT) {
             log::debug!("unsent bytes of client's connection not bounded error=\"{error}\"");
         }
-        let stream = intake::Socket::new(stream, progress.meter.clone());
+        let stream = intake::Socket::new(stream, progress.meter.clone()).with_receive_buffer();
         Socket { stream, limit: None, progress, timer: None, head_limit: None, head_timer: None }
     }
 
@@ -233,6 +233,7 @@
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let before = buffer.filled().len();
+        this.stream.update_receive_buffer();
         let read = Pin::new(&mut this.stream).poll_read(context, buffer);
         this.observe_read(context, (buffer.filled().len() - before, read))
     }
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -21,7 +21,7 @@
 /// Added to the time limit of heads, for packets that are sent again.
 const HEAD_MARGIN: Duration = Duration::from_secs(1);
 /// Memory of a connection beside the parser's buffer, in bytes.
-const CONNECTION_BYTES: usize = 8 * 1024;
+const CONNECTION_BYTES: usize = 8 * 1024 + intake::RECEIVE_MEMORY;
 /// Minimum size of a request's head that is accepted.
 const MIN_HEADER_BYTES: usize = 16 * 1024;
 /// Maximum time that sent bytes may stay unacknowledged. After it, the connection of a client that
@@ -35,6 +35,7 @@
     let mut phases = gateway.lifecycle.phases();
     let accept = async {
         let listener = listener.wait().await;
+        intake::bound_receive_buffers(&listener);
         gateway.lifecycle.set_listening();
         accept(&gateway, &listener).await;
     };
--- a/intake/src/body.rs
+++ b/intake/src/body.rs
@@ -5,7 +5,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::{Buf as _, Bytes};
+use bytes::{Buf, Bytes};
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt as _;
 
@@ -29,12 +29,22 @@
 pub struct Body<B> {
     inner: B,
     meter: Meter,
+    /// Bytes of the body that arrived, once it is read.
+    received: Option<usize>,
+}
+
+impl<B> Drop for Body<B> {
+    fn drop(&mut self) {
+        if self.received.is_some() {
+            self.meter.set_body(0);
+        }
+    }
 }
 
 impl<B> Body<B> {
     /// Records the pieces of a body on a meter.
     pub fn new(inner: B, meter: Meter) -> Body<B> {
-        Body { inner, meter }
+        Body { inner, meter, received: None }
     }
 }
 
@@ -47,11 +57,21 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
         let this = self.get_mut();
+        if this.received.is_none() {
+            // Whoever reads it has taken the memory of its length.
+            this.received = Some(0);
+            let length = usize::try_from(this.inner.size_hint().lower()).unwrap_or(usize::MAX);
+            this.meter.set_body(length);
+        }
         let frame = ready!(Pin::new(&mut this.inner).poll_frame(context));
         if let Some(Ok(frame)) = &frame
             && frame.data_ref().is_some_and(|data| data.has_remaining())
         {
             this.meter.record_use();
+            let received = this.received.unwrap_or(0) + frame.data_ref().map_or(0, Buf::remaining);
+            this.received = Some(received);
+            let left = usize::try_from(this.inner.size_hint().lower()).unwrap_or(usize::MAX);
+            this.meter.set_body(received.max(left));
         }
         Poll::Ready(frame)
     }
--- a/intake/src/lib.rs
+++ b/intake/src/lib.rs
@@ -31,13 +31,13 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use loftcove_clock as boot;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Number of bytes that are read before other tasks run.
 pub const BURST: usize = 64 * 1024;
@@ -55,6 +55,26 @@
 /// stream's window and of its connection's have 26 bytes together, for some thousand sent.
 const SENT_BYTES: u64 = 64;
 
+/// Size of the receive buffer of a client's connection, in bytes, of which the operating system makes
+/// twice as much. What a client sends beyond it is held back.
+const RECEIVE_BUFFER: usize = 8 * 1024;
+/// The same at most while a body arrives, whose memory has been taken from the account.
+const MAX_RECEIVE_BUFFER: usize = 64 * 1024;
+/// Memory of the receive buffer of a client's connection in the operating system, in bytes.
+pub const RECEIVE_MEMORY: usize = 2 * RECEIVE_BUFFER;
+
+/// Bounds the bytes that arrive on the connections of a listener and are not read. Without it the
+/// operating system decides, by the host's memory.
+pub fn bound_receive_buffers(listener: &TcpListener) {
+    set_receive_buffer(&socket2::SockRef::from(listener), RECEIVE_BUFFER);
+}
+
+fn set_receive_buffer(socket: &socket2::SockRef<'_>, bytes: usize) {
+    if let Err(error) = socket.set_recv_buffer_size(bytes) {
+        log::debug!("receive buffer not bounded bytes={bytes} error=\"{error}\"");
+    }
+}
+
 /// More bytes arrived than may carry nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("{0} bytes without a head or a piece of a body")]
@@ -102,6 +122,7 @@
             allowed: AtomicU64::new(0),
             unused: AtomicU64::new(0),
             exceeded: AtomicBool::new(false),
+            receive_buffer: AtomicUsize::new(RECEIVE_BUFFER),
         };
         Meter(Arc::new(state))
     }
@@ -125,6 +146,8 @@
     /// Bytes that arrived since the reader last received something.
     unused: AtomicU64,
     exceeded: AtomicBool,
+    /// Size of the receive buffer that a body wants, which has taken its memory from the account.
+    receive_buffer: AtomicUsize,
 }
 
 impl State {
@@ -157,6 +180,13 @@
         self.0.unused.store(0, Ordering::Relaxed);
     }
 
+    /// Sets the receive buffer for a body of which the process holds `bytes`.
+    fn set_body(&self, bytes: usize) {
+        // The operating system doubles it.
+        let size = (bytes / 2).clamp(RECEIVE_BUFFER, MAX_RECEIVE_BUFFER);
+        self.0.receive_buffer.store(size, Ordering::Relaxed);
+    }
+
     /// Returns whether the connection has exceeded its bound.
     pub fn exceeded(&self) -> bool {
         self.0.exceeded.load(Ordering::Relaxed)
@@ -200,12 +230,14 @@
     meter: Meter,
     /// Bytes read since other tasks could last run.
     burst: usize,
+    /// Size of the receive buffer, if it is bounded.
+    receive_buffer: Option<usize>,
 }
 
 impl<S> Socket<S> {
     /// Bounds the incoming bytes of a connection.
     pub fn new(inner: S, meter: Meter) -> Socket<S> {
-        Socket { inner, meter, burst: 0 }
+        Socket { inner, meter, burst: 0, receive_buffer: None }
     }
 
     fn record(&self, bytes: usize) -> io::Result<()> {
@@ -224,6 +256,23 @@
     }
 }
 
+impl Socket<TcpStream> {
+    /// Bounds the receive buffer of an accepted connection. See [`bound_receive_buffers`].
+    pub fn with_receive_buffer(mut self) -> Socket<TcpStream> {
+        self.receive_buffer = Some(RECEIVE_BUFFER);
+        self
+    }
+
+    /// Sets the receive buffer to what the bodies on the connection want.
+    pub fn update_receive_buffer(&mut self) {
+        let wanted = self.meter.0.receive_buffer.load(Ordering::Relaxed);
+        if self.receive_buffer.is_some_and(|size| size != wanted) {
+            self.receive_buffer = Some(wanted);
+            set_receive_buffer(&socket2::SockRef::from(&self.inner), wanted);
+        }
+    }
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for Socket<S> {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/tests/tests/crowds.rs
+++ b/tests/tests/crowds.rs
@@ -6,6 +6,7 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -140,6 +141,41 @@
     check_forms(&forms, false).await;
 }
 
+// Guards against bodies that wait unread in the operating system and exceed the memory together with
+// what the process has read.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_bodies_of_many_clients_do_not_exceed_the_memory_of_a_gateway() {
+    /// Memory of the gateway, clients, and size of a body.
+    const MEMORY_MB: u64 = 256;
+    const CLIENTS: usize = 1_500;
+    const BODY: usize = 256 * 1024;
+    let _turn = TURN.lock().await;
+    let settings = format!("memory_mb = {MEMORY_MB}\nmax_descriptors = 4200\n");
+    let (system, mut gateway) = start(&settings).await;
+    let address = system.client_address(GATEWAY);
+    let head = head(&Request::new("/alert/").with("x-standin-delay-ms", "4000"));
+    let form = Form::length("whole bodies", &head, (BODY as u64, BODY), 64 * 1024);
+    let crowd = Crowd::start(address, &[form], CLIENTS, true);
+    let sockets = AtomicU64::new(0);
+    let observe = || sockets.fetch_max(process::socket_bytes(address), Ordering::Relaxed);
+    until("the crowd has its connections", || async {
+        observe();
+        crowd.connected() >= CLIENTS as u64
+    })
+    .await;
+    for _ in 0..30 {
+        until("an ordinary request is answered", || serves(&system)).await;
+        observe();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    drop(crowd);
+    let (peak, sockets) = (gateway.usage().peak_memory, sockets.into_inner());
+    eprintln!("peak of {} and {} MB in sockets of {MEMORY_MB}", peak >> 20, sockets >> 20);
+    assert!(!gateway.has_exited());
+    assert!((peak + sockets) >> 20 <= MEMORY_MB, "{} + {} MB", peak >> 20, sockets >> 20);
+    until("the gateway serves after the crowd", || serves(&system)).await;
+}
+
 // Guards against large responses to many requests at once that exceed the memory together.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_responses_do_not_exceed_the_memory_of_a_gateway() {
