--- a/mirror/src/peer.rs
+++ b/mirror/src/peer.rs
@@ -24,8 +24,8 @@
         .http2_keepalive_timeout(Some(SERVER_KEEPALIVE.1))
 }
 
-/// Returns an endpoint that connects to a peer, whose messages use `account`. Keepalive probes detect an open connection that
-/// silently drops packets, so the caller need not.
+/// Returns an endpoint that connects to a peer, whose messages use `account`. Keepalive probes detect
+/// an open connection that silently drops packets, so the caller need not.
 ///
 /// # Errors
 ///
