gateway: metrics of connections from other processes

loftcove_peer_connections_refused_total and loftcove_peer_connections_closed_for_others_total were registered at sidecars, entry hosts and agents only, so that a gateway that refuses its peers showed it in its log alone. docs/OPERATIONS.md names them for all.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -49,7 +49,7 @@
 use std::time::Duration;
 
 use loftcove_clock as boot;
-use loftcove_intake::{connections, grpc};
+use loftcove_intake::grpc;
 use loftcove_interface::protocol::Protocol;
 use loftcove_interface::store::Store;
 use loftcove_mirror::{self as mirror, ends, follow, lifts, peer, register, serve, watch};
@@ -119,8 +119,7 @@
         });
     }
     tokio::spawn(gateway.mirror.clone().expire());
-    let intake =
-        grpc::Intake::of(connections::Connections::of(quotas.peers), gateway.memory.clone());
+    let intake = gateway.peers.clone();
     tokio::spawn(serve_peers(gateway.mirror.clone(), host.zone.clone(), peer_listener, intake));
     tokio::spawn(health::serve(gateway.clone(), ready, quotas.readiness));
     tokio::spawn(health::serve(gateway.clone(), metrics, quotas.metrics));
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -287,7 +287,7 @@
         limits::register(&mut registry);
         listen::register(&mut registry);
         panics::register(&mut registry);
-        gateway.memory.register(&mut registry);
+        gateway.peers.register(&mut registry);
         gateway.lifecycle.clients.register(&mut registry, "connections_closed_for_others");
         registry.register("attempts", "Attempts sent", self.attempts.clone());
         registry.register("resumed", "Streams resumed", self.resumed.clone());
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -11,7 +11,7 @@
 use loftcove_decision::routing::rate;
 use loftcove_decision::{balancer, fleet, lifecycle, pass, route};
 use loftcove_dispatch as dispatch;
-use loftcove_intake::{grpc, memory};
+use loftcove_intake::{connections, grpc, memory};
 use loftcove_interface::protocol::Protocol;
 use loftcove_mirror::{self as mirror, catalog, membership, register};
 use loftcove_settings::gateway as settings;
@@ -61,6 +61,8 @@
     pub buffers: queue::Bounds,
     /// Memory that clients and backend servers make the process hold, other than `buffers`.
     pub memory: memory::Account,
+    /// Connections and messages of other processes of the deployment.
+    pub peers: grpc::Intake,
     /// Lifecycle of the process, which tells whether it serves, drains or stops.
     pub lifecycle: drain::Lifecycle,
     /// Metrics of the gateway.
@@ -102,6 +104,8 @@
             bounds.memory,
             queued + grpc::connection_memory(bounds.memory),
         );
+        let peers = connections::Connections::of(quotas.peers.clone());
+        let peers = grpc::Intake::of(peers, memory.clone());
         let metrics = metrics::Metrics::default();
         Gateway {
             settings,
@@ -111,6 +115,7 @@
             upstream: upstream::Pool::new(quotas.servers.clone()),
             buffers,
             memory,
+            peers,
             lifecycle,
             metrics,
             shares: shares::Shares::default(),
