intake: keep the receive buffer small while a refused body is discarded

Callers saw: beside load, a gateway whose memory with its sockets exceeds its limit although receive buffers are bounded and counted.

Cause: the buffer of a connection grows while a body arrives, whose memory was taken from the account. The rest of a refused body is read as well, to discard it, and nothing is held for it.

Change: the buffer keeps its first size while a body is discarded.

--- a/intake/src/body.rs
+++ b/intake/src/body.rs
@@ -31,6 +31,8 @@
     meter: Meter,
     /// Bytes of the body that arrived, once it is read.
     received: Option<usize>,
+    /// Whether the body is discarded, so that no memory is held for it.
+    discarded: bool,
 }
 
 impl<B> Drop for Body<B> {
@@ -44,7 +46,16 @@
 impl<B> Body<B> {
     /// Records the pieces of a body on a meter.
     pub fn new(inner: B, meter: Meter) -> Body<B> {
-        Body { inner, meter, received: None }
+        Body { inner, meter, received: None, discarded: false }
+    }
+}
+
+impl<B: http_body::Body> Body<B> {
+    /// Sets the receive buffer of the connection to what is held for the body.
+    fn resize_buffer(&self) {
+        let left = usize::try_from(self.inner.size_hint().lower()).unwrap_or(usize::MAX);
+        let bytes = self.received.unwrap_or(0).max(left);
+        self.meter.set_body(if self.discarded { 0 } else { bytes });
     }
 }
 
@@ -60,8 +71,7 @@
         if this.received.is_none() {
             // Whoever reads it has taken the memory of its length.
             this.received = Some(0);
-            let length = usize::try_from(this.inner.size_hint().lower()).unwrap_or(usize::MAX);
-            this.meter.set_body(length);
+            this.resize_buffer();
         }
         let frame = ready!(Pin::new(&mut this.inner).poll_frame(context));
         if let Some(Ok(frame)) = &frame
@@ -70,8 +80,7 @@
             this.meter.record_use();
             let received = this.received.unwrap_or(0) + frame.data_ref().map_or(0, Buf::remaining);
             this.received = Some(received);
-            let left = usize::try_from(this.inner.size_hint().lower()).unwrap_or(usize::MAX);
-            this.meter.set_body(received.max(left));
+            this.resize_buffer();
         }
         Poll::Ready(frame)
     }
@@ -183,7 +192,11 @@
 /// Reads the rest of a refused body, up to a multiple of the size limit `limit` and for a bounded
 /// time, so that its client can read the response. A connection that is closed with unread bytes can
 /// lose what was sent on it.
-pub async fn discard<B: http_body::Body<Data = Bytes> + Unpin>(body: &mut B, limit: usize) {
+pub async fn discard<B>(body: &mut Body<B>, limit: usize)
+where
+    B: http_body::Body<Data = Bytes> + Unpin,
+{
+    body.discarded = true;
     let discarded = async {
         let mut left = limit.saturating_mul(DISCARD_FACTOR);
         while let Some(Ok(frame)) = body.frame().await {
